--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -101,6 +101,7 @@
             node,
         }),
     };
+    agent.node.heard.set_own_address(address);
     info!(agent.node.log, "agent listens"; "address" => %address);
     let starting = agent.clone();
     compio::runtime::spawn(async move { take_over(&starting, address).await }).detach();
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -1,9 +1,14 @@
 //! The fleet's configuration document: defaults for all, and a short list of exceptions,
 //! each with a written reason. One conditional write to `config/head` changes it as a whole.
 
+use std::fmt;
+
 use celerystair_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use thiserror::Error;
+
+use crate::change::ChangeRecord;
 
 /// The document at `config/head`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -17,6 +22,9 @@
     /// Exceptions, in the order in which they were accepted.
     #[serde(default)]
     pub exceptions: Vec<Exception>,
+    /// The last changes, oldest first; older ones are dropped to bound the document.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<ChangeRecord>,
 }
 
 /// Every field that operators set for the fleet, with its value where nobody has set it.
@@ -74,6 +82,43 @@
     }
 }
 
+/// Why a field can't be set.
+#[derive(Clone, Debug, Error, Eq, PartialEq)]
+pub enum FieldError {
+    /// The value is not of the field's type.
+    #[error("{detail}")]
+    BadValue {
+        /// The parser's reason.
+        detail: String,
+    },
+    /// There is no such field.
+    #[error("there is no such field")]
+    Unknown,
+}
+
+impl Defaults {
+    /// These values with `field` at `value`.
+    pub fn with_field(&self, field: &str, value: &Value) -> Result<Self, FieldError> {
+        let bad = |error: serde_json::Error| FieldError::BadValue {
+            detail: error.to_string(),
+        };
+        let mut fields = self.to_fields();
+        let Some(slot) = fields.get_mut(field) else {
+            return Err(FieldError::Unknown);
+        };
+        *slot = value.clone();
+        serde_json::from_value(Value::Object(fields)).map_err(bad)
+    }
+
+    /// Every field with its value.
+    pub fn to_fields(&self) -> serde_json::Map<String, Value> {
+        match serde_json::to_value(self) {
+            Ok(Value::Object(fields)) => fields,
+            _ => serde_json::Map::default(),
+        }
+    }
+}
+
 /// What an exception applies to.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -102,6 +147,41 @@
     pub name: String,
 }
 
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.kind.as_str(), self.name)
+    }
+}
+
+impl ScopeKind {
+    /// Every kind, in the order of its name.
+    pub const ALL: [Self; 6] = [
+        Self::Adapter,
+        Self::FailureDomain,
+        Self::Firm,
+        Self::Kind,
+        Self::Model,
+        Self::Upstream,
+    ];
+
+    /// The kind's name in JSON, in paths and on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Adapter => "adapter",
+            Self::FailureDomain => "failure_domain",
+            Self::Firm => "firm",
+            Self::Kind => "kind",
+            Self::Model => "model",
+            Self::Upstream => "upstream",
+        }
+    }
+
+    /// The kind of this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == name)
+    }
+}
+
 /// A value that holds for one scope in place of the default.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -150,9 +230,7 @@
     if holding.is_empty() {
         return document.defaults.clone();
     }
-    let Ok(Value::Object(mut fields)) = serde_json::to_value(&document.defaults) else {
-        return document.defaults.clone();
-    };
+    let mut fields = document.defaults.to_fields();
     for exception in holding {
         fields.insert(exception.field.clone(), exception.value.clone());
     }
--- a/crates/celerystair_config/src/in_force.rs
+++ b/crates/celerystair_config/src/in_force.rs
@@ -2,14 +2,23 @@
 
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
 };
 
 use celerystair_core::prelude::*;
 use celerystair_platform::{objects::CONFIG_HEAD, prelude::*};
 use event_listener::{Event, EventListener};
+use futures_util::future::select;
 
-use crate::fleet::FleetDocument;
+use crate::{fleet::FleetDocument, queries::check_document::check_document};
+
+/// How often a process that leaves the watch to others reads the store itself.
+const READ_INTERVAL_MS: u64 = 60_000;
+/// A watch that has missed a change is found out by a plain read this long after the last.
+const WATCH_REREAD_MS: u64 = 120_000;
+/// How long changes gather before the watch is renewed.
+const WATCH_GATHER_MS: u64 = 100;
 
 /// The configuration in force here, shared by the tasks of a thread. Its revision only rises.
 #[derive(Clone, Default)]
@@ -21,25 +30,19 @@
 struct Inner {
     document: RefCell<Rc<FleetDocument>>,
     heard_revision: Cell<u64>,
+    known: Cell<bool>,
+    refused_revision: Cell<u64>,
     changed: Event,
 }
 
 impl FleetConfig {
-    /// Starts to follow `config/head` until `stop` ends.
-    pub fn start(store: &Store, stop: &Stop) -> Self {
+    /// Starts to follow `config/head` until `stop` ends. While `watches` says no, the store is
+    /// read seldom, and changes come from peers.
+    pub fn start(store: &Store, watches: impl Fn() -> bool + 'static, stop: &Stop) -> Self {
         let config = Self::default();
-        let mirror: Mirror<FleetDocument> = Mirror::start(store, "config/", stop);
-        let (task, stop) = (config.clone(), stop.clone());
-        compio::runtime::spawn(async move {
-            while !stop.is_ended() {
-                let changed = mirror.listen();
-                if let Some((_, document)) = mirror.get(&CONFIG_HEAD["config/".len()..]) {
-                    task.apply(document);
-                }
-                changed.await;
-            }
-        })
-        .detach();
+        let (task, store, stop) = (config.clone(), store.clone(), stop.clone());
+        compio::runtime::spawn(async move { follow(&task, &store, watches, &stop).await })
+            .detach();
         config
     }
 
@@ -53,12 +56,18 @@
         self.inner.document.borrow().revision
     }
 
-    /// Puts `document` in force if its revision is higher; says whether it was.
+    /// Puts `document` in force if its revision is higher and it passes the check; says
+    /// whether it was.
     pub fn apply(&self, document: Rc<FleetDocument>) -> bool {
         if document.revision <= self.revision() {
             return false;
         }
+        if !check_document(&document).is_empty() {
+            self.inner.refused_revision.set(document.revision);
+            return false;
+        }
         *self.inner.document.borrow_mut() = document;
+        self.inner.known.set(true);
         self.inner.changed.notify(usize::MAX);
         true
     }
@@ -76,8 +85,94 @@
         self.inner.heard_revision.get()
     }
 
+    /// The last revision that was not put in force because it fails the check; 0 if none.
+    pub fn refused_revision(&self) -> u64 {
+        self.inner.refused_revision.get()
+    }
+
+    /// Whether the store or a peer has said what is in force. A process that has just started
+    /// serves nothing before: what it would assume may have been changed long ago.
+    pub fn is_known(&self) -> bool {
+        self.inner.known.get()
+    }
+
+    /// Returns once [`is_known`](Self::is_known) holds.
+    pub async fn known(&self) {
+        loop {
+            let changed = self.listen();
+            if self.is_known() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Notes that the store has no document, so that the built-in defaults are in force.
+    fn note_absent(&self) {
+        self.inner.known.set(true);
+        self.inner.changed.notify(usize::MAX);
+    }
+
     /// Wakes when the revision in force, or the one heard of, rises.
     pub fn listen(&self) -> EventListener {
         self.inner.changed.listen()
     }
 }
+
+async fn follow(config: &FleetConfig, store: &Store, watches: impl Fn() -> bool, stop: &Stop) {
+    let mut backoff = Backoff::default();
+    let mut after = 0;
+    let mut reread_unix_ms = 0;
+    while !stop.is_ended() {
+        let is_due = now_unix_ms() >= reread_unix_ms;
+        let result = if is_due {
+            read(config, store).await
+        } else if watches() {
+            watch(config, store, after).await
+        } else {
+            rest(stop).await;
+            reread_unix_ms = 0;
+            continue;
+        };
+        match result {
+            Ok(revision) => {
+                after = revision.max(after);
+                backoff.reset();
+                if is_due {
+                    reread_unix_ms = now_unix_ms() + WATCH_REREAD_MS;
+                } else {
+                    sleep_ms(rand::random_range(WATCH_GATHER_MS / 2..=WATCH_GATHER_MS)).await;
+                }
+            }
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
+async fn rest(stop: &Stop) {
+    let interval_ms = rand::random_range(READ_INTERVAL_MS / 2..=READ_INTERVAL_MS);
+    select(pin!(sleep_ms(interval_ms)), pin!(stop.ended())).await;
+}
+
+async fn read(config: &FleetConfig, store: &Store) -> Result<u64, StoreError> {
+    let list = store.list(CONFIG_HEAD).await?;
+    let head = list.objects.iter().find(|object| object.key == CONFIG_HEAD);
+    match head {
+        Some(object) => drop(config.apply(Rc::new(object.read()?))),
+        None => config.note_absent(),
+    }
+    Ok(list.revision)
+}
+
+async fn watch(config: &FleetConfig, store: &Store, after: u64) -> Result<u64, StoreError> {
+    let reply = store.watch(CONFIG_HEAD, after).await?;
+    if reply.too_old {
+        return read(config, store).await;
+    }
+    for object in &reply.objects {
+        if object.key == CONFIG_HEAD {
+            config.apply(Rc::new(object.read()?));
+        }
+    }
+    Ok(reply.revision)
+}
--- /dev/null
+++ b/crates/celerystair_config/src/queries/mod.rs
@@ -0,0 +1,4 @@
+//! What reads the fleet's configuration.
+
+pub mod check_document;
+pub mod explain;
--- a/crates/celerystair_config/src/settings.rs
+++ b/crates/celerystair_config/src/settings.rs
@@ -23,6 +23,10 @@
     /// How often the platform's list of instances is read.
     #[serde(default = "default_instances_interval_ms")]
     pub instances_interval_ms: u64,
+    /// Where other processes of the system listen, such as the entry instances: a process that
+    /// starts while the store is down asks these what is in force.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// How logs are written.
     #[serde(default)]
     pub log_format: LogFormat,
@@ -68,6 +72,51 @@
     /// Kept from a request's time, so that a refusal reaches the caller before the deadline.
     #[serde(default = "default_answer_margin_ms")]
     pub answer_margin_ms: u64,
+    /// The administration API; none is served if absent.
+    #[serde(default)]
+    pub admin: Option<AdminSettings>,
+}
+
+/// The administration API of a router.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdminSettings {
+    /// Where operators connect.
+    pub listen: SocketAddr,
+    /// Who may do what.
+    pub tokens: Vec<AdminToken>,
+}
+
+/// A bearer token and what its holder may do.
+#[derive(Clone, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdminToken {
+    /// The holder, named as the author of edits.
+    pub name: String,
+    /// The token.
+    pub token: String,
+    /// What its holder may do.
+    pub role: AdminRole,
+}
+
+impl std::fmt::Debug for AdminToken {
+    /// Leaves the token out, so that no log has it.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AdminToken")
+            .field("name", &self.name)
+            .field("role", &self.role)
+            .finish_non_exhaustive()
+    }
+}
+
+/// What the holder of a token may do.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdminRole {
+    /// Read everything.
+    Read,
+    /// Read and edit everything.
+    Edit,
 }
 
 /// What stands behind an agent.
@@ -109,6 +158,9 @@
     pub running_max: u32,
 }
 
+/// A shorter token could be guessed.
+const TOKEN_MIN_BYTES: usize = 16;
+
 fn default_instances_interval_ms() -> u64 {
     1000
 }
@@ -171,10 +223,33 @@
     }
 }
 
+impl Checked for AdminSettings {
+    fn check(&self, problems: &mut Problems) {
+        problems.require(
+            self.listen.ip().is_loopback(),
+            "listen",
+            "must be a loopback address: bearer tokens must not cross a network in the clear",
+        );
+        problems.require(!self.tokens.is_empty(), "tokens", "must not be empty");
+        for (index, token) in self.tokens.iter().enumerate() {
+            problems.within(format!("tokens.{index}"), |problems| {
+                problems.require(!token.name.is_empty(), "name", "must not be empty");
+                let is_long = token.token.len() >= TOKEN_MIN_BYTES;
+                problems.require(is_long, "token", "must have 16 bytes or more");
+                let is_twice = self.tokens[..index].iter().any(|t| t.token == token.token);
+                problems.require(!is_twice, "token", "stands twice");
+            });
+        }
+    }
+}
+
 impl Checked for RouterSettings {
     fn check(&self, problems: &mut Problems) {
         problems.require(!self.router.is_empty(), "router", "must not be empty");
         problems.require(self.body_max_bytes > 0, "body_max_bytes", "must be over 0");
+        if let Some(admin) = &self.admin {
+            problems.within("admin", |problems| admin.check(problems));
+        }
         problems.within("process", |problems| self.process.check(problems));
     }
 }
--- /dev/null
+++ b/crates/celerystair_node/src/heard.rs
@@ -0,0 +1,96 @@
+//! Other processes, as last heard of: every message carries the sender's revision and where
+//! it takes calls.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+};
+
+use celerystair_core::prelude::*;
+use celerystair_protocol::{HeardProcess, Stamp};
+
+/// Processes beyond this are not remembered; those heard of longest ago go first.
+const HEARD_MAX: usize = 4096;
+
+/// What was heard of one process.
+#[derive(Clone, Debug)]
+struct Heard {
+    config_revision: u64,
+    address: Option<SocketAddr>,
+    heard_unix_ms: u64,
+}
+
+/// Every process that this one has heard of.
+#[derive(Default)]
+pub struct HeardProcesses {
+    own_address: Cell<Option<SocketAddr>>,
+    by_name: RefCell<HashMap<String, Heard>>,
+}
+
+impl HeardProcesses {
+    /// Sets where this process takes calls.
+    pub fn set_own_address(&self, address: SocketAddr) {
+        self.own_address.set(Some(address));
+    }
+
+    /// Where this process takes calls, for its stamp.
+    pub fn own_address(&self) -> String {
+        self.own_address
+            .get()
+            .map(|address| address.to_string())
+            .unwrap_or_default()
+    }
+
+    /// Takes in a stamp.
+    pub fn note(&self, stamp: &Stamp) {
+        let mut by_name = self.by_name.borrow_mut();
+        let heard = Heard {
+            config_revision: stamp.config_revision,
+            address: stamp.peer_address.parse().ok(),
+            heard_unix_ms: now_unix_ms(),
+        };
+        by_name.insert(stamp.process.clone(), heard);
+        if by_name.len() > HEARD_MAX {
+            let oldest = by_name.iter().min_by_key(|(_, heard)| heard.heard_unix_ms);
+            if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+                by_name.remove(&name);
+            }
+        }
+    }
+
+    /// Where processes listen that have `revision` or a higher one in force.
+    pub fn addresses_at(&self, revision: u64) -> Vec<SocketAddr> {
+        let by_name = self.by_name.borrow();
+        let there = by_name.values().filter(|h| h.config_revision >= revision);
+        there.filter_map(|heard| heard.address).collect()
+    }
+
+    /// Where up to `max` processes listen that were heard of since `since_unix_ms`, the latest
+    /// first.
+    pub fn recent(&self, since_unix_ms: u64, max: usize) -> Vec<SocketAddr> {
+        let by_name = self.by_name.borrow();
+        let mut recent: Vec<&Heard> = by_name
+            .values()
+            .filter(|heard| heard.heard_unix_ms >= since_unix_ms)
+            .collect();
+        recent.sort_by_key(|heard| std::cmp::Reverse(heard.heard_unix_ms));
+        recent
+            .iter()
+            .filter_map(|heard| heard.address)
+            .take(max)
+            .collect()
+    }
+
+    /// All of them, for another process.
+    pub fn all(&self) -> Vec<HeardProcess> {
+        let by_name = self.by_name.borrow();
+        by_name
+            .iter()
+            .map(|(process, heard)| HeardProcess {
+                process: process.clone(),
+                config_revision: heard.config_revision,
+                heard_unix_ms: heard.heard_unix_ms,
+            })
+            .collect()
+    }
+}
--- a/crates/celerystair_node/src/lib.rs
+++ b/crates/celerystair_node/src/lib.rs
@@ -2,15 +2,20 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`heard`] | other processes, as last heard of |
 //! | [`node`] | logs, metrics, time line, store and configuration of one process |
 //! | [`peer`] | the service by which processes hand on the configuration |
+//! | [`spread`] | how a new revision reaches every process, with or without the store |
 
+pub mod heard;
 pub mod node;
 pub mod peer;
+pub mod spread;
 
 /// The types that a role needs.
 pub mod prelude {
     pub use crate::{
+        heard::HeardProcesses,
         node::{Node, NodeError},
         peer::PeerService,
     };
--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -12,6 +12,11 @@
 use celerystair_telemetry::prelude::*;
 use thiserror::Error;
 
+use crate::{
+    heard::HeardProcesses,
+    spread::{spread_config, watches_store},
+};
+
 /// Why a process could not start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -68,6 +73,8 @@
     pub placements: Mirror<PlacementObject>,
     /// Plain services.
     pub services: Mirror<ServiceObject>,
+    /// Other processes, as last heard of.
+    pub heard: HeardProcesses,
     /// The signal of a planned stop.
     pub stop: Stop,
 }
@@ -98,14 +105,19 @@
             None => Timeline::off(),
         };
         let store = Store::new(settings.platform.clone())?;
+        let agents: Mirror<AgentObject> = Mirror::start(&store, AGENTS, stop);
+        let ranked = agents.clone();
+        let (own, domain) = (name.to_owned(), settings.failure_domain.clone());
+        let watches = move || watches_store(&ranked, &domain, &own);
         let inner = NodeInner {
             name: name.to_owned(),
             log: logger(settings.log_format, role, name),
             metrics: Metrics::new(role),
             timeline,
-            config: FleetConfig::start(&store, stop),
+            config: FleetConfig::start(&store, watches, stop),
             instances: Instances::start(&store, settings.instances_interval_ms, stop),
-            agents: Mirror::start(&store, AGENTS, stop),
+            agents,
+            heard: HeardProcesses::default(),
             models: Mirror::start(&store, MODELS, stop),
             placements: Mirror::start(&store, PLACEMENTS, stop),
             services: Mirror::start(&store, SERVICES, stop),
@@ -113,9 +125,11 @@
             stop: stop.clone(),
             settings: settings.clone(),
         };
-        Ok(Self {
+        let node = Self {
             inner: Rc::new(inner),
-        })
+        };
+        compio::runtime::spawn(spread_config(node.clone())).detach();
+        Ok(node)
     }
 
     /// What rides on every message that leaves this process.
@@ -124,6 +138,7 @@
             hybrid_time: self.timeline.clock().tick(),
             process: self.name.clone(),
             config_revision: self.config.revision(),
+            peer_address: self.heard.own_address(),
         })
     }
 
@@ -131,6 +146,7 @@
     pub fn observe(&self, stamp: Option<&Stamp>) {
         if let Some(stamp) = stamp {
             self.timeline.clock().observe(stamp.hybrid_time);
+            self.heard.note(stamp);
             self.config.hear(stamp.config_revision);
         }
     }
--- a/crates/celerystair_node/src/peer.rs
+++ b/crates/celerystair_node/src/peer.rs
@@ -35,7 +35,13 @@
         } else {
             Vec::new()
         };
+        let heard = if request.list_heard {
+            self.node.heard.all()
+        } else {
+            Vec::new()
+        };
         Ok(Response::new(FetchConfigReply {
+            heard,
             stamp: self.node.stamp(),
             revision: current.revision,
             document: document.into(),
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -2,27 +2,33 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`backoff`] | waiting between tries, with jitter |
 //! | [`error`] | failures, with "failed" kept apart from "unknown" |
 //! | [`instances`] | the list of live and leaving instances, and what it showed before |
 //! | [`mirror`] | a prefix of objects, kept current by a watch |
 //! | [`objects`] | the kinds of objects that the system keeps |
+//! | [`pacer`] | what a process may call, by priority |
 //! | [`store`] | one place for all calls to the object API |
 //!
 //! What an operator does when the platform is down: `docs/STORE.md`.
 
+pub mod backoff;
 pub mod error;
 pub mod instances;
 pub mod mirror;
 pub mod objects;
+pub mod pacer;
 pub mod store;
 
 /// The types that a user of the platform needs.
 pub mod prelude {
     pub use crate::{
+        backoff::Backoff,
         error::StoreError,
         instances::{InstanceEntry, InstanceState, Instances},
         mirror::Mirror,
         objects::{AgentObject, ModelObject, PlacementObject, ServiceObject, SlotObject},
-        store::{CallPriority, Expected, Object, Store, StoreSettings},
+        pacer::{CallCounts, CallPriority},
+        store::{Expected, Object, Store, StoreSettings},
     };
 }
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -10,13 +10,11 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
+    backoff::Backoff,
     error::StoreError,
     store::{Object, Store, WatchReply},
 };
 
-const RETRY_MIN_MS: u64 = 50;
-const RETRY_MAX_MS: u64 = 2000;
-
 /// The objects below one prefix as this process last saw them. In an outage of the store it
 /// keeps what it has; an object is never replaced by an earlier version of itself.
 pub struct Mirror<T> {
@@ -123,7 +121,7 @@
     }
 
     async fn follow(&self, store: &Store, stop: &Stop) {
-        let mut retry_ms = RETRY_MIN_MS;
+        let mut backoff = Backoff::default();
         while !stop.is_ended() {
             let result = if self.is_complete() {
                 self.watch(store).await
@@ -131,10 +129,9 @@
                 self.read(store).await
             };
             if result.is_ok() {
-                retry_ms = RETRY_MIN_MS;
+                backoff.reset();
             } else {
-                sleep_ms(rand::random_range(retry_ms / 2..=retry_ms)).await;
-                retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
+                backoff.wait().await;
             }
         }
     }
--- /dev/null
+++ b/crates/celerystair_platform/src/pacer.rs
@@ -0,0 +1,110 @@
+//! What one process may call, by priority, and how it slows down when the platform refuses
+//! calls for their rate.
+
+use std::cell::{Cell, RefCell};
+
+use celerystair_core::prelude::*;
+
+use crate::backoff::Backoff;
+
+const TOO_MANY_REQUESTS: u16 = 429;
+
+/// What goes first when the store's rate is short.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum CallPriority {
+    /// Claims and journal entries, for which callers or accelerators wait.
+    Urgent,
+    /// Everything else.
+    Normal,
+}
+
+/// How much a process has called.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CallCounts {
+    /// Calls for claims and the journal.
+    pub urgent: u64,
+    /// All other calls, waiting watches among them.
+    pub normal: u64,
+    /// Calls that the platform refused for their rate.
+    pub limited: u64,
+}
+
+/// Urgent calls go at once. Others take a token from a bucket, and wait longer and longer
+/// while the platform refuses calls for their rate, so that its rate is left to urgent ones.
+pub struct Pacer {
+    calls_per_second: f64,
+    tokens: Cell<f64>,
+    filled_unix_ms: Cell<u64>,
+    not_before_unix_ms: Cell<u64>,
+    backoff: RefCell<Backoff>,
+    counts: Cell<CallCounts>,
+}
+
+impl Pacer {
+    /// A bucket that holds the tokens of one second.
+    pub fn new(calls_per_second: u32) -> Self {
+        let calls_per_second = f64::from(calls_per_second.max(1));
+        Self {
+            calls_per_second,
+            tokens: Cell::new(calls_per_second),
+            filled_unix_ms: Cell::new(now_unix_ms()),
+            not_before_unix_ms: Cell::new(0),
+            backoff: RefCell::default(),
+            counts: Cell::default(),
+        }
+    }
+
+    /// Waits for a turn; `false` if none comes before the deadline.
+    pub async fn turn(&self, priority: CallPriority, deadline_unix_ms: u64) -> bool {
+        if priority == CallPriority::Normal {
+            let turn_unix_ms = self.not_before_unix_ms.get().max(self.take_token());
+            if turn_unix_ms >= deadline_unix_ms {
+                self.tokens.set(self.tokens.get() + 1.0);
+                return false;
+            }
+            if turn_unix_ms > now_unix_ms() {
+                sleep_until_unix_ms(turn_unix_ms).await;
+            }
+        }
+        let mut counts = self.counts.get();
+        match priority {
+            CallPriority::Normal => counts.normal += 1,
+            CallPriority::Urgent => counts.urgent += 1,
+        }
+        self.counts.set(counts);
+        true
+    }
+
+    /// Takes in the status of an answer.
+    pub fn note_answer(&self, status: u16) {
+        if status != TOO_MANY_REQUESTS {
+            self.backoff.borrow_mut().reset();
+            return;
+        }
+        let mut counts = self.counts.get();
+        counts.limited += 1;
+        self.counts.set(counts);
+        let wait_ms = self.backoff.borrow_mut().next_ms();
+        let not_before = now_unix_ms() + wait_ms;
+        self.not_before_unix_ms
+            .set(self.not_before_unix_ms.get().max(not_before));
+    }
+
+    /// Calls made so far.
+    pub fn counts(&self) -> CallCounts {
+        self.counts.get()
+    }
+
+    /// Takes a token, on credit if need be; gives the time at which it has been earned.
+    fn take_token(&self) -> u64 {
+        let now = now_unix_ms();
+        let elapsed_ms = now.saturating_sub(self.filled_unix_ms.replace(now));
+        let earned = elapsed_ms as f64 / 1000.0 * self.calls_per_second;
+        let tokens = (self.tokens.get() + earned).min(self.calls_per_second) - 1.0;
+        self.tokens.set(tokens);
+        if tokens >= 0.0 {
+            return now;
+        }
+        now + (-tokens / self.calls_per_second * 1000.0) as u64
+    }
+}
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -1,12 +1,15 @@
 //! One place for all calls to the object API.
 
-use std::{cell::Cell, rc::Rc};
+use std::rc::Rc;
 
 use celerystair_core::{prelude::*, time::before_deadline};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
-use crate::error::StoreError;
+use crate::{
+    error::StoreError,
+    pacer::{CallCounts, CallPriority, Pacer},
+};
 
 /// How the store is reached.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -20,23 +23,21 @@
     /// How long a watch waits for a change before it is renewed.
     #[serde(default = "default_watch_timeout_ms")]
     pub watch_timeout_ms: u64,
+    /// Calls a second that this process may make, claims and the journal apart.
+    #[serde(default = "default_calls_per_second")]
+    pub calls_per_second: u32,
 }
 
 fn default_call_timeout_ms() -> u64 {
     1000
 }
 
-fn default_watch_timeout_ms() -> u64 {
-    30_000
+fn default_calls_per_second() -> u32 {
+    200
 }
 
-/// What goes first when the store's rate is short.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum CallPriority {
-    /// Claims and journal entries, for which callers or accelerators wait.
-    Urgent,
-    /// Everything else.
-    Normal,
+fn default_watch_timeout_ms() -> u64 {
+    30_000
 }
 
 /// The version that a write expects.
@@ -108,7 +109,7 @@
 struct Inner {
     client: cyper::Client,
     settings: StoreSettings,
-    calls: Cell<u64>,
+    pacer: Pacer,
 }
 
 impl Store {
@@ -118,8 +119,8 @@
         Ok(Self {
             inner: Rc::new(Inner {
                 client,
+                pacer: Pacer::new(settings.calls_per_second),
                 settings,
-                calls: Cell::new(0),
             }),
         })
     }
@@ -131,13 +132,28 @@
 
     /// Calls made so far.
     pub fn calls(&self) -> u64 {
-        self.inner.calls.get()
+        let counts = self.counts();
+        counts.urgent + counts.normal
+    }
+
+    /// Calls made so far, by priority, and those that the platform refused for their rate.
+    pub fn counts(&self) -> CallCounts {
+        self.inner.pacer.counts()
     }
 
     /// Reads one object.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
+        self.get_at(key, CallPriority::Normal).await
+    }
+
+    /// Reads one object for somebody at this priority.
+    pub async fn get_at(
+        &self,
+        key: &str,
+        priority: CallPriority,
+    ) -> Result<Option<Object>, StoreError> {
         let (status, body) = self
-            .call(http::Method::GET, &format!("/objects/{key}"), None)
+            .call(http::Method::GET, &format!("/objects/{key}"), None, priority)
             .await?;
         match status {
             404 => Ok(None),
@@ -148,7 +164,7 @@
     /// Reads all objects below `prefix`.
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, StoreError> {
         let path = format!("/objects?prefix={prefix}");
-        let (status, body) = self.call(http::Method::GET, &path, None).await?;
+        let (status, body) = self.call(http::Method::GET, &path, None, CallPriority::Normal).await?;
         parse(prefix, status, &body)
     }
 
@@ -162,14 +178,16 @@
         key: &str,
         value: &impl Serialize,
         expected: Expected,
-        _priority: CallPriority,
+        priority: CallPriority,
     ) -> Result<u64, StoreError> {
         let body = serde_json::to_vec(value).map_err(|error| failed(&error))?;
         let path = match expected {
             Expected::Absent => format!("/objects/{key}?if_version=0"),
             Expected::Version(version) => format!("/objects/{key}?if_version={version}"),
         };
-        let (status, body) = self.call(http::Method::PUT, &path, Some(body)).await?;
+        let (status, body) = self
+            .call(http::Method::PUT, &path, Some(body), priority)
+            .await?;
         let reply: WriteReply = match status {
             200 | 412 => serde_json::from_slice(&body).map_err(|error| StoreError::Unknown {
                 detail: error.to_string(),
@@ -188,7 +206,7 @@
     /// Deletes the object if it is at `version`.
     pub async fn delete(&self, key: &str, version: u64) -> Result<(), StoreError> {
         let path = format!("/objects/{key}?if_version={version}");
-        let (status, body) = self.call(http::Method::DELETE, &path, None).await?;
+        let (status, body) = self.call(http::Method::DELETE, &path, None, CallPriority::Normal).await?;
         match status {
             200 | 404 => Ok(()),
             412 => Err(StoreError::Conflict {
@@ -205,7 +223,13 @@
         let path = format!("/watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
         let deadline = now_unix_ms() + wait_ms + self.inner.settings.call_timeout_ms;
         let (status, body) = self
-            .call_before(http::Method::GET, &path, None, deadline)
+            .call_before(
+                http::Method::GET,
+                &path,
+                None,
+                CallPriority::Normal,
+                deadline,
+            )
             .await?;
         parse(prefix, status, &body)
     }
@@ -214,7 +238,7 @@
     pub(crate) async fn instance_list(
         &self,
     ) -> Result<Vec<crate::prelude::InstanceEntry>, StoreError> {
-        let (status, body) = self.call(http::Method::GET, "/instances", None).await?;
+        let (status, body) = self.call(http::Method::GET, "/instances", None, CallPriority::Normal).await?;
         parse("instances", status, &body)
     }
 
@@ -223,9 +247,11 @@
         method: http::Method,
         path: &str,
         body: Option<Vec<u8>>,
+        priority: CallPriority,
     ) -> Result<(u16, Vec<u8>), StoreError> {
         let deadline = now_unix_ms() + self.inner.settings.call_timeout_ms;
-        self.call_before(method, path, body, deadline).await
+        self.call_before(method, path, body, priority, deadline)
+            .await
     }
 
     async fn call_before(
@@ -233,9 +259,14 @@
         method: http::Method,
         path: &str,
         body: Option<Vec<u8>>,
+        priority: CallPriority,
         deadline_unix_ms: u64,
     ) -> Result<(u16, Vec<u8>), StoreError> {
-        self.inner.calls.set(self.inner.calls.get() + 1);
+        if !self.inner.pacer.turn(priority, deadline_unix_ms).await {
+            return Err(StoreError::Failed {
+                detail: "this process has called too often; nothing was sent".to_owned(),
+            });
+        }
         let url = format!("{}{path}", self.inner.settings.url);
         let work = async {
             let mut request = self.inner.client.request(method, url)?;
@@ -247,7 +278,10 @@
             Ok::<_, cyper::Error>((status, response.bytes().await?.to_vec()))
         };
         match before_deadline(deadline_unix_ms, work).await {
-            Some(Ok(answer)) => Ok(answer),
+            Some(Ok(answer)) => {
+                self.inner.pacer.note_answer(answer.0);
+                Ok(answer)
+            }
             Some(Err(cyper::Error::HyperClient(error))) if error.is_connect() => {
                 Err(failed(&error))
             }
--- a/crates/celerystair_router/src/callers.rs
+++ b/crates/celerystair_router/src/callers.rs
@@ -72,7 +72,8 @@
 /// A router is ready once it knows what it routes to, and until its stop begins.
 fn readiness(router: &Router) -> HttpResponse {
     let node = &router.node;
-    let known = node.models.is_complete()
+    let known = node.config.is_known()
+        && node.models.is_complete()
         && node.services.is_complete()
         && node.agents.is_complete()
         && node.placements.is_complete();
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -166,6 +166,7 @@
         url: url.to_owned(),
         call_timeout_ms: 5000,
         watch_timeout_ms: 30_000,
+        calls_per_second: 200,
     }
 }
 
@@ -321,6 +322,7 @@
         region: settings.region.clone(),
         platform: store_settings(platform_url),
         instances_interval_ms: 2000,
+        peers: Vec::new(),
         log_format: settings.log_format,
         timeline_file: settings.timeline_file.clone(),
         clock_scale: settings.clock_scale,
@@ -365,5 +367,6 @@
         process: process_settings(settings, &settings.failure_domains[domain], platform_url),
         body_max_bytes: 8 << 20,
         answer_margin_ms: 200,
+        admin: None,
     }
 }
