--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -107,7 +107,10 @@
     compio::runtime::spawn(async move { take_over(&starting, address).await }).detach();
     let routes = tonic_routes(&agent);
     let serving = stop.clone();
+    let config = agent.node.config.clone();
     let served = compio::runtime::spawn(async move {
+        // Until then no caller's connection is taken, so that its request was certainly not run.
+        config.known_or_draining(&serving).await;
         serve_grpc(listener, serving, routes).await.ok();
     });
     Ok(RunningAgent {
--- a/crates/celerystair_config/src/commands/apply_change.rs
+++ b/crates/celerystair_config/src/commands/apply_change.rs
@@ -1,5 +1,7 @@
 //! Applying a change to a document: merged with what others changed since, or refused whole.
 
+use serde_json::Value;
+
 use crate::{
     change::{ChangeRecord, ChangeRequest, Edit, EditError, FieldConflict, FieldProblem},
     fleet::{Exception, FleetDocument},
@@ -101,7 +103,10 @@
     for (index, edit) in change.edits.iter().enumerate() {
         let target = edit.target();
         if change.edits[..index].iter().any(|e| e.target() == target) {
-            problems.push(problem(&target.to_string(), "is edited twice in one change"));
+            problems.push(problem(
+                &target.to_string(),
+                "is edited twice in one change",
+            ));
         }
     }
     if problems.is_empty() {
@@ -219,7 +224,7 @@
     let mut kept_bytes = 0;
     let mut kept = 0;
     for record in document.changes.iter().rev() {
-        kept_bytes += serde_json::to_vec(record).map_or(0, |bytes| bytes.len());
+        kept_bytes += record_bytes(record);
         if kept > 0 && kept_bytes > HISTORY_MAX_BYTES {
             break;
         }
@@ -228,7 +233,44 @@
     document.changes.drain(..document.changes.len() - kept);
 }
 
+/// At least the size of a record as JSON, without writing it: this runs for every record at
+/// every change.
+fn record_bytes(record: &ChangeRecord) -> usize {
+    let texts = record.change_id.len() + record.author.len() + record.reason.len();
+    let edits = record.edits.iter().map(edit_bytes);
+    RECORD_FRAME_BYTES + ESCAPED * texts + edits.sum::<usize>()
+}
+
+fn edit_bytes(edit: &Edit) -> usize {
+    let target = edit.target();
+    let name = target.scope.map_or(0, |scope| scope.name.len());
+    let value = edit.value().map_or(0, value_bytes);
+    EDIT_FRAME_BYTES + ESCAPED * (name + target.field.len()) + value
+}
+
+fn value_bytes(value: &Value) -> usize {
+    match value {
+        Value::Bool(_) | Value::Null | Value::Number(_) => 24,
+        other => other.to_string().len(),
+    }
+}
+
+/// Names and marks of a record's fields, and its numbers at their longest.
+const RECORD_FRAME_BYTES: usize = 150;
+const EDIT_FRAME_BYTES: usize = 160;
+/// A quote or a line break in a text takes two bytes in JSON.
+const ESCAPED: usize = 2;
+
 fn check_size(document: &FleetDocument) -> Result<(), EditError> {
+    let history: usize = document.changes.iter().map(record_bytes).sum();
+    let texts = |e: &Exception| e.reason.len() + e.author.len() + e.scope.name.len();
+    let exceptions = document.exceptions.iter();
+    let rest: usize = exceptions
+        .map(|e| EDIT_FRAME_BYTES + ESCAPED * texts(e) + value_bytes(&e.value))
+        .sum();
+    if 2 * (history + rest) < DOCUMENT_MAX_BYTES {
+        return Ok(());
+    }
     let document_bytes = serde_json::to_vec(document).map_or(usize::MAX, |bytes| bytes.len());
     if document_bytes <= DOCUMENT_MAX_BYTES {
         return Ok(());
--- a/crates/celerystair_config/src/in_force.rs
+++ b/crates/celerystair_config/src/in_force.rs
@@ -41,8 +41,7 @@
     pub fn start(store: &Store, watches: impl Fn() -> bool + 'static, stop: &Stop) -> Self {
         let config = Self::default();
         let (task, store, stop) = (config.clone(), store.clone(), stop.clone());
-        compio::runtime::spawn(async move { follow(&task, &store, watches, &stop).await })
-            .detach();
+        compio::runtime::spawn(async move { follow(&task, &store, watches, &stop).await }).detach();
         config
     }
 
@@ -107,6 +106,11 @@
         }
     }
 
+    /// Returns once [`is_known`](Self::is_known) holds or a stop has begun.
+    pub async fn known_or_draining(&self, stop: &Stop) {
+        select(pin!(self.known()), pin!(stop.draining())).await;
+    }
+
     /// Notes that the store has no document, so that the built-in defaults are in force.
     fn note_absent(&self) {
         self.inner.known.set(true);
--- a/crates/celerystair_node/src/heard.rs
+++ b/crates/celerystair_node/src/heard.rs
@@ -17,7 +17,7 @@
 struct Heard {
     config_revision: u64,
     address: Option<SocketAddr>,
-    heard_unix_ms: u64,
+    last_unix_ms: u64,
 }
 
 /// Every process that this one has heard of.
@@ -47,11 +47,11 @@
         let heard = Heard {
             config_revision: stamp.config_revision,
             address: stamp.peer_address.parse().ok(),
-            heard_unix_ms: now_unix_ms(),
+            last_unix_ms: now_unix_ms(),
         };
         by_name.insert(stamp.process.clone(), heard);
         if by_name.len() > HEARD_MAX {
-            let oldest = by_name.iter().min_by_key(|(_, heard)| heard.heard_unix_ms);
+            let oldest = by_name.iter().min_by_key(|(_, heard)| heard.last_unix_ms);
             if let Some(name) = oldest.map(|(name, _)| name.clone()) {
                 by_name.remove(&name);
             }
@@ -71,9 +71,9 @@
         let by_name = self.by_name.borrow();
         let mut recent: Vec<&Heard> = by_name
             .values()
-            .filter(|heard| heard.heard_unix_ms >= since_unix_ms)
+            .filter(|heard| heard.last_unix_ms >= since_unix_ms)
             .collect();
-        recent.sort_by_key(|heard| std::cmp::Reverse(heard.heard_unix_ms));
+        recent.sort_by_key(|heard| std::cmp::Reverse(heard.last_unix_ms));
         recent
             .iter()
             .filter_map(|heard| heard.address)
@@ -89,7 +89,7 @@
             .map(|(process, heard)| HeardProcess {
                 process: process.clone(),
                 config_revision: heard.config_revision,
-                heard_unix_ms: heard.heard_unix_ms,
+                heard_unix_ms: heard.last_unix_ms,
             })
             .collect()
     }
--- a/crates/celerystair_node/src/spread.rs
+++ b/crates/celerystair_node/src/spread.rs
@@ -43,8 +43,7 @@
         return false;
     }
     let before = all.iter().filter(|(name, agent)| {
-        *agent.failure_domain == *failure_domain
-            && rendezvous::weight(WATCH_KEY, name) > own_weight
+        *agent.failure_domain == *failure_domain && rendezvous::weight(WATCH_KEY, name) > own_weight
     });
     before.count() < WATCHERS_PER_DOMAIN
 }
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -153,7 +153,12 @@
         priority: CallPriority,
     ) -> Result<Option<Object>, StoreError> {
         let (status, body) = self
-            .call(http::Method::GET, &format!("/objects/{key}"), None, priority)
+            .call(
+                http::Method::GET,
+                &format!("/objects/{key}"),
+                None,
+                priority,
+            )
             .await?;
         match status {
             404 => Ok(None),
@@ -164,7 +169,9 @@
     /// Reads all objects below `prefix`.
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, StoreError> {
         let path = format!("/objects?prefix={prefix}");
-        let (status, body) = self.call(http::Method::GET, &path, None, CallPriority::Normal).await?;
+        let (status, body) = self
+            .call(http::Method::GET, &path, None, CallPriority::Normal)
+            .await?;
         parse(prefix, status, &body)
     }
 
@@ -206,7 +213,9 @@
     /// Deletes the object if it is at `version`.
     pub async fn delete(&self, key: &str, version: u64) -> Result<(), StoreError> {
         let path = format!("/objects/{key}?if_version={version}");
-        let (status, body) = self.call(http::Method::DELETE, &path, None, CallPriority::Normal).await?;
+        let (status, body) = self
+            .call(http::Method::DELETE, &path, None, CallPriority::Normal)
+            .await?;
         match status {
             200 | 404 => Ok(()),
             412 => Err(StoreError::Conflict {
@@ -238,7 +247,9 @@
     pub(crate) async fn instance_list(
         &self,
     ) -> Result<Vec<crate::prelude::InstanceEntry>, StoreError> {
-        let (status, body) = self.call(http::Method::GET, "/instances", None, CallPriority::Normal).await?;
+        let (status, body) = self
+            .call(http::Method::GET, "/instances", None, CallPriority::Normal)
+            .await?;
         parse("instances", status, &body)
     }
 
--- a/crates/celerystair_router/src/callers.rs
+++ b/crates/celerystair_router/src/callers.rs
@@ -51,6 +51,12 @@
             "completions are posted",
         ));
     }
+    if !router.node.config.is_known() {
+        return Err(Refusal::not_run(
+            RefusalReason::StoreUnavailable,
+            "this router has just started, and neither the store nor a peer has said what is in force",
+        ));
+    }
     let (parts, body) = read_body(request, router.settings.body_max_bytes)
         .await
         .map_err(|error| body_refusal(&error))?;
