Test the roles as separate processes, and the messages of bad settings

Cause: the planned stop had been seen by hand only, and nothing held the messages of the settings' checks to path and line.

Change: tests start the built binary as platform, engine, agent and router, stop a router or an agent by SIGTERM within a stream, and read the stream to its end; six tests of settings.

--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,85 @@
+//! Settings: what is wrong is named with its path and line.
+
+use celerystair::{config::prelude::*, trial::prelude::*};
+
+fn problems<
+    T: celerystair::config::read::Checked + serde::de::DeserializeOwned + std::fmt::Debug,
+>(
+    text: &str,
+) -> Vec<(String, usize)> {
+    match read_settings::<T>("test", text) {
+        Err(SettingsError::Bad { problems, .. }) => problems
+            .into_iter()
+            .map(|problem| (problem.path, problem.line))
+            .collect(),
+        other => panic!("expected problems, found {other:?}"),
+    }
+}
+
+const ROUTER: &str = r#"{
+  // a comment
+  "router": "r",
+  "listen": "127.0.0.1:0",
+  "peer_listen": "127.0.0.1:0",
+  "process": {
+    "failure_domain": "a",
+    "platform": {
+      "url": "http://127.0.0.1:1"
+    }
+  }
+}"#;
+
+#[test]
+fn comments_are_allowed_and_defaults_fill_in() {
+    let settings: RouterSettings = read_settings("test", ROUTER).expect("it can be used");
+    assert_eq!(settings.process.clock_scale, 1);
+}
+
+#[test]
+fn an_unknown_field_is_named() {
+    let text = ROUTER.replace("\"url\":", "\"uri\": 1,\n      \"url\":");
+    assert_eq!(
+        problems::<RouterSettings>(&text),
+        [("process.platform.uri".to_owned(), 9)]
+    );
+}
+
+#[test]
+fn a_value_of_the_wrong_type_is_named() {
+    let text = ROUTER.replace("\"127.0.0.1:0\",\n  \"peer", "7,\n  \"peer");
+    assert_eq!(
+        problems::<RouterSettings>(&text),
+        [("listen".to_owned(), 4)]
+    );
+}
+
+#[test]
+fn all_bad_values_are_named_at_once() {
+    let text = ROUTER
+        .replace("\"a\"", "\"\"")
+        .replace("http:", "ftp:")
+        .replace("\"r\"", "\"\"");
+    let expected = [
+        ("router".to_owned(), 3),
+        ("process.failure_domain".to_owned(), 7),
+        ("process.platform.url".to_owned(), 9),
+    ];
+    assert_eq!(problems::<RouterSettings>(&text), expected);
+}
+
+#[test]
+fn text_that_is_not_json_is_refused_with_its_line() {
+    assert_eq!(
+        problems::<RouterSettings>("{\n  \"router\" \"r\"\n}")[0].1,
+        2
+    );
+}
+
+#[test]
+fn a_group_of_models_must_name_a_pool_that_is_there() {
+    let office = include_str!("../examples/office/trial.jsonc");
+    let text = office.replace("\"pool\": \"caption\"", "\"pool\": \"nowhere\"");
+    let found = problems::<TrialSettings>(&text);
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].0, "models.0.pool");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod processes;
+
 use celerystair::{
     config::prelude::*,
     trial::{caller::CallTarget, prelude::*},
