--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -35,6 +35,10 @@
         ],
     )?;
     check_features()?;
+    cargo(
+        "generated code",
+        &["run", "--quiet", "--package", "protogen", "--", "--check"],
+    )?;
     for settings in SETTINGS {
         cargo("settings", &["run", "--quiet", "--", "check", settings])?;
     }
