--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod config;
+pub mod processes;
 
 use celerystair::{
     config::prelude::*,
