Find conflicts by each field's last edit; serve an administration API

Cause: the first run of examples/config_spread with 340 edits from one base ended with "changes are known from revision 12 on only, not from 10". While a backlog was applied, the bounded history dropped its own first records, and with them the proof that later edits of the same base met nobody. A frozen backlog is just that case.

Change: the document keeps the last edit of each field, and conflicts are found by it; the history only settles lost answers. Removals are remembered up to a bound, and an older base is refused for these only. A change checks the scopes that it touches instead of the whole document.

--- /dev/null
+++ b/crates/celerystair_admin/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! What changes something.
+
+pub mod change;
+pub mod drain;
+pub mod suspects;
--- /dev/null
+++ b/crates/celerystair_admin/src/queries/mod.rs
@@ -0,0 +1,6 @@
+//! What reads something.
+
+pub mod document;
+pub mod placements;
+pub mod status;
+pub mod suspects;
--- a/crates/celerystair_config/src/change.rs
+++ b/crates/celerystair_config/src/change.rs
@@ -119,6 +119,18 @@
     pub edits: Vec<Edit>,
 }
 
+/// The last edit of one field.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FieldEdit {
+    /// The revision that it made.
+    pub revision: u64,
+    /// Who asked.
+    pub author: String,
+    /// The edit.
+    pub edit: Edit,
+}
+
 /// A field that can't have the value it was given.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FieldProblem {
@@ -183,14 +195,14 @@
         /// What it may have.
         max_bytes: usize,
     },
-    /// The changes since then are no longer all known, so that neither a conflict nor an
-    /// earlier acceptance of this change can be excluded. Read again, then decide.
-    #[error("changes are known from revision {oldest} on only, not from {based_on}")]
+    /// An exception that does not exist now may have been removed since; removals that long
+    /// ago are forgotten. Read again, then decide.
+    #[error("{field} may have been removed since revision {based_on}; read again")]
     TooOld {
+        /// The field.
+        field: String,
         /// The revision that was named.
         based_on: u64,
-        /// The oldest revision whose change is known.
-        oldest: u64,
     },
 }
 
--- a/crates/celerystair_config/src/commands/apply_change.rs
+++ b/crates/celerystair_config/src/commands/apply_change.rs
@@ -3,9 +3,11 @@
 use serde_json::Value;
 
 use crate::{
-    change::{ChangeRecord, ChangeRequest, Edit, EditError, FieldConflict, FieldProblem},
-    fleet::{Exception, FleetDocument},
-    queries::check_document::check_document,
+    change::{
+        ChangeRecord, ChangeRequest, Edit, EditError, FieldConflict, FieldEdit, FieldProblem,
+    },
+    fleet::{Exception, FleetDocument, Scope},
+    queries::check_document::{check_document, check_scopes},
 };
 
 /// The platform holds values up to a megabyte; the rest is room for the store's own fields.
@@ -13,6 +15,9 @@
 /// History beyond this is dropped, oldest first. Every process reads the document at each
 /// revision, so that the history's size is paid for many times over.
 pub const HISTORY_MAX_BYTES: usize = 128 * 1024;
+/// Removed exceptions that are remembered, so that an edit of one that is based on an old
+/// revision is a conflict and not a surprise.
+const REMOVALS_MAX: usize = 256;
 const TEXT_MAX_BYTES: usize = 4096;
 
 /// What became of a change that was not refused.
@@ -57,10 +62,11 @@
     for edit in &change.edits {
         apply_edit(&mut next, change, edit)?;
     }
-    let problems = check_document(&next);
+    let problems = check_changed(&next, change);
     if !problems.is_empty() {
         return Err(EditError::BadFields { problems });
     }
+    note_last_edits(&mut next, change);
     next.changes.push(ChangeRecord {
         revision: next.revision,
         change_id: change.change_id.clone(),
@@ -115,6 +121,19 @@
     Err(EditError::BadFields { problems })
 }
 
+/// Checks what the change touches. A default holds in every scope; an exception in one.
+fn check_changed(document: &FleetDocument, change: &ChangeRequest) -> Vec<FieldProblem> {
+    let touched: Option<Vec<&Scope>> = change
+        .edits
+        .iter()
+        .map(|edit| edit.target().scope)
+        .collect();
+    match touched {
+        Some(scopes) => check_scopes(document, |scope| scopes.contains(&scope)),
+        None => check_document(document),
+    }
+}
+
 fn problem(field: &str, detail: &str) -> FieldProblem {
     FieldProblem {
         field: field.to_owned(),
@@ -122,7 +141,6 @@
     }
 }
 
-/// Refuses a base whose later changes are not all known.
 fn check_base(document: &FleetDocument, change: &ChangeRequest) -> Result<(), EditError> {
     let based_on = change.based_on;
     if based_on > document.revision {
@@ -131,32 +149,40 @@
             revision: document.revision,
         });
     }
-    let oldest = document
-        .changes
-        .first()
-        .map_or(document.revision + 1, |record| record.revision);
-    if based_on + 1 < oldest {
-        return Err(EditError::TooOld { based_on, oldest });
+    if based_on >= document.removals_forgotten_revision {
+        return Ok(());
+    }
+    let forgotten = change
+        .edits
+        .iter()
+        .find(|edit| edit.target().scope.is_some() && last_edit(document, edit).is_none());
+    match forgotten {
+        Some(edit) => Err(EditError::TooOld {
+            field: edit.target().to_string(),
+            based_on,
+        }),
+        None => Ok(()),
     }
-    Ok(())
+}
+
+/// The last edit of the field that `edit` changes.
+fn last_edit<'a>(document: &'a FleetDocument, edit: &Edit) -> Option<&'a FieldEdit> {
+    let mut latest_first = document.last_edits.iter().rev();
+    latest_first.find(|last| last.edit.target() == edit.target())
 }
 
 fn conflicts_of(document: &FleetDocument, change: &ChangeRequest) -> Vec<FieldConflict> {
-    let since = |record: &&ChangeRecord| record.revision > change.based_on;
     let mut conflicts = Vec::new();
     for edit in &change.edits {
-        let records = document.changes.iter().rev().filter(since);
-        let latest = records
-            .flat_map(|record| record.edits.iter().map(move |other| (record, other)))
-            .find(|(_, other)| other.target() == edit.target());
-        if let Some((record, other)) = latest
-            && other != edit
+        if let Some(last) = last_edit(document, edit)
+            && last.revision > change.based_on
+            && last.edit != *edit
         {
             conflicts.push(FieldConflict {
                 field: edit.target().to_string(),
-                theirs: other.value().cloned(),
-                their_author: record.author.clone(),
-                their_revision: record.revision,
+                theirs: last.edit.value().cloned(),
+                their_author: last.author.clone(),
+                their_revision: last.revision,
                 yours: edit.value().cloned(),
             });
         }
@@ -206,11 +232,7 @@
     Ok(())
 }
 
-fn remove_exception(
-    document: &mut FleetDocument,
-    scope: &crate::fleet::Scope,
-    field: &str,
-) -> bool {
+fn remove_exception(document: &mut FleetDocument, scope: &Scope, field: &str) -> bool {
     let before = document.exceptions.len();
     document
         .exceptions
@@ -218,6 +240,33 @@
     document.exceptions.len() < before
 }
 
+fn note_last_edits(document: &mut FleetDocument, change: &ChangeRequest) {
+    let is_edited = |last: &FieldEdit| {
+        let mut edits = change.edits.iter();
+        edits.any(|edit| edit.target() == last.edit.target())
+    };
+    document.last_edits.retain(|last| !is_edited(last));
+    let revision = document.revision;
+    document
+        .last_edits
+        .extend(change.edits.iter().map(|edit| FieldEdit {
+            revision,
+            author: change.author.clone(),
+            edit: edit.clone(),
+        }));
+    let is_removal = |last: &FieldEdit| last.edit.value().is_none();
+    let removals = document.last_edits.iter().filter(|last| is_removal(last));
+    if removals.count() > REMOVALS_MAX
+        && let Some(oldest) = document.last_edits.iter().position(is_removal)
+    {
+        let forgotten = document.last_edits[oldest].revision;
+        document.removals_forgotten_revision = forgotten;
+        document
+            .last_edits
+            .retain(|last| !is_removal(last) || last.revision > forgotten);
+    }
+}
+
 /// Drops the oldest changes beyond the history's size; the newest always stays, for it
 /// settles a lost answer.
 fn drop_old_history(document: &mut FleetDocument) {
@@ -233,19 +282,19 @@
     document.changes.drain(..document.changes.len() - kept);
 }
 
-/// At least the size of a record as JSON, without writing it: this runs for every record at
+/// About the size of a record as JSON, without writing it: this runs for every record at
 /// every change.
 fn record_bytes(record: &ChangeRecord) -> usize {
     let texts = record.change_id.len() + record.author.len() + record.reason.len();
     let edits = record.edits.iter().map(edit_bytes);
-    RECORD_FRAME_BYTES + ESCAPED * texts + edits.sum::<usize>()
+    RECORD_FRAME_BYTES + texts + edits.sum::<usize>()
 }
 
 fn edit_bytes(edit: &Edit) -> usize {
     let target = edit.target();
     let name = target.scope.map_or(0, |scope| scope.name.len());
     let value = edit.value().map_or(0, value_bytes);
-    EDIT_FRAME_BYTES + ESCAPED * (name + target.field.len()) + value
+    EDIT_FRAME_BYTES + name + target.field.len() + value
 }
 
 fn value_bytes(value: &Value) -> usize {
@@ -256,18 +305,22 @@
 }
 
 /// Names and marks of a record's fields, and its numbers at their longest.
-const RECORD_FRAME_BYTES: usize = 150;
-const EDIT_FRAME_BYTES: usize = 160;
-/// A quote or a line break in a text takes two bytes in JSON.
-const ESCAPED: usize = 2;
+const RECORD_FRAME_BYTES: usize = 120;
+const EDIT_FRAME_BYTES: usize = 150;
 
 fn check_size(document: &FleetDocument) -> Result<(), EditError> {
     let history: usize = document.changes.iter().map(record_bytes).sum();
+    let last_edits = document.last_edits.iter();
+    let last_edits: usize = last_edits
+        .map(|last| RECORD_FRAME_BYTES + edit_bytes(&last.edit))
+        .sum();
     let texts = |e: &Exception| e.reason.len() + e.author.len() + e.scope.name.len();
     let exceptions = document.exceptions.iter();
-    let rest: usize = exceptions
-        .map(|e| EDIT_FRAME_BYTES + ESCAPED * texts(e) + value_bytes(&e.value))
+    let exceptions: usize = exceptions
+        .map(|e| EDIT_FRAME_BYTES + texts(e) + value_bytes(&e.value))
         .sum();
+    let rest = last_edits + exceptions;
+    // The estimate spares writing the document out while it is far from the limit.
     if 2 * (history + rest) < DOCUMENT_MAX_BYTES {
         return Ok(());
     }
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::change::ChangeRecord;
+use crate::change::{ChangeRecord, FieldEdit};
 
 /// The document at `config/head`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -25,6 +25,12 @@
     /// The last changes, oldest first; older ones are dropped to bound the document.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<ChangeRecord>,
+    /// The last edit of each field, oldest first: what a later edit of it would meet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub last_edits: Vec<FieldEdit>,
+    /// Removals of exceptions up to this revision are forgotten.
+    #[serde(default)]
+    pub removals_forgotten_revision: u64,
 }
 
 /// Every field that operators set for the fleet, with its value where nobody has set it.
--- a/crates/celerystair_config/src/queries/check_document.rs
+++ b/crates/celerystair_config/src/queries/check_document.rs
@@ -14,6 +14,15 @@
 
 /// Everything that is wrong with `document`; empty if it can be put in force.
 pub fn check_document(document: &FleetDocument) -> Vec<FieldProblem> {
+    check_scopes(document, |_| true)
+}
+
+/// Everything that is wrong with the defaults, and with the exceptions of some scopes; for a
+/// document whose other scopes were checked before.
+pub fn check_scopes(
+    document: &FleetDocument,
+    is_checked: impl Fn(&Scope) -> bool,
+) -> Vec<FieldProblem> {
     let mut problems = Vec::new();
     for (field, detail) in check_defaults(&document.defaults) {
         problems.push(FieldProblem {
@@ -27,7 +36,7 @@
             detail: "would drain every upstream; drain one by an exception".to_owned(),
         });
     }
-    check_exceptions(document, &mut problems);
+    check_exceptions(document, is_checked, &mut problems);
     problems
 }
 
@@ -98,10 +107,14 @@
 }
 
 /// Exceptions of one scope are checked together, for they hold together.
-fn check_exceptions(document: &FleetDocument, problems: &mut Vec<FieldProblem>) {
+fn check_exceptions(
+    document: &FleetDocument,
+    is_checked: impl Fn(&Scope) -> bool,
+    problems: &mut Vec<FieldProblem>,
+) {
     let mut by_scope: HashMap<&Scope, Defaults> = HashMap::default();
     let mut seen = HashSet::default();
-    for exception in &document.exceptions {
+    for exception in document.exceptions.iter().filter(|e| is_checked(&e.scope)) {
         let scope = &exception.scope;
         let mut note = |field: &str, detail: String| {
             problems.push(FieldProblem {
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use celerystair_admin::prelude::*;
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
@@ -44,6 +45,8 @@
     pub address: SocketAddr,
     /// Where other processes of the system connect.
     pub peer_address: SocketAddr,
+    /// Where operators connect, if the administration API is served.
+    pub admin_address: Option<SocketAddr>,
     /// Ends when a planned stop is complete.
     pub served: compio::runtime::JoinHandle<()>,
 }
@@ -63,6 +66,8 @@
         .map_err(opening(settings.peer_listen))?;
     node.heard.set_own_address(peer_address);
     info!(node.log, "router listens"; "callers" => %address, "peers" => %peer_address);
+    let admin = settings.admin.as_ref();
+    let admin_address = admin.map(|admin| start_admin(&node, admin)).transpose()?;
     let router = Router {
         inner: Rc::new(RouterInner {
             node,
@@ -87,6 +92,7 @@
         router,
         address,
         peer_address,
+        admin_address,
         served,
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate is a facade over the crates under `crates/`; the binary of the same name is the
 //! one program of the system. Start with `README.md` and `docs/ARCHITECTURE.md`.
 
+pub use celerystair_admin as admin;
 pub use celerystair_agent as agent;
 pub use celerystair_config as config;
 pub use celerystair_core as core;
--- a/tests/config_edits.rs
+++ b/tests/config_edits.rs
@@ -205,14 +205,12 @@
 }
 
 #[test]
-fn the_history_is_bounded_and_a_base_before_it_is_not_guessed_at() {
+fn the_history_is_bounded_and_a_conflict_beyond_it_is_still_found() {
     let mut document = FleetDocument::default();
     for number in 0..2000 {
         let edits = vec![set_default("queue_max", json!(number + 1))];
-        document = accept(
-            &document,
-            &change(&format!("c{number}"), document.revision, edits),
-        );
+        let id = format!("c{number}");
+        document = accept(&document, &change(&id, document.revision, edits));
     }
     let history: usize = document
         .changes
@@ -224,10 +222,63 @@
         document.changes.len() > 340,
         "a released backlog can be settled"
     );
-    let old = change("c0", 0, vec![set_default("queue_max", json!(1))]);
-    let refused = apply_change(&document, &old, 0);
+    let old = change("old", 0, vec![set_default("queue_max", json!(1))]);
+    let Err(EditError::Conflict { conflicts }) = apply_change(&document, &old, 0) else {
+        panic!("a conflict was accepted");
+    };
+    assert_eq!(conflicts[0].theirs, Some(json!(2000)));
+}
+
+#[test]
+fn a_backlog_longer_than_the_history_is_accepted_from_one_base() {
+    let mut document = FleetDocument::default();
+    for number in 0..1000 {
+        let edit = Edit::SetException {
+            scope: Scope {
+                kind: ScopeKind::Model,
+                name: format!("m{number}"),
+            },
+            field: "queue_max".to_owned(),
+            value: json!(3),
+            from_unix_ms: None,
+            until_unix_ms: None,
+        };
+        document = accept(&document, &change(&format!("c{number}"), 0, vec![edit]));
+    }
+    assert_eq!(document.exceptions.len(), 1000);
+    let bytes = serde_json::to_vec(&document).expect("JSON").len();
+    assert!(bytes < 900_000, "{bytes} bytes");
+}
+
+#[test]
+fn an_edit_based_on_a_time_before_forgotten_removals_is_not_guessed_at() {
+    let mut document = FleetDocument::default();
+    for number in 0..300 {
+        let scope = Scope {
+            kind: ScopeKind::Model,
+            name: format!("m{number}"),
+        };
+        let field = "queue_max".to_owned();
+        let set = Edit::SetException {
+            scope: scope.clone(),
+            field: field.clone(),
+            value: json!(3),
+            from_unix_ms: None,
+            until_unix_ms: None,
+        };
+        let base = document.revision;
+        document = accept(&document, &change(&format!("s{number}"), base, vec![set]));
+        let remove = Edit::RemoveException { scope, field };
+        document = accept(
+            &document,
+            &change(&format!("r{number}"), base + 1, vec![remove]),
+        );
+    }
+    let edits = vec![set_exception(ScopeKind::Model, "queue_max", json!(4))];
+    let refused = apply_change(&document, &change("old", 1, edits.clone()), 0);
     assert!(
         matches!(refused, Err(EditError::TooOld { .. })),
         "{refused:?}"
     );
+    accept(&document, &change("new", document.revision, edits));
 }
