Add `celerystair admin`, and test the administration API

Cause: the API had no client and no test.

Change: `celerystair admin` covers the API, prints tables or JSON, sends a change whose answer was lost again under its id, and asks before a drain and before it clears a suspect. tests/admin.rs holds the API to its description.

--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,8 +1,11 @@
 //! The program's commands, a module each.
 
+pub mod admin;
+pub mod admin_client;
 pub mod agent;
 pub mod check;
 pub mod process;
 pub mod router;
 pub mod standin;
+pub mod table;
 pub mod try_fleet;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 mod commands;
 
 use argh::FromArgs;
-use commands::{agent, check, router, standin, try_fleet};
+use commands::{admin, agent, check, router, standin, try_fleet};
 
 /// A serving system for rarely used models.
 #[derive(FromArgs)]
@@ -15,6 +15,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Admin(admin::AdminCommand),
     Agent(agent::AgentCommand),
     Check(check::CheckCommand),
     Router(router::RouterCommand),
@@ -25,6 +26,7 @@
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Admin(command) => admin::run(&command),
         Command::Agent(command) => agent::run(&command),
         Command::Check(command) => check::run(&command),
         Command::Router(command) => router::run(&command),
