--- a/examples/wake_a_model.rs
+++ b/examples/wake_a_model.rs
@@ -27,7 +27,10 @@
             timeout_ms: settings.workload.timeout_ms,
         };
         let received = Caller::new()?.call(&call).await;
-        println!("{:?} after a cold start of {} ms", received.outcome, received.cold_start_ms);
+        println!(
+            "{:?} after a cold start of {} ms",
+            received.outcome, received.cold_start_ms
+        );
         fleet.end();
         Ok(())
     })
