Keep dead neighbours from delaying a revision, and read changes in lumps

Cause, found by reading: a process told its neighbours together and waited for the slowest, a second for each that is dead; an agent that is gone could stay one of the two that watch the store in its failure domain; a mirror renewed its watch at each change, so that a thousand claims at a start were a thousand reads for each process.

Change: each neighbour is told by a task of its own; instances that the platform's list has dropped count as no agents; a mirror waits 20 ms before it renews a watch, and up to a second while changes come without a pause.

Whether the test fails without the change was not run: it asserts no time.

--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -106,16 +106,17 @@
         };
         let store = Store::new(settings.platform.clone())?;
         let agents: Mirror<AgentObject> = Mirror::start(&store, AGENTS, stop);
-        let ranked = agents.clone();
+        let instances = Instances::start(&store, settings.instances_interval_ms, stop);
+        let ranked = (agents.clone(), instances.clone());
         let (own, domain) = (name.to_owned(), settings.failure_domain.clone());
-        let watches = move || watches_store(&ranked, &domain, &own);
+        let watches = move || watches_store(&ranked.0, &ranked.1, &domain, &own);
         let inner = NodeInner {
             name: name.to_owned(),
             log: logger(settings.log_format, role, name),
             metrics: Metrics::new(role),
             timeline,
             config: FleetConfig::start(&store, watches, stop),
-            instances: Instances::start(&store, settings.instances_interval_ms, stop),
+            instances,
             agents,
             heard: HeardProcesses::default(),
             models: Mirror::start(&store, MODELS, stop),
--- a/crates/celerystair_node/src/spread.rs
+++ b/crates/celerystair_node/src/spread.rs
@@ -8,9 +8,9 @@
 use celerystair_config::prelude::FleetDocument;
 use celerystair_core::{prelude::*, rendezvous, time::before_deadline};
 use celerystair_net::prelude::*;
-use celerystair_platform::prelude::{AgentObject, Mirror};
+use celerystair_platform::prelude::{AgentObject, Instances, Mirror};
 use celerystair_protocol::{FetchConfigReply, FetchConfigRequest, peer_client::PeerClient};
-use futures_util::future::{join_all, select};
+use futures_util::future::select;
 
 use crate::node::Node;
 
@@ -30,16 +30,21 @@
 
 /// Whether this process watches the store itself: the first agents of its failure domain in
 /// rendezvous order do, and everyone where no agent is known.
-pub fn watches_store(agents: &Mirror<AgentObject>, failure_domain: &str, own: &str) -> bool {
+pub fn watches_store(
+    agents: &Mirror<AgentObject>,
+    instances: &Instances,
+    failure_domain: &str,
+    own: &str,
+) -> bool {
     let all = agents.all();
-    let mut domain = all
-        .iter()
-        .filter(|(_, agent)| *agent.failure_domain == *failure_domain);
+    let domain = all.iter().filter(|(_, agent)| {
+        *agent.failure_domain == *failure_domain && !instances.is_gone(&agent.instance)
+    });
     let own_weight = rendezvous::weight(WATCH_KEY, own);
     if domain.clone().next().is_none() {
         return true;
     }
-    if !domain.any(|(name, _)| name == own) {
+    if !domain.clone().any(|(name, _)| name == own) {
         return false;
     }
     let before = all.iter().filter(|(name, agent)| {
@@ -54,6 +59,8 @@
 struct Spread {
     node: Node,
     connections: RefCell<HashMap<SocketAddr, Connection>>,
+    /// Processes that are being told.
+    telling: RefCell<HashSet<SocketAddr>>,
 }
 
 /// Tells, asks and fetches until the node's stop ends.
@@ -61,6 +68,7 @@
     let spread = Rc::new(Spread {
         node,
         connections: RefCell::default(),
+        telling: RefCell::default(),
     });
     let telling = spread.clone();
     compio::runtime::spawn(async move { telling.tell_on_change().await }).detach();
@@ -71,7 +79,7 @@
 
 impl Spread {
     /// Tells the neighbours of each revision that comes into force here.
-    async fn tell_on_change(&self) {
+    async fn tell_on_change(self: Rc<Self>) {
         let config = &self.node.config;
         let mut told = 0;
         while !self.node.stop.is_ended() {
@@ -87,8 +95,26 @@
             addresses.extend(self.node.heard.recent(since, CALLERS_TOLD_MAX));
             addresses.sort_unstable();
             addresses.dedup();
-            join_all(addresses.into_iter().map(|address| self.ask(address))).await;
+            for address in addresses {
+                if self.telling.borrow_mut().insert(address) {
+                    let telling = self.clone();
+                    compio::runtime::spawn(async move { telling.tell(address).await }).detach();
+                }
+            }
+        }
+    }
+
+    /// Tells one process until it has heard of the latest revision. A process that does not
+    /// answer delays no other.
+    async fn tell(&self, address: SocketAddr) {
+        loop {
+            let told = self.node.config.revision();
+            let is_answered = self.ask(address).await.is_some();
+            if !is_answered || self.node.config.revision() == told {
+                break;
+            }
         }
+        self.telling.borrow_mut().remove(&address);
     }
 
     /// Fetches a revision that was heard of from those that have it.
@@ -140,7 +166,9 @@
     /// The agents that this process tells and asks: its own draw from all of them.
     fn neighbours(&self) -> Vec<SocketAddr> {
         let agents = self.node.agents.all();
-        let others = agents.iter().filter(|(name, _)| *name != self.node.name);
+        let others = agents.iter().filter(|(name, agent)| {
+            *name != self.node.name && !self.node.instances.is_gone(&agent.instance)
+        });
         let ordered = rendezvous::order(&self.node.name, others, |(name, _)| name.as_str());
         let addresses = ordered.into_iter().map(|(_, agent)| agent.address);
         addresses.take(NEIGHBOURS).collect()
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -15,6 +15,11 @@
     store::{Object, Store, WatchReply},
 };
 
+/// How long changes gather before a watch is renewed. While changes come without a pause this
+/// grows, so that a fleet that starts at once is read in lumps and not object by object.
+const GATHER_MIN_MS: u64 = 20;
+const GATHER_MAX_MS: u64 = 1000;
+
 /// The objects below one prefix as this process last saw them. In an outage of the store it
 /// keeps what it has; an object is never replaced by an earlier version of itself.
 pub struct Mirror<T> {
@@ -122,7 +127,9 @@
 
     async fn follow(&self, store: &Store, stop: &Stop) {
         let mut backoff = Backoff::default();
+        let mut gather_ms = GATHER_MIN_MS;
         while !stop.is_ended() {
+            let began_unix_ms = now_unix_ms();
             let result = if self.is_complete() {
                 self.watch(store).await
             } else {
@@ -130,6 +137,12 @@
             };
             if result.is_ok() {
                 backoff.reset();
+                gather_ms = if now_unix_ms() < began_unix_ms + 4 * gather_ms {
+                    (gather_ms * 2).min(GATHER_MAX_MS)
+                } else {
+                    GATHER_MIN_MS
+                };
+                sleep_ms(rand::random_range(gather_ms / 2..=gather_ms)).await;
             } else {
                 backoff.wait().await;
             }
--- a/examples/config_spread.rs
+++ b/examples/config_spread.rs
@@ -82,7 +82,8 @@
     let service = PeerServer::new(PeerService::new(&node));
     compio::runtime::spawn(serve_grpc(listener, stop.clone(), service)).detach();
     let writer = ConfigWriter::start(&node.store, &node.config, &stop);
-    while node.agents.all().len() < count {
+    let agents = (0..count).filter(|number| !is_router(*number)).count();
+    while node.agents.all().len() < agents {
         sleep_ms(20).await;
     }
     node.config.known().await;
@@ -236,7 +237,9 @@
 
 fn start_node(number: usize, url: &str, seen: &Seen, stop: &Stop) -> eyre::Result<()> {
     let name = format!("node-{number:04}");
-    let node = Node::start("agent", &name, &settings(url, number), stop)?;
+    let is_agent = !is_router(number);
+    let role = if is_agent { "agent" } else { "router" };
+    let node = Node::start(role, &name, &settings(url, number), stop)?;
     let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let address = listener.local_addr()?;
     node.heard.set_own_address(address);
@@ -260,10 +263,17 @@
         }
     })
     .detach();
-    compio::runtime::spawn(async move { claim(&node, address, number).await }).detach();
+    if is_agent {
+        compio::runtime::spawn(async move { claim(&node, address, number).await }).detach();
+    }
     Ok(())
 }
 
+/// A quarter of the processes are routers, which stand on no list.
+fn is_router(number: usize) -> bool {
+    number / THREADS % 4 == 3
+}
+
 async fn claim(node: &Node, address: SocketAddr, number: usize) {
     let key = format!("{AGENTS}{}", node.name);
     let object = AgentObject {
@@ -287,7 +297,7 @@
 }
 
 fn domain(number: usize) -> FailureDomain {
-    format!("domain-{}", number / THREADS % DOMAINS).into()
+    format!("domain-{}", number / (4 * THREADS) % DOMAINS).into()
 }
 
 fn settings(url: &str, number: usize) -> ProcessSettings {
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -176,7 +176,10 @@
         let (status, refused) = served.change(EDITOR, "c1", 0, edits).await;
         assert_eq!(status, 422);
         let problems = refused["refused"]["problems"].as_array().expect("problems");
-        let fields: Vec<&str> = problems.iter().filter_map(|p| p["field"].as_str()).collect();
+        let fields: Vec<&str> = problems
+            .iter()
+            .filter_map(|p| p["field"].as_str())
+            .collect();
         assert_eq!(
             fields,
             ["defaults.retry_budget_percent", "model m: queue_max"]
--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -196,6 +196,31 @@
     });
 }
 
+#[test]
+fn dead_neighbours_keep_a_change_from_nobody() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let processes = start_processes(&url, 9).await;
+        for process in &processes[5..] {
+            process.end();
+        }
+        let revision = settle(&processes[0], &queue_max("c1", 0, 9))
+            .await
+            .expect("accepted");
+        let down = PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        };
+        set_faults(&url, &down).await;
+        for process in &processes[..5] {
+            process.reaches(revision).await;
+        }
+        processes[..5].iter().for_each(Process::end);
+        stop.end();
+    });
+}
+
 #[test]
 fn a_process_that_can_ask_nobody_does_not_claim_to_know() {
     block_on(async {
