Check the fleet's document in files as on load

Cause: celerystair check knew no document, and a trial's document was not checked. Change: FleetDocument is checked by the one check wherever a file is read.

--- a/crates/celerystair_config/src/queries/check_document.rs
+++ b/crates/celerystair_config/src/queries/check_document.rs
@@ -6,8 +6,17 @@
 use crate::{
     change::FieldProblem,
     fleet::{Defaults, FleetDocument, Scope, ScopeKind},
+    read::{Checked, Problems},
 };
 
+impl Checked for FleetDocument {
+    fn check(&self, problems: &mut Problems) {
+        for problem in check_document(self) {
+            problems.require(false, &problem.field, problem.detail);
+        }
+    }
+}
+
 /// No delay or time-out in the configuration is longer.
 const INTERVAL_MAX_MS: u64 = 366 * 24 * 3600 * 1000;
 const SLOTS_MAX: u32 = 1000;
--- a/crates/celerystair_trial/src/settings.rs
+++ b/crates/celerystair_trial/src/settings.rs
@@ -168,6 +168,7 @@
             "must not be empty",
         );
         problems.require(self.routers > 0, "routers", "must be over 0");
+        problems.within("config", |problems| self.config.check(problems));
         problems.require(
             (1..=10_000).contains(&self.clock_scale),
             "clock_scale",
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -11,7 +11,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckCommand {
-    /// what the settings are for: router, agent, standin or trial
+    /// what the settings are for: router, agent, config (the fleet's document), standin or trial
     #[argh(option)]
     role: Option<String>,
     /// settings, JSON with comments
@@ -29,10 +29,11 @@
     let role = command.role.as_deref().unwrap_or(stem);
     match role.split('-').next().unwrap_or_default() {
         "agent" => drop(read_settings_file::<AgentSettings>(&command.file)?),
+        "config" => drop(read_settings_file::<FleetDocument>(&command.file)?),
         "router" => drop(read_settings_file::<RouterSettings>(&command.file)?),
         "standin" => drop(read_settings_file::<StandinSettings>(&command.file)?),
         "trial" => drop(read_settings_file::<TrialSettings>(&command.file)?),
-        _ => eyre::bail!("name a role with --role: router, agent, standin or trial"),
+        _ => eyre::bail!("name a role with --role: router, agent, config, standin or trial"),
     }
     println!("{} can be used", command.file.display());
     Ok(())
--- a/tests/config_edits.rs
+++ b/tests/config_edits.rs
@@ -282,3 +282,15 @@
     );
     accept(&document, &change("new", document.revision, edits));
 }
+
+#[test]
+fn a_document_in_a_file_gets_the_same_check() {
+    let text = r#"{"revision": 4, "exceptions": [{
+        "scope": {"kind": "kind", "name": "draft"}, "field": "queue_max", "value": 0,
+        "reason": "", "author": "ada"}]}"#;
+    let error = read_settings::<FleetDocument>("config", text).expect_err("refused");
+    let error = error.to_string();
+    for expected in ["kind draft: queue_max: must be over 0", "needs a reason"] {
+        assert!(error.contains(expected), "{error}");
+    }
+}
