Find out by reading what a watch has missed

Cause, found by reading: a mirror whose watch skipped a change never saw it, for it read its prefix once only; nothing in the stand-in could cause it.

Change: the stand-in's watches can miss changes or tell of them with the previous version; a mirror reads its prefix anew every one to two minutes. The system test of the configuration runs with both faults, at 0, 50 and 100 percent.

The re-read of a mirror itself has no test: it takes a minute of real time.

--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -19,6 +19,8 @@
 /// grows, so that a fleet that starts at once is read in lumps and not object by object.
 const GATHER_MIN_MS: u64 = 20;
 const GATHER_MAX_MS: u64 = 1000;
+/// A watch that has missed a change is found out by reading the prefix anew.
+const REREAD_INTERVAL_MS: u64 = 120_000;
 
 /// The objects below one prefix as this process last saw them. In an outage of the store it
 /// keeps what it has; an object is never replaced by an earlier version of itself.
@@ -128,13 +130,19 @@
     async fn follow(&self, store: &Store, stop: &Stop) {
         let mut backoff = Backoff::default();
         let mut gather_ms = GATHER_MIN_MS;
+        let mut reread_unix_ms = 0;
         while !stop.is_ended() {
             let began_unix_ms = now_unix_ms();
-            let result = if self.is_complete() {
-                self.watch(store).await
-            } else {
+            let is_due = began_unix_ms >= reread_unix_ms;
+            let result = if is_due {
                 self.read(store).await
+            } else {
+                self.watch(store).await
             };
+            if is_due && result.is_ok() {
+                let interval_ms = REREAD_INTERVAL_MS / 2..=REREAD_INTERVAL_MS;
+                reread_unix_ms = began_unix_ms + rand::random_range(interval_ms);
+            }
             if result.is_ok() {
                 backoff.reset();
                 gather_ms = if now_unix_ms() < began_unix_ms + 4 * gather_ms {
--- a/crates/celerystair_standin/src/platform.rs
+++ b/crates/celerystair_standin/src/platform.rs
@@ -67,6 +67,10 @@
     pub lose_write_answers_percent: u32,
     /// Percentage of reads of one object that give its previous version.
     pub stale_reads_percent: u32,
+    /// Percentage of watches that go on after a change without telling of it.
+    pub missed_watches_percent: u32,
+    /// Percentage of watches that tell of a change with the previous version.
+    pub stale_watches_percent: u32,
 }
 
 /// How much the platform was called.
@@ -335,12 +339,32 @@
             }
             let reply = self.changes(prefix, after);
             let empty = reply.objects.is_empty() && reply.deleted.is_empty() && !reply.too_old;
-            if !empty || before_deadline(deadline_unix_ms, changed).await.is_none() {
+            if !empty {
+                return self.with_faults(reply);
+            }
+            if before_deadline(deadline_unix_ms, changed).await.is_none() {
                 return reply;
             }
         }
     }
 
+    fn with_faults(&self, mut reply: WatchReply) -> WatchReply {
+        let faults = self.faults.borrow();
+        if rand::random_range(0..100) < faults.missed_watches_percent {
+            reply.objects.clear();
+            reply.deleted.clear();
+        }
+        if rand::random_range(0..100) < faults.stale_watches_percent {
+            let previous = self.previous.borrow();
+            for object in &mut reply.objects {
+                if let Some(earlier) = previous.get(&object.key) {
+                    object.clone_from(earlier);
+                }
+            }
+        }
+        reply
+    }
+
     fn changes(&self, prefix: &str, after: u64) -> WatchReply {
         let history = self.history.borrow();
         let oldest = history.front().map_or(0, |(revision, _)| *revision);
--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -70,6 +70,8 @@
                 slow_ms: *u.choose(&[0, 0, 20])?,
                 lose_write_answers_percent: *u.choose(&[0, 30, 60])?,
                 stale_reads_percent: *u.choose(&[0, 30, 60])?,
+                missed_watches_percent: *u.choose(&[0, 50, 100])?,
+                stale_watches_percent: *u.choose(&[0, 50, 100])?,
                 down: false,
             };
             let mut changes = Vec::new();
