TLS between the system's own processes

Cause: anybody on the network could give an agent orders or a process a configuration.

Without TLS, settings with a peer listener off loopback are refused.

--- a/crates/celerystair_config/src/settings.rs
+++ b/crates/celerystair_config/src/settings.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use celerystair_core::prelude::*;
+use celerystair_net::prelude::TlsSettings;
 use celerystair_platform::prelude::StoreSettings;
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +28,10 @@
     /// starts while the store is down asks these what is in force.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// The certificate that the process shows to others of the system; without it they talk
+    /// in the clear, and on loopback only.
+    #[serde(default)]
+    pub tls: Option<TlsSettings>,
     /// How logs are written.
     #[serde(default)]
     pub log_format: LogFormat,
@@ -223,6 +228,22 @@
     }
 }
 
+/// Anybody could give an agent orders, or a process a configuration, over a network in the
+/// clear.
+fn check_peer_listen(
+    problems: &mut Problems,
+    field: &str,
+    listen: SocketAddr,
+    process: &ProcessSettings,
+) {
+    let is_guarded = listen.ip().is_loopback() || process.tls.is_some();
+    problems.require(
+        is_guarded,
+        field,
+        "must be a loopback address unless process.tls is set",
+    );
+}
+
 impl Checked for AdminSettings {
     fn check(&self, problems: &mut Problems) {
         problems.require(
@@ -246,6 +267,7 @@
 impl Checked for RouterSettings {
     fn check(&self, problems: &mut Problems) {
         problems.require(!self.router.is_empty(), "router", "must not be empty");
+        check_peer_listen(problems, "peer_listen", self.peer_listen, &self.process);
         problems.require(self.body_max_bytes > 0, "body_max_bytes", "must be over 0");
         if let Some(admin) = &self.admin {
             problems.within("admin", |problems| admin.check(problems));
@@ -264,6 +286,7 @@
             "upstream_url",
             "must start with http://",
         );
+        check_peer_listen(problems, "listen", self.listen, &self.process);
         problems.require(self.running_max > 0, "running_max", "must be over 0");
         problems.require(self.order_life_ms > 0, "order_life_ms", "must be over 0");
         problems.within("process", |problems| self.process.check(problems));
--- a/crates/celerystair_net/src/grpc.rs
+++ b/crates/celerystair_net/src/grpc.rs
@@ -5,14 +5,17 @@
 
 use celerystair_core::{prelude::*, time::before_deadline};
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioExecutor, CompioTimer, HyperStream};
+use cyper_core::{CompioExecutor, CompioTimer};
 use futures_util::future::{Either, select};
 use hyper::{body::Incoming, client::conn::http2 as client, server::conn::http2 as server};
 use send_wrapper::SendWrapper;
 use thiserror::Error;
 use tonic::body::Body;
 
-use crate::http_server::{OpenConnections, accept_until};
+use crate::{
+    http_server::{OpenConnections, accept_until},
+    tls::{accept_peer, connect_peer},
+};
 
 /// A peer on the same network that does not take a connection in this time is as good as gone.
 const CONNECT_TIMEOUT_MS: u64 = 1000;
@@ -39,17 +42,21 @@
         let stop = stop.clone();
         let guard = open.enter();
         compio::runtime::spawn(async move {
+            let _guard = guard;
+            // Whoever shows no certificate of the system is cut off before it can ask anything.
+            let Ok(stream) = accept_peer(stream).await else {
+                return;
+            };
             let service = hyper_util::service::TowerToHyperService::new(service);
             let connection = server::Builder::new(CompioExecutor)
                 .timer(CompioTimer)
-                .serve_connection(HyperStream::new_plain(stream), service);
+                .serve_connection(stream, service);
             let mut connection = pin!(connection);
             let draining = pin!(stop.draining());
             if let Either::Right(((), _)) = select(connection.as_mut(), draining).await {
                 connection.as_mut().graceful_shutdown();
                 let _ = select(connection, pin!(stop.ended())).await;
             }
-            drop(guard);
         })
         .detach();
     })
@@ -141,11 +148,14 @@
             .await
             .map_err(|e| unreachable(e.to_string()))?;
         stream.set_nodelay(true).ok();
+        let stream = connect_peer(stream)
+            .await
+            .map_err(|e| unreachable(e.to_string()))?;
         let (sender, connection) = client::Builder::new(CompioExecutor)
             .timer(CompioTimer)
             .keep_alive_interval(std::time::Duration::from_millis(KEEP_ALIVE_INTERVAL_MS))
             .keep_alive_timeout(std::time::Duration::from_millis(KEEP_ALIVE_TIMEOUT_MS))
-            .handshake::<_, Body>(HyperStream::new_plain(stream))
+            .handshake::<_, Body>(stream)
             .await
             .map_err(|e| unreachable(e.to_string()))?;
         compio::runtime::spawn(async move {
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -6,11 +6,13 @@
 //! | [`grpc`] | a gRPC server, and a connection that is made anew when lost |
 //! | [`http_server`] | an HTTP/1.1 server, one task for each connection |
 //! | [`json`] | reading and writing JSON bodies |
+//! | [`tls`] | certificates that the system's own processes show each other |
 
 pub mod body;
 pub mod grpc;
 pub mod http_server;
 pub mod json;
+pub mod tls;
 
 /// The types that a server or a client needs.
 pub mod prelude {
@@ -18,5 +20,6 @@
         body::{BodyError, HttpBody},
         grpc::{Connection, ConnectionError, serve_grpc},
         http_server::{HttpRequest, HttpResponse, bind, serve_http},
+        tls::{PeerTls, TlsError, TlsSettings},
     };
 }
--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -4,6 +4,7 @@
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
+use celerystair_net::{prelude::*, tls::set_peer_tls};
 use celerystair_platform::{
     objects::{AGENTS, MODELS, PLACEMENTS, SERVICES},
     prelude::*,
@@ -28,6 +29,9 @@
         /// The system's reason.
         error: std::io::Error,
     },
+    /// The certificates can't be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
     /// The platform's client could not be made.
     #[error("the platform's client: {0}")]
     Store(#[from] StoreError),
@@ -104,6 +108,10 @@
                 .map_err(NodeError::opening(path.display().to_string()))?,
             None => Timeline::off(),
         };
+        let log = logger(settings.log_format, role, name);
+        if let Some(settings) = &settings.tls {
+            start_tls(settings, &log, stop)?;
+        }
         let store = Store::new(settings.platform.clone())?;
         let agents: Mirror<AgentObject> = Mirror::start(&store, AGENTS, stop);
         let instances = Instances::start(&store, settings.instances_interval_ms, stop);
@@ -112,7 +120,7 @@
         let watches = move || watches_store(&ranked.0, &ranked.1, &domain, &own);
         let inner = NodeInner {
             name: name.to_owned(),
-            log: logger(settings.log_format, role, name),
+            log,
             metrics: Metrics::new(role),
             timeline,
             config: FleetConfig::start(&store, watches, stop),
@@ -152,3 +160,14 @@
         }
     }
 }
+
+fn start_tls(settings: &TlsSettings, log: &Logger, stop: &Stop) -> Result<(), NodeError> {
+    let tls = PeerTls::load(settings)?;
+    set_peer_tls(tls.clone());
+    let (log, stop) = (log.clone(), stop.clone());
+    compio::runtime::spawn(tls.reload_now_and_then(stop, move |error| {
+        warn!(log, "the earlier certificates stay in use"; "error" => %error);
+    }))
+    .detach();
+    Ok(())
+}
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -323,6 +323,7 @@
         platform: store_settings(platform_url),
         instances_interval_ms: 2000,
         peers: Vec::new(),
+        tls: None,
         log_format: settings.log_format,
         timeline_file: settings.timeline_file.clone(),
         clock_scale: settings.clock_scale,
--- a/examples/config_spread.rs
+++ b/examples/config_spread.rs
@@ -312,6 +312,7 @@
         },
         instances_interval_ms: 5000,
         peers: Vec::new(),
+        tls: None,
         log_format: LogFormat::Off,
         timeline_file: None,
         clock_scale: 1,
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -203,6 +203,7 @@
         },
         instances_interval_ms: 1000,
         peers,
+        tls: None,
         log_format: LogFormat::Off,
         timeline_file: None,
         clock_scale: 1,
