Relay a stop to a thread's tasks from the thread itself

Cause: examples/config_spread hung between two sizes. A debugger showed the main thread in event-listener's notify, spinning for room in the runtime's queue of wake-ups from other threads, with the signal's lock held, and the thread that should make room waiting for that lock. A signal given from another thread to some thousands of tasks can't end. Processes give it on their own thread and are not affected; trials with many roles on a thread are.

Change: each role thread has a signal of its own, and one task that follows the outer one.

--- a/crates/celerystair_trial/src/threads.rs
+++ b/crates/celerystair_trial/src/threads.rs
@@ -40,6 +40,7 @@
                     }
                 };
                 runtime.block_on(async move {
+                    let running = relay(running);
                     let result = start(running.clone()).await;
                     let is_running = result.is_ok();
                     send.send(result).ok();
@@ -75,3 +76,21 @@
         self.end();
     }
 }
+
+/// A signal of this thread's own that follows `stop`.
+///
+/// Waking a task from another thread takes room in this thread's queue, and a signal wakes its
+/// listeners under a lock: with thousands of them, the waker waits for room while this thread
+/// waits for the lock. So one task listens to the other thread, and wakes the others from here.
+fn relay(stop: Stop) -> Stop {
+    let own = Stop::new();
+    let relayed = own.clone();
+    compio::runtime::spawn(async move {
+        stop.draining().await;
+        relayed.drain();
+        stop.ended().await;
+        relayed.end();
+    })
+    .detach();
+    own
+}
