Wake the waiters of a stop one after another

Ruled out: a task that does not look at the stop (all had, the stack is in the wake itself).

Change: one event for each step of a stop; each waiter that wakes wakes the next, on its own thread.

Conclusion: no event that holds its lock while it wakes may be shared by threads with more than one waiter; the stop was the only one.

--- a/crates/celerystair_core/src/stop.rs
+++ b/crates/celerystair_core/src/stop.rs
@@ -21,14 +21,16 @@
 #[derive(Debug)]
 struct Inner {
     state: AtomicU8,
-    event: Event,
+    draining: Event,
+    ended: Event,
 }
 
 impl Default for Inner {
     fn default() -> Self {
         Self {
             state: AtomicU8::new(RUNNING),
-            event: Event::new(),
+            draining: Event::new(),
+            ended: Event::new(),
         }
     }
 }
@@ -61,23 +63,30 @@
 
     /// Returns once a stop has begun.
     pub async fn draining(&self) {
-        self.reached(DRAINING).await;
+        self.reached(DRAINING, &self.inner.draining).await;
     }
 
     /// Returns once tasks are to end.
     pub async fn ended(&self) {
-        self.reached(STOPPED).await;
+        self.reached(STOPPED, &self.inner.ended).await;
     }
 
     fn raise(&self, state: u8) {
         self.inner.state.fetch_max(state, Ordering::AcqRel);
-        self.inner.event.notify(usize::MAX);
+        self.inner.draining.notify(1);
+        if state == STOPPED {
+            self.inner.ended.notify(1);
+        }
     }
 
-    async fn reached(&self, state: u8) {
+    /// Each waiter that wakes wakes the next. To wake all at once from another thread can fill
+    /// the queue of wakes of their runtime, while the event's lock keeps it from emptying it.
+    async fn reached(&self, state: u8, event: &Event) {
         loop {
-            let listener = self.inner.event.listen();
+            let listener = event.listen();
             if self.inner.state.load(Ordering::Acquire) >= state {
+                drop(listener);
+                event.notify(1);
                 return;
             }
             listener.await;
