Wake one slot of a model in a burst

Cause: the router weighed slots by a hash of model and adapter, also while none was loaded, so that a model and its adapters woke different slots; and a load expected to take over 10 s sent later requests to wake the second slot. Each extra load took the weight store's time from others.

Change: slots are tried in the placement's order until one is loaded; a load on its way is waited for; affinity weighs loaded replicas only.

--- a/crates/celerystair_placement/src/choose.rs
+++ b/crates/celerystair_placement/src/choose.rs
@@ -1,5 +1,5 @@
 //! The choice of a slot for one request: a loaded replica that is short of queue, else the
-//! replica that will be ready first.
+//! replica that will be ready first, else the first slot of the placement.
 
 use celerystair_core::{prelude::*, rendezvous::weight};
 use celerystair_protocol::ReplicaState;
@@ -7,8 +7,8 @@
 /// Milliseconds of expected wait that count as none: among replicas this close, the one that
 /// has likely cached the request's prefix is taken.
 const AFFINITY_WAIT_MS: u64 = 20;
-/// What an upstream whose state is not known is taken to need for a cold start.
-const UNKNOWN_LOAD_MS: u64 = 10_000;
+/// A queue longer than this is worth waking another slot of the model.
+const SPILL_WAIT_MS: u64 = 2_000;
 
 /// An upstream that may serve a request, and what the router last heard of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,36 +29,61 @@
     pub leaving: bool,
 }
 
-/// The index of the candidate that is expected to start the request first. `affinity` is a
-/// hash of the request's prefix, or of its model when there is no prefix to share.
+/// The index of the candidate that is expected to start the request first.
+///
+/// `candidates` stand in the order of the placement's slots, and `affinity` is a hash of the
+/// request's prefix. A slot is woken only when no open slot of the model is loaded and short
+/// of queue, or on its way: what holds up one load holds up the next as well, and a second
+/// replica would only take the weight store's time from other models. Nothing here is random,
+/// so that routers without news guess alike; see `docs/COLD_STARTS.md`.
 pub fn choose(candidates: &[Candidate], affinity: &str, now_unix_ms: u64) -> Option<usize> {
-    let open = candidates
-        .iter()
-        .enumerate()
-        .filter(|(_, candidate)| !candidate.leaving);
-    let waits: Vec<(usize, u64)> = open
-        .map(|(index, candidate)| (index, expected_wait_ms(candidate, now_unix_ms)))
+    let open = || {
+        candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| !candidate.leaving)
+    };
+    let in_state = |state: ReplicaState| open().filter(move |(_, c)| c.state == state);
+    let short = in_state(ReplicaState::Loaded).filter(|(_, c)| queue_wait_ms(c) < SPILL_WAIT_MS);
+    if let Some(index) = shortest_queue(short, affinity) {
+        return Some(index);
+    }
+    let soonest = in_state(ReplicaState::Loading).min_by_key(|(_, c)| c.ready_unix_ms);
+    if let Some((index, loading)) = soonest {
+        let ready_ms = loading.ready_unix_ms.saturating_sub(now_unix_ms);
+        return in_state(ReplicaState::Loaded)
+            .map(|(index, c)| (queue_wait_ms(c), index))
+            .min()
+            .filter(|(wait_ms, _)| *wait_ms <= ready_ms)
+            .map_or(Some(index), |(_, index)| Some(index));
+    }
+    open()
+        .find(|(_, candidate)| candidate.state != ReplicaState::Loaded)
+        .map(|(index, _)| index)
+        .or_else(|| shortest_queue(in_state(ReplicaState::Loaded), affinity))
+}
+
+/// Among the candidates whose queues are about as short as the shortest, the one that has
+/// likely cached the request's prefix.
+fn shortest_queue<'a>(
+    candidates: impl Iterator<Item = (usize, &'a Candidate)>,
+    affinity: &str,
+) -> Option<usize> {
+    let waits: Vec<(usize, &Candidate, u64)> = candidates
+        .map(|(index, candidate)| (index, candidate, queue_wait_ms(candidate)))
         .collect();
-    let shortest = waits.iter().map(|(_, wait_ms)| *wait_ms).min()?;
+    let shortest = waits.iter().map(|(_, _, wait_ms)| *wait_ms).min()?;
     waits
         .into_iter()
-        .filter(|(_, wait_ms)| *wait_ms <= shortest + AFFINITY_WAIT_MS)
-        .max_by_key(|(index, _)| weight(affinity, &candidates[*index].upstream))
-        .map(|(index, _)| index)
+        .filter(|(_, _, wait_ms)| *wait_ms <= shortest + AFFINITY_WAIT_MS)
+        .max_by_key(|(_, candidate, _)| weight(affinity, &candidate.upstream))
+        .map(|(index, _, _)| index)
 }
 
-/// How long a request is expected to wait at the candidate before it starts.
-pub fn expected_wait_ms(candidate: &Candidate, now_unix_ms: u64) -> u64 {
-    let ready_ms = match candidate.state {
-        ReplicaState::Loaded => 0,
-        ReplicaState::Loading => candidate.ready_unix_ms.saturating_sub(now_unix_ms),
-        // All routers must guess alike, or a burst wakes every slot of the model.
-        ReplicaState::Unloaded | ReplicaState::Unspecified | ReplicaState::Unloading => {
-            UNKNOWN_LOAD_MS
-        }
-    };
+/// How long a request is expected to wait at a loaded replica before it starts.
+fn queue_wait_ms(candidate: &Candidate) -> u64 {
     let over = candidate
         .outstanding
         .saturating_sub(candidate.running_max.max(1));
-    ready_ms + candidate.queue_delay_ms + u64::from(over) * AFFINITY_WAIT_MS
+    candidate.queue_delay_ms + u64::from(over) * AFFINITY_WAIT_MS
 }
