--- /dev/null
+++ b/crates/celerystair_agent/src/adapters.rs
@@ -0,0 +1,104 @@
+//! Adapters of a loaded replica: one load for many waiters.
+
+use std::{cell::Cell, rc::Rc};
+
+use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_protocol::engine_api::AdapterOrder;
+use event_listener::Event as Signal;
+
+use crate::{agent::Agent, claim::order_fence, engine::EngineClient, replicas::Replica};
+
+/// The load of one adapter, running or ended.
+#[derive(Default)]
+pub struct AdapterLoad {
+    loaded: Cell<bool>,
+    ended: Cell<bool>,
+    changed: Signal,
+}
+
+impl AdapterLoad {
+    /// An adapter that the engine reports.
+    pub fn done() -> Rc<Self> {
+        let load = Self::default();
+        load.end(true);
+        Rc::new(load)
+    }
+
+    fn end(&self, loaded: bool) {
+        self.loaded.set(loaded);
+        self.ended.set(true);
+        self.changed.notify(usize::MAX);
+    }
+}
+
+/// Loads the adapter on the replica unless it is there; one load for many waiters.
+///
+/// # Errors
+/// A refusal: nothing of the request has run.
+pub async fn use_adapter(
+    agent: &Agent,
+    engine: &EngineClient,
+    replica: &Replica,
+    adapter: &str,
+    deadline_unix_ms: u64,
+) -> Result<(), Refusal> {
+    let existing = replica.adapters.borrow().get(adapter).cloned();
+    let load = match existing {
+        Some(load) => load,
+        None => begin_adapter(agent, engine, replica, adapter)?,
+    };
+    let work = async {
+        while !load.ended.get() {
+            let changed = load.changed.listen();
+            if !load.ended.get() {
+                changed.await;
+            }
+        }
+    };
+    let in_time = before_deadline(deadline_unix_ms, work).await.is_some();
+    if load.loaded.get() {
+        return Ok(());
+    }
+    let detail = format!("adapter {adapter} of {} was not loaded", replica.model);
+    let reason = if in_time {
+        RefusalReason::LoadFailed
+    } else {
+        RefusalReason::DeadlineExceeded
+    };
+    Err(Refusal::not_run(reason, detail))
+}
+
+fn begin_adapter(
+    agent: &Agent,
+    engine: &EngineClient,
+    replica: &Replica,
+    adapter: &str,
+) -> Result<Rc<AdapterLoad>, Refusal> {
+    let Some(fence) = order_fence(agent) else {
+        let detail = "the agent's claim does not stand, and it orders nothing";
+        return Err(Refusal::not_run(RefusalReason::StoreUnavailable, detail));
+    };
+    let load = Rc::new(AdapterLoad::default());
+    replica
+        .adapters
+        .borrow_mut()
+        .insert(adapter.to_owned(), load.clone());
+    let order = AdapterOrder {
+        model: replica.model.clone(),
+        adapter: adapter.to_owned(),
+        fence,
+        deadline_unix_ms: now_unix_ms() + agent.settings.order_life_ms,
+    };
+    let (agent, engine, task) = (agent.clone(), engine.clone(), load.clone());
+    compio::runtime::spawn(async move {
+        let outcome = engine.load_adapter(&order).await;
+        if outcome.is_err()
+            && let Some(replica) = agent.replicas.get(&order.model)
+        {
+            replica.adapters.borrow_mut().remove(&order.adapter);
+        }
+        task.end(outcome.is_ok());
+    })
+    .detach();
+    Ok(load)
+}
--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -10,16 +10,31 @@
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_node::prelude::*;
-use celerystair_protocol::{agent_server::AgentServer, peer_server::PeerServer};
+use celerystair_platform::objects::PLACEMENTS;
+use celerystair_protocol::{
+    agent_server::AgentServer, load_permits_server::LoadPermitsServer, peer_server::PeerServer,
+};
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    attempts::Attempts, claim, engine::EngineClient, grpc::AgentService, idle,
-    ledger::MemoryLedger, queue::RunQueue, replicas, replicas::Replicas,
+    attempts::Attempts,
+    claim,
+    claim::Claim,
+    engine::EngineClient,
+    fetch_speed::FetchSpeed,
+    grpc::AgentService,
+    idle,
+    ledger::MemoryLedger,
+    permits::{PermitService, Permits},
+    queue::RunQueue,
+    reconcile::{read_engine, reconcile},
+    replicas::Replicas,
+    slots,
+    slots::Releasing,
 };
 
-/// How often the engine is asked for its state before it first answers.
-const ENGINE_RETRY_MS: u64 = 200;
+/// How often the store is asked for the placements until it answers.
+const STORE_RETRY_MS: u64 = 200;
 
 /// The process beside one upstream; cheap to clone within its thread.
 #[derive(Clone)]
@@ -35,8 +50,10 @@
     pub settings: AgentSettings,
     /// This run of the process; what it knows of attempts ends with it.
     pub life: String,
-    /// The fencing number of its claim; none before it has claimed, and then it orders nothing.
-    pub fence: Cell<Option<u64>>,
+    /// Its right to order the upstream.
+    pub claim: Claim,
+    /// The engine's run, as last reported; 0 before the first report.
+    pub boot: Cell<u64>,
     /// Accelerator memory of the upstream.
     pub memory_bytes: Cell<u64>,
     /// HTTP to the upstream.
@@ -47,6 +64,15 @@
     pub ledger: RefCell<MemoryLedger>,
     /// Replicas.
     pub replicas: Replicas,
+    /// Slots that are being given back.
+    pub releasing: Releasing,
+    /// Fetches that this agent allows itself without an issuer of permits.
+    pub local_permits: Rc<Permits>,
+    /// The speed of its fetches.
+    pub fetch_speed: FetchSpeed,
+    /// Permits that this agent has granted.
+    pub issued_permits: Rc<Permits>,
+    issuer: RefCell<Option<(String, Connection)>>,
     /// Turns at the upstream.
     pub queue: RunQueue,
     /// What became of each attempt.
@@ -89,12 +115,18 @@
     let agent = Agent {
         inner: Rc::new(AgentInner {
             life: InstanceId::random(&settings.upstream).to_string(),
-            fence: Cell::new(None),
+            claim: Claim::default(),
+            boot: Cell::new(0),
             memory_bytes: Cell::new(0),
             client,
             engine,
             ledger: RefCell::default(),
             replicas: Replicas::default(),
+            releasing: Releasing::default(),
+            local_permits: Rc::default(),
+            fetch_speed: FetchSpeed::default(),
+            issued_permits: Rc::default(),
+            issuer: RefCell::default(),
             queue: RunQueue::new(settings.running_max),
             attempts: Attempts::default(),
             settings,
@@ -102,12 +134,14 @@
         }),
     };
     info!(agent.node.log, "agent listens"; "address" => %address);
+    agent.claim.listens_at(address);
     let starting = agent.clone();
-    compio::runtime::spawn(async move { take_over(&starting, address).await }).detach();
+    compio::runtime::spawn(async move { take_over(&starting).await }).detach();
     let routes = tonic_routes(&agent);
-    let serving = stop.clone();
+    let (serving, leaving) = (stop.clone(), agent.clone());
     let served = compio::runtime::spawn(async move {
         serve_grpc(listener, serving, routes).await.ok();
+        slots::handed_over(&leaving).await;
     });
     Ok(RunningAgent {
         agent,
@@ -116,57 +150,108 @@
     })
 }
 
-/// Reads what the engine holds, claims the upstream, and starts to watch idle replicas.
-async fn take_over(agent: &Agent, address: SocketAddr) {
+impl Agent {
+    /// The connection to the agent that grants permits.
+    pub fn issuer_connection(&self, name: &str, address: SocketAddr) -> Connection {
+        let mut issuer = self.issuer.borrow_mut();
+        match &*issuer {
+            Some((known, connection)) if known == name && connection.address() == address => {
+                connection.clone()
+            }
+            _ => {
+                let connection = Connection::new(address);
+                *issuer = Some((name.to_owned(), connection.clone()));
+                connection
+            }
+        }
+    }
+
+    /// Whether a replica of `model` fits without unloading any other.
+    pub fn has_free_memory(&self, model: &str) -> bool {
+        let free_bytes = self.ledger.borrow().free_bytes();
+        let model = self.node.models.get(model);
+        model.is_some_and(|(_, object)| object.replica_bytes() <= free_bytes)
+    }
+}
+
+/// Reads what the engine holds, starts the agent's watches, and keeps its claim standing.
+async fn take_over(agent: &Agent) {
     if let Some(engine) = &agent.engine {
         let Some(state) = read_engine(agent, engine).await else {
             return;
         };
-        replicas::rebuild(agent, engine, &state);
+        reconcile(agent, engine, &state);
+        spawn(idle::watch_engine(agent.clone(), engine.clone()));
+        spawn(idle::watch_idle(agent.clone(), engine.clone()));
+        spawn(slots::watch_slots(agent.clone(), engine.clone()));
+    }
+    spawn(claim::watch_claim(agent.clone()));
+    while !agent.node.stop.is_draining() && !agent.claim.is_superseded() {
+        let changed = agent.claim.listen();
+        if !agent.claim.stands() && !claim_upstream(agent).await {
+            return;
+        }
+        changed.await;
     }
-    let Some(fence) = claim::claim(agent, address).await else {
-        return;
+}
+
+fn spawn(work: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(work).detach();
+}
+
+/// Claims the upstream, reads the placements and the engine anew, and lets the claim stand;
+/// false if a stop began first or a later claimant has the upstream.
+async fn claim_upstream(agent: &Agent) -> bool {
+    let Some(fence) = claim::claim(agent).await else {
+        return false;
     };
-    if !agent.settings.engine_checks_orders {
-        // An order of an earlier claimant may still be on its way to this engine.
-        sleep_ms(agent.settings.order_life_ms).await;
-        if let Some(engine) = &agent.engine
-            && let Some(state) = read_engine(agent, engine).await
-        {
-            replicas::rebuild(agent, engine, &state);
+    if !read_placements(agent).await {
+        return false;
+    }
+    if let Some(engine) = &agent.engine {
+        if !agent.settings.engine_checks_orders {
+            // An order of an earlier claimant may still be on its way to this engine.
+            sleep_ms(agent.settings.order_life_ms).await;
         }
+        let Some(state) = read_engine(agent, engine).await else {
+            return false;
+        };
+        reconcile(agent, engine, &state);
     }
-    agent.fence.set(Some(fence));
-    info!(agent.node.log, "upstream claimed"; "fence" => fence);
+    claim::stand(agent, fence);
     if let Some(engine) = &agent.engine {
-        idle::watch_idle(agent.clone(), engine.clone()).await;
+        slots::unload_strays(agent, engine);
     }
+    true
 }
 
-async fn read_engine(
-    agent: &Agent,
-    engine: &EngineClient,
-) -> Option<celerystair_protocol::engine_api::EngineState> {
+/// Reads the placements from the store: the watch of a process that was paused may lag.
+async fn read_placements(agent: &Agent) -> bool {
     while !agent.node.stop.is_draining() {
-        match engine.state().await {
-            Ok(state) => return Some(state),
-            Err(_) => sleep_ms(ENGINE_RETRY_MS).await,
+        if let Ok(list) = agent.node.store.list(PLACEMENTS).await {
+            for object in &list.objects {
+                agent.node.placements.apply(object).ok();
+            }
+            return true;
         }
+        sleep_ms(STORE_RETRY_MS).await;
     }
-    None
+    false
 }
 
 fn tonic_routes(agent: &Agent) -> Routes {
     Routes {
         agent: AgentServer::new(AgentService::new(agent)),
+        permits: LoadPermitsServer::new(PermitService::new(agent)),
         peer: PeerServer::new(PeerService::new(&agent.node)),
     }
 }
 
-/// Both services on one port.
+/// All services on one port.
 #[derive(Clone)]
 struct Routes {
     agent: AgentServer<AgentService>,
+    permits: LoadPermitsServer<PermitService>,
     peer: PeerServer<PeerService>,
 }
 
@@ -183,8 +268,11 @@
     }
 
     fn call(&mut self, request: http::Request<hyper::body::Incoming>) -> Self::Future {
-        if request.uri().path().starts_with("/celerystair.v1.Peer/") {
+        let path = request.uri().path();
+        if path.starts_with("/celerystair.v1.Peer/") {
             self.peer.call(request)
+        } else if path.starts_with("/celerystair.v1.LoadPermits/") {
+            self.permits.call(request)
         } else {
             self.agent.call(request)
         }
--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -16,10 +16,11 @@
 use tonic::Status;
 
 use crate::{
+    adapters::use_adapter,
     agent::Agent,
     news::news,
     queue::RunPermit,
-    replicas::{ReplicaUse, use_adapter, use_replica},
+    replicas::{ReplicaUse, use_replica},
     upstream::{UpstreamError, call_upstream},
 };
 
--- a/crates/celerystair_agent/src/claim.rs
+++ b/crates/celerystair_agent/src/claim.rs
@@ -1,26 +1,138 @@
 //! The agent's claim on its upstream. Each claim raises `agents/<upstream>` by a conditional
 //! update; the number is the fencing number of every order that follows.
+//!
+//! An agent gives an order only while its claim stands: it has claimed, it was not paused since,
+//! and nobody has claimed after it. See `docs/PLACEMENT.md`.
 
-use std::net::SocketAddr;
+use std::{
+    cell::{Cell, OnceCell},
+    net::SocketAddr,
+};
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::clock_scale};
 use celerystair_platform::{
     objects::AGENTS,
     prelude::{AgentObject, CallPriority, Expected, StoreError},
 };
+use celerystair_telemetry::prelude::*;
+use event_listener::{Event as Signal, EventListener};
 
 use crate::agent::Agent;
 
 const RETRY_MIN_MS: u64 = 50;
 const RETRY_MAX_MS: u64 = 1000;
+/// Pulses in the longest pause that goes unnoticed.
+const PULSES: u64 = 8;
+
+/// Where the agent's claim stands.
+#[derive(Default)]
+pub struct Claim {
+    fence: Cell<Option<u64>>,
+    last_fence: Cell<u64>,
+    superseded: Cell<bool>,
+    pulse_unix_ms: Cell<u64>,
+    address: OnceCell<SocketAddr>,
+    changed: Signal,
+}
+
+impl Claim {
+    /// Notes where the agent listens, which its claim tells routers.
+    pub fn listens_at(&self, address: SocketAddr) {
+        self.address.set(address).ok();
+    }
+
+    /// Whether a later claimant has taken the upstream over.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded.get()
+    }
+
+    /// Whether orders may be given, as far as is known without looking at the clock.
+    pub fn stands(&self) -> bool {
+        self.fence.get().is_some()
+    }
+
+    /// Whether `fence` is of a later claim than this agent's last.
+    pub fn is_behind(&self, fence: u64) -> bool {
+        self.last_fence.get() > 0 && fence > self.last_fence.get()
+    }
+
+    /// Wakes when the claim is made, lapses or is superseded.
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    fn set(&self, fence: Option<u64>) {
+        if let Some(fence) = fence {
+            self.last_fence.set(fence);
+        }
+        self.fence.set(fence);
+        self.changed.notify(usize::MAX);
+    }
+}
+
+/// The fencing number for an order that leaves now, if the claim stands. Call it right before
+/// each order: a pause since the last pulse shows here, before anything else can run.
+pub fn order_fence(agent: &Agent) -> Option<u64> {
+    notice_pause(agent);
+    agent.claim.fence.get()
+}
+
+/// Lets the claim lapse if this process was paused so long that another may have claimed.
+fn notice_pause(agent: &Agent) {
+    let now = now_unix_ms();
+    let last = agent.claim.pulse_unix_ms.replace(now);
+    // A trial's fast clock makes the machine's own delays look long.
+    let pause_max_ms = agent.settings.order_life_ms * clock_scale();
+    if last != 0 && now - last > pause_max_ms && agent.claim.stands() {
+        let detail = format!("paused for {} ms", now - last);
+        warn!(agent.node.log, "claim lapsed"; "cause" => &detail);
+        record(agent, "claim_lapsed", detail);
+        agent.claim.set(None);
+    }
+}
+
+/// Notices pauses and later claimants until the stop ends.
+pub async fn watch_claim(agent: Agent) {
+    agent.claim.pulse_unix_ms.set(now_unix_ms());
+    while !agent.node.stop.is_ended() {
+        sleep_ms(agent.settings.order_life_ms / PULSES).await;
+        notice_pause(&agent);
+        let last = agent.claim.last_fence.get();
+        if let Some((_, object)) = agent.node.agents.get(&agent.settings.upstream)
+            && object.fence > last
+            && object.claim_id != agent.life
+            && last > 0
+        {
+            supersede(&agent, object.fence);
+        }
+    }
+}
+
+/// Ends this agent's claim for good: a later claimant has the upstream.
+pub fn supersede(agent: &Agent, fence: u64) {
+    if agent.claim.superseded.replace(true) {
+        return;
+    }
+    warn!(agent.node.log, "superseded by a later claim"; "fence" => fence);
+    record(agent, "claim_superseded", format!("by fence {fence}"));
+    agent.claim.set(None);
+}
+
+/// Makes the claim stand, under `fence`.
+pub fn stand(agent: &Agent, fence: u64) {
+    info!(agent.node.log, "upstream claimed"; "fence" => fence);
+    record(agent, "upstream_claimed", format!("fence {fence}"));
+    agent.claim.pulse_unix_ms.set(now_unix_ms());
+    agent.claim.set(Some(fence));
+}
 
 /// Claims the upstream, for as long as it takes; gives the fencing number. Returns `None` if a
-/// stop began first.
-pub async fn claim(agent: &Agent, address: SocketAddr) -> Option<u64> {
+/// stop began first, or a later claimant has the upstream.
+pub async fn claim(agent: &Agent) -> Option<u64> {
     let mut retry_ms = RETRY_MIN_MS;
-    while !agent.node.stop.is_draining() {
-        match try_claim(agent, address).await {
-            Ok(fence) => return Some(fence),
+    while !agent.node.stop.is_draining() && !agent.claim.is_superseded() {
+        match try_claim(agent).await {
+            Ok(fence) => return fence,
             Err(_) => sleep_ms(rand::random_range(retry_ms / 2..=retry_ms)).await,
         }
         retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
@@ -28,7 +140,7 @@
     None
 }
 
-async fn try_claim(agent: &Agent, address: SocketAddr) -> Result<u64, StoreError> {
+async fn try_claim(agent: &Agent) -> Result<Option<u64>, StoreError> {
     let key = format!("{AGENTS}{}", agent.settings.upstream);
     let found = agent.node.store.get(&key).await?;
     let (expected, last) = match &found {
@@ -38,24 +150,74 @@
         ),
         None => (Expected::Absent, None),
     };
-    if let Some(own) = last.as_ref().filter(|last| last.claim_id == agent.life) {
-        // The write of an earlier try took effect and its answer was lost.
-        return Ok(own.fence);
+    let claimed = agent.claim.last_fence.get();
+    if let Some(last) = &last {
+        if last.claim_id == agent.life && last.fence > claimed {
+            // The write of an earlier try took effect and its answer was lost.
+            return Ok(Some(last.fence));
+        }
+        if last.claim_id != agent.life && claimed > 0 && last.fence > claimed {
+            supersede(agent, last.fence);
+            return Ok(None);
+        }
     }
-    let object = AgentObject {
-        fence: last.map_or(0, |last| last.fence) + 1,
-        instance: agent.settings.instance.clone(),
-        claim_id: agent.life.clone(),
-        address,
-        failure_domain: agent.node.settings.failure_domain.clone(),
-        pool: agent.settings.pool.clone(),
-        memory_bytes: agent.memory_bytes.get(),
-        leaving: false,
+    let fence = last.map_or(0, |last| last.fence).max(claimed) + 1;
+    let object = agent_object(agent, fence, false);
+    agent
+        .node
+        .store
+        .put(&key, &object, expected, CallPriority::Urgent)
+        .await?;
+    Ok(Some(fence))
+}
+
+/// Tells routers that the upstream is leaving (or stays after all), so that those who have not
+/// talked to it lately know too.
+///
+/// # Errors
+/// [`StoreError`]; routers then learn it from replies, and from the platform's list.
+pub async fn publish_leaving(agent: &Agent, leaving: bool) -> Result<(), StoreError> {
+    let key = format!("{AGENTS}{}", agent.settings.upstream);
+    let Some(found) = agent.node.store.get(&key).await? else {
+        return Ok(());
     };
+    let last = found.read::<AgentObject>()?;
+    if last.claim_id != agent.life || last.leaving == leaving {
+        return Ok(());
+    }
+    let object = agent_object(agent, last.fence, leaving);
+    let expected = Expected::Version(found.version);
     agent
         .node
         .store
         .put(&key, &object, expected, CallPriority::Urgent)
         .await?;
-    Ok(object.fence)
+    Ok(())
+}
+
+fn agent_object(agent: &Agent, fence: u64, leaving: bool) -> AgentObject {
+    AgentObject {
+        fence,
+        instance: agent.settings.instance.clone(),
+        claim_id: agent.life.clone(),
+        address: agent
+            .claim
+            .address
+            .get()
+            .copied()
+            .unwrap_or(agent.settings.listen),
+        failure_domain: agent.node.settings.failure_domain.clone(),
+        pool: agent.settings.pool.clone(),
+        memory_bytes: agent.memory_bytes.get(),
+        leaving,
+    }
+}
+
+fn record(agent: &Agent, kind: &str, detail: String) {
+    agent.node.timeline.record(Event {
+        kind: kind.to_owned(),
+        upstream: agent.settings.upstream.to_string(),
+        detail,
+        ..Event::default()
+    });
 }
--- a/crates/celerystair_agent/src/engine.rs
+++ b/crates/celerystair_agent/src/engine.rs
@@ -17,6 +17,9 @@
     /// The engine knows a newer claim.
     #[error("the engine has taken orders from a newer claim")]
     Fenced,
+    /// The agent's claim does not stand; the order did not leave.
+    #[error("the agent's claim does not stand")]
+    NoClaim,
     /// The engine has no memory for it.
     #[error("the engine has no memory for the order")]
     NoMemory,
--- a/crates/celerystair_agent/src/grpc.rs
+++ b/crates/celerystair_agent/src/grpc.rs
@@ -11,7 +11,7 @@
 use send_wrapper::SendWrapper;
 use tonic::{Request, Response, Status};
 
-use crate::{agent::Agent, answer::serve_attempt, attempts::AttemptPhase, news::news};
+use crate::{agent::Agent, answer::serve_attempt, attempts::AttemptPhase, news::news, slots};
 
 /// Events of one attempt that may wait for a slow router.
 const EVENTS_MAX: usize = 16;
@@ -108,9 +108,9 @@
             tier: tier.into(),
             free_memory_bytes: self.agent.ledger.borrow().free_bytes(),
             expected_load_ms: self.agent.replicas.expected_load_ms(),
-            slots: 0,
+            slots: slots::held(&self.agent),
             fits: state.memory_bytes >= request.memory_bytes,
-            leaving: self.agent.node.stop.is_draining(),
+            leaving: slots::is_leaving(&self.agent),
         }))
     }
 }
--- a/crates/celerystair_agent/src/idle.rs
+++ b/crates/celerystair_agent/src/idle.rs
@@ -1,37 +1,87 @@
-//! Unloads replicas that nobody calls, and notices an engine that has lost what it held.
+//! Unloads replicas that nobody calls, loads those that are to be kept warm, and follows what
+//! the engine reports. How long an idle replica stays: `docs/COLD_STARTS.md`.
 
-use celerystair_config::fleet;
+use celerystair_config::{fleet, fleet::Defaults};
 use celerystair_core::prelude::*;
-use celerystair_protocol::ReplicaState;
+use celerystair_placement::keep_alive::Costs;
 
 use crate::{
-    agent::Agent,
-    engine::EngineClient,
-    replicas::{drop_lost, unload},
+    agent::Agent, claim::supersede, engine::EngineClient, load::begin_load, reconcile::reconcile,
+    replicas::Replica, slots, unload::unload,
 };
 
 const INTERVAL_MS: u64 = 500;
+/// A load ahead of any request gives way to those for which somebody waits.
+const WARM_LOAD_DEADLINE_MS: u64 = 600_000;
 
-/// Watches the replicas until the agent's stop ends.
-pub async fn watch_idle(agent: Agent, engine: EngineClient) {
-    let mut boot = None;
+/// Follows the engine until the agent's stop ends.
+pub async fn watch_engine(agent: Agent, engine: EngineClient) {
     while !agent.node.stop.is_ended() {
         sleep_ms(INTERVAL_MS).await;
-        if let Ok(state) = engine.state().await
-            && boot
-                .replace(state.boot)
-                .is_some_and(|last| last != state.boot)
-        {
-            drop_lost(&agent, &state);
+        if let Ok(state) = engine.state().await {
+            if agent.claim.is_behind(state.fence) && state.boot == agent.boot.get() {
+                supersede(&agent, state.fence);
+            }
+            reconcile(&agent, &engine, &state);
         }
-        for replica in agent.replicas.all() {
+    }
+}
+
+/// Unloads idle replicas and keeps warm what is to be, until the agent's stop ends.
+pub async fn watch_idle(agent: Agent, engine: EngineClient) {
+    while !agent.node.stop.is_ended() {
+        sleep_ms(INTERVAL_MS).await;
+        for replica in agent.replicas.all().iter().filter(|r| r.is_idle()) {
             let defaults =
                 fleet::for_model(&agent.node.config.current(), &replica.model, now_unix_ms());
             let idle_ms = now_unix_ms() - replica.idle_since_unix_ms.get();
-            if replica.state.get() == ReplicaState::Loaded && idle_ms >= defaults.keep_alive_min_ms
-            {
-                unload(&agent, &engine, &replica);
+            if !defaults.keep_warm && idle_ms >= keep_alive_ms(&agent, replica, &defaults) {
+                unload(&agent, &engine, replica);
             }
         }
+        warm_up(&agent, &engine).await;
+    }
+}
+
+/// How long `replica` is worth keeping loaded without work.
+fn keep_alive_ms(agent: &Agent, replica: &Replica, defaults: &Defaults) -> u64 {
+    if !defaults.keep_alive_adaptive {
+        return defaults.keep_alive_min_ms;
+    }
+    let costs = Costs {
+        cold_start_ms: agent.replicas.expected_load_ms(),
+        cold_start_weight: defaults.cold_start_weight,
+        idle_weight: defaults.idle_weight,
+        keep_alive_min_ms: defaults.keep_alive_min_ms,
+        keep_alive_max_ms: defaults.keep_alive_max_ms,
+    };
+    agent
+        .replicas
+        .with_arrivals(&replica.model, |arrivals| arrivals.keep_alive_ms(&costs))
+}
+
+/// Loads models that an exception keeps warm now, on the holder of the first slot.
+async fn warm_up(agent: &Agent, engine: &EngineClient) {
+    let config = agent.node.config.current();
+    if !config.defaults.keep_warm && !config.exceptions.iter().any(|e| e.field == "keep_warm") {
+        return;
+    }
+    for (model, placement) in agent.node.placements.all() {
+        let model = ModelName::from(model.as_str());
+        let is_first = placement
+            .slots
+            .first()
+            .is_some_and(|slot| slot.instance == agent.settings.instance);
+        if is_first
+            && fleet::for_model(&config, &model, now_unix_ms()).keep_warm
+            && agent.replicas.get(&model).is_none()
+            && slots::require_slot(agent, &model).is_ok()
+            && agent.has_free_memory(&model)
+        {
+            let deadline_unix_ms = now_unix_ms() + WARM_LOAD_DEADLINE_MS;
+            begin_load(agent, engine, &model, deadline_unix_ms)
+                .await
+                .ok();
+        }
     }
 }
--- a/crates/celerystair_agent/src/ledger.rs
+++ b/crates/celerystair_agent/src/ledger.rs
@@ -30,6 +30,16 @@
         }
     }
 
+    /// Notes how much memory the engine reports.
+    pub fn set_memory(&mut self, memory_bytes: u64) {
+        self.memory_bytes = memory_bytes;
+    }
+
+    /// Memory that a replica of `model` holds.
+    pub fn held_bytes(&self, model: &ModelName) -> u64 {
+        self.held.get(model).copied().unwrap_or_default()
+    }
+
     /// Memory that nothing holds.
     pub fn free_bytes(&self) -> u64 {
         self.memory_bytes.saturating_sub(self.held.values().sum())
--- /dev/null
+++ b/crates/celerystair_agent/src/load.rs
@@ -0,0 +1,196 @@
+//! Loads: memory is reserved before the order leaves, and an order whose outcome is not known
+//! keeps its reservation until the engine says what became of it.
+
+use std::rc::Rc;
+
+use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_platform::prelude::ModelObject;
+use celerystair_protocol::{ReplicaState, engine_api::LoadOrder};
+use celerystair_telemetry::prelude::*;
+
+use crate::{
+    agent::Agent,
+    claim::{order_fence, supersede},
+    engine::{EngineClient, OrderError},
+    permits::acquire_permit,
+    reconcile,
+    replicas::Replica,
+    unload::make_room,
+};
+
+/// How often the engine is asked about an order whose outcome is not known.
+const POLL_INTERVAL_MS: u64 = 200;
+/// A fetch that takes longer gives its permit back.
+const PREFETCH_TIMEOUT_MS: u64 = 120_000;
+
+/// Reserves memory and starts the load, after making room if need be.
+///
+/// # Errors
+/// A refusal: no load was started.
+pub async fn begin_load(
+    agent: &Agent,
+    engine: &EngineClient,
+    model: &ModelName,
+    deadline_unix_ms: u64,
+) -> Result<(), Refusal> {
+    if order_fence(agent).is_none() {
+        let detail = "the agent's claim does not stand, and it orders nothing";
+        return Err(Refusal::not_run(RefusalReason::StoreUnavailable, detail));
+    }
+    let Some((_, object)) = agent.node.models.get(model) else {
+        return Err(Refusal::not_run(
+            RefusalReason::UnknownModel,
+            model.to_string(),
+        ));
+    };
+    let needed_bytes = object.replica_bytes();
+    let freed = agent.replicas.memory_freed.listen();
+    let reserved = agent.ledger.borrow_mut().reserve(model, needed_bytes);
+    if let Err(no_memory) = reserved {
+        if !make_room(agent, engine, needed_bytes) {
+            return Err(
+                Refusal::not_run(RefusalReason::NoMemory, no_memory.to_string())
+                    .retry_after(agent.replicas.expected_load_ms()),
+            );
+        }
+        freed.await;
+        return Ok(());
+    }
+    let replica = Replica::new(model, &object.version, ReplicaState::Loading);
+    replica.needed_unix_ms.set(deadline_unix_ms);
+    replica
+        .ready_unix_ms
+        .set(now_unix_ms() + agent.replicas.expected_load_ms());
+    agent.replicas.insert(&replica);
+    let (agent, engine) = (agent.clone(), engine.clone());
+    compio::runtime::spawn(async move { load(&agent, &engine, &replica, &object).await }).detach();
+    Ok(())
+}
+
+async fn load(agent: &Agent, engine: &EngineClient, replica: &Rc<Replica>, object: &ModelObject) {
+    let started_unix_ms = now_unix_ms();
+    record(agent, "load_started", &replica.model, String::new());
+    match carry_out(agent, engine, replica, object).await {
+        Ok(()) => {
+            let load_ms = now_unix_ms() - started_unix_ms;
+            agent.replicas.note_load(load_ms);
+            replica.set_state(ReplicaState::Loaded);
+            record(agent, "load_done", &replica.model, format!("{load_ms} ms"));
+        }
+        Err(error) => {
+            warn!(agent.node.log, "load failed"; "model" => %replica.model, "error" => %error);
+            record(agent, "load_failed", &replica.model, error.to_string());
+            agent.ledger.borrow_mut().free(&replica.model);
+            agent.replicas.remove(&replica.model);
+            if let OrderError::NoMemory = error {
+                // The engine holds something that the ledger does not know.
+                reconcile::refresh(agent, engine).await;
+            }
+        }
+    }
+}
+
+/// Fetches the checkpoint into host memory under a permit, then orders the load. Only the fetch
+/// takes the weight store's time, so the permit ends with it.
+async fn carry_out(
+    agent: &Agent,
+    engine: &EngineClient,
+    replica: &Rc<Replica>,
+    object: &ModelObject,
+) -> Result<(), OrderError> {
+    if reconcile::is_remote(engine, &replica.model).await {
+        let permit = acquire_permit(agent, replica).await;
+        prefetch(agent, engine, replica, object).await;
+        drop(permit);
+    }
+    let boot = agent.boot.get();
+    let order = order(agent, replica, object).ok_or(OrderError::NoClaim)?;
+    if !agent.settings.engine_checks_orders {
+        reconcile::check_engine(agent, engine).await?;
+    }
+    match engine.load(&order).await {
+        Err(OrderError::Unknown { .. }) => settle_load(agent, engine, &replica.model, boot).await,
+        Err(OrderError::Fenced) => {
+            supersede(agent, 0);
+            Err(OrderError::Fenced)
+        }
+        outcome => outcome,
+    }
+}
+
+/// Fetches the checkpoint into host memory. If that fails, the load fetches it.
+async fn prefetch(agent: &Agent, engine: &EngineClient, replica: &Replica, object: &ModelObject) {
+    let Some(order) = order(agent, replica, object) else {
+        return;
+    };
+    let started_unix_ms = now_unix_ms();
+    let deadline_unix_ms = started_unix_ms + PREFETCH_TIMEOUT_MS;
+    if let Some(Ok(())) = before_deadline(deadline_unix_ms, engine.prefetch(&order)).await {
+        let fetch_ms = now_unix_ms() - started_unix_ms;
+        agent.fetch_speed.note(object.checkpoint_bytes, fetch_ms);
+        record(
+            agent,
+            "checkpoint_fetched",
+            &replica.model,
+            format!("{fetch_ms} ms"),
+        );
+    }
+}
+
+fn order(agent: &Agent, replica: &Replica, object: &ModelObject) -> Option<LoadOrder> {
+    let fence = order_fence(agent)?;
+    Some(LoadOrder {
+        model: replica.model.clone(),
+        version: object.version.clone(),
+        checkpoint_bytes: object.checkpoint_bytes,
+        memory_bytes: object.replica_bytes(),
+        fence,
+        deadline_unix_ms: now_unix_ms() + agent.settings.order_life_ms,
+    })
+}
+
+/// Asks the engine until it says what became of a load; the memory stays reserved meanwhile.
+/// `boot` is the engine's run when the order left: one that has restarted since has lost it.
+pub async fn settle_load(
+    agent: &Agent,
+    engine: &EngineClient,
+    model: &ModelName,
+    boot: u64,
+) -> Result<(), OrderError> {
+    // An order that is still on its way is dead after its life, or with the engine that took it.
+    let asked_unix_ms = now_unix_ms();
+    let lost_unix_ms = |restarted: bool| {
+        asked_unix_ms
+            + if restarted {
+                0
+            } else {
+                agent.settings.order_life_ms
+            }
+    };
+    while !agent.node.stop.is_ended() {
+        if let Ok(state) = engine.state().await {
+            let found = state.replicas.iter().find(|found| found.model == *model);
+            match found {
+                Some(found) if found.loaded => return Ok(()),
+                // A report lags: only one made after the order's death shows that it was lost.
+                None if state.reported_unix_ms > lost_unix_ms(state.boot != boot) => break,
+                _ => {}
+            }
+        }
+        sleep_ms(POLL_INTERVAL_MS).await;
+    }
+    Err(OrderError::Unknown {
+        detail: "the engine no longer has the replica".to_owned(),
+    })
+}
+
+/// Records an event of a model's replica.
+pub fn record(agent: &Agent, kind: &str, model: &ModelName, detail: String) {
+    agent.node.timeline.record(Event {
+        kind: kind.to_owned(),
+        model: model.to_string(),
+        upstream: agent.settings.upstream.to_string(),
+        detail,
+        ..Event::default()
+    });
+}
--- a/crates/celerystair_agent/src/news.rs
+++ b/crates/celerystair_agent/src/news.rs
@@ -3,7 +3,7 @@
 use celerystair_core::prelude::*;
 use celerystair_protocol::{News, ReplicaNews};
 
-use crate::agent::Agent;
+use crate::{agent::Agent, slots::is_leaving};
 
 /// The news of `agent`, of one model if it is named, else of all.
 pub fn news(agent: &Agent, model: Option<&str>) -> News {
@@ -31,7 +31,7 @@
         running: agent.queue.running(),
         running_max: agent.queue.running_max(),
         queue_delay_ms: agent.queue.expected_wait_ms(agent.queue.waiting()),
-        leaving: agent.node.stop.is_draining(),
+        leaving: is_leaving(agent) || agent.claim.is_superseded(),
         replicas,
         agent_life: agent.life.clone(),
     }
--- /dev/null
+++ b/crates/celerystair_agent/src/permits.rs
@@ -0,0 +1,220 @@
+//! Permits to fetch from the weight store, whose budget the whole fleet shares.
+//!
+//! One agent grants them, by earliest deadline: the first in rendezvous order among those that
+//! live, so that nobody has to be elected. Agents that see different lists may follow two
+//! issuers for a while; the budget is soft, and that only slows fetches. An agent that can't
+//! reach the issuer fetches its static share. See `docs/COLD_STARTS.md`.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    pin::Pin,
+    rc::Rc,
+};
+
+use celerystair_config::{fleet, fleet::LoadBudget};
+use celerystair_core::{prelude::*, rendezvous, time::before_deadline};
+use celerystair_protocol::{
+    AcquirePermitRequest, PermitEvent, load_permits_client::LoadPermitsClient, load_permits_server,
+};
+use event_listener::Event as Signal;
+use futures_util::Stream;
+use send_wrapper::SendWrapper;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::{agent::Agent, replicas::Replica};
+
+/// The key under which agents are put in order for the issuer's task.
+const ISSUER_KEY: &str = "load-permits";
+/// How long an issuer may take to answer at all.
+const ISSUER_TIMEOUT_MS: u64 = 1_000;
+/// Fetches that an agent runs at once without an issuer.
+const STATIC_SHARE: u32 = 1;
+
+/// Turns that are granted by earliest deadline.
+#[derive(Default)]
+pub struct Permits {
+    granted: Cell<u32>,
+    next_number: Cell<u64>,
+    waiting: RefCell<BTreeMap<(u64, u64), Rc<Signal>>>,
+}
+
+/// A turn; it ends when this is dropped.
+pub struct Turn {
+    permits: Rc<Permits>,
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.permits.granted.set(self.permits.granted.get() - 1);
+        self.permits.wake_first();
+    }
+}
+
+impl Permits {
+    fn wake_first(&self) {
+        if let Some((_, signal)) = self.waiting.borrow().first_key_value() {
+            signal.notify(1);
+        }
+    }
+
+    /// Waits for one of `permits_max` turns; the earliest deadline goes first.
+    pub async fn take(self: &Rc<Self>, permits_max: u32, deadline_unix_ms: u64) -> Turn {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let place = (deadline_unix_ms, number);
+        let signal = Rc::new(Signal::new());
+        self.waiting.borrow_mut().insert(place, signal.clone());
+        let leave = LeaveOnDrop {
+            permits: self,
+            place,
+        };
+        loop {
+            let listener = signal.listen();
+            let is_first = self.waiting.borrow().keys().next() == Some(&place);
+            if is_first && self.granted.get() < permits_max.max(1) {
+                self.granted.set(self.granted.get() + 1);
+                drop(leave);
+                return Turn {
+                    permits: self.clone(),
+                };
+            }
+            listener.await;
+        }
+    }
+}
+
+/// Takes a place out of the queue, and lets the next one look.
+struct LeaveOnDrop<'a> {
+    permits: &'a Permits,
+    place: (u64, u64),
+}
+
+impl Drop for LeaveOnDrop<'_> {
+    fn drop(&mut self) {
+        self.permits.waiting.borrow_mut().remove(&self.place);
+        self.permits.wake_first();
+    }
+}
+
+/// A permit to fetch one checkpoint; it ends when this is dropped.
+pub enum Permit {
+    /// The issuer's; it holds while the stream is open.
+    Issued(Box<Streaming<PermitEvent>>),
+    /// This agent's static share.
+    Local(Turn),
+    /// The budget is not kept.
+    Unlimited,
+}
+
+/// Waits for a permit to fetch the checkpoint of `replica`.
+pub async fn acquire_permit(agent: &Agent, replica: &Replica) -> Permit {
+    let defaults = agent.node.config.current().defaults.clone();
+    let deadline_unix_ms = replica.needed_unix_ms.get();
+    if defaults.load_budget == LoadBudget::Unlimited {
+        return Permit::Unlimited;
+    }
+    if defaults.load_budget == LoadBudget::Permits
+        && let Some(stream) = ask_issuer(agent, replica).await
+    {
+        return Permit::Issued(Box::new(stream));
+    }
+    let share = match defaults.load_budget {
+        LoadBudget::Adaptive => agent.fetch_speed.limit(),
+        _ => STATIC_SHARE,
+    };
+    Permit::Local(agent.local_permits.take(share, deadline_unix_ms).await)
+}
+
+/// Asks the issuer and waits for its grant; `None` if it can't be reached or is lost.
+async fn ask_issuer(agent: &Agent, replica: &Replica) -> Option<Streaming<PermitEvent>> {
+    let (name, address) = issuer(agent)?;
+    let connection = agent.issuer_connection(&name, address);
+    let channel = connection.channel().await.ok()?;
+    let origin = channel.origin();
+    let request = AcquirePermitRequest {
+        stamp: agent.node.stamp(),
+        permit_id: AttemptId::random().to_string(),
+        upstream: agent.settings.upstream.to_string(),
+        model: replica.model.to_string(),
+        deadline_unix_ms: replica.needed_unix_ms.get(),
+    };
+    let mut client = LoadPermitsClient::with_origin(channel, origin);
+    let answer = before_deadline(now_unix_ms() + ISSUER_TIMEOUT_MS, client.acquire(request));
+    let mut stream = answer.await?.ok()?.into_inner();
+    while let Ok(Some(event)) = stream.message().await {
+        agent.node.observe(event.stamp.as_ref());
+        if event.granted {
+            return Some(stream);
+        }
+    }
+    None
+}
+
+/// The agent that grants permits now, and where it listens.
+fn issuer(agent: &Agent) -> Option<(String, std::net::SocketAddr)> {
+    let agents = agent.node.agents.all();
+    let open = agents.iter().filter(|(_, object)| {
+        !object.leaving
+            && object.memory_bytes > 0
+            && !agent.node.instances.is_gone(&object.instance)
+    });
+    let first = rendezvous::order(ISSUER_KEY, open, |(name, _)| name);
+    first
+        .first()
+        .map(|(name, object)| (name.clone(), object.address))
+}
+
+/// Grants permits to other agents; lives on the agent's thread.
+pub struct PermitService {
+    agent: SendWrapper<Agent>,
+}
+
+impl PermitService {
+    /// The service of `agent`.
+    pub fn new(agent: &Agent) -> Self {
+        Self {
+            agent: SendWrapper::new(agent.clone()),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl load_permits_server::LoadPermits for PermitService {
+    type AcquireStream = Pin<Box<dyn Stream<Item = Result<PermitEvent, Status>> + Send>>;
+
+    async fn acquire(
+        &self,
+        request: Request<AcquirePermitRequest>,
+    ) -> Result<Response<Self::AcquireStream>, Status> {
+        let request = request.into_inner();
+        self.agent.node.observe(request.stamp.as_ref());
+        let (events, stream) = async_channel::bounded(1);
+        let agent = Agent::clone(&self.agent);
+        compio::runtime::spawn(async move {
+            let permits_max =
+                fleet::for_model(&agent.node.config.current(), &request.model, now_unix_ms())
+                    .loads_in_flight_max;
+            let turn = agent
+                .issued_permits
+                .take(permits_max, request.deadline_unix_ms);
+            let gone = std::pin::pin!(events.closed());
+            let turn = std::pin::pin!(turn);
+            let futures_util::future::Either::Left((turn, _)) =
+                futures_util::future::select(turn, gone).await
+            else {
+                return;
+            };
+            let granted = PermitEvent {
+                stamp: agent.node.stamp(),
+                granted: true,
+                expected_grant_unix_ms: now_unix_ms(),
+            };
+            events.send(Ok(granted)).await.ok();
+            events.closed().await;
+            drop(turn);
+        })
+        .detach();
+        Ok(Response::new(Box::pin(stream)))
+    }
+}
--- /dev/null
+++ b/crates/celerystair_agent/src/reconcile.rs
@@ -0,0 +1,134 @@
+//! Taking over what the engine reports: after a start of the agent, a crash of the engine, a
+//! pause of this process, or an order that another gave.
+
+use celerystair_core::prelude::*;
+use celerystair_protocol::{ReplicaState, engine_api::EngineState};
+
+use crate::{
+    adapters::AdapterLoad,
+    agent::Agent,
+    claim::supersede,
+    engine::{EngineClient, OrderError},
+    load::{record, settle_load},
+    replicas::Replica,
+};
+
+/// How often the engine is asked for its state until it answers.
+const RETRY_MS: u64 = 200;
+
+/// The engine's state, however long it takes; `None` if a stop began first.
+pub async fn read_engine(agent: &Agent, engine: &EngineClient) -> Option<EngineState> {
+    while !agent.node.stop.is_draining() {
+        match engine.state().await {
+            Ok(state) => return Some(state),
+            Err(_) => sleep_ms(RETRY_MS).await,
+        }
+    }
+    None
+}
+
+/// Reads the engine's state and brings the ledger and the replicas in line with it.
+pub async fn refresh(agent: &Agent, engine: &EngineClient) {
+    if let Ok(state) = engine.state().await {
+        reconcile(agent, engine, &state);
+    }
+}
+
+/// Brings the ledger and the replicas in line with what the engine reports.
+///
+/// What has changed here since the report was made is left alone, and so is what an order that
+/// runs will decide: a report lags, and says nothing of either.
+pub fn reconcile(agent: &Agent, engine: &EngineClient, state: &EngineState) {
+    agent.memory_bytes.set(state.memory_bytes);
+    agent.ledger.borrow_mut().set_memory(state.memory_bytes);
+    let restarted = agent.boot.replace(state.boot) != state.boot;
+    for replica in agent.replicas.all() {
+        let is_there = state.replicas.iter().any(|r| r.model == replica.model);
+        let is_news = restarted || replica.changed_unix_ms.get() < state.reported_unix_ms;
+        if !is_there && is_news && replica.state.get() == ReplicaState::Loaded {
+            let detail = "the engine no longer has it".to_owned();
+            record(agent, "replica_lost", &replica.model, detail);
+            agent.ledger.borrow_mut().free(&replica.model);
+            agent.replicas.remove(&replica.model);
+        }
+    }
+    for reported in &state.replicas {
+        if agent.replicas.get(&reported.model).is_none()
+            && agent.replicas.freed_unix_ms(&reported.model) < state.reported_unix_ms
+        {
+            take_over(agent, engine, reported, state.boot);
+        }
+    }
+}
+
+/// Takes over a replica of which only the engine knows.
+fn take_over(
+    agent: &Agent,
+    engine: &EngineClient,
+    reported: &celerystair_protocol::engine_api::EngineReplica,
+    boot: u64,
+) {
+    let phase = if reported.loaded {
+        ReplicaState::Loaded
+    } else {
+        ReplicaState::Loading
+    };
+    agent
+        .ledger
+        .borrow_mut()
+        .record(&reported.model, reported.memory_bytes);
+    let replica = Replica::new(&reported.model, &reported.version, phase);
+    for adapter in &reported.adapters {
+        let mut adapters = replica.adapters.borrow_mut();
+        adapters.insert(adapter.clone(), AdapterLoad::done());
+    }
+    agent.replicas.insert(&replica);
+    record(agent, "replica_found", &replica.model, String::new());
+    if reported.loaded {
+        return;
+    }
+    let (agent, engine) = (agent.clone(), engine.clone());
+    compio::runtime::spawn(async move {
+        if settle_load(&agent, &engine, &replica.model, boot)
+            .await
+            .is_ok()
+        {
+            replica.set_state(ReplicaState::Loaded);
+        } else {
+            agent.ledger.borrow_mut().free(&replica.model);
+            agent.replicas.remove(&replica.model);
+        }
+    })
+    .detach();
+}
+
+/// Looks at an engine that does not check orders, right before one is given: whether a later
+/// claimant has ordered it, and whether it holds what the ledger does not know.
+///
+/// # Errors
+/// The order must not be given.
+pub async fn check_engine(agent: &Agent, engine: &EngineClient) -> Result<(), OrderError> {
+    let state = engine.state().await?;
+    if agent.claim.is_behind(state.fence) && state.boot == agent.boot.get() {
+        supersede(agent, state.fence);
+        return Err(OrderError::Fenced);
+    }
+    reconcile(agent, engine, &state);
+    Ok(())
+}
+
+/// Whether the engine must fetch the checkpoint from the weight store.
+pub async fn is_remote(engine: &EngineClient, model: &ModelName) -> bool {
+    engine
+        .state()
+        .await
+        .is_ok_and(|state| !state.in_memory.contains(model) && !state.on_disk.contains(model))
+}
+
+/// Whether a report made after `since_unix_ms` shows that the engine does not have `model`.
+pub async fn is_absent(engine: &EngineClient, model: &ModelName, since_unix_ms: u64) -> bool {
+    engine.state().await.is_ok_and(|state| {
+        state.reported_unix_ms > since_unix_ms
+            && !state.replicas.iter().any(|replica| replica.model == *model)
+    })
+}
--- /dev/null
+++ b/crates/celerystair_agent/src/slots.rs
@@ -0,0 +1,222 @@
+//! The slots that this instance holds: a right that it gives back only after the engine has
+//! confirmed that the replica is gone. See `docs/PLACEMENT.md`.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::hash_map::Entry,
+};
+
+use celerystair_config::fleet;
+use celerystair_core::prelude::*;
+use celerystair_placement::propose::{Change, change_placement, successor_of};
+use celerystair_platform::prelude::{InstanceState, PlacementObject};
+use celerystair_telemetry::prelude::*;
+
+use crate::{
+    agent::Agent, claim::publish_leaving, engine::EngineClient, load::record, unload::unload,
+};
+
+const INTERVAL_MS: u64 = 250;
+/// A leaving agent that can't reach the store gives up after so many failed writes; the slots
+/// that it leaves move once the platform's list no longer has the instance.
+const HANDOVER_TRIES: u32 = 10;
+
+/// Slots on their way back to the store; nothing is begun for them any more.
+#[derive(Default)]
+pub struct Releasing {
+    models: RefCell<HashMap<ModelName, u32>>,
+}
+
+impl Releasing {
+    fn contains(&self, model: &str) -> bool {
+        self.models.borrow().contains_key(model)
+    }
+}
+
+/// Whether this instance holds a slot of `model`, by what it last saw of the store.
+pub fn holds_slot(agent: &Agent, model: &str) -> bool {
+    slot_index(agent, model).is_some()
+}
+
+fn slot_index(agent: &Agent, model: &str) -> Option<usize> {
+    let (_, placement) = agent.node.placements.get(model)?;
+    index_in(agent, &placement)
+}
+
+fn index_in(agent: &Agent, placement: &PlacementObject) -> Option<usize> {
+    placement.slots.iter().position(|slot| {
+        slot.upstream == agent.settings.upstream && slot.instance == agent.settings.instance
+    })
+}
+
+/// Slots that this instance holds.
+pub fn held(agent: &Agent) -> u32 {
+    let placements = agent.node.placements.all();
+    let held = placements
+        .iter()
+        .filter(|(_, p)| index_in(agent, p).is_some());
+    held.count() as u32
+}
+
+/// Refuses a request for a model of which this instance holds no slot, or gives it back.
+///
+/// An agent that started while the store was down has seen no placements; it serves what is
+/// loaded, for nobody can have taken that slot without this instance being gone.
+///
+/// # Errors
+/// A refusal: nothing of the request has run.
+pub fn require_slot(agent: &Agent, model: &ModelName) -> Result<(), Refusal> {
+    if agent.claim.is_superseded() {
+        let detail = "a later agent has taken the upstream over";
+        return Err(Refusal::not_run(RefusalReason::NotHere, detail));
+    }
+    if agent.releasing.contains(model) {
+        let detail = format!("{} gives back its slot of {model}", agent.settings.upstream);
+        return Err(Refusal::not_run(RefusalReason::NotHere, detail));
+    }
+    let is_known = agent.node.placements.is_complete();
+    let is_loaded = agent.replicas.get(model).is_some();
+    if holds_slot(agent, model) || (!is_known && is_loaded) {
+        return Ok(());
+    }
+    let detail = format!("{} holds no slot of {model}", agent.settings.upstream);
+    Err(Refusal::not_run(RefusalReason::NotHere, detail))
+}
+
+/// Whether this instance is to hand over all its slots.
+pub fn is_leaving(agent: &Agent) -> bool {
+    let instance = &agent.settings.instance;
+    agent.node.stop.is_draining()
+        || agent.node.instances.state(instance) == Some(InstanceState::Leaving)
+        || is_drained(agent)
+}
+
+fn is_drained(agent: &Agent) -> bool {
+    let domain = &agent.node.settings.failure_domain;
+    let config = agent.node.config.current();
+    fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms()).drain
+}
+
+/// Gives back slots that this instance is not to hold, and unloads replicas without a slot,
+/// until the stop ends.
+pub async fn watch_slots(agent: Agent, engine: EngineClient) {
+    let mut published = false;
+    while !agent.node.stop.is_ended() {
+        unload_strays(&agent, &engine);
+        let leaving = is_leaving(&agent);
+        if leaving != published && publish_leaving(&agent, leaving).await.is_ok() {
+            published = leaving;
+        }
+        for (model, placement) in agent.node.placements.all() {
+            let model = ModelName::from(model.as_str());
+            if is_to_release(&agent, &model, &placement) {
+                begin_release(&agent, &engine, &model);
+            }
+        }
+        sleep_ms(INTERVAL_MS).await;
+    }
+}
+
+/// Unloads what this instance holds no slot of: it was off the list, and the slot has moved.
+pub fn unload_strays(agent: &Agent, engine: &EngineClient) {
+    if !agent.node.placements.is_complete() || !agent.claim.stands() {
+        return;
+    }
+    for replica in agent.replicas.all() {
+        if replica.is_idle() && !holds_slot(agent, &replica.model) {
+            unload(agent, engine, &replica);
+        }
+    }
+}
+
+fn is_to_release(agent: &Agent, model: &ModelName, placement: &PlacementObject) -> bool {
+    let Some(index) = index_in(agent, placement) else {
+        return false;
+    };
+    let config = agent.node.config.current();
+    let decided = fleet::for_model(&config, model, now_unix_ms()).slots_per_model as usize;
+    index >= decided || is_leaving(agent)
+}
+
+fn begin_release(agent: &Agent, engine: &EngineClient, model: &ModelName) {
+    match agent.releasing.models.borrow_mut().entry(model.clone()) {
+        Entry::Occupied(_) => return,
+        Entry::Vacant(entry) => entry.insert(0),
+    };
+    record(agent, "slot_release_started", model, String::new());
+    let (agent, engine, model) = (agent.clone(), engine.clone(), model.clone());
+    compio::runtime::spawn(async move {
+        release(&agent, &engine, &model).await;
+        agent.releasing.models.borrow_mut().remove(&model);
+    })
+    .detach();
+}
+
+/// Waits until the replica is gone, then gives the slot back in the store.
+async fn release(agent: &Agent, engine: &EngineClient, model: &ModelName) {
+    while let Some(replica) = agent.replicas.get(model) {
+        if agent.node.stop.is_ended() {
+            return;
+        }
+        let changed = replica.listen();
+        unload(agent, engine, &replica);
+        celerystair_core::time::before_deadline(now_unix_ms() + INTERVAL_MS, changed).await;
+    }
+    // A write whose answer was lost may have taken effect: from then on there is no way back.
+    let has_written = Cell::new(false);
+    while !agent.node.stop.is_ended() {
+        let result = change_placement(&agent.node, model, |placement| {
+            let Some(index) = index_in(agent, placement) else {
+                return Change::Keep;
+            };
+            if !has_written.get() && !is_to_release(agent, model, placement) {
+                return Change::Keep;
+            }
+            has_written.set(true);
+            let mut next = placement.clone();
+            match is_leaving(agent)
+                .then(|| successor_of(&agent.node, model, placement, index))
+                .flatten()
+            {
+                Some(slot) => next.slots[index] = slot,
+                None => {
+                    next.slots.remove(index);
+                }
+            }
+            Change::Write(next)
+        })
+        .await;
+        match result {
+            Ok(_) => return record(agent, "slot_released", model, String::new()),
+            Err(error) => {
+                debug!(agent.node.log, "slot not released"; "model" => %model, "error" => %error);
+                if let Some(tries) = agent.releasing.models.borrow_mut().get_mut(model) {
+                    *tries += 1;
+                }
+                sleep_ms(INTERVAL_MS).await;
+            }
+        }
+    }
+}
+
+/// Returns once a leaving instance holds no slots, or can't give back those that it holds.
+pub async fn handed_over(agent: &Agent) {
+    while !agent.node.stop.is_ended() && agent.claim.stands() && open_releases(agent) > 0 {
+        sleep_ms(INTERVAL_MS).await;
+    }
+}
+
+/// Slots held that may still be given back.
+fn open_releases(agent: &Agent) -> usize {
+    let releasing = agent.releasing.models.borrow();
+    let is_open = |model: &str| {
+        releasing
+            .get(model)
+            .is_none_or(|tries| *tries < HANDOVER_TRIES)
+    };
+    let placements = agent.node.placements.all();
+    let held = placements
+        .iter()
+        .filter(|(_, placement)| index_in(agent, placement).is_some());
+    held.filter(|(model, _)| is_open(model)).count()
+}
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -33,6 +33,16 @@
     pub keep_alive_min_ms: u64,
     /// The longest time that an idle replica stays loaded.
     pub keep_alive_max_ms: u64,
+    /// Whether keep-alive follows each model's own arrivals; if not, idle replicas stay for
+    /// `keep_alive_min_ms`.
+    pub keep_alive_adaptive: bool,
+    /// Whether a replica is kept loaded without calls; an exception with its first and last
+    /// moment makes a warm window, such as a press deadline.
+    pub keep_warm: bool,
+    /// How fetches from the weight store are kept within its budget.
+    pub load_budget: LoadBudget,
+    /// Fetches from the weight store at once, over the whole fleet.
+    pub loads_in_flight_max: u32,
     /// Deadline of a request that names none, from its arrival.
     pub request_timeout_ms: u64,
     /// The longest deadline that a request may name.
@@ -61,6 +71,10 @@
             idle_weight: 0.05,
             keep_alive_min_ms: 5_000,
             keep_alive_max_ms: 1_800_000,
+            keep_alive_adaptive: true,
+            keep_warm: false,
+            load_budget: LoadBudget::Permits,
+            loads_in_flight_max: 4,
             request_timeout_ms: 60_000,
             request_timeout_max_ms: 600_000,
             kind_weight: 1,
@@ -74,6 +88,19 @@
     }
 }
 
+/// How fetches from the weight store are kept within its budget; see `docs/COLD_STARTS.md`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadBudget {
+    /// Each agent changes the number of its own fetches by the speed that it sees.
+    Adaptive,
+    /// One agent grants permits by earliest deadline.
+    #[default]
+    Permits,
+    /// Nothing is kept; each load begins at once.
+    Unlimited,
+}
+
 /// What an exception applies to.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/celerystair_placement/src/lib.rs
+++ b/crates/celerystair_placement/src/lib.rs
@@ -2,12 +2,16 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`bids`] | what upstreams would need to hold a replica |
 //! | [`choose`] | the choice of a slot for one request |
-//! | [`propose`] | making placements for models that have none |
+//! | [`keep_alive`] | how long an idle replica is worth keeping |
+//! | [`propose`] | making and mending placements |
 //!
 //! The design: `docs/PLACEMENT.md`.
 
+pub mod bids;
 pub mod choose;
+pub mod keep_alive;
 pub mod propose;
 
 /// The types that a role needs.
--- a/crates/celerystair_protocol/src/engine_api.rs
+++ b/crates/celerystair_protocol/src/engine_api.rs
@@ -22,6 +22,9 @@
 /// What an engine reports; it lags behind its work.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EngineState {
+    /// When the report was made; it says nothing of what came later.
+    #[serde(default)]
+    pub reported_unix_ms: u64,
     /// Accelerator memory.
     pub memory_bytes: u64,
     /// Accelerator memory that replicas hold, loading ones included.
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use celerystair_config::fleet;
 use celerystair_core::prelude::*;
 use celerystair_placement::prelude::*;
 use celerystair_platform::prelude::InstanceState;
@@ -39,6 +40,7 @@
             continue;
         };
         let is_leaving = agent.leaving
+            || is_drained(router, name, &agent.failure_domain)
             || router.node.instances.is_gone(&agent.instance)
             || router.node.instances.state(&agent.instance) == Some(InstanceState::Leaving);
         let peer = router.peers.get(name, agent.address, &agent.claim_id);
@@ -70,6 +72,12 @@
     })
 }
 
+/// Whether an operator keeps new work from the upstream.
+fn is_drained(router: &Router, upstream: &str, failure_domain: &str) -> bool {
+    let config = router.node.config.current();
+    fleet::for_upstream(&config, failure_domain, upstream, now_unix_ms()).drain
+}
+
 /// The upstreams that may serve the target: the holders of a model's slots, or a service's pool.
 fn upstreams_of(router: &Router, target: &Target) -> (Vec<UpstreamId>, u64) {
     match target {
--- a/crates/celerystair_standin/src/engine.rs
+++ b/crates/celerystair_standin/src/engine.rs
@@ -191,6 +191,7 @@
     fn state(&self) -> EngineState {
         let replicas = self.replicas.borrow();
         EngineState {
+            reported_unix_ms: now_unix_ms(),
             memory_bytes: self.settings.memory_bytes,
             used_bytes: replicas.values().map(|replica| replica.memory_bytes).sum(),
             fence: self.fence.get(),
