--- a/crates/celerystair_agent/src/ledger.rs
+++ b/crates/celerystair_agent/src/ledger.rs
@@ -45,6 +45,11 @@
         self.memory_bytes.saturating_sub(self.held.values().sum())
     }
 
+    /// Whether more is held than there is, by an order that this ledger did not know of.
+    pub fn is_over(&self) -> bool {
+        self.held.values().sum::<u64>() > self.memory_bytes
+    }
+
     /// Reserves memory for a replica of `model`; one that holds memory keeps what it has.
     ///
     /// # Errors
--- a/crates/celerystair_agent/src/load.rs
+++ b/crates/celerystair_agent/src/load.rs
@@ -108,6 +108,9 @@
     if !agent.settings.engine_checks_orders {
         reconcile::check_engine(agent, engine).await?;
     }
+    if agent.ledger.borrow().is_over() {
+        return Err(OrderError::NoMemory);
+    }
     match engine.load(&order).await {
         Err(OrderError::Unknown { .. }) => settle_load(agent, engine, &replica.model, boot).await,
         Err(OrderError::Fenced) => {
--- /dev/null
+++ b/tests/placement_slots.rs
@@ -0,0 +1,193 @@
+//! Slots move only after a confirmed release, or once the platform's list no longer has their
+//! holder. Over real sockets.
+
+#[path = "support/rig.rs"]
+mod rig;
+
+use celerystair::{agent::prelude::*, config::prelude::*, core::prelude::*, standin::prelude::*};
+use rig::{Rig, agent_settings, small_engine, submit, wait_until};
+
+fn block_on<T>(work: impl Future<Output = T>) -> T {
+    compio::runtime::Runtime::new()
+        .expect("a runtime")
+        .block_on(work)
+}
+
+fn document(revision: u64, change: impl FnOnce(&mut FleetDocument)) -> FleetDocument {
+    let mut document = FleetDocument {
+        revision,
+        ..FleetDocument::default()
+    };
+    document.defaults.keep_alive_min_ms = 600_000;
+    change(&mut document);
+    document
+}
+
+/// An agent of upstream `name` with an engine of its own, whose claim stands.
+async fn upstream(rig: &Rig, name: &str, stop: &Stop) -> RunningAgent {
+    let engine = rig.engine(small_engine());
+    let running = rig.agent(agent_settings(rig, name, &engine), stop).await;
+    wait_until("the claim stands", async || running.agent.claim.stands()).await;
+    running
+}
+
+async fn wake(running: &RunningAgent, model: &str) {
+    let life = running.agent.life.clone();
+    wait_until("the model is served", async || {
+        submit(running.address, &life, model).await.is_ok()
+    })
+    .await;
+}
+
+#[test]
+fn placements_are_made_in_different_failure_domains_though_answers_are_lost() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        let mut agents = Vec::new();
+        for name in ["e1-a", "e2-a", "e3-b", "e4-b"] {
+            agents.push(upstream(&rig, name, &stop).await);
+        }
+        for model in ["m-1", "m-2", "m-3", "m-4"] {
+            rig.put_model(model).await;
+        }
+        rig.faults(&PlatformFaults {
+            lose_write_answers_percent: 50,
+            ..PlatformFaults::default()
+        })
+        .await;
+        let _router = rig.router(&stop).await;
+        for model in ["m-1", "m-2", "m-3", "m-4"] {
+            wait_until("the model is placed", async || {
+                rig.placed(model).await.len() == 2
+            })
+            .await;
+            let placed = rig.placed(model).await;
+            let domain = |name: &str| name.rsplit('-').next().map(str::to_owned);
+            assert_ne!(domain(&placed[0]), domain(&placed[1]), "{placed:?}");
+        }
+        stop.end();
+    });
+}
+
+#[test]
+fn a_lowered_count_takes_the_slot_after_its_replica_is_gone() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        rig.configure(document(1, |_| {})).await;
+        rig.put_model("m-1").await;
+        rig.place("m-1", &["e-a", "e-b"]).await;
+        let first = upstream(&rig, "e-a", &stop).await;
+        let second = upstream(&rig, "e-b", &stop).await;
+        wake(&first, "m-1").await;
+        wake(&second, "m-1").await;
+        assert_eq!(rig.replicas("m-1"), 2);
+        rig.configure(document(2, |d| d.defaults.slots_per_model = 1))
+            .await;
+        wait_until("the slot is given back", async || {
+            rig.placed("m-1").await == ["e-a"]
+        })
+        .await;
+        assert_eq!(rig.replicas("m-1"), 1, "the replica went before its slot");
+        let life = second.agent.life.clone();
+        let refused = submit(second.address, &life, "m-1").await;
+        assert_eq!(refused, Err(RefusalReason::NotHere));
+        stop.end();
+    });
+}
+
+#[test]
+fn a_slot_moves_when_the_list_no_longer_has_its_holder_and_not_before() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        let lost = Stop::new();
+        rig.put_model("m-1").await;
+        rig.place("m-1", &["e-a", "e-b"]).await;
+        let _first = upstream(&rig, "e-a", &lost).await;
+        let _second = upstream(&rig, "e-b", &stop).await;
+        let _third = upstream(&rig, "e-c", &stop).await;
+        let router = rig.router(&stop).await;
+        wait_until("the list is seen", async || {
+            router.router.node.instances.state("e-a.1").is_some()
+        })
+        .await;
+        // The agent of e-a can't be reached any more, and its engine still runs.
+        lost.end();
+        // Proposers have looked at the placements a few times by then.
+        sleep_ms(3000).await;
+        assert_eq!(rig.placed("m-1").await, ["e-a", "e-b"]);
+        rig.announce("e-a.1", "gone").await;
+        wait_until("the slot has moved", async || {
+            rig.placed("m-1").await == ["e-b", "e-c"]
+        })
+        .await;
+        stop.end();
+    });
+}
+
+#[test]
+fn a_planned_stop_hands_slots_over_and_is_never_one_over() {
+    block_on(async {
+        let rig = Rig::start();
+        let (stop, leaving) = (Stop::new(), Stop::new());
+        rig.configure(document(1, |d| d.defaults.slots_per_model = 1))
+            .await;
+        for model in ["m-1", "m-2"] {
+            rig.put_model(model).await;
+            rig.place(model, &["e-a"]).await;
+        }
+        let first = upstream(&rig, "e-a", &leaving).await;
+        let second = upstream(&rig, "e-b", &stop).await;
+        wake(&first, "m-1").await;
+        leaving.drain();
+        first.served.await.ok();
+        for model in ["m-1", "m-2"] {
+            assert_eq!(rig.placed(model).await, ["e-b"]);
+        }
+        wake(&second, "m-1").await;
+        assert_eq!(rig.replicas_peak("m-1"), 1);
+        leaving.end();
+        stop.end();
+    });
+}
+
+#[test]
+fn an_operators_drain_empties_the_upstream_and_its_end_fills_it_again() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        rig.configure(document(1, |_| {})).await;
+        rig.put_model("m-1").await;
+        rig.place("m-1", &["e-a"]).await;
+        let first = upstream(&rig, "e-a", &stop).await;
+        wake(&first, "m-1").await;
+        let drain = Exception {
+            scope: Scope {
+                kind: ScopeKind::Upstream,
+                name: "e-a".to_owned(),
+            },
+            field: "drain".to_owned(),
+            value: serde_json::Value::Bool(true),
+            reason: "new disks".to_owned(),
+            author: "ops".to_owned(),
+            from_unix_ms: None,
+            until_unix_ms: None,
+        };
+        rig.configure(document(2, |d| d.exceptions.push(drain)))
+            .await;
+        wait_until("it holds no slot", async || {
+            rig.placed("m-1").await.is_empty()
+        })
+        .await;
+        assert_eq!(rig.replicas("m-1"), 0);
+        let _router = rig.router(&stop).await;
+        rig.configure(document(3, |_| {})).await;
+        wait_until("it holds the slot again", async || {
+            rig.placed("m-1").await == ["e-a"]
+        })
+        .await;
+        stop.end();
+    });
+}
