--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -56,6 +56,8 @@
     pub boot: Cell<u64>,
     /// Accelerator memory of the upstream.
     pub memory_bytes: Cell<u64>,
+    /// Whether the engine gave no report when last asked; new work goes elsewhere meanwhile.
+    pub engine_away: Cell<bool>,
     /// HTTP to the upstream.
     pub client: cyper::Client,
     /// Orders to the upstream, if it is a model engine.
@@ -117,6 +119,7 @@
             life: InstanceId::random(&settings.upstream).to_string(),
             claim: Claim::default(),
             boot: Cell::new(0),
+            engine_away: Cell::new(false),
             memory_bytes: Cell::new(0),
             client,
             engine,
--- a/crates/celerystair_agent/src/idle.rs
+++ b/crates/celerystair_agent/src/idle.rs
@@ -18,7 +18,9 @@
 pub async fn watch_engine(agent: Agent, engine: EngineClient) {
     while !agent.node.stop.is_ended() {
         sleep_ms(INTERVAL_MS).await;
-        if let Ok(state) = engine.state().await {
+        let report = engine.state().await;
+        agent.engine_away.set(report.is_err());
+        if let Ok(state) = report {
             if agent.claim.is_behind(state.fence) && state.boot == agent.boot.get() {
                 supersede(&agent, state.fence);
             }
@@ -32,10 +34,7 @@
     while !agent.node.stop.is_ended() {
         sleep_ms(INTERVAL_MS).await;
         for replica in agent.replicas.all().iter().filter(|r| r.is_idle()) {
-            let defaults =
-                fleet::for_model(&agent.node.config.current(), &replica.model, now_unix_ms());
-            let idle_ms = now_unix_ms() - replica.idle_since_unix_ms.get();
-            if !defaults.keep_warm && idle_ms >= keep_alive_ms(&agent, replica, &defaults) {
+            if now_unix_ms() >= loaded_until_unix_ms(&agent, replica) {
                 unload(&agent, &engine, replica);
             }
         }
@@ -43,6 +42,19 @@
     }
 }
 
+/// When `replica` is to be unloaded if no call comes.
+pub fn loaded_until_unix_ms(agent: &Agent, replica: &Replica) -> u64 {
+    let defaults = fleet::for_model(&agent.node.config.current(), &replica.model, now_unix_ms());
+    if defaults.keep_warm {
+        return u64::MAX;
+    }
+    let keep_alive_ms = keep_alive_ms(agent, replica, &defaults);
+    replica
+        .idle_since_unix_ms
+        .get()
+        .saturating_add(keep_alive_ms)
+}
+
 /// How long `replica` is worth keeping loaded without work.
 fn keep_alive_ms(agent: &Agent, replica: &Replica, defaults: &Defaults) -> u64 {
     if !defaults.keep_alive_adaptive {
--- a/crates/celerystair_agent/src/load.rs
+++ b/crates/celerystair_agent/src/load.rs
@@ -3,8 +3,9 @@
 
 use std::rc::Rc;
 
+use celerystair_config::fleet::WakePolicy;
 use celerystair_core::{prelude::*, time::before_deadline};
-use celerystair_platform::prelude::ModelObject;
+use celerystair_platform::prelude::{CallPriority, Expected, ModelObject, StoreError};
 use celerystair_protocol::{ReplicaState, engine_api::LoadOrder};
 use celerystair_telemetry::prelude::*;
 
@@ -103,6 +104,9 @@
         prefetch(agent, engine, replica, object).await;
         drop(permit);
     }
+    if agent.node.config.current().defaults.wake == WakePolicy::EachRouter {
+        write_load(agent, &replica.model).await?;
+    }
     let boot = agent.boot.get();
     let order = order(agent, replica, object).ok_or(OrderError::NoClaim)?;
     if !agent.settings.engine_checks_orders {
@@ -112,7 +116,7 @@
         return Err(OrderError::NoMemory);
     }
     match engine.load(&order).await {
-        Err(OrderError::Unknown { .. }) => settle_load(agent, engine, &replica.model, boot).await,
+        Err(OrderError::Unknown { .. }) => settle_load(agent, engine, replica, boot).await,
         Err(OrderError::Fenced) => {
             supersede(agent, 0);
             Err(OrderError::Fenced)
@@ -121,6 +125,22 @@
     }
 }
 
+/// Writes the load to the store, as a system does that decides each load there.
+async fn write_load(agent: &Agent, model: &ModelName) -> Result<(), OrderError> {
+    let key = format!("loads/{model}/{}", agent.settings.upstream);
+    let unknown = |error: StoreError| OrderError::Unknown {
+        detail: error.to_string(),
+    };
+    let found = agent.node.store.get(&key).await.map_err(unknown)?;
+    let expected = found.map_or(Expected::Absent, |o| Expected::Version(o.version));
+    let store = &agent.node.store;
+    store
+        .put(&key, &now_unix_ms(), expected, CallPriority::Urgent)
+        .await
+        .map(|_| ())
+        .map_err(unknown)
+}
+
 /// Fetches the checkpoint into host memory. If that fails, the load fetches it.
 async fn prefetch(agent: &Agent, engine: &EngineClient, replica: &Replica, object: &ModelObject) {
     let Some(order) = order(agent, replica, object) else {
@@ -157,7 +177,7 @@
 pub async fn settle_load(
     agent: &Agent,
     engine: &EngineClient,
-    model: &ModelName,
+    replica: &Replica,
     boot: u64,
 ) -> Result<(), OrderError> {
     // An order that is still on its way is dead after its life, or with the engine that took it.
@@ -172,13 +192,15 @@
     };
     while !agent.node.stop.is_ended() {
         if let Ok(state) = engine.state().await {
-            let found = state.replicas.iter().find(|found| found.model == *model);
+            let found = state.replicas.iter().find(|r| r.model == replica.model);
             match found {
                 Some(found) if found.loaded => return Ok(()),
                 // A report lags: only one made after the order's death shows that it was lost.
                 None if state.reported_unix_ms > lost_unix_ms(state.boot != boot) => break,
                 _ => {}
             }
+        } else {
+            replica.set_uncertain();
         }
         sleep_ms(POLL_INTERVAL_MS).await;
     }
--- a/crates/celerystair_agent/src/news.rs
+++ b/crates/celerystair_agent/src/news.rs
@@ -3,7 +3,13 @@
 use celerystair_core::prelude::*;
 use celerystair_protocol::{News, ReplicaNews};
 
-use crate::{agent::Agent, slots::is_leaving};
+use crate::{agent::Agent, idle, slots::is_leaving};
+
+/// When an idle replica of `model` is expected to be unloaded; 0 if it has users.
+fn loaded_until(agent: &Agent, model: &str) -> u64 {
+    let replica = agent.replicas.get(model).filter(|r| r.is_idle());
+    replica.map_or(0, |replica| idle::loaded_until_unix_ms(agent, &replica))
+}
 
 /// The news of `agent`, of one model if it is named, else of all.
 pub fn news(agent: &Agent, model: Option<&str>) -> News {
@@ -14,6 +20,7 @@
         .filter(|replica| model.is_none_or(|model| replica.model == model));
     let replicas: Vec<ReplicaNews> = replicas
         .map(|replica| ReplicaNews {
+            loaded_until_unix_ms: loaded_until(agent, &replica.model),
             placement_generation: agent
                 .node
                 .placements
@@ -31,7 +38,7 @@
         running: agent.queue.running(),
         running_max: agent.queue.running_max(),
         queue_delay_ms: agent.queue.expected_wait_ms(agent.queue.waiting()),
-        leaving: is_leaving(agent) || agent.claim.is_superseded(),
+        leaving: is_leaving(agent) || agent.claim.is_superseded() || agent.engine_away.get(),
         replicas,
         agent_life: agent.life.clone(),
     }
--- a/crates/celerystair_agent/src/permits.rs
+++ b/crates/celerystair_agent/src/permits.rs
@@ -52,6 +52,11 @@
 }
 
 impl Permits {
+    /// Those who wait for a turn.
+    pub fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
     fn wake_first(&self) {
         if let Some((_, signal)) = self.waiting.borrow().first_key_value() {
             signal.notify(1);
--- a/crates/celerystair_agent/src/reconcile.rs
+++ b/crates/celerystair_agent/src/reconcile.rs
@@ -89,10 +89,7 @@
     }
     let (agent, engine) = (agent.clone(), engine.clone());
     compio::runtime::spawn(async move {
-        if settle_load(&agent, &engine, &replica.model, boot)
-            .await
-            .is_ok()
-        {
+        if settle_load(&agent, &engine, &replica, boot).await.is_ok() {
             replica.set_state(ReplicaState::Loaded);
         } else {
             agent.ledger.borrow_mut().free(&replica.model);
--- a/crates/celerystair_agent/src/replicas.rs
+++ b/crates/celerystair_agent/src/replicas.rs
@@ -39,6 +39,8 @@
     pub state: Cell<ReplicaState>,
     /// When its state last changed; reports of the engine from before say nothing of it.
     pub changed_unix_ms: Cell<u64>,
+    /// Whether the engine does not say what became of its load.
+    pub is_uncertain: Cell<bool>,
     /// When it is expected to be ready, while it loads.
     pub ready_unix_ms: Cell<u64>,
     /// The earliest deadline of those who wait for it.
@@ -86,6 +88,7 @@
             version: version.to_owned(),
             state: Cell::new(state),
             changed_unix_ms: Cell::new(now),
+            is_uncertain: Cell::new(false),
             ready_unix_ms: Cell::new(0),
             needed_unix_ms: Cell::new(u64::MAX),
             users: Cell::new(0),
@@ -104,6 +107,13 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Notes that the engine does not say what became of the load: the memory stays reserved,
+    /// and those who wait go elsewhere.
+    pub fn set_uncertain(&self) {
+        self.is_uncertain.set(true);
+        self.changed.notify(usize::MAX);
+    }
+
     /// Whether it is loaded and nobody uses it.
     pub fn is_idle(&self) -> bool {
         self.state.get() == ReplicaState::Loaded && self.users.get() == 0
@@ -203,6 +213,10 @@
     deadline_unix_ms: u64,
 ) -> Result<ReplicaUse, Refusal> {
     slots::require_slot(agent, model)?;
+    if agent.engine_away.get() {
+        let detail = "the engine gives no report";
+        return Err(Refusal::not_run(RefusalReason::UpstreamFailed, detail));
+    }
     agent
         .replicas
         .with_arrivals(model, |arrivals| arrivals.note(now_unix_ms()));
@@ -240,7 +254,7 @@
 }
 
 async fn wait_while_loading(replica: &Replica, mut changed: event_listener::EventListener) {
-    while replica.state.get() == ReplicaState::Loading {
+    while replica.state.get() == ReplicaState::Loading && !replica.is_uncertain.get() {
         changed.await;
         changed = replica.listen();
     }
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -39,6 +39,8 @@
     /// Whether a replica is kept loaded without calls; an exception with its first and last
     /// moment makes a warm window, such as a press deadline.
     pub keep_warm: bool,
+    /// Which slot of a model that is not loaded is woken.
+    pub wake: WakePolicy,
     /// How fetches from the weight store are kept within its budget.
     pub load_budget: LoadBudget,
     /// Fetches from the weight store at once, over the whole fleet.
@@ -73,6 +75,7 @@
             keep_alive_max_ms: 1_800_000,
             keep_alive_adaptive: true,
             keep_warm: false,
+            wake: WakePolicy::FirstSlot,
             load_budget: LoadBudget::Permits,
             loads_in_flight_max: 4,
             request_timeout_ms: 60_000,
@@ -101,6 +104,18 @@
     Unlimited,
 }
 
+/// Which slot of a model that is not loaded is woken; see `docs/COLD_STARTS.md`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WakePolicy {
+    /// Each router wakes a slot of its own choice, and each load is first written to the store.
+    /// A baseline to measure against.
+    EachRouter,
+    /// All routers wake the first slot of the placement.
+    #[default]
+    FirstSlot,
+}
+
 /// What an exception applies to.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/celerystair_router/src/peers.rs
+++ b/crates/celerystair_router/src/peers.rs
@@ -10,6 +10,9 @@
 use celerystair_net::prelude::*;
 use celerystair_protocol::{News, ReplicaNews, ReplicaState};
 
+/// How long an agent's word that it is leaving counts.
+const LEAVING_LIFE_MS: u64 = 2_000;
+
 /// One agent as this router knows it.
 pub struct Peer {
     /// The upstream beside which it runs.
@@ -75,10 +78,20 @@
     /// The state of the replica of `model`, as last heard, and when it is expected to be ready.
     pub fn replica_state(&self, model: &str) -> (ReplicaState, u64) {
         let replicas = self.replicas.borrow();
-        replicas
-            .get(model)
-            .map_or((ReplicaState::Unspecified, 0), |replica| {
-                (replica.state(), replica.ready_unix_ms)
-            })
+        let Some(replica) = replicas.get(model) else {
+            return (ReplicaState::Unspecified, 0);
+        };
+        let until_unix_ms = replica.loaded_until_unix_ms;
+        if replica.state() == ReplicaState::Loaded && (1..now_unix_ms()).contains(&until_unix_ms) {
+            return (ReplicaState::Unloaded, 0);
+        }
+        (replica.state(), replica.ready_unix_ms)
+    }
+
+    /// Whether it said of late that it takes nothing new. Older word is not counted, or an
+    /// upstream that stays after all would never be asked again.
+    pub fn is_leaving(&self) -> bool {
+        let load = self.load.borrow();
+        load.leaving && now_unix_ms() < load.sent_unix_ms + LEAVING_LIFE_MS
     }
 }
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use celerystair_config::fleet;
-use celerystair_core::prelude::*;
+use celerystair_config::{fleet, fleet::WakePolicy};
+use celerystair_core::{prelude::*, rendezvous::weight};
 use celerystair_placement::prelude::*;
 use celerystair_platform::prelude::InstanceState;
 use celerystair_protocol::ReplicaState;
@@ -28,7 +28,10 @@
     request: &CallerRequest,
     tried: &HashSet<UpstreamId>,
 ) -> Option<Chosen> {
-    let (names, generation) = upstreams_of(router, &request.target);
+    let (mut names, generation) = upstreams_of(router, &request.target);
+    if router.node.config.current().defaults.wake == WakePolicy::EachRouter {
+        names.sort_by_key(|name| weight(&router.node.name, name));
+    }
     let mut peers = Vec::new();
     let mut candidates = Vec::new();
     let model = match &request.target {
@@ -56,7 +59,7 @@
             queue_delay_ms: load.queue_delay_ms,
             outstanding: peer.outstanding.get(),
             running_max: load.running_max,
-            leaving: is_leaving || load.leaving,
+            leaving: is_leaving || peer.is_leaving(),
         });
         drop(load);
         peers.push(peer);
--- a/crates/celerystair_standin/src/engine.rs
+++ b/crates/celerystair_standin/src/engine.rs
@@ -178,6 +178,7 @@
             Err(error) => return json_response(400, &error.to_string()),
         };
         match parts.uri.path() {
+            "/faults/crash" => self.crash_for(&body),
             "/state" => json_response(200, &self.report()),
             "/orders/load" => self.order_load(&body).await,
             "/orders/load_adapter" => self.order_adapter(&body).await,
@@ -244,6 +245,16 @@
         self.crashed.notify(usize::MAX);
     }
 
+    /// Crashes on a test's order, and stays away for the milliseconds in `body`.
+    fn crash_for(&self, body: &[u8]) -> HttpResponse {
+        let Ok(away_ms) = serde_json::from_slice::<u64>(body) else {
+            return json_response(400, &false);
+        };
+        self.crash();
+        self.crashed_until_unix_ms.set(now_unix_ms() + away_ms);
+        json_response(200, &true)
+    }
+
     fn note_time(&self, replica: &Replica) {
         let now = now_unix_ms();
         let Some(loaded_unix_ms) = replica.loaded_unix_ms else {
