--- a/crates/celerystair_trial/src/threads.rs
+++ b/crates/celerystair_trial/src/threads.rs
@@ -11,6 +11,18 @@
     thread: Option<JoinHandle<()>>,
 }
 
+/// Hands a stop from another thread on to the tasks of this one.
+///
+/// A signal that wakes many tasks of another thread fills that thread's queue of wakes while it
+/// holds the signal's lock; were the thread to listen to the same signal just then, both would
+/// wait for ever. So only this task listens across threads.
+async fn hand_on(outer: &Stop, inner: &Stop) {
+    outer.draining().await;
+    inner.drain();
+    outer.ended().await;
+    inner.end();
+}
+
 impl RoleThread {
     /// Runs `start` on a thread with a runtime of its own and returns what it gives; what it
     /// has spawned goes on until `stop` ends.
@@ -40,11 +52,12 @@
                     }
                 };
                 runtime.block_on(async move {
-                    let result = start(running.clone()).await;
+                    let inner = Stop::new();
+                    let result = start(inner.clone()).await;
                     let is_running = result.is_ok();
                     send.send(result).ok();
                     if is_running {
-                        running.ended().await;
+                        hand_on(&running, &inner).await;
                     }
                 });
             })?;
--- a/tests/placement_claims.rs
+++ b/tests/placement_claims.rs
@@ -48,16 +48,33 @@
         let engine = rig.engine(small_engine());
         assert_eq!(rig.order(&engine, "load", &load_order("m-1", 0)).await, 200);
         rig.announce("e-a.1", "live").await;
+        rig.configure(celerystair::config::prelude::FleetDocument {
+            revision: 1,
+            ..Default::default()
+        })
+        .await;
+        // Without the store, the configuration comes from a peer that has it.
+        let peer_stop = Stop::new();
+        let peer_engine = rig.engine(small_engine());
+        let peer = rig
+            .agent(agent_settings(&rig, "e-b", &peer_engine), &peer_stop)
+            .await;
+        standing(&peer).await;
+        wait_until("the peer knows the configuration", async || {
+            peer.agent.node.config.revision() == 1
+        })
+        .await;
         rig.faults(&PlatformFaults {
             down: true,
             ..PlatformFaults::default()
         })
         .await;
         let stop = Stop::new();
-        let settings = agent_settings(&rig, "e-a", &engine);
+        let mut settings = agent_settings(&rig, "e-a", &engine);
+        settings.process.peers = vec![peer.address];
         let running = run_agent(settings, &stop).await.expect("the agent starts");
         wait_until("the replica is found", async || {
-            running.agent.replicas.get("m-1").is_some()
+            running.agent.replicas.get("m-1").is_some() && running.agent.node.config.is_known()
         })
         .await;
         let life = running.agent.life.clone();
@@ -67,6 +84,7 @@
         let cold = submit(running.address, &life, "m-2").await;
         assert_eq!(cold, Err(RefusalReason::NotHere));
         assert_eq!(rig.witness.seen().loads, 1, "only the order of this test");
+        peer_stop.end();
         stop.end();
     });
 }
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -16,7 +16,7 @@
     protocol::{SubmitRequest, agent_client::AgentClient, submit_event::Event as Step},
     router::prelude::*,
     standin::prelude::*,
-    trial::fleet::announce,
+    trial::fleet::{announce, store_settings},
 };
 
 /// How long a condition may take on a loaded machine.
@@ -74,6 +74,7 @@
             process: process_settings(&self.platform_url, "a"),
             body_max_bytes: 1 << 20,
             answer_margin_ms: 100,
+            admin: None,
         };
         run_router(settings, stop).await.expect("the router starts")
     }
@@ -206,14 +207,6 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn store_settings(url: &str) -> StoreSettings {
-    StoreSettings {
-        url: url.to_owned(),
-        call_timeout_ms: 5000,
-        watch_timeout_ms: 30_000,
-    }
-}
-
 fn process_settings(platform_url: &str, domain: &str) -> ProcessSettings {
     ProcessSettings {
         failure_domain: domain.into(),
@@ -221,6 +214,7 @@
         platform: store_settings(platform_url),
         instances_interval_ms: 50,
         log_format: LogFormat::Off,
+        peers: Vec::new(),
         timeline_file: None,
         clock_scale: 1,
         stop_timeout_ms: 60_000,
