--- a/crates/celerystair_config/src/in_force.rs
+++ b/crates/celerystair_config/src/in_force.rs
@@ -11,7 +11,9 @@
 use event_listener::{Event, EventListener};
 use futures_util::future::select;
 
-use crate::{fleet::FleetDocument, queries::check_document::check_document};
+use thiserror::Error;
+
+use crate::{change::FieldProblem, fleet::FleetDocument, queries::check_document::check_document};
 
 /// How often a process that leaves the watch to others reads the store itself.
 const READ_INTERVAL_MS: u64 = 60_000;
@@ -20,6 +22,25 @@
 /// How long changes gather before the watch is renewed.
 const WATCH_GATHER_MS: u64 = 100;
 
+/// Why a document was not put in force; the earlier one stays.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum DocumentRefusal {
+    /// It fails the check.
+    #[error("revision {revision} fails the check: {problems:?}")]
+    BadFields {
+        /// Its revision.
+        revision: u64,
+        /// What is wrong.
+        problems: Vec<FieldProblem>,
+    },
+    /// It is not what this version of the program reads.
+    #[error("a document can't be read: {detail}")]
+    Unreadable {
+        /// The parser's reason.
+        detail: String,
+    },
+}
+
 /// The configuration in force here, shared by the tasks of a thread. Its revision only rises.
 #[derive(Clone, Default)]
 pub struct FleetConfig {
@@ -31,7 +52,7 @@
     document: RefCell<Rc<FleetDocument>>,
     heard_revision: Cell<u64>,
     known: Cell<bool>,
-    refused_revision: Cell<u64>,
+    refusal: RefCell<Option<DocumentRefusal>>,
     changed: Event,
 }
 
@@ -61,8 +82,12 @@
         if document.revision <= self.revision() {
             return false;
         }
-        if !check_document(&document).is_empty() {
-            self.inner.refused_revision.set(document.revision);
+        let problems = check_document(&document);
+        if !problems.is_empty() {
+            self.refuse(DocumentRefusal::BadFields {
+                revision: document.revision,
+                problems,
+            });
             return false;
         }
         *self.inner.document.borrow_mut() = document;
@@ -84,9 +109,42 @@
         self.inner.heard_revision.get()
     }
 
-    /// The last revision that was not put in force because it fails the check; 0 if none.
-    pub fn refused_revision(&self) -> u64 {
-        self.inner.refused_revision.get()
+    /// Puts the document in force that a peer has sent as JSON.
+    pub fn apply_json(&self, json: &[u8]) -> bool {
+        match serde_json::from_slice::<FleetDocument>(json) {
+            Ok(document) => self.apply(Rc::new(document)),
+            Err(error) => {
+                self.refuse(DocumentRefusal::Unreadable {
+                    detail: error.to_string(),
+                });
+                false
+            }
+        }
+    }
+
+    /// Why the last document that came was not put in force, once for each reason.
+    pub fn take_refusal(&self) -> Option<DocumentRefusal> {
+        self.inner.refusal.borrow_mut().take()
+    }
+
+    fn refuse(&self, refusal: DocumentRefusal) {
+        *self.inner.refusal.borrow_mut() = Some(refusal);
+        self.inner.changed.notify(usize::MAX);
+    }
+
+    fn apply_object(&self, object: &Object) -> Result<(), StoreError> {
+        match object.read::<FleetDocument>() {
+            Ok(document) => {
+                self.apply(Rc::new(document));
+                Ok(())
+            }
+            Err(error) => {
+                self.refuse(DocumentRefusal::Unreadable {
+                    detail: error.to_string(),
+                });
+                Err(error)
+            }
+        }
     }
 
     /// Whether the store or a peer has said what is in force. A process that has just started
@@ -162,7 +220,7 @@
     let list = store.list(CONFIG_HEAD).await?;
     let head = list.objects.iter().find(|object| object.key == CONFIG_HEAD);
     match head {
-        Some(object) => drop(config.apply(Rc::new(object.read()?))),
+        Some(object) => config.apply_object(object)?,
         None => config.note_absent(),
     }
     Ok(list.revision)
@@ -175,7 +233,7 @@
     }
     for object in &reply.objects {
         if object.key == CONFIG_HEAD {
-            config.apply(Rc::new(object.read()?));
+            config.apply_object(object)?;
         }
     }
     Ok(reply.revision)
--- a/crates/celerystair_node/src/spread.rs
+++ b/crates/celerystair_node/src/spread.rs
@@ -5,11 +5,11 @@
 
 use std::{cell::RefCell, net::SocketAddr, pin::pin, rc::Rc};
 
-use celerystair_config::prelude::FleetDocument;
 use celerystair_core::{prelude::*, rendezvous, time::before_deadline};
 use celerystair_net::prelude::*;
 use celerystair_platform::prelude::{AgentObject, Instances, Mirror};
 use celerystair_protocol::{FetchConfigReply, FetchConfigRequest, peer_client::PeerClient};
+use celerystair_telemetry::prelude::*;
 use futures_util::future::select;
 
 use crate::node::Node;
@@ -84,6 +84,9 @@
         let mut told = 0;
         while !self.node.stop.is_ended() {
             let changed = config.listen();
+            if let Some(refusal) = config.take_refusal() {
+                warn!(self.node.log, "the earlier configuration stays in force"; "reason" => %refusal);
+            }
             if config.revision() <= told {
                 select(changed, pin!(self.node.stop.ended())).await;
                 continue;
@@ -212,10 +215,8 @@
     };
     let reply = before_deadline(now_unix_ms() + CALL_TIMEOUT_MS, call).await??;
     node.observe(reply.stamp.as_ref());
-    if !reply.document.is_empty()
-        && let Ok(document) = serde_json::from_slice::<FleetDocument>(&reply.document)
-    {
-        node.config.apply(Rc::new(document));
+    if !reply.document.is_empty() {
+        node.config.apply_json(&reply.document);
     }
     Some(reply)
 }
--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -266,7 +266,12 @@
         "a lower revision was put in force"
     );
     assert_eq!(config.revision(), 3);
-    assert_eq!(config.refused_revision(), 4);
+    let refusal = config.take_refusal().map(|refusal| refusal.to_string());
+    let refusal = refusal.unwrap_or_default();
+    assert!(refusal.contains("revision 4"), "{refusal}");
+    assert!(!config.apply_json(br#"{"revision": 9, "unfamiliar": 1}"#));
+    let refusal = config.take_refusal().map(|refusal| refusal.to_string());
+    assert!(refusal.unwrap_or_default().contains("unfamiliar"));
 }
 
 #[test]
