Let a connection's sleep be polled again once it has ended

Cause: examples/config_spread at 256 processes printed "`async fn` resumed after completion". The trace leads from HTTP/2's keep-alive in hyper, which polls its sleep again after it has ended, to the runtime's sleep, which panics then. The connection's task panicked, and after it each task that used the connection ("poisoned lock"): a peer that stalls for two seconds could end a request's task without an answer.

Change: connections get a timer whose sleeps may be polled again.

Result: a_sleep_may_be_polled_again_once_it_has_ended fails with the runtime's own sleeps with that message, and passes.

--- a/crates/celerystair_net/src/grpc.rs
+++ b/crates/celerystair_net/src/grpc.rs
@@ -5,7 +5,7 @@
 
 use celerystair_core::{prelude::*, time::before_deadline};
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioExecutor, CompioTimer};
+use cyper_core::CompioExecutor;
 use futures_util::future::{Either, select};
 use hyper::{body::Incoming, client::conn::http2 as client, server::conn::http2 as server};
 use send_wrapper::SendWrapper;
@@ -14,6 +14,7 @@
 
 use crate::{
     http_server::{OpenConnections, accept_until},
+    timer::ConnectionTimer,
     tls::{accept_peer, connect_peer},
 };
 
@@ -49,7 +50,7 @@
             };
             let service = hyper_util::service::TowerToHyperService::new(service);
             let connection = server::Builder::new(CompioExecutor)
-                .timer(CompioTimer)
+                .timer(ConnectionTimer)
                 .serve_connection(stream, service);
             let mut connection = pin!(connection);
             let draining = pin!(stop.draining());
@@ -152,7 +153,7 @@
             .await
             .map_err(|e| unreachable(e.to_string()))?;
         let (sender, connection) = client::Builder::new(CompioExecutor)
-            .timer(CompioTimer)
+            .timer(ConnectionTimer)
             .keep_alive_interval(std::time::Duration::from_millis(KEEP_ALIVE_INTERVAL_MS))
             .keep_alive_timeout(std::time::Duration::from_millis(KEEP_ALIVE_TIMEOUT_MS))
             .handshake::<_, Body>(stream)
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -4,11 +4,11 @@
 
 use celerystair_core::prelude::*;
 use compio::net::TcpListener;
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 
-use crate::body::HttpBody;
+use crate::{body::HttpBody, timer::ConnectionTimer};
 
 /// A request as it arrives.
 pub type HttpRequest = http::Request<Incoming>;
@@ -45,7 +45,7 @@
                 async move { Ok::<_, Infallible>(answer.await) }
             });
             let connection = http1::Builder::new()
-                .timer(CompioTimer)
+                .timer(ConnectionTimer)
                 .serve_connection(HyperStream::new_plain(stream), service);
             let mut connection = pin!(connection);
             let draining = pin!(stop.draining());
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -6,12 +6,14 @@
 //! | [`grpc`] | a gRPC server, and a connection that is made anew when lost |
 //! | [`http_server`] | an HTTP/1.1 server, one task for each connection |
 //! | [`json`] | reading and writing JSON bodies |
+//! | [`timer`] | the timer that connections use |
 //! | [`tls`] | certificates that the system's own processes show each other |
 
 pub mod body;
 pub mod grpc;
 pub mod http_server;
 pub mod json;
+pub mod timer;
 pub mod tls;
 
 /// The types that a server or a client needs.
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,44 @@
+//! Connections between processes, when a peer stalls.
+
+mod support;
+
+use std::{io::Read, net::TcpListener};
+
+use celerystair::{
+    core::{prelude::*, time::before_deadline},
+    net::{prelude::*, timer::ConnectionTimer},
+    protocol::{FetchConfigRequest, peer_client::PeerClient},
+};
+use hyper::rt::Timer;
+use support::block_on;
+
+#[test]
+fn a_sleep_may_be_polled_again_once_it_has_ended() {
+    block_on(async {
+        let mut sleep = ConnectionTimer.sleep(std::time::Duration::from_millis(1));
+        sleep.as_mut().await;
+        sleep.as_mut().await;
+    });
+}
+
+/// A peer that takes a connection, reads, and never answers: the call ends with an error.
+#[test]
+fn a_call_to_a_peer_that_stalls_ends_with_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let Ok((mut stream, _)) = listener.accept() else {
+            return;
+        };
+        let mut bytes = [0; 1024];
+        while stream.read(&mut bytes).is_ok_and(|count| count > 0) {}
+    });
+    block_on(async {
+        let channel = Connection::new(address).channel().await.expect("a channel");
+        let origin = channel.origin();
+        let mut client = PeerClient::with_origin(channel, origin);
+        let call = async { client.fetch_config(FetchConfigRequest::default()).await };
+        let reply = before_deadline(now_unix_ms() + 60_000, call).await;
+        assert!(reply.expect("the call ends by itself").is_err());
+    });
+}
