Replace model versions in place; follow placements after a refusal that names a move

Change: a replica of an old version takes nothing new, is unloaded once it has no users, and its memory serves the new one, so that neither replicas nor memory exceed what was decided. A router that is told that a slot is not held reads the placement from the store before its next try; its attempts are bounded as before.

--- a/crates/celerystair_agent/src/idle.rs
+++ b/crates/celerystair_agent/src/idle.rs
@@ -6,8 +6,14 @@
 use celerystair_placement::keep_alive::Costs;
 
 use crate::{
-    agent::Agent, claim::supersede, engine::EngineClient, load::begin_load, reconcile::reconcile,
-    replicas::Replica, slots, unload::unload,
+    agent::Agent,
+    claim::supersede,
+    engine::EngineClient,
+    load::begin_load,
+    reconcile::reconcile,
+    replicas::{Replica, is_outdated},
+    slots,
+    unload::unload,
 };
 
 const INTERVAL_MS: u64 = 500;
@@ -34,7 +40,8 @@
     while !agent.node.stop.is_ended() {
         sleep_ms(INTERVAL_MS).await;
         for replica in agent.replicas.all().iter().filter(|r| r.is_idle()) {
-            if now_unix_ms() >= loaded_until_unix_ms(&agent, replica) {
+            let is_due = now_unix_ms() >= loaded_until_unix_ms(&agent, replica);
+            if is_due || is_outdated(&agent, replica) {
                 unload(&agent, &engine, replica);
             }
         }
--- a/crates/celerystair_agent/src/news.rs
+++ b/crates/celerystair_agent/src/news.rs
@@ -1,9 +1,20 @@
 //! What rides on replies: the upstream's load and the state of its replicas.
 
 use celerystair_core::prelude::*;
-use celerystair_protocol::{News, ReplicaNews};
+use celerystair_protocol::{News, ReplicaNews, ReplicaState};
 
-use crate::{agent::Agent, idle, slots::is_leaving};
+use crate::{agent::Agent, idle, replicas::is_outdated, slots::is_leaving};
+
+/// A replica of an old version takes nothing new: it is as good as unloading.
+fn state_for_routers(agent: &Agent, news: &ReplicaNews) -> ReplicaState {
+    let replica = agent.replicas.get(&news.model);
+    match news.state() {
+        ReplicaState::Loaded if replica.is_some_and(|r| is_outdated(agent, &r)) => {
+            ReplicaState::Unloading
+        }
+        state => state,
+    }
+}
 
 /// When an idle replica of `model` is expected to be unloaded; 0 if it has users.
 fn loaded_until(agent: &Agent, model: &str) -> u64 {
@@ -21,6 +32,7 @@
     let replicas: Vec<ReplicaNews> = replicas
         .map(|replica| ReplicaNews {
             loaded_until_unix_ms: loaded_until(agent, &replica.model),
+            state: state_for_routers(agent, &replica).into(),
             placement_generation: agent
                 .node
                 .placements
--- a/crates/celerystair_agent/src/replicas.rs
+++ b/crates/celerystair_agent/src/replicas.rs
@@ -11,7 +11,10 @@
 use celerystair_protocol::{ReplicaNews, ReplicaState};
 use event_listener::Event as Signal;
 
-use crate::{adapters::AdapterLoad, agent::Agent, engine::EngineClient, load::begin_load, slots};
+use crate::{
+    adapters::AdapterLoad, agent::Agent, engine::EngineClient, load::begin_load, slots,
+    unload::unload,
+};
 
 /// What a load is taken to need before any was seen.
 const FIRST_GUESS_LOAD_MS: u64 = 5_000;
@@ -229,6 +232,11 @@
             };
             let changed = replica.changed.listen();
             match replica.state.get() {
+                ReplicaState::Loaded if is_outdated(agent, &replica) => {
+                    // The new version takes the memory of the old one, once that has no users.
+                    unload(agent, engine, &replica);
+                    changed.await;
+                }
                 ReplicaState::Loaded => return Ok(ReplicaUse::new(&replica, deadline_unix_ms)),
                 ReplicaState::Loading => {
                     refuse_late(&replica, deadline_unix_ms)?;
@@ -253,6 +261,12 @@
         })
 }
 
+/// Whether operators have set another version of the replica's model since it was loaded.
+pub fn is_outdated(agent: &Agent, replica: &Replica) -> bool {
+    let model = agent.node.models.get(&replica.model);
+    model.is_some_and(|(_, object)| object.version != replica.version)
+}
+
 async fn wait_while_loading(replica: &Replica, mut changed: event_listener::EventListener) {
     while replica.state.get() == ReplicaState::Loading && !replica.is_uncertain.get() {
         changed.await;
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 
 use celerystair_config::{fleet, fleet::WakePolicy};
-use celerystair_core::{prelude::*, rendezvous::weight};
+use celerystair_core::{prelude::*, rendezvous::weight, time::before_deadline};
 use celerystair_placement::prelude::*;
-use celerystair_platform::prelude::InstanceState;
+use celerystair_platform::{objects::PLACEMENTS, prelude::InstanceState};
 use celerystair_protocol::ReplicaState;
 
 use crate::{
@@ -14,6 +14,9 @@
     router::Router,
 };
 
+/// How long the store may take to say where a model is placed now.
+const FOLLOW_TIMEOUT_MS: u64 = 500;
+
 /// The upstream chosen for an attempt.
 pub struct Chosen {
     /// Its agent.
@@ -101,3 +104,17 @@
         }
     }
 }
+
+/// Reads the placement of the target's model anew, after an agent has said that it no longer
+/// holds the slot by which it was chosen. With the store down, what is known stays.
+pub async fn follow_placement(router: &Router, target: &Target) {
+    let Target::Model(model) = target else {
+        return;
+    };
+    let key = format!("{PLACEMENTS}{}", model.base);
+    let read = router.node.store.get(&key);
+    let deadline_unix_ms = now_unix_ms() + FOLLOW_TIMEOUT_MS;
+    if let Some(Ok(Some(object))) = before_deadline(deadline_unix_ms, read).await {
+        router.node.placements.apply(&object).ok();
+    }
+}
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -11,7 +11,7 @@
     attempt::{AnswerStream, Answering, submit},
     caller_request::{CallerRequest, Target},
     router::Router,
-    select::{Chosen, choose_peer},
+    select::{Chosen, choose_peer, follow_placement},
 };
 
 /// Attempts of one request at most, over all upstreams.
@@ -76,7 +76,12 @@
         );
         match answer_from(router, request, &chosen).await {
             Ok(response) => return Ok(response),
-            Err(refusal) if may_retry(request, &refusal) => last = Some(refusal),
+            Err(refusal) if may_retry(request, &refusal) => {
+                if refusal.reason == RefusalReason::NotHere {
+                    follow_placement(router, &request.target).await;
+                }
+                last = Some(refusal);
+            }
             Err(refusal) => return Err(refusal),
         }
     }
--- a/tests/placement_slots.rs
+++ b/tests/placement_slots.rs
@@ -153,6 +153,38 @@
     });
 }
 
+#[test]
+fn a_new_version_takes_the_place_of_the_old_one() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        rig.configure(document(1, |_| {})).await;
+        for model in ["m-1", "m-2"] {
+            rig.put_model(model).await;
+            rig.place(model, &["e-a"]).await;
+        }
+        let running = upstream(&rig, "e-a", &stop).await;
+        // The accelerator is full: there is no room for a second version beside the first.
+        wake(&running, "m-1").await;
+        wake(&running, "m-2").await;
+        rig.set_version("m-1", "2").await;
+        let version = || {
+            let replica = running.agent.replicas.get("m-1")?;
+            Some(replica.version.clone())
+        };
+        wait_until("the old version is gone", async || {
+            version().as_deref() != Some("1")
+        })
+        .await;
+        wake(&running, "m-1").await;
+        assert_eq!(version().as_deref(), Some("2"));
+        assert_eq!(rig.replicas_peak("m-1"), 1);
+        assert_eq!(rig.witness.seen().overcommit_faults, 0);
+        assert_eq!(rig.replicas("m-2"), 1, "the other model stayed");
+        stop.end();
+    });
+}
+
 #[test]
 fn an_operators_drain_empties_the_upstream_and_its_end_fills_it_again() {
     block_on(async {
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -126,6 +126,20 @@
         written.await.expect("the model is written");
     }
 
+    /// Sets another version of a model.
+    pub async fn set_version(&self, model: &str, version: &str) {
+        let key = format!("{MODELS}{model}");
+        let found = self.store.get(&key).await.expect("the store answers");
+        let found = found.expect("the model is configured");
+        let mut object: ModelObject = found.read().expect("a model");
+        version.clone_into(&mut object.version);
+        let expected = Expected::Version(found.version);
+        let written = self
+            .store
+            .put(&key, &object, expected, CallPriority::Normal);
+        written.await.expect("the model is written");
+    }
+
     /// Places a model on these upstreams, each with the instance `<upstream>.1`.
     pub async fn place(&self, model: &str, upstreams: &[&str]) {
         let slots = upstreams.iter().map(|upstream| SlotObject {
