--- a/benches/cold_start.rs
+++ b/benches/cold_start.rs
@@ -111,6 +111,7 @@
 struct RunOutcome {
     waits_ms: Vec<u64>,
     cold: usize,
+    cut: usize,
     failed: usize,
     loads: u64,
     idle_hours: f64,
@@ -185,9 +186,10 @@
         }
     );
     println!(
-        "{:<20} {:>6} {:>6} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8} {:>8} {:>5}",
+        "{:<20} {:>6} {:>4} {:>6} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8} {:>8} {:>5}",
         "way",
         "cold",
+        "cut",
         "failed",
         "p50",
         "p95",
@@ -212,9 +214,10 @@
             "-".to_owned()
         };
         println!(
-            "{:<20} {:>6} {:>6} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8.2} {:>8.2} {:>5}",
+            "{:<20} {:>6} {:>4} {:>6} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8.2} {:>8.2} {:>5}",
             way.name,
             outcome.cold,
+            outcome.cut,
             outcome.failed,
             percentile(0.5),
             percentile(0.95),
@@ -280,11 +283,16 @@
         .map(|r| r.first_byte_unix_ms - r.called_unix_ms)
         .collect();
     waits_ms.sort_unstable();
+    let cut = received
+        .iter()
+        .filter(|r| r.outcome == Outcome::Cut)
+        .count();
     let decided = settings.config.defaults.slots_per_model;
     let violations = check(&seen, &Tally::default(), |_| decided).len();
     Ok(RunOutcome {
         cold: received.iter().filter(|r| r.cold_start_ms > 0).count(),
-        failed: received.len() - waits_ms.len(),
+        cut,
+        failed: received.len() - waits_ms.len() - cut,
         waits_ms,
         loads: seen.loads,
         idle_hours: seen.idle_ms as f64 / 3_600_000.0,
