--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -229,6 +229,7 @@
         instances_interval_ms: 50,
         log_format: LogFormat::Off,
         peers: Vec::new(),
+        tls: None,
         timeline_file: None,
         clock_scale: 1,
         stop_timeout_ms: 60_000,
