End a thread of roles by a signal of its own

Cause: ending a fleet with 100 open requests never returned. The stack of the ending thread stood in event_listener's notify, which holds the list's lock while it wakes tasks, and in compio's queue of remote wake-ups, which spins while it is full; the other thread waited for the same lock. Ruled out: the roles' own drain (idle in the same run). A process is not affected, because its signal handler runs on the roles' thread. Change: the roles listen to a signal that a task on their thread gives. Conclusion: never notify many tasks of a runtime from another thread.

--- a/crates/celerystair_trial/src/threads.rs
+++ b/crates/celerystair_trial/src/threads.rs
@@ -5,6 +5,10 @@
 use celerystair_core::prelude::*;
 
 /// A thread that runs roles until its stop ends.
+///
+/// The roles listen to a signal of their own, which a task on their thread gives. Were many
+/// tasks woken from another thread, the runtime's queue of remote wake-ups could fill up while
+/// the signal's list is locked, and both threads would wait for each other.
 pub struct RoleThread {
     /// Its signal.
     pub stop: Stop,
@@ -40,11 +44,14 @@
                     }
                 };
                 runtime.block_on(async move {
-                    let result = start(running.clone()).await;
+                    let roles = Stop::new();
+                    let (outer, inner) = (running.clone(), roles.clone());
+                    compio::runtime::spawn(async move { pass_on(&outer, &inner).await }).detach();
+                    let result = start(roles.clone()).await;
                     let is_running = result.is_ok();
                     send.send(result).ok();
                     if is_running {
-                        running.ended().await;
+                        roles.ended().await;
                     }
                 });
             })?;
@@ -75,3 +82,11 @@
         self.end();
     }
 }
+
+/// Gives the roles of this thread the signal that was given from another.
+async fn pass_on(outer: &Stop, roles: &Stop) {
+    outer.draining().await;
+    roles.drain();
+    outer.ended().await;
+    roles.end();
+}
--- /dev/null
+++ b/crates/celerystair_trial/tests/threads.rs
@@ -0,0 +1,38 @@
+//! Ending a thread of roles from another thread.
+
+use std::{cell::Cell, rc::Rc, sync::mpsc, time::Duration};
+
+use celerystair_core::prelude::*;
+use celerystair_trial::threads::RoleThread;
+
+/// More than a runtime's queue of remote wake-ups holds.
+const TASKS: u32 = 5_000;
+/// Far longer than an end takes on any machine; a deadlock takes for ever.
+const DEADLINE: Duration = Duration::from_mins(2);
+
+#[test]
+fn a_thread_with_many_waiting_tasks_ends() {
+    let (send, ended) = mpsc::channel();
+    std::thread::spawn(move || {
+        let started = RoleThread::spawn("crowded", &Stop::new(), |stop| async move {
+            let waiting = Rc::new(Cell::new(0));
+            for _ in 0..TASKS {
+                let (stop, waiting) = (stop.clone(), waiting.clone());
+                compio::runtime::spawn(async move {
+                    waiting.set(waiting.get() + 1);
+                    stop.draining().await;
+                    stop.ended().await;
+                })
+                .detach();
+            }
+            while waiting.get() < TASKS {
+                sleep_ms(1).await;
+            }
+            Ok::<_, std::io::Error>(())
+        });
+        let (mut thread, ()) = started.expect("the thread starts");
+        thread.end();
+        send.send(()).ok();
+    });
+    ended.recv_timeout(DEADLINE).expect("the thread ends");
+}
