--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -138,6 +138,12 @@
     }
     agent.fence.set(Some(fence));
     info!(agent.node.log, "upstream claimed"; "fence" => fence);
+    agent.node.timeline.record(Event {
+        kind: "upstream_claimed".to_owned(),
+        upstream: agent.settings.upstream.to_string(),
+        change: fence.to_string(),
+        ..Event::default()
+    });
     if let Some(engine) = &agent.engine {
         idle::watch_idle(agent.clone(), engine.clone()).await;
     }
--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -1,6 +1,6 @@
 //! Logs, metrics, time line, store and configuration of one process.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
@@ -10,6 +10,7 @@
 };
 use celerystair_protocol::Stamp;
 use celerystair_telemetry::prelude::*;
+use futures_util::future::select;
 use thiserror::Error;
 
 /// Why a process could not start.
@@ -113,9 +114,12 @@
             stop: stop.clone(),
             settings: settings.clone(),
         };
-        Ok(Self {
+        let node = Self {
             inner: Rc::new(inner),
-        })
+        };
+        compio::runtime::spawn(record_config(node.clone())).detach();
+        compio::runtime::spawn(record_drain(node.clone())).detach();
+        Ok(node)
     }
 
     /// What rides on every message that leaves this process.
@@ -135,3 +139,35 @@
         }
     }
 }
+
+/// Records each revision of the configuration as it comes into force.
+async fn record_config(node: Node) {
+    let mut recorded = 0;
+    while !node.stop.is_ended() {
+        let changed = node.config.listen();
+        let revision = node.config.revision();
+        if revision > recorded {
+            recorded = revision;
+            node.timeline.record(Event {
+                kind: "config_in_force".to_owned(),
+                change: revision.to_string(),
+                ..Event::default()
+            });
+        }
+        select(changed, pin!(node.stop.ended())).await;
+    }
+}
+
+/// Records the start and the end of a planned stop.
+async fn record_drain(node: Node) {
+    let record = |kind: &str| {
+        node.timeline.record(Event {
+            kind: kind.to_owned(),
+            ..Event::default()
+        });
+    };
+    node.stop.draining().await;
+    record("drain_started");
+    node.stop.ended().await;
+    record("drain_ended");
+}
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -21,6 +21,24 @@
     pub generation: u64,
 }
 
+impl Chosen {
+    /// What was known of the upstream when it was chosen, for the time line.
+    pub fn why(&self, target: &Target) -> String {
+        let load = self.peer.load.borrow();
+        let state = match target {
+            Target::Model(model) => self.peer.replica_state(&model.base).0.as_str_name(),
+            Target::Service(_) => "SERVICE",
+        };
+        format!(
+            "{}, {} outstanding here, {} waiting there, queue delay {} ms",
+            state.to_lowercase(),
+            self.peer.outstanding.get(),
+            load.waiting,
+            load.queue_delay_ms
+        )
+    }
+}
+
 /// Chooses an upstream that was not tried yet; `None` if there is none.
 pub fn choose_peer(
     router: &Router,
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -72,11 +72,21 @@
             request,
             "upstream_chosen",
             &chosen.peer.upstream,
-            String::new(),
+            chosen.why(&request.target),
         );
         match answer_from(router, request, &chosen).await {
             Ok(response) => return Ok(response),
-            Err(refusal) if may_retry(request, &refusal) => last = Some(refusal),
+            Err(refusal) if may_retry(request, &refusal) => {
+                let upstream = &chosen.peer.upstream;
+                record(
+                    router,
+                    request,
+                    "attempt_retried",
+                    upstream,
+                    refusal.to_string(),
+                );
+                last = Some(refusal);
+            }
             Err(refusal) => return Err(refusal),
         }
     }
--- a/crates/celerystair_telemetry/src/lib.rs
+++ b/crates/celerystair_telemetry/src/lib.rs
@@ -4,10 +4,14 @@
 //! |---|---|
 //! | [`logs`] | a logger for terminals or JSON |
 //! | [`metrics`] | counters and histograms, served for scraping |
+//! | [`picture`] | a drawing of events by process and time |
+//! | [`story`] | events of many files, merged and chosen |
 //! | [`timeline`] | events of all processes, in hybrid logical time |
 
 pub mod logs;
 pub mod metrics;
+pub mod picture;
+pub mod story;
 pub mod timeline;
 
 /// The types that a process needs.
--- a/crates/celerystair_telemetry/src/timeline.rs
+++ b/crates/celerystair_telemetry/src/timeline.rs
@@ -1,16 +1,18 @@
 //! The time line: what decided or ended something, in every process, as JSON lines.
 //!
 //! Events are written by a thread of their own. When it can't keep up, events are dropped and
-//! counted; a request never waits for it. See `docs/ARCHITECTURE.md`.
+//! counted, in the file too; a request never waits for it. The kinds of events are listed in
+//! `docs/OPERATIONS.md`; [`crate::story`] reads the files.
 
 use std::{
-    fs::OpenOptions,
-    io::{BufWriter, Write},
+    fs::{File, OpenOptions},
+    io::Write,
     path::Path,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    thread::JoinHandle,
 };
 
 use celerystair_core::prelude::*;
@@ -18,6 +20,8 @@
 
 /// Events that may wait for the writer.
 const CHANNEL_EVENTS: usize = 8192;
+/// Lines are written once this many bytes have come together, or nothing waits.
+const BUFFER_BYTES: usize = 64 << 10;
 
 /// One event. Fields that don't apply are left empty and not written.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -62,7 +66,18 @@
     process: String,
     role: &'static str,
     events: async_channel::Sender<Event>,
-    dropped: AtomicU64,
+    dropped: Arc<AtomicU64>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Writer {
+    /// Waits until what was recorded is in the file, so that a planned stop loses no event.
+    fn drop(&mut self) {
+        self.events.close();
+        if let Some(thread) = self.thread.take() {
+            thread.join().ok();
+        }
+    }
 }
 
 impl Timeline {
@@ -75,25 +90,27 @@
     pub fn to_file(path: &Path, role: &'static str, process: &str) -> std::io::Result<Self> {
         let file = OpenOptions::new().append(true).create(true).open(path)?;
         let (events, waiting) = async_channel::bounded::<Event>(CHANNEL_EVENTS);
-        std::thread::Builder::new()
+        let dropped = Arc::new(AtomicU64::new(0));
+        let clock = HybridClock::default();
+        let lines = LineWriter {
+            file,
+            process: process.to_owned(),
+            role,
+            dropped: dropped.clone(),
+            clock: clock.clone(),
+        };
+        let thread = std::thread::Builder::new()
             .name("timeline".to_owned())
-            .spawn(move || {
-                let mut file = BufWriter::new(file);
-                while let Ok(event) = waiting.recv_blocking() {
-                    write_line(&mut file, &event);
-                    if waiting.is_empty() {
-                        file.flush().ok();
-                    }
-                }
-            })?;
+            .spawn(move || lines.write_all(&waiting))?;
         let writer = Writer {
             process: process.to_owned(),
             role,
             events,
-            dropped: AtomicU64::new(0),
+            dropped,
+            thread: Some(thread),
         };
         Ok(Self {
-            clock: HybridClock::default(),
+            clock,
             writer: Some(Arc::new(writer)),
         })
     }
@@ -122,9 +139,54 @@
     }
 }
 
-fn write_line(file: &mut impl Write, event: &Event) {
-    // A full volume must not end the process; the reader of the file sees the gap.
-    if serde_json::to_writer(&mut *file, event).is_ok() {
-        file.write_all(b"\n").ok();
+/// The thread that writes.
+struct LineWriter {
+    file: File,
+    process: String,
+    role: &'static str,
+    dropped: Arc<AtomicU64>,
+    clock: HybridClock,
+}
+
+impl LineWriter {
+    /// Writes until the channel is closed and empty. Each write ends with a whole line, so that
+    /// several processes may append to one file.
+    fn write_all(mut self, waiting: &async_channel::Receiver<Event>) {
+        let mut lines = Vec::with_capacity(BUFFER_BYTES);
+        let mut told_dropped = 0;
+        while let Ok(event) = waiting.recv_blocking() {
+            push_line(&mut lines, &event);
+            let dropped = self.dropped.load(Ordering::Relaxed);
+            if dropped > told_dropped {
+                push_line(&mut lines, &self.dropped_event(dropped - told_dropped));
+                told_dropped = dropped;
+            }
+            if waiting.is_empty() || lines.len() > BUFFER_BYTES {
+                // A full volume must not end the process; the reader sees the gap.
+                self.file.write_all(&lines).ok();
+                lines.clear();
+            }
+        }
+    }
+
+    /// Says in the file itself that something is missing from it.
+    fn dropped_event(&self, count: u64) -> Event {
+        Event {
+            hybrid_time: self.clock.tick(),
+            process: self.process.clone(),
+            role: self.role.to_owned(),
+            kind: "events_dropped".to_owned(),
+            detail: count.to_string(),
+            ..Event::default()
+        }
+    }
+}
+
+fn push_line(lines: &mut Vec<u8>, event: &Event) {
+    let start = lines.len();
+    if serde_json::to_writer(&mut *lines, event).is_ok() {
+        lines.push(b'\n');
+    } else {
+        lines.truncate(start);
     }
 }
