--- a/crates/celerystair_trial/src/caller.rs
+++ b/crates/celerystair_trial/src/caller.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_core::{
+    prelude::*,
+    time::{before_deadline, now_unix_us},
+};
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 
@@ -84,6 +87,8 @@
     pub deadline_unix_ms: u64,
     /// How long the request waited for a replica to be loaded.
     pub cold_start_ms: u64,
+    /// Times between the parts of a streamed answer, in microseconds.
+    pub between_tokens_us: Vec<u64>,
 }
 
 /// Callers of one thread; they share connections.
@@ -111,6 +116,7 @@
             ended_unix_ms: 0,
             deadline_unix_ms,
             cold_start_ms: 0,
+            between_tokens_us: Vec::new(),
         };
         let work = self.receive(call, &mut received);
         let outcome = before_deadline(deadline_unix_ms + GRACE_MS, work).await;
@@ -133,10 +139,18 @@
             received.cold_start_ms = timing.parse().unwrap_or_default();
         }
         let mut body = Vec::new();
+        let mut last_chunk_us = 0;
         let mut chunks = std::pin::pin!(response.bytes_stream());
         while let Some(chunk) = chunks.next().await {
             match chunk {
-                Ok(chunk) => body.extend_from_slice(&chunk),
+                Ok(chunk) => {
+                    let now_us = now_unix_us();
+                    if last_chunk_us > 0 {
+                        received.between_tokens_us.push(now_us - last_chunk_us);
+                    }
+                    last_chunk_us = now_us;
+                    body.extend_from_slice(&chunk);
+                }
                 Err(_) => return Ok(Outcome::Cut),
             }
         }
--- a/crates/celerystair_trial/src/lib.rs
+++ b/crates/celerystair_trial/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`caller`] | a caller that knows what its own answer must look like |
 //! | [`checks`] | what must always hold, checked against what the stand-ins saw |
 //! | [`fleet`] | starting and stopping all roles and stand-ins |
+//! | [`load`] | open-loop loads, with reports and plots |
 //! | [`settings`] | settings of a trial |
 //! | [`tally`] | what callers received |
 //! | [`threads`] | roles on threads with a runtime each |
@@ -13,6 +14,7 @@
 pub mod caller;
 pub mod checks;
 pub mod fleet;
+pub mod load;
 pub mod settings;
 pub mod tally;
 pub mod threads;
--- a/crates/celerystair_trial/src/tally.rs
+++ b/crates/celerystair_trial/src/tally.rs
@@ -8,7 +8,7 @@
 use crate::caller::{Outcome, Received};
 
 /// Answers this much past their deadline count as late.
-const LATE_MARGIN_MS: u64 = 50;
+pub(crate) const LATE_MARGIN_MS: u64 = 50;
 
 /// Counts and times.
 #[derive(Clone, Debug)]
@@ -29,6 +29,8 @@
     pub cold_start_ms: Histogram<u64>,
     /// Time to the first byte, in milliseconds.
     pub first_byte_ms: Histogram<u64>,
+    /// Time between the parts of streamed answers, in microseconds.
+    pub between_tokens_us: Histogram<u64>,
 }
 
 impl Default for Tally {
@@ -42,11 +44,13 @@
             lost: Vec::new(),
             cold_start_ms: histogram(),
             first_byte_ms: histogram(),
+            between_tokens_us: histogram(),
         }
     }
 }
 
-fn histogram() -> Histogram<u64> {
+/// An empty histogram.
+pub(crate) fn histogram() -> Histogram<u64> {
     const SIGNIFICANT_DIGITS: u8 = 3;
     let Ok(histogram) = Histogram::new(SIGNIFICANT_DIGITS) else {
         unreachable!()
@@ -62,6 +66,9 @@
                 self.answered += 1;
                 let first_byte_ms = received.first_byte_unix_ms - received.called_unix_ms;
                 self.first_byte_ms.record(first_byte_ms).ok();
+                for between_us in &received.between_tokens_us {
+                    self.between_tokens_us.record(*between_us).ok();
+                }
                 if received.cold_start_ms > 0 {
                     self.cold_start_ms.record(received.cold_start_ms).ok();
                 }
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -3,7 +3,10 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use celerystair::{config::prelude::*, trial::prelude::*};
+use celerystair::{
+    config::prelude::*,
+    trial::{load::settings::LoadSettings, prelude::*},
+};
 
 use super::standin::StandinSettings;
 
@@ -11,7 +14,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckCommand {
-    /// what the settings are for: router, agent, standin or trial
+    /// what the settings are for: router, agent, standin, trial or load
     #[argh(option)]
     role: Option<String>,
     /// settings, JSON with comments
@@ -31,8 +34,9 @@
         "agent" => drop(read_settings_file::<AgentSettings>(&command.file)?),
         "router" => drop(read_settings_file::<RouterSettings>(&command.file)?),
         "standin" => drop(read_settings_file::<StandinSettings>(&command.file)?),
+        "load" => drop(read_settings_file::<LoadSettings>(&command.file)?),
         "trial" => drop(read_settings_file::<TrialSettings>(&command.file)?),
-        _ => eyre::bail!("name a role with --role: router, agent, standin or trial"),
+        _ => eyre::bail!("name a role with --role: router, agent, standin, trial or load"),
     }
     println!("{} can be used", command.file.display());
     Ok(())
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod agent;
 pub mod check;
+pub mod load;
 pub mod process;
 pub mod router;
 pub mod standin;
+pub mod timeline;
 pub mod try_fleet;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 mod commands;
 
 use argh::FromArgs;
-use commands::{agent, check, router, standin, try_fleet};
+use commands::{agent, check, load, router, standin, timeline, try_fleet};
 
 /// A serving system for rarely used models.
 #[derive(FromArgs)]
@@ -17,8 +17,10 @@
 enum Command {
     Agent(agent::AgentCommand),
     Check(check::CheckCommand),
+    Load(load::LoadCommand),
     Router(router::RouterCommand),
     Standin(standin::StandinCommand),
+    Timeline(timeline::TimelineCommand),
     Try(try_fleet::TryCommand),
 }
 
@@ -27,8 +29,10 @@
     match arguments.command {
         Command::Agent(command) => agent::run(&command),
         Command::Check(command) => check::run(&command),
+        Command::Load(command) => load::run(&command),
         Command::Router(command) => router::run(&command),
         Command::Standin(command) => standin::run(&command),
+        Command::Timeline(command) => timeline::run(&command),
         Command::Try(command) => try_fleet::run(&command),
     }
 }
--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -12,9 +12,11 @@
     "tokio feature \"rt\"",
     "tokio feature \"rt-multi-thread\"",
 ];
-const SETTINGS: [&str; 6] = [
+const SETTINGS: [&str; 8] = [
     "examples/office/agent.jsonc",
     "examples/office/router.jsonc",
+    "examples/office/load.jsonc",
+    "examples/office/load-keep.jsonc",
     "examples/office/trial.jsonc",
     "examples/hangang/agent.jsonc",
     "examples/hangang/router.jsonc",
