--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -1,9 +1,14 @@
 //! The fleet's configuration document: defaults for all, and a short list of exceptions,
 //! each with a written reason. One conditional write to `config/head` changes it as a whole.
 
+use std::fmt;
+
 use celerystair_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use thiserror::Error;
+
+use crate::change::{ChangeRecord, FieldEdit};
 
 /// The document at `config/head`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -17,6 +22,15 @@
     /// Exceptions, in the order in which they were accepted.
     #[serde(default)]
     pub exceptions: Vec<Exception>,
+    /// The last changes, oldest first; older ones are dropped to bound the document.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<ChangeRecord>,
+    /// The last edit of each field, oldest first: what a later edit of it would meet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub last_edits: Vec<FieldEdit>,
+    /// Removals of exceptions up to this revision are forgotten.
+    #[serde(default)]
+    pub removals_forgotten_revision: u64,
 }
 
 /// Every field that operators set for the fleet, with its value where nobody has set it.
@@ -33,6 +47,18 @@
     pub keep_alive_min_ms: u64,
     /// The longest time that an idle replica stays loaded.
     pub keep_alive_max_ms: u64,
+    /// Whether keep-alive follows each model's own arrivals; if not, idle replicas stay for
+    /// `keep_alive_min_ms`.
+    pub keep_alive_adaptive: bool,
+    /// Whether a replica is kept loaded without calls; an exception with its first and last
+    /// moment makes a warm window, such as a press deadline.
+    pub keep_warm: bool,
+    /// Which slot of a model that is not loaded is woken.
+    pub wake: WakePolicy,
+    /// How fetches from the weight store are kept within its budget.
+    pub load_budget: LoadBudget,
+    /// Fetches from the weight store at once, over the whole fleet.
+    pub loads_in_flight_max: u32,
     /// Deadline of a request that names none, from its arrival.
     pub request_timeout_ms: u64,
     /// The longest deadline that a request may name.
@@ -61,6 +87,11 @@
             idle_weight: 0.05,
             keep_alive_min_ms: 5_000,
             keep_alive_max_ms: 1_800_000,
+            keep_alive_adaptive: true,
+            keep_warm: false,
+            wake: WakePolicy::FirstSlot,
+            load_budget: LoadBudget::Permits,
+            loads_in_flight_max: 4,
             request_timeout_ms: 60_000,
             request_timeout_max_ms: 600_000,
             kind_weight: 1,
@@ -74,6 +105,68 @@
     }
 }
 
+/// How fetches from the weight store are kept within its budget; see `docs/COLD_STARTS.md`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadBudget {
+    /// Each agent changes the number of its own fetches by the speed that it sees.
+    Adaptive,
+    /// One agent grants permits by earliest deadline.
+    #[default]
+    Permits,
+    /// Nothing is kept; each load begins at once.
+    Unlimited,
+}
+
+/// Which slot of a model that is not loaded is woken; see `docs/COLD_STARTS.md`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WakePolicy {
+    /// Each router wakes a slot of its own choice, and each load is first written to the store.
+    /// A baseline to measure against.
+    EachRouter,
+    /// All routers wake the first slot of the placement.
+    #[default]
+    FirstSlot,
+}
+
+/// Why a field can't be set.
+#[derive(Clone, Debug, Error, Eq, PartialEq)]
+pub enum FieldError {
+    /// The value is not of the field's type.
+    #[error("{detail}")]
+    BadValue {
+        /// The parser's reason.
+        detail: String,
+    },
+    /// There is no such field.
+    #[error("there is no such field")]
+    Unknown,
+}
+
+impl Defaults {
+    /// These values with `field` at `value`.
+    pub fn with_field(&self, field: &str, value: &Value) -> Result<Self, FieldError> {
+        let bad = |error: serde_json::Error| FieldError::BadValue {
+            detail: error.to_string(),
+        };
+        let mut fields = self.to_fields();
+        let Some(slot) = fields.get_mut(field) else {
+            return Err(FieldError::Unknown);
+        };
+        *slot = value.clone();
+        serde_json::from_value(Value::Object(fields)).map_err(bad)
+    }
+
+    /// Every field with its value.
+    pub fn to_fields(&self) -> serde_json::Map<String, Value> {
+        match serde_json::to_value(self) {
+            Ok(Value::Object(fields)) => fields,
+            _ => serde_json::Map::default(),
+        }
+    }
+}
+
 /// What an exception applies to.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -102,6 +195,41 @@
     pub name: String,
 }
 
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.kind.as_str(), self.name)
+    }
+}
+
+impl ScopeKind {
+    /// Every kind, in the order of its name.
+    pub const ALL: [Self; 6] = [
+        Self::Adapter,
+        Self::FailureDomain,
+        Self::Firm,
+        Self::Kind,
+        Self::Model,
+        Self::Upstream,
+    ];
+
+    /// The kind's name in JSON, in paths and on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Adapter => "adapter",
+            Self::FailureDomain => "failure_domain",
+            Self::Firm => "firm",
+            Self::Kind => "kind",
+            Self::Model => "model",
+            Self::Upstream => "upstream",
+        }
+    }
+
+    /// The kind of this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == name)
+    }
+}
+
 /// A value that holds for one scope in place of the default.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -150,9 +278,7 @@
     if holding.is_empty() {
         return document.defaults.clone();
     }
-    let Ok(Value::Object(mut fields)) = serde_json::to_value(&document.defaults) else {
-        return document.defaults.clone();
-    };
+    let mut fields = document.defaults.to_fields();
     for exception in holding {
         fields.insert(exception.field.clone(), exception.value.clone());
     }
--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -13,6 +13,11 @@
 use futures_util::future::select;
 use thiserror::Error;
 
+use crate::{
+    heard::HeardProcesses,
+    spread::{spread_config, watches_store},
+};
+
 /// Why a process could not start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -69,6 +74,8 @@
     pub placements: Mirror<PlacementObject>,
     /// Plain services.
     pub services: Mirror<ServiceObject>,
+    /// Other processes, as last heard of.
+    pub heard: HeardProcesses,
     /// The signal of a planned stop.
     pub stop: Stop,
 }
@@ -99,14 +106,20 @@
             None => Timeline::off(),
         };
         let store = Store::new(settings.platform.clone())?;
+        let agents: Mirror<AgentObject> = Mirror::start(&store, AGENTS, stop);
+        let instances = Instances::start(&store, settings.instances_interval_ms, stop);
+        let ranked = (agents.clone(), instances.clone());
+        let (own, domain) = (name.to_owned(), settings.failure_domain.clone());
+        let watches = move || watches_store(&ranked.0, &ranked.1, &domain, &own);
         let inner = NodeInner {
             name: name.to_owned(),
             log: logger(settings.log_format, role, name),
             metrics: Metrics::new(role),
             timeline,
-            config: FleetConfig::start(&store, stop),
-            instances: Instances::start(&store, settings.instances_interval_ms, stop),
-            agents: Mirror::start(&store, AGENTS, stop),
+            config: FleetConfig::start(&store, watches, stop),
+            instances,
+            agents,
+            heard: HeardProcesses::default(),
             models: Mirror::start(&store, MODELS, stop),
             placements: Mirror::start(&store, PLACEMENTS, stop),
             services: Mirror::start(&store, SERVICES, stop),
@@ -119,6 +132,7 @@
         };
         compio::runtime::spawn(record_config(node.clone())).detach();
         compio::runtime::spawn(record_drain(node.clone())).detach();
+        compio::runtime::spawn(spread_config(node.clone())).detach();
         Ok(node)
     }
 
@@ -128,6 +142,7 @@
             hybrid_time: self.timeline.clock().tick(),
             process: self.name.clone(),
             config_revision: self.config.revision(),
+            peer_address: self.heard.own_address(),
         })
     }
 
@@ -135,6 +150,7 @@
     pub fn observe(&self, stamp: Option<&Stamp>) {
         if let Some(stamp) = stamp {
             self.timeline.clock().observe(stamp.hybrid_time);
+            self.heard.note(stamp);
             self.config.hear(stamp.config_revision);
         }
     }
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -10,12 +10,15 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
+    backoff::Backoff,
     error::StoreError,
     store::{Object, Store, WatchReply},
 };
 
-const RETRY_MIN_MS: u64 = 50;
-const RETRY_MAX_MS: u64 = 2000;
+/// How long changes gather before a watch is renewed. While changes come without a pause this
+/// grows, so that a fleet that starts at once is read in lumps and not object by object.
+const GATHER_MIN_MS: u64 = 20;
+const GATHER_MAX_MS: u64 = 1000;
 
 /// The objects below one prefix as this process last saw them. In an outage of the store it
 /// keeps what it has; an object is never replaced by an earlier version of itself.
@@ -123,18 +126,25 @@
     }
 
     async fn follow(&self, store: &Store, stop: &Stop) {
-        let mut retry_ms = RETRY_MIN_MS;
+        let mut backoff = Backoff::default();
+        let mut gather_ms = GATHER_MIN_MS;
         while !stop.is_ended() {
+            let began_unix_ms = now_unix_ms();
             let result = if self.is_complete() {
                 self.watch(store).await
             } else {
                 self.read(store).await
             };
             if result.is_ok() {
-                retry_ms = RETRY_MIN_MS;
+                backoff.reset();
+                gather_ms = if now_unix_ms() < began_unix_ms + 4 * gather_ms {
+                    (gather_ms * 2).min(GATHER_MAX_MS)
+                } else {
+                    GATHER_MIN_MS
+                };
+                sleep_ms(rand::random_range(gather_ms / 2..=gather_ms)).await;
             } else {
-                sleep_ms(rand::random_range(retry_ms / 2..=retry_ms)).await;
-                retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
+                backoff.wait().await;
             }
         }
     }
--- a/crates/celerystair_router/src/callers.rs
+++ b/crates/celerystair_router/src/callers.rs
@@ -51,6 +51,12 @@
             "completions are posted",
         ));
     }
+    if !router.node.config.is_known() {
+        return Err(Refusal::not_run(
+            RefusalReason::StoreUnavailable,
+            "this router has just started, and neither the store nor a peer has said what is in force",
+        ));
+    }
     let (parts, body) = read_body(request, router.settings.body_max_bytes)
         .await
         .map_err(|error| body_refusal(&error))?;
@@ -72,7 +78,8 @@
 /// A router is ready once it knows what it routes to, and until its stop begins.
 fn readiness(router: &Router) -> HttpResponse {
     let node = &router.node;
-    let known = node.models.is_complete()
+    let known = node.config.is_known()
+        && node.models.is_complete()
         && node.services.is_complete()
         && node.agents.is_complete()
         && node.placements.is_complete();
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use celerystair_core::prelude::*;
+use celerystair_config::{fleet, fleet::WakePolicy};
+use celerystair_core::{prelude::*, rendezvous::weight};
 use celerystair_placement::prelude::*;
 use celerystair_platform::prelude::InstanceState;
 use celerystair_protocol::ReplicaState;
@@ -45,7 +46,10 @@
     request: &CallerRequest,
     tried: &HashSet<UpstreamId>,
 ) -> Option<Chosen> {
-    let (names, generation) = upstreams_of(router, &request.target);
+    let (mut names, generation) = upstreams_of(router, &request.target);
+    if router.node.config.current().defaults.wake == WakePolicy::EachRouter {
+        names.sort_by_key(|name| weight(&router.node.name, name));
+    }
     let mut peers = Vec::new();
     let mut candidates = Vec::new();
     let model = match &request.target {
@@ -57,6 +61,7 @@
             continue;
         };
         let is_leaving = agent.leaving
+            || is_drained(router, name, &agent.failure_domain)
             || router.node.instances.is_gone(&agent.instance)
             || router.node.instances.state(&agent.instance) == Some(InstanceState::Leaving);
         let peer = router.peers.get(name, agent.address, &agent.claim_id);
@@ -72,7 +77,7 @@
             queue_delay_ms: load.queue_delay_ms,
             outstanding: peer.outstanding.get(),
             running_max: load.running_max,
-            leaving: is_leaving || load.leaving,
+            leaving: is_leaving || peer.is_leaving(),
         });
         drop(load);
         peers.push(peer);
@@ -88,6 +93,12 @@
     })
 }
 
+/// Whether an operator keeps new work from the upstream.
+fn is_drained(router: &Router, upstream: &str, failure_domain: &str) -> bool {
+    let config = router.node.config.current();
+    fleet::for_upstream(&config, failure_domain, upstream, now_unix_ms()).drain
+}
+
 /// The upstreams that may serve the target: the holders of a model's slots, or a service's pool.
 fn upstreams_of(router: &Router, target: &Target) -> (Vec<UpstreamId>, u64) {
     match target {
--- a/crates/celerystair_trial/src/threads.rs
+++ b/crates/celerystair_trial/src/threads.rs
@@ -5,16 +5,24 @@
 use celerystair_core::prelude::*;
 
 /// A thread that runs roles until its stop ends.
-///
-/// The roles listen to a signal of their own, which a task on their thread gives. Were many
-/// tasks woken from another thread, the runtime's queue of remote wake-ups could fill up while
-/// the signal's list is locked, and both threads would wait for each other.
 pub struct RoleThread {
     /// Its signal.
     pub stop: Stop,
     thread: Option<JoinHandle<()>>,
 }
 
+/// Hands a stop from another thread on to the tasks of this one.
+///
+/// A signal that wakes many tasks of another thread fills that thread's queue of wakes while it
+/// holds the signal's lock; were the thread to listen to the same signal just then, both would
+/// wait for ever. So only this task listens across threads.
+async fn hand_on(outer: &Stop, inner: &Stop) {
+    outer.draining().await;
+    inner.drain();
+    outer.ended().await;
+    inner.end();
+}
+
 impl RoleThread {
     /// Runs `start` on a thread with a runtime of its own and returns what it gives; what it
     /// has spawned goes on until `stop` ends.
@@ -44,14 +52,12 @@
                     }
                 };
                 runtime.block_on(async move {
-                    let roles = Stop::new();
-                    let (outer, inner) = (running.clone(), roles.clone());
-                    compio::runtime::spawn(async move { pass_on(&outer, &inner).await }).detach();
-                    let result = start(roles.clone()).await;
+                    let inner = Stop::new();
+                    let result = start(inner.clone()).await;
                     let is_running = result.is_ok();
                     send.send(result).ok();
                     if is_running {
-                        roles.ended().await;
+                        hand_on(&running, &inner).await;
                     }
                 });
             })?;
@@ -82,11 +88,3 @@
         self.end();
     }
 }
-
-/// Gives the roles of this thread the signal that was given from another.
-async fn pass_on(outer: &Stop, roles: &Stop) {
-    outer.draining().await;
-    roles.drain();
-    outer.ended().await;
-    roles.end();
-}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,10 +1,13 @@
 //! The program's commands, a module each.
 
+pub mod admin;
+pub mod admin_client;
 pub mod agent;
 pub mod check;
 pub mod load;
 pub mod process;
 pub mod router;
 pub mod standin;
+pub mod table;
 pub mod timeline;
 pub mod try_fleet;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod config;
 pub mod processes;
 
 use celerystair::{
