--- a/crates/celerystair_trial/src/caller.rs
+++ b/crates/celerystair_trial/src/caller.rs
@@ -79,7 +79,7 @@
     pub outcome: Outcome,
     /// When the call was made.
     pub called_unix_ms: u64,
-    /// When its answer began.
+    /// When the first byte of its answer came, after the head; 0 if none did.
     pub first_byte_unix_ms: u64,
     /// When its answer ended.
     pub ended_unix_ms: u64,
@@ -129,7 +129,6 @@
 
     async fn receive(&self, call: &Call, received: &mut Received) -> Result<Outcome, cyper::Error> {
         let response = self.request(call)?.send().await?;
-        received.first_byte_unix_ms = now_unix_ms();
         let status = response.status().as_u16();
         let header = |name| response.headers().get(name).and_then(|v| v.to_str().ok());
         let is_problem = header("content-type") == Some("application/problem+json");
@@ -145,6 +144,9 @@
             match chunk {
                 Ok(chunk) => {
                     let now_us = now_unix_us();
+                    if received.first_byte_unix_ms == 0 {
+                        received.first_byte_unix_ms = now_us / 1000;
+                    }
                     if last_chunk_us > 0 {
                         received.between_tokens_us.push(now_us - last_chunk_us);
                     }
--- a/crates/celerystair_trial/src/tally.rs
+++ b/crates/celerystair_trial/src/tally.rs
@@ -64,7 +64,9 @@
         match &received.outcome {
             Outcome::Answered => {
                 self.answered += 1;
-                let first_byte_ms = received.first_byte_unix_ms - received.called_unix_ms;
+                let first_byte_ms = received
+                    .first_byte_unix_ms
+                    .saturating_sub(received.called_unix_ms);
                 self.first_byte_ms.record(first_byte_ms).ok();
                 for between_us in &received.between_tokens_us {
                     self.between_tokens_us.record(*between_us).ok();
