--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -29,7 +29,7 @@
     queue::RunQueue,
     reconcile::{read_engine, reconcile},
     replicas::Replicas,
-    slots,
+    scrape, slots,
     slots::Releasing,
 };
 
@@ -137,6 +137,13 @@
         }),
     };
     agent.node.heard.set_own_address(address);
+    if let Some(address) = agent.settings.metrics_listen {
+        let listener = bind(address).map_err(NodeError::opening(address.to_string()))?;
+        if let Ok(address) = listener.local_addr() {
+            info!(agent.node.log, "metrics are served"; "metrics" => %address);
+        }
+        spawn(scrape::serve_metrics(agent.clone(), listener));
+    }
     info!(agent.node.log, "agent listens"; "address" => %address);
     agent.claim.listens_at(address);
     let starting = agent.clone();
--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 
 use celerystair_config::fleet;
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::now_unix_us};
 use celerystair_protocol::{
     End, Head, Queued, Refused, Started, SubmitEvent, SubmitRequest, submit_event::Event as Step,
 };
@@ -149,6 +149,7 @@
         }),
     )
     .await;
+    let entered_unix_ms = now_unix_ms();
     let mut replica = None;
     let mut cold_start_ms = 0;
     if !request.model.is_empty() {
@@ -182,6 +183,8 @@
         .queue
         .enter(request.priority, deadline_unix_ms, limits.queue_max)
         .await?;
+    let waited_seconds = (now_unix_ms() - entered_unix_ms) as f64 / 1000.0;
+    agent.node.metrics.wait_seconds.record(waited_seconds, &[]);
     Ok(Turn {
         cold_start_ms,
         _permit: permit,
@@ -201,8 +204,16 @@
     send(agent, request, events, Step::Head(head)).await;
     let mut chunks = pin!(answer.chunks);
     let mut body_bytes = 0;
+    let mut last_chunk_us = 0;
     while let Some(chunk) = chunks.next().await {
         let chunk = chunk.map_err(|error| upstream_refusal(&error))?;
+        let now_us = now_unix_us();
+        if body_bytes > 0 {
+            let between_seconds = (now_us - last_chunk_us) as f64 / 1e6;
+            let metrics = &agent.node.metrics;
+            metrics.between_tokens_seconds.record(between_seconds, &[]);
+        }
+        last_chunk_us = now_us;
         body_bytes += chunk.len() as u64;
         send(agent, request, events, Step::Chunk(chunk)).await;
     }
--- a/crates/celerystair_agent/src/idle.rs
+++ b/crates/celerystair_agent/src/idle.rs
@@ -4,6 +4,7 @@
 use celerystair_config::{fleet, fleet::Defaults};
 use celerystair_core::prelude::*;
 use celerystair_placement::keep_alive::Costs;
+use celerystair_telemetry::metrics::label;
 
 use crate::{
     agent::Agent, claim::supersede, engine::EngineClient, load::begin_load, reconcile::reconcile,
@@ -33,6 +34,7 @@
 pub async fn watch_idle(agent: Agent, engine: EngineClient) {
     while !agent.node.stop.is_ended() {
         sleep_ms(INTERVAL_MS).await;
+        count_idle(&agent);
         for replica in agent.replicas.all().iter().filter(|r| r.is_idle()) {
             if now_unix_ms() >= loaded_until_unix_ms(&agent, replica) {
                 unload(&agent, &engine, replica);
@@ -42,6 +44,18 @@
     }
 }
 
+/// Adds the last interval for each replica that had no work in it.
+fn count_idle(agent: &Agent) {
+    let replicas = agent.replicas.all();
+    let idle = replicas.iter().filter(|replica| replica.is_idle()).count();
+    let idle_seconds = (idle as u64 * INTERVAL_MS) as f64 / 1000.0;
+    let upstream = [label("upstream", &agent.settings.upstream)];
+    let metrics = &agent.node.metrics;
+    metrics
+        .idle_accelerator_seconds
+        .add(idle_seconds, &upstream);
+}
+
 /// When `replica` is to be unloaded if no call comes.
 pub fn loaded_until_unix_ms(agent: &Agent, replica: &Replica) -> u64 {
     let defaults = fleet::for_model(&agent.node.config.current(), &replica.model, now_unix_ms());
--- a/crates/celerystair_agent/src/lib.rs
+++ b/crates/celerystair_agent/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`queue`] | requests that wait for their turn |
 //! | [`reconcile`] | taking over what the engine reports |
 //! | [`replicas`] | replicas: one load for many waiters |
+//! | [`scrape`] | metrics, served for scraping |
 //! | [`slots`] | the slots that this instance holds, and giving them back |
 //! | [`unload`] | unloads of replicas |
 //! | [`upstream`] | calls passed on to the upstream |
@@ -38,6 +39,7 @@
 pub mod queue;
 pub mod reconcile;
 pub mod replicas;
+pub mod scrape;
 pub mod slots;
 pub mod unload;
 pub mod upstream;
--- a/crates/celerystair_agent/src/load.rs
+++ b/crates/celerystair_agent/src/load.rs
@@ -7,7 +7,7 @@
 use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_platform::prelude::{CallPriority, Expected, ModelObject, StoreError};
 use celerystair_protocol::{ReplicaState, engine_api::LoadOrder};
-use celerystair_telemetry::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
 
 use crate::{
     agent::Agent,
@@ -76,10 +76,17 @@
             let load_ms = now_unix_ms() - started_unix_ms;
             agent.replicas.note_load(load_ms);
             replica.set_state(ReplicaState::Loaded);
+            let metrics = &agent.node.metrics;
+            metrics
+                .cold_start_seconds
+                .record(load_ms as f64 / 1000.0, &[]);
+            metrics.loads.add(1, &[label("outcome", "loaded")]);
             record(agent, "load_done", &replica.model, format!("{load_ms} ms"));
         }
         Err(error) => {
             warn!(agent.node.log, "load failed"; "model" => %replica.model, "error" => %error);
+            let metrics = &agent.node.metrics;
+            metrics.loads.add(1, &[label("outcome", "failed")]);
             record(agent, "load_failed", &replica.model, error.to_string());
             agent.ledger.borrow_mut().free(&replica.model);
             agent.replicas.remove(&replica.model);
--- a/crates/celerystair_config/src/settings.rs
+++ b/crates/celerystair_config/src/settings.rs
@@ -145,6 +145,9 @@
     pub pool: String,
     /// Where routers and other agents connect.
     pub listen: SocketAddr,
+    /// Where metrics are served, at `/metrics`; nowhere if absent.
+    #[serde(default)]
+    pub metrics_listen: Option<SocketAddr>,
     /// What every process has.
     pub process: ProcessSettings,
     /// Whether the engine refuses an order with an old fencing number.
--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -156,6 +156,23 @@
     }
 }
 
+impl Node {
+    /// All metrics in the text form that scrapers read, with fresh readings of the process.
+    pub fn scrape(&self) -> Vec<u8> {
+        let gauges = &self.metrics.gauges;
+        let revision = self.config.revision();
+        let behind = self.config.heard_revision().saturating_sub(revision);
+        gauges.config_revision.record(revision, &[]);
+        gauges.config_revisions_behind.record(behind, &[]);
+        gauges.store_calls.record(self.store.calls(), &[]);
+        gauges.events_dropped.record(self.timeline.dropped(), &[]);
+        gauges
+            .draining
+            .record(u64::from(self.stop.is_draining()), &[]);
+        self.metrics.scrape()
+    }
+}
+
 /// Records each revision of the configuration as it comes into force.
 async fn record_config(node: Node) {
     let mut recorded = 0;
--- a/crates/celerystair_router/src/callers.rs
+++ b/crates/celerystair_router/src/callers.rs
@@ -19,11 +19,7 @@
     match request.uri().path() {
         "/healthz" => typed_response(200, "text/plain", "ok\n"),
         "/readyz" => readiness(&router),
-        "/metrics" => typed_response(
-            200,
-            "text/plain; version=0.0.4",
-            router.node.metrics.scrape(),
-        ),
+        "/metrics" => typed_response(200, "text/plain; version=0.0.4", router.node.scrape()),
         "/v1/models" => models_response(model_names(&router)),
         _ => match read(&router, &id, request).await {
             Ok(request) => serve_request(&router, request).await,
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -346,6 +346,7 @@
         upstream_url: format!("http://{}", upstream.address),
         pool: upstream.pool.name.clone(),
         listen: loopback(),
+        metrics_listen: None,
         process: process_settings(settings, &upstream.failure_domain, platform_url),
         engine_checks_orders: upstream.pool.engine.checks_orders,
         order_life_ms: 2000,
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -246,6 +246,7 @@
         upstream_url: engine_url.to_owned(),
         pool: "engines".to_owned(),
         listen: loopback(),
+        metrics_listen: None,
         process: process_settings(&rig.platform_url, domain),
         engine_checks_orders: true,
         order_life_ms: 1000,
