--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -1,6 +1,6 @@
 //! Logs, metrics, time line, store and configuration of one process.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
@@ -11,6 +11,7 @@
 };
 use celerystair_protocol::Stamp;
 use celerystair_telemetry::prelude::*;
+use futures_util::future::select;
 use thiserror::Error;
 
 use crate::{
@@ -137,6 +138,8 @@
         let node = Self {
             inner: Rc::new(inner),
         };
+        compio::runtime::spawn(record_config(node.clone())).detach();
+        compio::runtime::spawn(record_drain(node.clone())).detach();
         compio::runtime::spawn(spread_config(node.clone())).detach();
         Ok(node)
     }
@@ -171,3 +174,52 @@
     .detach();
     Ok(())
 }
+
+impl Node {
+    /// All metrics in the text form that scrapers read, with fresh readings of the process.
+    pub fn scrape(&self) -> Vec<u8> {
+        let gauges = &self.metrics.gauges;
+        let revision = self.config.revision();
+        let behind = self.config.heard_revision().saturating_sub(revision);
+        gauges.config_revision.record(revision, &[]);
+        gauges.config_revisions_behind.record(behind, &[]);
+        gauges.store_calls.record(self.store.calls(), &[]);
+        gauges.events_dropped.record(self.timeline.dropped(), &[]);
+        gauges
+            .draining
+            .record(u64::from(self.stop.is_draining()), &[]);
+        self.metrics.scrape()
+    }
+}
+
+/// Records each revision of the configuration as it comes into force.
+async fn record_config(node: Node) {
+    let mut recorded = 0;
+    while !node.stop.is_ended() {
+        let changed = node.config.listen();
+        let revision = node.config.revision();
+        if revision > recorded {
+            recorded = revision;
+            node.timeline.record(Event {
+                kind: "config_in_force".to_owned(),
+                change: revision.to_string(),
+                ..Event::default()
+            });
+        }
+        select(changed, pin!(node.stop.ended())).await;
+    }
+}
+
+/// Records the start and the end of a planned stop.
+async fn record_drain(node: Node) {
+    let record = |kind: &str| {
+        node.timeline.record(Event {
+            kind: kind.to_owned(),
+            ..Event::default()
+        });
+    };
+    node.stop.draining().await;
+    record("drain_started");
+    node.stop.ended().await;
+    record("drain_ended");
+}
--- a/crates/celerystair_trial/src/caller.rs
+++ b/crates/celerystair_trial/src/caller.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_core::{
+    prelude::*,
+    time::{before_deadline, now_unix_us},
+};
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 
@@ -76,7 +79,7 @@
     pub outcome: Outcome,
     /// When the call was made.
     pub called_unix_ms: u64,
-    /// When its answer began.
+    /// When the first byte of its answer came, after the head; 0 if none did.
     pub first_byte_unix_ms: u64,
     /// When its answer ended.
     pub ended_unix_ms: u64,
@@ -84,6 +87,8 @@
     pub deadline_unix_ms: u64,
     /// How long the request waited for a replica to be loaded.
     pub cold_start_ms: u64,
+    /// Times between the parts of a streamed answer, in microseconds.
+    pub between_tokens_us: Vec<u64>,
 }
 
 /// Callers of one thread; they share connections.
@@ -111,6 +116,7 @@
             ended_unix_ms: 0,
             deadline_unix_ms,
             cold_start_ms: 0,
+            between_tokens_us: Vec::new(),
         };
         let work = self.receive(call, &mut received);
         let outcome = before_deadline(deadline_unix_ms + GRACE_MS, work).await;
@@ -123,7 +129,6 @@
 
     async fn receive(&self, call: &Call, received: &mut Received) -> Result<Outcome, cyper::Error> {
         let response = self.request(call)?.send().await?;
-        received.first_byte_unix_ms = now_unix_ms();
         let status = response.status().as_u16();
         let header = |name| response.headers().get(name).and_then(|v| v.to_str().ok());
         let is_problem = header("content-type") == Some("application/problem+json");
@@ -133,10 +138,21 @@
             received.cold_start_ms = timing.parse().unwrap_or_default();
         }
         let mut body = Vec::new();
+        let mut last_chunk_us = 0;
         let mut chunks = std::pin::pin!(response.bytes_stream());
         while let Some(chunk) = chunks.next().await {
             match chunk {
-                Ok(chunk) => body.extend_from_slice(&chunk),
+                Ok(chunk) => {
+                    let now_us = now_unix_us();
+                    if received.first_byte_unix_ms == 0 {
+                        received.first_byte_unix_ms = now_us / 1000;
+                    }
+                    if last_chunk_us > 0 {
+                        received.between_tokens_us.push(now_us - last_chunk_us);
+                    }
+                    last_chunk_us = now_us;
+                    body.extend_from_slice(&chunk);
+                }
                 Err(_) => return Ok(Outcome::Cut),
             }
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 mod commands;
 
 use argh::FromArgs;
-use commands::{admin, agent, check, router, standin, try_fleet};
+use commands::{admin, agent, check, load, router, standin, timeline, try_fleet};
 
 /// A serving system for rarely used models.
 #[derive(FromArgs)]
@@ -18,8 +18,10 @@
     Admin(admin::AdminCommand),
     Agent(agent::AgentCommand),
     Check(check::CheckCommand),
+    Load(load::LoadCommand),
     Router(router::RouterCommand),
     Standin(standin::StandinCommand),
+    Timeline(timeline::TimelineCommand),
     Try(try_fleet::TryCommand),
 }
 
@@ -29,8 +31,10 @@
         Command::Admin(command) => admin::run(&command),
         Command::Agent(command) => agent::run(&command),
         Command::Check(command) => check::run(&command),
+        Command::Load(command) => load::run(&command),
         Command::Router(command) => router::run(&command),
         Command::Standin(command) => standin::run(&command),
+        Command::Timeline(command) => timeline::run(&command),
         Command::Try(command) => try_fleet::run(&command),
     }
 }
