--- a/tests/placement_fuzz.rs
+++ b/tests/placement_fuzz.rs
@@ -50,6 +50,9 @@
         for name in UPSTREAMS {
             let engine = fuzz.rig.engine(EngineSettings {
                 checks_orders: name != UNCHECKED,
+                // Long enough for others to load meanwhile what must not be loaded yet.
+                unload_ms: 300,
+                memory_bytes: 1500,
                 ..small_engine()
             });
             let (running, stop) = fuzz.agent(name, &engine).await;
@@ -152,7 +155,7 @@
                 self.configure(random.random_range(1..=2), drained).await;
             }
             _ => {
-                for _ in 0..random.random_range(1..4) {
+                for _ in 0..random.random_range(4..12) {
                     let member = random.random_range(0..UPSTREAMS.len());
                     self.request(member, MODELS[random.random_range(0..MODELS.len())]);
                 }
