--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -1,15 +1,17 @@
 //! Logs, metrics, time line, store and configuration of one process.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
+use celerystair_net::{prelude::*, tls::set_peer_tls};
 use celerystair_platform::{
     objects::{AGENTS, MODELS, PLACEMENTS, SERVICES},
     prelude::*,
 };
 use celerystair_protocol::Stamp;
 use celerystair_telemetry::prelude::*;
+use futures_util::future::select;
 use thiserror::Error;
 
 use crate::{
@@ -28,6 +30,9 @@
         /// The system's reason.
         error: std::io::Error,
     },
+    /// The certificates can't be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
     /// The platform's client could not be made.
     #[error("the platform's client: {0}")]
     Store(#[from] StoreError),
@@ -104,6 +109,10 @@
                 .map_err(NodeError::opening(path.display().to_string()))?,
             None => Timeline::off(),
         };
+        let log = logger(settings.log_format, role, name);
+        if let Some(settings) = &settings.tls {
+            start_tls(settings, &log, stop)?;
+        }
         let store = Store::new(settings.platform.clone())?;
         let agents: Mirror<AgentObject> = Mirror::start(&store, AGENTS, stop);
         let instances = Instances::start(&store, settings.instances_interval_ms, stop);
@@ -112,7 +121,7 @@
         let watches = move || watches_store(&ranked.0, &ranked.1, &domain, &own);
         let inner = NodeInner {
             name: name.to_owned(),
-            log: logger(settings.log_format, role, name),
+            log,
             metrics: Metrics::new(role),
             timeline,
             config: FleetConfig::start(&store, watches, stop),
@@ -129,6 +138,8 @@
         let node = Self {
             inner: Rc::new(inner),
         };
+        compio::runtime::spawn(record_config(node.clone())).detach();
+        compio::runtime::spawn(record_drain(node.clone())).detach();
         compio::runtime::spawn(spread_config(node.clone())).detach();
         Ok(node)
     }
@@ -152,3 +163,63 @@
         }
     }
 }
+
+fn start_tls(settings: &TlsSettings, log: &Logger, stop: &Stop) -> Result<(), NodeError> {
+    let tls = PeerTls::load(settings)?;
+    set_peer_tls(tls.clone());
+    let (log, stop) = (log.clone(), stop.clone());
+    compio::runtime::spawn(tls.reload_now_and_then(stop, move |error| {
+        warn!(log, "the earlier certificates stay in use"; "error" => %error);
+    }))
+    .detach();
+    Ok(())
+}
+
+impl Node {
+    /// All metrics in the text form that scrapers read, with fresh readings of the process.
+    pub fn scrape(&self) -> Vec<u8> {
+        let gauges = &self.metrics.gauges;
+        let revision = self.config.revision();
+        let behind = self.config.heard_revision().saturating_sub(revision);
+        gauges.config_revision.record(revision, &[]);
+        gauges.config_revisions_behind.record(behind, &[]);
+        gauges.store_calls.record(self.store.calls(), &[]);
+        gauges.events_dropped.record(self.timeline.dropped(), &[]);
+        gauges
+            .draining
+            .record(u64::from(self.stop.is_draining()), &[]);
+        self.metrics.scrape()
+    }
+}
+
+/// Records each revision of the configuration as it comes into force.
+async fn record_config(node: Node) {
+    let mut recorded = 0;
+    while !node.stop.is_ended() {
+        let changed = node.config.listen();
+        let revision = node.config.revision();
+        if revision > recorded {
+            recorded = revision;
+            node.timeline.record(Event {
+                kind: "config_in_force".to_owned(),
+                change: revision.to_string(),
+                ..Event::default()
+            });
+        }
+        select(changed, pin!(node.stop.ended())).await;
+    }
+}
+
+/// Records the start and the end of a planned stop.
+async fn record_drain(node: Node) {
+    let record = |kind: &str| {
+        node.timeline.record(Event {
+            kind: kind.to_owned(),
+            ..Event::default()
+        });
+    };
+    node.stop.draining().await;
+    record("drain_started");
+    node.stop.ended().await;
+    record("drain_ended");
+}
