--- a/benches/cold_start.rs
+++ b/benches/cold_start.rs
@@ -2,7 +2,8 @@
 //! settings, in one run on one scaled clock.
 //!
 //! `cargo bench --bench cold_start -- burst` plays a press deadline: every model and half of the
-//! adapters are first called within 2 s, at 4 routers. `-- day` plays rare calls in sessions.
+//! adapters are first called within 2 s, at 4 routers. `-- day` plays rare calls in sessions. A firm's
+//! name after it plays that firm alone.
 //! What the columns mean and what was found: `docs/COLD_STARTS.md`.
 
 use std::{cell::RefCell, rc::Rc};
@@ -122,7 +123,12 @@
     } else {
         BURST_CLOCK_SCALE
     });
-    for (name, text) in [("office", OFFICE), ("hangang", HANGANG)] {
+    let firms = [("office", OFFICE), ("hangang", HANGANG)];
+    let named = std::env::args().find(|a| firms.iter().any(|(name, _)| name == a));
+    for (name, text) in firms {
+        if named.as_ref().is_some_and(|named| named != name) {
+            continue;
+        }
         let mut settings: TrialSettings = read_settings(name, text)?;
         settings.clock_scale = celerystair::core::time::clock_scale();
         if is_day {
