--- a/tests/placement_slots.rs
+++ b/tests/placement_slots.rs
@@ -4,7 +4,13 @@
 #[path = "support/rig.rs"]
 mod rig;
 
-use celerystair::{agent::prelude::*, config::prelude::*, core::prelude::*, standin::prelude::*};
+use celerystair::{
+    agent::prelude::*,
+    config::prelude::*,
+    core::{prelude::*, rendezvous},
+    platform::prelude::*,
+    standin::prelude::*,
+};
 use rig::{Rig, agent_settings, small_engine, submit, wait_until};
 
 fn block_on<T>(work: impl Future<Output = T>) -> T {
@@ -23,6 +29,22 @@
     document
 }
 
+/// An exception that sets `field` to true.
+fn exception(kind: ScopeKind, name: &str, field: &str) -> Exception {
+    Exception {
+        scope: Scope {
+            kind,
+            name: name.to_owned(),
+        },
+        field: field.to_owned(),
+        value: serde_json::Value::Bool(true),
+        reason: "a test".to_owned(),
+        author: "ops".to_owned(),
+        from_unix_ms: None,
+        until_unix_ms: None,
+    }
+}
+
 /// An agent of upstream `name` with an engine of its own, whose claim stands.
 async fn upstream(rig: &Rig, name: &str, stop: &Stop) -> RunningAgent {
     let engine = rig.engine(small_engine());
@@ -153,6 +175,79 @@
     });
 }
 
+#[test]
+fn a_warm_window_loads_ahead_and_its_end_lets_the_replica_go() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        let short = |d: &mut FleetDocument| d.defaults.keep_alive_min_ms = 100;
+        let warm = exception(ScopeKind::Model, "m-1", "keep_warm");
+        rig.configure(document(1, |d| {
+            short(d);
+            d.exceptions.push(warm);
+        }))
+        .await;
+        for model in ["m-1", "m-2"] {
+            rig.put_model(model).await;
+            rig.place(model, &["e-a", "e-b"]).await;
+        }
+        let _first = upstream(&rig, "e-a", &stop).await;
+        let _second = upstream(&rig, "e-b", &stop).await;
+        wait_until("it is loaded without calls", async || {
+            rig.replicas("m-1") == 1
+        })
+        .await;
+        rig.configure(document(2, |d| {
+            short(d);
+            d.defaults.keep_alive_max_ms = 100;
+        }))
+        .await;
+        wait_until("it is unloaded", async || rig.replicas("m-1") == 0).await;
+        assert_eq!(rig.replicas_peak("m-1"), 1);
+        assert_eq!(rig.replicas_peak("m-2"), 0);
+        stop.end();
+    });
+}
+
+#[test]
+fn an_issuer_of_permits_that_is_gone_holds_up_no_load() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        let before = |name: &String| {
+            rendezvous::weight("load-permits", name) > rendezvous::weight("load-permits", "e-a")
+        };
+        let issuer = (0..).map(|n| format!("gone-{n}")).find(before);
+        let issuer = issuer.expect("a name before e-a");
+        let object = AgentObject {
+            fence: 1,
+            instance: format!("{issuer}.1").into(),
+            claim_id: "gone".to_owned(),
+            // Nobody listens there.
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: "a".into(),
+            pool: "engines".to_owned(),
+            memory_bytes: 1000,
+            leaving: false,
+        };
+        let key = format!("agents/{issuer}");
+        let written = rig
+            .store
+            .put(&key, &object, Expected::Absent, CallPriority::Normal);
+        written.await.expect("the agent is written");
+        rig.put_model("m-1").await;
+        rig.place("m-1", &["e-a"]).await;
+        let running = upstream(&rig, "e-a", &stop).await;
+        wait_until("the issuer is seen", async || {
+            running.agent.node.agents.get(&issuer).is_some()
+        })
+        .await;
+        wake(&running, "m-1").await;
+        assert_eq!(rig.witness.seen().loads, 1);
+        stop.end();
+    });
+}
+
 #[test]
 fn a_new_version_takes_the_place_of_the_old_one() {
     block_on(async {
@@ -195,18 +290,7 @@
         rig.place("m-1", &["e-a"]).await;
         let first = upstream(&rig, "e-a", &stop).await;
         wake(&first, "m-1").await;
-        let drain = Exception {
-            scope: Scope {
-                kind: ScopeKind::Upstream,
-                name: "e-a".to_owned(),
-            },
-            field: "drain".to_owned(),
-            value: serde_json::Value::Bool(true),
-            reason: "new disks".to_owned(),
-            author: "ops".to_owned(),
-            from_unix_ms: None,
-            until_unix_ms: None,
-        };
+        let drain = exception(ScopeKind::Upstream, "e-a", "drain");
         rig.configure(document(2, |d| d.exceptions.push(drain)))
             .await;
         wait_until("it holds no slot", async || {
