--- a/tests/placement_slots.rs
+++ b/tests/placement_slots.rs
@@ -217,7 +217,7 @@
         let before = |name: &String| {
             rendezvous::weight("load-permits", name) > rendezvous::weight("load-permits", "e-a")
         };
-        let issuer = (0..).map(|n| format!("gone-{n}")).find(before);
+        let issuer = (0..1000).map(|n| format!("gone-{n}")).find(before);
         let issuer = issuer.expect("a name before e-a");
         let object = AgentObject {
             fence: 1,
