--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -8,13 +8,14 @@
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
+use celerystair_journal::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_node::prelude::*;
 use celerystair_protocol::{agent_server::AgentServer, peer_server::PeerServer};
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    attempts::Attempts, claim, engine::EngineClient, grpc::AgentService, idle,
+    attempts::Attempts, claim, engine::EngineClient, grpc::AgentService, idle, keyed::KeyedRuns,
     ledger::MemoryLedger, queue::RunQueue, replicas, replicas::Replicas,
 };
 
@@ -51,6 +52,10 @@
     pub queue: RunQueue,
     /// What became of each attempt.
     pub attempts: Attempts,
+    /// Keys of calls that may not be repeated.
+    pub journal: Journal,
+    /// Calls under such keys that run here.
+    pub keyed_runs: KeyedRuns,
 }
 
 impl std::ops::Deref for Agent {
@@ -97,6 +102,8 @@
             replicas: Replicas::default(),
             queue: RunQueue::new(settings.running_max),
             attempts: Attempts::default(),
+            journal: Journal::new(&node.store),
+            keyed_runs: KeyedRuns::default(),
             settings,
             node,
         }),
@@ -106,8 +113,12 @@
     compio::runtime::spawn(async move { take_over(&starting, address).await }).detach();
     let routes = tonic_routes(&agent);
     let serving = stop.clone();
+    let finishing = agent.clone();
     let served = compio::runtime::spawn(async move {
         serve_grpc(listener, serving, routes).await.ok();
+        // Calls whose callers have left go on, and their outcomes are still to be written.
+        finishing.keyed_runs.ended().await;
+        finishing.journal.flushed().await;
     });
     Ok(RunningAgent {
         agent,
--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -17,6 +17,8 @@
 
 use crate::{
     agent::Agent,
+    attempts::AttemptPhase,
+    keyed::serve_keyed,
     news::news,
     queue::RunPermit,
     replicas::{ReplicaUse, use_adapter, use_replica},
@@ -27,7 +29,7 @@
 pub type Events = async_channel::Sender<Result<SubmitEvent, Status>>;
 
 /// Kept from the time left, so that a refusal reaches the router before the deadline.
-const ANSWER_MARGIN_MS: u64 = 50;
+pub(crate) const ANSWER_MARGIN_MS: u64 = 50;
 
 /// What an attempt holds while it runs.
 struct Turn {
@@ -51,17 +53,14 @@
         return;
     }
     if !agent.attempts.queue(&id, request.deadline_unix_ms) {
-        let detail = "the attempt was cancelled before it arrived";
-        refuse(
-            agent,
-            request,
-            events,
-            Refusal::not_run(RefusalReason::Cancelled, detail),
-        )
-        .await;
+        refuse(agent, request, events, known_attempt(agent, &id)).await;
         return;
     }
-    let outcome = run(agent, request, &id, events).await;
+    let outcome = if request.idempotent {
+        run(agent, request, &id, events).await
+    } else {
+        serve_keyed(agent, request, &id, events).await
+    };
     agent.attempts.refuse(&id);
     agent.attempts.finish(&id);
     if let Err(refusal) = outcome {
@@ -69,6 +68,17 @@
     }
 }
 
+/// The refusal of an attempt whose identifier is known already.
+fn known_attempt(agent: &Agent, id: &AttemptId) -> Refusal {
+    match agent.attempts.phase(id) {
+        Some(AttemptPhase::NotRun) => Refusal::not_run(
+            RefusalReason::Cancelled,
+            "the attempt was cancelled before it arrived",
+        ),
+        _ => Refusal::unknown(RefusalReason::Cancelled, "the attempt came twice"),
+    }
+}
+
 async fn run(
     agent: &Agent,
     request: &SubmitRequest,
@@ -193,6 +203,9 @@
     let answer = call_upstream(&agent.client, url, request)
         .await
         .map_err(|error| upstream_refusal(&error))?;
+    if !request.model.is_empty() {
+        check_engine_status(answer.status)?;
+    }
     let head = Head {
         status: answer.status.into(),
         content_type: answer.content_type,
@@ -215,7 +228,22 @@
     Ok(())
 }
 
-fn upstream_refusal(error: &UpstreamError) -> Refusal {
+/// An engine that has lost a replica says so before it runs anything.
+fn check_engine_status(status: u16) -> Result<(), Refusal> {
+    match status {
+        404 => Err(Refusal::not_run(
+            RefusalReason::NotHere,
+            "the engine does not hold the model",
+        )),
+        500.. => Err(Refusal::unknown(
+            RefusalReason::UpstreamFailed,
+            format!("the engine answered {status}"),
+        )),
+        _ => Ok(()),
+    }
+}
+
+pub(crate) fn upstream_refusal(error: &UpstreamError) -> Refusal {
     match error {
         UpstreamError::Unreachable { .. } => {
             Refusal::not_run(RefusalReason::UpstreamFailed, error.to_string())
@@ -240,7 +268,7 @@
 }
 
 /// Sends a step; a router that has left is noticed by the closed channel.
-async fn send(agent: &Agent, request: &SubmitRequest, events: &Events, step: Step) {
+pub(crate) async fn send(agent: &Agent, request: &SubmitRequest, events: &Events, step: Step) {
     // Chunks are many, and bear no news.
     let bears_news = !matches!(step, Step::Chunk(_));
     let event = SubmitEvent {
@@ -251,7 +279,7 @@
     events.send(Ok(event)).await.ok();
 }
 
-fn record(agent: &Agent, request: &SubmitRequest, kind: &str, detail: String) {
+pub(crate) fn record(agent: &Agent, request: &SubmitRequest, kind: &str, detail: String) {
     agent.node.timeline.record(Event {
         kind: kind.to_owned(),
         request: request.request_id.clone(),
--- a/crates/celerystair_agent/src/attempts.rs
+++ b/crates/celerystair_agent/src/attempts.rs
@@ -60,6 +60,11 @@
         self.advance(id, AttemptPhase::Started, AttemptPhase::Done);
     }
 
+    /// What is known of the attempt.
+    pub fn phase(&self, id: &AttemptId) -> Option<AttemptPhase> {
+        self.by_id.borrow().get(id).map(|entry| entry.phase)
+    }
+
     /// Marks a queued attempt as one that never runs.
     pub fn refuse(&self, id: &AttemptId) {
         self.advance(id, AttemptPhase::Queued, AttemptPhase::NotRun);
--- /dev/null
+++ b/crates/celerystair_agent/src/keyed_run.rs
@@ -0,0 +1,254 @@
+//! The one run of a claimed call: it waits for a turn, is handed to the upstream, and its outcome
+//! is written to the journal.
+
+use std::pin::pin;
+
+use bytes::BytesMut;
+use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_journal::{entry::RECORDED_BODY_MAX_BYTES, prelude::*};
+use celerystair_protocol::SubmitRequest;
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+};
+
+use crate::{
+    agent::Agent,
+    answer::{ANSWER_MARGIN_MS, record, upstream_refusal},
+    attempts::AttemptPhase,
+    keyed::{
+        KeyedAnswer, KeyedOutcome, KeyedRun, RETRY_AFTER_MS, key_reused, outcome_unknown,
+        queue_max, still_running,
+    },
+    queue::RunPermit,
+    upstream::call_upstream,
+};
+
+/// How often the journal is read for a call that runs at another agent.
+const POLL_MIN_MS: u64 = 50;
+const POLL_MAX_MS: u64 = 1000;
+/// A run whose callers have left may take this much longer than their deadline.
+const RUN_ON_MS: u64 = 60_000;
+/// The largest answer of a call that may not be repeated.
+const ANSWER_MAX_BYTES: usize = 8 << 20;
+
+/// Runs the call, or finds out what became of it, and ends `run` with its outcome.
+pub async fn execute(agent: &Agent, request: &SubmitRequest, key: &CallKey, run: &KeyedRun) {
+    let id = AttemptId::from(request.attempt_id.as_str());
+    let deadline_unix_ms = request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let elsewhere = loop {
+        match claim(agent, request, &id, key, deadline_unix_ms).await {
+            Ok(Claimed::Granted) => return execute_claimed(agent, request, key, run, &id).await,
+            Ok(Claimed::KeyReused) => break Err(key_reused()),
+            Ok(Claimed::Known(entry)) => {
+                agent.attempts.start(&id);
+                if let Some(outcome) = follow(agent, key, *entry, deadline_unix_ms).await {
+                    break outcome;
+                }
+            }
+            Err(refusal) => break Err(refusal),
+        }
+    };
+    agent.keyed_runs.forget(key);
+    run.end(elsewhere);
+}
+
+async fn execute_claimed(
+    agent: &Agent,
+    request: &SubmitRequest,
+    key: &CallKey,
+    run: &KeyedRun,
+    id: &AttemptId,
+) {
+    let outcome = match wait_for_turn(agent, request, id).await {
+        Ok(_permit) => {
+            record(agent, request, "attempt_started", String::new());
+            call(agent, request).await
+        }
+        Err(refusal) => Err(refusal),
+    };
+    agent.attempts.refuse(id);
+    agent.attempts.finish(id);
+    let forget_unix_ms = forget_unix_ms(agent, request);
+    if let Some(state) = state_of(&outcome) {
+        run.end(outcome);
+        record(agent, request, "attempt_done", String::new());
+        agent.journal.record(key, id, state, forget_unix_ms).await;
+        agent.keyed_runs.forget(key);
+    } else {
+        // Whoever sends the key now claims it anew, behind this release.
+        agent.keyed_runs.forget(key);
+        run.end(outcome);
+        agent.journal.release(key, id, forget_unix_ms).await;
+    }
+}
+
+async fn claim(
+    agent: &Agent,
+    request: &SubmitRequest,
+    id: &AttemptId,
+    key: &CallKey,
+    deadline_unix_ms: u64,
+) -> Result<Claimed, Refusal> {
+    let entry = JournalEntry {
+        key: key.clone(),
+        fingerprint: request.fingerprint,
+        attempt: id.clone(),
+        upstream: agent.settings.upstream.clone(),
+        life: agent.life.clone(),
+        state: EntryState::Started,
+        forget_unix_ms: forget_unix_ms(agent, request),
+    };
+    let claim = agent.journal.claim(entry, deadline_unix_ms);
+    let claimed = unless_cancelled(agent, id, claim).await?;
+    claimed.map_err(|error| {
+        let reason = match error {
+            JournalError::Full => RefusalReason::Overloaded,
+            JournalError::StoreUnavailable => RefusalReason::StoreUnavailable,
+        };
+        Refusal::not_run(reason, error.to_string()).retry_after(RETRY_AFTER_MS)
+    })
+}
+
+/// When the key may be forgotten. Its attempt never starts after its deadline, so that a process
+/// that was paused for longer than that can't run a call whose key others have forgotten.
+fn forget_unix_ms(agent: &Agent, request: &SubmitRequest) -> u64 {
+    let config = agent.node.config.current();
+    (now_unix_ms() + config.defaults.journal_retention_ms).max(request.deadline_unix_ms + RUN_ON_MS)
+}
+
+/// The result of `work`, unless the attempt gets its tombstone first.
+async fn unless_cancelled<T>(
+    agent: &Agent,
+    id: &AttemptId,
+    work: impl Future<Output = T>,
+) -> Result<T, Refusal> {
+    let given_up = || Refusal::not_run(RefusalReason::Cancelled, "the router gave it up");
+    let Some(tombstone) = agent.attempts.listen_cancelled(id) else {
+        return Err(given_up());
+    };
+    if agent.attempts.phase(id) == Some(AttemptPhase::NotRun) {
+        return Err(given_up());
+    }
+    match select(pin!(work), tombstone).await {
+        Either::Left((result, _)) => Ok(result),
+        Either::Right(_) => Err(given_up()),
+    }
+}
+
+/// Follows the run of another attempt in the journal; `None` if its claim was withdrawn.
+async fn follow(
+    agent: &Agent,
+    key: &CallKey,
+    mut entry: JournalEntry,
+    deadline_unix_ms: u64,
+) -> Option<KeyedOutcome> {
+    let mut poll_ms = POLL_MIN_MS;
+    loop {
+        match entry.state {
+            EntryState::Done(answer) => {
+                return Some(Ok(KeyedAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type,
+                    body: answer.body.into(),
+                }));
+            }
+            EntryState::Unknown => return Some(Err(outcome_unknown())),
+            EntryState::Started if !is_alive(agent, &entry) => {
+                return Some(Err(outcome_unknown()));
+            }
+            EntryState::Started => {}
+        }
+        if now_unix_ms() + poll_ms >= deadline_unix_ms {
+            return Some(Err(still_running()));
+        }
+        sleep_ms(poll_ms).await;
+        poll_ms = (poll_ms * 2).min(POLL_MAX_MS);
+        // While the store is away, what was read last still holds.
+        let read = before_deadline(deadline_unix_ms, agent.journal.look_up(key)).await;
+        if let Some(Ok(found)) = read {
+            entry = found?;
+        }
+    }
+}
+
+/// Whether the agent that claimed the entry still runs, as far as is known. An agent has one run
+/// of a key at a time, so an entry of this life that another attempt claimed has ended.
+fn is_alive(agent: &Agent, entry: &JournalEntry) -> bool {
+    let owner = agent.node.agents.get(&entry.upstream);
+    entry.life != agent.life
+        && owner.is_some_and(|(_, owner)| {
+            owner.claim_id == entry.life && !agent.node.instances.is_gone(&owner.instance)
+        })
+}
+
+/// What the journal is to remember; nothing of a call that never ran.
+fn state_of(outcome: &KeyedOutcome) -> Option<EntryState> {
+    match outcome {
+        Ok(answer) if answer.body.len() <= RECORDED_BODY_MAX_BYTES => {
+            let body = String::from_utf8(answer.body.to_vec());
+            Some(body.map_or(EntryState::Unknown, |body| {
+                EntryState::Done(RecordedAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type.clone(),
+                    body,
+                })
+            }))
+        }
+        Err(refusal) if refusal.run == RunState::NotRun => None,
+        Ok(_) | Err(_) => Some(EntryState::Unknown),
+    }
+}
+
+async fn wait_for_turn(
+    agent: &Agent,
+    request: &SubmitRequest,
+    id: &AttemptId,
+) -> Result<RunPermit, Refusal> {
+    let deadline_unix_ms = request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let enter = agent
+        .queue
+        .enter(request.priority, deadline_unix_ms, queue_max(agent));
+    let permit = unless_cancelled(agent, id, enter).await??;
+    if now_unix_ms() >= deadline_unix_ms {
+        // After a pause of the process, the journal may have forgotten the key.
+        let detail = "the deadline came before the call was started";
+        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail));
+    }
+    if agent.attempts.start(id) {
+        Ok(permit)
+    } else {
+        let detail = "the router gave it up";
+        Err(Refusal::not_run(RefusalReason::Cancelled, detail))
+    }
+}
+
+async fn call(agent: &Agent, request: &SubmitRequest) -> KeyedOutcome {
+    let work = async {
+        let url = &agent.settings.upstream_url;
+        let answer = call_upstream(&agent.client, url, request)
+            .await
+            .map_err(|error| upstream_refusal(&error))?;
+        let mut body = BytesMut::new();
+        let mut chunks = pin!(answer.chunks);
+        while let Some(chunk) = chunks.next().await {
+            let chunk = chunk.map_err(|error| upstream_refusal(&error))?;
+            if body.len() + chunk.len() > ANSWER_MAX_BYTES {
+                let detail = format!("the answer is larger than {ANSWER_MAX_BYTES} bytes");
+                return Err(Refusal::unknown(RefusalReason::UpstreamFailed, detail));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(KeyedAnswer {
+            status: answer.status.into(),
+            content_type: answer.content_type,
+            body: body.freeze(),
+        })
+    };
+    before_deadline(request.deadline_unix_ms + RUN_ON_MS, work)
+        .await
+        .unwrap_or_else(|| {
+            let detail = "the upstream did not answer";
+            Err(Refusal::unknown(RefusalReason::UpstreamFailed, detail))
+        })
+}
--- a/crates/celerystair_agent/src/lib.rs
+++ b/crates/celerystair_agent/src/lib.rs
@@ -9,6 +9,8 @@
 //! | [`engine`] | orders to a model engine |
 //! | [`grpc`] | the service that routers call |
 //! | [`idle`] | unloading replicas that nobody calls |
+//! | [`keyed`] | calls that may not be repeated: one run for all who send one key |
+//! | [`keyed_run`] | the run of such a call, and its outcome |
 //! | [`ledger`] | accelerator memory: reserved before an order, freed on confirmation |
 //! | [`news`] | what rides on replies |
 //! | [`queue`] | requests that wait for their turn |
@@ -22,6 +24,8 @@
 pub mod engine;
 pub mod grpc;
 pub mod idle;
+pub mod keyed;
+pub mod keyed_run;
 pub mod ledger;
 pub mod news;
 pub mod queue;
--- a/crates/celerystair_agent/src/queue.rs
+++ b/crates/celerystair_agent/src/queue.rs
@@ -133,6 +133,27 @@
         ))
     }
 
+    /// Refuses at once a request that would be refused on entry, before anything is done for it.
+    ///
+    /// # Errors
+    /// The refusal.
+    pub fn check(
+        &self,
+        priority: u32,
+        deadline_unix_ms: u64,
+        waiting_max: u32,
+    ) -> Result<(), Refusal> {
+        if self.inner.running.get() < self.inner.running_max && self.waiting() == 0 {
+            return Ok(());
+        }
+        let place = Place {
+            priority_inverted: u32::MAX - priority,
+            deadline_unix_ms,
+            number: self.inner.next_number.get(),
+        };
+        self.refuse_unmeetable(place, waiting_max)
+    }
+
     fn refuse_unmeetable(&self, place: Place, waiting_max: u32) -> Result<(), Refusal> {
         let ahead = self.inner.waiting.borrow().range(..place).count() as u32;
         let wait_ms = self.expected_wait_ms(ahead);
--- a/crates/celerystair_router/src/attempt.rs
+++ b/crates/celerystair_router/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One try of a request at one upstream.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
@@ -90,35 +90,94 @@
     }
 }
 
+/// An attempt as the router knows it; it outlives the wait for the attempt's answer.
+pub struct Tracked {
+    peer: Rc<Peer>,
+    attempt: AttemptId,
+    life: String,
+    sent: Cell<bool>,
+    started: Cell<bool>,
+}
+
+impl Tracked {
+    /// An attempt at `peer` that was not submitted yet.
+    pub fn new(peer: &Rc<Peer>) -> Self {
+        Self {
+            peer: peer.clone(),
+            attempt: AttemptId::random(),
+            life: peer.life.borrow().clone(),
+            sent: Cell::new(false),
+            started: Cell::new(false),
+        }
+    }
+
+    /// Gives the attempt up: asks the agent what became of it if that is not known, so that
+    /// "not run" is said where it is true, and only there.
+    pub async fn settle(
+        &self,
+        router: &Router,
+        mut refusal: Refusal,
+        deadline_unix_ms: u64,
+    ) -> Refusal {
+        let not_run =
+            !self.sent.get() || (!self.started.get() && self.ask(router, deadline_unix_ms).await);
+        refusal.run = if not_run {
+            RunState::NotRun
+        } else {
+            RunState::Unknown
+        };
+        refusal
+    }
+
+    /// Whether the agent says that the attempt never started; from then on it never will.
+    async fn ask(&self, router: &Router, deadline_unix_ms: u64) -> bool {
+        let ask = async {
+            let channel = self.peer.connection.channel().await.ok()?;
+            let origin = channel.origin();
+            let request = SettleRequest {
+                stamp: router.node.stamp(),
+                attempt_id: self.attempt.to_string(),
+                agent_life: self.life.clone(),
+            };
+            AgentClient::with_origin(channel, origin)
+                .settle(request)
+                .await
+                .ok()
+        };
+        let deadline_unix_ms = deadline_unix_ms.min(now_unix_ms() + SETTLE_TIMEOUT_MS);
+        let reply = before_deadline(deadline_unix_ms, ask).await.flatten();
+        reply.is_some_and(|reply| reply.get_ref().state() == AttemptState::NotRun)
+    }
+}
+
 /// Submits the request to the agent and waits until its answer begins.
 ///
 /// # Errors
 /// A refusal that says truly whether the upstream may have executed it.
 pub async fn submit(
     router: &Router,
-    peer: &Rc<Peer>,
+    tracked: &Tracked,
     request: &CallerRequest,
     generation: u64,
 ) -> Result<Answering, Refusal> {
-    let life = peer.life.borrow().clone();
-    let message = message(router, request, &life, generation);
-    let attempt = message.attempt_id.clone();
-    let lost = |detail: String| Refusal::not_run(RefusalReason::ConnectionLost, detail);
-    let channel = peer
-        .connection
-        .channel()
-        .await
-        .map_err(|error| lost(error.to_string()))?;
+    let peer = &tracked.peer;
+    let message = message(router, request, tracked, generation);
+    let lost = |detail: String| Refusal::unknown(RefusalReason::ConnectionLost, detail);
+    let settle = async |refusal| {
+        tracked
+            .settle(router, refusal, request.deadline_unix_ms)
+            .await
+    };
+    let channel = match peer.connection.channel().await {
+        Ok(channel) => channel,
+        Err(error) => return Err(settle(lost(error.to_string())).await),
+    };
     let origin = channel.origin();
     let mut client = AgentClient::with_origin(channel, origin);
-    let submitted = client.submit(message).await;
-    let events = match submitted {
+    tracked.sent.set(true);
+    let events = match client.submit(message).await {
         Ok(response) => response.into_inner(),
-        Err(status) => {
-            let refusal =
-                Refusal::unknown(RefusalReason::ConnectionLost, status.message().to_owned());
-            return Err(settle(router, peer, &attempt, &life, refusal).await);
-        }
+        Err(status) => return Err(settle(lost(status.message().to_owned())).await),
     };
     peer.outstanding.set(peer.outstanding.get() + 1);
     let mut rest = AnswerStream {
@@ -129,7 +188,10 @@
     let mut cold_start_ms = 0;
     loop {
         match rest.step().await {
-            Ok(Step::Started(started)) => cold_start_ms = started.cold_start_ms,
+            Ok(Step::Started(started)) => {
+                tracked.started.set(true);
+                cold_start_ms = started.cold_start_ms;
+            }
             Ok(Step::Head(head)) => {
                 return Ok(Answering {
                     head,
@@ -139,46 +201,17 @@
             }
             Ok(Step::Refused(refused)) => return Err(read_refusal(&refused)),
             Ok(_) => {}
-            Err(refusal) => return Err(settle(router, peer, &attempt, &life, refusal).await),
+            Err(refusal) => return Err(settle(refusal).await),
         }
     }
 }
 
-/// Asks the agent what became of an attempt that was lost sight of, so that "not run" is said
-/// where it is true.
-async fn settle(
+fn message(
     router: &Router,
-    peer: &Peer,
-    attempt: &str,
-    life: &str,
-    refusal: Refusal,
-) -> Refusal {
-    let ask = async {
-        let channel = peer.connection.channel().await.ok()?;
-        let origin = channel.origin();
-        let request = SettleRequest {
-            stamp: router.node.stamp(),
-            attempt_id: attempt.to_owned(),
-            agent_life: life.to_owned(),
-        };
-        AgentClient::with_origin(channel, origin)
-            .settle(request)
-            .await
-            .ok()
-    };
-    match before_deadline(now_unix_ms() + SETTLE_TIMEOUT_MS, ask)
-        .await
-        .flatten()
-    {
-        Some(reply) if reply.get_ref().state() == AttemptState::NotRun => Refusal {
-            run: RunState::NotRun,
-            ..refusal
-        },
-        _ => refusal,
-    }
-}
-
-fn message(router: &Router, request: &CallerRequest, life: &str, generation: u64) -> SubmitRequest {
+    request: &CallerRequest,
+    tracked: &Tracked,
+    generation: u64,
+) -> SubmitRequest {
     let (model, adapter, service) = match &request.target {
         Target::Model(model) => (
             model.base.to_string(),
@@ -190,7 +223,7 @@
     SubmitRequest {
         stamp: router.node.stamp(),
         request_id: request.id.to_string(),
-        attempt_id: AttemptId::random().to_string(),
+        attempt_id: tracked.attempt.to_string(),
         firm: request.firm.to_string(),
         kind: request.kind.to_string(),
         model,
@@ -208,7 +241,7 @@
         placement_generation: generation,
         hops: 0,
         fingerprint: request.fingerprint,
-        agent_life: life.to_owned(),
+        agent_life: tracked.life.clone(),
     }
 }
 
--- a/crates/celerystair_router/src/caller_request.rs
+++ b/crates/celerystair_router/src/caller_request.rs
@@ -12,6 +12,8 @@
 const KIND: &str = "celerystair-kind";
 const TIMEOUT: &str = "request-timeout-ms";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The journal keeps keys as they are.
+const KEY_MAX_BYTES: usize = 255;
 
 /// What a request is for.
 #[derive(Clone, Debug)]
@@ -49,6 +51,8 @@
     pub idempotency_key: String,
     /// Its weight among others that wait.
     pub weight: u32,
+    /// Retries that this request earns, in percent of one.
+    pub retry_budget_percent: u32,
     /// Whether the answer is to be streamed.
     pub stream: bool,
     /// A hash of what the upstream will execute.
@@ -108,6 +112,10 @@
         let detail = "a call that may not be repeated needs an Idempotency-Key";
         return Err(Refusal::not_run(RefusalReason::KeyRequired, detail));
     }
+    if request.idempotency_key.len() > KEY_MAX_BYTES {
+        let detail = format!("an Idempotency-Key has at most {KEY_MAX_BYTES} bytes");
+        return Err(Refusal::not_run(RefusalReason::BadRequest, detail));
+    }
     Ok(request)
 }
 
@@ -139,7 +147,7 @@
         return Err(Refusal::not_run(RefusalReason::DeadlinePast, detail));
     }
     let mut identity = parts.method.as_str().as_bytes().to_vec();
-    identity.extend_from_slice(parts.uri.path().as_bytes());
+    identity.extend_from_slice(parts.uri.to_string().as_bytes());
     identity.extend_from_slice(&body);
     Ok(CallerRequest {
         id: id.clone(),
@@ -153,6 +161,7 @@
         idempotent: false,
         idempotency_key: header(&parts.headers, IDEMPOTENCY_KEY).to_owned(),
         weight: limits.kind_weight,
+        retry_budget_percent: limits.retry_budget_percent,
         stream: false,
         fingerprint: fingerprint(&identity),
         body,
--- a/crates/celerystair_router/src/lib.rs
+++ b/crates/celerystair_router/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`caller_request`] | reading a caller's request |
 //! | [`callers`] | the paths that callers use |
 //! | [`peers`] | agents: connections, and what was last heard of them |
+//! | [`retry_budget`] | a bound on retries |
 //! | [`router`] | the router's state, its start and its planned stop |
 //! | [`select`] | which upstream gets the next attempt |
 //! | [`serve`] | the life of one request over all its attempts |
@@ -16,6 +17,7 @@
 pub mod caller_request;
 pub mod callers;
 pub mod peers;
+pub mod retry_budget;
 pub mod router;
 pub mod select;
 pub mod serve;
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -10,7 +10,7 @@
 use celerystair_protocol::peer_server::PeerServer;
 use celerystair_telemetry::prelude::*;
 
-use crate::{callers::answer_caller, peers::Peers};
+use crate::{callers::answer_caller, peers::Peers, retry_budget::RetryBudget};
 
 /// A router; cheap to clone within its thread.
 #[derive(Clone)]
@@ -26,6 +26,8 @@
     pub settings: RouterSettings,
     /// The agents that it talks to.
     pub peers: Peers,
+    /// Retries that may still be made.
+    pub retry_budget: RetryBudget,
 }
 
 impl std::ops::Deref for Router {
@@ -67,6 +69,7 @@
             node,
             settings,
             peers: Peers::default(),
+            retry_budget: RetryBudget::default(),
         }),
     };
     compio::runtime::spawn(propose_placements(router.node.clone())).detach();
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, rendezvous::weight};
+use celerystair_journal::prelude::*;
 use celerystair_placement::prelude::*;
 use celerystair_platform::prelude::InstanceState;
 use celerystair_protocol::ReplicaState;
@@ -63,13 +64,31 @@
         Target::Model(model) => model.to_string(),
         Target::Service(_) => request.id.to_string(),
     };
-    let index = choose(&candidates, &affinity, now_unix_ms())?;
+    let index = if request.idempotent {
+        choose(&candidates, &affinity, now_unix_ms())?
+    } else {
+        choose_for_key(&candidates, request)?
+    };
     Some(Chosen {
         peer: peers.swap_remove(index),
         generation,
     })
 }
 
+/// The upstream for a call that may not be repeated: keys of one shard of the journal go to one
+/// upstream, whose agent writes many of them at once. Safety does not rest on it.
+fn choose_for_key(candidates: &[Candidate], request: &CallerRequest) -> Option<usize> {
+    let key = CallKey {
+        firm: request.firm.clone(),
+        key: request.idempotency_key.clone(),
+    };
+    let shard = shard_of(&key).to_string();
+    let staying = candidates.iter().enumerate().filter(|(_, c)| !c.leaving);
+    staying
+        .max_by_key(|(_, candidate)| weight(&shard, &candidate.upstream))
+        .map(|(index, _)| index)
+}
+
 /// The upstreams that may serve the target: the holders of a model's slots, or a service's pool.
 fn upstreams_of(router: &Router, target: &Target) -> (Vec<UpstreamId>, u64) {
     match target {
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -1,14 +1,17 @@
 //! The life of one request over all its attempts.
 
 use bytes::{Bytes, BytesMut};
-use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_core::{
+    prelude::*,
+    time::{before_deadline, left_ms},
+};
 use celerystair_net::prelude::*;
 use celerystair_protocol::Head;
 use celerystair_telemetry::{metrics::label, prelude::*};
 
 use crate::{
-    answer::refusal_response,
-    attempt::{AnswerStream, Answering, submit},
+    answer::{error_event, refusal_response},
+    attempt::{AnswerStream, Answering, Tracked, submit},
     caller_request::{CallerRequest, Target},
     router::Router,
     select::{Chosen, choose_peer},
@@ -56,8 +59,10 @@
 /// Tries upstreams until an answer has begun, or is whole if it is not streamed.
 async fn begin(router: &Router, request: &CallerRequest) -> Result<HttpResponse, Refusal> {
     let mut tried: HashSet<UpstreamId> = HashSet::default();
-    let mut last = None;
-    for _ in 0..ATTEMPTS_MAX {
+    let mut attempts = 0;
+    let mut last: Option<Refusal> = None;
+    router.retry_budget.earn(request.retry_budget_percent);
+    while attempts < ATTEMPTS_MAX && left_ms(request.deadline_unix_ms) > answer_margin_ms(router) {
         let Some(chosen) = choose_peer(router, request, &tried) else {
             if tried.is_empty() {
                 break;
@@ -66,56 +71,81 @@
             sleep_ms(RETRY_INTERVAL_MS).await;
             continue;
         };
+        if last
+            .as_ref()
+            .is_some_and(|last| costs_budget(last) && !router.retry_budget.take())
+        {
+            break;
+        }
+        attempts += 1;
         tried.insert(chosen.peer.upstream.clone());
-        record(
-            router,
-            request,
-            "upstream_chosen",
-            &chosen.peer.upstream,
-            String::new(),
-        );
+        let upstream = &chosen.peer.upstream;
+        record(router, request, "upstream_chosen", upstream, String::new());
         match answer_from(router, request, &chosen).await {
             Ok(response) => return Ok(response),
-            Err(refusal) if may_retry(request, &refusal) => last = Some(refusal),
-            Err(refusal) => return Err(refusal),
+            Err(refusal) => {
+                let may_retry = may_retry(request, &refusal);
+                // Of a request with several attempts, none may have run for "not run" to be true.
+                let may_have_run = last.is_some_and(|last| last.run == RunState::Unknown);
+                last = Some(Refusal {
+                    run: if may_have_run {
+                        RunState::Unknown
+                    } else {
+                        refusal.run
+                    },
+                    ..refusal
+                });
+                if !may_retry {
+                    break;
+                }
+            }
         }
     }
     Err(last.unwrap_or_else(|| {
-        Refusal::not_run(
-            RefusalReason::NoUpstream,
-            "no upstream can serve the request now",
-        )
-        .retry_after(1000)
+        let detail = "no upstream can serve the request now";
+        Refusal::not_run(RefusalReason::NoUpstream, detail)
     }))
 }
 
+/// Kept from a request's time for the way back to the caller.
+fn answer_margin_ms(router: &Router) -> u64 {
+    router.settings.answer_margin_ms
+}
+
 async fn answer_from(
     router: &Router,
     request: &CallerRequest,
     chosen: &Chosen,
 ) -> Result<HttpResponse, Refusal> {
-    let deadline_unix_ms = request.deadline_unix_ms - router.settings.answer_margin_ms / 2;
+    let margin_ms = answer_margin_ms(router);
+    let tracked = Tracked::new(&chosen.peer);
     let work = async {
-        let answering = submit(router, &chosen.peer, request, chosen.generation).await?;
-        if request.stream {
-            return Ok(streamed(answering, request.deadline_unix_ms));
-        }
         let Answering {
             head,
             cold_start_ms,
             mut rest,
-        } = answering;
-        let body = collect(&mut rest).await?;
-        Ok(response(&head, cold_start_ms, HttpBody::full(body)))
+        } = submit(router, &tracked, request, chosen.generation).await?;
+        if !request.stream {
+            let body = collect(&mut rest).await?;
+            return Ok(response(&head, cold_start_ms, HttpBody::full(body)));
+        }
+        // Until the first chunk has come, the request can still be tried elsewhere.
+        let first = rest.next().await?;
+        let body = streamed(&head, first, rest, request.deadline_unix_ms - margin_ms / 4);
+        Ok(response(&head, cold_start_ms, body))
     };
-    before_deadline(deadline_unix_ms, work)
-        .await
-        .unwrap_or_else(|| {
-            let detail = "the upstream did not answer before the deadline";
-            Err(Refusal::unknown(RefusalReason::DeadlineExceeded, detail))
-        })
+    let outcome = before_deadline(request.deadline_unix_ms - margin_ms / 2, work).await;
+    if let Some(outcome) = outcome {
+        return outcome;
+    }
+    let detail = "the upstream did not answer before the deadline";
+    let refusal = Refusal::unknown(RefusalReason::DeadlineExceeded, detail);
+    let deadline_unix_ms = request.deadline_unix_ms - margin_ms / 4;
+    Err(tracked.settle(router, refusal, deadline_unix_ms).await)
 }
 
+/// Whether another attempt may come to something better. The journal keeps a call that may not
+/// be repeated from running twice, so one that was lost sight of is sent on for its outcome.
 fn may_retry(request: &CallerRequest, refusal: &Refusal) -> bool {
     let elsewhere = matches!(
         refusal.reason,
@@ -129,7 +159,19 @@
             | RefusalReason::UpstreamFailed
             | RefusalReason::StoreUnavailable
     );
-    elsewhere && (refusal.run == RunState::NotRun || request.idempotent)
+    let may_run_again = refusal.run == RunState::NotRun
+        || request.idempotent
+        || refusal.reason == RefusalReason::ConnectionLost;
+    elsewhere && may_run_again
+}
+
+/// Whether a retry after this refusal adds load: an agent that never queued the request, because
+/// it is leaving or holds no slot, did no work for it.
+fn costs_budget(refusal: &Refusal) -> bool {
+    !matches!(
+        refusal.reason,
+        RefusalReason::Leaving | RefusalReason::NotHere
+    )
 }
 
 async fn collect(rest: &mut AnswerStream) -> Result<Bytes, Refusal> {
@@ -141,31 +183,49 @@
 }
 
 /// An answer that is passed on as it comes; a cut aborts the caller's connection.
-fn streamed(answering: Answering, deadline_unix_ms: u64) -> HttpResponse {
-    let Answering {
-        head,
-        cold_start_ms,
-        mut rest,
-    } = answering;
+fn streamed(
+    head: &Head,
+    first: Option<Bytes>,
+    mut rest: AnswerStream,
+    deadline_unix_ms: u64,
+) -> HttpBody {
     let (chunks, body) = async_channel::bounded(CHUNKS_MAX);
+    let is_event_stream = head.content_type.starts_with("text/event-stream");
     compio::runtime::spawn(async move {
+        let mut next = Ok(first);
         loop {
-            let next = before_deadline(deadline_unix_ms, rest.next()).await;
-            let sent = match next {
-                Some(Ok(Some(chunk))) => chunks.send(Ok(chunk)).await,
-                Some(Ok(None)) => return,
-                Some(Err(_)) | None => {
-                    chunks.send(Err(BodyError)).await.ok();
-                    return;
+            match next {
+                Ok(Some(chunk)) => {
+                    if chunks.send(Ok(chunk)).await.is_err() {
+                        return;
+                    }
                 }
-            };
-            if sent.is_err() {
-                return;
+                Ok(None) => return,
+                Err(refusal) => return cut(&chunks, &refusal, is_event_stream).await,
             }
+            next = before_deadline(deadline_unix_ms, rest.next())
+                .await
+                .unwrap_or_else(|| {
+                    let detail = "the answer was not whole at the deadline";
+                    Err(Refusal::unknown(RefusalReason::DeadlineExceeded, detail))
+                });
         }
     })
     .detach();
-    response(&head, cold_start_ms, HttpBody::chunks(body))
+    HttpBody::chunks(body)
+}
+
+/// Ends an answer that is not whole, so that its caller can see it: by an error event where the
+/// answer is a stream of events, and in any case by a cut connection.
+async fn cut(
+    chunks: &async_channel::Sender<Result<Bytes, BodyError>>,
+    refusal: &Refusal,
+    is_event_stream: bool,
+) {
+    if is_event_stream {
+        chunks.send(Ok(error_event(refusal))).await.ok();
+    }
+    chunks.send(Err(BodyError)).await.ok();
 }
 
 fn response(head: &Head, cold_start_ms: u64, body: HttpBody) -> HttpResponse {
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -169,7 +169,7 @@
     }
 }
 
-async fn seed(store: &Store, settings: &TrialSettings) -> Result<(), StoreError> {
+pub(crate) async fn seed(store: &Store, settings: &TrialSettings) -> Result<(), StoreError> {
     for (name, model) in settings.model_objects() {
         let key = format!("{MODELS}{name}");
         store
@@ -197,7 +197,7 @@
     Ok(())
 }
 
-async fn wait_for(store: &Store, prefix: &str, count: usize) -> Result<(), FleetError> {
+pub(crate) async fn wait_for(store: &Store, prefix: &str, count: usize) -> Result<(), FleetError> {
     let deadline_unix_ms = now_unix_ms() + READY_TIMEOUT_MS;
     loop {
         let found = store.list(prefix).await?.objects.len();
@@ -213,7 +213,7 @@
     }
 }
 
-fn start_platform(settings: &TrialSettings) -> Result<(RoleThread, String), FleetError> {
+pub(crate) fn start_platform(settings: &TrialSettings) -> Result<(RoleThread, String), FleetError> {
     let platform = settings.platform.clone();
     let (role, address) = RoleThread::spawn("platform", &Stop::new(), |stop| async move {
         Ok::<_, FleetError>(run_platform(platform, &stop)?)
@@ -221,7 +221,7 @@
     Ok((role, format!("http://{address}")))
 }
 
-fn start_weights(settings: &TrialSettings) -> Result<(RoleThread, String), FleetError> {
+pub(crate) fn start_weights(settings: &TrialSettings) -> Result<(RoleThread, String), FleetError> {
     let weights = settings.weights.clone();
     let (role, address) = RoleThread::spawn("weights", &Stop::new(), |stop| async move {
         Ok::<_, FleetError>(run_weights(weights, &stop)?)
@@ -229,7 +229,7 @@
     Ok((role, format!("http://{address}")))
 }
 
-fn plan_upstreams(settings: &TrialSettings) -> Vec<FleetUpstream> {
+pub(crate) fn plan_upstreams(settings: &TrialSettings) -> Vec<FleetUpstream> {
     let mut planned = Vec::new();
     for pool in &settings.pools {
         for number in 0..pool.upstreams {
@@ -255,7 +255,7 @@
     spread
 }
 
-fn start_standins(
+pub(crate) fn start_standins(
     thread: usize,
     planned: Vec<FleetUpstream>,
     weights_url: String,
--- a/crates/celerystair_trial/src/lib.rs
+++ b/crates/celerystair_trial/src/lib.rs
@@ -4,7 +4,10 @@
 //! |---|---|
 //! | [`caller`] | a caller that knows what its own answer must look like |
 //! | [`checks`] | what must always hold, checked against what the stand-ins saw |
+//! | [`faults`] | a fleet whose agents and routers are killed, paused and restarted one at a time |
 //! | [`fleet`] | starting and stopping all roles and stand-ins |
+//! | [`fuzz`] | random requests and faults, and the oracle |
+//! | [`fuzz_plan`] | the steps of a fuzzed trial |
 //! | [`settings`] | settings of a trial |
 //! | [`tally`] | what callers received |
 //! | [`threads`] | roles on threads with a runtime each |
@@ -12,7 +15,10 @@
 
 pub mod caller;
 pub mod checks;
+pub mod faults;
 pub mod fleet;
+pub mod fuzz;
+pub mod fuzz_plan;
 pub mod settings;
 pub mod tally;
 pub mod threads;
@@ -23,6 +29,7 @@
     pub use crate::{
         caller::{Call, Caller, Outcome},
         checks::{Violation, check},
+        faults::FaultFleet,
         fleet::{Fleet, FleetError},
         settings::{PoolKind, TrialSettings},
         tally::Tally,
