--- a/crates/celerystair_agent/src/keyed.rs
+++ b/crates/celerystair_agent/src/keyed.rs
@@ -17,6 +17,7 @@
 use crate::{
     agent::Agent,
     answer::{ANSWER_MARGIN_MS, Events, send},
+    attempts::AttemptPhase,
     keyed_run::execute,
 };
 
@@ -52,6 +53,10 @@
         self.ended.notify(usize::MAX);
     }
 
+    fn has_ended(&self) -> bool {
+        self.outcome.borrow().is_some()
+    }
+
     /// The outcome, once there is one.
     async fn outcome(&self) -> KeyedOutcome {
         loop {
@@ -161,7 +166,13 @@
     while now_unix_ms() < deadline_unix_ms {
         let Some(run) = agent.keyed_runs.get(&key) else {
             let run = begin(agent, request, key)?;
-            return wait_for(&run, deadline_unix_ms).await;
+            let outcome = wait_for(&run, deadline_unix_ms).await;
+            let gave_up = outcome.is_err() && !run.has_ended();
+            return if gave_up && agent.attempts.settle(id) == AttemptPhase::NotRun {
+                Err(too_late())
+            } else {
+                outcome
+            };
         };
         if run.fingerprint != request.fingerprint {
             return Err(key_reused());
@@ -174,8 +185,7 @@
             outcome => return outcome,
         }
     }
-    let detail = "the deadline came before the call was started";
-    Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail))
+    Err(too_late())
 }
 
 /// Begins a run, unless there is no room for it.
@@ -209,6 +219,12 @@
     }
 }
 
+/// The refusal of a call that was not started in time.
+pub fn too_late() -> Refusal {
+    let detail = "the deadline came before the call was started";
+    Refusal::not_run(RefusalReason::DeadlineExceeded, detail)
+}
+
 /// The refusal of another request under a key that is known.
 pub fn key_reused() -> Refusal {
     let detail = "the key was used for another request";
--- a/crates/celerystair_agent/src/keyed_run.rs
+++ b/crates/celerystair_agent/src/keyed_run.rs
@@ -18,7 +18,7 @@
     attempts::AttemptPhase,
     keyed::{
         KeyedAnswer, KeyedOutcome, KeyedRun, RETRY_AFTER_MS, key_reused, outcome_unknown,
-        queue_max, still_running,
+        queue_max, still_running, too_late,
     },
     queue::RunPermit,
     upstream::call_upstream,
@@ -32,10 +32,17 @@
 /// The largest answer of a call that may not be repeated.
 const ANSWER_MAX_BYTES: usize = 8 << 20;
 
+/// Until when the call must have been started; those who wait for it learn in time why it wasn't.
+fn start_deadline_unix_ms(request: &SubmitRequest) -> u64 {
+    request
+        .deadline_unix_ms
+        .saturating_sub(2 * ANSWER_MARGIN_MS)
+}
+
 /// Runs the call, or finds out what became of it, and ends `run` with its outcome.
 pub async fn execute(agent: &Agent, request: &SubmitRequest, key: &CallKey, run: &KeyedRun) {
     let id = AttemptId::from(request.attempt_id.as_str());
-    let deadline_unix_ms = request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let deadline_unix_ms = start_deadline_unix_ms(request);
     let elsewhere = loop {
         match claim(agent, request, &id, key, deadline_unix_ms).await {
             Ok(Claimed::Granted) => return execute_claimed(agent, request, key, run, &id).await,
@@ -205,15 +212,14 @@
     request: &SubmitRequest,
     id: &AttemptId,
 ) -> Result<RunPermit, Refusal> {
-    let deadline_unix_ms = request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let deadline_unix_ms = start_deadline_unix_ms(request);
     let enter = agent
         .queue
         .enter(request.priority, deadline_unix_ms, queue_max(agent));
     let permit = unless_cancelled(agent, id, enter).await??;
     if now_unix_ms() >= deadline_unix_ms {
         // After a pause of the process, the journal may have forgotten the key.
-        let detail = "the deadline came before the call was started";
-        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail));
+        return Err(too_late());
     }
     if agent.attempts.start(id) {
         Ok(permit)
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -85,16 +85,7 @@
             Ok(response) => return Ok(response),
             Err(refusal) => {
                 let may_retry = may_retry(request, &refusal);
-                // Of a request with several attempts, none may have run for "not run" to be true.
-                let may_have_run = last.is_some_and(|last| last.run == RunState::Unknown);
-                last = Some(Refusal {
-                    run: if may_have_run {
-                        RunState::Unknown
-                    } else {
-                        refusal.run
-                    },
-                    ..refusal
-                });
+                last = Some(merge(last, refusal));
                 if !may_retry {
                     break;
                 }
@@ -107,6 +98,25 @@
     }))
 }
 
+/// The refusal of a request after one more attempt: "not run" only if no attempt may have run,
+/// and the earlier reason where the later is only that time ran out.
+fn merge(earlier: Option<Refusal>, later: Refusal) -> Refusal {
+    let Some(earlier) = earlier else {
+        return later;
+    };
+    let run = if earlier.run == RunState::Unknown {
+        RunState::Unknown
+    } else {
+        later.run
+    };
+    let cause = if later.reason == RefusalReason::DeadlineExceeded {
+        earlier
+    } else {
+        later
+    };
+    Refusal { run, ..cause }
+}
+
 /// Kept from a request's time for the way back to the caller.
 fn answer_margin_ms(router: &Router) -> u64 {
     router.settings.answer_margin_ms
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub use celerystair_agent as agent;
 pub use celerystair_config as config;
 pub use celerystair_core as core;
+pub use celerystair_journal as journal;
 pub use celerystair_net as net;
 pub use celerystair_node as node;
 pub use celerystair_placement as placement;
--- a/tests/fuzz_requests.rs
+++ b/tests/fuzz_requests.rs
@@ -9,15 +9,16 @@
 mod support;
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use arbtest::arbitrary::{Result, Unstructured};
 use celerystair::trial::{
     caller::Outcome,
-    fuzz::{FuzzResult, run_steps},
-    fuzz_plan::draw_steps,
+    fuzz::{FuzzResult, Heard, run_steps},
+    fuzz_plan::{PlannedTarget, draw_steps},
 };
 use requests::requests_trial;
 use support::block_on;
@@ -71,21 +72,21 @@
         return;
     };
     let budget = Duration::from_millis(budget_ms.parse().expect("a number of milliseconds"));
-    let (trials, calls, answered) = (Cell::new(0_u64), Cell::new(0_u64), Cell::new(0_u64));
+    let (trials, calls) = (Cell::new(0_u64), Cell::new(0_u64));
+    let outcomes = RefCell::new(BTreeMap::<String, u64>::new());
     let start = Instant::now();
     arbtest::arbtest(|source| {
         let result = trial(source)?;
         check(&result);
         trials.set(trials.get() + 1);
         calls.set(calls.get() + result.heard.len() as u64);
-        let whole = result.heard.iter();
-        let whole = whole.filter(|heard| heard.outcome == Some(Outcome::Answered));
-        answered.set(answered.get() + whole.count() as u64);
+        for heard in &result.heard {
+            *outcomes.borrow_mut().entry(name_of(heard)).or_default() += 1;
+        }
         println!(
-            "{} trials, {} calls, {} answered, no violation, after {} s",
+            "{} trials, {} calls, no violation, after {} s",
             trials.get(),
             calls.get(),
-            answered.get(),
             start.elapsed().as_secs()
         );
         Ok(())
@@ -93,4 +94,24 @@
     .size_min(SIZE_BYTES)
     .size_max(SIZE_BYTES)
     .budget(budget);
+    println!("{:#?}", outcomes.borrow());
+}
+
+/// What kind of call it was, and what came of it.
+fn name_of(heard: &Heard) -> String {
+    let target = match heard.target {
+        PlannedTarget::Keyed(_) => "keyed",
+        PlannedTarget::Completion { .. } => "completion",
+        PlannedTarget::Poison => "poison",
+    };
+    match &heard.outcome {
+        None => format!("{target}: caller left"),
+        Some(Outcome::Answered) => format!("{target}: answered"),
+        Some(Outcome::Refused { reason, run }) => {
+            format!("{target}: {} ({})", reason.as_str(), run.as_str())
+        }
+        Some(Outcome::Cut) => format!("{target}: cut visibly"),
+        Some(Outcome::Wrong(_)) => format!("{target}: wrong"),
+        Some(Outcome::Lost(_)) => format!("{target}: its router was killed"),
+    }
 }
