--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -15,8 +15,8 @@
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    attempts::Attempts, claim, engine::EngineClient, grpc::AgentService, idle, keyed::KeyedRuns,
-    ledger::MemoryLedger, queue::RunQueue, replicas, replicas::Replicas,
+    attempts::Attempts, claim, crashes::Crashes, engine::EngineClient, grpc::AgentService, idle,
+    keyed::KeyedRuns, ledger::MemoryLedger, queue::RunQueue, replicas, replicas::Replicas,
 };
 
 /// How often the engine is asked for its state before it first answers.
@@ -56,6 +56,8 @@
     pub journal: Journal,
     /// Calls under such keys that run here.
     pub keyed_runs: KeyedRuns,
+    /// Whether the upstream is away after a crash.
+    pub crashes: Crashes,
 }
 
 impl std::ops::Deref for Agent {
@@ -104,6 +106,7 @@
             attempts: Attempts::default(),
             journal: Journal::new(&node.store),
             keyed_runs: KeyedRuns::default(),
+            crashes: Crashes::default(),
             settings,
             node,
         }),
--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -18,9 +18,10 @@
 use crate::{
     agent::Agent,
     attempts::AttemptPhase,
+    crashes,
     keyed::serve_keyed,
     news::news,
-    queue::RunPermit,
+    queue::{AlonePermit, RunPermit},
     replicas::{ReplicaUse, use_adapter, use_replica},
     upstream::{UpstreamError, call_upstream},
 };
@@ -34,10 +35,16 @@
 /// What an attempt holds while it runs.
 struct Turn {
     cold_start_ms: u64,
-    _permit: RunPermit,
+    _permit: Permit,
     _replica: Option<ReplicaUse>,
 }
 
+/// A turn, with others or alone.
+enum Permit {
+    Alone(#[expect(dead_code, reason = "held until the attempt ends")] AlonePermit),
+    Shared(#[expect(dead_code, reason = "held until the attempt ends")] RunPermit),
+}
+
 /// Carries out one attempt and tells the router of each step.
 pub async fn serve_attempt(agent: &Agent, request: &SubmitRequest, events: &Events) {
     let id = AttemptId::from(request.attempt_id.as_str());
@@ -99,6 +106,10 @@
             }
         }
     };
+    if agent.crashes.is_away() {
+        let detail = "the engine has crashed and is not back yet";
+        return Err(Refusal::not_run(RefusalReason::UpstreamFailed, detail));
+    }
     if !agent.attempts.start(id) {
         return Err(Refusal::not_run(
             RefusalReason::Cancelled,
@@ -115,11 +126,23 @@
         }),
     )
     .await;
-    let pass = pin!(pass_on(agent, request, events));
-    let gone = pin!(events.closed());
-    let outcome = match select(pass, gone).await {
-        Either::Left((outcome, _)) => outcome,
-        Either::Right(_) => Ok(()),
+    let outcome = {
+        let pass = pin!(pass_on(agent, request, events));
+        match select(pass, pin!(events.closed())).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(_) => return Ok(()),
+        }
+    };
+    let outcome = match outcome {
+        Ok(()) => {
+            crashes::finished(agent, request);
+            Ok(())
+        }
+        // The turn is kept meanwhile: whoever got it now would be cut off by the same crash.
+        Err(refusal) if refusal.run == RunState::Unknown => {
+            Err(crashes::cut_off(agent, request, id, refusal).await)
+        }
+        Err(refusal) => Err(refusal),
     };
     drop(turn);
     outcome
@@ -187,10 +210,14 @@
     let config = agent.node.config.current();
     let domain = &agent.node.settings.failure_domain;
     let limits = fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms());
-    let permit = agent
-        .queue
-        .enter(request.priority, deadline_unix_ms, limits.queue_max)
-        .await?;
+    let (queue, priority) = (&agent.queue, request.priority);
+    let permit = if request.suspect {
+        let alone = queue.enter_alone(priority, deadline_unix_ms, limits.queue_max);
+        Permit::Alone(alone.await?)
+    } else {
+        let shared = queue.enter(priority, deadline_unix_ms, limits.queue_max);
+        Permit::Shared(shared.await?)
+    };
     Ok(Turn {
         cold_start_ms,
         _permit: permit,
--- /dev/null
+++ b/crates/celerystair_agent/src/crashes.rs
@@ -0,0 +1,94 @@
+//! Crashes of the upstream, and the requests that were running then. See `docs/AT_MOST_ONCE.md`.
+
+use std::cell::Cell;
+
+use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_journal::suspects::{CRASHES_MAX, accuse, clear};
+use celerystair_protocol::SubmitRequest;
+
+use crate::{agent::Agent, answer::record, engine::EngineClient, replicas::drop_lost};
+
+/// How long the refusal of a cut request waits until the suspicion is written.
+const ACCUSE_TIMEOUT_MS: u64 = 500;
+const POLL_INTERVAL_MS: u64 = 50;
+
+/// Whether the engine is away after a crash.
+#[derive(Default)]
+pub struct Crashes {
+    is_away: Cell<bool>,
+}
+
+impl Crashes {
+    /// Whether the engine has crashed and not come back yet; a request that is handed to it now
+    /// is cut off without any part in the crash.
+    pub fn is_away(&self) -> bool {
+        self.is_away.get()
+    }
+}
+
+/// A request was cut off: if its engine has crashed, it becomes a suspect. Gives the refusal.
+pub async fn cut_off(
+    agent: &Agent,
+    request: &SubmitRequest,
+    id: &AttemptId,
+    refusal: Refusal,
+) -> Refusal {
+    let Some(engine) = &agent.engine else {
+        return refusal;
+    };
+    if !has_crashed(engine, &request.model).await {
+        return refusal;
+    }
+    record(agent, request, "upstream_crashed", String::new());
+    if !agent.crashes.is_away.replace(true) {
+        let (agent, engine) = (agent.clone(), engine.clone());
+        compio::runtime::spawn(async move { wait_until_back(&agent, &engine).await }).detach();
+    }
+    let expiry_ms = agent.node.config.current().defaults.suspect_expiry_ms;
+    let now = now_unix_ms();
+    let written = accuse(&agent.node.store, request.fingerprint, id, now + expiry_ms);
+    let crashes = before_deadline(now + ACCUSE_TIMEOUT_MS, written).await;
+    match crashes {
+        Some(Ok(crashes)) if crashes >= CRASHES_MAX => {
+            let detail = format!("{crashes} upstreams crashed while they ran the request");
+            Refusal::unknown(RefusalReason::Suspect, detail)
+        }
+        _ => refusal,
+    }
+}
+
+/// A request has finished: if it was a suspect, it is cleared.
+pub fn finished(agent: &Agent, request: &SubmitRequest) {
+    if !request.suspect {
+        return;
+    }
+    let (agent, fingerprint) = (agent.clone(), request.fingerprint);
+    compio::runtime::spawn(async move {
+        // What is not deleted expires.
+        clear(&agent.node.store, fingerprint).await.ok();
+    })
+    .detach();
+}
+
+/// Whether the engine is away, or is back and has lost the model.
+async fn has_crashed(engine: &EngineClient, model: &str) -> bool {
+    match engine.state().await {
+        Ok(state) => !state
+            .replicas
+            .iter()
+            .any(|r| r.model.as_str() == model && r.loaded),
+        Err(_) => true,
+    }
+}
+
+async fn wait_until_back(agent: &Agent, engine: &EngineClient) {
+    while !agent.node.stop.is_ended() {
+        if let Ok(state) = engine.state().await {
+            // A replica that is no longer there must be loaded again before it serves.
+            drop_lost(agent, &state);
+            break;
+        }
+        sleep_ms(POLL_INTERVAL_MS).await;
+    }
+    agent.crashes.is_away.set(false);
+}
--- a/crates/celerystair_agent/src/lib.rs
+++ b/crates/celerystair_agent/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`answer`] | the life of one attempt, from submission to the last chunk |
 //! | [`attempts`] | what became of each attempt, and tombstones |
 //! | [`claim`] | the agent's claim on its upstream, and fencing numbers |
+//! | [`crashes`] | crashes of the upstream, and the requests that were running then |
 //! | [`engine`] | orders to a model engine |
 //! | [`grpc`] | the service that routers call |
 //! | [`idle`] | unloading replicas that nobody calls |
@@ -21,6 +22,7 @@
 pub mod answer;
 pub mod attempts;
 pub mod claim;
+pub mod crashes;
 pub mod engine;
 pub mod grpc;
 pub mod idle;
--- a/crates/celerystair_agent/src/queue.rs
+++ b/crates/celerystair_agent/src/queue.rs
@@ -24,6 +24,9 @@
     running: Cell<u32>,
     next_number: Cell<u64>,
     mean_service_ms: Cell<f64>,
+    /// A request runs alone, or waits until those that run have ended; no turns are given.
+    held: Cell<bool>,
+    changed: Event,
     waiting: RefCell<BTreeMap<Place, Rc<Waiter>>>,
 }
 
@@ -56,6 +59,8 @@
                 running: Cell::new(0),
                 next_number: Cell::new(0),
                 mean_service_ms: Cell::new(0.0),
+                held: Cell::new(false),
+                changed: Event::new(),
                 waiting: RefCell::default(),
             }),
         }
@@ -97,7 +102,7 @@
         deadline_unix_ms: u64,
         waiting_max: u32,
     ) -> Result<RunPermit, Refusal> {
-        if self.inner.running.get() < self.inner.running_max && self.waiting() == 0 {
+        if self.has_free_turn() {
             return Ok(self.take_turn());
         }
         let number = self.inner.next_number.get();
@@ -143,7 +148,7 @@
         deadline_unix_ms: u64,
         waiting_max: u32,
     ) -> Result<(), Refusal> {
-        if self.inner.running.get() < self.inner.running_max && self.waiting() == 0 {
+        if self.has_free_turn() {
             return Ok(());
         }
         let place = Place {
@@ -154,6 +159,46 @@
         self.refuse_unmeetable(place, waiting_max)
     }
 
+    fn has_free_turn(&self) -> bool {
+        self.inner.running.get() < self.inner.running_max
+            && self.waiting() == 0
+            && !self.inner.held.get()
+    }
+
+    /// Waits for a turn at which nothing else runs, until `deadline_unix_ms`.
+    ///
+    /// # Errors
+    /// As [`RunQueue::enter`].
+    pub async fn enter_alone(
+        &self,
+        priority: u32,
+        deadline_unix_ms: u64,
+        waiting_max: u32,
+    ) -> Result<AlonePermit, Refusal> {
+        let permit = loop {
+            let permit = self.enter(priority, deadline_unix_ms, waiting_max).await?;
+            if !self.inner.held.replace(true) {
+                break AlonePermit { permit };
+            }
+            // Another runs alone; this one waits again until turns are given.
+            drop(permit);
+        };
+        let alone = async {
+            loop {
+                let changed = self.inner.changed.listen();
+                if self.inner.running.get() == 1 {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        if before_deadline(deadline_unix_ms, alone).await.is_none() {
+            let detail = "no turn without others came before the deadline";
+            return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail));
+        }
+        Ok(permit)
+    }
+
     fn refuse_unmeetable(&self, place: Place, waiting_max: u32) -> Result<(), Refusal> {
         let ahead = self.inner.waiting.borrow().range(..place).count() as u32;
         let wait_ms = self.expected_wait_ms(ahead);
@@ -183,16 +228,36 @@
 
     /// Hands a turn that became free to the first who waits.
     fn pass_on(&self) {
-        match self.inner.waiting.borrow_mut().pop_first() {
-            Some((_, waiter)) => {
-                waiter.granted.set(true);
-                waiter.event.notify(1);
-            }
-            None => self.inner.running.set(self.inner.running.get() - 1),
+        self.inner.running.set(self.inner.running.get() - 1);
+        self.inner.changed.notify(usize::MAX);
+        self.grant();
+    }
+
+    /// Gives the free turns to the first who wait.
+    fn grant(&self) {
+        while !self.inner.held.get() && self.inner.running.get() < self.inner.running_max {
+            let Some((_, waiter)) = self.inner.waiting.borrow_mut().pop_first() else {
+                return;
+            };
+            self.inner.running.set(self.inner.running.get() + 1);
+            waiter.granted.set(true);
+            waiter.event.notify(1);
         }
     }
 }
 
+/// A turn at which nothing else runs; it ends when this is dropped.
+pub struct AlonePermit {
+    permit: RunPermit,
+}
+
+impl Drop for AlonePermit {
+    fn drop(&mut self) {
+        // The turn itself ends after this, and then gives the others theirs.
+        self.permit.queue.inner.held.set(false);
+    }
+}
+
 impl Drop for RunPermit {
     fn drop(&mut self) {
         let served_ms = (now_unix_ms() - self.started_unix_ms) as f64;
--- a/crates/celerystair_journal/src/suspects.rs
+++ b/crates/celerystair_journal/src/suspects.rs
@@ -39,7 +39,7 @@
     format!("{fingerprint:016x}")
 }
 
-/// Counts a crash against the request.
+/// Counts a crash against the request; gives the crashes counted so far.
 ///
 /// # Errors
 /// [`StoreError`] if it could not be written.
@@ -48,9 +48,9 @@
     fingerprint: u64,
     attempt: &AttemptId,
     expires_unix_ms: u64,
-) -> Result<(), StoreError> {
+) -> Result<u32, StoreError> {
     let key = format!("{SUSPECTS}{}", suspect_name(fingerprint));
-    let mut last = Ok(());
+    let mut last = Ok(0);
     for _ in 0..TRIES_MAX {
         last = try_accuse(store, &key, attempt, expires_unix_ms).await;
         if last.is_ok() {
@@ -65,7 +65,7 @@
     key: &str,
     attempt: &AttemptId,
     expires_unix_ms: u64,
-) -> Result<(), StoreError> {
+) -> Result<u32, StoreError> {
     let found = store.get(key).await?;
     let (expected, mut suspect) = match &found {
         Some(object) => (
@@ -75,7 +75,7 @@
         None => (Expected::Absent, SuspectObject::default()),
     };
     if suspect.attempts.contains(attempt) {
-        return Ok(());
+        return Ok(suspect.crashes);
     }
     if !suspect.holds_at(now_unix_ms()) {
         suspect = SuspectObject::default();
@@ -86,7 +86,7 @@
     store
         .put(key, &suspect, expected, CallPriority::Urgent)
         .await?;
-    Ok(())
+    Ok(suspect.crashes)
 }
 
 /// Clears a request that has finished without a crash, unless it is refused already.
--- /dev/null
+++ b/crates/celerystair_router/src/admission.rs
@@ -0,0 +1,112 @@
+//! Which requests are taken on when there are more than the upstreams can serve: shed by the
+//! weight of their kind, then fairly between firms, before anything is queued. See
+//! `docs/OVERLOAD.md`.
+
+use std::{cell::RefCell, rc::Rc};
+
+use celerystair_core::{prelude::*, time::left_ms};
+
+use crate::{caller_request::CallerRequest, router::Router};
+
+/// Share of its time that a request of the least weight may be expected to wait.
+const LEAST_SHARE: f64 = 0.25;
+/// Share of its time that a request of the greatest weight may be expected to wait.
+const GREATEST_SHARE: f64 = 0.8;
+/// A firm with this many times its fair part of this router's requests is shed sooner.
+const UNFAIR: f64 = 1.5;
+/// By how much sooner.
+const UNFAIR_SHARE: f64 = 0.5;
+
+/// The requests that a router has now.
+#[derive(Default)]
+pub struct Admission {
+    by_firm: RefCell<HashMap<FirmName, u32>>,
+    by_weight: RefCell<HashMap<u32, u32>>,
+}
+
+/// A request that was taken on; it is counted until this is dropped.
+pub struct Admitted {
+    router: Router,
+    firm: FirmName,
+    weight: u32,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let admission = &self.router.admission;
+        count_down(&mut admission.by_firm.borrow_mut(), &self.firm);
+        count_down(&mut admission.by_weight.borrow_mut(), &self.weight);
+    }
+}
+
+fn count_down<K: Eq + std::hash::Hash>(counts: &mut HashMap<K, u32>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
+
+/// Takes the request on, or sheds it.
+///
+/// # Errors
+/// [`RefusalReason::FirmLimit`] or [`RefusalReason::Overloaded`], not run, at once.
+pub fn admit(router: &Router, request: &CallerRequest) -> Result<Rc<Admitted>, Refusal> {
+    let admission = &router.admission;
+    let firm_requests = admission.by_firm.borrow().get(&request.firm).copied();
+    let firm_requests = firm_requests.unwrap_or_default();
+    if request.firm_requests_max > 0 && firm_requests >= request.firm_requests_max {
+        let detail = format!("the firm has {firm_requests} requests here");
+        return Err(Refusal::not_run(RefusalReason::FirmLimit, detail));
+    }
+    let firm = request.firm.clone();
+    *admission.by_firm.borrow_mut().entry(firm).or_default() += 1;
+    let mut by_weight = admission.by_weight.borrow_mut();
+    *by_weight.entry(request.weight).or_default() += 1;
+    Ok(Rc::new(Admitted {
+        router: router.clone(),
+        firm: request.firm.clone(),
+        weight: request.weight,
+    }))
+}
+
+/// Sheds an admitted request whose expected wait is too long for its weight and its firm.
+///
+/// # Errors
+/// [`RefusalReason::Overloaded`], not run, with the time after which the wait is short enough.
+pub fn check_wait(
+    router: &Router,
+    request: &CallerRequest,
+    expected_wait_ms: u64,
+) -> Result<(), Refusal> {
+    let left_ms = left_ms(request.deadline_unix_ms);
+    let wait_max_ms = (left_ms as f64 * share(&router.admission, request)) as u64;
+    if expected_wait_ms <= wait_max_ms {
+        return Ok(());
+    }
+    let detail = format!("the expected wait is {expected_wait_ms} ms, past {wait_max_ms} ms");
+    let refusal = Refusal::not_run(RefusalReason::Overloaded, detail);
+    Err(refusal.retry_after(expected_wait_ms - wait_max_ms))
+}
+
+/// The share of its time that the request may be expected to wait.
+fn share(admission: &Admission, request: &CallerRequest) -> f64 {
+    let weights = admission.by_weight.borrow();
+    let greatest = weights.keys().max().copied().unwrap_or(request.weight);
+    let relative = f64::from(request.weight) / f64::from(greatest.max(1));
+    let share = LEAST_SHARE + (GREATEST_SHARE - LEAST_SHARE) * relative;
+    if is_unfair(admission, &request.firm) {
+        share * UNFAIR_SHARE
+    } else {
+        share
+    }
+}
+
+fn is_unfair(admission: &Admission, firm: &FirmName) -> bool {
+    let by_firm = admission.by_firm.borrow();
+    let total: u32 = by_firm.values().sum();
+    let fair = f64::from(total) / by_firm.len().max(1) as f64;
+    let own = by_firm.get(firm).copied().unwrap_or_default();
+    f64::from(own) > fair * UNFAIR
+}
--- a/crates/celerystair_router/src/attempt.rs
+++ b/crates/celerystair_router/src/attempt.rs
@@ -95,17 +95,19 @@
     peer: Rc<Peer>,
     attempt: AttemptId,
     life: String,
+    suspect: bool,
     sent: Cell<bool>,
     started: Cell<bool>,
 }
 
 impl Tracked {
-    /// An attempt at `peer` that was not submitted yet.
-    pub fn new(peer: &Rc<Peer>) -> Self {
+    /// An attempt at `peer` that was not submitted yet; a suspect runs alone.
+    pub fn new(peer: &Rc<Peer>, suspect: bool) -> Self {
         Self {
             peer: peer.clone(),
             attempt: AttemptId::random(),
             life: peer.life.borrow().clone(),
+            suspect,
             sent: Cell::new(false),
             started: Cell::new(false),
         }
@@ -242,6 +244,7 @@
         hops: 0,
         fingerprint: request.fingerprint,
         agent_life: tracked.life.clone(),
+        suspect: tracked.suspect,
     }
 }
 
--- a/crates/celerystair_router/src/caller_request.rs
+++ b/crates/celerystair_router/src/caller_request.rs
@@ -51,6 +51,8 @@
     pub idempotency_key: String,
     /// Its weight among others that wait.
     pub weight: u32,
+    /// Requests that its firm may have at this router; 0 for no limit.
+    pub firm_requests_max: u32,
     /// Retries that this request earns, in percent of one.
     pub retry_budget_percent: u32,
     /// Whether the answer is to be streamed.
@@ -65,6 +67,7 @@
     id: &RequestId,
     parts: &Parts,
     body: Bytes,
+    arrived_unix_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
     let bad = |detail: String| Refusal::not_run(RefusalReason::BadRequest, detail);
     let value: Value =
@@ -84,7 +87,14 @@
         .get("stream")
         .and_then(Value::as_bool)
         .unwrap_or(false);
-    let mut request = read_common(router, id, parts, body, Target::Model(model))?;
+    let mut request = read_common(
+        router,
+        id,
+        parts,
+        body,
+        Target::Model(model),
+        arrived_unix_ms,
+    )?;
     request.idempotent = true;
     request.stream = stream;
     Ok(request)
@@ -96,6 +106,7 @@
     id: &RequestId,
     parts: &Parts,
     body: Bytes,
+    arrived_unix_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let rest = path.strip_prefix("/services/").unwrap_or_default();
@@ -105,7 +116,14 @@
         return Err(Refusal::not_run(RefusalReason::UnknownService, detail));
     };
     let path = format!("/{rest}");
-    let mut request = read_common(router, id, parts, body, Target::Service(name.to_owned()))?;
+    let mut request = read_common(
+        router,
+        id,
+        parts,
+        body,
+        Target::Service(name.to_owned()),
+        arrived_unix_ms,
+    )?;
     request.path = path;
     request.idempotent = service.idempotent_methods.contains(&request.method);
     if !request.idempotent && request.idempotency_key.is_empty() {
@@ -125,8 +143,8 @@
     parts: &Parts,
     body: Bytes,
     target: Target,
+    arrived_unix_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
-    let arrived_unix_ms = now_unix_ms();
     let firm = FirmName::from(header(&parts.headers, FIRM));
     let kind = KindName::from(header(&parts.headers, KIND));
     let model = match &target {
@@ -161,6 +179,7 @@
         idempotent: false,
         idempotency_key: header(&parts.headers, IDEMPOTENCY_KEY).to_owned(),
         weight: limits.kind_weight,
+        firm_requests_max: limits.firm_requests_max,
         retry_budget_percent: limits.retry_budget_percent,
         stream: false,
         fingerprint: fingerprint(&identity),
@@ -168,6 +187,11 @@
     })
 }
 
+/// How long the caller says that it waits, if it does.
+pub fn asked_timeout_ms(headers: &HeaderMap) -> Option<u64> {
+    header(headers, TIMEOUT).parse().ok()
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers
         .get(name)
--- a/crates/celerystair_router/src/callers.rs
+++ b/crates/celerystair_router/src/callers.rs
@@ -1,6 +1,6 @@
 //! The paths that callers use.
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_net::{
     json::{ReadBodyError, read_body, typed_response},
     prelude::*,
@@ -8,11 +8,14 @@
 
 use crate::{
     answer::{models_response, refusal_response},
-    caller_request::{CallerRequest, read_completion, read_service_call},
+    caller_request::{CallerRequest, asked_timeout_ms, read_completion, read_service_call},
     router::Router,
     serve::serve_request,
 };
 
+/// How long a request may wait until a router that has just started knows what it routes to.
+const KNOWN_WAIT_MAX_MS: u64 = 10_000;
+
 /// Answers one request of a caller.
 pub async fn answer_caller(router: Router, request: HttpRequest) -> HttpResponse {
     let id = RequestId::random();
@@ -51,13 +54,15 @@
             "completions are posted",
         ));
     }
+    let arrived_unix_ms = now_unix_ms();
     let (parts, body) = read_body(request, router.settings.body_max_bytes)
         .await
         .map_err(|error| body_refusal(&error))?;
+    wait_until_known(router, asked_timeout_ms(&parts.headers).unwrap_or_default()).await?;
     if is_completion {
-        read_completion(router, id, &parts, body)
+        read_completion(router, id, &parts, body, arrived_unix_ms)
     } else {
-        read_service_call(router, id, &parts, body)
+        read_service_call(router, id, &parts, body, arrived_unix_ms)
     }
 }
 
@@ -69,14 +74,39 @@
     Refusal::not_run(reason, error.to_string())
 }
 
-/// A router is ready once it knows what it routes to, and until its stop begins.
-fn readiness(router: &Router) -> HttpResponse {
+/// Waits until the router knows what it routes to: one that has just started would take every
+/// name for an unknown one.
+async fn wait_until_known(router: &Router, timeout_ms: u64) -> Result<(), Refusal> {
+    if is_known(router) {
+        return Ok(());
+    }
+    let wait_ms = timeout_ms.min(KNOWN_WAIT_MAX_MS);
+    let wait_ms = wait_ms.saturating_sub(2 * router.settings.answer_margin_ms);
+    let node = &router.node;
+    let known = async {
+        node.models.completed().await;
+        node.services.completed().await;
+        node.agents.completed().await;
+        node.placements.completed().await;
+    };
+    let known = before_deadline(now_unix_ms() + wait_ms, known).await;
+    known.ok_or_else(|| {
+        let detail = "the router has not read yet what it routes to";
+        Refusal::not_run(RefusalReason::StoreUnavailable, detail)
+    })
+}
+
+fn is_known(router: &Router) -> bool {
     let node = &router.node;
-    let known = node.models.is_complete()
+    node.models.is_complete()
         && node.services.is_complete()
         && node.agents.is_complete()
-        && node.placements.is_complete();
-    if known && !node.stop.is_draining() {
+        && node.placements.is_complete()
+}
+
+/// A router is ready once it knows what it routes to, and until its stop begins.
+fn readiness(router: &Router) -> HttpResponse {
+    if is_known(router) && !router.node.stop.is_draining() {
         typed_response(200, "text/plain", "ready\n")
     } else {
         typed_response(503, "text/plain", "not ready\n")
--- a/crates/celerystair_router/src/lib.rs
+++ b/crates/celerystair_router/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`admission`] | which requests are taken on when there are too many |
 //! | [`answer`] | refusals as problem documents, and other answers of the router itself |
 //! | [`attempt`] | one try of a request at one upstream |
 //! | [`caller_request`] | reading a caller's request |
@@ -12,6 +13,7 @@
 //! | [`select`] | which upstream gets the next attempt |
 //! | [`serve`] | the life of one request over all its attempts |
 
+pub mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod caller_request;
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -4,13 +4,17 @@
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
+use celerystair_journal::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_node::prelude::*;
 use celerystair_placement::prelude::*;
+use celerystair_platform::prelude::Mirror;
 use celerystair_protocol::peer_server::PeerServer;
 use celerystair_telemetry::prelude::*;
 
-use crate::{callers::answer_caller, peers::Peers, retry_budget::RetryBudget};
+use crate::{
+    admission::Admission, callers::answer_caller, peers::Peers, retry_budget::RetryBudget,
+};
 
 /// A router; cheap to clone within its thread.
 #[derive(Clone)]
@@ -28,6 +32,10 @@
     pub peers: Peers,
     /// Retries that may still be made.
     pub retry_budget: RetryBudget,
+    /// Requests that were running when an upstream crashed.
+    pub suspects: Mirror<SuspectObject>,
+    /// Requests that this router has now.
+    pub admission: Admission,
 }
 
 impl std::ops::Deref for Router {
@@ -66,10 +74,12 @@
     info!(node.log, "router listens"; "callers" => %address, "peers" => %peer_address);
     let router = Router {
         inner: Rc::new(RouterInner {
-            node,
             settings,
             peers: Peers::default(),
             retry_budget: RetryBudget::default(),
+            suspects: Mirror::start(&node.store, SUSPECTS, stop),
+            admission: Admission::default(),
+            node,
         }),
     };
     compio::runtime::spawn(propose_placements(router.node.clone())).detach();
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -20,6 +20,8 @@
     pub peer: Rc<Peer>,
     /// The generation of the placement by which it was chosen; 0 for a plain service.
     pub generation: u64,
+    /// How long the request is expected to wait there for its turn, a cold start left out.
+    pub queue_wait_ms: u64,
 }
 
 /// Chooses an upstream that was not tried yet; `None` if there is none.
@@ -70,6 +72,7 @@
         choose_for_key(&candidates, request)?
     };
     Some(Chosen {
+        queue_wait_ms: queue_wait_ms(&candidates[index]),
         peer: peers.swap_remove(index),
         generation,
     })
@@ -89,6 +92,11 @@
         .map(|(index, _)| index)
 }
 
+/// The wait that the upstream last reported, and what this router has sent there since.
+fn queue_wait_ms(candidate: &Candidate) -> u64 {
+    candidate.queue_delay_ms
+}
+
 /// The upstreams that may serve the target: the holders of a model's slots, or a service's pool.
 fn upstreams_of(router: &Router, target: &Target) -> (Vec<UpstreamId>, u64) {
     match target {
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -1,15 +1,19 @@
 //! The life of one request over all its attempts.
 
+use std::rc::Rc;
+
 use bytes::{Bytes, BytesMut};
 use celerystair_core::{
     prelude::*,
     time::{before_deadline, left_ms},
 };
+use celerystair_journal::suspects::{CRASHES_MAX, suspect_name};
 use celerystair_net::prelude::*;
 use celerystair_protocol::Head;
 use celerystair_telemetry::{metrics::label, prelude::*};
 
 use crate::{
+    admission::{Admitted, admit, check_wait},
     answer::{error_event, refusal_response},
     attempt::{AnswerStream, Answering, Tracked, submit},
     caller_request::{CallerRequest, Target},
@@ -18,9 +22,10 @@
 };
 
 /// Attempts of one request at most, over all upstreams.
-const ATTEMPTS_MAX: u32 = 4;
-/// Wait before another attempt when every upstream was tried.
-const RETRY_INTERVAL_MS: u64 = 50;
+const ATTEMPTS_MAX: u32 = 8;
+/// Waits before other attempts when every upstream was tried.
+const RETRY_MIN_MS: u64 = 50;
+const RETRY_MAX_MS: u64 = 400;
 /// Chunks that may wait for a slow caller.
 const CHUNKS_MAX: usize = 16;
 
@@ -58,8 +63,11 @@
 
 /// Tries upstreams until an answer has begun, or is whole if it is not streamed.
 async fn begin(router: &Router, request: &CallerRequest) -> Result<HttpResponse, Refusal> {
+    let admitted = admit(router, request)?;
     let mut tried: HashSet<UpstreamId> = HashSet::default();
     let mut attempts = 0;
+    let mut cuts = 0;
+    let mut retry_ms = RETRY_MIN_MS;
     let mut last: Option<Refusal> = None;
     router.retry_budget.earn(request.retry_budget_percent);
     while attempts < ATTEMPTS_MAX && left_ms(request.deadline_unix_ms) > answer_margin_ms(router) {
@@ -68,9 +76,14 @@
                 break;
             }
             tried.clear();
-            sleep_ms(RETRY_INTERVAL_MS).await;
+            sleep_ms(retry_ms).await;
+            retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
             continue;
         };
+        if last.is_none() {
+            check_wait(router, request, chosen.queue_wait_ms)?;
+        }
+        let suspect = check_suspect(router, request, last.as_ref())?;
         if last
             .as_ref()
             .is_some_and(|last| costs_budget(last) && !router.retry_budget.take())
@@ -81,10 +94,13 @@
         tried.insert(chosen.peer.upstream.clone());
         let upstream = &chosen.peer.upstream;
         record(router, request, "upstream_chosen", upstream, String::new());
-        match answer_from(router, request, &chosen).await {
+        match answer_from(router, request, &chosen, suspect, &admitted).await {
             Ok(response) => return Ok(response),
             Err(refusal) => {
-                let may_retry = may_retry(request, &refusal);
+                let was_cut = refusal.reason == RefusalReason::UpstreamFailed
+                    && refusal.run == RunState::Unknown;
+                cuts += u32::from(was_cut);
+                let may_retry = may_retry(request, &refusal) && cuts < CRASHES_MAX;
                 last = Some(merge(last, refusal));
                 if !may_retry {
                     break;
@@ -98,6 +114,33 @@
     }))
 }
 
+/// Whether the request is suspected of crashing upstreams, and must run alone.
+///
+/// # Errors
+/// A refusal if it has crashed too many.
+fn check_suspect(
+    router: &Router,
+    request: &CallerRequest,
+    last: Option<&Refusal>,
+) -> Result<bool, Refusal> {
+    let was_cut = last.is_some_and(|last| last.reason == RefusalReason::UpstreamFailed);
+    let Some((_, suspect)) = router.suspects.get(&suspect_name(request.fingerprint)) else {
+        return Ok(was_cut);
+    };
+    let now = now_unix_ms();
+    if suspect.is_refused_at(now) {
+        let detail = format!("{} upstreams crashed while they ran it", suspect.crashes);
+        let refusal = match last {
+            Some(last) if last.run == RunState::Unknown => {
+                Refusal::unknown(RefusalReason::Suspect, detail)
+            }
+            _ => Refusal::not_run(RefusalReason::Suspect, detail),
+        };
+        return Err(refusal.retry_after(suspect.expires_unix_ms - now));
+    }
+    Ok(was_cut || suspect.holds_at(now))
+}
+
 /// The refusal of a request after one more attempt: "not run" only if no attempt may have run,
 /// and the earlier reason where the later is only that time ran out.
 fn merge(earlier: Option<Refusal>, later: Refusal) -> Refusal {
@@ -126,9 +169,11 @@
     router: &Router,
     request: &CallerRequest,
     chosen: &Chosen,
+    suspect: bool,
+    admitted: &Rc<Admitted>,
 ) -> Result<HttpResponse, Refusal> {
     let margin_ms = answer_margin_ms(router);
-    let tracked = Tracked::new(&chosen.peer);
+    let tracked = Tracked::new(&chosen.peer, suspect);
     let work = async {
         let Answering {
             head,
@@ -141,7 +186,13 @@
         }
         // Until the first chunk has come, the request can still be tried elsewhere.
         let first = rest.next().await?;
-        let body = streamed(&head, first, rest, request.deadline_unix_ms - margin_ms / 4);
+        let body = streamed(
+            admitted.clone(),
+            &head,
+            first,
+            rest,
+            request.deadline_unix_ms - margin_ms / 4,
+        );
         Ok(response(&head, cold_start_ms, body))
     };
     let outcome = before_deadline(request.deadline_unix_ms - margin_ms / 2, work).await;
@@ -194,6 +245,7 @@
 
 /// An answer that is passed on as it comes; a cut aborts the caller's connection.
 fn streamed(
+    admitted: Rc<Admitted>,
     head: &Head,
     first: Option<Bytes>,
     mut rest: AnswerStream,
@@ -202,6 +254,8 @@
     let (chunks, body) = async_channel::bounded(CHUNKS_MAX);
     let is_event_stream = head.content_type.starts_with("text/event-stream");
     compio::runtime::spawn(async move {
+        // The request counts as one of the router's until its answer has ended.
+        let _admitted = admitted;
         let mut next = Ok(first);
         loop {
             match next {
--- a/crates/celerystair_trial/src/faults.rs
+++ b/crates/celerystair_trial/src/faults.rs
@@ -5,7 +5,10 @@
 
 use celerystair_agent::prelude::*;
 use celerystair_core::prelude::*;
-use celerystair_platform::{objects::AGENTS, prelude::*};
+use celerystair_platform::{
+    objects::{AGENTS, PLACEMENTS},
+    prelude::*,
+};
 use celerystair_router::prelude::*;
 use celerystair_standin::{platform::PlatformFaults, prelude::*};
 
@@ -80,6 +83,7 @@
         for index in 0..fleet.routers.len() {
             fleet.router_ready(index).await?;
         }
+        wait_for(&store, PLACEMENTS, settings.model_objects().len()).await?;
         Ok(fleet)
     }
 
--- /dev/null
+++ b/tests/requests_overload.rs
@@ -0,0 +1,185 @@
+//! Requests that crash upstreams, limits of firms, and shedding.
+
+#[path = "support/requests.rs"]
+mod requests;
+mod support;
+
+use celerystair::{
+    config::prelude::*,
+    core::prelude::*,
+    journal::suspects::{SUSPECTS, SuspectObject},
+    platform::prelude::Store,
+    standin::engine::POISON,
+    trial::{caller::CallTarget, fleet::store_settings, prelude::*},
+};
+use futures_util::future::join_all;
+use requests::{post, requests_trial};
+use support::block_on;
+
+fn completion(fleet: &FaultFleet, router: usize, marker: &str, tokens: u64) -> Call {
+    Call {
+        router: fleet.router_address(router),
+        firm: "office".into(),
+        kind: "draft".into(),
+        target: CallTarget::Completion {
+            model: "m-1".to_owned(),
+            tokens,
+            stream: false,
+            marker: marker.to_owned(),
+        },
+        timeout_ms: 30_000,
+    }
+}
+
+/// Returns once the first router serves the model.
+async fn warm(fleet: &FaultFleet, caller: &Caller) {
+    let call = completion(fleet, 0, "warm", 1);
+    while caller.call(&call).await.outcome != Outcome::Answered {
+        sleep_ms(5).await;
+    }
+}
+
+fn refused(reason: RefusalReason, run: RunState) -> Outcome {
+    Outcome::Refused { reason, run }
+}
+
+fn executions(fleet: &FaultFleet, marker: &str) -> u32 {
+    let seen = fleet.witness.seen();
+    seen.completions.get(marker).copied().unwrap_or_default()
+}
+
+fn store_of(fleet: &FaultFleet) -> Store {
+    Store::new(store_settings(&fleet.platform_url)).expect("a client")
+}
+
+async fn suspects(fleet: &FaultFleet) -> Vec<SuspectObject> {
+    let listed = store_of(fleet)
+        .list(SUSPECTS)
+        .await
+        .expect("the store answers");
+    let read = listed
+        .objects
+        .iter()
+        .map(celerystair::platform::prelude::Object::read);
+    read.collect::<Result<_, _>>()
+        .expect("suspects can be read")
+}
+
+#[test]
+fn a_request_that_crashes_upstreams_is_refused_everywhere_after_the_second_until_it_is_cleared() {
+    block_on(async {
+        let settings = requests_trial();
+        let mut fleet = FaultFleet::start(&settings)
+            .await
+            .expect("the fleet starts");
+        let caller = Caller::new().expect("a caller");
+        warm(&fleet, &caller).await;
+        let first = caller.call(&completion(&fleet, 0, POISON, 4)).await;
+        let Outcome::Refused { run, .. } = first.outcome else {
+            panic!("{:?}", first.outcome);
+        };
+        assert_eq!(run, RunState::Unknown);
+        assert_eq!(executions(&fleet, POISON), 2);
+        let object = suspects(&fleet).await;
+        assert_eq!(object[0].crashes, 2);
+        let expected = refused(RefusalReason::Suspect, RunState::NotRun);
+        for router in [1, 0] {
+            // A router's watch sees the suspect a moment after the store has it.
+            while caller
+                .call(&completion(&fleet, router, POISON, 4))
+                .await
+                .outcome
+                != expected
+            {}
+        }
+        assert!(
+            executions(&fleet, POISON) <= 4,
+            "{}",
+            executions(&fleet, POISON)
+        );
+        let before = executions(&fleet, POISON);
+        let store = store_of(&fleet);
+        for object in store
+            .list(SUSPECTS)
+            .await
+            .expect("the store answers")
+            .objects
+        {
+            store
+                .delete(&object.key, object.version)
+                .await
+                .expect("cleared");
+        }
+        while executions(&fleet, POISON) == before {
+            caller.call(&completion(&fleet, 0, POISON, 4)).await;
+        }
+        fleet.end();
+    });
+}
+
+#[test]
+fn an_innocent_neighbour_of_a_crash_is_answered_and_cleared() {
+    block_on(async {
+        let settings = requests_trial();
+        let mut fleet = FaultFleet::start(&settings)
+            .await
+            .expect("the fleet starts");
+        let caller = Caller::new().expect("a caller");
+        warm(&fleet, &caller).await;
+        let neighbour = completion(&fleet, 0, "neighbour", 400);
+        let calling = caller.clone();
+        let neighbour = compio::runtime::spawn(async move { calling.call(&neighbour).await });
+        while executions(&fleet, "neighbour") == 0 {
+            sleep_ms(1).await;
+        }
+        caller.call(&completion(&fleet, 0, POISON, 4)).await;
+        let neighbour = neighbour.await.expect("the caller's task");
+        assert_eq!(neighbour.outcome, Outcome::Answered);
+        while suspects(&fleet).await.len() != 1 {
+            sleep_ms(5).await;
+        }
+        fleet.end();
+    });
+}
+
+#[test]
+fn a_firm_past_its_limit_is_refused_and_another_is_not() {
+    block_on(async {
+        let mut settings = requests_trial();
+        settings.config.exceptions = vec![Exception {
+            scope: Scope {
+                kind: ScopeKind::Firm,
+                name: "hangang".to_owned(),
+            },
+            field: "firm_requests_max".to_owned(),
+            value: 2.into(),
+            reason: "a test".to_owned(),
+            author: "a test".to_owned(),
+            from_unix_ms: None,
+            until_unix_ms: None,
+        }];
+        settings.pools[1].service.work_ms = 300;
+        let mut fleet = FaultFleet::start(&settings)
+            .await
+            .expect("the fleet starts");
+        let caller = Caller::new().expect("a caller");
+        let calls: Vec<Call> = (0..12)
+            .map(|number| {
+                let mut call = post(fleet.router_address(0), &format!("k{number}"));
+                call.firm = if number < 6 { "hangang" } else { "office" }.into();
+                call
+            })
+            .collect();
+        let received = join_all(calls.iter().map(|call| caller.call(call))).await;
+        let limit = refused(RefusalReason::FirmLimit, RunState::NotRun);
+        let limited = received.iter().filter(|r| r.outcome == limit).count();
+        let answered = received
+            .iter()
+            .filter(|r| r.outcome == Outcome::Answered)
+            .count();
+        assert!(limited > 0 && limited <= 4, "{received:?}");
+        assert_eq!(limited + answered, 12, "{received:?}");
+        assert!(received[6..].iter().all(|r| r.outcome == Outcome::Answered));
+        fleet.end();
+    });
+}
