--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -111,13 +111,17 @@
             node,
         }),
     };
+    agent.node.heard.set_own_address(address);
     info!(agent.node.log, "agent listens"; "address" => %address);
     let starting = agent.clone();
     compio::runtime::spawn(async move { take_over(&starting, address).await }).detach();
     let routes = tonic_routes(&agent);
     let serving = stop.clone();
     let finishing = agent.clone();
+    let config = agent.node.config.clone();
     let served = compio::runtime::spawn(async move {
+        // Until then no caller's connection is taken, so that its request was certainly not run.
+        config.known_or_draining(&serving).await;
         serve_grpc(listener, serving, routes).await.ok();
         // Calls whose callers have left go on, and their outcomes are still to be written.
         finishing.keyed_runs.ended().await;
--- a/crates/celerystair_router/src/callers.rs
+++ b/crates/celerystair_router/src/callers.rs
@@ -84,6 +84,7 @@
     let wait_ms = wait_ms.saturating_sub(2 * router.settings.answer_margin_ms);
     let node = &router.node;
     let known = async {
+        node.config.known_or_draining(&node.stop).await;
         node.models.completed().await;
         node.services.completed().await;
         node.agents.completed().await;
@@ -98,7 +99,8 @@
 
 fn is_known(router: &Router) -> bool {
     let node = &router.node;
-    node.models.is_complete()
+    node.config.is_known()
+        && node.models.is_complete()
         && node.services.is_complete()
         && node.agents.is_complete()
         && node.placements.is_complete()
