--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -211,6 +211,7 @@
     let domain = &agent.node.settings.failure_domain;
     let limits = fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms());
     let (queue, priority) = (&agent.queue, request.priority);
+    queue.set_shedding(config.defaults.shedding);
     let permit = if request.suspect {
         let alone = queue.enter_alone(priority, deadline_unix_ms, limits.queue_max);
         Permit::Alone(alone.await?)
--- a/crates/celerystair_agent/src/queue.rs
+++ b/crates/celerystair_agent/src/queue.rs
@@ -24,6 +24,9 @@
     running: Cell<u32>,
     next_number: Cell<u64>,
     mean_service_ms: Cell<f64>,
+    /// Whether requests are refused and ordered by what is known of them; without, each waits in
+    /// order of arrival.
+    shedding: Cell<bool>,
     /// A request runs alone, or waits until those that run have ended; no turns are given.
     held: Cell<bool>,
     changed: Event,
@@ -59,6 +62,7 @@
                 running: Cell::new(0),
                 next_number: Cell::new(0),
                 mean_service_ms: Cell::new(0.0),
+                shedding: Cell::new(true),
                 held: Cell::new(false),
                 changed: Event::new(),
                 waiting: RefCell::default(),
@@ -66,6 +70,11 @@
         }
     }
 
+    /// Turns shedding on or off for requests that come from now on.
+    pub fn set_shedding(&self, shedding: bool) {
+        self.inner.shedding.set(shedding);
+    }
+
     /// Requests that run.
     pub fn running(&self) -> u32 {
         self.inner.running.get()
@@ -107,11 +116,7 @@
         }
         let number = self.inner.next_number.get();
         self.inner.next_number.set(number + 1);
-        let place = Place {
-            priority_inverted: u32::MAX - priority,
-            deadline_unix_ms,
-            number,
-        };
+        let place = self.place(priority, deadline_unix_ms, number);
         self.refuse_unmeetable(place, waiting_max)?;
         let waiter = Rc::new(Waiter::default());
         self.inner
@@ -151,12 +156,23 @@
         if self.has_free_turn() {
             return Ok(());
         }
-        let place = Place {
+        let place = self.place(priority, deadline_unix_ms, self.inner.next_number.get());
+        self.refuse_unmeetable(place, waiting_max)
+    }
+
+    fn place(&self, priority: u32, deadline_unix_ms: u64, number: u64) -> Place {
+        if !self.inner.shedding.get() {
+            return Place {
+                priority_inverted: u32::MAX,
+                deadline_unix_ms: 0,
+                number,
+            };
+        }
+        Place {
             priority_inverted: u32::MAX - priority,
             deadline_unix_ms,
-            number: self.inner.next_number.get(),
-        };
-        self.refuse_unmeetable(place, waiting_max)
+            number,
+        }
     }
 
     fn has_free_turn(&self) -> bool {
@@ -206,6 +222,9 @@
             let detail = format!("{waiting_max} requests wait already");
             return Err(Refusal::not_run(RefusalReason::Overloaded, detail).retry_after(wait_ms));
         }
+        if !self.inner.shedding.get() {
+            return Ok(());
+        }
         if now_unix_ms() + wait_ms > place.deadline_unix_ms {
             let detail = format!("the expected wait of {wait_ms} ms is past the deadline");
             return Err(Refusal::not_run(RefusalReason::WaitTooLong, detail).retry_after(wait_ms));
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -51,6 +51,9 @@
     pub firm_requests_max: u32,
     /// Requests that wait at one agent at most.
     pub queue_max: u32,
+    /// Whether requests are shed by weight and by expected wait; without, each waits its turn in
+    /// order of arrival until its deadline.
+    pub shedding: bool,
     /// Retries allowed, as a share of first attempts.
     pub retry_budget_percent: u32,
     /// How long a caller may send a non-idempotent request again under its key.
@@ -74,6 +77,7 @@
             kind_weight: 1,
             firm_requests_max: 0,
             queue_max: 512,
+            shedding: true,
             retry_budget_percent: 20,
             journal_retention_ms: 86_400_000,
             suspect_expiry_ms: 3_600_000,
--- a/crates/celerystair_router/src/admission.rs
+++ b/crates/celerystair_router/src/admission.rs
@@ -80,6 +80,9 @@
     request: &CallerRequest,
     expected_wait_ms: u64,
 ) -> Result<(), Refusal> {
+    if !router.node.config.current().defaults.shedding {
+        return Ok(());
+    }
     let left_ms = left_ms(request.deadline_unix_ms);
     let wait_max_ms = (left_ms as f64 * share(&router.admission, request)) as u64;
     if expected_wait_ms <= wait_max_ms {
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -6,7 +6,7 @@
 use celerystair_journal::prelude::*;
 use celerystair_placement::prelude::*;
 use celerystair_platform::prelude::InstanceState;
-use celerystair_protocol::ReplicaState;
+use celerystair_protocol::{News, ReplicaState};
 
 use crate::{
     caller_request::{CallerRequest, Target},
@@ -71,9 +71,11 @@
     } else {
         choose_for_key(&candidates, request)?
     };
+    let peer = peers.swap_remove(index);
+    let queue_wait_ms = queue_wait_ms(&peer.load.borrow());
     Some(Chosen {
-        queue_wait_ms: queue_wait_ms(&candidates[index]),
-        peer: peers.swap_remove(index),
+        queue_wait_ms,
+        peer,
         generation,
     })
 }
@@ -92,9 +94,11 @@
         .map(|(index, _)| index)
 }
 
-/// The wait that the upstream last reported, and what this router has sent there since.
-fn queue_wait_ms(candidate: &Candidate) -> u64 {
-    candidate.queue_delay_ms
+/// The wait that the upstream last reported, less the time since: a report that nothing has
+/// renewed must not shed requests for ever.
+fn queue_wait_ms(load: &News) -> u64 {
+    let age_ms = now_unix_ms().saturating_sub(load.sent_unix_ms);
+    load.queue_delay_ms.saturating_sub(age_ms)
 }
 
 /// The upstreams that may serve the target: the holders of a model's slots, or a service's pool.
--- a/crates/celerystair_trial/src/lib.rs
+++ b/crates/celerystair_trial/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`fleet`] | starting and stopping all roles and stand-ins |
 //! | [`fuzz`] | random requests and faults, and the oracle |
 //! | [`fuzz_plan`] | the steps of a fuzzed trial |
+//! | [`overload`] | load at a multiple of the capacity, and its goodput |
 //! | [`settings`] | settings of a trial |
 //! | [`tally`] | what callers received |
 //! | [`threads`] | roles on threads with a runtime each |
@@ -19,6 +20,7 @@
 pub mod fleet;
 pub mod fuzz;
 pub mod fuzz_plan;
+pub mod overload;
 pub mod settings;
 pub mod tally;
 pub mod threads;
