--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -16,13 +16,14 @@
 use tonic::Status;
 
 use crate::{
+    adapters::use_adapter,
     agent::Agent,
     attempts::AttemptPhase,
     crashes,
     keyed::serve_keyed,
     news::news,
     queue::{AlonePermit, RunPermit},
-    replicas::{ReplicaUse, use_adapter, use_replica},
+    replicas::{ReplicaUse, use_replica},
     upstream::{UpstreamError, call_upstream},
 };
 
--- a/crates/celerystair_agent/src/crashes.rs
+++ b/crates/celerystair_agent/src/crashes.rs
@@ -6,7 +6,7 @@
 use celerystair_journal::suspects::{CRASHES_MAX, accuse, clear};
 use celerystair_protocol::SubmitRequest;
 
-use crate::{agent::Agent, answer::record, engine::EngineClient, replicas::drop_lost};
+use crate::{agent::Agent, answer::record, engine::EngineClient, reconcile::reconcile};
 
 /// How long the refusal of a cut request waits until the suspicion is written.
 const ACCUSE_TIMEOUT_MS: u64 = 500;
@@ -85,7 +85,7 @@
     while !agent.node.stop.is_ended() {
         if let Ok(state) = engine.state().await {
             // A replica that is no longer there must be loaded again before it serves.
-            drop_lost(agent, &state);
+            reconcile(agent, engine, &state);
             break;
         }
         sleep_ms(POLL_INTERVAL_MS).await;
--- a/crates/celerystair_agent/src/news.rs
+++ b/crates/celerystair_agent/src/news.rs
@@ -1,9 +1,26 @@
 //! What rides on replies: the upstream's load and the state of its replicas.
 
 use celerystair_core::prelude::*;
-use celerystair_protocol::{News, ReplicaNews};
+use celerystair_protocol::{News, ReplicaNews, ReplicaState};
 
-use crate::agent::Agent;
+use crate::{agent::Agent, idle, replicas::is_outdated, slots::is_leaving};
+
+/// A replica of an old version takes nothing new: it is as good as unloading.
+fn state_for_routers(agent: &Agent, news: &ReplicaNews) -> ReplicaState {
+    let replica = agent.replicas.get(&news.model);
+    match news.state() {
+        ReplicaState::Loaded if replica.is_some_and(|r| is_outdated(agent, &r)) => {
+            ReplicaState::Unloading
+        }
+        state => state,
+    }
+}
+
+/// When an idle replica of `model` is expected to be unloaded; 0 if it has users.
+fn loaded_until(agent: &Agent, model: &str) -> u64 {
+    let replica = agent.replicas.get(model).filter(|r| r.is_idle());
+    replica.map_or(0, |replica| idle::loaded_until_unix_ms(agent, &replica))
+}
 
 /// The news of `agent`, of one model if it is named, else of all.
 pub fn news(agent: &Agent, model: Option<&str>) -> News {
@@ -14,6 +31,8 @@
         .filter(|replica| model.is_none_or(|model| replica.model == model));
     let replicas: Vec<ReplicaNews> = replicas
         .map(|replica| ReplicaNews {
+            loaded_until_unix_ms: loaded_until(agent, &replica.model),
+            state: state_for_routers(agent, &replica).into(),
             placement_generation: agent
                 .node
                 .placements
@@ -31,7 +50,7 @@
         running: agent.queue.running(),
         running_max: agent.queue.running_max(),
         queue_delay_ms: agent.queue.expected_wait_ms(agent.queue.waiting()),
-        leaving: agent.node.stop.is_draining(),
+        leaving: is_leaving(agent) || agent.claim.is_superseded() || agent.engine_away.get(),
         replicas,
         agent_life: agent.life.clone(),
     }
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
-use celerystair_core::{prelude::*, rendezvous::weight};
+use celerystair_config::{fleet, fleet::WakePolicy};
+use celerystair_core::{prelude::*, rendezvous::weight, time::before_deadline};
 use celerystair_journal::prelude::*;
 use celerystair_placement::prelude::*;
-use celerystair_platform::prelude::InstanceState;
+use celerystair_platform::{objects::PLACEMENTS, prelude::InstanceState};
 use celerystair_protocol::{News, ReplicaState};
 
 use crate::{
@@ -14,6 +15,9 @@
     router::Router,
 };
 
+/// How long the store may take to say where a model is placed now.
+const FOLLOW_TIMEOUT_MS: u64 = 500;
+
 /// The upstream chosen for an attempt.
 pub struct Chosen {
     /// Its agent.
@@ -30,7 +34,10 @@
     request: &CallerRequest,
     tried: &HashSet<UpstreamId>,
 ) -> Option<Chosen> {
-    let (names, generation) = upstreams_of(router, &request.target);
+    let (mut names, generation) = upstreams_of(router, &request.target);
+    if router.node.config.current().defaults.wake == WakePolicy::EachRouter {
+        names.sort_by_key(|name| weight(&router.node.name, name));
+    }
     let mut peers = Vec::new();
     let mut candidates = Vec::new();
     let model = match &request.target {
@@ -42,6 +49,7 @@
             continue;
         };
         let is_leaving = agent.leaving
+            || is_drained(router, name, &agent.failure_domain)
             || router.node.instances.is_gone(&agent.instance)
             || router.node.instances.state(&agent.instance) == Some(InstanceState::Leaving);
         let peer = router.peers.get(name, agent.address, &agent.claim_id);
@@ -57,7 +65,7 @@
             queue_delay_ms: load.queue_delay_ms,
             outstanding: peer.outstanding.get(),
             running_max: load.running_max,
-            leaving: is_leaving || load.leaving,
+            leaving: is_leaving || peer.is_leaving(),
         });
         drop(load);
         peers.push(peer);
@@ -74,9 +82,9 @@
     let peer = peers.swap_remove(index);
     let queue_wait_ms = queue_wait_ms(&peer.load.borrow());
     Some(Chosen {
-        queue_wait_ms,
         peer,
         generation,
+        queue_wait_ms,
     })
 }
 
@@ -101,6 +109,12 @@
     load.queue_delay_ms.saturating_sub(age_ms)
 }
 
+/// Whether an operator keeps new work from the upstream.
+fn is_drained(router: &Router, upstream: &str, failure_domain: &str) -> bool {
+    let config = router.node.config.current();
+    fleet::for_upstream(&config, failure_domain, upstream, now_unix_ms()).drain
+}
+
 /// The upstreams that may serve the target: the holders of a model's slots, or a service's pool.
 fn upstreams_of(router: &Router, target: &Target) -> (Vec<UpstreamId>, u64) {
     match target {
@@ -121,3 +135,17 @@
         }
     }
 }
+
+/// Reads the placement of the target's model anew, after an agent has said that it no longer
+/// holds the slot by which it was chosen. With the store down, what is known stays.
+pub async fn follow_placement(router: &Router, target: &Target) {
+    let Target::Model(model) = target else {
+        return;
+    };
+    let key = format!("{PLACEMENTS}{}", model.base);
+    let read = router.node.store.get(&key);
+    let deadline_unix_ms = now_unix_ms() + FOLLOW_TIMEOUT_MS;
+    if let Some(Ok(Some(object))) = before_deadline(deadline_unix_ms, read).await {
+        router.node.placements.apply(&object).ok();
+    }
+}
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -18,11 +18,11 @@
     attempt::{AnswerStream, Answering, Tracked, submit},
     caller_request::{CallerRequest, Target},
     router::Router,
-    select::{Chosen, choose_peer},
+    select::{Chosen, choose_peer, follow_placement},
 };
 
 /// Attempts of one request at most, over all upstreams.
-const ATTEMPTS_MAX: u32 = 8;
+const ATTEMPTS_MAX: u32 = 16;
 /// Waits before other attempts when every upstream was tried.
 const RETRY_MIN_MS: u64 = 50;
 const RETRY_MAX_MS: u64 = 400;
@@ -101,6 +101,9 @@
                     && refusal.run == RunState::Unknown;
                 cuts += u32::from(was_cut);
                 let may_retry = may_retry(request, &refusal) && cuts < CRASHES_MAX;
+                if refusal.reason == RefusalReason::NotHere {
+                    follow_placement(router, &request.target).await;
+                }
                 last = Some(merge(last, refusal));
                 if !may_retry {
                     break;
--- a/crates/celerystair_trial/src/fuzz_plan.rs
+++ b/crates/celerystair_trial/src/fuzz_plan.rs
@@ -86,6 +86,8 @@
             slow_ms: source.int_in_range(0..=60)?,
             lose_write_answers_percent: *source.choose(&[0, 0, 20, 60, 100])?,
             stale_reads_percent: *source.choose(&[0, 0, 20, 60])?,
+            missed_watches_percent: *source.choose(&[0, 0, 20])?,
+            stale_watches_percent: *source.choose(&[0, 0, 20])?,
         }),
     })
 }
