Serve a caller that joined a call whose first caller left

Cause: a joined attempt counts as started, so the run that it began when the first caller left was taken for one given up: cancelled, not_run (true, but nobody had cancelled it). Change: a joined attempt may start the run that it begins itself. Measured: the new test failed (cancelled, not_run) and passes.

--- a/crates/celerystair_agent/src/keyed_run.rs
+++ b/crates/celerystair_agent/src/keyed_run.rs
@@ -221,7 +221,10 @@
         // After a pause of the process, the journal may have forgotten the key.
         return Err(too_late());
     }
-    if agent.attempts.start(id) {
+    // One that had joined a run whose first caller left counts as started already.
+    let may_start =
+        agent.attempts.start(id) || agent.attempts.phase(id) == Some(AttemptPhase::Started);
+    if may_start {
         Ok(permit)
     } else {
         let detail = "the router gave it up";
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -299,3 +299,40 @@
         fleet.end();
     });
 }
+
+#[test]
+fn a_caller_that_joined_a_call_is_served_when_the_first_caller_leaves() {
+    block_on(async {
+        let mut settings = requests_trial();
+        settings.pools[1].service.work_ms = 100;
+        let (mut fleet, caller) = start(&settings).await;
+        let down = PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        };
+        fleet.set_faults(&down).await.expect("faults are set");
+        let first = post(fleet.router_address(0), "k");
+        let second = post(fleet.router_address(1), "k");
+        let calling = caller.clone();
+        let joined = {
+            let first = pin!(caller.call(&first));
+            let joining = pin!(async {
+                sleep_ms(300).await;
+                let joined = compio::runtime::spawn(async move { calling.call(&second).await });
+                sleep_ms(300).await;
+                joined
+            });
+            match select(first, joining).await {
+                Either::Left((received, _)) => panic!("{received:?}"),
+                Either::Right((joined, _)) => joined,
+            }
+        };
+        sleep_ms(300).await;
+        let none = PlatformFaults::default();
+        fleet.set_faults(&none).await.expect("faults are set");
+        let received = joined.await.expect("the caller's task");
+        assert_eq!(received.outcome, Outcome::Answered);
+        assert_eq!(executions(&fleet, "k"), 1);
+        fleet.end();
+    });
+}
