--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -8,6 +8,7 @@
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
+use celerystair_journal::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_node::prelude::*;
 use celerystair_platform::objects::PLACEMENTS;
@@ -20,10 +21,12 @@
     attempts::Attempts,
     claim,
     claim::Claim,
+    crashes::Crashes,
     engine::EngineClient,
     fetch_speed::FetchSpeed,
     grpc::AgentService,
     idle,
+    keyed::KeyedRuns,
     ledger::MemoryLedger,
     permits::{PermitService, Permits},
     queue::RunQueue,
@@ -79,6 +82,12 @@
     pub queue: RunQueue,
     /// What became of each attempt.
     pub attempts: Attempts,
+    /// Keys of calls that may not be repeated.
+    pub journal: Journal,
+    /// Calls under such keys that run here.
+    pub keyed_runs: KeyedRuns,
+    /// Whether the upstream is away after a crash.
+    pub crashes: Crashes,
 }
 
 impl std::ops::Deref for Agent {
@@ -132,6 +141,9 @@
             issuer: RefCell::default(),
             queue: RunQueue::new(settings.running_max),
             attempts: Attempts::default(),
+            journal: Journal::new(&node.store),
+            keyed_runs: KeyedRuns::default(),
+            crashes: Crashes::default(),
             settings,
             node,
         }),
@@ -155,6 +167,9 @@
         // Until then no caller's connection is taken, so that its request was certainly not run.
         config.known_or_draining(&serving).await;
         serve_grpc(listener, serving, routes).await.ok();
+        // Calls whose callers have left go on, and their outcomes are still to be written.
+        leaving.keyed_runs.ended().await;
+        leaving.journal.flushed().await;
         slots::handed_over(&leaving).await;
     });
     Ok(RunningAgent {
--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -18,8 +18,11 @@
 use crate::{
     adapters::use_adapter,
     agent::Agent,
+    attempts::AttemptPhase,
+    crashes,
+    keyed::serve_keyed,
     news::news,
-    queue::RunPermit,
+    queue::{AlonePermit, RunPermit},
     replicas::{ReplicaUse, use_replica},
     upstream::{UpstreamError, call_upstream},
 };
@@ -28,15 +31,21 @@
 pub type Events = async_channel::Sender<Result<SubmitEvent, Status>>;
 
 /// Kept from the time left, so that a refusal reaches the router before the deadline.
-const ANSWER_MARGIN_MS: u64 = 50;
+pub(crate) const ANSWER_MARGIN_MS: u64 = 50;
 
 /// What an attempt holds while it runs.
 struct Turn {
     cold_start_ms: u64,
-    _permit: RunPermit,
+    _permit: Permit,
     _replica: Option<ReplicaUse>,
 }
 
+/// A turn, with others or alone.
+enum Permit {
+    Alone(#[expect(dead_code, reason = "held until the attempt ends")] AlonePermit),
+    Shared(#[expect(dead_code, reason = "held until the attempt ends")] RunPermit),
+}
+
 /// Carries out one attempt and tells the router of each step.
 pub async fn serve_attempt(agent: &Agent, request: &SubmitRequest, events: &Events) {
     let id = AttemptId::from(request.attempt_id.as_str());
@@ -52,17 +61,14 @@
         return;
     }
     if !agent.attempts.queue(&id, request.deadline_unix_ms) {
-        let detail = "the attempt was cancelled before it arrived";
-        refuse(
-            agent,
-            request,
-            events,
-            Refusal::not_run(RefusalReason::Cancelled, detail),
-        )
-        .await;
+        refuse(agent, request, events, known_attempt(agent, &id)).await;
         return;
     }
-    let outcome = run(agent, request, &id, events).await;
+    let outcome = if request.idempotent {
+        run(agent, request, &id, events).await
+    } else {
+        serve_keyed(agent, request, &id, events).await
+    };
     agent.attempts.refuse(&id);
     agent.attempts.finish(&id);
     if let Err(refusal) = outcome {
@@ -70,6 +76,17 @@
     }
 }
 
+/// The refusal of an attempt whose identifier is known already.
+fn known_attempt(agent: &Agent, id: &AttemptId) -> Refusal {
+    match agent.attempts.phase(id) {
+        Some(AttemptPhase::NotRun) => Refusal::not_run(
+            RefusalReason::Cancelled,
+            "the attempt was cancelled before it arrived",
+        ),
+        _ => Refusal::unknown(RefusalReason::Cancelled, "the attempt came twice"),
+    }
+}
+
 async fn run(
     agent: &Agent,
     request: &SubmitRequest,
@@ -90,6 +107,10 @@
             }
         }
     };
+    if agent.crashes.is_away() {
+        let detail = "the engine has crashed and is not back yet";
+        return Err(Refusal::not_run(RefusalReason::UpstreamFailed, detail));
+    }
     if !agent.attempts.start(id) {
         return Err(Refusal::not_run(
             RefusalReason::Cancelled,
@@ -106,11 +127,23 @@
         }),
     )
     .await;
-    let pass = pin!(pass_on(agent, request, events));
-    let gone = pin!(events.closed());
-    let outcome = match select(pass, gone).await {
-        Either::Left((outcome, _)) => outcome,
-        Either::Right(_) => Ok(()),
+    let outcome = {
+        let pass = pin!(pass_on(agent, request, events));
+        match select(pass, pin!(events.closed())).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(_) => return Ok(()),
+        }
+    };
+    let outcome = match outcome {
+        Ok(()) => {
+            crashes::finished(agent, request);
+            Ok(())
+        }
+        // The turn is kept meanwhile: whoever got it now would be cut off by the same crash.
+        Err(refusal) if refusal.run == RunState::Unknown => {
+            Err(crashes::cut_off(agent, request, id, refusal).await)
+        }
+        Err(refusal) => Err(refusal),
     };
     drop(turn);
     outcome
@@ -179,10 +212,15 @@
     let config = agent.node.config.current();
     let domain = &agent.node.settings.failure_domain;
     let limits = fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms());
-    let permit = agent
-        .queue
-        .enter(request.priority, deadline_unix_ms, limits.queue_max)
-        .await?;
+    let (queue, priority) = (&agent.queue, request.priority);
+    queue.set_shedding(config.defaults.shedding);
+    let permit = if request.suspect {
+        let alone = queue.enter_alone(priority, deadline_unix_ms, limits.queue_max);
+        Permit::Alone(alone.await?)
+    } else {
+        let shared = queue.enter(priority, deadline_unix_ms, limits.queue_max);
+        Permit::Shared(shared.await?)
+    };
     let waited_seconds = (now_unix_ms() - entered_unix_ms) as f64 / 1000.0;
     agent.node.metrics.wait_seconds.record(waited_seconds, &[]);
     Ok(Turn {
@@ -197,6 +235,9 @@
     let answer = call_upstream(&agent.client, url, request)
         .await
         .map_err(|error| upstream_refusal(&error))?;
+    if !request.model.is_empty() {
+        check_engine_status(answer.status)?;
+    }
     let head = Head {
         status: answer.status.into(),
         content_type: answer.content_type,
@@ -227,7 +268,22 @@
     Ok(())
 }
 
-fn upstream_refusal(error: &UpstreamError) -> Refusal {
+/// An engine that has lost a replica says so before it runs anything.
+fn check_engine_status(status: u16) -> Result<(), Refusal> {
+    match status {
+        404 => Err(Refusal::not_run(
+            RefusalReason::NotHere,
+            "the engine does not hold the model",
+        )),
+        500.. => Err(Refusal::unknown(
+            RefusalReason::UpstreamFailed,
+            format!("the engine answered {status}"),
+        )),
+        _ => Ok(()),
+    }
+}
+
+pub(crate) fn upstream_refusal(error: &UpstreamError) -> Refusal {
     match error {
         UpstreamError::Unreachable { .. } => {
             Refusal::not_run(RefusalReason::UpstreamFailed, error.to_string())
@@ -252,7 +308,7 @@
 }
 
 /// Sends a step; a router that has left is noticed by the closed channel.
-async fn send(agent: &Agent, request: &SubmitRequest, events: &Events, step: Step) {
+pub(crate) async fn send(agent: &Agent, request: &SubmitRequest, events: &Events, step: Step) {
     // Chunks are many, and bear no news.
     let bears_news = !matches!(step, Step::Chunk(_));
     let event = SubmitEvent {
@@ -263,7 +319,7 @@
     events.send(Ok(event)).await.ok();
 }
 
-fn record(agent: &Agent, request: &SubmitRequest, kind: &str, detail: String) {
+pub(crate) fn record(agent: &Agent, request: &SubmitRequest, kind: &str, detail: String) {
     agent.node.timeline.record(Event {
         kind: kind.to_owned(),
         request: request.request_id.clone(),
--- a/crates/celerystair_agent/src/lib.rs
+++ b/crates/celerystair_agent/src/lib.rs
@@ -7,10 +7,13 @@
 //! | [`answer`] | the life of one attempt, from submission to the last chunk |
 //! | [`attempts`] | what became of each attempt, and tombstones |
 //! | [`claim`] | the agent's claim on its upstream, and fencing numbers |
+//! | [`crashes`] | crashes of the upstream, and the requests that were running then |
 //! | [`engine`] | orders to a model engine |
 //! | [`fetch_speed`] | local adaptive concurrency of fetches |
 //! | [`grpc`] | the service that routers call |
 //! | [`idle`] | unloading replicas that nobody calls |
+//! | [`keyed`] | calls that may not be repeated: one run for all who send one key |
+//! | [`keyed_run`] | the run of such a call, and its outcome |
 //! | [`ledger`] | accelerator memory: reserved before an order, freed on confirmation |
 //! | [`load`] | loads of replicas |
 //! | [`news`] | what rides on replies |
@@ -28,10 +31,13 @@
 pub mod answer;
 pub mod attempts;
 pub mod claim;
+pub mod crashes;
 pub mod engine;
 pub mod fetch_speed;
 pub mod grpc;
 pub mod idle;
+pub mod keyed;
+pub mod keyed_run;
 pub mod ledger;
 pub mod load;
 pub mod news;
--- a/crates/celerystair_agent/src/queue.rs
+++ b/crates/celerystair_agent/src/queue.rs
@@ -24,6 +24,12 @@
     running: Cell<u32>,
     next_number: Cell<u64>,
     mean_service_ms: Cell<f64>,
+    /// Whether requests are refused and ordered by what is known of them; without, each waits in
+    /// order of arrival.
+    shedding: Cell<bool>,
+    /// A request runs alone, or waits until those that run have ended; no turns are given.
+    held: Cell<bool>,
+    changed: Event,
     waiting: RefCell<BTreeMap<Place, Rc<Waiter>>>,
 }
 
@@ -56,11 +62,19 @@
                 running: Cell::new(0),
                 next_number: Cell::new(0),
                 mean_service_ms: Cell::new(0.0),
+                shedding: Cell::new(true),
+                held: Cell::new(false),
+                changed: Event::new(),
                 waiting: RefCell::default(),
             }),
         }
     }
 
+    /// Turns shedding on or off for requests that come from now on.
+    pub fn set_shedding(&self, shedding: bool) {
+        self.inner.shedding.set(shedding);
+    }
+
     /// Requests that run.
     pub fn running(&self) -> u32 {
         self.inner.running.get()
@@ -97,16 +111,12 @@
         deadline_unix_ms: u64,
         waiting_max: u32,
     ) -> Result<RunPermit, Refusal> {
-        if self.inner.running.get() < self.inner.running_max && self.waiting() == 0 {
+        if self.has_free_turn() {
             return Ok(self.take_turn());
         }
         let number = self.inner.next_number.get();
         self.inner.next_number.set(number + 1);
-        let place = Place {
-            priority_inverted: u32::MAX - priority,
-            deadline_unix_ms,
-            number,
-        };
+        let place = self.place(priority, deadline_unix_ms, number);
         self.refuse_unmeetable(place, waiting_max)?;
         let waiter = Rc::new(Waiter::default());
         self.inner
@@ -133,6 +143,78 @@
         ))
     }
 
+    /// Refuses at once a request that would be refused on entry, before anything is done for it.
+    ///
+    /// # Errors
+    /// The refusal.
+    pub fn check(
+        &self,
+        priority: u32,
+        deadline_unix_ms: u64,
+        waiting_max: u32,
+    ) -> Result<(), Refusal> {
+        if self.has_free_turn() {
+            return Ok(());
+        }
+        let place = self.place(priority, deadline_unix_ms, self.inner.next_number.get());
+        self.refuse_unmeetable(place, waiting_max)
+    }
+
+    fn place(&self, priority: u32, deadline_unix_ms: u64, number: u64) -> Place {
+        if !self.inner.shedding.get() {
+            return Place {
+                priority_inverted: u32::MAX,
+                deadline_unix_ms: 0,
+                number,
+            };
+        }
+        Place {
+            priority_inverted: u32::MAX - priority,
+            deadline_unix_ms,
+            number,
+        }
+    }
+
+    fn has_free_turn(&self) -> bool {
+        self.inner.running.get() < self.inner.running_max
+            && self.waiting() == 0
+            && !self.inner.held.get()
+    }
+
+    /// Waits for a turn at which nothing else runs, until `deadline_unix_ms`.
+    ///
+    /// # Errors
+    /// As [`RunQueue::enter`].
+    pub async fn enter_alone(
+        &self,
+        priority: u32,
+        deadline_unix_ms: u64,
+        waiting_max: u32,
+    ) -> Result<AlonePermit, Refusal> {
+        let permit = loop {
+            let permit = self.enter(priority, deadline_unix_ms, waiting_max).await?;
+            if !self.inner.held.replace(true) {
+                break AlonePermit { permit };
+            }
+            // Another runs alone; this one waits again until turns are given.
+            drop(permit);
+        };
+        let alone = async {
+            loop {
+                let changed = self.inner.changed.listen();
+                if self.inner.running.get() == 1 {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        if before_deadline(deadline_unix_ms, alone).await.is_none() {
+            let detail = "no turn without others came before the deadline";
+            return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail));
+        }
+        Ok(permit)
+    }
+
     fn refuse_unmeetable(&self, place: Place, waiting_max: u32) -> Result<(), Refusal> {
         let ahead = self.inner.waiting.borrow().range(..place).count() as u32;
         let wait_ms = self.expected_wait_ms(ahead);
@@ -140,6 +222,9 @@
             let detail = format!("{waiting_max} requests wait already");
             return Err(Refusal::not_run(RefusalReason::Overloaded, detail).retry_after(wait_ms));
         }
+        if !self.inner.shedding.get() {
+            return Ok(());
+        }
         if now_unix_ms() + wait_ms > place.deadline_unix_ms {
             let detail = format!("the expected wait of {wait_ms} ms is past the deadline");
             return Err(Refusal::not_run(RefusalReason::WaitTooLong, detail).retry_after(wait_ms));
@@ -162,16 +247,36 @@
 
     /// Hands a turn that became free to the first who waits.
     fn pass_on(&self) {
-        match self.inner.waiting.borrow_mut().pop_first() {
-            Some((_, waiter)) => {
-                waiter.granted.set(true);
-                waiter.event.notify(1);
-            }
-            None => self.inner.running.set(self.inner.running.get() - 1),
+        self.inner.running.set(self.inner.running.get() - 1);
+        self.inner.changed.notify(usize::MAX);
+        self.grant();
+    }
+
+    /// Gives the free turns to the first who wait.
+    fn grant(&self) {
+        while !self.inner.held.get() && self.inner.running.get() < self.inner.running_max {
+            let Some((_, waiter)) = self.inner.waiting.borrow_mut().pop_first() else {
+                return;
+            };
+            self.inner.running.set(self.inner.running.get() + 1);
+            waiter.granted.set(true);
+            waiter.event.notify(1);
         }
     }
 }
 
+/// A turn at which nothing else runs; it ends when this is dropped.
+pub struct AlonePermit {
+    permit: RunPermit,
+}
+
+impl Drop for AlonePermit {
+    fn drop(&mut self) {
+        // The turn itself ends after this, and then gives the others theirs.
+        self.permit.queue.inner.held.set(false);
+    }
+}
+
 impl Drop for RunPermit {
     fn drop(&mut self) {
         let served_ms = (now_unix_ms() - self.started_unix_ms) as f64;
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -36,6 +36,10 @@
 /// Every field that operators set for the fleet, with its value where nobody has set it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a switch that operators set on its own"
+)]
 pub struct Defaults {
     /// Slots of each model: the number of replicas decided.
     pub slots_per_model: u32,
@@ -69,6 +73,9 @@
     pub firm_requests_max: u32,
     /// Requests that wait at one agent at most.
     pub queue_max: u32,
+    /// Whether requests are shed by weight and by expected wait; without, each waits its turn in
+    /// order of arrival until its deadline.
+    pub shedding: bool,
     /// Retries allowed, as a share of first attempts.
     pub retry_budget_percent: u32,
     /// How long a caller may send a non-idempotent request again under its key.
@@ -97,6 +104,7 @@
             kind_weight: 1,
             firm_requests_max: 0,
             queue_max: 512,
+            shedding: true,
             retry_budget_percent: 20,
             journal_retention_ms: 86_400_000,
             suspect_expiry_ms: 3_600_000,
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -4,9 +4,10 @@
 
 use celerystair_config::{fleet, fleet::WakePolicy};
 use celerystair_core::{prelude::*, rendezvous::weight, time::before_deadline};
+use celerystair_journal::prelude::*;
 use celerystair_placement::prelude::*;
 use celerystair_platform::{objects::PLACEMENTS, prelude::InstanceState};
-use celerystair_protocol::ReplicaState;
+use celerystair_protocol::{News, ReplicaState};
 
 use crate::{
     caller_request::{CallerRequest, Target},
@@ -23,6 +24,8 @@
     pub peer: Rc<Peer>,
     /// The generation of the placement by which it was chosen; 0 for a plain service.
     pub generation: u64,
+    /// How long the request is expected to wait there for its turn, a cold start left out.
+    pub queue_wait_ms: u64,
 }
 
 impl Chosen {
@@ -89,13 +92,41 @@
         Target::Model(model) => model.to_string(),
         Target::Service(_) => request.id.to_string(),
     };
-    let index = choose(&candidates, &affinity, now_unix_ms())?;
+    let index = if request.idempotent {
+        choose(&candidates, &affinity, now_unix_ms())?
+    } else {
+        choose_for_key(&candidates, request)?
+    };
+    let peer = peers.swap_remove(index);
+    let queue_wait_ms = queue_wait_ms(&peer.load.borrow());
     Some(Chosen {
-        peer: peers.swap_remove(index),
+        peer,
         generation,
+        queue_wait_ms,
     })
 }
 
+/// The upstream for a call that may not be repeated: keys of one shard of the journal go to one
+/// upstream, whose agent writes many of them at once. Safety does not rest on it.
+fn choose_for_key(candidates: &[Candidate], request: &CallerRequest) -> Option<usize> {
+    let key = CallKey {
+        firm: request.firm.clone(),
+        key: request.idempotency_key.clone(),
+    };
+    let shard = shard_of(&key).to_string();
+    let staying = candidates.iter().enumerate().filter(|(_, c)| !c.leaving);
+    staying
+        .max_by_key(|(_, candidate)| weight(&shard, &candidate.upstream))
+        .map(|(index, _)| index)
+}
+
+/// The wait that the upstream last reported, less the time since: a report that nothing has
+/// renewed must not shed requests for ever.
+fn queue_wait_ms(load: &News) -> u64 {
+    let age_ms = now_unix_ms().saturating_sub(load.sent_unix_ms);
+    load.queue_delay_ms.saturating_sub(age_ms)
+}
+
 /// Whether an operator keeps new work from the upstream.
 fn is_drained(router: &Router, upstream: &str, failure_domain: &str) -> bool {
     let config = router.node.config.current();
--- a/crates/celerystair_trial/src/lib.rs
+++ b/crates/celerystair_trial/src/lib.rs
@@ -4,8 +4,12 @@
 //! |---|---|
 //! | [`caller`] | a caller that knows what its own answer must look like |
 //! | [`checks`] | what must always hold, checked against what the stand-ins saw |
+//! | [`faults`] | a fleet whose agents and routers are killed, paused and restarted one at a time |
 //! | [`fleet`] | starting and stopping all roles and stand-ins |
+//! | [`fuzz_plan`] | the steps of a fuzzed trial |
+//! | [`fuzz`] | random requests and faults, and the oracle |
 //! | [`load`] | open-loop loads, with reports and plots |
+//! | [`overload`] | load at a multiple of the capacity, and its goodput |
 //! | [`settings`] | settings of a trial |
 //! | [`tally`] | what callers received |
 //! | [`threads`] | roles on threads with a runtime each |
@@ -13,8 +17,12 @@
 
 pub mod caller;
 pub mod checks;
+pub mod faults;
 pub mod fleet;
+pub mod fuzz;
+pub mod fuzz_plan;
 pub mod load;
+pub mod overload;
 pub mod settings;
 pub mod tally;
 pub mod threads;
@@ -25,6 +33,7 @@
     pub use crate::{
         caller::{Call, Caller, Outcome},
         checks::{Violation, check},
+        faults::FaultFleet,
         fleet::{Fleet, FleetError},
         settings::{PoolKind, TrialSettings},
         tally::Tally,
