--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -320,11 +320,11 @@
                 sleep_ms(300).await;
                 let joined = compio::runtime::spawn(async move { calling.call(&second).await });
                 sleep_ms(300).await;
-                joined
+                Ok::<_, Refusal>(joined)
             });
             match select(first, joining).await {
                 Either::Left((received, _)) => panic!("{received:?}"),
-                Either::Right((joined, _)) => joined,
+                Either::Right((joined, _)) => joined.expect("it joins"),
             }
         };
         sleep_ms(300).await;
