--- a/tools/capacity/src/measure/connections.rs
+++ b/tools/capacity/src/measure/connections.rs
@@ -7,6 +7,7 @@
 
 use super::Measured;
 use crate::{
+    relay::Relay,
     usage::{live_bytes, thread_cpu_ms},
     world::{Platform, ROUTER_THREAD, WATCH_TIMEOUT_MS, base_settings, start_router},
 };
@@ -48,9 +49,11 @@
         // The server's ends are closed before the next size is measured.
         sleep_ms(500).await;
     }
-    let mut probe_cpu = Vec::new();
+    let relay = Relay::start(address)?;
+    let address = relay.address;
+    let (mut probe_cpu, mut probe_bytes) = (Vec::new(), Vec::new());
     for calls in CALLS {
-        let before = thread_cpu_ms(ROUTER_THREAD);
+        let before = (thread_cpu_ms(ROUTER_THREAD), relay.bytes());
         let (client, ()) = RoleThread::spawn(CLIENT_THREAD, &Stop::new(), move |_| async move {
             let connection = Connection::new(address);
             for _ in 0..calls {
@@ -58,7 +61,9 @@
             }
             Ok::<_, std::io::Error>(())
         })?;
-        probe_cpu.push((f64::from(calls), thread_cpu_ms(ROUTER_THREAD) - before));
+        let size = f64::from(calls);
+        probe_cpu.push((size, thread_cpu_ms(ROUTER_THREAD) - before.0));
+        probe_bytes.push((size, relay.bytes() - before.1));
         drop(client);
     }
     Ok(vec![
@@ -86,6 +91,12 @@
             "processor time of the called, ms",
             probe_cpu,
         ),
+        Measured::new(
+            "call_bytes",
+            "calls between processes",
+            "bytes in both directions",
+            probe_bytes,
+        ),
     ])
 }
 
@@ -94,9 +105,11 @@
         return;
     };
     let origin = channel.origin();
+    // The answer is that there is nothing newer, as it nearly always is.
+    let request = FetchConfigRequest {
+        revision: u64::MAX,
+        ..FetchConfigRequest::default()
+    };
     let mut client = PeerClient::with_origin(channel, origin);
-    client
-        .fetch_config(FetchConfigRequest::default())
-        .await
-        .ok();
+    client.fetch_config(request).await.ok();
 }
--- a/tools/capacity/src/plan.rs
+++ b/tools/capacity/src/plan.rs
@@ -26,6 +26,12 @@
 const RACK_AGENTS: f64 = 25.0;
 const SLOTS_PER_MODEL: f64 = 2.0;
 const WATCH_RENEWALS_PER_SECOND: f64 = 1000.0 / WATCH_TIMEOUT_MS as f64;
+/// Processes that watch the configuration in the store; the others hear of it from neighbours.
+const CONFIG_WATCHERS: f64 = 2.0 * FAILURE_DOMAINS;
+/// Each process asks one neighbour a second for a newer configuration, and is asked as often.
+const ASKS_PER_SECOND: f64 = 2.0;
+/// Neighbours that a process tells of a change.
+const TOLD_NEIGHBOURS: f64 = 6.0;
 /// Connections that a router has at most: one to each agent.
 const CONNECTIONS_PER_ROUTER: f64 = AGENTS;
 
@@ -112,13 +118,18 @@
     let change_cpu = line(all, "change_cpu")?.slope * changes_per_second;
     let start_bytes = start_mb(all)? * 1000.0 / SECONDS_PER_DAY * (RESTARTS_PER_DAY / PROCESSES);
     let connection_mb = line(all, "connection_memory")?.slope / 1e6;
-    let bytes = idle_bytes + change_bytes * changes_per_second / 1000.0 + start_bytes;
     let idle_reads = idle_reads(all)?;
-    let change_reads = line(all, "change_reads")?.points[0].1 * PROCESSES;
+    let change_reads = line(all, "change_reads")?.points[0].1 * CONFIG_WATCHERS;
+    let ask_cpu = line(all, "call_cpu")?.slope
+        * (ASKS_PER_SECOND + 2.0 * TOLD_NEIGHBOURS * changes_per_second);
+    let ask_bytes = line(all, "call_bytes")?.slope
+        * (ASKS_PER_SECOND + 2.0 * TOLD_NEIGHBOURS * changes_per_second)
+        / 1000.0;
     let wake_cpu = |share: f64| -> eyre::Result<f64> {
         Ok(line(all, "wake_adapter_agent_cpu")?.slope * WAKEUPS_PER_SECOND / share)
     };
-    let control_cpu = idle_cpu + change_cpu;
+    let bytes = idle_bytes + ask_bytes + change_bytes * changes_per_second / 1000.0 + start_bytes;
+    let control_cpu = idle_cpu + change_cpu + ask_cpu;
     let rows = [
         Row {
             role: "router",
@@ -126,7 +137,7 @@
             value: control_cpu + line(all, "connection_idle_cpu")?.slope.max(0.0) * CONNECTIONS_PER_ROUTER,
             limit: CPU_LIMIT_MS,
             unit: "ms",
-            by: "`idle_cpu` at 1,340 instances, `watch_cpu` × 1/30, `change_cpu` × 0.049 changes a second, `connection_idle_cpu` × 1,000".to_owned(),
+            by: "`idle_cpu` at 1,340 instances, `watch_cpu` × 1/30, `change_cpu` × 0.049 changes a second, `call_cpu` × 2.6 asks and tellings a second, `connection_idle_cpu` × 1,000".to_owned(),
         },
         Row {
             role: "agent",
@@ -159,8 +170,10 @@
             limit: BYTES_LIMIT_KB,
             unit: "KB",
             by: format!(
-                "`idle_bytes` at 1,340 instances ({} KB), `change_bytes` at 200 exceptions ({} KB each), starts ({} KB)",
-                number(idle_bytes), number(change_bytes / 1000.0), number(start_bytes)
+                "`idle_bytes` at 1,340 instances ({} KB), `change_bytes` at 200 exceptions ({} KB each), `call_bytes` × 2.6 ({} KB), starts ({} KB)",
+                number(idle_bytes), number(change_bytes / 1000.0),
+                number(ask_bytes),
+                number(start_bytes)
             ),
         },
         Row {
@@ -177,7 +190,7 @@
             value: idle_reads + change_reads,
             limit: READS_LIMIT,
             unit: "",
-            by: "and `change_reads` × 1,340".to_owned(),
+            by: "and `change_reads` × 20 processes that watch the configuration; the others hear of it from their neighbours".to_owned(),
         },
         Row {
             role: "store",
@@ -245,6 +258,7 @@
 pub fn bad_days(all: &[Measured]) -> eyre::Result<String> {
     let idle_reads = idle_reads(all)?;
     let spare = READS_LIMIT - idle_reads;
+    // Every process watches the placements, and reads once for a change there too.
     let per_change = line(all, "change_reads")?.points[0].1;
     let slots_per_agent = MODELS * SLOTS_PER_MODEL / AGENTS;
     let seconds = |reads: f64| {
