--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -11,7 +11,7 @@
     attempt::{AnswerStream, Answering, submit},
     caller_request::{CallerRequest, Target},
     router::Router,
-    select::{Chosen, choose_peer},
+    select::{Chosen, choose_peer, follow_placement},
 };
 
 /// Attempts of one request at most, over all upstreams.
@@ -85,6 +85,9 @@
                     upstream,
                     refusal.to_string(),
                 );
+                if refusal.reason == RefusalReason::NotHere {
+                    follow_placement(router, &request.target).await;
+                }
                 last = Some(refusal);
             }
             Err(refusal) => return Err(refusal),
