--- a/tools/capacity/src/plan.rs
+++ b/tools/capacity/src/plan.rs
@@ -209,7 +209,7 @@
             value: line(all, "change_in_force")?.points.iter().map(|p| p.1).fold(0.0, f64::max),
             limit: IN_FORCE_LIMIT_MS,
             unit: "ms",
-            by: "`change_in_force`, largest of all sizes; at 1,340 processes the store's rate decides, see below".to_owned(),
+            by: "`change_in_force`, largest of all sizes; the spread over 1,340 processes is not measured".to_owned(),
         },
         Row {
             role: "router, agent",
