--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -93,7 +93,13 @@
         attempts += 1;
         tried.insert(chosen.peer.upstream.clone());
         let upstream = &chosen.peer.upstream;
-        record(router, request, "upstream_chosen", upstream, String::new());
+        record(
+            router,
+            request,
+            "upstream_chosen",
+            upstream,
+            chosen.why(&request.target),
+        );
         match answer_from(router, request, &chosen, suspect, &admitted).await {
             Ok(response) => return Ok(response),
             Err(refusal) => {
@@ -101,6 +107,10 @@
                     && refusal.run == RunState::Unknown;
                 cuts += u32::from(was_cut);
                 let may_retry = may_retry(request, &refusal) && cuts < CRASHES_MAX;
+                if may_retry {
+                    let detail = refusal.to_string();
+                    record(router, request, "attempt_retried", upstream, detail);
+                }
                 if refusal.reason == RefusalReason::NotHere {
                     follow_placement(router, &request.target).await;
                 }
