--- a/crates/celerystair_trial/src/lib.rs
+++ b/crates/celerystair_trial/src/lib.rs
@@ -6,8 +6,8 @@
 //! | [`checks`] | what must always hold, checked against what the stand-ins saw |
 //! | [`faults`] | a fleet whose agents and routers are killed, paused and restarted one at a time |
 //! | [`fleet`] | starting and stopping all roles and stand-ins |
-//! | [`fuzz_plan`] | the steps of a fuzzed trial |
 //! | [`fuzz`] | random requests and faults, and the oracle |
+//! | [`fuzz_plan`] | the steps of a fuzzed trial |
 //! | [`load`] | open-loop loads, with reports and plots |
 //! | [`overload`] | load at a multiple of the capacity, and its goodput |
 //! | [`settings`] | settings of a trial |
