Observe the stamps of replies, and carry deadlines over by the time left

And a deadline went over the wire as the sender's wall time, so that instances whose clocks differ by more than a request's time refused or overran all of each other's requests.

Change: every stamp on a reply is observed; a stamp says when it was sent, and the receiver keeps the time that was left. News keep their own times likewise.

--- a/crates/celerystair_core/src/time.rs
+++ b/crates/celerystair_core/src/time.rs
@@ -51,6 +51,16 @@
     deadline_unix_ms.saturating_sub(now_unix_ms())
 }
 
+/// A deadline by this process's clock, for one that left `sent_unix_ms` by the sender's: the time
+/// that was left then is left now, so that clocks which differ refuse and overrun nothing. The
+/// way of the message is taken for instant. A `sent_unix_ms` of 0 is not known.
+pub fn carry_over(deadline_unix_ms: u64, sent_unix_ms: u64, received_unix_ms: u64) -> u64 {
+    if sent_unix_ms == 0 {
+        return deadline_unix_ms;
+    }
+    received_unix_ms + deadline_unix_ms.saturating_sub(sent_unix_ms)
+}
+
 /// Sleeps for `interval_ms` of this process's clock.
 pub async fn sleep_ms(interval_ms: u64) {
     compio::time::sleep(real(interval_ms)).await;
--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -148,6 +148,7 @@
     pub fn stamp(&self) -> Option<Stamp> {
         Some(Stamp {
             hybrid_time: self.timeline.clock().tick(),
+            sent_unix_ms: now_unix_ms(),
             process: self.name.clone(),
             config_revision: self.config.revision(),
             peer_address: self.heard.own_address(),
--- a/crates/celerystair_placement/src/bids.rs
+++ b/crates/celerystair_placement/src/bids.rs
@@ -63,7 +63,9 @@
             memory_bytes: object.replica_bytes(),
         };
         let bid = before_deadline(deadline_unix_ms, ask(agent, request)).await?;
-        bid.map(|bid| (name.clone(), bid))
+        let bid = bid?;
+        node.observe(bid.stamp.as_ref());
+        Some((name.clone(), bid))
     });
     let by_upstream = join_all(replies).await.into_iter().flatten().collect();
     Bids { by_upstream }
--- a/crates/celerystair_router/src/attempt.rs
+++ b/crates/celerystair_router/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_node::prelude::*;
 use celerystair_protocol::{
     AttemptState, Head, SettleRequest, SubmitEvent, SubmitRequest, agent_client::AgentClient,
     submit_event::Event as Step,
@@ -31,6 +32,7 @@
 
 /// The rest of an answer, as it comes.
 pub struct AnswerStream {
+    node: Node,
     events: Streaming<SubmitEvent>,
     peer: Rc<Peer>,
     received_bytes: u64,
@@ -70,6 +72,7 @@
         loop {
             match self.events.message().await {
                 Ok(Some(event)) => {
+                    self.node.observe(event.stamp.as_ref());
                     if let Some(news) = event.news {
                         self.peer.hear(news);
                     }
@@ -148,7 +151,10 @@
         };
         let deadline_unix_ms = deadline_unix_ms.min(now_unix_ms() + SETTLE_TIMEOUT_MS);
         let reply = before_deadline(deadline_unix_ms, ask).await.flatten();
-        reply.is_some_and(|reply| reply.get_ref().state() == AttemptState::NotRun)
+        reply.is_some_and(|reply| {
+            router.node.observe(reply.get_ref().stamp.as_ref());
+            reply.get_ref().state() == AttemptState::NotRun
+        })
     }
 }
 
@@ -183,6 +189,7 @@
     };
     peer.outstanding.set(peer.outstanding.get() + 1);
     let mut rest = AnswerStream {
+        node: router.node.clone(),
         events,
         peer: peer.clone(),
         received_bytes: 0,
--- a/crates/celerystair_router/src/peers.rs
+++ b/crates/celerystair_router/src/peers.rs
@@ -6,7 +6,7 @@
     rc::Rc,
 };
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::carry_over};
 use celerystair_net::prelude::*;
 use celerystair_protocol::{News, ReplicaNews, ReplicaState};
 
@@ -25,6 +25,8 @@
     pub life: RefCell<String>,
     /// Its load, as last heard.
     pub load: RefCell<News>,
+    /// When it was last heard of.
+    pub heard_unix_ms: Cell<u64>,
     /// Its replicas, as last heard.
     pub replicas: RefCell<HashMap<String, ReplicaNews>>,
 }
@@ -51,6 +53,7 @@
             outstanding: Cell::new(0),
             life: RefCell::new(life.to_owned()),
             load: RefCell::default(),
+            heard_unix_ms: Cell::new(0),
             replicas: RefCell::default(),
         });
         by_upstream.insert(upstream.into(), peer.clone());
@@ -68,8 +71,16 @@
             self.replicas.borrow_mut().clear();
             self.life.borrow_mut().clone_from(&news.agent_life);
         }
+        let heard_unix_ms = now_unix_ms();
+        self.heard_unix_ms.set(heard_unix_ms);
+        let carry = |unix_ms: u64| match unix_ms {
+            0 => 0,
+            _ => carry_over(unix_ms, news.sent_unix_ms, heard_unix_ms),
+        };
         let mut replicas = self.replicas.borrow_mut();
-        for replica in news.replicas.drain(..) {
+        for mut replica in std::mem::take(&mut news.replicas) {
+            replica.ready_unix_ms = carry(replica.ready_unix_ms);
+            replica.loaded_until_unix_ms = carry(replica.loaded_until_unix_ms);
             replicas.insert(replica.model.clone(), replica);
         }
         *self.load.borrow_mut() = news;
@@ -92,6 +103,6 @@
     /// upstream that stays after all would never be asked again.
     pub fn is_leaving(&self) -> bool {
         let load = self.load.borrow();
-        load.leaving && now_unix_ms() < load.sent_unix_ms + LEAVING_LIFE_MS
+        load.leaving && now_unix_ms() < self.heard_unix_ms.get() + LEAVING_LIFE_MS
     }
 }
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -13,7 +13,7 @@
         objects::{CONFIG_HEAD, MODELS, PLACEMENTS},
         prelude::*,
     },
-    protocol::{SubmitRequest, agent_client::AgentClient, submit_event::Event as Step},
+    protocol::{Stamp, SubmitRequest, agent_client::AgentClient, submit_event::Event as Step},
     router::prelude::*,
     standin::prelude::*,
     trial::fleet::{announce, store_settings},
@@ -283,12 +283,27 @@
 
 /// Sends a completion straight to an agent; gives the reason of a refusal.
 pub async fn submit(address: SocketAddr, life: &str, model: &str) -> Result<(), RefusalReason> {
+    submit_by_clock(address, life, model, now_unix_ms()).await
+}
+
+/// The same, from a router whose clock shows `sent_unix_ms`.
+pub async fn submit_by_clock(
+    address: SocketAddr,
+    life: &str,
+    model: &str,
+    sent_unix_ms: u64,
+) -> Result<(), RefusalReason> {
     let model = ModelRef::parse(model);
     let channel = Connection::new(address).channel().await;
     let channel = channel.map_err(|_| RefusalReason::ConnectionLost)?;
     let origin = channel.origin();
-    let deadline_unix_ms = now_unix_ms() + REQUEST_TIMEOUT_MS;
+    let deadline_unix_ms = sent_unix_ms + REQUEST_TIMEOUT_MS;
+    let stamp = Stamp {
+        sent_unix_ms,
+        ..Stamp::default()
+    };
     let request = SubmitRequest {
+        stamp: Some(stamp),
         attempt_id: AttemptId::random().to_string(),
         agent_life: life.to_owned(),
         body: format!(r#"{{"model":"{model}","prompt":"p","max_tokens":2}}"#).into(),
@@ -318,7 +333,7 @@
         }
         Err(RefusalReason::ConnectionLost)
     };
-    before_deadline(deadline_unix_ms, work)
+    before_deadline(now_unix_ms() + REQUEST_TIMEOUT_MS, work)
         .await
         .expect("an answer by the deadline")
 }
