Refuse a waiting request as soon as heavier ones push it past its deadline

Ruled out: the router's admission, which had let them in rightly by what the agent reported then.

Change: each entry into an agent's queue weighs those behind it again and refuses those whose turn can't come in time, with a time to come back. What became of a waiter is one state; nothing is forgotten by hand.

Conclusion: a refusal is given when it is known, at entry or later.

--- a/crates/celerystair_agent/src/queue.rs
+++ b/crates/celerystair_agent/src/queue.rs
@@ -4,6 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    ops::Bound,
     rc::Rc,
 };
 
@@ -41,12 +42,33 @@
     number: u64,
 }
 
+/// What has become of a request that waits.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum WaitState {
+    /// It stands in the queue.
+    #[default]
+    Waiting,
+    /// A turn is counted for it.
+    Granted,
+    /// Others went ahead of it, and its turn can't come in time any more.
+    Overtaken,
+    /// It has taken its turn.
+    Taken,
+}
+
 #[derive(Default)]
 struct Waiter {
-    granted: Cell<bool>,
+    state: Cell<WaitState>,
     event: Event,
 }
 
+impl Waiter {
+    fn settle(&self, state: WaitState) {
+        self.state.set(state);
+        self.event.notify(1);
+    }
+}
+
 /// A turn at the upstream; it ends when this is dropped.
 pub struct RunPermit {
     queue: RunQueue,
@@ -123,24 +145,36 @@
             .waiting
             .borrow_mut()
             .insert(place, waiter.clone());
-        let leave = LeaveOnDrop { queue: self, place };
-        let granted = async {
-            while !waiter.granted.get() {
+        let _leave = LeaveOnDrop {
+            queue: self,
+            place,
+            waiter: &waiter,
+        };
+        self.refuse_overtaken(place);
+        let settled = async {
+            while waiter.state.get() == WaitState::Waiting {
                 let listener = waiter.event.listen();
-                if !waiter.granted.get() {
+                if waiter.state.get() == WaitState::Waiting {
                     listener.await;
                 }
             }
         };
-        let in_time = before_deadline(deadline_unix_ms, granted).await.is_some();
-        if in_time || waiter.granted.get() {
-            std::mem::forget(leave);
-            return Ok(self.permit());
+        before_deadline(deadline_unix_ms, settled).await;
+        match waiter.state.get() {
+            WaitState::Granted | WaitState::Taken => {
+                waiter.state.set(WaitState::Taken);
+                Ok(self.permit())
+            }
+            WaitState::Overtaken => {
+                let wait_ms = self.expected_wait_ms(self.waiting());
+                let detail = "requests of higher priority went ahead, and no turn comes in time";
+                Err(Refusal::not_run(RefusalReason::Overloaded, detail).retry_after(wait_ms))
+            }
+            WaitState::Waiting => Err(Refusal::not_run(
+                RefusalReason::DeadlineExceeded,
+                "no turn came before the deadline",
+            )),
         }
-        Err(Refusal::not_run(
-            RefusalReason::DeadlineExceeded,
-            "no turn came before the deadline",
-        ))
     }
 
     /// Refuses at once a request that would be refused on entry, before anything is done for it.
@@ -232,6 +266,30 @@
         Ok(())
     }
 
+    /// Refuses those behind `newest` whose turn it has pushed past their deadline, so that they
+    /// learn of it now and not at their deadline.
+    fn refuse_overtaken(&self, newest: Place) {
+        if !self.inner.shedding.get() {
+            return;
+        }
+        let now = now_unix_ms();
+        let mut waiting = self.inner.waiting.borrow_mut();
+        let mut ahead = waiting.range(..=newest).count() as u32;
+        let mut overtaken = Vec::new();
+        for (place, _) in waiting.range((Bound::Excluded(newest), Bound::Unbounded)) {
+            if now + self.expected_wait_ms(ahead) > place.deadline_unix_ms {
+                overtaken.push(*place);
+            } else {
+                ahead += 1;
+            }
+        }
+        for place in overtaken {
+            if let Some(waiter) = waiting.remove(&place) {
+                waiter.settle(WaitState::Overtaken);
+            }
+        }
+    }
+
     fn take_turn(&self) -> RunPermit {
         self.inner.running.set(self.inner.running.get() + 1);
         self.permit()
@@ -259,8 +317,7 @@
                 return;
             };
             self.inner.running.set(self.inner.running.get() + 1);
-            waiter.granted.set(true);
-            waiter.event.notify(1);
+            waiter.settle(WaitState::Granted);
         }
     }
 }
@@ -291,19 +348,17 @@
 struct LeaveOnDrop<'a> {
     queue: &'a RunQueue,
     place: Place,
+    waiter: &'a Waiter,
 }
 
 impl Drop for LeaveOnDrop<'_> {
     fn drop(&mut self) {
-        if self
-            .queue
-            .inner
-            .waiting
-            .borrow_mut()
-            .remove(&self.place)
-            .is_none()
-        {
-            self.queue.pass_on();
+        match self.waiter.state.get() {
+            WaitState::Waiting => {
+                self.queue.inner.waiting.borrow_mut().remove(&self.place);
+            }
+            WaitState::Granted => self.queue.pass_on(),
+            WaitState::Overtaken | WaitState::Taken => {}
         }
     }
 }
