Take callers for a while after a router's stop has begun; fuzz planned stops

Cause: the fuzz had no planned stops. A router closed its listener and all idle connections in the moment of SIGTERM, although the balancer, which reads /readyz, can't have noticed yet.

Change: after a planned stop has begun, a router goes on accepting connections and answering for stop_notice_ms (3,000 unless set), and asks each caller to close its connection; only then does it close its listener. The fuzz stops agents and routers as planned too, and a second fuzz test does nothing else: no request may be cut off.

A test that killed agents one by one while a call ran gave the call 200 ms, and on a slower machine the call was answered before its agent's turn came. It now kills all agents first, and its call lasts until the test has ended it.

A refusal "not run" during a stop of both engines one right after the other still occurs and is allowed.

--- a/crates/celerystair_config/src/settings.rs
+++ b/crates/celerystair_config/src/settings.rs
@@ -77,6 +77,10 @@
     /// Kept from a request's time, so that a refusal reaches the caller before the deadline.
     #[serde(default = "default_answer_margin_ms")]
     pub answer_margin_ms: u64,
+    /// How long a router whose planned stop has begun still takes connections, so that the
+    /// balancer, which reads `/readyz`, has time to notice.
+    #[serde(default = "default_stop_notice_ms")]
+    pub stop_notice_ms: u64,
     /// The administration API; none is served if absent.
     #[serde(default)]
     pub admin: Option<AdminSettings>,
@@ -177,6 +181,10 @@
     1
 }
 
+fn default_stop_notice_ms() -> u64 {
+    3_000
+}
+
 fn default_stop_timeout_ms() -> u64 {
     120_000
 }
@@ -272,6 +280,11 @@
         problems.require(!self.router.is_empty(), "router", "must not be empty");
         check_peer_listen(problems, "peer_listen", self.peer_listen, &self.process);
         problems.require(self.body_max_bytes > 0, "body_max_bytes", "must be over 0");
+        problems.require(
+            self.stop_notice_ms < self.process.stop_timeout_ms,
+            "stop_notice_ms",
+            "must be under process.stop_timeout_ms",
+        );
         if let Some(admin) = &self.admin {
             problems.within("admin", |problems| admin.check(problems));
         }
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -27,7 +27,60 @@
 ///
 /// Each connection has a task of its own. Once a stop has begun, a connection finishes the
 /// request that it is on and closes.
+///
+/// # Errors
+/// The listener failed.
 pub async fn serve_http<F, R>(listener: TcpListener, stop: Stop, handle: F) -> io::Result<()>
+where
+    F: Fn(HttpRequest) -> R + 'static,
+    R: Future<Output = HttpResponse> + 'static,
+{
+    serve_connections(listener, stop, handle).await
+}
+
+/// As [`serve_http`], for callers who learn late that the server stops: for `notice_ms` after the
+/// stop has begun it goes on accepting connections and answering, and asks each caller to close
+/// its connection. A caller of a balancer that has not noticed yet is thereby not turned away.
+///
+/// # Errors
+/// The listener failed.
+pub async fn serve_http_with_notice<F, R>(
+    listener: TcpListener,
+    stop: Stop,
+    notice_ms: u64,
+    handle: F,
+) -> io::Result<()>
+where
+    F: Fn(HttpRequest) -> R + 'static,
+    R: Future<Output = HttpResponse> + 'static,
+{
+    let closing = Stop::new();
+    compio::runtime::spawn(close_after_notice(stop.clone(), notice_ms, closing.clone())).detach();
+    serve_connections(listener, closing, move |request| {
+        let answer = handle(request);
+        let stop = stop.clone();
+        async move {
+            let mut answer = answer.await;
+            if stop.is_draining() {
+                let close = http::HeaderValue::from_static("close");
+                answer.headers_mut().insert(http::header::CONNECTION, close);
+            }
+            answer
+        }
+    })
+    .await
+}
+
+/// Passes a stop on to `closing`: its beginning `notice_ms` late, its end at once.
+async fn close_after_notice(stop: Stop, notice_ms: u64, closing: Stop) {
+    stop.draining().await;
+    select(pin!(sleep_ms(notice_ms)), pin!(stop.ended())).await;
+    closing.drain();
+    stop.ended().await;
+    closing.end();
+}
+
+async fn serve_connections<F, R>(listener: TcpListener, stop: Stop, handle: F) -> io::Result<()>
 where
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -21,7 +21,7 @@
     pub use crate::{
         body::{BodyError, HttpBody},
         grpc::{Connection, ConnectionError, serve_grpc},
-        http_server::{HttpRequest, HttpResponse, bind, serve_http},
+        http_server::{HttpRequest, HttpResponse, bind, serve_http, serve_http_with_notice},
         tls::{PeerTls, TlsError, TlsSettings},
     };
 }
--- a/crates/celerystair_trial/src/faults.rs
+++ b/crates/celerystair_trial/src/faults.rs
@@ -44,6 +44,8 @@
     client: cyper::Client,
     agents: Vec<Role>,
     routers: Vec<Role>,
+    /// Routers whose planned stop has begun and in whose place others run.
+    replaced: Vec<Role>,
     standins: Vec<RoleThread>,
 }
 
@@ -69,6 +71,7 @@
             client,
             agents: Vec::new(),
             routers: Vec::new(),
+            replaced: Vec::new(),
             standins: vec![platform, weights, standin],
         };
         for index in 0..fleet.upstreams.len() {
@@ -154,6 +157,31 @@
         }
     }
 
+    /// Stops an agent as planned while its instance stays, and starts another life of it, as an
+    /// upgrade does.
+    pub async fn replace_agent(&mut self, index: usize) -> Result<(), FleetError> {
+        if let Some(thread) = &self.agents[index].thread {
+            thread.stop.drain();
+            self.agent_stopped(index).await;
+        }
+        self.restart_agent(index)
+    }
+
+    /// Starts another router in the place of one, and stops that one as planned. Its callers'
+    /// requests are still answered by it; new ones go to the other.
+    pub async fn replace_router(&mut self, index: usize, wait: bool) -> Result<(), FleetError> {
+        let role = self.start_router(index)?;
+        let old = std::mem::replace(&mut self.routers[index], role);
+        if wait {
+            self.router_ready(index).await?;
+        }
+        if let Some(thread) = &old.thread {
+            thread.stop.drain();
+        }
+        self.replaced.push(old);
+        Ok(())
+    }
+
     /// Returns once the planned stop of an agent is complete.
     pub async fn agent_stopped(&self, index: usize) {
         self.agents[index].finished.recv().await.ok();
@@ -189,6 +217,7 @@
     /// Ends everything: routers, then agents, then the stand-ins.
     pub fn end(&mut self) {
         self.routers.clear();
+        self.replaced.clear();
         self.agents.clear();
         self.standins.clear();
     }
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -20,6 +20,8 @@
 };
 
 /// Threads over which stand-ins of upstreams are spread, and as many for agents.
+/// How long a router under trial takes connections after its planned stop has begun.
+const STOP_NOTICE_MS: u64 = 300;
 const UPSTREAM_THREADS: usize = 2;
 /// How long the system may take until all agents have claimed and all models are placed.
 const READY_TIMEOUT_MS: u64 = 60_000;
@@ -369,6 +371,7 @@
         process: process_settings(settings, &settings.failure_domains[domain], platform_url),
         body_max_bytes: 8 << 20,
         answer_margin_ms: 200,
+        stop_notice_ms: STOP_NOTICE_MS,
         admin: None,
     }
 }
--- a/crates/celerystair_trial/src/fuzz.rs
+++ b/crates/celerystair_trial/src/fuzz.rs
@@ -47,6 +47,7 @@
     let caller = Caller::new().map_err(std::io::Error::other)?;
     let mut calls = Vec::new();
     let mut killed = vec![false; settings.routers as usize];
+    let mut is_faulty = false;
     for step in steps {
         match step {
             Step::Calls(planned) => {
@@ -61,9 +62,14 @@
                 killed[*index] = true;
                 fleet.restart_router(*index)?;
             }
+            Step::ReplaceAgent(index) => fleet.replace_agent(*index).await?,
+            Step::ReplaceRouter(index) => fleet.replace_router(*index, !is_faulty).await?,
             Step::PauseAgent(index, pause_ms) => fleet.pause_agent(*index, *pause_ms),
             Step::PauseRouter(index, pause_ms) => fleet.pause_router(*index, *pause_ms),
-            Step::Faults(faults) => fleet.set_faults(faults).await?,
+            Step::Faults(faults) => {
+                is_faulty = *faults != PlatformFaults::default();
+                fleet.set_faults(faults).await?;
+            }
         }
     }
     let mut result = FuzzResult::default();
@@ -90,6 +96,13 @@
     Ok(result)
 }
 
+/// The calls that a planned stop has cut off: neither answered nor truly refused as not run.
+pub fn cut_off(result: &FuzzResult) -> impl Iterator<Item = &Heard> {
+    let is_cut =
+        |heard: &&Heard| !says_not_run(heard) && heard.outcome.as_ref() != Some(&Outcome::Answered);
+    result.heard.iter().filter(is_cut)
+}
+
 type CallTask = compio::runtime::JoinHandle<(String, Option<Outcome>)>;
 
 fn spawn_call(
--- a/crates/celerystair_trial/src/fuzz_plan.rs
+++ b/crates/celerystair_trial/src/fuzz_plan.rs
@@ -9,6 +9,8 @@
 const BURST_MAX: usize = 5;
 /// Idempotency keys of one trial; fewer than calls, so that many are sent twice.
 const KEYS: u32 = 60;
+/// How long a caller waits that means to outlast every planned stop.
+const PATIENT_TIMEOUT_MS: u64 = 60_000;
 
 /// One step.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +23,10 @@
     RestartAgent(usize),
     /// Kills a router and starts another.
     RestartRouter(usize),
+    /// Stops an agent as planned and starts another life of it.
+    ReplaceAgent(usize),
+    /// Starts another router in the place of one, which is stopped as planned.
+    ReplaceRouter(usize),
     /// Holds an agent.
     PauseAgent(usize, u64),
     /// Holds a router.
@@ -69,8 +75,41 @@
         .collect()
 }
 
+/// Draws the steps of a trial in which nothing fails and processes are only stopped as planned.
+/// Its callers stay, and wait for as long as any planned stop takes.
+pub fn draw_planned_stops(
+    source: &mut Unstructured<'_>,
+    agents: usize,
+    routers: usize,
+) -> Result<Vec<Step>> {
+    (0..STEPS)
+        .map(|_| {
+            Ok(match source.int_in_range(0..=9_u8)? {
+                0..=4 => {
+                    let calls = source.int_in_range(1..=BURST_MAX)?;
+                    let calls = (0..calls).map(|_| draw_patient_call(source, routers));
+                    Step::Calls(calls.collect::<Result<_>>()?)
+                }
+                5..=6 => Step::Wait(source.int_in_range(1..=60)?),
+                7..=8 => Step::ReplaceAgent(source.choose_index(agents)?),
+                _ => Step::ReplaceRouter(source.choose_index(routers)?),
+            })
+        })
+        .collect()
+}
+
+fn draw_patient_call(source: &mut Unstructured<'_>, routers: usize) -> Result<PlannedCall> {
+    let mut call = draw_call(source, routers)?;
+    if call.target == PlannedTarget::Poison {
+        call.target = PlannedTarget::Keyed(0);
+    }
+    call.timeout_ms = PATIENT_TIMEOUT_MS;
+    call.leave_after_ms = None;
+    Ok(call)
+}
+
 fn draw_step(source: &mut Unstructured<'_>, agents: usize, routers: usize) -> Result<Step> {
-    Ok(match source.int_in_range(0..=15_u8)? {
+    Ok(match source.int_in_range(0..=17_u8)? {
         0..=7 => {
             let calls = source.int_in_range(1..=BURST_MAX)?;
             let calls = (0..calls).map(|_| draw_call(source, routers));
@@ -81,6 +120,8 @@
         12 => Step::RestartRouter(source.choose_index(routers)?),
         13 => Step::PauseAgent(source.choose_index(agents)?, source.int_in_range(1..=300)?),
         14 => Step::PauseRouter(source.choose_index(routers)?, source.int_in_range(1..=300)?),
+        15 => Step::ReplaceAgent(source.choose_index(agents)?),
+        16 => Step::ReplaceRouter(source.choose_index(routers)?),
         _ => Step::Faults(PlatformFaults {
             down: source.ratio(1, 3_u8)?,
             slow_ms: source.int_in_range(0..=60)?,
--- a/crates/celerystair_trial/src/lib.rs
+++ b/crates/celerystair_trial/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`settings`] | settings of a trial |
 //! | [`tally`] | what callers received |
 //! | [`threads`] | roles on threads with a runtime each |
+//! | [`usage`] | processor time of threads |
 //! | [`workload`] | the calls of `celerystair try` |
 
 pub mod caller;
@@ -26,6 +27,7 @@
 pub mod settings;
 pub mod tally;
 pub mod threads;
+pub mod usage;
 pub mod workload;
 
 /// The types that a trial or a test needs.
--- a/crates/celerystair_trial/tests/threads.rs
+++ b/crates/celerystair_trial/tests/threads.rs
@@ -6,7 +6,7 @@
 use celerystair_trial::threads::RoleThread;
 
 /// More than a runtime's queue of remote wake-ups holds.
-const TASKS: u32 = 5_000;
+const TASKS: u32 = 20_000;
 /// Far longer than an end takes on any machine; a deadlock takes for ever.
 const DEADLINE: Duration = Duration::from_mins(2);
 
@@ -31,6 +31,8 @@
             Ok::<_, std::io::Error>(())
         });
         let (mut thread, ()) = started.expect("the thread starts");
+        // The tasks that a planned stop wakes wait again while others are still being woken.
+        thread.stop.drain();
         thread.end();
         send.send(()).ok();
     });
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -42,3 +42,35 @@
         assert!(reply.expect("the call ends by itself").is_err());
     });
 }
+
+/// Far longer than the test takes on any machine.
+const LONG_NOTICE_MS: u64 = 600_000;
+
+#[test]
+fn a_server_whose_stop_has_begun_answers_late_callers_and_asks_them_to_close() {
+    block_on(async {
+        let listener = bind(([127, 0, 0, 1], 0).into()).expect("a listener");
+        let url = format!("http://{}/", listener.local_addr().expect("an address"));
+        let stop = Stop::new();
+        let handle = |_| async { http::Response::new(HttpBody::full("served")) };
+        let serving = serve_http_with_notice(listener, stop.clone(), LONG_NOTICE_MS, handle);
+        let serving = compio::runtime::spawn(serving);
+        let early = cyper::Client::new().expect("a client");
+        assert!(!asks_to_close(&early, &url).await);
+        stop.drain();
+        assert!(asks_to_close(&early, &url).await, "on a connection it has");
+        let late = cyper::Client::new().expect("a client");
+        assert!(asks_to_close(&late, &url).await, "on a new connection");
+        stop.end();
+        serving.await.expect("the server's task").expect("it ends");
+    });
+}
+
+/// Makes a call that must be answered; whether its answer closes the connection.
+async fn asks_to_close(client: &cyper::Client, url: &str) -> bool {
+    let request = client.get(url).expect("a request");
+    let response = request.send().await.expect("an answer");
+    let closes = response.headers().get("connection").is_some();
+    assert_eq!(response.text().await.expect("a body"), "served");
+    closes
+}
--- a/tests/fuzz_requests.rs
+++ b/tests/fuzz_requests.rs
@@ -17,8 +17,8 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use celerystair::trial::{
     caller::Outcome,
-    fuzz::{FuzzResult, Heard, run_steps},
-    fuzz_plan::{PlannedTarget, draw_steps},
+    fuzz::{FuzzResult, Heard, cut_off, run_steps},
+    fuzz_plan::{PlannedTarget, draw_planned_stops, draw_steps},
 };
 use requests::requests_trial;
 use support::block_on;
@@ -66,6 +66,23 @@
     }
 }
 
+#[test]
+fn whatever_is_stopped_as_planned_no_request_is_cut_off() {
+    for seed in SEEDS {
+        arbtest::arbtest(|source| {
+            let settings = requests_trial();
+            let agents = settings.pools.iter().map(|pool| pool.upstreams as usize);
+            let steps = draw_planned_stops(source, agents.sum(), settings.routers as usize)?;
+            let result = block_on(run_steps(&settings, &steps)).expect("the fleet starts");
+            check(&result);
+            let cut_off: Vec<&Heard> = cut_off(&result).collect();
+            assert!(cut_off.is_empty(), "{cut_off:#?}");
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
 #[test]
 fn fuzzing_for_as_long_as_the_budget_says() {
     let Ok(budget_ms) = std::env::var("CELERYSTAIR_FUZZ_BUDGET_MS") else {
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -18,6 +18,10 @@
 use support::block_on;
 
 const UPSTREAMS: usize = 5;
+/// Work that a slow machine still finds under way, and whose end a test waits for.
+const LONG_WORK_MS: u64 = 2000;
+/// Work that is under way until the test has ended it.
+const ENDLESS_WORK_MS: u64 = 20_000;
 
 async fn start(settings: &TrialSettings) -> (FaultFleet, Caller) {
     let fleet = FaultFleet::start(settings).await;
@@ -131,7 +135,7 @@
 fn a_started_call_goes_on_without_its_caller_and_its_answer_is_kept() {
     block_on(async {
         let mut settings = requests_trial();
-        settings.pools[1].service.work_ms = 300;
+        settings.pools[1].service.work_ms = LONG_WORK_MS;
         let (mut fleet, caller) = start(&settings).await;
         let call = post(fleet.router_address(0), "k");
         {
@@ -225,12 +229,15 @@
 fn an_agent_killed_within_a_call_leaves_it_unknown_at_every_router() {
     block_on(async {
         let mut settings = requests_trial();
-        settings.pools[1].service.work_ms = 200;
+        settings.pools[1].service.work_ms = ENDLESS_WORK_MS;
         let (mut fleet, caller) = start(&settings).await;
         let call = post(fleet.router_address(0), "k");
         let caller_of_first = caller.clone();
         let first = compio::runtime::spawn(async move { caller_of_first.call(&call).await });
         journal_has_started(&fleet).await;
+        for index in 0..UPSTREAMS {
+            fleet.kill_agent(index);
+        }
         for index in 0..UPSTREAMS {
             fleet.restart_agent(index).expect("the agent starts");
         }
