Let a stopping agent tell routers that it leaves before it closes its port

An agent closed its port and told its HTTP/2 connections to go away at once; a call that was under way in that moment was dropped by the connection, and the router that asked what had become of it found no port.

Change: stop_notice_ms is a setting of every process (5,000 unless set) and holds for agents too: meanwhile they refuse new work as leaving, not run, and answer what became of an attempt.

--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -163,10 +163,13 @@
     let routes = tonic_routes(&agent);
     let (serving, leaving) = (stop.clone(), agent.clone());
     let config = agent.node.config.clone();
+    let notice_ms = agent.node.settings.stop_notice_ms;
     let served = compio::runtime::spawn(async move {
         // Until then no caller's connection is taken, so that its request was certainly not run.
         config.known_or_draining(&serving).await;
-        serve_grpc(listener, serving, routes).await.ok();
+        // Routers that have not heard yet that the agent is leaving are told so meanwhile.
+        let closing = after_notice(&serving, notice_ms);
+        serve_grpc(listener, closing, routes).await.ok();
         // Calls whose callers have left go on, and their outcomes are still to be written.
         leaving.keyed_runs.ended().await;
         leaving.journal.flushed().await;
--- a/crates/celerystair_config/src/settings.rs
+++ b/crates/celerystair_config/src/settings.rs
@@ -44,6 +44,11 @@
     /// How long a planned stop may take before what is left is cut off.
     #[serde(default = "default_stop_timeout_ms")]
     pub stop_timeout_ms: u64,
+    /// How long a process whose planned stop has begun still takes connections, so that the
+    /// balancer, which reads `/readyz`, and the routers, which hear of it from agents, have time
+    /// to notice. A router serves what comes meanwhile; an agent says that it is leaving.
+    #[serde(default = "default_stop_notice_ms")]
+    pub stop_notice_ms: u64,
 }
 
 /// How logs are written.
@@ -77,10 +82,6 @@
     /// Kept from a request's time, so that a refusal reaches the caller before the deadline.
     #[serde(default = "default_answer_margin_ms")]
     pub answer_margin_ms: u64,
-    /// How long a router whose planned stop has begun still takes connections, so that the
-    /// balancer, which reads `/readyz`, has time to notice.
-    #[serde(default = "default_stop_notice_ms")]
-    pub stop_notice_ms: u64,
     /// The administration API; none is served if absent.
     #[serde(default)]
     pub admin: Option<AdminSettings>,
@@ -182,7 +183,7 @@
 }
 
 fn default_stop_notice_ms() -> u64 {
-    3_000
+    5_000
 }
 
 fn default_stop_timeout_ms() -> u64 {
@@ -226,6 +227,11 @@
             "platform.call_timeout_ms",
             "must be over 0",
         );
+        problems.require(
+            self.stop_notice_ms < self.stop_timeout_ms,
+            "stop_notice_ms",
+            "must be under stop_timeout_ms",
+        );
         problems.require(
             self.instances_interval_ms > 0,
             "instances_interval_ms",
@@ -280,11 +286,6 @@
         problems.require(!self.router.is_empty(), "router", "must not be empty");
         check_peer_listen(problems, "peer_listen", self.peer_listen, &self.process);
         problems.require(self.body_max_bytes > 0, "body_max_bytes", "must be over 0");
-        problems.require(
-            self.stop_notice_ms < self.process.stop_timeout_ms,
-            "stop_notice_ms",
-            "must be under process.stop_timeout_ms",
-        );
         if let Some(admin) = &self.admin {
             problems.within("admin", |problems| admin.check(problems));
         }
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -54,8 +54,7 @@
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    let closing = Stop::new();
-    compio::runtime::spawn(close_after_notice(stop.clone(), notice_ms, closing.clone())).detach();
+    let closing = after_notice(&stop, notice_ms);
     serve_connections(listener, closing, move |request| {
         let answer = handle(request);
         let stop = stop.clone();
@@ -71,13 +70,19 @@
     .await
 }
 
-/// Passes a stop on to `closing`: its beginning `notice_ms` late, its end at once.
-async fn close_after_notice(stop: Stop, notice_ms: u64, closing: Stop) {
-    stop.draining().await;
-    select(pin!(sleep_ms(notice_ms)), pin!(stop.ended())).await;
-    closing.drain();
-    stop.ended().await;
-    closing.end();
+/// A stop that begins `notice_ms` after `stop` has begun, and ends with it.
+pub fn after_notice(stop: &Stop, notice_ms: u64) -> Stop {
+    let (stop, late) = (stop.clone(), Stop::new());
+    let raised = late.clone();
+    compio::runtime::spawn(async move {
+        stop.draining().await;
+        select(pin!(sleep_ms(notice_ms)), pin!(stop.ended())).await;
+        raised.drain();
+        stop.ended().await;
+        raised.end();
+    })
+    .detach();
+    late
 }
 
 async fn serve_connections<F, R>(listener: TcpListener, stop: Stop, handle: F) -> io::Result<()>
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -21,7 +21,9 @@
     pub use crate::{
         body::{BodyError, HttpBody},
         grpc::{Connection, ConnectionError, serve_grpc},
-        http_server::{HttpRequest, HttpResponse, bind, serve_http, serve_http_with_notice},
+        http_server::{
+            HttpRequest, HttpResponse, after_notice, bind, serve_http, serve_http_with_notice,
+        },
         tls::{PeerTls, TlsError, TlsSettings},
     };
 }
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -94,7 +94,7 @@
     compio::runtime::spawn(async move { serve_grpc(peer_listener, serving, peers).await.ok() })
         .detach();
     let (answering, serving) = (router.clone(), stop.clone());
-    let notice_ms = router.settings.stop_notice_ms;
+    let notice_ms = router.settings.process.stop_notice_ms;
     let served = compio::runtime::spawn(async move {
         serve_http_with_notice(listener, serving, notice_ms, move |request| {
             answer_caller(answering.clone(), request)
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -20,7 +20,7 @@
 };
 
 /// Threads over which stand-ins of upstreams are spread, and as many for agents.
-/// How long a router under trial takes connections after its planned stop has begun.
+/// How long a process under trial takes connections after its planned stop has begun.
 const STOP_NOTICE_MS: u64 = 300;
 const UPSTREAM_THREADS: usize = 2;
 /// How long the system may take until all agents have claimed and all models are placed.
@@ -330,6 +330,7 @@
         timeline_file: settings.timeline_file.clone(),
         clock_scale: settings.clock_scale,
         stop_timeout_ms: 60_000,
+        stop_notice_ms: STOP_NOTICE_MS,
     }
 }
 
@@ -371,7 +372,6 @@
         process: process_settings(settings, &settings.failure_domains[domain], platform_url),
         body_max_bytes: 8 << 20,
         answer_margin_ms: 200,
-        stop_notice_ms: STOP_NOTICE_MS,
         admin: None,
     }
 }
--- a/examples/config_spread.rs
+++ b/examples/config_spread.rs
@@ -317,6 +317,7 @@
         timeline_file: None,
         clock_scale: 1,
         stop_timeout_ms: 1000,
+        stop_notice_ms: 0,
     }
 }
 
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -101,7 +101,6 @@
         process: process_settings(url, Vec::new()),
         body_max_bytes: 1 << 20,
         answer_margin_ms: 100,
-        stop_notice_ms: 0,
         admin: Some(AdminSettings {
             listen: loopback,
             tokens: vec![
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -208,5 +208,6 @@
         timeline_file: None,
         clock_scale: 1,
         stop_timeout_ms: 1000,
+        stop_notice_ms: 0,
     }
 }
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -74,7 +74,6 @@
             process: process_settings(&self.platform_url, "a"),
             body_max_bytes: 1 << 20,
             answer_margin_ms: 100,
-            stop_notice_ms: 0,
             admin: None,
         };
         run_router(settings, stop).await.expect("the router starts")
@@ -234,6 +233,7 @@
         timeline_file: None,
         clock_scale: 1,
         stop_timeout_ms: 60_000,
+        stop_notice_ms: 0,
     }
 }
 
