Let a trial lose a failure domain and cut its network

Change: connections to peers open through a dialer of the thread, plain TCP unless a trial sets one. The trial's network runs them through relays that stall or reset across a cut, and each domain reaches the platform by a relay of its own. Stand-ins run on a thread per domain; a domain is lost in one step and comes back as new instances. An engine that is dropped gives its replicas' memory back to the witness, as a lost instance does.

Conclusion: cuts and losses can be caused under load with the real router and agent code.

--- a/crates/celerystair_net/src/grpc.rs
+++ b/crates/celerystair_net/src/grpc.rs
@@ -4,7 +4,7 @@
 use std::{cell::RefCell, convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc};
 
 use celerystair_core::{prelude::*, time::before_deadline};
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpListener;
 use cyper_core::CompioExecutor;
 use futures_util::future::{Either, select};
 use hyper::{body::Incoming, client::conn::http2 as client, server::conn::http2 as server};
@@ -13,6 +13,7 @@
 use tonic::body::Body;
 
 use crate::{
+    dial::dial,
     http_server::{OpenConnections, accept_until},
     timer::ConnectionTimer,
     tls::{accept_peer, connect_peer},
@@ -145,7 +146,7 @@
     let deadline_unix_ms =
         now_unix_ms() + CONNECT_TIMEOUT_MS * celerystair_core::time::clock_scale();
     let work = async {
-        let stream = TcpStream::connect(address)
+        let stream = dial(address)
             .await
             .map_err(|e| unreachable(e.to_string()))?;
         stream.set_nodelay(true).ok();
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | holds |
 //! |---|---|
 //! | [`body`] | a response body that is whole or fed by a task |
+//! | [`dial`] | how connections to peers are opened |
 //! | [`grpc`] | a gRPC server, and a connection that is made anew when lost |
 //! | [`http_server`] | an HTTP/1.1 server, one task for each connection |
 //! | [`json`] | reading and writing JSON bodies |
@@ -10,6 +11,7 @@
 //! | [`tls`] | certificates that the system's own processes show each other |
 
 pub mod body;
+pub mod dial;
 pub mod grpc;
 pub mod http_server;
 pub mod json;
@@ -20,6 +22,7 @@
 pub mod prelude {
     pub use crate::{
         body::{BodyError, HttpBody},
+        dial::{Dialer, set_dialer},
         grpc::{Connection, ConnectionError, serve_grpc},
         http_server::{HttpRequest, HttpResponse, bind, serve_http},
         tls::{PeerTls, TlsError, TlsSettings},
--- a/crates/celerystair_standin/src/engine.rs
+++ b/crates/celerystair_standin/src/engine.rs
@@ -114,6 +114,15 @@
     changed: Rc<Event>,
 }
 
+/// The instance is gone, and its accelerator's memory with it.
+impl Drop for Engine {
+    fn drop(&mut self) {
+        for model in self.replicas.borrow().keys() {
+            self.witness.replica_freed(model);
+        }
+    }
+}
+
 /// Runs the engine until `stop` drains; gives its address.
 pub fn run_engine(
     settings: EngineSettings,
--- a/crates/celerystair_trial/src/checks.rs
+++ b/crates/celerystair_trial/src/checks.rs
@@ -32,6 +32,20 @@
         /// Its executions.
         count: u32,
     },
+    /// Every caller of a request was told that it has not run, and it has.
+    #[error("{marker} was refused as not run, and ran {count} times")]
+    RanUnsaid {
+        /// What the stand-ins counted it by.
+        marker: String,
+        /// Its executions.
+        count: u32,
+    },
+    /// A request was answered that no upstream has run.
+    #[error("{marker} was answered, and never ran")]
+    AnsweredUnrun {
+        /// What the stand-ins would have counted it by.
+        marker: String,
+    },
     /// A caller received an answer that was not its own, or not whole.
     #[error("wrong answer: {0}")]
     WrongAnswer(String),
--- a/crates/celerystair_trial/src/faults.rs
+++ b/crates/celerystair_trial/src/faults.rs
@@ -1,9 +1,14 @@
 //! A fleet whose agents and routers have a thread each, so that they can be killed, paused,
 //! stopped as planned and restarted one at a time, over a platform that can be made to fail.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use celerystair_agent::prelude::*;
+use celerystair_config::prelude::FleetConfig;
 use celerystair_core::prelude::*;
 use celerystair_platform::{
     objects::{AGENTS, PLACEMENTS},
@@ -14,9 +19,11 @@
 
 use crate::{
     fleet::{
-        FleetError, FleetUpstream, agent_settings, announce, plan_upstreams, router_settings, seed,
-        start_platform, start_standins, start_weights, store_settings, wait_for,
+        FleetError, FleetUpstream, agent_settings, announce, plan_upstreams, router_domain,
+        router_settings, seed, start_platform, start_standins, start_weights, store_settings,
+        wait_for,
     },
+    network::Network,
     settings::TrialSettings,
     threads::RoleThread,
 };
@@ -25,11 +32,37 @@
 const READY_TIMEOUT_MS: u64 = 60_000;
 
 /// A role that runs, or has been killed.
-struct Role {
-    thread: Option<RoleThread>,
+pub(crate) struct Role {
+    pub(crate) thread: Option<RoleThread>,
     pauses: async_channel::Sender<u64>,
     finished: async_channel::Receiver<()>,
-    address: SocketAddr,
+    addresses: RoleAddresses,
+    revisions: Revisions,
+}
+
+/// Each revision of the configuration that a role had in force, in order.
+type Revisions = Arc<Mutex<Vec<u64>>>;
+
+/// A role that has begun to serve.
+struct Serving {
+    addresses: RoleAddresses,
+    config: FleetConfig,
+    served: compio::runtime::JoinHandle<()>,
+}
+
+/// Where a role listens.
+struct RoleAddresses {
+    /// For callers of a router; an agent has no other than the next.
+    callers: SocketAddr,
+    /// For other processes of the system.
+    peers: SocketAddr,
+}
+
+/// The upstreams of one failure domain, and the way from there to the platform.
+pub(crate) struct Domain {
+    pub(crate) name: FailureDomain,
+    pub(crate) standins: Option<RoleThread>,
+    platform_url: String,
 }
 
 /// The fleet.
@@ -40,37 +73,43 @@
     pub platform_url: String,
     /// The upstreams.
     pub upstreams: Vec<FleetUpstream>,
-    settings: TrialSettings,
-    client: cyper::Client,
-    agents: Vec<Role>,
-    routers: Vec<Role>,
+    /// What lies between the failure domains.
+    pub network: Network,
+    pub(crate) settings: TrialSettings,
+    pub(crate) client: cyper::Client,
+    pub(crate) agents: Vec<Role>,
+    pub(crate) routers: Vec<Role>,
+    pub(crate) domains: Vec<Domain>,
+    weights_url: String,
     standins: Vec<RoleThread>,
 }
 
 impl FaultFleet {
     /// Starts everything, and waits until all agents have claimed and all routers are ready.
     pub async fn start(settings: &TrialSettings) -> Result<Self, FleetError> {
-        let witness = Witness::default();
         let (platform, platform_url) = start_platform(settings)?;
         let store = Store::new(store_settings(&platform_url))?;
         seed(&store, settings).await?;
         let (weights, weights_url) = start_weights(settings)?;
-        let planned = plan_upstreams(settings);
-        let (standin, upstreams) = start_standins(0, planned, weights_url, witness.clone())?;
-        let client = cyper::Client::new().map_err(std::io::Error::other)?;
-        for upstream in &upstreams {
-            announce(&client, &platform_url, &upstream.instance, "live").await?;
-        }
         let mut fleet = Self {
-            witness,
+            witness: Witness::default(),
             platform_url,
-            upstreams,
+            upstreams: plan_upstreams(settings),
+            network: Network::default(),
             settings: settings.clone(),
-            client,
+            client: cyper::Client::new().map_err(std::io::Error::other)?,
             agents: Vec::new(),
             routers: Vec::new(),
-            standins: vec![platform, weights, standin],
+            domains: Vec::new(),
+            weights_url,
+            standins: vec![platform, weights],
         };
+        for name in &settings.failure_domains {
+            fleet.add_domain(name)?;
+        }
+        for index in 0..fleet.domains.len() {
+            fleet.start_upstreams(index).await?;
+        }
         for index in 0..fleet.upstreams.len() {
             let role = fleet.start_agent(index)?;
             fleet.agents.push(role);
@@ -89,7 +128,7 @@
 
     /// Where the callers of a router connect.
     pub fn router_address(&self, index: usize) -> SocketAddr {
-        self.routers[index].address
+        self.routers[index].addresses.callers
     }
 
     /// Makes the platform fail in the given way, from now on.
@@ -166,7 +205,7 @@
 
     /// Returns once a router knows what it routes to.
     pub async fn router_ready(&self, index: usize) -> Result<(), FleetError> {
-        let url = format!("http://{}/readyz", self.routers[index].address);
+        let url = format!("http://{}/readyz", self.routers[index].addresses.callers);
         let deadline_unix_ms = now_unix_ms() + READY_TIMEOUT_MS;
         loop {
             let request = self.client.get(&url).map_err(std::io::Error::other)?;
@@ -190,26 +229,100 @@
     pub fn end(&mut self) {
         self.routers.clear();
         self.agents.clear();
+        self.domains.clear();
         self.standins.clear();
     }
 
-    fn start_agent(&self, index: usize) -> Result<Role, FleetError> {
+    /// Starts the way from a failure domain to the platform.
+    fn add_domain(&mut self, name: &FailureDomain) -> Result<(), FleetError> {
+        let (thread, platform_url) = self.network.platform_from(name, &self.platform_url)?;
+        self.standins.push(thread);
+        self.domains.push(Domain {
+            name: name.clone(),
+            standins: None,
+            platform_url,
+        });
+        Ok(())
+    }
+
+    /// Starts the stand-ins of a failure domain's upstreams, whose instances the platform lists.
+    pub(crate) async fn start_upstreams(&mut self, domain: usize) -> Result<(), FleetError> {
+        let name = self.domains[domain].name.clone();
+        let planned = self.upstreams.iter().filter(|u| u.failure_domain == name);
+        let planned = planned.cloned().collect();
+        let (weights_url, witness) = (self.weights_url.clone(), self.witness.clone());
+        let (thread, started) = start_standins(domain, planned, weights_url, witness)?;
+        self.domains[domain].standins = Some(thread);
+        for upstream in started {
+            announce(&self.client, &self.platform_url, &upstream.instance, "live").await?;
+            let place = self.upstreams.iter_mut().find(|u| u.name == upstream.name);
+            if let Some(place) = place {
+                *place = upstream;
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn start_agent(&self, index: usize) -> Result<Role, FleetError> {
         let upstream = &self.upstreams[index];
-        let settings = agent_settings(&self.settings, upstream, &self.platform_url);
-        start_role(&upstream.name, |stop| async move {
+        let domain = &upstream.failure_domain;
+        let settings = agent_settings(&self.settings, upstream, self.platform_url_at(domain));
+        self.start_role(&upstream.name, domain, |stop| async move {
             let running = run_agent(settings, &stop).await?;
-            Ok((running.address, running.served))
+            let addresses = RoleAddresses {
+                callers: running.address,
+                peers: running.address,
+            };
+            Ok(Serving {
+                addresses,
+                config: running.agent.node.config.clone(),
+                served: running.served,
+            })
         })
     }
 
-    fn start_router(&self, index: usize) -> Result<Role, FleetError> {
-        let settings = router_settings(&self.settings, index as u32 + 1, &self.platform_url);
+    pub(crate) fn start_router(&self, index: usize) -> Result<Role, FleetError> {
+        let number = index as u32 + 1;
+        let domain = router_domain(&self.settings, number);
+        let settings = router_settings(&self.settings, number, self.platform_url_at(domain));
         let name = settings.router.clone();
-        start_role(&name, |stop| async move {
+        self.start_role(&name, domain, |stop| async move {
             let running = run_router(settings, &stop).await?;
-            Ok((running.address, running.served))
+            let addresses = RoleAddresses {
+                callers: running.address,
+                peers: running.peer_address,
+            };
+            Ok(Serving {
+                addresses,
+                config: running.router.node.config.clone(),
+                served: running.served,
+            })
         })
     }
+
+    /// The platform as processes of a failure domain reach it.
+    fn platform_url_at(&self, domain: &FailureDomain) -> &str {
+        let domain = self.domains.iter().find(|known| known.name == *domain);
+        domain.map_or(&self.platform_url, |domain| &domain.platform_url)
+    }
+
+    fn start_role<F>(
+        &self,
+        name: &str,
+        domain: &FailureDomain,
+        start: impl FnOnce(Stop) -> F + Send + 'static,
+    ) -> Result<Role, FleetError>
+    where
+        F: Future<Output = Result<Serving, FleetError>>,
+    {
+        let (network, from) = (self.network.clone(), domain.clone());
+        let role = start_role(name, move |stop| {
+            network.dial_from(&from);
+            start(stop)
+        })?;
+        self.network.place(role.addresses.peers, domain);
+        Ok(role)
+    }
 }
 
 fn start_role<F>(
@@ -217,12 +330,16 @@
     start: impl FnOnce(Stop) -> F + Send + 'static,
 ) -> Result<Role, FleetError>
 where
-    F: Future<Output = Result<(SocketAddr, compio::runtime::JoinHandle<()>), FleetError>>,
+    F: Future<Output = Result<Serving, FleetError>>,
 {
     let (pauses, asked) = async_channel::unbounded::<u64>();
     let (finish, finished) = async_channel::bounded(1);
-    let (thread, address) = RoleThread::spawn(name, &Stop::new(), move |stop| async move {
-        let (address, served) = start(stop).await?;
+    let revisions = Revisions::default();
+    let noted = revisions.clone();
+    let (thread, addresses) = RoleThread::spawn(name, &Stop::new(), move |stop| async move {
+        let serving = start(stop).await?;
+        let (addresses, served) = (serving.addresses, serving.served);
+        compio::runtime::spawn(note_revisions(serving.config, noted)).detach();
         compio::runtime::spawn(async move {
             while let Ok(pause_ms) = asked.recv().await {
                 std::thread::sleep(Duration::from_millis(pause_ms));
@@ -234,12 +351,35 @@
             finish.send(()).await.ok();
         })
         .detach();
-        Ok::<_, FleetError>(address)
+        Ok::<_, FleetError>(addresses)
     })?;
     Ok(Role {
         thread: Some(thread),
         pauses,
         finished,
-        address,
+        addresses,
+        revisions,
     })
 }
+
+async fn note_revisions(config: FleetConfig, revisions: Revisions) {
+    loop {
+        let changed = config.listen();
+        let revision = config.revision();
+        {
+            let mut noted = revisions.lock().unwrap_or_else(PoisonError::into_inner);
+            if noted.last() != Some(&revision) {
+                noted.push(revision);
+            }
+        }
+        changed.await;
+    }
+}
+
+impl Role {
+    /// Each revision of the configuration that this life had in force.
+    pub(crate) fn revisions(&self) -> Vec<u64> {
+        let noted = self.revisions.lock();
+        noted.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -355,18 +355,23 @@
     }
 }
 
+/// The failure domain of the router by this number.
+pub(crate) fn router_domain(settings: &TrialSettings, number: u32) -> &FailureDomain {
+    &settings.failure_domains[number as usize % settings.failure_domains.len()]
+}
+
 /// Settings of the router by this number.
 pub fn router_settings(
     settings: &TrialSettings,
     number: u32,
     platform_url: &str,
 ) -> RouterSettings {
-    let domain = number as usize % settings.failure_domains.len();
+    let domain = router_domain(settings, number);
     RouterSettings {
         router: format!("router-{number}"),
         listen: loopback(),
         peer_listen: loopback(),
-        process: process_settings(settings, &settings.failure_domains[domain], platform_url),
+        process: process_settings(settings, domain, platform_url),
         body_max_bytes: 8 << 20,
         answer_margin_ms: 200,
         admin: None,
