Leave out upstreams that could not be reached of late

Cause: a router remembered nothing of a connection that could not be opened. While a domain or a region was out of reach, every request for a model whose first slot was there waited a second for a connection, then took a retry of the budget; once the budget was used up, requests were refused although their other slot was in reach. Ruled out: the deadline (calls of 5 s were refused after 1.0 s) and the placement (no slot had moved).

Change: an agent that could not be reached is left out for 5 s where another upstream can serve, then one request tries it again. The retry budget stays as it was.

Conclusion: two slots in different domains are worth something only with this. A silent cut still costs the 5 to 8 s until pings notice it.

--- a/crates/celerystair_router/src/attempt.rs
+++ b/crates/celerystair_router/src/attempt.rs
@@ -137,7 +137,7 @@
     /// Whether the agent says that the attempt never started; from then on it never will.
     async fn ask(&self, router: &Router, deadline_unix_ms: u64) -> bool {
         let ask = async {
-            let channel = self.peer.connection.channel().await.ok()?;
+            let channel = self.peer.channel().await.ok()?;
             let origin = channel.origin();
             let request = SettleRequest {
                 stamp: router.node.stamp(),
@@ -176,7 +176,7 @@
             .settle(router, refusal, request.deadline_unix_ms)
             .await
     };
-    let channel = match peer.connection.channel().await {
+    let channel = match peer.channel().await {
         Ok(channel) => channel,
         Err(error) => return Err(settle(lost(error.to_string())).await),
     };
--- a/crates/celerystair_router/src/peers.rs
+++ b/crates/celerystair_router/src/peers.rs
@@ -7,12 +7,16 @@
 };
 
 use celerystair_core::{prelude::*, time::carry_over};
-use celerystair_net::prelude::*;
+use celerystair_net::{grpc::Channel, prelude::*};
 use celerystair_protocol::{News, ReplicaNews, ReplicaState};
 
 /// How long an agent's word that it is leaving counts.
 const LEAVING_LIFE_MS: u64 = 2_000;
 
+/// How long an agent that could not be reached is left out where another can serve; then one
+/// request tries it again.
+const OUT_OF_REACH_LIFE_MS: u64 = 5_000;
+
 /// One agent as this router knows it.
 pub struct Peer {
     /// The upstream beside which it runs.
@@ -27,6 +31,8 @@
     pub load: RefCell<News>,
     /// When it was last heard of.
     pub heard_unix_ms: Cell<u64>,
+    /// Until when it counts as out of reach; 0 if it was heard of since it last did.
+    out_of_reach_until_unix_ms: Cell<u64>,
     /// Its replicas, as last heard.
     pub replicas: RefCell<HashMap<String, ReplicaNews>>,
 }
@@ -54,6 +60,7 @@
             life: RefCell::new(life.to_owned()),
             load: RefCell::default(),
             heard_unix_ms: Cell::new(0),
+            out_of_reach_until_unix_ms: Cell::new(0),
             replicas: RefCell::default(),
         });
         by_upstream.insert(upstream.into(), peer.clone());
@@ -73,6 +80,7 @@
         }
         let heard_unix_ms = now_unix_ms();
         self.heard_unix_ms.set(heard_unix_ms);
+        self.out_of_reach_until_unix_ms.set(0);
         let carry = |unix_ms: u64| match unix_ms {
             0 => 0,
             _ => carry_over(unix_ms, news.sent_unix_ms, heard_unix_ms),
@@ -105,4 +113,34 @@
         let load = self.load.borrow();
         load.leaving && now_unix_ms() < self.heard_unix_ms.get() + LEAVING_LIFE_MS
     }
+
+    /// A channel for one or more calls; notes whether there is a way to the agent.
+    ///
+    /// # Errors
+    /// [`ConnectionError`], after which nothing has been sent.
+    pub async fn channel(&self) -> Result<Channel, ConnectionError> {
+        let channel = self.connection.channel().await;
+        if channel.is_err() {
+            self.leave_out();
+        }
+        channel
+    }
+
+    /// Notes that a request is about to be sent: the first one after a while out of reach tries
+    /// the way for all others.
+    pub fn note_chosen(&self) {
+        if self.out_of_reach_until_unix_ms.get() > 0 {
+            self.leave_out();
+        }
+    }
+
+    /// Whether there was no way to it of late. No slot moves for that; see `docs/PLACEMENT.md`.
+    pub fn is_out_of_reach(&self) -> bool {
+        now_unix_ms() < self.out_of_reach_until_unix_ms.get()
+    }
+
+    fn leave_out(&self) {
+        let until_unix_ms = now_unix_ms() + OUT_OF_REACH_LIFE_MS;
+        self.out_of_reach_until_unix_ms.set(until_unix_ms);
+    }
 }
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -88,6 +88,7 @@
         drop(load);
         peers.push(peer);
     }
+    leave_out_of_reach(&mut candidates, &mut peers);
     let affinity = match &request.target {
         Target::Model(model) => model.to_string(),
         Target::Service(_) => request.id.to_string(),
@@ -98,6 +99,7 @@
         choose_for_key(&candidates, request)?
     };
     let peer = peers.swap_remove(index);
+    peer.note_chosen();
     let queue_wait_ms = queue_wait_ms(&peer.load.borrow());
     Some(Chosen {
         peer,
@@ -106,6 +108,20 @@
     })
 }
 
+/// Leaves out the upstreams that could not be reached of late, if another can serve: each try
+/// would cost the request a second, and a retry of the budget.
+fn leave_out_of_reach(candidates: &mut Vec<Candidate>, peers: &mut Vec<Rc<Peer>>) {
+    let in_reach: Vec<bool> = peers.iter().map(|peer| !peer.is_out_of_reach()).collect();
+    let mut open = candidates.iter().zip(&in_reach);
+    if !open.any(|(candidate, in_reach)| *in_reach && !candidate.leaving) {
+        return;
+    }
+    let mut keep = in_reach.iter();
+    candidates.retain(|_| keep.next() == Some(&true));
+    let mut keep = in_reach.iter();
+    peers.retain(|_| keep.next() == Some(&true));
+}
+
 /// The upstream for a call that may not be repeated: keys of one shard of the journal go to one
 /// upstream, whose agent writes many of them at once. Safety does not rest on it.
 fn choose_for_key(candidates: &[Candidate], request: &CallerRequest) -> Option<usize> {
