Publish that a plain service is leaving, as an engine does

Cause: only the agents of engines wrote `leaving` to the store. Routers heard it from the agent of a plain service on replies alone and count that word for 2 s, so a service that drained for longer was chosen again while it left. Ruled out: the platform's list, which is not told of a restarted process.

Change: every agent publishes it, in a task of its own.

Conclusion: one write more for each planned stop of a service's agent.

--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -214,6 +214,7 @@
         spawn(idle::watch_idle(agent.clone(), engine.clone()));
         spawn(slots::watch_slots(agent.clone(), engine.clone()));
     }
+    spawn(slots::watch_leaving(agent.clone()));
     spawn(claim::watch_claim(agent.clone()));
     while !agent.node.stop.is_draining() && !agent.claim.is_superseded() {
         let changed = agent.claim.listen();
--- a/crates/celerystair_agent/src/slots.rs
+++ b/crates/celerystair_agent/src/slots.rs
@@ -97,16 +97,24 @@
     fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms()).drain
 }
 
-/// Gives back slots that this instance is not to hold, and unloads replicas without a slot,
-/// until the stop ends.
-pub async fn watch_slots(agent: Agent, engine: EngineClient) {
+/// Tells routers by the store whether the upstream is leaving, until the stop ends. What they
+/// hear from the agent itself they forget soon, and its last word may be long ago.
+pub async fn watch_leaving(agent: Agent) {
     let mut published = false;
     while !agent.node.stop.is_ended() {
-        unload_strays(&agent, &engine);
         let leaving = is_leaving(&agent);
         if leaving != published && publish_leaving(&agent, leaving).await.is_ok() {
             published = leaving;
         }
+        sleep_ms(INTERVAL_MS).await;
+    }
+}
+
+/// Gives back slots that this instance is not to hold, and unloads replicas without a slot,
+/// until the stop ends.
+pub async fn watch_slots(agent: Agent, engine: EngineClient) {
+    while !agent.node.stop.is_ended() {
+        unload_strays(&agent, &engine);
         for (model, placement) in agent.node.placements.all() {
             let model = ModelName::from(model.as_str());
             if is_to_release(&agent, &model, &placement) {
