Let a stopping router take what its balancer still sends

Cause: a router closed its port the moment a planned stop began. `/readyz` could never turn 503, and what the balancer sent until it noticed was cut off. Ruled out: agents, whose refused connections are tried elsewhere.

Change: a router goes on serving for `balancer_lag_ms` (10 s unless set) while `/readyz` says 503, and answers with `connection: close`.

Weighed and not done: a router that waits when all holders of a model leave at once.

Conclusion: operators set the lag to what their balancer needs.

--- a/crates/celerystair_config/src/settings.rs
+++ b/crates/celerystair_config/src/settings.rs
@@ -77,6 +77,10 @@
     /// Kept from a request's time, so that a refusal reaches the caller before the deadline.
     #[serde(default = "default_answer_margin_ms")]
     pub answer_margin_ms: u64,
+    /// How long the balancer may take to see that a router is not ready any more; until then a
+    /// stopping router takes what still comes.
+    #[serde(default = "default_balancer_lag_ms")]
+    pub balancer_lag_ms: u64,
     /// The administration API; none is served if absent.
     #[serde(default)]
     pub admin: Option<AdminSettings>,
@@ -185,6 +189,10 @@
     8 << 20
 }
 
+fn default_balancer_lag_ms() -> u64 {
+    10_000
+}
+
 fn default_answer_margin_ms() -> u64 {
     100
 }
--- a/crates/celerystair_router/src/callers.rs
+++ b/crates/celerystair_router/src/callers.rs
@@ -16,16 +16,28 @@
 /// How long a request may wait until a router that has just started knows what it routes to.
 const KNOWN_WAIT_MAX_MS: u64 = 10_000;
 
-/// Answers one request of a caller.
+/// Answers one request of a caller. Once a stop has begun, the caller's next request is to come
+/// on another connection, which the balancer opens elsewhere.
 pub async fn answer_caller(router: Router, request: HttpRequest) -> HttpResponse {
+    let mut response = answer(&router, request).await;
+    if router.node.stop.is_draining() {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer(router: &Router, request: HttpRequest) -> HttpResponse {
     let id = RequestId::random();
     match request.uri().path() {
         "/healthz" => typed_response(200, "text/plain", "ok\n"),
-        "/readyz" => readiness(&router),
+        "/readyz" => readiness(router),
         "/metrics" => typed_response(200, "text/plain; version=0.0.4", router.node.scrape()),
-        "/v1/models" => models_response(model_names(&router)),
-        _ => match read(&router, &id, request).await {
-            Ok(request) => serve_request(&router, request).await,
+        "/v1/models" => models_response(model_names(router)),
+        _ => match read(router, &id, request).await {
+            Ok(request) => serve_request(router, request).await,
             Err(refusal) => refusal_response(&refusal, &id),
         },
     }
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -1,6 +1,6 @@
 //! The router's state, its start and its planned stop.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, pin::pin, rc::Rc};
 
 use celerystair_admin::prelude::*;
 use celerystair_config::prelude::*;
@@ -12,6 +12,7 @@
 use celerystair_platform::prelude::Mirror;
 use celerystair_protocol::peer_server::PeerServer;
 use celerystair_telemetry::prelude::*;
+use futures_util::future::select;
 
 use crate::{
     admission::Admission, callers::answer_caller, peers::Peers, retry_budget::RetryBudget,
@@ -93,7 +94,10 @@
     let serving = stop.clone();
     compio::runtime::spawn(async move { serve_grpc(peer_listener, serving, peers).await.ok() })
         .detach();
-    let (answering, serving) = (router.clone(), stop.clone());
+    let serving = Stop::new();
+    let (stopping, lag_ms) = (stop.clone(), router.settings.balancer_lag_ms);
+    compio::runtime::spawn(hand_on_late(stopping, serving.clone(), lag_ms)).detach();
+    let answering = router.clone();
     let served = compio::runtime::spawn(async move {
         serve_http(listener, serving, move |request| {
             answer_caller(answering.clone(), request)
@@ -109,3 +113,13 @@
         served,
     })
 }
+
+/// Hands a planned stop on to the server of callers once the balancer has seen that the router
+/// is not ready: what it sends until then would otherwise be cut off.
+async fn hand_on_late(stop: Stop, serving: Stop, balancer_lag_ms: u64) {
+    stop.draining().await;
+    select(pin!(sleep_ms(balancer_lag_ms)), pin!(stop.ended())).await;
+    serving.drain();
+    stop.ended().await;
+    serving.end();
+}
--- a/crates/celerystair_trial/src/faults.rs
+++ b/crates/celerystair_trial/src/faults.rs
@@ -186,6 +186,13 @@
         Ok(())
     }
 
+    /// Begins the planned stop of an agent's process; its instance stays.
+    pub fn stop_agent_process(&self, index: usize) {
+        if let Some(thread) = &self.agents[index].thread {
+            thread.stop.drain();
+        }
+    }
+
     /// Begins the planned stop of a router.
     pub fn stop_router(&self, index: usize) {
         if let Some(thread) = &self.routers[index].thread {
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -374,6 +374,7 @@
         process: process_settings(settings, domain, platform_url),
         body_max_bytes: 8 << 20,
         answer_margin_ms: 200,
+        balancer_lag_ms: 1000,
         admin: None,
     }
 }
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -101,6 +101,7 @@
         process: process_settings(url, Vec::new()),
         body_max_bytes: 1 << 20,
         answer_margin_ms: 100,
+        balancer_lag_ms: 0,
         admin: Some(AdminSettings {
             listen: loopback,
             tokens: vec![
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -74,6 +74,7 @@
             process: process_settings(&self.platform_url, "a"),
             body_max_bytes: 1 << 20,
             answer_margin_ms: 100,
+            balancer_lag_ms: 0,
             admin: None,
         };
         run_router(settings, stop).await.expect("the router starts")
