Freeze several holders of slots in the middle of orders

Change: a test freezes four of six agents for 9 s (an order lives for 2 s) while loads and unloads never cease and the store is down, gives two of them a successor when the store is back, takes the store down again before they wake, and checks every promise; once beside engines that check orders, once beside engines that don't. The engine's stand-in counts orders that it takes after one of a later claimant; none may be.

--- a/crates/celerystair_standin/src/engine/orders.rs
+++ b/crates/celerystair_standin/src/engine/orders.rs
@@ -116,6 +116,9 @@
         if now_unix_ms() > deadline_unix_ms {
             return Err(STATUS_ORDER_EXPIRED);
         }
+        if fence < self.fence.get() {
+            self.witness.stale_order();
+        }
         self.fence.set(self.fence.get().max(fence));
         Ok(())
     }
--- a/crates/celerystair_standin/src/witness.rs
+++ b/crates/celerystair_standin/src/witness.rs
@@ -20,6 +20,8 @@
     pub replicas_peak: HashMap<String, u32>,
     /// Orders that would have overcommitted an accelerator.
     pub overcommit_faults: u64,
+    /// Orders that an engine took though it had an order of a later claimant before.
+    pub stale_orders: u64,
     /// Executions of each idempotency key at plain services.
     pub executions: HashMap<String, u32>,
     /// Executions by request body marker at engines.
@@ -68,6 +70,11 @@
         self.lock().overcommit_faults += 1;
     }
 
+    /// An engine that does not check took an order after one of a later claimant.
+    pub fn stale_order(&self) {
+        self.lock().stale_orders += 1;
+    }
+
     /// A plain service executed the call with `key`.
     pub fn executed(&self, key: &str) {
         *self.lock().executions.entry(key.to_owned()).or_default() += 1;
--- a/crates/celerystair_trial/src/checks.rs
+++ b/crates/celerystair_trial/src/checks.rs
@@ -24,6 +24,12 @@
         /// Such orders.
         count: u64,
     },
+    /// Engines took orders of holders that had lost their right.
+    #[error("{count} orders were taken after one of a later claimant")]
+    StaleOrders {
+        /// Such orders.
+        count: u64,
+    },
     /// A non-idempotent request ran more than once.
     #[error("key {key} was executed {count} times")]
     RanTwice {
@@ -77,6 +83,11 @@
             count: seen.overcommit_faults,
         });
     }
+    if seen.stale_orders > 0 {
+        violations.push(Violation::StaleOrders {
+            count: seen.stale_orders,
+        });
+    }
     for (key, count) in seen.executions.iter().filter(|(_, count)| **count > 1) {
         violations.push(Violation::RanTwice {
             key: key.clone(),
--- a/crates/celerystair_trial/src/faults.rs
+++ b/crates/celerystair_trial/src/faults.rs
@@ -78,6 +78,7 @@
     pub(crate) settings: TrialSettings,
     pub(crate) client: cyper::Client,
     pub(crate) agents: Vec<Role>,
+    former_agents: Vec<Role>,
     pub(crate) routers: Vec<Role>,
     pub(crate) domains: Vec<Domain>,
     weights_url: String,
@@ -99,6 +100,7 @@
             settings: settings.clone(),
             client: cyper::Client::new().map_err(std::io::Error::other)?,
             agents: Vec::new(),
+            former_agents: Vec::new(),
             routers: Vec::new(),
             domains: Vec::new(),
             weights_url,
@@ -159,6 +161,15 @@
         Ok(())
     }
 
+    /// Starts another life of an agent while the earlier one is still there, as happens when the
+    /// earlier one is frozen and taken for dead.
+    pub fn double_agent(&mut self, index: usize) -> Result<(), FleetError> {
+        let next = self.start_agent(index)?;
+        let former = std::mem::replace(&mut self.agents[index], next);
+        self.former_agents.push(former);
+        Ok(())
+    }
+
     /// Ends a router without notice, and starts another.
     pub fn restart_router(&mut self, index: usize) -> Result<(), FleetError> {
         self.routers[index].thread = None;
@@ -236,6 +247,7 @@
     pub fn end(&mut self) {
         self.routers.clear();
         self.agents.clear();
+        self.former_agents.clear();
         self.domains.clear();
         self.standins.clear();
     }
--- a/tests/support/domains.rs
+++ b/tests/support/domains.rs
@@ -28,13 +28,21 @@
 
 /// Starts the fleet and a load on all its routers.
 pub async fn start_loaded(settings: &TrialSettings) -> (FaultFleet, SteadyLoad) {
+    start_called_every(settings, CALL_INTERVAL_MS).await
+}
+
+/// The same with calls at each router every `interval_ms`.
+pub async fn start_called_every(
+    settings: &TrialSettings,
+    interval_ms: u64,
+) -> (FaultFleet, SteadyLoad) {
     let fleet = FaultFleet::start(settings).await;
     let fleet = fleet.expect("the fleet starts");
     let caller = Caller::new().expect("a caller");
     let routers = 0..settings.routers as usize;
     let routers = routers.map(|index| Some(fleet.router_address(index)));
     let routers = routers.collect();
-    let load = SteadyLoad::start(settings, &caller, routers, CALL_INTERVAL_MS, TIMEOUT_MS);
+    let load = SteadyLoad::start(settings, &caller, routers, interval_ms, TIMEOUT_MS);
     (fleet, load)
 }
 
