--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -20,8 +20,6 @@
 };
 
 /// Threads over which stand-ins of upstreams are spread, and as many for agents.
-/// How long a process under trial takes connections after its planned stop has begun.
-const STOP_NOTICE_MS: u64 = 300;
 const UPSTREAM_THREADS: usize = 2;
 /// How long the system may take until all agents have claimed and all models are placed.
 const READY_TIMEOUT_MS: u64 = 60_000;
@@ -330,7 +328,7 @@
         timeline_file: settings.timeline_file.clone(),
         clock_scale: settings.clock_scale,
         stop_timeout_ms: 60_000,
-        stop_notice_ms: STOP_NOTICE_MS,
+        stop_notice_ms: settings.stop_notice_ms,
     }
 }
 
@@ -358,18 +356,23 @@
     }
 }
 
+/// The failure domain of the router by this number.
+pub(crate) fn router_domain(settings: &TrialSettings, number: u32) -> &FailureDomain {
+    &settings.failure_domains[number as usize % settings.failure_domains.len()]
+}
+
 /// Settings of the router by this number.
 pub fn router_settings(
     settings: &TrialSettings,
     number: u32,
     platform_url: &str,
 ) -> RouterSettings {
-    let domain = number as usize % settings.failure_domains.len();
+    let domain = router_domain(settings, number);
     RouterSettings {
         router: format!("router-{number}"),
         listen: loopback(),
         peer_listen: loopback(),
-        process: process_settings(settings, &settings.failure_domains[domain], platform_url),
+        process: process_settings(settings, domain, platform_url),
         body_max_bytes: 8 << 20,
         answer_margin_ms: 200,
         admin: None,
--- a/crates/celerystair_trial/src/settings.rs
+++ b/crates/celerystair_trial/src/settings.rs
@@ -44,6 +44,13 @@
     /// Where events of the time line go, as JSON lines.
     #[serde(default)]
     pub timeline_file: Option<std::path::PathBuf>,
+    /// How long a process whose planned stop has begun still takes connections.
+    #[serde(default = "default_stop_notice_ms")]
+    pub stop_notice_ms: u64,
+}
+
+fn default_stop_notice_ms() -> u64 {
+    1000
 }
 
 fn default_log_format() -> LogFormat {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -32,6 +32,7 @@
     let engine_url = format!("http://{}", engine.standin_address());
     let process = json!({
         "failure_domain": "a", "platform": { "url": platform_url }, "log_format": "json",
+        "stop_notice_ms": 500,
     });
     let client = cyper::Client::new().expect("a client");
     announce(&client, &platform_url, "engine-1.1", "live")
