Read where an agent listens once it is out of reach; charge no retry for that

The watch had missed that agents listened elsewhere, the router would have read the prefix anew only after one to two minutes, and each refused connection had cost a retry of the budget, so that no other agent was tried either.

Change: after an agent could not be reached a router reads its object, once a second at most over all agents. A retry after a connection that was never made, or an attempt that the agent has cancelled, costs no budget: no upstream did work for it.

A server that closes its port first accepts what the kernel has taken: a process that was paused over its whole notice reset these connections. A router under trial has a longer notice than an agent, as callers of the trial may begin late.

Ruled out: claims. All agents had claimed, and the store had their new addresses.

--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -121,7 +121,11 @@
     Ok(())
 }
 
-/// Accepts connections until `stop` drains.
+/// How long the queue of connections that the kernel has taken must stay empty before it is
+/// closed: closing it resets what is in it.
+const BACKLOG_EMPTY_MS: u64 = 20;
+
+/// Accepts connections until `stop` drains, and then those that were made before.
 pub(crate) async fn accept_until(
     listener: &TcpListener,
     stop: &Stop,
@@ -135,6 +139,12 @@
             Either::Right(_) => break,
         }
     }
+    while !stop.is_ended() {
+        match select(pin!(listener.accept()), pin!(sleep_ms(BACKLOG_EMPTY_MS))).await {
+            Either::Left((Ok((stream, _)), _)) => serve(stream).await,
+            _ => break,
+        }
+    }
     Ok(())
 }
 
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -1,6 +1,6 @@
 //! The router's state, its start and its planned stop.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 use celerystair_admin::prelude::*;
 use celerystair_config::prelude::*;
@@ -37,6 +37,8 @@
     pub suspects: Mirror<SuspectObject>,
     /// Requests that this router has now.
     pub admission: Admission,
+    /// When it last read an agent's object because the agent could not be reached.
+    pub agent_read_unix_ms: Cell<u64>,
 }
 
 impl std::ops::Deref for Router {
@@ -85,6 +87,7 @@
             retry_budget: RetryBudget::default(),
             suspects: Mirror::start(&node.store, SUSPECTS, stop),
             admission: Admission::default(),
+            agent_read_unix_ms: Cell::default(),
             node,
         }),
     };
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -6,7 +6,10 @@
 use celerystair_core::{prelude::*, rendezvous::weight, time::before_deadline};
 use celerystair_journal::prelude::*;
 use celerystair_placement::prelude::*;
-use celerystair_platform::{objects::PLACEMENTS, prelude::InstanceState};
+use celerystair_platform::{
+    objects::{AGENTS, PLACEMENTS},
+    prelude::{InstanceState, Object},
+};
 use celerystair_protocol::{News, ReplicaState};
 
 use crate::{
@@ -15,8 +18,10 @@
     router::Router,
 };
 
-/// How long the store may take to say where a model is placed now.
+/// How long the store may take to say where a model is placed now, or where an agent listens.
 const FOLLOW_TIMEOUT_MS: u64 = 500;
+/// The shortest time between two reads of agents' objects.
+const AGENT_READ_INTERVAL_MS: u64 = 1000;
 
 /// The upstream chosen for an attempt.
 pub struct Chosen {
@@ -176,10 +181,31 @@
     let Target::Model(model) = target else {
         return;
     };
-    let key = format!("{PLACEMENTS}{}", model.base);
-    let read = router.node.store.get(&key);
-    let deadline_unix_ms = now_unix_ms() + FOLLOW_TIMEOUT_MS;
-    if let Some(Ok(Some(object))) = before_deadline(deadline_unix_ms, read).await {
+    if let Some(object) = read_anew(router, &format!("{PLACEMENTS}{}", model.base)).await {
         router.node.placements.apply(&object).ok();
     }
 }
+
+/// Reads where the agent of `upstream` listens, after it could not be reached: the watch may have
+/// missed that another has taken its place. A router reads so once a second at most, because the
+/// agents of a whole failure domain may be out of reach at once.
+pub async fn follow_agent(router: &Router, upstream: &str) {
+    let now = now_unix_ms();
+    if now < router.agent_read_unix_ms.get() + AGENT_READ_INTERVAL_MS {
+        return;
+    }
+    router.agent_read_unix_ms.set(now);
+    if let Some(object) = read_anew(router, &format!("{AGENTS}{upstream}")).await {
+        router.node.agents.apply(&object).ok();
+    }
+}
+
+/// Reads an object from the store, unless that takes long.
+async fn read_anew(router: &Router, key: &str) -> Option<Object> {
+    let read = router.node.store.get(key);
+    let deadline_unix_ms = now_unix_ms() + FOLLOW_TIMEOUT_MS;
+    before_deadline(deadline_unix_ms, read)
+        .await?
+        .ok()
+        .flatten()
+}
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -18,7 +18,7 @@
     attempt::{AnswerStream, Answering, Tracked, submit},
     caller_request::{CallerRequest, Target},
     router::Router,
-    select::{Chosen, choose_peer, follow_placement},
+    select::{Chosen, choose_peer, follow_agent, follow_placement},
 };
 
 /// Attempts of one request at most, over all upstreams.
@@ -102,8 +102,10 @@
                     && refusal.run == RunState::Unknown;
                 cuts += u32::from(was_cut);
                 let may_retry = may_retry(request, &refusal) && cuts < CRASHES_MAX;
-                if refusal.reason == RefusalReason::NotHere {
-                    follow_placement(router, &request.target).await;
+                match refusal.reason {
+                    RefusalReason::NotHere => follow_placement(router, &request.target).await,
+                    RefusalReason::ConnectionLost => follow_agent(router, upstream).await,
+                    _ => {}
                 }
                 let detail = refusal.to_string();
                 last = Some(merge(last, refusal));
@@ -233,12 +235,13 @@
 }
 
 /// Whether a retry after this refusal adds load: an agent that never queued the request, because
-/// it is leaving or holds no slot, did no work for it.
+/// it is leaving, holds no slot or could not be reached, did no work for it.
 fn costs_budget(refusal: &Refusal) -> bool {
-    !matches!(
-        refusal.reason,
-        RefusalReason::Leaving | RefusalReason::NotHere
-    )
+    match refusal.reason {
+        RefusalReason::Leaving | RefusalReason::NotHere => false,
+        RefusalReason::ConnectionLost => refusal.run == RunState::Unknown,
+        _ => true,
+    }
 }
 
 async fn collect(rest: &mut AnswerStream) -> Result<Bytes, Refusal> {
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -316,6 +316,7 @@
     settings: &TrialSettings,
     domain: &FailureDomain,
     platform_url: &str,
+    stop_notice_ms: u64,
 ) -> ProcessSettings {
     ProcessSettings {
         failure_domain: domain.clone(),
@@ -328,7 +329,7 @@
         timeline_file: settings.timeline_file.clone(),
         clock_scale: settings.clock_scale,
         stop_timeout_ms: 60_000,
-        stop_notice_ms: settings.stop_notice_ms,
+        stop_notice_ms,
     }
 }
 
@@ -349,7 +350,12 @@
         pool: upstream.pool.name.clone(),
         listen: loopback(),
         metrics_listen: None,
-        process: process_settings(settings, &upstream.failure_domain, platform_url),
+        process: process_settings(
+            settings,
+            &upstream.failure_domain,
+            platform_url,
+            settings.agent_stop_notice_ms,
+        ),
         engine_checks_orders: upstream.pool.engine.checks_orders,
         order_life_ms: 2000,
         running_max: upstream.pool.running_max,
@@ -372,7 +378,12 @@
         router: format!("router-{number}"),
         listen: loopback(),
         peer_listen: loopback(),
-        process: process_settings(settings, domain, platform_url),
+        process: process_settings(
+            settings,
+            domain,
+            platform_url,
+            settings.router_stop_notice_ms,
+        ),
         body_max_bytes: 8 << 20,
         answer_margin_ms: 200,
         admin: None,
--- a/crates/celerystair_trial/src/settings.rs
+++ b/crates/celerystair_trial/src/settings.rs
@@ -44,13 +44,20 @@
     /// Where events of the time line go, as JSON lines.
     #[serde(default)]
     pub timeline_file: Option<std::path::PathBuf>,
-    /// How long a process whose planned stop has begun still takes connections.
-    #[serde(default = "default_stop_notice_ms")]
-    pub stop_notice_ms: u64,
+    /// How long an agent whose planned stop has begun still takes connections.
+    #[serde(default = "default_agent_stop_notice_ms")]
+    pub agent_stop_notice_ms: u64,
+    /// How long a router whose planned stop has begun still takes connections.
+    #[serde(default = "default_router_stop_notice_ms")]
+    pub router_stop_notice_ms: u64,
 }
 
-fn default_stop_notice_ms() -> u64 {
-    1000
+fn default_agent_stop_notice_ms() -> u64 {
+    500
+}
+
+fn default_router_stop_notice_ms() -> u64 {
+    3000
 }
 
 fn default_log_format() -> LogFormat {
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -9,7 +9,10 @@
 use celerystair::{
     core::prelude::*,
     journal::entry::JOURNAL,
-    platform::prelude::Store,
+    platform::{
+        objects::AGENTS,
+        prelude::{AgentObject, Store},
+    },
     standin::platform::PlatformFaults,
     trial::{caller::CallTarget, fleet::store_settings, prelude::*},
 };
@@ -254,6 +257,47 @@
     });
 }
 
+#[test]
+fn a_router_that_missed_where_agents_listen_now_reads_it_once_they_are_out_of_reach() {
+    block_on(async {
+        let (mut fleet, caller) = start(&requests_trial()).await;
+        let missed = PlatformFaults {
+            missed_watches_percent: 100,
+            ..PlatformFaults::default()
+        };
+        fleet.set_faults(&missed).await.expect("faults are set");
+        for index in 0..UPSTREAMS {
+            fleet.restart_agent(index).expect("the agent starts");
+        }
+        all_have_claimed_again(&fleet).await;
+        // Routers gather changes for a second at most before they renew a watch.
+        sleep_ms(2000).await;
+        fleet
+            .set_faults(&PlatformFaults::default())
+            .await
+            .expect("faults are set");
+        let received = caller.call(&post(fleet.router_address(0), "k")).await;
+        assert_eq!(received.outcome, Outcome::Answered);
+        fleet.end();
+    });
+}
+
+/// Returns once a second life of each agent has claimed.
+async fn all_have_claimed_again(fleet: &FaultFleet) {
+    let store = store_of(fleet);
+    loop {
+        let agents = store.list(AGENTS).await.expect("the store answers").objects;
+        let mut fences = agents.iter().map(|object| {
+            let agent = object.read::<AgentObject>().expect("an agent's object");
+            agent.fence
+        });
+        if agents.len() == UPSTREAMS && fences.all(|fence| fence >= 2) {
+            return;
+        }
+        sleep_ms(5).await;
+    }
+}
+
 /// Returns once the journal has an entry.
 async fn journal_has_started(fleet: &FaultFleet) {
     let store = store_of(fleet);
