Fetch a configuration that was refused only once

Cause: a process that refuses a revision, since its version does not know a field, went on hearing of it from peers and fetched the whole document again every 20 to 100 ms, for as long as both versions ran. A document may have a megabyte; a process may spend 17 KB a second on control.

Change: a process remembers the highest revision that it refused, and asks peers for a higher one only. A peer that has one in between is asked again for that.

--- a/crates/celerystair_config/src/in_force.rs
+++ b/crates/celerystair_config/src/in_force.rs
@@ -10,7 +10,7 @@
 use celerystair_platform::{objects::CONFIG_HEAD, prelude::*};
 use event_listener::{Event, EventListener};
 use futures_util::future::select;
-
+use serde_json::Value;
 use thiserror::Error;
 
 use crate::{change::FieldProblem, fleet::FleetDocument, queries::check_document::check_document};
@@ -51,6 +51,7 @@
 struct Inner {
     document: RefCell<Rc<FleetDocument>>,
     heard_revision: Cell<u64>,
+    refused_revision: Cell<u64>,
     known: Cell<bool>,
     refusal: RefCell<Option<DocumentRefusal>>,
     changed: Event,
@@ -84,6 +85,7 @@
         }
         let problems = check_document(&document);
         if !problems.is_empty() {
+            self.note_refused(document.revision);
             self.refuse(DocumentRefusal::BadFields {
                 revision: document.revision,
                 problems,
@@ -109,11 +111,24 @@
         self.inner.heard_revision.get()
     }
 
+    /// The highest revision that this process can't put in force; there is no use in fetching it
+    /// again.
+    pub fn refused_revision(&self) -> u64 {
+        self.inner.refused_revision.get()
+    }
+
+    fn note_refused(&self, revision: u64) {
+        let refused = self.inner.refused_revision.get().max(revision);
+        self.inner.refused_revision.set(refused);
+    }
+
     /// Puts the document in force that a peer has sent as JSON.
     pub fn apply_json(&self, json: &[u8]) -> bool {
         match serde_json::from_slice::<FleetDocument>(json) {
             Ok(document) => self.apply(Rc::new(document)),
             Err(error) => {
+                let value = serde_json::from_slice::<Value>(json).unwrap_or_default();
+                self.note_refused(value["revision"].as_u64().unwrap_or_default());
                 self.refuse(DocumentRefusal::Unreadable {
                     detail: error.to_string(),
                 });
@@ -139,6 +154,7 @@
                 Ok(())
             }
             Err(error) => {
+                self.note_refused(object.value["revision"].as_u64().unwrap_or_default());
                 self.refuse(DocumentRefusal::Unreadable {
                     detail: error.to_string(),
                 });
--- a/crates/celerystair_node/src/spread.rs
+++ b/crates/celerystair_node/src/spread.rs
@@ -124,7 +124,7 @@
         while !self.node.stop.is_ended() {
             let changed = config.listen();
             let heard = config.heard_revision();
-            if heard <= config.revision() {
+            if heard <= config.revision().max(config.refused_revision()) {
                 select(changed, pin!(self.node.stop.ended())).await;
                 continue;
             }
@@ -198,6 +198,23 @@
     node: &Node,
     connection: &Connection,
     list_heard: bool,
+) -> Option<FetchConfigReply> {
+    let config = &node.config;
+    let refused = config.refused_revision();
+    let reply = call(node, connection, list_heard, config.revision().max(refused)).await?;
+    // The peer may have one between the revision in force here and the one that was refused.
+    if (config.revision() + 1..refused).contains(&reply.revision) {
+        return call(node, connection, list_heard, config.revision()).await;
+    }
+    Some(reply)
+}
+
+/// Asks for a document of a higher revision than `revision`.
+async fn call(
+    node: &Node,
+    connection: &Connection,
+    list_heard: bool,
+    revision: u64,
 ) -> Option<FetchConfigReply> {
     let call = async {
         let channel = connection.channel().await.ok()?;
@@ -206,7 +223,7 @@
             PeerClient::with_origin(channel, origin).max_decoding_message_size(MESSAGE_MAX_BYTES);
         let request = FetchConfigRequest {
             stamp: node.stamp(),
-            revision: node.config.revision(),
+            revision,
             list_heard,
         };
         Some(client.fetch_config(request).await.ok()?.into_inner())
--- a/tests/mixed_versions.rs
+++ b/tests/mixed_versions.rs
@@ -5,19 +5,34 @@
 mod rig;
 mod support;
 
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
 use celerystair::{
     config::prelude::{FleetConfig, FleetDocument},
     core::prelude::*,
-    net::prelude::Connection,
+    net::prelude::{Connection, bind, serve_grpc},
     platform::prelude::{AgentObject, ModelObject, Object, PlacementObject},
     protocol::{
-        SubmitEvent, SubmitRequest, agent_client::AgentClient, submit_event::Event as Step,
+        FetchConfigReply, FetchConfigRequest, Stamp, SubmitEvent, SubmitRequest,
+        agent_client::AgentClient,
+        peer_server::{Peer, PeerServer},
+        submit_event::Event as Step,
     },
 };
 use prost::Message;
 use rig::{REQUEST_TIMEOUT_MS, Rig, agent_settings, small_engine, submit, wait_until};
 use serde_json::{Value, json};
-use support::block_on;
+use support::{
+    block_on,
+    config::{Process, start_platform},
+};
+use tonic::{Request, Response, Status};
 
 /// A field of a later version: number 2000, a varint, of value 7.
 const LATER_FIELD: [u8; 3] = [0x80, 0x7d, 0x07];
@@ -122,3 +137,69 @@
     assert_eq!(config.revision(), 3, "the earlier revision stays in force");
     assert!(config.take_refusal().is_some(), "and the log says why");
 }
+
+/// A process of a later version, whose configuration has a field that this one does not know.
+#[derive(Clone, Default)]
+struct LaterPeer {
+    address: Arc<OnceLock<SocketAddr>>,
+    asked: Arc<AtomicU32>,
+    documents: Arc<AtomicU32>,
+}
+
+const LATER_REVISION: u64 = 9;
+
+#[tonic::async_trait]
+impl Peer for LaterPeer {
+    async fn fetch_config(
+        &self,
+        request: Request<FetchConfigRequest>,
+    ) -> Result<Response<FetchConfigReply>, Status> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let document = if request.into_inner().revision < LATER_REVISION {
+            self.documents.fetch_add(1, Ordering::Relaxed);
+            json!({ "revision": LATER_REVISION, "of_a_later_version": 7 }).to_string()
+        } else {
+            String::new()
+        };
+        let address = self.address.get().map(SocketAddr::to_string);
+        let stamp = Stamp {
+            process: "later".to_owned(),
+            config_revision: LATER_REVISION,
+            peer_address: address.unwrap_or_default(),
+            ..Stamp::default()
+        };
+        Ok(Response::new(FetchConfigReply {
+            stamp: Some(stamp),
+            revision: LATER_REVISION,
+            document: document.into_bytes().into(),
+            heard: Vec::new(),
+        }))
+    }
+}
+
+#[test]
+fn a_document_that_was_refused_is_not_fetched_again_and_again() {
+    // The process asks one peer every second on average; two tasks may fetch at the same time.
+    const ASKED: u32 = 5;
+    const DOCUMENTS_MAX: u32 = 2;
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let later = LaterPeer::default();
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        later.address.set(address).expect("set once");
+        let service = PeerServer::new(later.clone());
+        compio::runtime::spawn(serve_grpc(listener, stop.clone(), service)).detach();
+        let earlier = Process::start("earlier", &url, vec![address]);
+        wait_until("the process asks on", async || {
+            later.asked.load(Ordering::Relaxed) >= ASKED
+        })
+        .await;
+        let documents = later.documents.load(Ordering::Relaxed);
+        assert!(documents <= DOCUMENTS_MAX, "{documents} were sent in vain");
+        assert_eq!(earlier.node.config.revision(), 0);
+        earlier.end();
+        stop.end();
+    });
+}
