Retry free of the budget what reached no upstream

Cause: a domain lost in an outage of the store. Calls that may not be repeated are refused for want of the store and tried elsewhere, which used up the retry budget; a completion that tried the way to a lost agent again then had no retry left and was refused, though its other slot served.

Change: a retry costs nothing if the attempt before it was not run for want of a connection.

Before: the new test failed, with 4 completions refused as connection_lost, not run, after the loss was noticed. After: none; each router left answered all completions while the store was down.

Conclusion: the other slot serves through a loss and an outage together.

--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -233,8 +233,11 @@
 }
 
 /// Whether a retry after this refusal adds load: an agent that never queued the request, because
-/// it is leaving or holds no slot, did no work for it.
+/// it is leaving, holds no slot or was not reached, did no work for it.
 fn costs_budget(refusal: &Refusal) -> bool {
+    if refusal.reason == RefusalReason::ConnectionLost && refusal.run == RunState::NotRun {
+        return false;
+    }
     !matches!(
         refusal.reason,
         RefusalReason::Leaving | RefusalReason::NotHere
--- a/tests/failure_domains.rs
+++ b/tests/failure_domains.rs
@@ -4,7 +4,7 @@
 mod domains;
 mod support;
 
-use celerystair::{core::prelude::*, trial::prelude::*};
+use celerystair::{core::prelude::*, standin::platform::PlatformFaults, trial::prelude::*};
 use domains::{
     answers_all_models, assert_held, domains_trial, is_answered, outcomes, placed_on_live,
     placements, start_loaded,
@@ -65,6 +65,58 @@
     });
 }
 
+#[test]
+fn models_go_on_when_a_domain_is_lost_in_an_outage_of_the_store() {
+    block_on(async {
+        let settings = domains_trial();
+        let (mut fleet, load) = start_loaded(&settings).await;
+        placed_on_live(&fleet).await;
+        let lost = fleet.routers_in(LOST);
+        let left: Vec<usize> = (0..3).filter(|index| !lost.contains(index)).collect();
+        answers_all_models(&load, &[0, 1, 2], MODELS).await;
+        let before = placements(&fleet).await;
+        set_store_down(&fleet, true).await;
+        let lost_unix_ms = now_unix_ms();
+        fleet.lose_domain(LOST);
+        for router in &lost {
+            load.balance(*router, None);
+        }
+        // The platform drops the instances while nobody can read its list.
+        fleet
+            .drop_from_list(LOST)
+            .await
+            .expect("the platform answers");
+        sleep_ms(LISTED_MS).await;
+        answers_all_models(&load, &left, MODELS).await;
+        let up_unix_ms = now_unix_ms();
+        set_store_down(&fleet, false).await;
+        let after = placements(&fleet).await;
+        assert_eq!(after, before, "a slot moved without the list");
+        placed_on_live_without(&fleet, LOST).await;
+        answers_all_models(&load, &left, MODELS).await;
+        let served = load.end().await;
+        println!("{}", outcomes(&served));
+        assert_held(&fleet, &served, |call| {
+            lost.contains(&call.router) && call.received.called_unix_ms <= lost_unix_ms
+        });
+        let noticed = lost_unix_ms + NOTICED_MS..up_unix_ms;
+        let mut during = served
+            .iter()
+            .filter(|call| noticed.contains(&call.received.called_unix_ms));
+        let refused = during.find(|call| call.model().is_some() && !is_answered(call));
+        assert!(refused.is_none(), "{refused:?}");
+        fleet.end();
+    });
+}
+
+async fn set_store_down(fleet: &FaultFleet, down: bool) {
+    let faults = PlatformFaults {
+        down,
+        ..PlatformFaults::default()
+    };
+    fleet.set_faults(&faults).await.expect("faults are set");
+}
+
 /// Waits until no slot is held in `domain`, and none is missing.
 async fn placed_on_live_without(fleet: &FaultFleet, domain: &str) {
     domains::wait_until("slots have moved", async || {
