Let the placement fuzz see replicas that are loaded without a slot

Cause: the fuzz counted replicas only. A slot that was given back before the engine had confirmed the unload went unnoticed, because the next holder rarely loads within the time of an unload. Its engines also had room for all models, so it said nothing of the ledger.

Change: the witness names the engine and the load of each replica that holds memory. After each step the fuzz reads the placements and checks that what held memory before and after the read has a slot there. Two of three models fit an engine. The stand-in can lose the answer of a load (`lose_load_answer`), and answers an order to unload what it does not hold at once.

Conclusion: the release's order is now checked at random, too.

--- a/crates/celerystair_standin/src/engine.rs
+++ b/crates/celerystair_standin/src/engine.rs
@@ -60,6 +60,8 @@
     pub restart_ms: u64,
     /// The load by this number, counted from 1, ends in a crash halfway; 0 for none.
     pub crash_in_load: u64,
+    /// The load by this number, counted from 1, is carried out and its answer is lost; 0 for none.
+    pub lose_load_answer: u64,
 }
 
 impl Default for EngineSettings {
@@ -80,12 +82,14 @@
             report_lag_ms: 0,
             restart_ms: 2000,
             crash_in_load: 0,
+            lose_load_answer: 0,
         }
     }
 }
 
 struct Engine {
     settings: EngineSettings,
+    address: SocketAddr,
     witness: Witness,
     client: cyper::Client,
     fence: Cell<u64>,
@@ -125,6 +129,7 @@
     let engine = Rc::new(Engine {
         on_disk: RefCell::new(settings.on_disk.iter().cloned().collect()),
         settings,
+        address,
         witness: witness.clone(),
         client: cyper::Client::new().map_err(io::Error::other)?,
         fence: Cell::new(0),
@@ -237,7 +242,7 @@
         self.fence.set(0);
         for (model, replica) in self.replicas.borrow_mut().drain() {
             self.note_time(&replica);
-            self.witness.replica_freed(&model);
+            self.witness.replica_freed(&model, self.address);
             replica.changed.notify(usize::MAX);
         }
         self.in_memory.borrow_mut().clear();
--- a/crates/celerystair_standin/src/engine/orders.rs
+++ b/crates/celerystair_standin/src/engine/orders.rs
@@ -28,7 +28,8 @@
     }
 }
 
-/// The engine crashed while the order was carried out.
+/// The answer is cut off: the engine crashed while the order was carried out, or the answer is
+/// lost.
 const CRASHED: Refused = 0;
 
 impl Engine {
@@ -47,6 +48,10 @@
                     fresh.notify(usize::MAX);
                 })
                 .detach();
+                // The load above counts itself when its task first runs.
+                if self.loads.get() + 1 == self.settings.lose_load_answer {
+                    return Err(CRASHED);
+                }
             }
             self.wait_until(&order.model, |replica| replica.loaded_unix_ms.is_some())
                 .await
@@ -75,8 +80,9 @@
         let result = async {
             let order: UnloadOrder = parse(body)?;
             self.check_order(order.fence, order.deadline_unix_ms)?;
-            if let Some(replica) = self.replicas.borrow_mut().get_mut(&order.model) {
-                replica.unloading = true;
+            match self.replicas.borrow_mut().get_mut(&order.model) {
+                Some(replica) => replica.unloading = true,
+                None => return Ok(()),
             }
             let boot = self.boot.get();
             sleep_ms(self.settings.unload_ms).await;
@@ -85,7 +91,7 @@
             }
             if let Some(replica) = self.replicas.borrow_mut().remove(&order.model) {
                 self.note_time(&replica);
-                self.witness.replica_freed(&order.model);
+                self.witness.replica_freed(&order.model, self.address);
                 replica.changed.notify(usize::MAX);
             }
             Ok(())
@@ -147,7 +153,7 @@
                 changed: changed.clone(),
             },
         );
-        self.witness.replica_taken(&order.model);
+        self.witness.replica_taken(&order.model, self.address);
         Ok(Taken {
             fresh: Some(changed),
         })
--- a/crates/celerystair_standin/src/witness.rs
+++ b/crates/celerystair_standin/src/witness.rs
@@ -1,7 +1,10 @@
 //! What truly happened at the stand-ins, seen from inside them, for the checks of trials and
 //! tests. One witness is shared by all stand-ins of a process.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use celerystair_core::prelude::*;
 
@@ -11,11 +14,24 @@
     inner: Arc<Mutex<Seen>>,
 }
 
+/// A replica that holds memory of an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HeldReplica {
+    /// The model.
+    pub model: String,
+    /// Where the engine listens.
+    pub engine: SocketAddr,
+    /// The number of its load, which tells a replica from a later one of the same model.
+    pub load: u64,
+}
+
 /// What the stand-ins saw.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     /// Replicas of each model that hold accelerator memory now.
     pub replicas: HashMap<String, u32>,
+    /// The same replicas, each with its engine.
+    pub held: Vec<HeldReplica>,
     /// The most replicas of each model that held memory at one instant.
     pub replicas_peak: HashMap<String, u32>,
     /// Orders that would have overcommitted an accelerator.
@@ -38,10 +54,16 @@
         self.lock().clone()
     }
 
-    /// A replica begins to hold memory.
-    pub fn replica_taken(&self, model: &str) {
+    /// A replica begins to hold memory of the engine that listens at `engine`.
+    pub fn replica_taken(&self, model: &str, engine: SocketAddr) {
         let mut seen = self.lock();
         seen.loads += 1;
+        let held = HeldReplica {
+            model: model.to_owned(),
+            engine,
+            load: seen.loads,
+        };
+        seen.held.push(held);
         let count = seen.replicas.entry(model.to_owned()).or_default();
         *count += 1;
         let count = *count;
@@ -50,8 +72,11 @@
     }
 
     /// A replica's memory is free again.
-    pub fn replica_freed(&self, model: &str) {
-        if let Some(count) = self.lock().replicas.get_mut(model) {
+    pub fn replica_freed(&self, model: &str, engine: SocketAddr) {
+        let mut seen = self.lock();
+        seen.held
+            .retain(|held| held.model != model || held.engine != engine);
+        if let Some(count) = seen.replicas.get_mut(model) {
             *count = count.saturating_sub(1);
         }
     }
--- a/tests/placement_fuzz.rs
+++ b/tests/placement_fuzz.rs
@@ -1,13 +1,19 @@
 //! Random faults and requests against one simple oracle: at no instant do more replicas of a
-//! model hold memory than were decided, memory is never overcommitted, and every request is
-//! answered by its deadline.
+//! model hold memory than were decided, none holds memory without a slot, memory is never
+//! overcommitted, and every request is answered by its deadline.
 
 #[path = "support/rig.rs"]
 mod rig;
 
 use std::{cell::Cell, rc::Rc};
 
-use celerystair::{agent::prelude::*, config::prelude::*, core::prelude::*, standin::prelude::*};
+use celerystair::{
+    agent::prelude::*,
+    config::prelude::*,
+    core::prelude::*,
+    platform::{objects::PLACEMENTS, prelude::*},
+    standin::prelude::*,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rig::{Rig, agent_settings, small_engine, submit, wait_until};
 
@@ -52,7 +58,8 @@
                 checks_orders: name != UNCHECKED,
                 // Long enough for others to load meanwhile what must not be loaded yet.
                 unload_ms: 300,
-                memory_bytes: 1500,
+                // Two of the three models fit.
+                memory_bytes: 1000,
                 ..small_engine()
             });
             let (running, stop) = fuzz.agent(name, &engine).await;
@@ -164,6 +171,30 @@
         sleep_ms(random.random_range(0..PAUSE_MAX_MS)).await;
     }
 
+    /// Checks that no engine holds a replica whose slot has been given back: one that held memory
+    /// before and after a read of the placements did so at the read, too.
+    async fn check_slots(&self, seed: u64, step: u32) {
+        let before = self.rig.witness.seen().held;
+        let Ok(list) = self.rig.store.list(PLACEMENTS).await else {
+            return;
+        };
+        let after = self.rig.witness.seen().held;
+        for held in before.iter().filter(|held| after.contains(held)) {
+            let key = format!("{PLACEMENTS}{}", held.model);
+            let object = list.objects.iter().find(|object| object.key == key);
+            let placement = object.map(Object::read::<PlacementObject>);
+            let slots = placement.expect("a placement").expect("a placement").slots;
+            let url = format!("http://{}", held.engine);
+            let member = self.members.iter().position(|m| m.engine == url);
+            let upstream = UPSTREAMS[member.expect("an engine of the fuzz")];
+            assert!(
+                slots.iter().any(|slot| slot.upstream.as_str() == upstream),
+                "{upstream} holds {} without a slot: seed {seed}, step {step}",
+                held.model
+            );
+        }
+    }
+
     fn check(&self, seed: u64, step: u32) {
         for model in MODELS {
             let peak = self.rig.replicas_peak(model);
@@ -190,6 +221,7 @@
                 for step in 0..STEPS {
                     fuzz.step(&mut random).await;
                     fuzz.check(seed, step);
+                    fuzz.check_slots(seed, step).await;
                 }
                 fuzz.faults(PlatformFaults::default()).await;
                 wait_until("all requests are answered", async || fuzz.open.get() == 0).await;
