Show a new claim to the engine, so that a claimant without the store learns of it

Cause: an agent that is cut off from the store alone went on loading for slots that a later claimant had given back: neither engine had seen the later fencing number, because the new claimant showed it only with its first order.

Change: a claim is shown to the engine by an order to unload nothing, before the claim stands and before the wait for earlier orders to die. Beside an engine that does not check orders, an unload looks at the engine's report first, as a load does.

The look before an unload has no test of its own.

--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -238,6 +238,10 @@
         return false;
     }
     if let Some(engine) = &agent.engine {
+        // An earlier claimant that is cut off from the store learns of the claim there only.
+        if !claim::announce(agent, engine, fence).await {
+            return false;
+        }
         if !agent.settings.engine_checks_orders {
             // An order of an earlier claimant may still be on its way to this engine.
             sleep_ms(agent.settings.order_life_ms).await;
--- a/crates/celerystair_agent/src/claim.rs
+++ b/crates/celerystair_agent/src/claim.rs
@@ -17,7 +17,10 @@
 use celerystair_telemetry::prelude::*;
 use event_listener::{Event as Signal, EventListener};
 
-use crate::agent::Agent;
+use crate::{
+    agent::Agent,
+    engine::{EngineClient, OrderError},
+};
 
 const RETRY_MIN_MS: u64 = 50;
 const RETRY_MAX_MS: u64 = 1000;
@@ -140,6 +143,25 @@
     None
 }
 
+/// Shows the engine the new claim, for as long as it takes; false if a stop began first, or the
+/// engine knows a later one.
+pub async fn announce(agent: &Agent, engine: &EngineClient, fence: u64) -> bool {
+    // The engine's reports bear this number from now on; it is no later claimant's.
+    agent.claim.last_fence.set(fence);
+    while !agent.node.stop.is_draining() {
+        let deadline_unix_ms = now_unix_ms() + agent.settings.order_life_ms;
+        match engine.announce_claim(fence, deadline_unix_ms).await {
+            Ok(()) => return true,
+            Err(OrderError::Fenced) => {
+                supersede(agent, 0);
+                return false;
+            }
+            Err(_) => sleep_ms(RETRY_MAX_MS).await,
+        }
+    }
+    false
+}
+
 async fn try_claim(agent: &Agent) -> Result<Option<u64>, StoreError> {
     let key = format!("{AGENTS}{}", agent.settings.upstream);
     let found = agent.node.store.get(&key).await?;
--- a/crates/celerystair_agent/src/engine.rs
+++ b/crates/celerystair_agent/src/engine.rs
@@ -92,6 +92,24 @@
         self.order("unload", order).await
     }
 
+    /// Shows the engine the fencing number of a new claim, by an order to unload what it can't
+    /// hold: from then on it refuses or reports older claimants.
+    ///
+    /// # Errors
+    /// [`OrderError`]; the engine may not know of the claim yet.
+    pub async fn announce_claim(
+        &self,
+        fence: u64,
+        deadline_unix_ms: u64,
+    ) -> Result<(), OrderError> {
+        let order = UnloadOrder {
+            model: ModelName::from(""),
+            fence,
+            deadline_unix_ms,
+        };
+        self.unload(&order).await
+    }
+
     /// Orders a checkpoint into host memory; it takes no accelerator memory.
     pub async fn prefetch(&self, order: &LoadOrder) -> Result<(), OrderError> {
         self.order("prefetch", order).await
--- a/crates/celerystair_agent/src/unload.rs
+++ b/crates/celerystair_agent/src/unload.rs
@@ -84,7 +84,7 @@
                 deadline_unix_ms: now_unix_ms() + agent.settings.order_life_ms,
             };
             let ordered_unix_ms = now_unix_ms();
-            let confirmed = match engine.unload(&order).await {
+            let confirmed = match give(agent, engine, &order).await {
                 Ok(()) => true,
                 Err(OrderError::Fenced) => {
                     supersede(agent, 0);
@@ -102,3 +102,12 @@
         sleep_ms(POLL_INTERVAL_MS).await;
     }
 }
+
+/// Gives the order, unless an engine that does not check orders has heard of a later claimant,
+/// which may have users on the replica.
+async fn give(agent: &Agent, engine: &EngineClient, order: &UnloadOrder) -> Result<(), OrderError> {
+    if !agent.settings.engine_checks_orders {
+        reconcile::check_engine(agent, engine).await?;
+    }
+    engine.unload(order).await
+}
