Weigh free memory and slow loads in bids, and test how fetches adapt

Cause: a bid told the free accelerator memory and the expected time of a load, and the choice used neither: a model could be placed where another must make room while an accelerator beside it was empty. Each bid opened a connection. How the number of fetches follows the store's speed had no test.

Bids go over the router's connections to its peers. A test of `FetchSpeed` with a store at a third of its speed.

--- a/crates/celerystair_placement/src/propose.rs
+++ b/crates/celerystair_placement/src/propose.rs
@@ -6,6 +6,7 @@
 
 use celerystair_config::fleet;
 use celerystair_core::{prelude::*, rendezvous};
+use celerystair_net::prelude::Connection;
 use celerystair_node::prelude::*;
 use celerystair_platform::{
     objects::PLACEMENTS,
@@ -32,8 +33,8 @@
     Write(PlacementObject),
 }
 
-/// Proposes changes until the node's stop begins.
-pub async fn propose_placements(node: Node) {
+/// Proposes changes until the node's stop begins; `connect` gives the connection to an agent.
+pub async fn propose_placements(node: Node, connect: impl Fn(&str, &AgentObject) -> Connection) {
     node.models.completed().await;
     node.placements.completed().await;
     node.agents.completed().await;
@@ -44,7 +45,7 @@
                 return;
             }
             if is_wanting(&node, &model, &object) {
-                propose(&node, &model, &object).await;
+                propose(&node, &connect, &model, &object).await;
             }
         }
         sleep_ms(INTERVAL_MS).await;
@@ -82,8 +83,14 @@
     })
 }
 
-async fn propose(node: &Node, model: &str, object: &ModelObject) {
-    let bids = ask_for_bids(node, model, object, &candidates(node, model, object)).await;
+async fn propose(
+    node: &Node,
+    connect: &impl Fn(&str, &AgentObject) -> Connection,
+    model: &str,
+    object: &ModelObject,
+) {
+    let candidates = candidates(node, model, object);
+    let bids = ask_for_bids(node, connect, model, object, &candidates).await;
     let result = change_placement(node, model, |placement| {
         mend(node, model, object, placement, &bids)
     })
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -9,7 +9,7 @@
 use celerystair_net::prelude::*;
 use celerystair_node::prelude::*;
 use celerystair_placement::prelude::*;
-use celerystair_platform::prelude::Mirror;
+use celerystair_platform::prelude::{AgentObject, Mirror};
 use celerystair_protocol::peer_server::PeerServer;
 use celerystair_telemetry::prelude::*;
 
@@ -88,7 +88,12 @@
             node,
         }),
     };
-    compio::runtime::spawn(propose_placements(router.node.clone())).detach();
+    let proposing = router.clone();
+    let connect = move |name: &str, agent: &AgentObject| {
+        let peer = proposing.peers.get(name, agent.address, &agent.claim_id);
+        peer.connection.clone()
+    };
+    compio::runtime::spawn(propose_placements(router.node.clone(), connect)).detach();
     let peers = PeerServer::new(PeerService::new(&router.node));
     let serving = stop.clone();
     compio::runtime::spawn(async move { serve_grpc(peer_listener, serving, peers).await.ok() })
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -4,12 +4,13 @@
 
 use arbtest::arbtest;
 use celerystair::{
-    agent::permits::Permits,
+    agent::{fetch_speed::FetchSpeed, permits::Permits},
     placement::{
+        bids::Bids,
         choose::{Candidate, choose},
         keep_alive::{Arrivals, Costs},
     },
-    protocol::ReplicaState,
+    protocol::{BidReply, CheckpointTier, ReplicaState},
 };
 
 const NOW_UNIX_MS: u64 = 1_000_000;
@@ -165,3 +166,55 @@
         }
     });
 }
+
+#[test]
+fn fetches_at_once_grow_at_full_speed_and_shrink_when_the_store_slows_to_a_third() {
+    const CHECKPOINT_BYTES: u64 = 8 << 30;
+    const FETCH_MS: u64 = 2_000;
+    let speed = FetchSpeed::default();
+    assert_eq!(speed.limit(), 1);
+    (0..20).for_each(|_| speed.note(CHECKPOINT_BYTES, FETCH_MS));
+    let full = speed.limit();
+    assert!(full >= 4, "{full} at full speed");
+    let mut limits = Vec::new();
+    for _ in 0..3 {
+        speed.note(CHECKPOINT_BYTES, 3 * FETCH_MS);
+        limits.push(speed.limit());
+    }
+    assert!(limits[0] <= full / 2 && limits[2] == 1, "{limits:?}");
+    // A store that stays slow is in time taken for what it is.
+    (0..100).for_each(|_| speed.note(CHECKPOINT_BYTES, 3 * FETCH_MS));
+    assert!(speed.limit() >= 4, "{} of a slow store", speed.limit());
+}
+
+fn bid(tier: CheckpointTier, free_memory_bytes: u64, expected_load_ms: u64) -> BidReply {
+    BidReply {
+        tier: tier.into(),
+        free_memory_bytes,
+        expected_load_ms,
+        fits: true,
+        ..BidReply::default()
+    }
+}
+
+#[test]
+fn a_bid_weighs_tier_free_memory_and_slow_loads() {
+    const NEEDED_BYTES: u64 = 500;
+    let replies = [
+        ("free", bid(CheckpointTier::Remote, 500, 5_000)),
+        ("freer", bid(CheckpointTier::Remote, 5_000, 6_000)),
+        ("full", bid(CheckpointTier::Remote, 499, 5_000)),
+        ("full, at hand", bid(CheckpointTier::Memory, 0, 5_000)),
+        ("slow", bid(CheckpointTier::Remote, 500, 30_000)),
+        ("disk", bid(CheckpointTier::Disk, 500, 5_000)),
+    ];
+    let replies = replies.map(|(name, bid)| (name.to_owned(), bid));
+    let bids = Bids::new(NEEDED_BYTES, replies);
+    let cost = |name: &str| bids.cost_ms(name);
+    assert_eq!(cost("free"), cost("freer"), "slots are spread among these");
+    assert!(cost("free") < cost("full"));
+    assert!(cost("free") < cost("slow"));
+    assert!(cost("full, at hand") < cost("free"));
+    assert!(cost("disk") < cost("full, at hand"));
+    assert!(cost("slow") < cost("silent"));
+}
--- a/tests/placement_slots.rs
+++ b/tests/placement_slots.rs
@@ -307,3 +307,38 @@
         stop.end();
     });
 }
+
+#[test]
+fn a_model_is_placed_where_memory_is_free_before_where_another_must_make_room() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        rig.configure(document(1, |d| d.defaults.slots_per_model = 1))
+            .await;
+        let full = upstream(&rig, "e1-a", &stop).await;
+        let _free = upstream(&rig, "e2-a", &stop).await;
+        // Two replicas fill an accelerator, and each is the only one of its model.
+        for model in ["x-1", "x-2"] {
+            rig.put_model(model).await;
+            rig.place(model, &["e1-a"]).await;
+            wake(&full, model).await;
+        }
+        // By rendezvous order alone this model would go to the full one.
+        let goes_there =
+            |model: &String| rendezvous::weight(model, "e1-a") > rendezvous::weight(model, "e2-a");
+        let model = (0..1000).map(|n| format!("m-{n}")).find(goes_there);
+        let model = model.expect("a name that goes to e1-a first");
+        // As many slots on either, so that those held decide nothing.
+        for held in ["y-1", "y-2"] {
+            rig.place(held, &["e2-a"]).await;
+        }
+        let _router = rig.router(&stop).await;
+        rig.put_model(&model).await;
+        wait_until("the model is placed", async || {
+            !rig.placed(&model).await.is_empty()
+        })
+        .await;
+        assert_eq!(rig.placed(&model).await, ["e2-a"]);
+        stop.end();
+    });
+}
