Limit adapter loads over the fleet, by five ways to be compared

The stand-in of the weight store slowed only those loads that began in a crowd.

Change: the weight store shares its speed among all adapter loads in flight at each moment. `adapter_budget` holds five ways: no limit; a number that follows the observed times; an equal share of 32 for each agent; a permit for each load; one load at an agent without asking, permits for more. `wake: without_news` is a baseline without news. An adapter's order is made after its turn has come, so its claim is checked then.

--- a/crates/celerystair_agent/src/adapters.rs
+++ b/crates/celerystair_agent/src/adapters.rs
@@ -2,11 +2,20 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_core::{
+    prelude::*,
+    time::{before_deadline, now_unix_us},
+};
 use celerystair_protocol::engine_api::AdapterOrder;
 use event_listener::Event as Signal;
 
-use crate::{agent::Agent, claim::order_fence, engine::EngineClient, replicas::Replica};
+use crate::{
+    agent::Agent,
+    claim::order_fence,
+    engine::{EngineClient, OrderError},
+    permits::acquire_adapter_permit,
+    replicas::Replica,
+};
 
 /// The load of one adapter, running or ended.
 #[derive(Default)]
@@ -45,7 +54,7 @@
     let existing = replica.adapters.borrow().get(adapter).cloned();
     let load = match existing {
         Some(load) => load,
-        None => begin_adapter(agent, engine, replica, adapter)?,
+        None => begin_adapter(agent, engine, replica, adapter, deadline_unix_ms)?,
     };
     let work = async {
         while !load.ended.get() {
@@ -73,32 +82,50 @@
     engine: &EngineClient,
     replica: &Replica,
     adapter: &str,
+    deadline_unix_ms: u64,
 ) -> Result<Rc<AdapterLoad>, Refusal> {
-    let Some(fence) = order_fence(agent) else {
+    if order_fence(agent).is_none() {
         let detail = "the agent's claim does not stand, and it orders nothing";
         return Err(Refusal::not_run(RefusalReason::StoreUnavailable, detail));
-    };
+    }
     let load = Rc::new(AdapterLoad::default());
     replica
         .adapters
         .borrow_mut()
         .insert(adapter.to_owned(), load.clone());
-    let order = AdapterOrder {
-        model: replica.model.clone(),
-        adapter: adapter.to_owned(),
-        fence,
-        deadline_unix_ms: now_unix_ms() + agent.settings.order_life_ms,
-    };
     let (agent, engine, task) = (agent.clone(), engine.clone(), load.clone());
+    let (model, adapter) = (replica.model.clone(), adapter.to_owned());
     compio::runtime::spawn(async move {
-        let outcome = engine.load_adapter(&order).await;
+        let outcome = carry_out(&agent, &engine, &model, &adapter, deadline_unix_ms).await;
         if outcome.is_err()
-            && let Some(replica) = agent.replicas.get(&order.model)
+            && let Some(replica) = agent.replicas.get(&model)
         {
-            replica.adapters.borrow_mut().remove(&order.adapter);
+            replica.adapters.borrow_mut().remove(&adapter);
         }
         task.end(outcome.is_ok());
     })
     .detach();
     Ok(load)
 }
+
+/// Waits for a turn, which goes by the deadline of the request that came first, then orders the
+/// load.
+async fn carry_out(
+    agent: &Agent,
+    engine: &EngineClient,
+    model: &ModelName,
+    adapter: &str,
+    deadline_unix_ms: u64,
+) -> Result<(), OrderError> {
+    let _permit = acquire_adapter_permit(agent, deadline_unix_ms).await;
+    let order = AdapterOrder {
+        model: model.clone(),
+        adapter: adapter.to_owned(),
+        fence: order_fence(agent).ok_or(OrderError::NoClaim)?,
+        deadline_unix_ms: now_unix_ms() + agent.settings.order_life_ms,
+    };
+    let ordered_unix_us = now_unix_us();
+    engine.load_adapter(&order).await?;
+    agent.adapter_speed.note(now_unix_us() - ordered_unix_us);
+    Ok(())
+}
--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -18,6 +18,7 @@
 use celerystair_telemetry::prelude::*;
 
 use crate::{
+    adapter_speed::AdapterSpeed,
     attempts::Attempts,
     claim,
     claim::Claim,
@@ -75,8 +76,14 @@
     pub local_permits: Rc<Permits>,
     /// The speed of its fetches.
     pub fetch_speed: FetchSpeed,
+    /// Turns to load an adapter.
+    pub adapter_turns: Rc<Permits>,
+    /// How fast adapters load.
+    pub adapter_speed: AdapterSpeed,
     /// Permits that this agent has granted.
     pub issued_permits: Rc<Permits>,
+    /// Permits for adapters that this agent has granted.
+    pub issued_adapter_permits: Rc<Permits>,
     issuer: RefCell<Option<(String, Connection)>>,
     /// Turns at the upstream.
     pub queue: RunQueue,
@@ -138,6 +145,9 @@
             local_permits: Rc::default(),
             fetch_speed: FetchSpeed::default(),
             issued_permits: Rc::default(),
+            issued_adapter_permits: Rc::default(),
+            adapter_turns: Rc::default(),
+            adapter_speed: AdapterSpeed::default(),
             issuer: RefCell::default(),
             queue: RunQueue::new(settings.running_max),
             attempts: Attempts::default(),
--- a/crates/celerystair_agent/src/permits.rs
+++ b/crates/celerystair_agent/src/permits.rs
@@ -12,13 +12,16 @@
     rc::Rc,
 };
 
-use celerystair_config::{fleet, fleet::LoadBudget};
+use celerystair_config::{fleet, fleet::AdapterBudget, fleet::LoadBudget};
 use celerystair_core::{prelude::*, rendezvous, time::before_deadline};
 use celerystair_protocol::{
     AcquirePermitRequest, PermitEvent, load_permits_client::LoadPermitsClient, load_permits_server,
 };
 use event_listener::Event as Signal;
-use futures_util::Stream;
+use futures_util::{
+    Stream,
+    future::{Either, select},
+};
 use send_wrapper::SendWrapper;
 use tonic::{Request, Response, Status, Streaming};
 
@@ -112,6 +115,9 @@
     Unlimited,
 }
 
+/// What stands in place of a model in a request for a permit to load an adapter.
+const ADAPTERS: &str = "";
+
 /// Waits for a permit to fetch the checkpoint of `replica`.
 pub async fn acquire_permit(agent: &Agent, replica: &Replica) -> Permit {
     let defaults = agent.node.config.current().defaults.clone();
@@ -120,7 +126,7 @@
         return Permit::Unlimited;
     }
     if defaults.load_budget == LoadBudget::Permits
-        && let Some(stream) = ask_issuer(agent, replica).await
+        && let Some(stream) = ask_issuer(agent, &replica.model, deadline_unix_ms).await
     {
         return Permit::Issued(Box::new(stream));
     }
@@ -131,8 +137,45 @@
     Permit::Local(agent.local_permits.take(share, deadline_unix_ms).await)
 }
 
+/// Waits for a permit to load an adapter for a request with this deadline.
+///
+/// A load takes a few milliseconds, so the first at an agent asks nobody. Beyond, the issuer's
+/// grant or the end of the agent's own load comes first, so that an issuer which can't be
+/// reached holds up nothing.
+pub async fn acquire_adapter_permit(agent: &Agent, deadline_unix_ms: u64) -> Permit {
+    let defaults = agent.node.config.current().defaults.clone();
+    let own = |share: u32| agent.adapter_turns.take(share, deadline_unix_ms);
+    match defaults.adapter_budget {
+        AdapterBudget::Unlimited => Permit::Unlimited,
+        AdapterBudget::Adaptive => Permit::Local(own(agent.adapter_speed.limit()).await),
+        AdapterBudget::Share => {
+            let agents = agent.node.agents.all();
+            let engines = agents.iter().filter(|(_, a)| a.memory_bytes > 0).count();
+            let share = defaults.adapters_in_flight_max / engines.max(1) as u32;
+            Permit::Local(own(share).await)
+        }
+        AdapterBudget::PermitsOnly => match ask_issuer(agent, ADAPTERS, deadline_unix_ms).await {
+            Some(stream) => Permit::Issued(Box::new(stream)),
+            None => Permit::Local(own(STATIC_SHARE).await),
+        },
+        AdapterBudget::Permits => {
+            let own = std::pin::pin!(own(STATIC_SHARE));
+            let asked = std::pin::pin!(ask_issuer(agent, ADAPTERS, deadline_unix_ms));
+            match select(own, asked).await {
+                Either::Left((turn, _)) => Permit::Local(turn),
+                Either::Right((Some(stream), _)) => Permit::Issued(Box::new(stream)),
+                Either::Right((None, own)) => Permit::Local(own.await),
+            }
+        }
+    }
+}
+
 /// Asks the issuer and waits for its grant; `None` if it can't be reached or is lost.
-async fn ask_issuer(agent: &Agent, replica: &Replica) -> Option<Streaming<PermitEvent>> {
+async fn ask_issuer(
+    agent: &Agent,
+    model: &str,
+    deadline_unix_ms: u64,
+) -> Option<Streaming<PermitEvent>> {
     let (name, address) = issuer(agent)?;
     let connection = agent.issuer_connection(&name, address);
     let channel = connection.channel().await.ok()?;
@@ -141,8 +184,8 @@
         stamp: agent.node.stamp(),
         permit_id: AttemptId::random().to_string(),
         upstream: agent.settings.upstream.to_string(),
-        model: replica.model.to_string(),
-        deadline_unix_ms: replica.needed_unix_ms.get(),
+        model: model.to_owned(),
+        deadline_unix_ms,
     };
     let mut client = LoadPermitsClient::with_origin(channel, origin);
     let answer = before_deadline(now_unix_ms() + ISSUER_TIMEOUT_MS, client.acquire(request));
@@ -197,17 +240,17 @@
         let (events, stream) = async_channel::bounded(1);
         let agent = Agent::clone(&self.agent);
         compio::runtime::spawn(async move {
-            let permits_max =
-                fleet::for_model(&agent.node.config.current(), &request.model, now_unix_ms())
-                    .loads_in_flight_max;
-            let turn = agent
-                .issued_permits
-                .take(permits_max, request.deadline_unix_ms);
+            let limits =
+                fleet::for_model(&agent.node.config.current(), &request.model, now_unix_ms());
+            let (permits, permits_max) = if request.model == ADAPTERS {
+                (&agent.issued_adapter_permits, limits.adapters_in_flight_max)
+            } else {
+                (&agent.issued_permits, limits.loads_in_flight_max)
+            };
+            let turn = permits.take(permits_max, request.deadline_unix_ms);
             let gone = std::pin::pin!(events.closed());
             let turn = std::pin::pin!(turn);
-            let futures_util::future::Either::Left((turn, _)) =
-                futures_util::future::select(turn, gone).await
-            else {
+            let Either::Left((turn, _)) = select(turn, gone).await else {
                 return;
             };
             let granted = PermitEvent {
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -63,6 +63,10 @@
     pub load_budget: LoadBudget,
     /// Fetches from the weight store at once, over the whole fleet.
     pub loads_in_flight_max: u32,
+    /// How loads of adapters are kept within the weight store's limit.
+    pub adapter_budget: AdapterBudget,
+    /// Loads of adapters at once at full speed, over the whole fleet.
+    pub adapters_in_flight_max: u32,
     /// Deadline of a request that names none, from its arrival.
     pub request_timeout_ms: u64,
     /// The longest deadline that a request may name.
@@ -99,6 +103,8 @@
             wake: WakePolicy::FirstSlot,
             load_budget: LoadBudget::Permits,
             loads_in_flight_max: 4,
+            adapter_budget: AdapterBudget::Permits,
+            adapters_in_flight_max: 32,
             request_timeout_ms: 60_000,
             request_timeout_max_ms: 600_000,
             kind_weight: 1,
@@ -126,6 +132,24 @@
     Unlimited,
 }
 
+/// How loads of adapters are kept within the weight store's limit; see `docs/COLD_STARTS.md`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdapterBudget {
+    /// Each agent changes the number of its own loads by the times that it sees.
+    Adaptive,
+    /// Each agent runs one load at once without asking anybody; for more, one agent grants
+    /// permits by earliest deadline.
+    #[default]
+    Permits,
+    /// One agent grants permits for all loads.
+    PermitsOnly,
+    /// Each agent keeps to an equal share of the fleet's.
+    Share,
+    /// Nothing is kept; each load begins at once.
+    Unlimited,
+}
+
 /// Which slot of a model that is not loaded is woken; see `docs/COLD_STARTS.md`.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -136,6 +160,9 @@
     /// All routers wake the first slot of the placement.
     #[default]
     FirstSlot,
+    /// The same, and routers take no notice of what agents tell of their replicas and queues. A
+    /// baseline to measure against.
+    WithoutNews,
 }
 
 /// Why a field can't be set.
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -53,7 +53,8 @@
     tried: &HashSet<UpstreamId>,
 ) -> Option<Chosen> {
     let (mut names, generation) = upstreams_of(router, &request.target);
-    if router.node.config.current().defaults.wake == WakePolicy::EachRouter {
+    let wake = router.node.config.current().defaults.wake;
+    if wake == WakePolicy::EachRouter {
         names.sort_by_key(|name| weight(&router.node.name, name));
     }
     let mut peers = Vec::new();
@@ -71,7 +72,12 @@
             || router.node.instances.is_gone(&agent.instance)
             || router.node.instances.state(&agent.instance) == Some(InstanceState::Leaving);
         let peer = router.peers.get(name, agent.address, &agent.claim_id);
-        let (mut state, ready_unix_ms) = peer.replica_state(model);
+        let hears = wake != WakePolicy::WithoutNews;
+        let (mut state, ready_unix_ms) = if hears {
+            peer.replica_state(model)
+        } else {
+            (ReplicaState::Unspecified, 0)
+        };
         if model.is_empty() {
             state = ReplicaState::Loaded;
         }
--- a/crates/celerystair_standin/src/weights.rs
+++ b/crates/celerystair_standin/src/weights.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::now_unix_us};
 use celerystair_net::{
     json::{json_response, read_json},
     prelude::*,
@@ -11,6 +11,8 @@
 
 /// The store advances its fetches in steps of this length.
 const STEP_MS: u64 = 20;
+/// A load of an adapter looks at least this often how many others share the store's speed.
+const ADAPTER_STEP_MAX_MS: u64 = 4;
 const BODY_MAX_BYTES: usize = 1 << 16;
 
 /// How the weight store behaves.
@@ -25,7 +27,7 @@
     pub full_speed_loads: u32,
     /// Bytes a second of one load at full speed.
     pub bytes_per_second: u64,
-    /// Adapter loads in flight at full speed.
+    /// Adapter loads in flight at full speed; beyond, they share it.
     pub full_speed_adapters: u32,
     /// The shortest time of an adapter load.
     pub adapter_min_ms: u64,
@@ -116,11 +118,19 @@
 
     async fn fetch_adapter(&self) {
         let _in_flight = InFlight::enter(&self.adapters);
-        let full_speed_ms =
-            rand::random_range(self.settings.adapter_min_ms..=self.settings.adapter_max_ms);
-        let crowding =
-            f64::from(self.adapters.get()) / f64::from(self.settings.full_speed_adapters);
-        sleep_ms((full_speed_ms as f64 * crowding.max(1.0) * self.settings.slowdown) as u64).await;
+        let settings = &self.settings;
+        let full_speed_ms = rand::random_range(settings.adapter_min_ms..=settings.adapter_max_ms);
+        let mut left_us = full_speed_ms as f64 * 1000.0 * settings.slowdown;
+        let mut last_us = now_unix_us();
+        while left_us > 0.0 {
+            let share = f64::from(settings.full_speed_adapters) / f64::from(self.adapters.get());
+            let share = share.min(1.0);
+            let step_ms = (left_us / share / 1000.0).ceil() as u64;
+            sleep_ms(step_ms.clamp(1, ADAPTER_STEP_MAX_MS)).await;
+            let now_us = now_unix_us();
+            left_us -= (now_us - last_us) as f64 * share;
+            last_us = now_us;
+        }
     }
 }
 
