--- a/crates/celerystair_agent/src/adapters.rs
+++ b/crates/celerystair_agent/src/adapters.rs
@@ -2,10 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use celerystair_core::{
-    prelude::*,
-    time::{before_deadline, now_unix_us},
-};
+use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_protocol::engine_api::AdapterOrder;
 use event_listener::Event as Signal;
 
@@ -124,8 +121,5 @@
         fence: order_fence(agent).ok_or(OrderError::NoClaim)?,
         deadline_unix_ms: now_unix_ms() + agent.settings.order_life_ms,
     };
-    let ordered_unix_us = now_unix_us();
-    engine.load_adapter(&order).await?;
-    agent.adapter_speed.note(now_unix_us() - ordered_unix_us);
-    Ok(())
+    engine.load_adapter(&order).await
 }
--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -18,7 +18,6 @@
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    adapter_speed::AdapterSpeed,
     attempts::Attempts,
     claim,
     claim::Claim,
@@ -76,10 +75,8 @@
     pub local_permits: Rc<Permits>,
     /// The speed of its fetches.
     pub fetch_speed: FetchSpeed,
-    /// Turns to load an adapter.
+    /// Loads of adapters that this agent runs without asking the issuer of permits.
     pub adapter_turns: Rc<Permits>,
-    /// How fast adapters load.
-    pub adapter_speed: AdapterSpeed,
     /// Permits that this agent has granted.
     pub issued_permits: Rc<Permits>,
     /// Permits for adapters that this agent has granted.
@@ -147,7 +144,6 @@
             issued_permits: Rc::default(),
             issued_adapter_permits: Rc::default(),
             adapter_turns: Rc::default(),
-            adapter_speed: AdapterSpeed::default(),
             issuer: RefCell::default(),
             queue: RunQueue::new(settings.running_max),
             attempts: Attempts::default(),
--- a/crates/celerystair_agent/src/lib.rs
+++ b/crates/celerystair_agent/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! | module | holds |
 //! |---|---|
-//! | [`adapter_speed`] | local adaptive concurrency of adapter loads |
 //! | [`adapters`] | adapters of a loaded replica |
 //! | [`agent`] | the agent's state, its start and its planned stop |
 //! | [`answer`] | the life of one attempt, from submission to the last chunk |
@@ -27,7 +26,6 @@
 //! | [`unload`] | unloads of replicas |
 //! | [`upstream`] | calls passed on to the upstream |
 
-pub mod adapter_speed;
 pub mod adapters;
 pub mod agent;
 pub mod answer;
--- a/crates/celerystair_agent/src/permits.rs
+++ b/crates/celerystair_agent/src/permits.rs
@@ -1,4 +1,5 @@
-//! Permits to fetch from the weight store, whose budget the whole fleet shares.
+//! Permits to fetch checkpoints and adapters from the weight store, whose budget the whole fleet
+//! shares.
 //!
 //! One agent grants them, by earliest deadline: the first in rendezvous order among those that
 //! live, so that nobody has to be elected. Agents that see different lists may follow two
@@ -8,7 +9,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    pin::Pin,
+    pin::{Pin, pin},
     rc::Rc,
 };
 
@@ -31,7 +32,8 @@
 const ISSUER_KEY: &str = "load-permits";
 /// How long an issuer may take to answer at all.
 const ISSUER_TIMEOUT_MS: u64 = 1_000;
-/// Fetches that an agent runs at once without an issuer.
+/// Fetches of checkpoints that an agent runs at once without an issuer, and loads of adapters
+/// that it runs without asking one.
 const STATIC_SHARE: u32 = 1;
 
 /// Turns that are granted by earliest deadline.
@@ -144,29 +146,15 @@
 /// reached holds up nothing.
 pub async fn acquire_adapter_permit(agent: &Agent, deadline_unix_ms: u64) -> Permit {
     let defaults = agent.node.config.current().defaults.clone();
-    let own = |share: u32| agent.adapter_turns.take(share, deadline_unix_ms);
-    match defaults.adapter_budget {
-        AdapterBudget::Unlimited => Permit::Unlimited,
-        AdapterBudget::Adaptive => Permit::Local(own(agent.adapter_speed.limit()).await),
-        AdapterBudget::Share => {
-            let agents = agent.node.agents.all();
-            let engines = agents.iter().filter(|(_, a)| a.memory_bytes > 0).count();
-            let share = defaults.adapters_in_flight_max / engines.max(1) as u32;
-            Permit::Local(own(share).await)
-        }
-        AdapterBudget::PermitsOnly => match ask_issuer(agent, ADAPTERS, deadline_unix_ms).await {
-            Some(stream) => Permit::Issued(Box::new(stream)),
-            None => Permit::Local(own(STATIC_SHARE).await),
-        },
-        AdapterBudget::Permits => {
-            let own = std::pin::pin!(own(STATIC_SHARE));
-            let asked = std::pin::pin!(ask_issuer(agent, ADAPTERS, deadline_unix_ms));
-            match select(own, asked).await {
-                Either::Left((turn, _)) => Permit::Local(turn),
-                Either::Right((Some(stream), _)) => Permit::Issued(Box::new(stream)),
-                Either::Right((None, own)) => Permit::Local(own.await),
-            }
-        }
+    if defaults.adapter_budget == AdapterBudget::Unlimited {
+        return Permit::Unlimited;
+    }
+    let own = agent.adapter_turns.take(STATIC_SHARE, deadline_unix_ms);
+    let asked = ask_issuer(agent, ADAPTERS, deadline_unix_ms);
+    match select(pin!(own), pin!(asked)).await {
+        Either::Left((turn, _)) => Permit::Local(turn),
+        Either::Right((Some(stream), _)) => Permit::Issued(Box::new(stream)),
+        Either::Right((None, own)) => Permit::Local(own.await),
     }
 }
 
@@ -248,8 +236,8 @@
                 (&agent.issued_permits, limits.loads_in_flight_max)
             };
             let turn = permits.take(permits_max, request.deadline_unix_ms);
-            let gone = std::pin::pin!(events.closed());
-            let turn = std::pin::pin!(turn);
+            let gone = pin!(events.closed());
+            let turn = pin!(turn);
             let Either::Left((turn, _)) = select(turn, gone).await else {
                 return;
             };
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -136,16 +136,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AdapterBudget {
-    /// Each agent changes the number of its own loads by the times that it sees.
-    Adaptive,
     /// Each agent runs one load at once without asking anybody; for more, one agent grants
     /// permits by earliest deadline.
     #[default]
     Permits,
-    /// One agent grants permits for all loads.
-    PermitsOnly,
-    /// Each agent keeps to an equal share of the fleet's.
-    Share,
     /// Nothing is kept; each load begins at once.
     Unlimited,
 }
--- a/tests/placement_slots.rs
+++ b/tests/placement_slots.rs
@@ -244,6 +244,17 @@
         .await;
         wake(&running, "m-1").await;
         assert_eq!(rig.witness.seen().loads, 1);
+        let life = running.agent.life.clone();
+        let adapters = (0..8).map(|n| format!("m-1:a{n}"));
+        let loads = adapters.map(|adapter| {
+            let (address, life) = (running.address, life.clone());
+            async move { submit(address, &life, &adapter).await }
+        });
+        let answers = futures_util::future::join_all(loads).await;
+        assert!(
+            answers.iter().all(|answer| answer == &Ok(())),
+            "{answers:?}"
+        );
         stop.end();
     });
 }
