--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -75,8 +75,12 @@
     pub local_permits: Rc<Permits>,
     /// The speed of its fetches.
     pub fetch_speed: FetchSpeed,
+    /// Loads of adapters that this agent runs without asking the issuer of permits.
+    pub adapter_turns: Rc<Permits>,
     /// Permits that this agent has granted.
     pub issued_permits: Rc<Permits>,
+    /// Permits for adapters that this agent has granted.
+    pub issued_adapter_permits: Rc<Permits>,
     issuer: RefCell<Option<(String, Connection)>>,
     /// Turns at the upstream.
     pub queue: RunQueue,
@@ -138,6 +142,8 @@
             local_permits: Rc::default(),
             fetch_speed: FetchSpeed::default(),
             issued_permits: Rc::default(),
+            issued_adapter_permits: Rc::default(),
+            adapter_turns: Rc::default(),
             issuer: RefCell::default(),
             queue: RunQueue::new(settings.running_max),
             attempts: Attempts::default(),
@@ -242,6 +248,10 @@
         return false;
     }
     if let Some(engine) = &agent.engine {
+        // An earlier claimant that is cut off from the store learns of the claim there only.
+        if !claim::announce(agent, engine, fence).await {
+            return false;
+        }
         if !agent.settings.engine_checks_orders {
             // An order of an earlier claimant may still be on its way to this engine.
             sleep_ms(agent.settings.order_life_ms).await;
