Answer a crash's innocent neighbour: wait where it may have run, convict only alone

Cause, by the time line of a failing run: a poisonous request crashed both engines of the model within 50 ms. Both agents noticed and said with their refusals that they take nothing new, which a router believes for 2 s. With no upstream to choose, it refused the neighbour at once as upstream_failed, unknown, 29 s before its deadline. That the neighbour was cut twice, as had been supposed, was not so: it was cut once.

Change: * A request that may have run waits for an upstream until its deadline; one of which nothing ran is refused at once, as before. The wait takes no attempt, and agents say that they take nothing new from the crash on, so ATTEMPTS_MAX goes back from 16 to 8: with 16 one request could nearly use up a router's retry budget of 20. * Once cut, a request runs alone in all later attempts. That was forgotten when another refusal came between. * A crash is counted as `crashes_alone` where the request ran alone, and a request is refused after the second crash only if it was alone at one. A crash beside others makes a suspect, no more. A poisonous request still crashes two upstreams at most: its second attempt is always alone. * Where agent and engine are lost together, the router writes the suspicion: when the agent does not answer a question about the attempt either. Not when more than two upstreams are lost within 5 s: a failure domain or the network went, and the store is spared a write for each request. * An agent that takes no connection is left alone for 2 s. What it last said of its load went on to draw requests, each of which cost a retry. * An answer that is not streamed was collected whatever its length: an upstream's endless answer took 140 MB/s of the router's memory. From 1 MB on it is passed on as it comes.

Without the wait the new test fails.

--- a/crates/celerystair_agent/src/crashes.rs
+++ b/crates/celerystair_agent/src/crashes.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 
 use celerystair_core::{prelude::*, time::before_deadline};
-use celerystair_journal::suspects::{CRASHES_MAX, accuse, clear};
+use celerystair_journal::suspects::{Charge, accuse, clear};
 use celerystair_protocol::SubmitRequest;
 
 use crate::{agent::Agent, answer::record, engine::EngineClient, reconcile::reconcile};
@@ -46,10 +46,16 @@
     }
     let expiry_ms = agent.node.config.current().defaults.suspect_expiry_ms;
     let now = now_unix_ms();
-    let written = accuse(&agent.node.store, request.fingerprint, id, now + expiry_ms);
-    let crashes = before_deadline(now + ACCUSE_TIMEOUT_MS, written).await;
-    match crashes {
-        Some(Ok(crashes)) if crashes >= CRASHES_MAX => {
+    let charge = Charge {
+        fingerprint: request.fingerprint,
+        attempt: id.clone(),
+        alone: request.suspect,
+        expires_unix_ms: now + expiry_ms,
+    };
+    let written = accuse(&agent.node.store, &charge);
+    match before_deadline(now + ACCUSE_TIMEOUT_MS, written).await {
+        Some(Ok(suspect)) if suspect.is_refused_at(now) => {
+            let crashes = suspect.crashes;
             let detail = format!("{crashes} upstreams crashed while they ran the request");
             Refusal::unknown(RefusalReason::Suspect, detail)
         }
--- a/crates/celerystair_agent/src/news.rs
+++ b/crates/celerystair_agent/src/news.rs
@@ -50,7 +50,10 @@
         running: agent.queue.running(),
         running_max: agent.queue.running_max(),
         queue_delay_ms: agent.queue.expected_wait_ms(agent.queue.waiting()),
-        leaving: is_leaving(agent) || agent.claim.is_superseded() || agent.engine_away.get(),
+        leaving: is_leaving(agent)
+            || agent.claim.is_superseded()
+            || agent.engine_away.get()
+            || agent.crashes.is_away(),
         replicas,
         agent_life: agent.life.clone(),
     }
--- a/crates/celerystair_journal/src/suspects.rs
+++ b/crates/celerystair_journal/src/suspects.rs
@@ -6,7 +6,7 @@
 
 /// Keys of suspects start with this; the rest is the fingerprint in hexadecimal digits.
 pub const SUSPECTS: &str = "suspects/";
-/// From this many crashes on, a request is refused.
+/// From this many crashes on, a request is refused, if it ran alone at one of them at least.
 pub const CRASHES_MAX: u32 = 2;
 /// Tries to write over a competing change.
 const TRIES_MAX: u32 = 4;
@@ -16,6 +16,10 @@
 pub struct SuspectObject {
     /// Upstreams that crashed while they ran it.
     pub crashes: u32,
+    /// Those among them at which nothing else ran. A crash beside others only makes a suspect:
+    /// any of them may have caused it.
+    #[serde(default)]
+    pub crashes_alone: u32,
     /// The attempts that were running, so that a write whose answer was lost counts once.
     pub attempts: Vec<AttemptId>,
     /// From then on it is no longer suspected.
@@ -30,7 +34,11 @@
 
     /// Whether it is refused at `now_unix_ms`.
     pub fn is_refused_at(&self, now_unix_ms: u64) -> bool {
-        self.holds_at(now_unix_ms) && self.crashes >= CRASHES_MAX
+        self.holds_at(now_unix_ms) && self.is_convicted()
+    }
+
+    fn is_convicted(&self) -> bool {
+        self.crashes >= CRASHES_MAX && self.crashes_alone > 0
     }
 }
 
@@ -39,20 +47,28 @@
     format!("{fingerprint:016x}")
 }
 
-/// Counts a crash against the request; gives the crashes counted so far.
+/// One crash with which a request is charged.
+#[derive(Clone, Debug)]
+pub struct Charge {
+    /// The request.
+    pub fingerprint: u64,
+    /// Its attempt that was running.
+    pub attempt: AttemptId,
+    /// Whether nothing else ran at that upstream.
+    pub alone: bool,
+    /// From then on it is no longer suspected.
+    pub expires_unix_ms: u64,
+}
+
+/// Counts a crash against the request; gives what is known of it then.
 ///
 /// # Errors
 /// [`StoreError`] if it could not be written.
-pub async fn accuse(
-    store: &Store,
-    fingerprint: u64,
-    attempt: &AttemptId,
-    expires_unix_ms: u64,
-) -> Result<u32, StoreError> {
-    let key = format!("{SUSPECTS}{}", suspect_name(fingerprint));
-    let mut last = Ok(0);
+pub async fn accuse(store: &Store, charge: &Charge) -> Result<SuspectObject, StoreError> {
+    let key = format!("{SUSPECTS}{}", suspect_name(charge.fingerprint));
+    let mut last = Ok(SuspectObject::default());
     for _ in 0..TRIES_MAX {
-        last = try_accuse(store, &key, attempt, expires_unix_ms).await;
+        last = try_accuse(store, &key, charge).await;
         if last.is_ok() {
             break;
         }
@@ -63,9 +79,8 @@
 async fn try_accuse(
     store: &Store,
     key: &str,
-    attempt: &AttemptId,
-    expires_unix_ms: u64,
-) -> Result<u32, StoreError> {
+    charge: &Charge,
+) -> Result<SuspectObject, StoreError> {
     let found = store.get(key).await?;
     let (expected, mut suspect) = match &found {
         Some(object) => (
@@ -74,19 +89,20 @@
         ),
         None => (Expected::Absent, SuspectObject::default()),
     };
-    if suspect.attempts.contains(attempt) {
-        return Ok(suspect.crashes);
+    if suspect.attempts.contains(&charge.attempt) {
+        return Ok(suspect);
     }
     if !suspect.holds_at(now_unix_ms()) {
         suspect = SuspectObject::default();
     }
     suspect.crashes += 1;
-    suspect.attempts.push(attempt.clone());
-    suspect.expires_unix_ms = expires_unix_ms;
+    suspect.crashes_alone += u32::from(charge.alone);
+    suspect.attempts.push(charge.attempt.clone());
+    suspect.expires_unix_ms = charge.expires_unix_ms;
     store
         .put(key, &suspect, expected, CallPriority::Urgent)
         .await?;
-    Ok(suspect.crashes)
+    Ok(suspect)
 }
 
 /// Clears a request that has finished without a crash, unless it is refused already.
@@ -98,7 +114,7 @@
     let Some(object) = store.get(&key).await? else {
         return Ok(());
     };
-    if object.read::<SuspectObject>()?.crashes >= CRASHES_MAX {
+    if object.read::<SuspectObject>()?.is_convicted() {
         return Ok(());
     }
     store.delete(&key, object.version).await
--- a/crates/celerystair_router/src/attempt.rs
+++ b/crates/celerystair_router/src/attempt.rs
@@ -95,10 +95,13 @@
 
 /// An attempt as the router knows it; it outlives the wait for the attempt's answer.
 pub struct Tracked {
-    peer: Rc<Peer>,
-    attempt: AttemptId,
+    /// Where it goes.
+    pub peer: Rc<Peer>,
+    /// Its identifier.
+    pub attempt: AttemptId,
+    /// Whether it runs alone there.
+    pub suspect: bool,
     life: String,
-    suspect: bool,
     sent: Cell<bool>,
     started: Cell<bool>,
 }
@@ -109,8 +112,8 @@
         Self {
             peer: peer.clone(),
             attempt: AttemptId::random(),
-            life: peer.life.borrow().clone(),
             suspect,
+            life: peer.life.borrow().clone(),
             sent: Cell::new(false),
             started: Cell::new(false),
         }
@@ -136,8 +139,14 @@
 
     /// Whether the agent says that the attempt never started; from then on it never will.
     async fn ask(&self, router: &Router, deadline_unix_ms: u64) -> bool {
+        let state = self.ask_state(router, deadline_unix_ms).await;
+        state == Some(AttemptState::NotRun)
+    }
+
+    /// What the agent, or a later life of it, says of the attempt; `None` if it says nothing.
+    pub async fn ask_state(&self, router: &Router, deadline_unix_ms: u64) -> Option<AttemptState> {
         let ask = async {
-            let channel = self.peer.connection.channel().await.ok()?;
+            let channel = self.peer.channel().await.ok()?;
             let origin = channel.origin();
             let request = SettleRequest {
                 stamp: router.node.stamp(),
@@ -150,11 +159,9 @@
                 .ok()
         };
         let deadline_unix_ms = deadline_unix_ms.min(now_unix_ms() + SETTLE_TIMEOUT_MS);
-        let reply = before_deadline(deadline_unix_ms, ask).await.flatten();
-        reply.is_some_and(|reply| {
-            router.node.observe(reply.get_ref().stamp.as_ref());
-            reply.get_ref().state() == AttemptState::NotRun
-        })
+        let reply = before_deadline(deadline_unix_ms, ask).await.flatten()?;
+        router.node.observe(reply.get_ref().stamp.as_ref());
+        Some(reply.get_ref().state())
     }
 }
 
@@ -176,7 +183,7 @@
             .settle(router, refusal, request.deadline_unix_ms)
             .await
     };
-    let channel = match peer.connection.channel().await {
+    let channel = match peer.channel().await {
         Ok(channel) => channel,
         Err(error) => return Err(settle(lost(error.to_string())).await),
     };
--- a/crates/celerystair_router/src/lib.rs
+++ b/crates/celerystair_router/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`attempt`] | one try of a request at one upstream |
 //! | [`caller_request`] | reading a caller's request |
 //! | [`callers`] | the paths that callers use |
+//! | [`lost`] | instances that were lost with requests running |
 //! | [`peers`] | agents: connections, and what was last heard of them |
 //! | [`retry_budget`] | a bound on retries |
 //! | [`router`] | the router's state, its start and its planned stop |
@@ -18,6 +19,7 @@
 pub mod attempt;
 pub mod caller_request;
 pub mod callers;
+pub mod lost;
 pub mod peers;
 pub mod retry_budget;
 pub mod router;
--- /dev/null
+++ b/crates/celerystair_router/src/lost.rs
@@ -0,0 +1,61 @@
+//! Instances that were lost, agent and all, while they ran requests. Where the agent is left, it
+//! tells a crash itself; here the router that lost sight of both does. See `docs/AT_MOST_ONCE.md`.
+
+use std::cell::RefCell;
+
+use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_journal::suspects::{Charge, accuse};
+
+use crate::{attempt::Tracked, caller_request::CallerRequest, router::Router};
+
+/// How long a retry waits until the suspicion is written.
+const ACCUSE_TIMEOUT_MS: u64 = 500;
+/// Losses this close together have one cause.
+const TOGETHER_MS: u64 = 5_000;
+/// More upstreams lost together than one request may crash: a failure domain or the network went,
+/// and the store is spared a write for each request that ran there.
+const LOST_MAX: usize = 2;
+
+/// Upstreams that this router has lost of late.
+#[derive(Default)]
+pub struct LostUpstreams {
+    recent: RefCell<Vec<(u64, UpstreamId)>>,
+}
+
+impl LostUpstreams {
+    /// Notes a loss; gives how many upstreams were lost of late.
+    fn note(&self, upstream: &UpstreamId) -> usize {
+        let now = now_unix_ms();
+        let mut recent = self.recent.borrow_mut();
+        recent
+            .retain(|(lost_unix_ms, known)| now < lost_unix_ms + TOGETHER_MS && known != upstream);
+        recent.push((now, upstream.clone()));
+        recent.len()
+    }
+}
+
+/// Whether the upstream's instance is lost: its agent answers no question any more. If so, the
+/// request that ran there is charged with a crash, unless many were lost together. An agent that
+/// is back at once has only restarted, and its upstream runs on.
+pub async fn charge_if_lost(router: &Router, request: &CallerRequest, tracked: &Tracked) -> bool {
+    let peer = &tracked.peer;
+    let answers = tracked.ask_state(router, request.deadline_unix_ms).await;
+    if answers.is_some() {
+        return false;
+    }
+    peer.set_unreachable();
+    if router.lost_upstreams.note(&peer.upstream) > LOST_MAX {
+        return true;
+    }
+    let expiry_ms = router.node.config.current().defaults.suspect_expiry_ms;
+    let now = now_unix_ms();
+    let charge = Charge {
+        fingerprint: request.fingerprint,
+        attempt: tracked.attempt.clone(),
+        alone: tracked.suspect,
+        expires_unix_ms: now + expiry_ms,
+    };
+    // With the store away, the retry still runs alone: the router at hand knows.
+    before_deadline(now + ACCUSE_TIMEOUT_MS, accuse(&router.node.store, &charge)).await;
+    true
+}
--- a/crates/celerystair_router/src/peers.rs
+++ b/crates/celerystair_router/src/peers.rs
@@ -7,11 +7,13 @@
 };
 
 use celerystair_core::{prelude::*, time::carry_over};
-use celerystair_net::prelude::*;
+use celerystair_net::{grpc::Channel, prelude::*};
 use celerystair_protocol::{News, ReplicaNews, ReplicaState};
 
 /// How long an agent's word that it is leaving counts.
 const LEAVING_LIFE_MS: u64 = 2_000;
+/// How long an agent that took no connection is left alone.
+const UNREACHABLE_LIFE_MS: u64 = 2_000;
 
 /// One agent as this router knows it.
 pub struct Peer {
@@ -27,6 +29,8 @@
     pub load: RefCell<News>,
     /// When it was last heard of.
     pub heard_unix_ms: Cell<u64>,
+    /// Until when it is taken for unreachable; 0 once it takes connections.
+    pub unreachable_until_unix_ms: Cell<u64>,
     /// Its replicas, as last heard.
     pub replicas: RefCell<HashMap<String, ReplicaNews>>,
 }
@@ -54,6 +58,7 @@
             life: RefCell::new(life.to_owned()),
             load: RefCell::default(),
             heard_unix_ms: Cell::new(0),
+            unreachable_until_unix_ms: Cell::new(0),
             replicas: RefCell::default(),
         });
         by_upstream.insert(upstream.into(), peer.clone());
@@ -99,6 +104,31 @@
         (replica.state(), replica.ready_unix_ms)
     }
 
+    /// A channel for calls. An agent that takes no connection is left alone for a while: what it
+    /// last said of its load would go on to draw requests, each of which costs a retry.
+    ///
+    /// # Errors
+    /// [`ConnectionError`], after which nothing has been sent.
+    pub async fn channel(&self) -> Result<Channel, ConnectionError> {
+        let channel = self.connection.channel().await;
+        match &channel {
+            Ok(_) => self.unreachable_until_unix_ms.set(0),
+            Err(_) => self.set_unreachable(),
+        }
+        channel
+    }
+
+    /// Notes that the agent can't be reached.
+    pub fn set_unreachable(&self) {
+        let until_unix_ms = now_unix_ms() + UNREACHABLE_LIFE_MS;
+        self.unreachable_until_unix_ms.set(until_unix_ms);
+    }
+
+    /// Whether it took no connection of late.
+    pub fn is_unreachable(&self) -> bool {
+        now_unix_ms() < self.unreachable_until_unix_ms.get()
+    }
+
     /// Whether it said of late that it takes nothing new. Older word is not counted, or an
     /// upstream that stays after all would never be asked again.
     pub fn is_leaving(&self) -> bool {
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -14,7 +14,8 @@
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    admission::Admission, callers::answer_caller, peers::Peers, retry_budget::RetryBudget,
+    admission::Admission, callers::answer_caller, lost::LostUpstreams, peers::Peers,
+    retry_budget::RetryBudget,
 };
 
 /// A router; cheap to clone within its thread.
@@ -35,6 +36,8 @@
     pub retry_budget: RetryBudget,
     /// Requests that were running when an upstream crashed.
     pub suspects: Mirror<SuspectObject>,
+    /// Upstreams that this router has lost of late.
+    pub lost_upstreams: LostUpstreams,
     /// Requests that this router has now.
     pub admission: Admission,
 }
@@ -84,6 +87,7 @@
             peers: Peers::default(),
             retry_budget: RetryBudget::default(),
             suspects: Mirror::start(&node.store, SUSPECTS, stop),
+            lost_upstreams: LostUpstreams::default(),
             admission: Admission::default(),
             node,
         }),
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -83,7 +83,7 @@
             queue_delay_ms: load.queue_delay_ms,
             outstanding: peer.outstanding.get(),
             running_max: load.running_max,
-            leaving: is_leaving || peer.is_leaving(),
+            leaving: is_leaving || peer.is_leaving() || peer.is_unreachable(),
         });
         drop(load);
         peers.push(peer);
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -17,15 +17,21 @@
     answer::{error_event, refusal_response},
     attempt::{AnswerStream, Answering, Tracked, submit},
     caller_request::{CallerRequest, Target},
+    lost::charge_if_lost,
     router::Router,
     select::{Chosen, choose_peer, follow_placement},
 };
 
-/// Attempts of one request at most, over all upstreams.
-const ATTEMPTS_MAX: u32 = 16;
+/// Attempts of one request at most, over all upstreams: few enough that no request alone can use
+/// up a router's retry budget. Waiting until an upstream is back takes no attempt.
+const ATTEMPTS_MAX: u32 = 8;
 /// Waits before other attempts when every upstream was tried.
 const RETRY_MIN_MS: u64 = 50;
 const RETRY_MAX_MS: u64 = 400;
+/// An answer that is not asked for as a stream is kept back until it is whole, so that a cut one
+/// can still be had elsewhere. A larger one is passed on as it comes: its caller may be slow, and
+/// its end is not known.
+const KEPT_BACK_MAX_BYTES: usize = 1 << 20;
 /// Chunks that may wait for a slow caller.
 const CHUNKS_MAX: usize = 16;
 
@@ -67,12 +73,17 @@
     let mut tried: HashSet<UpstreamId> = HashSet::default();
     let mut attempts = 0;
     let mut cuts = 0;
+    let mut suspect = false;
     let mut retry_ms = RETRY_MIN_MS;
     let mut last: Option<Refusal> = None;
     router.retry_budget.earn(request.retry_budget_percent);
     while attempts < ATTEMPTS_MAX && left_ms(request.deadline_unix_ms) > answer_margin_ms(router) {
+        suspect |= is_suspect(router, request, last.as_ref())?;
         let Some(chosen) = choose_peer(router, request, &tried) else {
-            if tried.is_empty() {
+            // With nothing run, a refusal now is worth more to the caller than a wait. A request
+            // that may have run is in doubt until it is answered, so it waits for an upstream.
+            let in_doubt = last.as_ref().is_some_and(|l| l.run == RunState::Unknown);
+            if tried.is_empty() && !in_doubt {
                 break;
             }
             tried.clear();
@@ -83,7 +94,6 @@
         if last.is_none() {
             check_wait(router, request, chosen.queue_wait_ms)?;
         }
-        let suspect = check_suspect(router, request, last.as_ref())?;
         if last
             .as_ref()
             .is_some_and(|last| costs_budget(last) && !router.retry_budget.take())
@@ -95,12 +105,15 @@
         let upstream = &chosen.peer.upstream;
         let why = chosen.why(&request.target);
         record(router, request, "upstream_chosen", upstream, why);
-        match answer_from(router, request, &chosen, suspect, &admitted).await {
+        let tracked = Tracked::new(&chosen.peer, suspect);
+        match answer_from(router, request, &chosen, &tracked, &admitted).await {
             Ok(response) => return Ok(response),
             Err(refusal) => {
-                let was_cut = refusal.reason == RefusalReason::UpstreamFailed
-                    && refusal.run == RunState::Unknown;
+                let was_cut = was_cut(router, request, &tracked, &refusal).await;
                 cuts += u32::from(was_cut);
+                // From the first cut on it runs alone: it may have been the cause, and where it
+                // was not, no other request can cut it off again.
+                suspect |= was_cut;
                 let may_retry = may_retry(request, &refusal) && cuts < CRASHES_MAX;
                 if refusal.reason == RefusalReason::NotHere {
                     follow_placement(router, &request.target).await;
@@ -120,18 +133,34 @@
     }))
 }
 
+/// Whether the attempt was cut off by its upstream, or was lost with the whole instance.
+async fn was_cut(
+    router: &Router,
+    request: &CallerRequest,
+    tracked: &Tracked,
+    refusal: &Refusal,
+) -> bool {
+    match (refusal.reason, &request.target) {
+        _ if refusal.run == RunState::NotRun => false,
+        (RefusalReason::UpstreamFailed, _) => true,
+        (RefusalReason::ConnectionLost, Target::Model(_)) => {
+            charge_if_lost(router, request, tracked).await
+        }
+        _ => false,
+    }
+}
+
 /// Whether the request is suspected of crashing upstreams, and must run alone.
 ///
 /// # Errors
 /// A refusal if it has crashed too many.
-fn check_suspect(
+fn is_suspect(
     router: &Router,
     request: &CallerRequest,
     last: Option<&Refusal>,
 ) -> Result<bool, Refusal> {
-    let was_cut = last.is_some_and(|last| last.reason == RefusalReason::UpstreamFailed);
     let Some((_, suspect)) = router.suspects.get(&suspect_name(request.fingerprint)) else {
-        return Ok(was_cut);
+        return Ok(false);
     };
     let now = now_unix_ms();
     if suspect.is_refused_at(now) {
@@ -144,7 +173,7 @@
         };
         return Err(refusal.retry_after(suspect.expires_unix_ms - now));
     }
-    Ok(was_cut || suspect.holds_at(now))
+    Ok(suspect.holds_at(now))
 }
 
 /// The refusal of a request after one more attempt: "not run" only if no attempt may have run,
@@ -175,23 +204,26 @@
     router: &Router,
     request: &CallerRequest,
     chosen: &Chosen,
-    suspect: bool,
+    tracked: &Tracked,
     admitted: &Rc<Admitted>,
 ) -> Result<HttpResponse, Refusal> {
     let margin_ms = answer_margin_ms(router);
-    let tracked = Tracked::new(&chosen.peer, suspect);
     let work = async {
         let Answering {
             head,
             cold_start_ms,
             mut rest,
-        } = submit(router, &tracked, request, chosen.generation).await?;
-        if !request.stream {
-            let body = collect(&mut rest).await?;
-            return Ok(response(&head, cold_start_ms, HttpBody::full(body)));
-        }
-        // Until the first chunk has come, the request can still be tried elsewhere.
-        let first = rest.next().await?;
+        } = submit(router, tracked, request, chosen.generation).await?;
+        // Until the first chunk is passed on, the request can still be tried elsewhere.
+        let first = if request.stream {
+            rest.next().await?
+        } else {
+            let (body, is_whole) = collect(&mut rest).await?;
+            if is_whole {
+                return Ok(response(&head, cold_start_ms, HttpBody::full(body)));
+            }
+            Some(body)
+        };
         let body = streamed(
             admitted.clone(),
             &head,
@@ -241,12 +273,16 @@
     )
 }
 
-async fn collect(rest: &mut AnswerStream) -> Result<Bytes, Refusal> {
+/// The answer, or as much of it as is kept back, and whether it is whole.
+async fn collect(rest: &mut AnswerStream) -> Result<(Bytes, bool), Refusal> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = rest.next().await? {
+    while body.len() <= KEPT_BACK_MAX_BYTES {
+        let Some(chunk) = rest.next().await? else {
+            return Ok((body.freeze(), true));
+        };
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok((body.freeze(), false))
 }
 
 /// An answer that is passed on as it comes; a cut aborts the caller's connection.
--- a/tests/requests_overload.rs
+++ b/tests/requests_overload.rs
@@ -119,11 +119,20 @@
 
 #[test]
 fn an_innocent_neighbour_of_a_crash_is_answered_and_cleared() {
+    crash_beside_a_neighbour(&requests_trial());
+}
+
+#[test]
+fn an_innocent_neighbour_is_answered_also_when_no_upstream_takes_work_for_a_while() {
+    let mut settings = requests_trial();
+    // Long enough that both agents notice, and both say that they take nothing new.
+    settings.pools[0].engine.restart_ms = 3_000;
+    crash_beside_a_neighbour(&settings);
+}
+
+fn crash_beside_a_neighbour(settings: &TrialSettings) {
     block_on(async {
-        let settings = requests_trial();
-        let mut fleet = FaultFleet::start(&settings)
-            .await
-            .expect("the fleet starts");
+        let mut fleet = FaultFleet::start(settings).await.expect("the fleet starts");
         let caller = Caller::new().expect("a caller");
         warm(&fleet, &caller).await;
         let neighbour = completion(&fleet, 0, "neighbour", 400);
@@ -138,6 +147,8 @@
         while suspects(&fleet).await.len() != 1 {
             sleep_ms(5).await;
         }
+        assert_eq!(executions(&fleet, "neighbour"), 2);
+        assert_eq!(executions(&fleet, POISON), 2);
         fleet.end();
     });
 }
