Keep callers that read nothing from holding up others on a router's connection to an agent

Cause: all calls from a router to an agent share one connection. Each could take 2 MB of its window of 5 MB, so three slow callers with long answers held up every other.

Change: a call has a window of 64 KB, and the connection one for all 1,024 calls that it can have.

--- a/crates/celerystair_net/src/grpc.rs
+++ b/crates/celerystair_net/src/grpc.rs
@@ -23,6 +23,13 @@
 /// A peer that answers no ping for this long is taken for lost.
 const KEEP_ALIVE_TIMEOUT_MS: u64 = 2000;
 const KEEP_ALIVE_INTERVAL_MS: u64 = 5000;
+/// What may come ahead of a slow reader of one call.
+const CALL_WINDOW_BYTES: u32 = 64 << 10;
+/// What may come ahead of all readers of a connection: enough for each call that a connection can
+/// have, so that readers who take nothing hold up no other call. See `docs/DEADLINES.md`.
+const CONNECTION_WINDOW_BYTES: u32 = CALLS_MAX * CALL_WINDOW_BYTES;
+/// Calls that a connection can have at a time.
+const CALLS_MAX: u32 = 1024;
 
 /// Serves gRPC until `stop` drains, then waits for the open calls and returns.
 pub async fn serve_grpc<S>(listener: TcpListener, stop: Stop, service: S) -> io::Result<()>
@@ -51,6 +58,7 @@
             let service = hyper_util::service::TowerToHyperService::new(service);
             let connection = server::Builder::new(CompioExecutor)
                 .timer(ConnectionTimer)
+                .max_concurrent_streams(CALLS_MAX)
                 .serve_connection(stream, service);
             let mut connection = pin!(connection);
             let draining = pin!(stop.draining());
@@ -154,6 +162,8 @@
             .map_err(|e| unreachable(e.to_string()))?;
         let (sender, connection) = client::Builder::new(CompioExecutor)
             .timer(ConnectionTimer)
+            .initial_stream_window_size(CALL_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .keep_alive_interval(std::time::Duration::from_millis(KEEP_ALIVE_INTERVAL_MS))
             .keep_alive_timeout(std::time::Duration::from_millis(KEEP_ALIVE_TIMEOUT_MS))
             .handshake::<_, Body>(stream)
