Give turns to one firm after the other, and bound the calls that wait for the store

Cause: an agent's queue knew only weight and deadline, so a firm that floods stood before all others whose deadlines came later, and a router shed the others by the wait that the flood had made. Routers saw too little to mend it: a firm without requests there had no part.

Change: * Among requests of one weight, an agent gives turns to one firm after the other (start-time fair queueing with turns of equal cost), and within a firm by deadline. A firm that did not wait has saved up none. Refusals, on entry and of those that are overtaken, follow that order. * A router sheds by the part of the reported wait that is the firm's own: a firm's only request at a router is passed on for the agent to decide. * Tried first and dropped: a firm's deadlines put off by the time of its own requests that wait. A burst before the first request has ended has no service time to go by, and it failed. * Calls under idempotency keys that wait for the store hold no place in the queue and were not bounded. An agent now refuses them past `queue_max` and its turns, `overloaded`, not_run. * What an attempt asks of the queue, until when it waits, and its refusals of a leaving agent and of a router that gave up were written twice, for calls with and without keys. Each is one function.

--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -3,7 +3,6 @@
 
 use std::pin::pin;
 
-use celerystair_config::fleet;
 use celerystair_core::{prelude::*, time::now_unix_us};
 use celerystair_protocol::{
     End, Head, Queued, Refused, Started, SubmitEvent, SubmitRequest, submit_event::Event as Step,
@@ -20,7 +19,7 @@
     agent::Agent,
     attempts::AttemptPhase,
     crashes,
-    keyed::serve_keyed,
+    keyed::{asking, serve_keyed},
     news::news,
     queue::{AlonePermit, RunPermit},
     replicas::{ReplicaUse, use_replica},
@@ -33,6 +32,28 @@
 /// Kept from the time left, so that a refusal reaches the router before the deadline.
 pub(crate) const ANSWER_MARGIN_MS: u64 = 50;
 
+/// Until when an attempt may wait; whoever waits for it learns in time what came of it.
+pub(crate) fn wait_deadline_unix_ms(request: &SubmitRequest) -> u64 {
+    request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS)
+}
+
+/// The refusal of an attempt that got its tombstone, or whose router has left.
+pub(crate) fn given_up() -> Refusal {
+    Refusal::not_run(RefusalReason::Cancelled, "the router gave it up")
+}
+
+/// Refuses new work of an agent that is leaving.
+///
+/// # Errors
+/// The refusal.
+pub(crate) fn refuse_if_leaving(agent: &Agent) -> Result<(), Refusal> {
+    if agent.node.stop.is_draining() {
+        let detail = "the upstream is leaving";
+        return Err(Refusal::not_run(RefusalReason::Leaving, detail));
+    }
+    Ok(())
+}
+
 /// What an attempt holds while it runs.
 struct Turn {
     cold_start_ms: u64,
@@ -93,18 +114,13 @@
     id: &AttemptId,
     events: &Events,
 ) -> Result<(), Refusal> {
-    let deadline_unix_ms = request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let deadline_unix_ms = wait_deadline_unix_ms(request);
     let turn = {
         let wait = pin!(wait_for_turn(agent, request, deadline_unix_ms, events));
         let cancelled = pin!(cancelled(agent, id, events));
         match select(wait, cancelled).await {
             Either::Left((turn, _)) => turn?,
-            Either::Right(_) => {
-                return Err(Refusal::not_run(
-                    RefusalReason::Cancelled,
-                    "the router gave it up",
-                ));
-            }
+            Either::Right(_) => return Err(given_up()),
         }
     };
     if agent.crashes.is_away() {
@@ -112,10 +128,7 @@
         return Err(Refusal::not_run(RefusalReason::UpstreamFailed, detail));
     }
     if !agent.attempts.start(id) {
-        return Err(Refusal::not_run(
-            RefusalReason::Cancelled,
-            "the router gave it up",
-        ));
+        return Err(given_up());
     }
     record(agent, request, "attempt_started", String::new());
     send(
@@ -165,12 +178,7 @@
     deadline_unix_ms: u64,
     events: &Events,
 ) -> Result<Turn, Refusal> {
-    if agent.node.stop.is_draining() {
-        return Err(Refusal::not_run(
-            RefusalReason::Leaving,
-            "the upstream is leaving",
-        ));
-    }
+    refuse_if_leaving(agent)?;
     let expected_start_unix_ms =
         now_unix_ms() + agent.queue.expected_wait_ms(agent.queue.waiting());
     send(
@@ -209,17 +217,13 @@
         }
         replica = Some(replica_use);
     }
-    let config = agent.node.config.current();
-    let domain = &agent.node.settings.failure_domain;
-    let limits = fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms());
-    let (queue, priority) = (&agent.queue, request.priority);
-    queue.set_shedding(config.defaults.shedding);
+    let queue = &agent.queue;
+    let asking = asking(agent, request, deadline_unix_ms);
+    queue.set_shedding(agent.node.config.current().defaults.shedding);
     let permit = if request.suspect {
-        let alone = queue.enter_alone(priority, deadline_unix_ms, limits.queue_max);
-        Permit::Alone(alone.await?)
+        Permit::Alone(queue.enter_alone(asking).await?)
     } else {
-        let shared = queue.enter(priority, deadline_unix_ms, limits.queue_max);
-        Permit::Shared(shared.await?)
+        Permit::Shared(queue.enter(asking).await?)
     };
     let waited_seconds = (now_unix_ms() - entered_unix_ms) as f64 / 1000.0;
     agent.node.metrics.wait_seconds.record(waited_seconds, &[]);
--- a/crates/celerystair_agent/src/keyed.rs
+++ b/crates/celerystair_agent/src/keyed.rs
@@ -16,9 +16,10 @@
 
 use crate::{
     agent::Agent,
-    answer::{ANSWER_MARGIN_MS, Events, send},
+    answer::{Events, refuse_if_leaving, send, wait_deadline_unix_ms},
     attempts::AttemptPhase,
     keyed_run::execute,
+    queue::TurnRequest,
 };
 
 /// When a caller may ask again for the outcome of a call that still runs.
@@ -92,6 +93,16 @@
         run
     }
 
+    /// How many there are.
+    pub fn len(&self) -> u32 {
+        self.by_key.borrow().len() as u32
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.borrow().is_empty()
+    }
+
     /// Forgets the run; whoever sends the key now finds it in the journal.
     pub fn forget(&self, key: &CallKey) {
         self.by_key.borrow_mut().remove(key);
@@ -102,7 +113,7 @@
     pub async fn ended(&self) {
         loop {
             let changed = self.changed.listen();
-            if self.by_key.borrow().is_empty() {
+            if self.is_empty() {
                 return;
             }
             changed.await;
@@ -120,7 +131,7 @@
     id: &AttemptId,
     events: &Events,
 ) -> Result<(), Refusal> {
-    let deadline_unix_ms = request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let deadline_unix_ms = wait_deadline_unix_ms(request);
     let queued = Queued {
         expected_start_unix_ms: now_unix_ms(),
     };
@@ -190,25 +201,36 @@
 
 /// Begins a run, unless there is no room for it.
 fn begin(agent: &Agent, request: &SubmitRequest, key: CallKey) -> Result<Rc<KeyedRun>, Refusal> {
-    if agent.node.stop.is_draining() {
-        let detail = "the upstream is leaving";
-        return Err(Refusal::not_run(RefusalReason::Leaving, detail));
+    refuse_if_leaving(agent)?;
+    let asking = asking(agent, request, wait_deadline_unix_ms(request));
+    agent.queue.check(asking)?;
+    // Runs that wait for the store hold no place in the queue, and are bounded all the same.
+    let runs_max = asking.waiting_max + agent.queue.running_max();
+    if agent.keyed_runs.len() >= runs_max {
+        let detail = format!("{runs_max} calls under keys are under way already");
+        return Err(Refusal::not_run(RefusalReason::Overloaded, detail).retry_after(RETRY_AFTER_MS));
     }
-    let deadline_unix_ms = request.deadline_unix_ms.saturating_sub(ANSWER_MARGIN_MS);
-    agent
-        .queue
-        .check(request.priority, deadline_unix_ms, queue_max(agent))?;
     let run = agent.keyed_runs.begin(&key, request.fingerprint);
     let (agent, request, running) = (agent.clone(), request.clone(), run.clone());
     compio::runtime::spawn(async move { execute(&agent, &request, &key, &running).await }).detach();
     Ok(run)
 }
 
-/// How many requests may wait at this agent.
-pub fn queue_max(agent: &Agent) -> u32 {
+/// What a call asks of the queue.
+pub(crate) fn asking<'a>(
+    agent: &Agent,
+    request: &'a SubmitRequest,
+    deadline_unix_ms: u64,
+) -> TurnRequest<'a> {
     let config = agent.node.config.current();
     let domain = &agent.node.settings.failure_domain;
-    fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms()).queue_max
+    let limits = fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms());
+    TurnRequest {
+        firm: &request.firm,
+        priority: request.priority,
+        deadline_unix_ms,
+        waiting_max: limits.queue_max,
+    }
 }
 
 /// Waits for a run until the deadline.
--- a/crates/celerystair_agent/src/keyed_run.rs
+++ b/crates/celerystair_agent/src/keyed_run.rs
@@ -17,11 +17,11 @@
 
 use crate::{
     agent::Agent,
-    answer::{ANSWER_MARGIN_MS, record, upstream_refusal},
+    answer::{ANSWER_MARGIN_MS, given_up, record, upstream_refusal, wait_deadline_unix_ms},
     attempts::AttemptPhase,
     keyed::{
-        KeyedAnswer, KeyedOutcome, KeyedRun, RETRY_AFTER_MS, key_reused, outcome_unknown,
-        queue_max, still_running, too_late,
+        KeyedAnswer, KeyedOutcome, KeyedRun, RETRY_AFTER_MS, asking, key_reused, outcome_unknown,
+        still_running, too_late,
     },
     queue::RunPermit,
     upstream::call_upstream,
@@ -37,9 +37,7 @@
 
 /// Until when the call must have been started; those who wait for it learn in time why it wasn't.
 fn start_deadline_unix_ms(request: &SubmitRequest) -> u64 {
-    request
-        .deadline_unix_ms
-        .saturating_sub(2 * ANSWER_MARGIN_MS)
+    wait_deadline_unix_ms(request).saturating_sub(ANSWER_MARGIN_MS)
 }
 
 /// Runs the call, or finds out what became of it, and ends `run` with its outcome.
@@ -136,7 +134,6 @@
     id: &AttemptId,
     work: impl Future<Output = T>,
 ) -> Result<T, Refusal> {
-    let given_up = || Refusal::not_run(RefusalReason::Cancelled, "the router gave it up");
     let Some(tombstone) = agent.attempts.listen_cancelled(id) else {
         return Err(given_up());
     };
@@ -219,9 +216,7 @@
     id: &AttemptId,
 ) -> Result<RunPermit, Refusal> {
     let deadline_unix_ms = start_deadline_unix_ms(request);
-    let enter = agent
-        .queue
-        .enter(request.priority, deadline_unix_ms, queue_max(agent));
+    let enter = agent.queue.enter(asking(agent, request, deadline_unix_ms));
     let permit = unless_cancelled(agent, id, enter).await??;
     if now_unix_ms() >= deadline_unix_ms {
         // After a pause of the process, the journal may have forgotten the key.
@@ -233,8 +228,7 @@
     if may_start {
         Ok(permit)
     } else {
-        let detail = "the router gave it up";
-        Err(Refusal::not_run(RefusalReason::Cancelled, detail))
+        Err(given_up())
     }
 }
 
--- a/crates/celerystair_agent/src/queue.rs
+++ b/crates/celerystair_agent/src/queue.rs
@@ -1,10 +1,9 @@
-//! Requests that wait for their turn at the upstream: by priority, then by deadline. What
-//! can't be met is refused at once.
+//! Requests that wait for their turn at the upstream: by priority, then by deadline, and fairly
+//! between firms. What can't be met is refused at once. See `docs/OVERLOAD.md`.
 
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    ops::Bound,
     rc::Rc,
 };
 
@@ -32,6 +31,23 @@
     held: Cell<bool>,
     changed: Event,
     waiting: RefCell<BTreeMap<Place, Rc<Waiter>>>,
+    /// The turn, counted over all firms, at which the last one was given.
+    turn: Cell<u64>,
+    /// For each firm that is ahead of its part: the first turn that is its again.
+    next_turn: RefCell<HashMap<FirmName, u64>>,
+}
+
+/// A request that asks for a turn.
+#[derive(Clone, Copy, Debug)]
+pub struct TurnRequest<'a> {
+    /// For whom.
+    pub firm: &'a str,
+    /// Its weight; the greater goes first.
+    pub priority: u32,
+    /// Until when it waits.
+    pub deadline_unix_ms: u64,
+    /// How many may wait when it comes.
+    pub waiting_max: u32,
 }
 
 /// Where a request stands in the queue; the smallest goes first.
@@ -56,8 +72,8 @@
     Taken,
 }
 
-#[derive(Default)]
 struct Waiter {
+    firm: FirmName,
     state: Cell<WaitState>,
     event: Event,
 }
@@ -88,6 +104,8 @@
                 held: Cell::new(false),
                 changed: Event::new(),
                 waiting: RefCell::default(),
+                turn: Cell::new(0),
+                next_turn: RefCell::default(),
             }),
         }
     }
@@ -122,25 +140,24 @@
         (turns * self.inner.mean_service_ms.get()) as u64
     }
 
-    /// Waits for a turn until `deadline_unix_ms`.
+    /// Waits for a turn until the request's deadline.
     ///
     /// # Errors
     /// A refusal, at once if the queue is full or the expected wait is longer than the time
     /// left, else at the deadline.
-    pub async fn enter(
-        &self,
-        priority: u32,
-        deadline_unix_ms: u64,
-        waiting_max: u32,
-    ) -> Result<RunPermit, Refusal> {
+    pub async fn enter(&self, request: TurnRequest<'_>) -> Result<RunPermit, Refusal> {
         if self.has_free_turn() {
-            return Ok(self.take_turn());
+            return Ok(self.take_turn(request.firm));
         }
         let number = self.inner.next_number.get();
         self.inner.next_number.set(number + 1);
-        let place = self.place(priority, deadline_unix_ms, number);
-        self.refuse_unmeetable(place, waiting_max)?;
-        let waiter = Rc::new(Waiter::default());
+        let place = self.place(request, number);
+        self.refuse_unmeetable(request, place)?;
+        let waiter = Rc::new(Waiter {
+            firm: request.firm.into(),
+            state: Cell::default(),
+            event: Event::new(),
+        });
         self.inner
             .waiting
             .borrow_mut()
@@ -150,7 +167,7 @@
             place,
             waiter: &waiter,
         };
-        self.refuse_overtaken(place);
+        self.refuse_overtaken(request.firm, place);
         let settled = async {
             while waiter.state.get() == WaitState::Waiting {
                 let listener = waiter.event.listen();
@@ -159,7 +176,7 @@
                 }
             }
         };
-        before_deadline(deadline_unix_ms, settled).await;
+        before_deadline(request.deadline_unix_ms, settled).await;
         match waiter.state.get() {
             WaitState::Granted | WaitState::Taken => {
                 waiter.state.set(WaitState::Taken);
@@ -181,20 +198,15 @@
     ///
     /// # Errors
     /// The refusal.
-    pub fn check(
-        &self,
-        priority: u32,
-        deadline_unix_ms: u64,
-        waiting_max: u32,
-    ) -> Result<(), Refusal> {
+    pub fn check(&self, request: TurnRequest<'_>) -> Result<(), Refusal> {
         if self.has_free_turn() {
             return Ok(());
         }
-        let place = self.place(priority, deadline_unix_ms, self.inner.next_number.get());
-        self.refuse_unmeetable(place, waiting_max)
+        let place = self.place(request, self.inner.next_number.get());
+        self.refuse_unmeetable(request, place)
     }
 
-    fn place(&self, priority: u32, deadline_unix_ms: u64, number: u64) -> Place {
+    fn place(&self, request: TurnRequest<'_>, number: u64) -> Place {
         if !self.inner.shedding.get() {
             return Place {
                 priority_inverted: u32::MAX,
@@ -203,30 +215,85 @@
             };
         }
         Place {
-            priority_inverted: u32::MAX - priority,
-            deadline_unix_ms,
+            priority_inverted: u32::MAX - request.priority,
+            deadline_unix_ms: request.deadline_unix_ms,
             number,
         }
     }
 
+    /// How many turns will be given before that of a request at `place`. Heavier requests go
+    /// first, and those of the same firm by deadline; of each other firm, no more than of its own.
+    fn ahead(&self, firm: &str, place: Place) -> u32 {
+        let waiting = self.inner.waiting.borrow();
+        if !self.inner.shedding.get() {
+            return waiting.range(..place).count() as u32;
+        }
+        let mut heavier = 0;
+        let mut own = 0;
+        let mut others: HashMap<&str, u32> = HashMap::default();
+        for (other, waiter) in waiting.iter() {
+            if other.priority_inverted < place.priority_inverted {
+                heavier += 1;
+            } else if other.priority_inverted > place.priority_inverted {
+                break;
+            } else if *waiter.firm != *firm {
+                *others.entry(&waiter.firm).or_default() += 1;
+            } else if *other < place {
+                own += 1;
+            }
+        }
+        heavier
+            + own
+            + others
+                .values()
+                .map(|count| (*count).min(own + 1))
+                .sum::<u32>()
+    }
+
+    /// Who gets the next turn: among the heaviest, the firm that has had the least of late, and
+    /// of its requests the one whose deadline comes first.
+    fn next(&self) -> Option<Place> {
+        let waiting = self.inner.waiting.borrow();
+        let (first, _) = waiting.first_key_value()?;
+        if !self.inner.shedding.get() {
+            return Some(*first);
+        }
+        let heaviest = waiting
+            .iter()
+            .take_while(|(place, _)| place.priority_inverted == first.priority_inverted);
+        let turns = heaviest.map(|(place, waiter)| (self.first_turn(&waiter.firm), *place));
+        turns.min().map(|(_, place)| place)
+    }
+
+    /// The first turn that the firm may have.
+    fn first_turn(&self, firm: &str) -> u64 {
+        let next = self.inner.next_turn.borrow().get(firm).copied();
+        next.unwrap_or_default().max(self.inner.turn.get())
+    }
+
+    /// Counts a turn as given to the firm. Firms that wait get turns one after the other; a firm
+    /// that did not wait has saved up none.
+    fn count_turn(&self, firm: &str) {
+        let turn = self.first_turn(firm);
+        self.inner.turn.set(turn);
+        let mut next_turn = self.inner.next_turn.borrow_mut();
+        next_turn.insert(firm.into(), turn + 1);
+        next_turn.retain(|_, next| *next > turn);
+    }
+
     fn has_free_turn(&self) -> bool {
         self.inner.running.get() < self.inner.running_max
             && self.waiting() == 0
             && !self.inner.held.get()
     }
 
-    /// Waits for a turn at which nothing else runs, until `deadline_unix_ms`.
+    /// Waits for a turn at which nothing else runs, until the request's deadline.
     ///
     /// # Errors
     /// As [`RunQueue::enter`].
-    pub async fn enter_alone(
-        &self,
-        priority: u32,
-        deadline_unix_ms: u64,
-        waiting_max: u32,
-    ) -> Result<AlonePermit, Refusal> {
+    pub async fn enter_alone(&self, request: TurnRequest<'_>) -> Result<AlonePermit, Refusal> {
         let permit = loop {
-            let permit = self.enter(priority, deadline_unix_ms, waiting_max).await?;
+            let permit = self.enter(request).await?;
             if !self.inner.held.replace(true) {
                 break AlonePermit { permit };
             }
@@ -242,16 +309,19 @@
                 changed.await;
             }
         };
-        if before_deadline(deadline_unix_ms, alone).await.is_none() {
+        if before_deadline(request.deadline_unix_ms, alone)
+            .await
+            .is_none()
+        {
             let detail = "no turn without others came before the deadline";
             return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail));
         }
         Ok(permit)
     }
 
-    fn refuse_unmeetable(&self, place: Place, waiting_max: u32) -> Result<(), Refusal> {
-        let ahead = self.inner.waiting.borrow().range(..place).count() as u32;
-        let wait_ms = self.expected_wait_ms(ahead);
+    fn refuse_unmeetable(&self, request: TurnRequest<'_>, place: Place) -> Result<(), Refusal> {
+        let wait_ms = self.expected_wait_ms(self.ahead(request.firm, place));
+        let waiting_max = request.waiting_max;
         if self.waiting() >= waiting_max {
             let detail = format!("{waiting_max} requests wait already");
             return Err(Refusal::not_run(RefusalReason::Overloaded, detail).retry_after(wait_ms));
@@ -266,23 +336,30 @@
         Ok(())
     }
 
-    /// Refuses those behind `newest` whose turn it has pushed past their deadline, so that they
-    /// learn of it now and not at their deadline.
-    fn refuse_overtaken(&self, newest: Place) {
+    /// Refuses those whose turn the newest has pushed past their deadline, so that they learn of
+    /// it now and not at their deadline. Each that is refused makes room for those behind it.
+    fn refuse_overtaken(&self, firm: &str, newest: Place) {
         if !self.inner.shedding.get() {
             return;
         }
         let now = now_unix_ms();
-        let mut waiting = self.inner.waiting.borrow_mut();
-        let mut ahead = waiting.range(..=newest).count() as u32;
+        let is_behind = |place: &Place, waiter: &Waiter| {
+            place.priority_inverted > newest.priority_inverted
+                || place.priority_inverted == newest.priority_inverted
+                    && (*waiter.firm != *firm || *place > newest)
+        };
+        let mut line = self.line();
         let mut overtaken = Vec::new();
-        for (place, _) in waiting.range((Bound::Excluded(newest), Bound::Unbounded)) {
-            if now + self.expected_wait_ms(ahead) > place.deadline_unix_ms {
-                overtaken.push(*place);
+        let mut ahead = 0;
+        for (place, waiter) in line.drain(..) {
+            let is_late = now + self.expected_wait_ms(ahead) > place.deadline_unix_ms;
+            if is_late && is_behind(&place, &waiter) {
+                overtaken.push(place);
             } else {
                 ahead += 1;
             }
         }
+        let mut waiting = self.inner.waiting.borrow_mut();
         for place in overtaken {
             if let Some(waiter) = waiting.remove(&place) {
                 waiter.settle(WaitState::Overtaken);
@@ -290,7 +367,30 @@
         }
     }
 
-    fn take_turn(&self) -> RunPermit {
+    /// Those who wait, in the order in which turns will be given: the heavier first, then one of
+    /// each firm after the other.
+    fn line(&self) -> Vec<(Place, Rc<Waiter>)> {
+        let waiting = self.inner.waiting.borrow();
+        let mut of_firm: HashMap<(u32, &str), u64> = HashMap::default();
+        let mut line: Vec<_> = waiting
+            .iter()
+            .map(|(place, waiter)| {
+                let turns = of_firm
+                    .entry((place.priority_inverted, &waiter.firm))
+                    .or_default();
+                *turns += 1;
+                let turn = self.first_turn(&waiter.firm) + *turns;
+                (place.priority_inverted, turn, *place, waiter.clone())
+            })
+            .collect();
+        line.sort_by_key(|(priority_inverted, turn, place, _)| (*priority_inverted, *turn, *place));
+        line.into_iter()
+            .map(|(_, _, place, waiter)| (place, waiter))
+            .collect()
+    }
+
+    fn take_turn(&self, firm: &str) -> RunPermit {
+        self.count_turn(firm);
         self.inner.running.set(self.inner.running.get() + 1);
         self.permit()
     }
@@ -313,9 +413,13 @@
     /// Gives the free turns to the first who wait.
     fn grant(&self) {
         while !self.inner.held.get() && self.inner.running.get() < self.inner.running_max {
-            let Some((_, waiter)) = self.inner.waiting.borrow_mut().pop_first() else {
+            let Some(place) = self.next() else {
+                return;
+            };
+            let Some(waiter) = self.inner.waiting.borrow_mut().remove(&place) else {
                 return;
             };
+            self.count_turn(&waiter.firm);
             self.inner.running.set(self.inner.running.get() + 1);
             waiter.settle(WaitState::Granted);
         }
--- a/crates/celerystair_agent/tests/queue.rs
+++ b/crates/celerystair_agent/tests/queue.rs
@@ -1,23 +1,33 @@
 //! The queue for turns at an upstream.
 
-use celerystair_agent::queue::RunQueue;
+use celerystair_agent::queue::{RunQueue, TurnRequest};
 use celerystair_core::prelude::*;
 
 const SERVICE_MS: u64 = 400;
 const WAITING_MAX: u32 = 100;
 
+/// A request of a firm for a turn.
+fn asking(firm: &str, priority: u32, deadline_unix_ms: u64) -> TurnRequest<'_> {
+    TurnRequest {
+        firm,
+        priority,
+        deadline_unix_ms,
+        waiting_max: WAITING_MAX,
+    }
+}
+
 /// A queue of one turn whose requests are known to take at least [`SERVICE_MS`].
 async fn busy_queue() -> (RunQueue, celerystair_agent::queue::RunPermit) {
     let queue = RunQueue::new(1);
     let forever = now_unix_ms() + 600_000;
     let first = queue
-        .enter(1, forever, WAITING_MAX)
+        .enter(asking("office", 1, forever))
         .await
         .expect("a free turn");
     sleep_ms(SERVICE_MS).await;
     drop(first);
     let running = queue
-        .enter(1, forever, WAITING_MAX)
+        .enter(asking("office", 1, forever))
         .await
         .expect("a free turn");
     (queue, running)
@@ -34,7 +44,7 @@
             let lighter = queue.clone();
             let light = compio::runtime::spawn(async move {
                 lighter
-                    .enter(1, deadline_unix_ms, WAITING_MAX)
+                    .enter(asking("office", 1, deadline_unix_ms))
                     .await
                     .map(drop)
             });
@@ -43,7 +53,7 @@
                 let heavier = queue.clone();
                 heavy.push(compio::runtime::spawn(async move {
                     heavier
-                        .enter(9, now_unix_ms() + 3_600_000, WAITING_MAX)
+                        .enter(asking("office", 9, now_unix_ms() + 3_600_000))
                         .await
                         .map(drop)
                 }));
@@ -79,15 +89,51 @@
             let (queue, running) = busy_queue().await;
             let forever = now_unix_ms() + 600_000;
             {
-                let leaving = std::pin::pin!(queue.enter(5, forever, WAITING_MAX));
+                let leaving = std::pin::pin!(queue.enter(asking("office", 5, forever)));
                 let soon = now_unix_ms() + 20;
                 let gave_up = celerystair_core::time::before_deadline(soon, leaving).await;
                 assert!(gave_up.is_none());
             }
             assert_eq!(queue.waiting(), 0);
             drop(running);
-            let next = queue.enter(1, forever, WAITING_MAX).await;
+            let next = queue.enter(asking("office", 1, forever)).await;
             assert!(next.is_ok());
             assert_eq!(queue.running(), 1);
         });
 }
+
+#[test]
+fn a_firm_that_sends_few_requests_stands_before_one_that_sends_many() {
+    compio::runtime::Runtime::new()
+        .expect("a runtime")
+        .block_on(async {
+            let (queue, running) = busy_queue().await;
+            let (order, served) = async_channel::unbounded();
+            let deadline_unix_ms = now_unix_ms() + 600_000;
+            let mut calls = Vec::new();
+            let firms = [("hangang", 40), ("office", 5)];
+            for (firm, count) in firms {
+                for _ in 0..count {
+                    let (asked, order) = (queue.clone(), order.clone());
+                    calls.push(compio::runtime::spawn(async move {
+                        let turn = asked.enter(asking(firm, 1, deadline_unix_ms)).await;
+                        order.try_send(firm).ok();
+                        turn.map(drop)
+                    }));
+                    while queue.waiting() < calls.len() as u32 {
+                        sleep_ms(1).await;
+                    }
+                }
+            }
+            drop(running);
+            for call in calls {
+                assert!(call.await.expect("the task ends").is_ok());
+            }
+            // One of each firm after the other; the turn before was the office's.
+            let first: Vec<&str> = std::iter::from_fn(|| served.try_recv().ok())
+                .take(11)
+                .collect();
+            let few = first.iter().filter(|firm| **firm == "office").count();
+            assert_eq!(few, 5, "{first:?}");
+        });
+}
--- a/crates/celerystair_router/src/admission.rs
+++ b/crates/celerystair_router/src/admission.rs
@@ -12,10 +12,6 @@
 const LEAST_SHARE: f64 = 0.25;
 /// Share of its time that a request of the greatest weight may be expected to wait.
 const GREATEST_SHARE: f64 = 0.8;
-/// A firm with this many times its fair part of this router's requests is shed sooner.
-const UNFAIR: f64 = 1.5;
-/// By how much sooner.
-const UNFAIR_SHARE: f64 = 0.5;
 
 /// The requests that a router has now.
 #[derive(Default)]
@@ -83,6 +79,8 @@
     if !router.node.config.current().defaults.shedding {
         return Ok(());
     }
+    let own_part = own_part(&router.admission, &request.firm);
+    let expected_wait_ms = (expected_wait_ms as f64 * own_part) as u64;
     let left_ms = left_ms(request.deadline_unix_ms);
     let wait_max_ms = (left_ms as f64 * share(&router.admission, request)) as u64;
     if expected_wait_ms <= wait_max_ms {
@@ -98,18 +96,19 @@
     let weights = admission.by_weight.borrow();
     let greatest = weights.keys().max().copied().unwrap_or(request.weight);
     let relative = f64::from(request.weight) / f64::from(greatest.max(1));
-    let share = LEAST_SHARE + (GREATEST_SHARE - LEAST_SHARE) * relative;
-    if is_unfair(admission, &request.firm) {
-        share * UNFAIR_SHARE
-    } else {
-        share
-    }
+    LEAST_SHARE + (GREATEST_SHARE - LEAST_SHARE) * relative
 }
 
-fn is_unfair(admission: &Admission, firm: &FirmName) -> bool {
+/// How much of the wait that agents report is the firm's own. An agent's queue puts a firm that
+/// sends many behind itself, so that one with a small part of the requests waits for little more
+/// than its own. A firm's only request here waits for none of its own: the agent, which sees all
+/// routers' requests, decides on it.
+fn own_part(admission: &Admission, firm: &FirmName) -> f64 {
     let by_firm = admission.by_firm.borrow();
     let total: u32 = by_firm.values().sum();
-    let fair = f64::from(total) / by_firm.len().max(1) as f64;
-    let own = by_firm.get(firm).copied().unwrap_or_default();
-    f64::from(own) > fair * UNFAIR
+    match by_firm.get(firm).copied().unwrap_or_default() {
+        0 | 1 => 0.0,
+        _ if by_firm.len() == 1 => 1.0,
+        own => (f64::from(own - 1) * by_firm.len() as f64 / f64::from(total)).min(1.0),
+    }
 }
--- a/tests/requests_neighbours.rs
+++ b/tests/requests_neighbours.rs
@@ -57,6 +57,62 @@
     }
 }
 
+#[test]
+fn a_firm_that_floods_does_not_take_the_turns_of_another() {
+    const FLOOD: usize = 150;
+    const TIMEOUT_MS: u64 = 10_000;
+    block_on(async {
+        let mut settings = requests_trial();
+        // Twelve turns of a second: the flood alone would wait past its deadline.
+        settings.pools[1].service.work_ms = 1000;
+        let (mut fleet, caller) = start(&settings).await;
+        let stop = Stop::new();
+        let flood = (0..FLOOD).map(|number| {
+            let call = get(
+                &fleet,
+                number % 2,
+                "hangang",
+                "/services/ledger/",
+                TIMEOUT_MS,
+            );
+            let (caller, stop) = (caller.clone(), stop.clone());
+            compio::runtime::spawn(async move {
+                let mut answered = 0;
+                while !stop.is_draining() {
+                    let outcome = caller.call(&call).await.outcome;
+                    answered += u32::from(outcome == Outcome::Answered);
+                    sleep_ms(200).await;
+                }
+                answered
+            })
+        });
+        let flood: Vec<_> = flood.collect();
+        // Until the flood has filled the queues.
+        while fleet_waits(&fleet, &caller).await {}
+        for number in 0..6 {
+            let call = get(
+                &fleet,
+                number % 2,
+                "office",
+                "/services/ledger/",
+                TIMEOUT_MS,
+            );
+            let received = caller.call(&call).await;
+            assert_eq!(received.outcome, Outcome::Answered, "call {number}");
+        }
+        stop.drain();
+        let answered: u32 = join_all(flood).await.into_iter().flatten().sum();
+        assert!(answered > 0, "the flood is served too");
+        fleet.end();
+    });
+}
+
+/// Whether a further request of the firm that floods would still be taken.
+async fn fleet_waits(fleet: &FaultFleet, caller: &Caller) -> bool {
+    let call = get(fleet, 0, "hangang", "/services/ledger/", 2_000);
+    caller.call(&call).await.outcome == Outcome::Answered
+}
+
 /// How many attempts the routers made, by the time line.
 fn attempts(timeline: &Path) -> usize {
     let text = std::fs::read_to_string(timeline).expect("the time line is there");
--- a/tests/requests_overload.rs
+++ b/tests/requests_overload.rs
@@ -9,7 +9,7 @@
     core::prelude::*,
     journal::suspects::{SUSPECTS, SuspectObject},
     platform::prelude::Store,
-    standin::engine::POISON,
+    standin::{engine::POISON, platform::PlatformFaults},
     trial::{caller::CallTarget, fleet::store_settings, prelude::*},
 };
 use futures_util::future::join_all;
@@ -194,3 +194,37 @@
         fleet.end();
     });
 }
+
+#[test]
+fn calls_that_wait_for_the_store_are_bounded() {
+    const CALLS: usize = 120;
+    block_on(async {
+        let mut settings = requests_trial();
+        settings.config.defaults.queue_max = 8;
+        let mut fleet = FaultFleet::start(&settings)
+            .await
+            .expect("the fleet starts");
+        let caller = Caller::new().expect("a caller");
+        let down = PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        };
+        fleet.set_faults(&down).await.expect("faults are set");
+        let calls: Vec<Call> = (0..CALLS)
+            .map(|number| {
+                let mut call = post(fleet.router_address(number % 2), &format!("k{number}"));
+                call.timeout_ms = 5_000;
+                call
+            })
+            .collect();
+        let received = join_all(calls.iter().map(|call| caller.call(call))).await;
+        let waited = refused(RefusalReason::StoreUnavailable, RunState::NotRun);
+        let waited = received.iter().filter(|r| r.outcome == waited).count();
+        let over = refused(RefusalReason::Overloaded, RunState::NotRun);
+        let over = received.iter().filter(|r| r.outcome == over).count();
+        assert_eq!(waited + over, CALLS, "{received:?}");
+        // Three agents with four turns and eight places each.
+        assert!(waited <= 3 * (4 + 8), "{waited}");
+        fleet.end();
+    });
+}
