--- a/crates/celerystair_router/src/peers.rs
+++ b/crates/celerystair_router/src/peers.rs
@@ -12,7 +12,6 @@
 
 /// How long an agent's word that it is leaving counts.
 const LEAVING_LIFE_MS: u64 = 2_000;
-
 /// How long an agent that could not be reached is left out where another can serve; then one
 /// request tries it again.
 const OUT_OF_REACH_LIFE_MS: u64 = 5_000;
@@ -139,7 +138,8 @@
         now_unix_ms() < self.out_of_reach_until_unix_ms.get()
     }
 
-    fn leave_out(&self) {
+    /// Notes that there is no way to it.
+    pub fn leave_out(&self) {
         let until_unix_ms = now_unix_ms() + OUT_OF_REACH_LIFE_MS;
         self.out_of_reach_until_unix_ms.set(until_unix_ms);
     }
--- a/crates/celerystair_standin/src/engine.rs
+++ b/crates/celerystair_standin/src/engine.rs
@@ -122,7 +122,7 @@
 impl Drop for Engine {
     fn drop(&mut self) {
         for model in self.replicas.borrow().keys() {
-            self.witness.replica_freed(model);
+            self.witness.replica_freed(model, self.address);
         }
     }
 }
--- a/tests/requests_overload.rs
+++ b/tests/requests_overload.rs
@@ -9,7 +9,7 @@
     core::prelude::*,
     journal::suspects::{SUSPECTS, SuspectObject},
     platform::prelude::Store,
-    standin::engine::POISON,
+    standin::{engine::POISON, platform::PlatformFaults},
     trial::{caller::CallTarget, fleet::store_settings, prelude::*},
 };
 use futures_util::future::join_all;
@@ -119,11 +119,20 @@
 
 #[test]
 fn an_innocent_neighbour_of_a_crash_is_answered_and_cleared() {
+    crash_beside_a_neighbour(&requests_trial());
+}
+
+#[test]
+fn an_innocent_neighbour_is_answered_also_when_no_upstream_takes_work_for_a_while() {
+    let mut settings = requests_trial();
+    // Long enough that both agents notice, and both say that they take nothing new.
+    settings.pools[0].engine.restart_ms = 3_000;
+    crash_beside_a_neighbour(&settings);
+}
+
+fn crash_beside_a_neighbour(settings: &TrialSettings) {
     block_on(async {
-        let settings = requests_trial();
-        let mut fleet = FaultFleet::start(&settings)
-            .await
-            .expect("the fleet starts");
+        let mut fleet = FaultFleet::start(settings).await.expect("the fleet starts");
         let caller = Caller::new().expect("a caller");
         warm(&fleet, &caller).await;
         let neighbour = completion(&fleet, 0, "neighbour", 400);
@@ -138,6 +147,8 @@
         while suspects(&fleet).await.len() != 1 {
             sleep_ms(5).await;
         }
+        assert_eq!(executions(&fleet, "neighbour"), 2);
+        assert_eq!(executions(&fleet, POISON), 2);
         fleet.end();
     });
 }
@@ -183,3 +194,37 @@
         fleet.end();
     });
 }
+
+#[test]
+fn calls_that_wait_for_the_store_are_bounded() {
+    const CALLS: usize = 120;
+    block_on(async {
+        let mut settings = requests_trial();
+        settings.config.defaults.queue_max = 8;
+        let mut fleet = FaultFleet::start(&settings)
+            .await
+            .expect("the fleet starts");
+        let caller = Caller::new().expect("a caller");
+        let down = PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        };
+        fleet.set_faults(&down).await.expect("faults are set");
+        let calls: Vec<Call> = (0..CALLS)
+            .map(|number| {
+                let mut call = post(fleet.router_address(number % 2), &format!("k{number}"));
+                call.timeout_ms = 5_000;
+                call
+            })
+            .collect();
+        let received = join_all(calls.iter().map(|call| caller.call(call))).await;
+        let waited = refused(RefusalReason::StoreUnavailable, RunState::NotRun);
+        let waited = received.iter().filter(|r| r.outcome == waited).count();
+        let over = refused(RefusalReason::Overloaded, RunState::NotRun);
+        let over = received.iter().filter(|r| r.outcome == over).count();
+        assert_eq!(waited + over, CALLS, "{received:?}");
+        // Three agents with four turns and eight places each.
+        assert!(waited <= 3 * (4 + 8), "{waited}");
+        fleet.end();
+    });
+}
