Hand on the list of instances instead of having every process read it

Cause: each process polled the list each second, 1,340 reads a second at the plan's size, of 2,000 that the platform takes. With the watches the store had nothing to spare.

Change: in a fleet of 20 agents or more only two agents of each failure domain follow the platform. The others take news from the call that each makes to a neighbour every second anyway, and whoever learns something tells its six neighbours and its callers. An answer holds only what came after the asker's place in the answerer's news, all of it after a gap, nothing if both have the same digest. Smaller fleets read as before.

What is handed on is a reader's conclusion about one instance with a version, and no list: two lists have no order that does not rest on clocks, and to who had the newer one an instance that the older one does not have yet would seem gone, and its slots would move while it runs. That a later life has replaced an earlier one is now judged by the process's own list alone, because what is told comes piece by piece.

With nothing handed on, `what_two_read_of_the_list_reaches_all` still passes, because stale processes read the list themselves; it proves the outcome and not the way.

--- a/crates/celerystair_node/src/heard.rs
+++ b/crates/celerystair_node/src/heard.rs
@@ -25,6 +25,7 @@
 pub struct HeardProcesses {
     own_address: Cell<Option<SocketAddr>>,
     by_name: RefCell<HashMap<String, Heard>>,
+    shared_digests: RefCell<HashMap<SocketAddr, u64>>,
 }
 
 impl HeardProcesses {
@@ -81,6 +82,21 @@
             .collect()
     }
 
+    /// Notes the digest of the news that the process at `address` has.
+    pub fn note_shared_digest(&self, address: SocketAddr, digest: u64) {
+        let mut digests = self.shared_digests.borrow_mut();
+        if digests.len() >= HEARD_MAX {
+            // It only saves telling what is known there.
+            digests.clear();
+        }
+        digests.insert(address, digest);
+    }
+
+    /// The digest that was last heard from the process at `address`.
+    pub fn shared_digest(&self, address: SocketAddr) -> Option<u64> {
+        self.shared_digests.borrow().get(&address).copied()
+    }
+
     /// All of them, for another process.
     pub fn all(&self) -> Vec<HeardProcess> {
         let by_name = self.by_name.borrow();
--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     heard::HeardProcesses,
-    spread::{spread_config, watches_store},
+    spread::{follows_platform, spread_config, watches_store},
 };
 
 /// Why a process could not start.
@@ -78,6 +78,8 @@
     pub placements: Mirror<PlacementObject>,
     /// Plain services.
     pub services: Mirror<ServiceObject>,
+    /// What processes hand on to one another of the platform's list and objects.
+    pub shared: Shared,
     /// Other processes, as last heard of.
     pub heard: HeardProcesses,
     /// The signal of a planned stop.
@@ -114,11 +116,16 @@
             start_tls(settings, &log, stop)?;
         }
         let store = Store::new(settings.platform.clone())?;
+        let shared = Shared::default();
         let agents: Mirror<AgentObject> = Mirror::start(&store, AGENTS, stop);
-        let instances = Instances::start(&store, settings.instances_interval_ms, stop);
+        let interval_ms = settings.instances_interval_ms;
+        let instances = Instances::start(&store, interval_ms, &shared, stop);
         let ranked = (agents.clone(), instances.clone());
         let (own, domain) = (name.to_owned(), settings.failure_domain.clone());
         let watches = move || watches_store(&ranked.0, &ranked.1, &domain, &own);
+        let ranked = (agents.clone(), instances.clone());
+        let (own, domain) = (name.to_owned(), settings.failure_domain.clone());
+        shared.set_follows(move || follows_platform(&ranked.0, &ranked.1, &domain, &own));
         let inner = NodeInner {
             name: name.to_owned(),
             log,
@@ -128,6 +135,7 @@
             instances,
             agents,
             heard: HeardProcesses::default(),
+            shared,
             models: Mirror::start(&store, MODELS, stop),
             placements: Mirror::start(&store, PLACEMENTS, stop),
             services: Mirror::start(&store, SERVICES, stop),
--- a/crates/celerystair_node/src/peer.rs
+++ b/crates/celerystair_node/src/peer.rs
@@ -1,11 +1,12 @@
-//! The service by which processes hand on the configuration: whoever hears of a higher
-//! revision can fetch it from the peer that has it, also while the store is down.
+//! The service by which processes hand on the configuration and news of the platform: whoever
+//! hears of a higher revision can fetch it from the peer that has it, also while the store is
+//! down.
 
 use celerystair_protocol::{FetchConfigReply, FetchConfigRequest, peer_server::Peer};
 use send_wrapper::SendWrapper;
 use tonic::{Request, Response, Status};
 
-use crate::node::Node;
+use crate::{node::Node, share::answer};
 
 /// Answers peers; lives on the thread of its node.
 pub struct PeerService {
@@ -40,8 +41,15 @@
         } else {
             Vec::new()
         };
+        let asker = request.stamp.as_ref();
+        let asker = asker.and_then(|stamp| stamp.peer_address.parse().ok());
+        let shared = request
+            .shared
+            .as_ref()
+            .map(|ask| answer(&self.node, asker, ask));
         Ok(Response::new(FetchConfigReply {
             heard,
+            shared,
             stamp: self.node.stamp(),
             revision: current.revision,
             document: document.into(),
--- /dev/null
+++ b/crates/celerystair_node/src/share.rs
@@ -0,0 +1,83 @@
+//! How news of instances and objects rides on the calls by which processes ask one another for
+//! the configuration. See `docs/STORE.md`.
+
+use std::net::SocketAddr;
+
+use celerystair_platform::prelude::{SharedItem, SharedPosition};
+use celerystair_protocol as protocol;
+use celerystair_protocol::{SharedAnswer, SharedAsk};
+
+use crate::{node::Node, spread::FOLLOWED_BY_ALL_MAX};
+
+/// Whether this process hands on its news. In a small fleet each reads for itself.
+pub fn is_shared(node: &Node) -> bool {
+    node.agents.len() >= FOLLOWED_BY_ALL_MAX
+}
+
+/// What to ask of a process whose news is known up to `read`, and that was told of the news
+/// here up to `told`; and up to where it has been told by this.
+pub fn ask(node: &Node, read: SharedPosition, told: SharedPosition) -> (SharedAsk, SharedPosition) {
+    let shared = &node.shared;
+    let (items, reached) = shared.after(told);
+    let ask = SharedAsk {
+        life: read.life,
+        sequence: read.sequence,
+        digest: shared.digest(),
+        age_ms: shared.age_ms(),
+        told: items.iter().map(to_message).collect(),
+    };
+    (ask, reached)
+}
+
+/// Takes in what a process told with its question, and answers with what it lacks.
+pub fn answer(node: &Node, asker: Option<SocketAddr>, ask: &SharedAsk) -> SharedAnswer {
+    let shared = &node.shared;
+    shared.note_fresh(ask.age_ms);
+    shared.take(ask.told.iter().map(from_message));
+    let read = SharedPosition {
+        life: ask.life,
+        sequence: ask.sequence,
+    };
+    let (items, reached) = if ask.digest == shared.digest() {
+        (Vec::new(), shared.position())
+    } else {
+        shared.after(read)
+    };
+    if let Some(address) = asker {
+        node.heard.note_shared_digest(address, ask.digest);
+    }
+    SharedAnswer {
+        life: reached.life,
+        sequence: reached.sequence,
+        digest: shared.digest(),
+        age_ms: shared.age_ms(),
+        items: items.iter().map(to_message).collect(),
+    }
+}
+
+/// Takes in an answer; gives how far the news of the answerer is now known.
+pub fn take_answer(node: &Node, answerer: SocketAddr, answer: &SharedAnswer) -> SharedPosition {
+    node.shared.note_fresh(answer.age_ms);
+    node.shared.take(answer.items.iter().map(from_message));
+    node.heard.note_shared_digest(answerer, answer.digest);
+    SharedPosition {
+        life: answer.life,
+        sequence: answer.sequence,
+    }
+}
+
+fn to_message(item: &SharedItem) -> protocol::SharedItem {
+    protocol::SharedItem {
+        key: item.key.clone(),
+        version: item.version,
+        value: item.value.to_vec().into(),
+    }
+}
+
+fn from_message(item: &protocol::SharedItem) -> SharedItem {
+    SharedItem {
+        key: item.key.clone(),
+        version: item.version,
+        value: item.value.as_ref().into(),
+    }
+}
--- a/crates/celerystair_node/src/spread.rs
+++ b/crates/celerystair_node/src/spread.rs
@@ -7,25 +7,30 @@
 
 use celerystair_core::{prelude::*, rendezvous, time::before_deadline};
 use celerystair_net::prelude::*;
-use celerystair_platform::prelude::{AgentObject, Instances, Mirror};
+use celerystair_platform::prelude::{AgentObject, Instances, Mirror, SharedPosition};
 use celerystair_protocol::{FetchConfigReply, FetchConfigRequest, peer_client::PeerClient};
 use celerystair_telemetry::prelude::*;
 use futures_util::future::select;
 
-use crate::node::Node;
+use crate::{node::Node, share};
 
 /// Agents that watch the store in each failure domain.
-const WATCHERS_PER_DOMAIN: usize = 2;
+pub const WATCHERS_PER_DOMAIN: usize = 2;
 /// A process tells this many others of a new revision, drawn by rendezvous from all agents.
-const NEIGHBOURS: usize = 6;
+pub const NEIGHBOURS: usize = 6;
 /// Processes that called lately are told as well: routers stand in nobody's list.
-const CALLERS_TOLD_MAX: usize = 12;
+pub const CALLERS_TOLD_MAX: usize = 12;
 const CALLER_RECENT_MS: u64 = 10_000;
 /// How often a process asks one of its neighbours, with as much jitter.
-const ASK_INTERVAL_MS: u64 = 1000;
+pub const ASK_INTERVAL_MS: u64 = 1000;
 const STARTING_ASK_INTERVAL_MS: u64 = 100;
 /// Revisions that follow one another closely are told of together.
 const GATHER_MS: u64 = 20;
+/// News of instances and objects gathers for longer and longer while it comes without a pause.
+const SHARED_GATHER_MAX_MS: u64 = 500;
+/// In a fleet of fewer agents every process follows the platform itself, which is quicker and
+/// takes a small share of its rate.
+pub const FOLLOWED_BY_ALL_MAX: usize = 20;
 const CALL_TIMEOUT_MS: u64 = 1000;
 
 /// Whether this process watches the store itself: the first agents of its failure domain in
@@ -53,25 +58,48 @@
 
 const WATCH_KEY: &str = "watches config/head";
 
+/// Whether this process follows the list of instances and the objects at the platform itself
+/// and does not wait for others to tell.
+pub fn follows_platform(
+    agents: &Mirror<AgentObject>,
+    instances: &Instances,
+    failure_domain: &str,
+    own: &str,
+) -> bool {
+    agents.len() < FOLLOWED_BY_ALL_MAX || watches_store(agents, instances, failure_domain, own)
+}
+
 /// Connections to the processes that this one asks and tells.
 struct Spread {
     node: Node,
-    connections: RefCell<HashMap<SocketAddr, Connection>>,
+    neighbours: RefCell<HashMap<SocketAddr, Neighbour>>,
     /// Processes that are being told.
     telling: RefCell<HashSet<SocketAddr>>,
 }
 
+/// A process that this one asks and tells.
+#[derive(Clone)]
+struct Neighbour {
+    connection: Connection,
+    /// How far its news is known here.
+    read: SharedPosition,
+    /// How far it was told of the news here.
+    told: SharedPosition,
+}
+
 /// Tells, asks and fetches until the node's stop ends.
 pub async fn spread_config(node: Node) {
     let spread = Rc::new(Spread {
         node,
-        connections: RefCell::default(),
+        neighbours: RefCell::default(),
         telling: RefCell::default(),
     });
     let telling = spread.clone();
     compio::runtime::spawn(async move { telling.tell_on_change().await }).detach();
     let fetching = spread.clone();
     compio::runtime::spawn(async move { fetching.fetch_when_heard().await }).detach();
+    let sharing = spread.clone();
+    compio::runtime::spawn(async move { sharing.share_on_change().await }).detach();
     spread.ask_now_and_then().await;
 }
 
@@ -91,20 +119,54 @@
             }
             sleep_ms(GATHER_MS).await;
             told = config.revision();
-            let mut addresses = self.neighbours();
-            let since = now_unix_ms().saturating_sub(CALLER_RECENT_MS);
-            addresses.extend(self.node.heard.recent(since, CALLERS_TOLD_MAX));
-            addresses.sort_unstable();
-            addresses.dedup();
-            for address in addresses {
-                if self.telling.borrow_mut().insert(address) {
-                    let telling = self.clone();
-                    compio::runtime::spawn(async move { telling.tell(address).await }).detach();
+            for address in self.addresses_to_tell() {
+                self.start_telling(address);
+            }
+        }
+    }
+
+    /// Tells the neighbours what is new here of instances and objects, but for those who are
+    /// known to have it.
+    async fn share_on_change(self: Rc<Self>) {
+        let shared = &self.node.shared;
+        let mut told = shared.position();
+        let mut gather_ms = GATHER_MS;
+        while !self.node.stop.is_ended() {
+            let changed = shared.listen();
+            if shared.position() == told || !share::is_shared(&self.node) {
+                told = shared.position();
+                gather_ms = GATHER_MS;
+                select(changed, pin!(self.node.stop.ended())).await;
+                continue;
+            }
+            sleep_ms(gather_ms).await;
+            gather_ms = (2 * gather_ms).min(SHARED_GATHER_MAX_MS);
+            told = shared.position();
+            for address in self.addresses_to_tell() {
+                if self.node.heard.shared_digest(address) != Some(shared.digest()) {
+                    self.start_telling(address);
                 }
             }
         }
     }
 
+    fn start_telling(self: &Rc<Self>, address: SocketAddr) {
+        if self.telling.borrow_mut().insert(address) {
+            let telling = self.clone();
+            compio::runtime::spawn(async move { telling.tell(address).await }).detach();
+        }
+    }
+
+    /// The neighbours, and who called lately.
+    fn addresses_to_tell(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.neighbours();
+        let since = now_unix_ms().saturating_sub(CALLER_RECENT_MS);
+        addresses.extend(self.node.heard.recent(since, CALLERS_TOLD_MAX));
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     /// Tells one process until it has heard of the latest revision. A process that does not
     /// answer delays no other.
     async fn tell(&self, address: SocketAddr) {
@@ -175,21 +237,45 @@
         addresses.take(NEIGHBOURS).collect()
     }
 
-    /// Tells the process at `address` of the revision in force here, and puts in force what it
-    /// has if that is newer.
+    /// Tells the process at `address` of the revision in force and of the news here, and puts
+    /// in force what it has if that is newer.
     async fn ask(&self, address: SocketAddr) -> Option<FetchConfigReply> {
-        let connection = {
-            let mut connections = self.connections.borrow_mut();
-            connections
-                .entry(address)
-                .or_insert_with(|| Connection::new(address))
-                .clone()
+        let node = &self.node;
+        let neighbour = {
+            let mut neighbours = self.neighbours.borrow_mut();
+            let neighbour = neighbours.entry(address).or_insert_with(|| Neighbour {
+                connection: Connection::new(address),
+                read: SharedPosition::default(),
+                told: node.shared.position(),
+            });
+            neighbour.clone()
+        };
+        let mut told = neighbour.told;
+        let ask = share::is_shared(node).then(|| {
+            let (ask, reached) = share::ask(node, neighbour.read, neighbour.told);
+            told = reached;
+            ask
+        });
+        let request = FetchConfigRequest {
+            stamp: node.stamp(),
+            revision: node.config.revision(),
+            list_heard: false,
+            shared: ask,
         };
-        let reply = fetch(&self.node, &connection, false).await;
-        if reply.is_none() {
-            self.connections.borrow_mut().remove(&address);
+        let reply = exchange(node, &neighbour.connection, request).await;
+        let mut neighbours = self.neighbours.borrow_mut();
+        let Some(reply) = reply else {
+            neighbours.remove(&address);
+            return None;
+        };
+        if let Some(answer) = &reply.shared {
+            let read = share::take_answer(node, address, answer);
+            if let Some(neighbour) = neighbours.get_mut(&address) {
+                neighbour.read = read;
+                neighbour.told = told;
+            }
         }
-        reply
+        Some(reply)
     }
 }
 
@@ -198,17 +284,26 @@
     node: &Node,
     connection: &Connection,
     list_heard: bool,
+) -> Option<FetchConfigReply> {
+    let request = FetchConfigRequest {
+        stamp: node.stamp(),
+        revision: node.config.revision(),
+        list_heard,
+        shared: None,
+    };
+    exchange(node, connection, request).await
+}
+
+async fn exchange(
+    node: &Node,
+    connection: &Connection,
+    request: FetchConfigRequest,
 ) -> Option<FetchConfigReply> {
     let call = async {
         let channel = connection.channel().await.ok()?;
         let origin = channel.origin();
         let mut client =
             PeerClient::with_origin(channel, origin).max_decoding_message_size(MESSAGE_MAX_BYTES);
-        let request = FetchConfigRequest {
-            stamp: node.stamp(),
-            revision: node.config.revision(),
-            list_heard,
-        };
         Some(client.fetch_config(request).await.ok()?.into_inner())
     };
     let reply = before_deadline(now_unix_ms() + CALL_TIMEOUT_MS, call).await??;
@@ -219,5 +314,5 @@
     Some(reply)
 }
 
-/// A document of a megabyte, with the list of processes beside it.
+/// A document of a megabyte, with news and the list of processes beside it.
 const MESSAGE_MAX_BYTES: usize = 4 << 20;
--- a/crates/celerystair_placement/src/propose.rs
+++ b/crates/celerystair_placement/src/propose.rs
@@ -77,8 +77,7 @@
     let later = node.agents.get(&slot.upstream);
     later.is_some_and(|(_, agent)| {
         agent.instance != slot.instance
-            && node.instances.state(&agent.instance).is_some()
-            && node.instances.state(&slot.instance).is_none()
+            && node.instances.is_replaced(&slot.instance, &agent.instance)
     })
 }
 
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`mirror`] | a prefix of objects, kept current by a watch |
 //! | [`objects`] | the kinds of objects that the system keeps |
 //! | [`pacer`] | what a process may call, by priority |
+//! | [`shared`] | what processes hand on to one another of the platform's objects and list |
 //! | [`store`] | one place for all calls to the object API |
 //!
 //! What an operator does when the platform is down: `docs/STORE.md`.
@@ -18,6 +19,7 @@
 pub mod mirror;
 pub mod objects;
 pub mod pacer;
+pub mod shared;
 pub mod store;
 
 /// The types that a user of the platform needs.
@@ -29,6 +31,7 @@
         mirror::Mirror,
         objects::{AgentObject, ModelObject, PlacementObject, ServiceObject, SlotObject},
         pacer::{CallCounts, CallPriority},
+        shared::{Shared, SharedItem, SharedPosition},
         store::{Expected, Object, Store, StoreSettings},
     };
 }
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -79,6 +79,12 @@
             .map(|entry| (entry.version, entry.value.clone()))
     }
 
+    /// How many objects there are.
+    #[expect(clippy::len_without_is_empty, reason = "nobody asks that")]
+    pub fn len(&self) -> usize {
+        self.inner.objects.borrow().len()
+    }
+
     /// Every name with its value.
     pub fn all(&self) -> Vec<(String, Rc<T>)> {
         let objects = self.inner.objects.borrow();
--- /dev/null
+++ b/crates/celerystair_platform/src/shared.rs
@@ -0,0 +1,214 @@
+//! What processes hand on to one another of the platform's objects and of its list of
+//! instances, so that only a few of them need ask the platform. See `docs/STORE.md`.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use celerystair_core::{prelude::*, rendezvous::fingerprint};
+use event_listener::{Event, EventListener};
+
+/// A process whose news is older than this, and up to as much again by its own draw, asks the
+/// platform itself. News comes by a few hops, each of which takes a second at most.
+const STALE_MS: u64 = 10_000;
+/// One answer to another process holds no more than this and one item; the rest comes with the
+/// next one.
+const ANSWER_MAX_BYTES: usize = 1 << 20;
+/// What two processes' news differ by stays small; beside an item's text this counts for it.
+const ITEM_BYTES: usize = 32;
+
+/// The latest that is known of one thing. Of two items with one key the higher version holds,
+/// whoever tells of them in whatever order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SharedItem {
+    /// The thing's key in the store, or `instances/` and the instance.
+    pub key: String,
+    /// Rises with each change of the thing.
+    pub version: u64,
+    /// The value as JSON; empty if there is none.
+    pub value: Rc<[u8]>,
+}
+
+/// How far a process has read another's news.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SharedPosition {
+    /// The other's life; a number drawn at its start.
+    pub life: u64,
+    /// Its items up to this one are known.
+    pub sequence: u64,
+}
+
+/// Puts an item in force where it belongs.
+type Taker = Box<dyn Fn(&SharedItem)>;
+
+/// The news of one process: every item in the order in which it came here. Cheap to clone.
+#[derive(Clone)]
+pub struct Shared {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    life: u64,
+    /// Items by key, each with the sequence at which it came.
+    items: RefCell<HashMap<String, (u64, SharedItem)>>,
+    sequence: Cell<u64>,
+    /// Of keys and versions alone, whatever the order they came in.
+    digest: Cell<u64>,
+    changed: Event,
+    takers: RefCell<Vec<(String, Taker)>>,
+    follows: RefCell<Option<Box<dyn Fn() -> bool>>>,
+    fresh_unix_ms: Cell<u64>,
+    stale_after_ms: u64,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        Self {
+            inner: Rc::new(Inner {
+                life: rand::random(),
+                items: RefCell::default(),
+                sequence: Cell::new(0),
+                digest: Cell::new(0),
+                changed: Event::new(),
+                takers: RefCell::default(),
+                follows: RefCell::default(),
+                fresh_unix_ms: Cell::new(now_unix_ms()),
+                stale_after_ms: rand::random_range(STALE_MS..2 * STALE_MS),
+            }),
+        }
+    }
+}
+
+impl Shared {
+    /// Sets who says whether this process follows the platform itself; until then it does.
+    pub fn set_follows(&self, follows: impl Fn() -> bool + 'static) {
+        *self.inner.follows.borrow_mut() = Some(Box::new(follows));
+    }
+
+    /// Whether this process is one of those that follow the platform for the others.
+    pub fn follows(&self) -> bool {
+        let follows = self.inner.follows.borrow();
+        follows.as_ref().is_none_or(|follows| follows())
+    }
+
+    /// Whether no news has come for so long that this process asks the platform itself.
+    pub fn is_stale(&self) -> bool {
+        self.age_ms() >= self.inner.stale_after_ms
+    }
+
+    /// How long ago the platform answered a process that follows it, as far as is known here.
+    pub fn age_ms(&self) -> u64 {
+        now_unix_ms().saturating_sub(self.inner.fresh_unix_ms.get())
+    }
+
+    /// Notes news that is `age_ms` old; 0 if the platform has answered just now.
+    pub fn note_fresh(&self, age_ms: u64) {
+        let since_unix_ms = now_unix_ms().saturating_sub(age_ms);
+        let fresh = &self.inner.fresh_unix_ms;
+        fresh.set(fresh.get().max(since_unix_ms));
+    }
+
+    /// Hands items whose keys start with `prefix` to `taker` when they come from others. It
+    /// notes them here once they are in force.
+    pub fn set_taker(&self, prefix: &str, taker: impl Fn(&SharedItem) + 'static) {
+        let mut takers = self.inner.takers.borrow_mut();
+        takers.push((prefix.to_owned(), Box::new(taker)));
+    }
+
+    /// Notes an item that is in force here, to hand it on, if it is newer.
+    pub fn note(&self, item: SharedItem) {
+        let mut items = self.inner.items.borrow_mut();
+        let known = items.get(&item.key).map(|(_, item)| item);
+        if known.is_some_and(|known| known.version >= item.version) {
+            return;
+        }
+        let sequence = self.inner.sequence.get() + 1;
+        let before = known.map_or(0, digest);
+        let digest = self.inner.digest.get() ^ before ^ digest(&item);
+        self.inner.digest.set(digest);
+        self.inner.sequence.set(sequence);
+        items.insert(item.key.clone(), (sequence, item));
+        drop(items);
+        self.inner.changed.notify(usize::MAX);
+    }
+
+    /// Takes in what another process told. What is newer goes to its taker; an item that none
+    /// takes is kept for others.
+    pub fn take(&self, items: impl IntoIterator<Item = SharedItem>) {
+        for item in items {
+            let known = self.version(&item.key);
+            if known.is_some_and(|known| known >= item.version) {
+                continue;
+            }
+            let takers = self.inner.takers.borrow();
+            let taker = takers
+                .iter()
+                .find(|(prefix, _)| item.key.starts_with(prefix));
+            match taker {
+                Some((_, taker)) => taker(&item),
+                None => self.note(item),
+            }
+        }
+    }
+
+    /// The version at which `key` is known.
+    pub fn version(&self, key: &str) -> Option<u64> {
+        let items = self.inner.items.borrow();
+        items.get(key).map(|(_, item)| item.version)
+    }
+
+    /// How far these news go.
+    pub fn position(&self) -> SharedPosition {
+        SharedPosition {
+            life: self.inner.life,
+            sequence: self.inner.sequence.get(),
+        }
+    }
+
+    /// A number that two processes with the same items have in common.
+    pub fn digest(&self) -> u64 {
+        self.inner.digest.get()
+    }
+
+    /// What came after `position`, the oldest first, and the position that it leads to. All of
+    /// it if the position is of another life: nothing is known of what was read then.
+    pub fn after(&self, position: SharedPosition) -> (Vec<SharedItem>, SharedPosition) {
+        let current = self.position();
+        let after = if position.life == current.life {
+            position.sequence
+        } else {
+            0
+        };
+        if after >= current.sequence {
+            return (Vec::new(), current);
+        }
+        let items = self.inner.items.borrow();
+        let mut newer: Vec<&(u64, SharedItem)> = items
+            .values()
+            .filter(|(sequence, _)| *sequence > after)
+            .collect();
+        newer.sort_unstable_by_key(|(sequence, _)| *sequence);
+        let mut bytes = 0;
+        let mut reached = current;
+        let mut sent = Vec::new();
+        for (sequence, item) in newer {
+            if bytes >= ANSWER_MAX_BYTES {
+                reached.sequence = sequence - 1;
+                break;
+            }
+            bytes += ITEM_BYTES + item.key.len() + item.value.len();
+            sent.push(item.clone());
+        }
+        (sent, reached)
+    }
+
+    /// Wakes at the next item that is noted; listen first, then read.
+    pub fn listen(&self) -> EventListener {
+        self.inner.changed.listen()
+    }
+}
+
+fn digest(item: &SharedItem) -> u64 {
+    fingerprint(item.key.as_bytes()) ^ fingerprint(&item.version.to_le_bytes()).rotate_left(1)
+}
--- /dev/null
+++ b/tests/config_relay.rs
@@ -0,0 +1,270 @@
+//! News of the platform's list and objects, handed from process to process: who follows the
+//! platform for the others, and what happens when these fail, lag or are cut off.
+
+mod support;
+
+use celerystair::{
+    core::prelude::*,
+    node::spread::{FOLLOWED_BY_ALL_MAX, WATCHERS_PER_DOMAIN},
+    platform::prelude::*,
+    standin::prelude::*,
+};
+use support::{
+    block_on,
+    config::{Process, set_faults, start_platform, wait_until},
+};
+
+/// Enough that not every process follows the platform.
+const PROCESSES: usize = FOLLOWED_BY_ALL_MAX + 4;
+
+/// Starts processes that know one another, and returns once few of them follow the platform.
+async fn start_processes(url: &str) -> Vec<Process> {
+    let mut processes = Vec::new();
+    for number in 0..PROCESSES {
+        let process = Process::start(&format!("p{number:02}"), url, Vec::new());
+        process.announce().await;
+        list(url, &process.node.name, "live").await;
+        processes.push(process);
+    }
+    for process in &processes {
+        let node = &process.node;
+        let knows_all = || {
+            let listed = processes
+                .iter()
+                .filter(|other| node.instances.state(&other.node.name).is_some());
+            node.agents.len() == PROCESSES && listed.count() == PROCESSES
+        };
+        wait_until(knows_all, "every process knows every other").await;
+        node.config.known().await;
+    }
+    assert_eq!(followers(&processes).len(), WATCHERS_PER_DOMAIN);
+    processes
+}
+
+/// Sets what the list shows of an instance.
+async fn list(url: &str, instance: &str, state: &str) {
+    let client = cyper::Client::new().expect("a client");
+    let url = format!("{url}/instances/{instance}?state={state}");
+    let request = client.post(url).expect("a request");
+    let response = request.send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+}
+
+fn followers(processes: &[Process]) -> Vec<&Process> {
+    let follows = |process: &&Process| process.node.shared.follows();
+    processes.iter().filter(follows).collect()
+}
+
+fn others(processes: &[Process]) -> Vec<&Process> {
+    let follows = |process: &&Process| !process.node.shared.follows();
+    processes.iter().filter(follows).collect()
+}
+
+async fn all_see(processes: &[&Process], instance: &str, state: Option<InstanceState>) {
+    for process in processes {
+        let instances = &process.node.instances;
+        let sees = || {
+            instances.state(instance) == state && (state.is_some() || instances.is_gone(instance))
+        };
+        let what = format!("{} sees {instance} {state:?}", process.node.name);
+        wait_until(sees, &what).await;
+    }
+}
+
+fn down(down: bool) -> PlatformFaults {
+    PlatformFaults {
+        down,
+        ..PlatformFaults::default()
+    }
+}
+
+#[test]
+fn what_two_read_of_the_list_reaches_all() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let processes = start_processes(&url).await;
+        let all: Vec<&Process> = processes.iter().collect();
+        list(&url, "new", "live").await;
+        all_see(&all, "new", Some(InstanceState::Live)).await;
+        list(&url, "new", "leaving").await;
+        all_see(&all, "new", Some(InstanceState::Leaving)).await;
+        list(&url, "new", "gone").await;
+        all_see(&all, "new", None).await;
+        processes.iter().for_each(Process::end);
+        stop.end();
+    });
+}
+
+#[test]
+fn others_read_the_list_when_its_readers_die() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let processes = start_processes(&url).await;
+        // They end without a farewell, and the list drops them later.
+        let dead: Vec<&Process> = followers(&processes);
+        let left: Vec<&Process> = others(&processes);
+        list(&url, "new", "live").await;
+        for process in &dead {
+            process.end();
+            list(&url, &process.node.name, "gone").await;
+        }
+        for process in &dead {
+            all_see(&left, &process.node.name, None).await;
+        }
+        all_see(&left, "new", Some(InstanceState::Live)).await;
+        let next = followers(&processes);
+        let next = next
+            .iter()
+            .filter(|p| !dead.iter().any(|d| d.node.name == p.node.name));
+        assert_eq!(next.count(), WATCHERS_PER_DOMAIN);
+        processes.iter().for_each(Process::end);
+        stop.end();
+    });
+}
+
+#[test]
+fn news_spreads_while_the_platform_is_down() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let processes = start_processes(&url).await;
+        let left = others(&processes);
+        set_faults(&url, &down(true)).await;
+        // What one process learned before the outage and has told nobody yet.
+        let told = [SharedItem {
+            key: "instances/new".to_owned(),
+            version: 0,
+            value: Vec::new().into(),
+        }];
+        left[0].node.shared.take(told);
+        all_see(&left, "new", Some(InstanceState::Live)).await;
+        processes.iter().for_each(Process::end);
+        stop.end();
+    });
+}
+
+/// Instances that hand on to `shared`, without a platform.
+fn start_instances(shared: &Shared, stop: &Stop) -> Instances {
+    let settings = serde_json::json!({ "url": "http://127.0.0.1:9" });
+    let settings = serde_json::from_value(settings).expect("settings");
+    let store = Store::new(settings).expect("a store");
+    Instances::start(&store, 1000, shared, stop)
+}
+
+fn hand_on(from: &Shared, to: &Shared) {
+    to.take(from.after(SharedPosition::default()).0);
+}
+
+fn live(instance: &str) -> InstanceEntry {
+    InstanceEntry {
+        instance: instance.into(),
+        state: InstanceState::Live,
+    }
+}
+
+#[test]
+fn an_older_list_makes_nothing_gone_that_another_told_of() {
+    block_on(async {
+        let stop = Stop::new();
+        let (fresh, behind) = (Shared::default(), Shared::default());
+        let fresh_instances = start_instances(&fresh, &stop);
+        let instances = start_instances(&behind, &stop);
+        instances.take(&[live("a")]);
+        fresh_instances.take(&[live("a"), live("b")]);
+        hand_on(&fresh, &behind);
+        assert!(instances.state("b").is_some());
+        // A list that was on its way while the other told; it has no `b` yet.
+        instances.take(&[live("a")]);
+        assert!(!instances.is_gone("b"), "its slots would move");
+        assert!(instances.state("b").is_some());
+        // A list of its own shows it, and the next one does not.
+        instances.take(&[live("a"), live("b")]);
+        instances.take(&[live("a")]);
+        assert!(instances.is_gone("b"));
+        stop.end();
+    });
+}
+
+#[test]
+fn a_neighbour_that_is_behind_brings_nothing_back() {
+    block_on(async {
+        let stop = Stop::new();
+        let (one, two) = (Shared::default(), Shared::default());
+        let first = start_instances(&one, &stop);
+        let second = start_instances(&two, &stop);
+        first.take(&[live("a"), live("b")]);
+        hand_on(&one, &two);
+        first.take(&[live("b")]);
+        assert!(first.is_gone("a") && second.state("a").is_some());
+        hand_on(&two, &one);
+        assert!(first.is_gone("a"), "it came back by an older word");
+        hand_on(&one, &two);
+        assert!(second.is_gone("a"));
+        assert_eq!(one.digest(), two.digest());
+        // The platform shows it again after all; whoever reads that is believed.
+        first.take(&[live("a"), live("b")]);
+        hand_on(&two, &one);
+        hand_on(&one, &two);
+        assert!(first.state("a").is_some() && second.state("a").is_some());
+        stop.end();
+    });
+}
+
+#[test]
+fn what_others_leave_out_replaces_no_instance() {
+    block_on(async {
+        let stop = Stop::new();
+        let (one, two) = (Shared::default(), Shared::default());
+        let first = start_instances(&one, &stop);
+        let second = start_instances(&two, &stop);
+        first.take(&[live("a.2")]);
+        hand_on(&one, &two);
+        assert!(first.is_replaced("a.1", "a.2"));
+        assert!(second.state("a.2").is_some());
+        assert!(!second.is_replaced("a.1", "a.2"), "it has read no list");
+        stop.end();
+    });
+}
+
+#[test]
+fn changes_alone_are_sent_and_all_after_a_gap() {
+    let item = |number: u64, version| SharedItem {
+        key: format!("models/m{number}"),
+        version,
+        value: b"{}".as_slice().into(),
+    };
+    let shared = Shared::default();
+    for number in 1..=3 {
+        shared.note(item(number, number));
+    }
+    let (sent, read) = shared.after(SharedPosition::default());
+    assert_eq!(sent.len(), 3);
+    assert!(shared.after(read).0.is_empty());
+    shared.note(item(2, 9));
+    shared.note(item(2, 4));
+    assert_eq!(shared.after(read).0, [item(2, 9)]);
+    let other_life = SharedPosition {
+        life: read.life ^ 1,
+        ..read
+    };
+    assert_eq!(shared.after(other_life).0.len(), 3);
+    // A large state comes in parts, and each part once.
+    let large = Shared::default();
+    for number in 1..=40 {
+        large.note(SharedItem {
+            value: vec![b' '; 100_000].into(),
+            ..item(number, number)
+        });
+    }
+    let (mut reached, mut keys) = (SharedPosition::default(), Vec::new());
+    while reached != large.position() {
+        let (items, next) = large.after(reached);
+        assert!(items.len() <= 12, "{} at once", items.len());
+        keys.extend(items.into_iter().map(|item| item.key));
+        reached = next;
+    }
+    let expected: Vec<String> = (1..=40).map(|n| item(n, n).key).collect();
+    assert_eq!(keys, expected);
+}
