Hand on models, placements, agents and services; only few watch them

Cause: every process watched four prefixes and read them anew every one to two minutes. At the plan's size renewals alone were some 250 reads a second, and each move of a slot woke 1,340 watches, so that a lost rack or failure domain had no spare reads to be seen by.

Change: the mirrors of these prefixes take part in what processes hand on: objects by the store's version, deletions by its revision, so that nothing falls back whoever tells. Only the processes that follow the list watch, and they re-read as before; the others read each prefix at their start and every half to whole hour, and watch while their news is stale. A mirror tries a store that does not answer such a process every 5 to 10 s. Routers go on watching suspects/ themselves.

Result: 40 moves of a slot and its deletion reach all 24 processes of a test in one failure domain.

--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -117,7 +117,7 @@
         }
         let store = Store::new(settings.platform.clone())?;
         let shared = Shared::default();
-        let agents: Mirror<AgentObject> = Mirror::start(&store, AGENTS, stop);
+        let agents: Mirror<AgentObject> = Mirror::start_shared(&store, AGENTS, &shared, stop);
         let interval_ms = settings.instances_interval_ms;
         let instances = Instances::start(&store, interval_ms, &shared, stop);
         let ranked = (agents.clone(), instances.clone());
@@ -135,10 +135,10 @@
             instances,
             agents,
             heard: HeardProcesses::default(),
+            models: Mirror::start_shared(&store, MODELS, &shared, stop),
+            placements: Mirror::start_shared(&store, PLACEMENTS, &shared, stop),
+            services: Mirror::start_shared(&store, SERVICES, &shared, stop),
             shared,
-            models: Mirror::start(&store, MODELS, stop),
-            placements: Mirror::start(&store, PLACEMENTS, stop),
-            services: Mirror::start(&store, SERVICES, stop),
             store,
             stop: stop.clone(),
             settings: settings.clone(),
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -12,6 +12,7 @@
 use crate::{
     backoff::Backoff,
     error::StoreError,
+    shared::{Shared, SharedItem},
     store::{Object, Store, WatchReply},
 };
 
@@ -21,6 +22,13 @@
 const GATHER_MAX_MS: u64 = 1000;
 /// A watch that has missed a change is found out by reading the prefix anew.
 const REREAD_INTERVAL_MS: u64 = 120_000;
+/// The same where others watch, and read the prefix anew, for this process.
+const TOLD_REREAD_INTERVAL_MS: u64 = 3_600_000;
+/// How often a process to which others tell of changes looks whether it must watch itself.
+const TOLD_INTERVAL_MS: u64 = 500;
+/// A process whose news is stale and that can't reach the platform tries again after this, up
+/// to twice as long.
+const STALE_INTERVAL_MS: u64 = 5000;
 
 /// The objects below one prefix as this process last saw them. In an outage of the store it
 /// keeps what it has; an object is never replaced by an earlier version of itself.
@@ -42,6 +50,7 @@
     revision: Cell<u64>,
     complete: Cell<bool>,
     changed: Event,
+    shared: Option<Shared>,
 }
 
 struct Entry<T> {
@@ -52,6 +61,19 @@
 impl<T: DeserializeOwned + 'static> Mirror<T> {
     /// Starts to mirror `prefix`; a task keeps it current until `stop` ends.
     pub fn start(store: &Store, prefix: &str, stop: &Stop) -> Self {
+        Self::start_with(store, prefix, None, stop)
+    }
+
+    /// The same for a prefix that processes tell one another of: where others watch for this
+    /// process, it reads the prefix at its start and watches only while their news is stale.
+    pub fn start_shared(store: &Store, prefix: &str, shared: &Shared, stop: &Stop) -> Self {
+        let mirror = Self::start_with(store, prefix, Some(shared.clone()), stop);
+        let taking = mirror.clone();
+        shared.set_taker(prefix, move |item| taking.take_told(item));
+        mirror
+    }
+
+    fn start_with(store: &Store, prefix: &str, shared: Option<Shared>, stop: &Stop) -> Self {
         let mirror = Self {
             inner: Rc::new(Inner {
                 prefix: prefix.to_owned(),
@@ -59,6 +81,7 @@
                 revision: Cell::new(0),
                 complete: Cell::new(false),
                 changed: Event::new(),
+                shared,
             }),
         };
         let (task, store, stop) = (mirror.clone(), store.clone(), stop.clone());
@@ -115,39 +138,111 @@
             return Ok(());
         };
         let value = Rc::new(object.read::<T>()?);
-        let mut objects = self.inner.objects.borrow_mut();
-        if objects
-            .get(name)
-            .is_none_or(|entry| entry.version < object.version)
-        {
-            objects.insert(
-                name.to_owned(),
-                Entry {
-                    version: object.version,
-                    value,
-                },
-            );
-            drop(objects);
-            self.inner.changed.notify(usize::MAX);
+        if self.put(name, object.version, value) {
+            self.share(&object.key, object.version, &object.value);
         }
         Ok(())
     }
 
+    /// Puts a value in force if it is newer than what is here, and than what was told of a
+    /// deletion.
+    fn put(&self, name: &str, version: u64, value: Rc<T>) -> bool {
+        let key = format!("{}{name}", self.inner.prefix);
+        let told = self.inner.shared.as_ref();
+        let told = told.and_then(|shared| shared.version(&key));
+        let mut objects = self.inner.objects.borrow_mut();
+        let known = objects.get(name).map(|entry| entry.version);
+        if known.max(told).is_some_and(|known| known >= version) {
+            return false;
+        }
+        objects.insert(name.to_owned(), Entry { version, value });
+        drop(objects);
+        self.inner.changed.notify(usize::MAX);
+        true
+    }
+
+    /// Removes an object that was deleted at `revision` or before.
+    fn remove(&self, name: &str, revision: u64) {
+        let mut objects = self.inner.objects.borrow_mut();
+        let known = objects.get(name).map(|entry| entry.version);
+        if known.is_none_or(|version| version > revision) {
+            return;
+        }
+        objects.remove(name);
+        drop(objects);
+        let key = format!("{}{name}", self.inner.prefix);
+        self.share(&key, revision, &serde_json::Value::Null);
+        self.inner.changed.notify(usize::MAX);
+    }
+
+    /// Hands on what is in force here; a null is a deletion.
+    fn share(&self, key: &str, version: u64, value: &serde_json::Value) {
+        let Some(shared) = &self.inner.shared else {
+            return;
+        };
+        let value = if value.is_null() {
+            Vec::new()
+        } else {
+            serde_json::to_vec(value).unwrap_or_default()
+        };
+        shared.note(SharedItem {
+            key: key.to_owned(),
+            version,
+            value: value.into(),
+        });
+    }
+
+    /// Takes in what another process has told.
+    fn take_told(&self, item: &SharedItem) {
+        let Some(name) = item.key.strip_prefix(&self.inner.prefix) else {
+            return;
+        };
+        if item.value.is_empty() {
+            self.remove(name, item.version);
+        } else if let Ok(value) = serde_json::from_slice(&item.value) {
+            self.put(name, item.version, Rc::new(value));
+        }
+        // Also what this version can't read or had no more: others may lack it.
+        if let Some(shared) = &self.inner.shared {
+            shared.note(item.clone());
+        }
+    }
+
+    /// Whether this process must ask the platform itself.
+    fn asks_platform(&self) -> bool {
+        let shared = self.inner.shared.as_ref();
+        shared.is_none_or(|shared| shared.follows() || shared.is_stale())
+    }
+
+    fn follows(&self) -> bool {
+        let shared = self.inner.shared.as_ref();
+        shared.is_none_or(Shared::follows)
+    }
+
     async fn follow(&self, store: &Store, stop: &Stop) {
         let mut backoff = Backoff::default();
         let mut gather_ms = GATHER_MIN_MS;
-        let mut reread_unix_ms = 0;
+        let mut read_unix_ms = 0;
         while !stop.is_ended() {
             let began_unix_ms = now_unix_ms();
-            let is_due = began_unix_ms >= reread_unix_ms;
+            let interval_ms = if self.follows() {
+                REREAD_INTERVAL_MS
+            } else {
+                TOLD_REREAD_INTERVAL_MS
+            };
+            let is_due = !self.is_complete() || began_unix_ms >= read_unix_ms + interval_ms;
+            if !is_due && !self.asks_platform() {
+                sleep_ms(rand::random_range(TOLD_INTERVAL_MS / 2..=TOLD_INTERVAL_MS)).await;
+                continue;
+            }
             let result = if is_due {
                 self.read(store).await
             } else {
                 self.watch(store).await
             };
             if is_due && result.is_ok() {
-                let interval_ms = REREAD_INTERVAL_MS / 2..=REREAD_INTERVAL_MS;
-                reread_unix_ms = began_unix_ms + rand::random_range(interval_ms);
+                // Processes that started together don't read anew together.
+                read_unix_ms = began_unix_ms - rand::random_range(0..=interval_ms / 2);
             }
             if result.is_ok() {
                 backoff.reset();
@@ -157,6 +252,8 @@
                     GATHER_MIN_MS
                 };
                 sleep_ms(rand::random_range(gather_ms / 2..=gather_ms)).await;
+            } else if self.is_complete() && !self.follows() {
+                sleep_ms(rand::random_range(STALE_INTERVAL_MS..2 * STALE_INTERVAL_MS)).await;
             } else {
                 backoff.wait().await;
             }
@@ -206,15 +303,7 @@
             let Some(name) = key.strip_prefix(&self.inner.prefix) else {
                 continue;
             };
-            let mut objects = self.inner.objects.borrow_mut();
-            if objects
-                .get(name)
-                .is_some_and(|entry| entry.version <= reply.revision)
-            {
-                objects.remove(name);
-                drop(objects);
-                self.inner.changed.notify(usize::MAX);
-            }
+            self.remove(name, reply.revision);
         }
         self.inner
             .revision
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -6,7 +6,7 @@
 use celerystair::{
     core::prelude::*,
     node::spread::{FOLLOWED_BY_ALL_MAX, WATCHERS_PER_DOMAIN},
-    platform::prelude::*,
+    platform::{objects::PLACEMENTS, prelude::*},
     standin::prelude::*,
 };
 use support::{
@@ -71,6 +71,36 @@
     }
 }
 
+/// Writes a placement as somebody who is none of the processes; gives its version.
+async fn place(store: &Store, model: &str, generation: u64) -> u64 {
+    let key = format!("{PLACEMENTS}{model}");
+    let found = store.get(&key).await.expect("a read");
+    let expected = found.map_or(Expected::Absent, |found| Expected::Version(found.version));
+    let placement = PlacementObject {
+        generation,
+        ..PlacementObject::default()
+    };
+    let written = store.put(&key, &placement, expected, CallPriority::Normal);
+    written.await.expect("a write")
+}
+
+async fn all_have(processes: &[&Process], model: &str, version: u64) {
+    for process in processes {
+        let placements = &process.node.placements;
+        let has = || placements.get(model).map(|(version, _)| version) == Some(version);
+        wait_until(
+            has,
+            &format!("{} has {model} at {version}", process.node.name),
+        )
+        .await;
+    }
+}
+
+fn store_at(url: &str) -> Store {
+    let settings = serde_json::json!({ "url": url });
+    Store::new(serde_json::from_value(settings).expect("settings")).expect("a store")
+}
+
 fn down(down: bool) -> PlatformFaults {
     PlatformFaults {
         down,
@@ -96,6 +126,42 @@
     });
 }
 
+#[test]
+fn a_slot_that_moves_is_seen_by_all_and_read_by_few() {
+    const MOVES: u64 = 40;
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let processes = start_processes(&url).await;
+        let all: Vec<&Process> = processes.iter().collect();
+        let told = others(&processes);
+        let store = store_at(&url);
+        // A watch that began before the fleet was large enough ends with this.
+        all_have(&all, "m", place(&store, "m", 0).await).await;
+        let calls = || told.iter().map(|p| p.node.store.calls()).sum::<u64>();
+        let before = calls();
+        for generation in 1..=MOVES {
+            all_have(&all, "m", place(&store, "m", generation).await).await;
+        }
+        let made = calls() - before;
+        let direct = MOVES * told.len() as u64;
+        assert!(
+            made < direct / 4,
+            "{made} calls; by watches {direct} and more"
+        );
+        let key = format!("{PLACEMENTS}m");
+        let version = store.get(&key).await.expect("a read").map(|o| o.version);
+        let deleted = store.delete(&key, version.unwrap_or_default());
+        deleted.await.expect("a deletion");
+        for process in &all {
+            let lacks = || process.node.placements.get("m").is_none();
+            wait_until(lacks, "the placement is deleted everywhere").await;
+        }
+        processes.iter().for_each(Process::end);
+        stop.end();
+    });
+}
+
 #[test]
 fn others_read_the_list_when_its_readers_die() {
     block_on(async {
@@ -114,6 +180,7 @@
             all_see(&left, &process.node.name, None).await;
         }
         all_see(&left, "new", Some(InstanceState::Live)).await;
+        all_have(&left, "m", place(&store_at(&url), "m", 1).await).await;
         let next = followers(&processes);
         let next = next
             .iter()
@@ -140,6 +207,13 @@
         }];
         left[0].node.shared.take(told);
         all_see(&left, "new", Some(InstanceState::Live)).await;
+        let moved = Object {
+            key: format!("{PLACEMENTS}m"),
+            version: 1_000_000,
+            value: serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] }),
+        };
+        left[1].node.placements.apply(&moved).expect("a placement");
+        all_have(&left, "m", moved.version).await;
         processes.iter().for_each(Process::end);
         stop.end();
     });
@@ -147,10 +221,7 @@
 
 /// Instances that hand on to `shared`, without a platform.
 fn start_instances(shared: &Shared, stop: &Stop) -> Instances {
-    let settings = serde_json::json!({ "url": "http://127.0.0.1:9" });
-    let settings = serde_json::from_value(settings).expect("settings");
-    let store = Store::new(settings).expect("a store");
-    Instances::start(&store, 1000, shared, stop)
+    Instances::start(&store_at("http://127.0.0.1:9"), 1000, shared, stop)
 }
 
 fn hand_on(from: &Shared, to: &Shared) {
@@ -212,6 +283,39 @@
     });
 }
 
+#[test]
+fn a_deleted_object_is_not_brought_back_by_who_is_behind() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let store = store_at(&url);
+        let (one, two) = (Shared::default(), Shared::default());
+        let start = |shared| -> Mirror<PlacementObject> {
+            Mirror::start_shared(&store_at("http://127.0.0.1:9"), PLACEMENTS, shared, &stop)
+        };
+        let first: Mirror<PlacementObject> = Mirror::start_shared(&store, PLACEMENTS, &one, &stop);
+        let second = start(&two);
+        let version = place(&store, "m", 1).await;
+        wait_until(|| first.get("m").is_some(), "it is watched").await;
+        hand_on(&one, &two);
+        assert_eq!(second.get("m").map(|(version, _)| version), Some(version));
+        let key = format!("{PLACEMENTS}m");
+        let deleted = store.delete(&key, version);
+        deleted.await.expect("a deletion");
+        wait_until(|| first.get("m").is_none(), "the deletion is watched").await;
+        hand_on(&two, &one);
+        assert!(first.get("m").is_none(), "it came back");
+        hand_on(&one, &two);
+        assert!(second.get("m").is_none());
+        // One of the same name that is made later is another.
+        let version = place(&store, "m", 1).await;
+        wait_until(|| first.get("m").is_some(), "the later one is watched").await;
+        hand_on(&one, &two);
+        assert_eq!(second.get("m").map(|(version, _)| version), Some(version));
+        stop.end();
+    });
+}
+
 #[test]
 fn what_others_leave_out_replaces_no_instance() {
     block_on(async {
