--- a/tests/mixed_versions.rs
+++ b/tests/mixed_versions.rs
@@ -173,6 +173,7 @@
             revision: LATER_REVISION,
             document: document.into_bytes().into(),
             heard: Vec::new(),
+            shared: None,
         }))
     }
 }
