--- a/crates/celerystair_agent/src/keyed_run.rs
+++ b/crates/celerystair_agent/src/keyed_run.rs
@@ -165,7 +165,15 @@
             }
             EntryState::Unknown => return Some(Err(outcome_unknown())),
             EntryState::Started if !is_alive(agent, &entry) => {
-                return Some(Err(outcome_unknown()));
+                // It may have written the outcome since the entry was read, and then ended.
+                let read = before_deadline(deadline_unix_ms, agent.journal.look_up(key)).await;
+                match read {
+                    Some(Ok(found)) if found.as_ref() != Some(&entry) => {
+                        entry = found?;
+                        continue;
+                    }
+                    _ => return Some(Err(outcome_unknown())),
+                }
             }
             EntryState::Started => {}
         }
--- a/crates/celerystair_node/src/spread.rs
+++ b/crates/celerystair_node/src/spread.rs
@@ -263,19 +263,17 @@
             shared: ask,
         };
         let reply = exchange(node, &neighbour.connection, request).await;
-        let mut neighbours = self.neighbours.borrow_mut();
         let Some(reply) = reply else {
-            neighbours.remove(&address);
+            self.neighbours.borrow_mut().remove(&address);
             return None;
         };
         if let Some(answer) = &reply.shared {
             let read = share::take_answer(node, address, answer);
-            if let Some(neighbour) = neighbours.get_mut(&address) {
+            if let Some(neighbour) = self.neighbours.borrow_mut().get_mut(&address) {
                 neighbour.read = read;
                 neighbour.told = told;
             }
         }
-        drop(neighbours);
         ask_between(node, &neighbour.connection, reply).await
     }
 }
