Cut a region off by resets and from the store together

Cause: of the four ways to cut a region off (silently or by resets, with the store or without) one had no test.

Conclusion: all four ways keep every promise.

--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -149,3 +149,8 @@
 fn a_region_cut_off_from_the_store_too_catches_up_and_never_reverts() {
     block_on(regions_lose_each_other(CutKind::Silent, false));
 }
+
+#[test]
+fn a_region_that_is_cut_off_by_resets_and_from_the_store_catches_up() {
+    block_on(regions_lose_each_other(CutKind::Reset, false));
+}
