Take the turn back from a caller that takes nothing of its answer

Cause: a router waited for a slow caller without end, beyond the deadline too, and the attempt held its turn at the upstream meanwhile. Two callers that read nothing kept both turns of an upstream.

Change: a caller that takes nothing for 10 s, or is not done at its deadline, has its answer cut off.

--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -32,6 +32,9 @@
 /// can still be had elsewhere. A larger one is passed on as it comes: its caller may be slow, and
 /// its end is not known.
 const KEPT_BACK_MAX_BYTES: usize = 1 << 20;
+/// A caller that takes nothing of its answer for this long has it cut off: it holds a turn at the
+/// upstream that others wait for.
+const STALLED_MAX_MS: u64 = 10_000;
 /// Chunks that may wait for a slow caller.
 const CHUNKS_MAX: usize = 16;
 
@@ -299,15 +302,18 @@
         // The request counts as one of the router's until its answer has ended.
         let _admitted = admitted;
         let mut next = Ok(first);
-        loop {
+        let refusal = loop {
             match next {
                 Ok(Some(chunk)) => {
-                    if chunks.send(Ok(chunk)).await.is_err() {
-                        return;
+                    let until_unix_ms = deadline_unix_ms.min(now_unix_ms() + STALLED_MAX_MS);
+                    match before_deadline(until_unix_ms, chunks.send(Ok(chunk))).await {
+                        Some(Ok(())) => {}
+                        Some(Err(_)) => return,
+                        None => break stalled(),
                     }
                 }
                 Ok(None) => return,
-                Err(refusal) => return cut(&chunks, &refusal, is_event_stream).await,
+                Err(refusal) => break refusal,
             }
             next = before_deadline(deadline_unix_ms, rest.next())
                 .await
@@ -315,12 +321,21 @@
                     let detail = "the answer was not whole at the deadline";
                     Err(Refusal::unknown(RefusalReason::DeadlineExceeded, detail))
                 });
-        }
+        };
+        // The attempt ends now, whenever the caller takes the last that waits for it.
+        drop(rest);
+        cut(&chunks, &refusal, is_event_stream).await;
     })
     .detach();
     HttpBody::chunks(body)
 }
 
+/// The refusal of a caller that takes nothing of its answer.
+fn stalled() -> Refusal {
+    let detail = "the caller took nothing of its answer for too long";
+    Refusal::unknown(RefusalReason::Cancelled, detail)
+}
+
 /// Ends an answer that is not whole, so that its caller can see it: by an error event where the
 /// answer is a stream of events, and in any case by a cut connection.
 async fn cut(
--- a/tests/requests_neighbours.rs
+++ b/tests/requests_neighbours.rs
@@ -222,6 +222,7 @@
     fleet: &FaultFleet,
     settings: &TrialSettings,
     endless: &Endless,
+    running_max: u32,
     stop: &Stop,
 ) {
     let mut upstream: FleetUpstream = fleet.upstreams[4].clone();
@@ -229,7 +230,7 @@
     upstream.instance = InstanceId::random("endless-1");
     upstream.address = endless.address;
     "endless".clone_into(&mut upstream.pool.name);
-    upstream.pool.running_max = 100;
+    upstream.pool.running_max = running_max;
     let settings = agent_settings(settings, &upstream, &fleet.platform_url);
     let running = run_agent(settings, stop).await.expect("the agent starts");
     running.served.detach();
@@ -268,7 +269,7 @@
         let (mut fleet, caller) = start(&settings).await;
         let stop = Stop::new();
         let endless = start_endless(&stop);
-        serve_endless(&fleet, &settings, &endless, &stop).await;
+        serve_endless(&fleet, &settings, &endless, 100, &stop).await;
         let small = get(&fleet, 0, "office", "/services/endless/small", 30_000);
         while caller.call(&small).await.outcome != Outcome::Answered {
             sleep_ms(5).await;
@@ -299,6 +300,36 @@
     });
 }
 
+#[test]
+fn callers_that_read_nothing_give_their_turns_back() {
+    const TURNS: u32 = 2;
+    block_on(async {
+        let settings = requests_trial();
+        let (mut fleet, caller) = start(&settings).await;
+        let stop = Stop::new();
+        let endless = start_endless(&stop);
+        serve_endless(&fleet, &settings, &endless, TURNS, &stop).await;
+        let mut small = get(&fleet, 0, "office", "/services/endless/small", 30_000);
+        while caller.call(&small).await.outcome != Outcome::Answered {
+            sleep_ms(5).await;
+        }
+        let mut slow = Vec::new();
+        for _ in 0..TURNS {
+            slow.push(ask_and_read_nothing(fleet.router_address(0)).await);
+        }
+        while endless.sent_bytes.borrow().len() < TURNS as usize {
+            sleep_ms(5).await;
+        }
+        // Their own deadline is five minutes away.
+        small.timeout_ms = 120_000;
+        assert_eq!(caller.call(&small).await.outcome, Outcome::Answered);
+        drop(slow);
+        stop.drain();
+        stop.end();
+        fleet.end();
+    });
+}
+
 /// The number of requests that an engine runs.
 async fn running(fleet: &FaultFleet, index: usize) -> u32 {
     let client = cyper::Client::new().expect("a client");
