Test what a request, an order held up and few domains do to slots

Cause: mutations of the code showed four mechanisms whose loss no test noticed: a request that waits for an unload while the slot is given back, the wait of a new claimant for orders on their way, failure domains in the choice of a slot, and the memory ledger in the fuzz.

Change: a test for each of the first two, with a link that holds up an order. The test of failure domains has three upstreams in one and one in the other, where an even spread of slots would hide the loss. The fuzz has four models, so that an engine has slots of more than it can hold.

With them, six tests of orders, ten of slots and the fuzz pass.

Conclusion: these four are held by tests.

--- a/tests/placement_fuzz.rs
+++ b/tests/placement_fuzz.rs
@@ -20,7 +20,7 @@
 const UPSTREAMS: [&str; 3] = ["e-a", "e-b", "e-c"];
 /// The upstream whose engine takes orders of any claim.
 const UNCHECKED: &str = "e-c";
-const MODELS: [&str; 3] = ["m-1", "m-2", "m-3"];
+const MODELS: [&str; 4] = ["m-1", "m-2", "m-3", "m-4"];
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 const STEPS: u32 = 40;
 /// Steps after which the fleet is left alone until the next.
@@ -58,7 +58,7 @@
                 checks_orders: name != UNCHECKED,
                 // Long enough for others to load meanwhile what must not be loaded yet.
                 unload_ms: 300,
-                // Two of the three models fit.
+                // Two of the four models fit, and an engine has slots of more.
                 memory_bytes: 1000,
                 ..small_engine()
             });
--- a/tests/placement_orders.rs
+++ b/tests/placement_orders.rs
@@ -136,6 +136,39 @@
     an_agent_cut_off_from_the_store_loads_nothing_once_another_has_claimed(false);
 }
 
+#[test]
+fn an_order_that_was_held_up_is_dead_before_a_later_claim_stands() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        rig.configure(one_slot()).await;
+        rig.put_model("m-1").await;
+        rig.place("m-1", &["e-a"]).await;
+        let engine = rig.engine(EngineSettings {
+            checks_orders: false,
+            ..small_engine()
+        });
+        let settings = |url: &str| AgentSettings {
+            engine_checks_orders: false,
+            ..agent_settings(&rig, "e-a", url)
+        };
+        let link = Link::that_holds(&engine, "POST /orders/load ").await;
+        let older = rig.agent(settings(&link.url), &stop).await;
+        standing(&older).await;
+        sees_placement(&older, "m-1").await;
+        let (address, life) = (older.address, older.agent.life.clone());
+        let waiting = compio::runtime::spawn(async move { submit(address, &life, "m-1").await });
+        wait_until("the order is on its way", async || link.has_held()).await;
+        let newer = rig.agent(settings(&engine), &stop).await;
+        standing(&newer).await;
+        rig.place("m-1", &["e-b"]).await;
+        link.release();
+        assert!(waiting.await.expect("a task").is_err());
+        assert_eq!(rig.witness.seen().loads, 0, "the order came too late");
+        stop.end();
+    });
+}
+
 /// An agent in the second life of its instance, which holds no slot of the first.
 async fn second_life(rig: &Rig, upstream: &str, stop: &Stop) -> RunningAgent {
     // The first life is still on the platform's list: its slot does not move.
--- a/tests/placement_slots.rs
+++ b/tests/placement_slots.rs
@@ -9,6 +9,7 @@
     config::prelude::*,
     core::{prelude::*, rendezvous},
     platform::prelude::*,
+    protocol::ReplicaState,
     standin::prelude::*,
 };
 use rig::{Rig, agent_settings, small_engine, submit, wait_until};
@@ -67,7 +68,8 @@
         let rig = Rig::start();
         let stop = Stop::new();
         let mut agents = Vec::new();
-        for name in ["e1-a", "e2-a", "e3-b", "e4-b"] {
+        // So few in the second failure domain that an even spread of slots alone is not enough.
+        for name in ["e1-a", "e2-a", "e3-a", "e4-b"] {
             agents.push(upstream(&rig, name, &stop).await);
         }
         for model in ["m-1", "m-2", "m-3", "m-4"] {
@@ -353,3 +355,37 @@
         stop.end();
     });
 }
+
+#[test]
+fn a_request_that_waits_for_an_unload_loads_nothing_for_a_slot_on_its_way_back() {
+    block_on(async {
+        let rig = Rig::start();
+        let stop = Stop::new();
+        rig.configure(document(1, |_| {})).await;
+        rig.put_model("m-1").await;
+        rig.place("m-1", &["e-a", "e-b"]).await;
+        let engine = rig.engine(EngineSettings {
+            unload_ms: 500,
+            ..small_engine()
+        });
+        let holder = rig.agent(agent_settings(&rig, "e-b", &engine), &stop).await;
+        wait_until("the claim stands", async || holder.agent.claim.stands()).await;
+        wake(&holder, "m-1").await;
+        rig.configure(document(2, |d| d.defaults.slots_per_model = 1))
+            .await;
+        wait_until("the unload has begun", async || {
+            let replica = holder.agent.replicas.get("m-1");
+            replica.is_none_or(|replica| replica.state.get() == ReplicaState::Unloading)
+        })
+        .await;
+        let refused = submit(holder.address, &holder.agent.life, "m-1").await;
+        assert_eq!(refused, Err(RefusalReason::NotHere));
+        wait_until("the slot is given back", async || {
+            rig.placed("m-1").await == ["e-a"]
+        })
+        .await;
+        assert_eq!(rig.replicas("m-1"), 0);
+        assert_eq!(rig.witness.seen().loads, 1);
+        stop.end();
+    });
+}
