Let the word of a process that does not follow the platform not count as fresh

Cause: a process with stale news read the list and then took its news for fresh, and told others so. Where those who follow the platform hang while the list goes on to show them, its own mirrors, and those of the others, could wait for changes that nobody watches. Found by reading.

Change: only those who follow the platform note its answers as fresh.

--- a/crates/celerystair_platform/src/instances.rs
+++ b/crates/celerystair_platform/src/instances.rs
@@ -119,8 +119,13 @@
                 if let Ok(list) = store.instance_list().await {
                     is_read = true;
                     self.take_read(&list, asked_unix_ms);
-                    self.shared.note_fresh(0);
-                } else if !follows {
+                    // The word of one that does not follow the platform would keep others, and
+                    // its own mirrors, from following it.
+                    if follows {
+                        self.shared.note_fresh(0);
+                    }
+                }
+                if !follows {
                     sleep_ms(rand::random_range(STALE_INTERVAL_MS..2 * STALE_INTERVAL_MS)).await;
                     continue;
                 }
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -191,6 +191,31 @@
     });
 }
 
+#[test]
+fn others_read_for_themselves_when_those_who_follow_hang() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let processes = start_processes(&url).await;
+        let left: Vec<&Process> = others(&processes);
+        // The list goes on to show them, so nobody takes their place.
+        for process in followers(&processes) {
+            process.end();
+        }
+        let version = place(&store_at(&url), "m", 1).await;
+        list(&url, "new", "live").await;
+        all_have(&left, "m", version).await;
+        all_see(&left, "new", Some(InstanceState::Live)).await;
+        // They go on to do so, and not just once.
+        let version = place(&store_at(&url), "m", 2).await;
+        all_have(&left, "m", version).await;
+        list(&url, "new", "gone").await;
+        all_see(&left, "new", None).await;
+        processes.iter().for_each(Process::end);
+        stop.end();
+    });
+}
+
 #[test]
 fn news_spreads_while_the_platform_is_down() {
     block_on(async {
