Measure told and following processes apart; make the capacity page anew

Cause: the tool took every process for one that watches the platform, and its plan repeated constants of the spreading by hand.

All other measurements name a failure domain in which the routers follow the platform. A call between processes now carries what processes hand on. The plan adds up 20 processes that follow and 1,320 that are told, and takes the numbers of watchers, neighbours and asks from the spreading itself.

--- a/tools/capacity/src/main.rs
+++ b/tools/capacity/src/main.rs
@@ -25,7 +25,14 @@
 use measure::Measured;
 
 const PAGE: &str = "docs/CAPACITY.md";
-const MEASUREMENTS: [&str; 5] = ["state", "changes", "connections", "requests", "wakeups"];
+const MEASUREMENTS: [&str; 6] = [
+    "state",
+    "told",
+    "changes",
+    "connections",
+    "requests",
+    "wakeups",
+];
 
 fn main() -> eyre::Result<()> {
     let only = std::env::args().nth(1);
@@ -54,6 +61,7 @@
 async fn run(name: &str) -> eyre::Result<Vec<Measured>> {
     match name {
         "state" => measure::state::measure().await,
+        "told" => measure::told::measure().await,
         "changes" => measure::changes::measure().await,
         "connections" => measure::connections::measure().await,
         "requests" => measure::requests::measure().await,
--- a/tools/capacity/src/measure/changes.rs
+++ b/tools/capacity/src/measure/changes.rs
@@ -11,7 +11,10 @@
 use crate::{
     relay::Relay,
     usage::thread_cpu_ms,
-    world::{Platform, ROUTER_THREAD, RouterRole, WATCH_TIMEOUT_MS, base_settings, start_router},
+    world::{
+        Platform, ROUTER_THREAD, RouterRole, WATCH_TIMEOUT_MS, WATCHING_DOMAIN, base_settings,
+        start_router,
+    },
 };
 
 const CHANGES_PER_SECOND: [u64; 4] = [4, 8, 16, 32];
@@ -84,7 +87,8 @@
     let url = format!("http://{}", relay.address);
     let mut routers = Vec::new();
     for number in 1..=ROUTERS {
-        routers.push(start_router(&settings, number, &url, WATCH_TIMEOUT_MS).await?);
+        routers
+            .push(start_router(&settings, number, &url, WATCH_TIMEOUT_MS, WATCHING_DOMAIN).await?);
     }
     let mut version = platform
         .store
--- a/tools/capacity/src/measure/connections.rs
+++ b/tools/capacity/src/measure/connections.rs
@@ -2,14 +2,16 @@
 
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
-use celerystair_protocol::{FetchConfigRequest, peer_client::PeerClient};
+use celerystair_protocol::{FetchConfigRequest, SharedAsk, peer_client::PeerClient};
 use celerystair_trial::threads::RoleThread;
 
 use super::Measured;
 use crate::{
     relay::Relay,
     usage::{live_bytes, thread_cpu_ms},
-    world::{Platform, ROUTER_THREAD, WATCH_TIMEOUT_MS, base_settings, start_router},
+    world::{
+        Platform, ROUTER_THREAD, WATCH_TIMEOUT_MS, WATCHING_DOMAIN, base_settings, start_router,
+    },
 };
 
 const CONNECTIONS: [u32; 4] = [50, 100, 200, 400];
@@ -21,7 +23,14 @@
 pub async fn measure() -> eyre::Result<Vec<Measured>> {
     let settings = base_settings()?;
     let platform = Platform::start(&settings).await?;
-    let server = start_router(&settings, 1, &platform.url(), WATCH_TIMEOUT_MS).await?;
+    let server = start_router(
+        &settings,
+        1,
+        &platform.url(),
+        WATCH_TIMEOUT_MS,
+        WATCHING_DOMAIN,
+    )
+    .await?;
     let address = server.peer_address;
     let (mut memory, mut open_cpu, mut idle_cpu) = (Vec::new(), Vec::new(), Vec::new());
     for count in CONNECTIONS {
@@ -30,7 +39,7 @@
             let mut open = Vec::new();
             for _ in 0..count {
                 let connection = Connection::new(address);
-                call(&connection).await;
+                call(&connection, &mut SharedAsk::default()).await;
                 open.push(connection);
             }
             // Kept open until the thread ends.
@@ -56,8 +65,9 @@
         let before = (thread_cpu_ms(ROUTER_THREAD), relay.bytes());
         let (client, ()) = RoleThread::spawn(CLIENT_THREAD, &Stop::new(), move |_| async move {
             let connection = Connection::new(address);
+            let mut known = SharedAsk::default();
             for _ in 0..calls {
-                call(&connection).await;
+                call(&connection, &mut known).await;
             }
             Ok::<_, std::io::Error>(())
         })?;
@@ -100,16 +110,25 @@
     ])
 }
 
-async fn call(connection: &Connection) {
+/// Asks as processes ask one another each second. The answer is that there is nothing newer, as
+/// it nearly always is.
+async fn call(connection: &Connection, known: &mut SharedAsk) {
     let Ok(channel) = connection.channel().await else {
         return;
     };
     let origin = channel.origin();
-    // The answer is that there is nothing newer, as it nearly always is.
     let request = FetchConfigRequest {
         revision: u64::MAX,
+        shared: Some(known.clone()),
         ..FetchConfigRequest::default()
     };
     let mut client = PeerClient::with_origin(channel, origin);
-    client.fetch_config(request).await.ok();
+    let Ok(reply) = client.fetch_config(request).await else {
+        return;
+    };
+    if let Some(answer) = reply.into_inner().shared {
+        known.life = answer.life;
+        known.sequence = answer.sequence;
+        known.digest = answer.digest;
+    }
 }
--- a/tools/capacity/src/measure/mod.rs
+++ b/tools/capacity/src/measure/mod.rs
@@ -6,12 +6,14 @@
 //! | [`connections`] | connections between a router and agents, seen from both ends |
 //! | [`requests`] | requests a second, tokens of an answer, waiting requests |
 //! | [`state`] | models, adapters, agents and instances |
+//! | [`told`] | agents and instances, for a process that others tell of changes |
 //! | [`wakeups`] | wake-ups of models and of adapters a second |
 
 pub mod changes;
 pub mod connections;
 pub mod requests;
 pub mod state;
+pub mod told;
 pub mod wakeups;
 
 use crate::fit::Line;
--- a/tools/capacity/src/measure/state.rs
+++ b/tools/capacity/src/measure/state.rs
@@ -1,5 +1,8 @@
 //! What a process keeps of the store's objects: memory, time and bytes to read them at the
-//! start, and what it costs to keep them current while nothing happens.
+//! start, and what it costs to keep them current while nothing happens, for a process that
+//! follows the platform itself.
+
+use std::net::SocketAddr;
 
 use celerystair_core::prelude::*;
 
@@ -7,14 +10,17 @@
 use crate::{
     relay::Relay,
     usage::{live_bytes, thread_cpu_ms},
-    world::{Platform, ROUTER_THREAD, WATCH_TIMEOUT_MS, base_settings, start_router},
+    world::{
+        Platform, ROUTER_THREAD, WATCH_TIMEOUT_MS, WATCHING_DOMAIN, base_settings, start_router,
+    },
 };
 
 const MODELS: [u32; 4] = [100, 200, 400, 800];
 /// Adapters of each of 100 models.
 const ADAPTERS_EACH: [u32; 4] = [107, 215, 430, 860];
 const ADAPTER_MODELS: u32 = 100;
-const AGENTS: [u32; 4] = [168, 335, 670, 1340];
+/// Agents, with as many instances in the list.
+pub const AGENTS: [u32; 4] = [168, 335, 670, 1340];
 /// Times after which all watches are renewed.
 const RENEWED_EVERY_MS: [u64; 4] = [4000, 2000, 1000, 500];
 /// Agents while the watches are renewed.
@@ -23,6 +29,11 @@
 const ROUTERS: u32 = 4;
 const IDLE_MS: u64 = 8000;
 
+/// Where nothing listens: what is measured here follows the platform itself.
+fn nobody() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
 /// What one router keeps and spends at one size.
 struct Sample {
     memory_bytes: f64,
@@ -56,7 +67,7 @@
     let mut agents = Vec::new();
     for count in AGENTS {
         let platform = Platform::start(&base_settings()?).await?;
-        platform.seed_agents(count).await?;
+        platform.seed_agents(count, nobody()).await?;
         agents.push((
             f64::from(count),
             sample(&platform, IDLE_MS, WATCH_TIMEOUT_MS).await?,
@@ -65,7 +76,7 @@
     let mut renewals = Vec::new();
     for watch_timeout_ms in RENEWED_EVERY_MS {
         let platform = Platform::start(&base_settings()?).await?;
-        platform.seed_agents(RENEWAL_AGENTS).await?;
+        platform.seed_agents(RENEWAL_AGENTS, nobody()).await?;
         let sample = sample(&platform, IDLE_MS, watch_timeout_ms).await?;
         renewals.push((1000.0 / watch_timeout_ms as f64, sample));
     }
@@ -173,12 +184,28 @@
     let relay = Relay::start(platform.address)?;
     let url = format!("http://{}", relay.address);
     // The first one also allocates what all routers of this process share.
-    let first = start_router(&settings, 1, &platform.url(), WATCH_TIMEOUT_MS).await?;
+    let first = start_router(
+        &settings,
+        1,
+        &platform.url(),
+        WATCH_TIMEOUT_MS,
+        WATCHING_DOMAIN,
+    )
+    .await?;
     let memory_before = live_bytes();
     let cpu_before = thread_cpu_ms(ROUTER_THREAD);
     let mut routers = Vec::new();
     for number in 0..ROUTERS {
-        routers.push(start_router(&settings, 2 + number, &url, watch_timeout_ms).await?);
+        routers.push(
+            start_router(
+                &settings,
+                2 + number,
+                &url,
+                watch_timeout_ms,
+                WATCHING_DOMAIN,
+            )
+            .await?,
+        );
     }
     let share = |value: f64| value / f64::from(ROUTERS);
     let start_cpu_ms = share(thread_cpu_ms(ROUTER_THREAD) - cpu_before);
--- a/tools/capacity/src/plan.rs
+++ b/tools/capacity/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use celerystair_node::spread::{ASK_INTERVAL_MS, NEIGHBOURS, WATCHERS_PER_DOMAIN};
 use eyre::OptionExt;
 
 use crate::{fit::Line, measure::Measured, page::number, world::WATCH_TIMEOUT_MS};
@@ -26,12 +27,13 @@
 const RACK_AGENTS: f64 = 25.0;
 const SLOTS_PER_MODEL: f64 = 2.0;
 const WATCH_RENEWALS_PER_SECOND: f64 = 1000.0 / WATCH_TIMEOUT_MS as f64;
-/// Processes that watch the configuration in the store; the others hear of it from neighbours.
-const CONFIG_WATCHERS: f64 = 2.0 * FAILURE_DOMAINS;
-/// Each process asks one neighbour a second for a newer configuration, and is asked as often.
-const ASKS_PER_SECOND: f64 = 2.0;
+/// Processes that follow the platform; the others hear of what changes from neighbours.
+const WATCHERS: f64 = WATCHERS_PER_DOMAIN as f64 * FAILURE_DOMAINS;
+const TOLD: f64 = PROCESSES - WATCHERS;
+/// Each process asks one neighbour a second for what is newer, and is asked as often.
+const ASKS_PER_SECOND: f64 = 2.0 * 1000.0 / ASK_INTERVAL_MS as f64;
 /// Neighbours that a process tells of a change.
-const TOLD_NEIGHBOURS: f64 = 6.0;
+const TOLD_NEIGHBOURS: f64 = NEIGHBOURS as f64;
 /// Connections that a router has at most: one to each agent.
 const CONNECTIONS_PER_ROUTER: f64 = AGENTS;
 
@@ -81,11 +83,18 @@
     }
 }
 
-/// Reads a second of all processes while nothing happens: the list of instances, and watches
-/// that are renewed.
+/// Reads a second of all processes while nothing happens: of those that follow the platform the
+/// list of instances and watches that are renewed, and what the others read all the same.
 fn idle_reads(all: &[Measured]) -> eyre::Result<f64> {
     let renewals = line(all, "watch_reads")?.slope * WATCH_RENEWALS_PER_SECOND;
-    Ok((line(all, "idle_reads")?.at(PROCESSES) + renewals) * PROCESSES)
+    let watching = (line(all, "idle_reads")?.at(PROCESSES) + renewals) * WATCHERS;
+    Ok(watching + line(all, "told_reads")?.at(PROCESSES).max(0.0) * TOLD)
+}
+
+/// Reads of all processes that follow a change of a placement or another shared object.
+fn change_reads(all: &[Measured]) -> eyre::Result<f64> {
+    let watching = line(all, "change_reads")?.points[0].1 * WATCHERS;
+    Ok(watching + line(all, "told_change_reads")?.at(PROCESSES).max(0.0) * TOLD)
 }
 
 /// Memory of a process's mirrors at the plan's size, in megabytes.
@@ -119,7 +128,7 @@
     let start_bytes = start_mb(all)? * 1000.0 / SECONDS_PER_DAY * (RESTARTS_PER_DAY / PROCESSES);
     let connection_mb = line(all, "connection_memory")?.slope / 1e6;
     let idle_reads = idle_reads(all)?;
-    let change_reads = line(all, "change_reads")?.points[0].1 * CONFIG_WATCHERS;
+    let change_reads = line(all, "change_reads")?.points[0].1 * WATCHERS;
     let ask_cpu = line(all, "call_cpu")?.slope
         * (ASKS_PER_SECOND + 2.0 * TOLD_NEIGHBOURS * changes_per_second);
     let ask_bytes = line(all, "call_bytes")?.slope
@@ -182,7 +191,7 @@
             value: idle_reads,
             limit: READS_LIMIT,
             unit: "",
-            by: "`idle_reads` and `watch_reads` × 1/30 renewals a second, × 1,340 processes".to_owned(),
+            by: "(`idle_reads` + `watch_reads` × 1/30 renewals a second) × 20 processes that follow the platform, `told_reads` × 1,320 others".to_owned(),
         },
         Row {
             role: "store",
@@ -190,7 +199,7 @@
             value: idle_reads + change_reads,
             limit: READS_LIMIT,
             unit: "",
-            by: "and `change_reads` × 20 processes that watch the configuration; the others hear of it from their neighbours".to_owned(),
+            by: "and `change_reads` × 20 processes that follow the platform; the others hear of it from their neighbours".to_owned(),
         },
         Row {
             role: "store",
@@ -258,8 +267,7 @@
 pub fn bad_days(all: &[Measured]) -> eyre::Result<String> {
     let idle_reads = idle_reads(all)?;
     let spare = READS_LIMIT - idle_reads;
-    // Every process watches the placements, and reads once for a change there too.
-    let per_change = line(all, "change_reads")?.points[0].1;
+    let per_change = change_reads(all)?;
     let slots_per_agent = MODELS * SLOTS_PER_MODEL / AGENTS;
     let seconds = |reads: f64| {
         if spare > 0.0 {
@@ -274,7 +282,7 @@
     );
     let mut moved = |event: &str, agents: f64| {
         let writes = agents * slots_per_agent;
-        let reads = writes * per_change * PROCESSES;
+        let reads = writes * per_change;
         writeln!(
             text,
             "| {event} | {} slots move | {} | {} | small |",
@@ -302,12 +310,12 @@
         .ok();
     };
     starts(
-        "a region is back after an hour (447 processes)",
+        "a region is back after an hour (447 processes, of which every one asks before it is told)",
         PROCESSES / REGIONS,
     );
     starts("all 340 routers restart", ROUTERS);
     starts(
-        "the store is back after an hour, all watches too old",
+        "the store is back after an hour, all watches too old, and every process asks before it is told",
         PROCESSES,
     );
     writeln!(
--- a/tools/capacity/src/world.rs
+++ b/tools/capacity/src/world.rs
@@ -1,6 +1,12 @@
 //! What the measurements share: a platform with seeded objects, and roles on named threads.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use celerystair_config::prelude::*;
 use celerystair_core::prelude::*;
@@ -24,6 +30,13 @@
 /// How long a watch waits where the settings don't say.
 pub const WATCH_TIMEOUT_MS: u64 = 30_000;
 
+/// A failure domain of no agent: a process there follows the platform itself.
+pub const WATCHING_DOMAIN: &str = "watching";
+/// The failure domain of the seeded agents: other processes there are told by their neighbours.
+pub const TOLD_DOMAIN: &str = "d1";
+/// How often a router's calls are read off.
+const CALLS_READ_INTERVAL_MS: u64 = 250;
+
 const BASE: &str = include_str!("base.jsonc");
 
 /// The smallest system, for a measurement to enlarge.
@@ -100,16 +113,17 @@
         Ok(())
     }
 
-    /// Agents' claims, and as many rows in the list of instances.
-    pub async fn seed_agents(&self, agents: u32) -> eyre::Result<()> {
+    /// Agents' claims, all of them answered at `address`, and as many rows in the list of
+    /// instances.
+    pub async fn seed_agents(&self, agents: u32, address: SocketAddr) -> eyre::Result<()> {
         for number in 1..=agents {
             let name = format!("engine-{number:04}");
             let object = AgentObject {
                 fence: 1,
                 instance: format!("{name}.1").into(),
                 claim_id: format!("{name}.000000000000"),
-                address: SocketAddr::from(([127, 0, 0, 1], 9)),
-                failure_domain: "d1".into(),
+                address,
+                failure_domain: TOLD_DOMAIN.into(),
                 pool: "engines".to_owned(),
                 memory_bytes: 80 << 30,
                 leaving: false,
@@ -146,6 +160,8 @@
     pub peer_address: SocketAddr,
     /// Each revision as it comes into force.
     pub in_force: async_channel::Receiver<InForce>,
+    /// Its calls to the store, as read off now and then.
+    pub calls: Arc<AtomicU64>,
     _thread: RoleThread,
 }
 
@@ -155,17 +171,29 @@
     number: u32,
     platform_url: &str,
     watch_timeout_ms: u64,
+    failure_domain: &str,
 ) -> eyre::Result<RouterRole> {
     let mut settings = router_settings(settings, number, platform_url);
+    settings.process.failure_domain = failure_domain.into();
     settings.process.instances_interval_ms = INSTANCES_INTERVAL_MS;
     settings.process.platform.watch_timeout_ms = watch_timeout_ms;
     let (ready, is_ready) = async_channel::bounded(1);
     let (send, in_force) = async_channel::unbounded();
+    let calls = Arc::new(AtomicU64::new(0));
+    let counted = calls.clone();
     let (thread, peer_address) =
         RoleThread::spawn(ROUTER_THREAD, &Stop::new(), move |stop| async move {
             let running = run_router(settings, &stop).await?;
             running.served.detach();
             let node = running.router.node.clone();
+            let counting = node.clone();
+            compio::runtime::spawn(async move {
+                while !counting.stop.is_ended() {
+                    counted.store(counting.store.calls(), Ordering::Relaxed);
+                    sleep_ms(CALLS_READ_INTERVAL_MS).await;
+                }
+            })
+            .detach();
             compio::runtime::spawn(async move {
                 complete(&node).await;
                 ready.send(()).await.ok();
@@ -178,6 +206,7 @@
     Ok(RouterRole {
         peer_address,
         in_force,
+        calls,
         _thread: thread,
     })
 }
