Let only the first round over the upstreams be free of the budget

Cause: with retries free after any attempt that reached nobody, a request for a model with no slot in reach was tried again until its deadline, where the budget used to end it: 16 attempts in vain for each request of an hour without the other region.

Change: such a retry is free until every upstream was tried once; from then on it costs the budget again.

Before: in the tests of regions such refusals came 4,901 to 4,963 ms after the call (callers wait for 5 s). After: 2,052 to 2,091 ms, a second for each of two slots, but 4 of 50, which the budget still let try again (3,053 to 4,953 ms). One run each on a busy machine. All calls with a slot in reach were answered as before, also when a domain is lost in an outage.

Conclusion: two slots out of reach cost a caller 2 s as a rule. Refusing at once what is known to be out of reach is left to do.

--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -68,6 +68,7 @@
     let mut attempts = 0;
     let mut cuts = 0;
     let mut retry_ms = RETRY_MIN_MS;
+    let mut is_first_round = true;
     let mut last: Option<Refusal> = None;
     router.retry_budget.earn(request.retry_budget_percent);
     while attempts < ATTEMPTS_MAX && left_ms(request.deadline_unix_ms) > answer_margin_ms(router) {
@@ -76,6 +77,7 @@
                 break;
             }
             tried.clear();
+            is_first_round = false;
             sleep_ms(retry_ms).await;
             retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
             continue;
@@ -86,7 +88,7 @@
         let suspect = check_suspect(router, request, last.as_ref())?;
         if last
             .as_ref()
-            .is_some_and(|last| costs_budget(last) && !router.retry_budget.take())
+            .is_some_and(|last| costs_budget(last, is_first_round) && !router.retry_budget.take())
         {
             break;
         }
@@ -233,9 +235,12 @@
 }
 
 /// Whether a retry after this refusal adds load: an agent that never queued the request, because
-/// it is leaving, holds no slot or was not reached, did no work for it.
-fn costs_budget(refusal: &Refusal) -> bool {
-    if refusal.reason == RefusalReason::ConnectionLost && refusal.run == RunState::NotRun {
+/// it is leaving or holds no slot, did no work for it. Nor did one that was not reached, but only
+/// the first round over all upstreams is free of that: what is out of reach may stay so.
+fn costs_budget(refusal: &Refusal, is_first_round: bool) -> bool {
+    let was_reached =
+        refusal.reason != RefusalReason::ConnectionLost || refusal.run != RunState::NotRun;
+    if is_first_round && !was_reached {
         return false;
     }
     !matches!(
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -97,6 +97,14 @@
         .cloned()
         .collect();
     println!("called during the cut: {}", outcomes(&during));
+    let mut waits_ms: Vec<u64> = during
+        .iter()
+        .filter(|call| call.received.called_unix_ms > cut_unix_ms + NOTICED_MS)
+        .filter(|call| call.model().is_some() && !domains::is_answered(call))
+        .map(|call| call.received.ended_unix_ms - call.received.called_unix_ms)
+        .collect();
+    waits_ms.sort_unstable();
+    println!("refusals without a slot in reach came after, in ms: {waits_ms:?}");
     assert_held(&fleet, &served, |_| false);
     let noticed = cut_unix_ms + NOTICED_MS..healed_unix_ms;
     assert_in_reach_answered(&fleet, &before, &served, noticed);
