--- a/crates/celerystair_journal/src/entry.rs
+++ b/crates/celerystair_journal/src/entry.rs
@@ -118,23 +118,23 @@
             .retain(|entry| entry.forget_unix_ms > now_unix_ms);
     }
 
-    /// Drops recorded answers, oldest first, until the object takes `over_bytes` less; gives how
-    /// many bytes less it takes. Drops none if all of them are not enough. An entry itself is
-    /// never dropped for room: its call could run again.
-    pub fn drop_answers(&mut self, over_bytes: usize) -> usize {
+    /// Drops recorded answers, oldest first, until the object takes `wanted_bytes` less; gives how
+    /// many bytes less it takes. Drops none if all of them make less than `needed_bytes`. An entry
+    /// itself is never dropped for room: its call could run again.
+    pub fn drop_answers(&mut self, needed_bytes: usize, wanted_bytes: usize) -> usize {
         let done = self.entries.iter().map(|entry| &entry.state);
         let done = done.filter(|state| matches!(state, EntryState::Done(_)));
         let unknown_bytes = EntryState::Unknown.size_bytes();
         if done
             .map(|state| state.size_bytes() - unknown_bytes)
             .sum::<usize>()
-            < over_bytes
+            < needed_bytes
         {
             return 0;
         }
         let mut dropped_bytes = 0;
         for entry in &mut self.entries {
-            if dropped_bytes >= over_bytes {
+            if dropped_bytes >= wanted_bytes {
                 break;
             }
             if let EntryState::Done(_) = &entry.state {
--- a/crates/celerystair_journal/src/operation.rs
+++ b/crates/celerystair_journal/src/operation.rs
@@ -31,6 +31,9 @@
     Release(CallKey, AttemptId),
 }
 
+/// Room that is made beyond what is needed, where answers are dropped.
+const ROOM_BYTES: usize = 16 << 10;
+
 /// A shard to which a batch of changes is applied, and its size as it would be written. The size
 /// is kept along: to write out a shard that is nearly full for each change takes milliseconds.
 pub(crate) struct Draft {
@@ -48,11 +51,22 @@
         }
     }
 
+    /// The shard as it is to be written. An outcome never takes it past its limit, or no change to
+    /// it could be written any more: with every answer dropped, it is no larger than when its last
+    /// key was claimed.
+    pub(crate) fn finish(mut self) -> ShardObject {
+        self.make_room();
+        self.object
+    }
+
     /// Makes room if the shard has grown past its limit; false if there is none to be made.
     fn make_room(&mut self) -> bool {
         let over_bytes = self.size_bytes.saturating_sub(SHARD_MAX_BYTES);
         if over_bytes > 0 {
-            self.size_bytes -= self.object.drop_answers(over_bytes);
+            // Some more than is needed, since it takes a pass over all answers.
+            self.size_bytes -= self
+                .object
+                .drop_answers(over_bytes, over_bytes + ROOM_BYTES);
         }
         self.size_bytes <= SHARD_MAX_BYTES
     }
@@ -119,9 +133,6 @@
     draft.size_bytes -= entry.state.size_bytes();
     entry.state = kept.clone();
     draft.size_bytes += entry.state.size_bytes();
-    // An outcome never takes the shard past its limit, or no change to it could be written any
-    // more. With every answer dropped, it is no larger than when its last key was claimed.
-    draft.make_room();
     true
 }
 
--- a/crates/celerystair_journal/src/writer.rs
+++ b/crates/celerystair_journal/src/writer.rs
@@ -58,7 +58,7 @@
         .iter()
         .map(|operation| apply(&mut draft, &operation.change))
         .collect();
-    let after = draft.object;
+    let after = draft.finish();
     if was_cached && applied.iter().any(|applied| !is_granted(&applied.result)) {
         // Another process may have changed since what stands in the way of the claim.
         return Ok(());
