--- /dev/null
+++ b/crates/celerystair_journal/tests/suspects.rs
@@ -0,0 +1,80 @@
+//! Which requests are refused after crashes, and which are only run alone.
+
+use celerystair_core::prelude::*;
+use celerystair_journal::suspects::{Charge, SuspectObject, accuse, clear};
+use celerystair_platform::prelude::*;
+use celerystair_standin::prelude::*;
+
+const FINGERPRINT: u64 = 7;
+
+fn with_store<F: Future<Output = ()>>(work: impl FnOnce(Store) -> F) {
+    compio::runtime::Runtime::new()
+        .expect("a runtime")
+        .block_on(async {
+            let stop = Stop::new();
+            let address =
+                run_platform(PlatformSettings::default(), &stop).expect("the platform starts");
+            let settings = StoreSettings {
+                url: format!("http://{address}"),
+                call_timeout_ms: 10_000,
+                watch_timeout_ms: 10_000,
+                calls_per_second: 200,
+            };
+            work(Store::new(settings).expect("a client")).await;
+            stop.end();
+        });
+}
+
+async fn crash(store: &Store, attempt: &AttemptId, alone: bool) -> SuspectObject {
+    let charge = Charge {
+        fingerprint: FINGERPRINT,
+        attempt: attempt.clone(),
+        alone,
+        expires_unix_ms: now_unix_ms() + 3_600_000,
+    };
+    accuse(store, &charge).await.expect("the store answers")
+}
+
+#[test]
+fn crashes_beside_others_make_a_suspect_and_one_alone_convicts() {
+    with_store(|store| async move {
+        for _ in 0..3 {
+            let suspect = crash(&store, &AttemptId::random(), false).await;
+            assert!(suspect.holds_at(now_unix_ms()));
+            assert!(!suspect.is_refused_at(now_unix_ms()));
+        }
+        let suspect = crash(&store, &AttemptId::random(), true).await;
+        assert_eq!((suspect.crashes, suspect.crashes_alone), (4, 1));
+        assert!(suspect.is_refused_at(now_unix_ms()));
+    });
+}
+
+#[test]
+fn one_crash_alone_does_not_convict_and_counts_once() {
+    with_store(|store| async move {
+        let attempt = AttemptId::random();
+        for _ in 0..2 {
+            // As after a write whose answer was lost.
+            let suspect = crash(&store, &attempt, true).await;
+            assert_eq!((suspect.crashes, suspect.crashes_alone), (1, 1));
+            assert!(!suspect.is_refused_at(now_unix_ms()));
+        }
+        let suspect = crash(&store, &AttemptId::random(), false).await;
+        assert!(suspect.is_refused_at(now_unix_ms()));
+    });
+}
+
+#[test]
+fn a_request_that_finished_is_cleared_unless_it_was_convicted() {
+    with_store(|store| async move {
+        crash(&store, &AttemptId::random(), false).await;
+        crash(&store, &AttemptId::random(), false).await;
+        clear(&store, FINGERPRINT).await.expect("the store answers");
+        let suspect = crash(&store, &AttemptId::random(), true).await;
+        assert_eq!((suspect.crashes, suspect.crashes_alone), (1, 1));
+        crash(&store, &AttemptId::random(), true).await;
+        clear(&store, FINGERPRINT).await.expect("the store answers");
+        let suspect = crash(&store, &AttemptId::random(), true).await;
+        assert_eq!(suspect.crashes, 3);
+    });
+}
