--- a/crates/celerystair_agent/src/claim.rs
+++ b/crates/celerystair_agent/src/claim.rs
@@ -151,7 +151,8 @@
     while !agent.node.stop.is_draining() {
         let deadline_unix_ms = now_unix_ms() + agent.settings.order_life_ms;
         match engine.announce_claim(fence, deadline_unix_ms).await {
-            Ok(()) => return true,
+            // An engine that refuses to unload what it does not hold has seen the number, too.
+            Ok(()) | Err(OrderError::Refused { .. }) => return true,
             Err(OrderError::Fenced) => {
                 supersede(agent, 0);
                 return false;
--- a/crates/celerystair_protocol/src/engine_api.rs
+++ b/crates/celerystair_protocol/src/engine_api.rs
@@ -90,7 +90,8 @@
     pub deadline_unix_ms: u64,
 }
 
-/// Orders an engine to unload a model.
+/// Orders an engine to unload a model. One that it does not hold, such as the empty name by which an
+/// agent shows a new claim, is as good as unloaded: the engine only notes the fencing number.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct UnloadOrder {
     /// The model.
