End at a caller's deadline what a router finds out after a failed attempt

Cause: in the tests of cut regions up to 37 answers of a test came more than 50 ms after their deadline. After an attempt was lost, a router asked the store where the agent or the model's slots are now and wrote a suspicion, each for up to 500 ms, and did not look at the caller's deadline. It also showed that the trial could not tell this from delays of its own: the callers share a thread with what starts and ends roles.

Change: what is read or written for a later attempt ends by the time by which the answer must be on its way; the suspicion is written on behind it. A caller of a trial notes for how long its own thread did not run around a deadline, and counts an answer as late beyond that and the margin, which is unchanged.

--- a/crates/celerystair_router/src/lost.rs
+++ b/crates/celerystair_router/src/lost.rs
@@ -3,10 +3,13 @@
 
 use std::cell::RefCell;
 
+use async_channel::Receiver;
 use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_journal::suspects::{Charge, accuse};
 
-use crate::{attempt::Tracked, caller_request::CallerRequest, router::Router};
+use crate::{
+    attempt::Tracked, caller_request::CallerRequest, router::Router, serve::answer_by_unix_ms,
+};
 
 /// How long a retry waits until the suspicion is written.
 const ACCUSE_TIMEOUT_MS: u64 = 500;
@@ -39,7 +42,8 @@
 /// is back at once has only restarted, and its upstream runs on.
 pub async fn charge_if_lost(router: &Router, request: &CallerRequest, tracked: &Tracked) -> bool {
     let peer = &tracked.peer;
-    let answers = tracked.ask_state(router, request.deadline_unix_ms).await;
+    let answer_by_unix_ms = answer_by_unix_ms(router, request);
+    let answers = tracked.ask_state(router, answer_by_unix_ms).await;
     if answers.is_some() {
         return false;
     }
@@ -56,6 +60,20 @@
         expires_unix_ms: now + expiry_ms,
     };
     // With the store away, the retry still runs alone: the router at hand knows.
-    before_deadline(now + ACCUSE_TIMEOUT_MS, accuse(&router.node.store, &charge)).await;
+    let written = write_charge(router, charge, now + ACCUSE_TIMEOUT_MS);
+    before_deadline(answer_by_unix_ms, written.recv()).await;
     true
 }
+
+/// Writes a charge until the deadline, also when the caller's time is over before; the channel
+/// closes once that has ended.
+fn write_charge(router: &Router, charge: Charge, deadline_unix_ms: u64) -> Receiver<()> {
+    let (ended, written) = async_channel::bounded(1);
+    let store = router.node.store.clone();
+    compio::runtime::spawn(async move {
+        before_deadline(deadline_unix_ms, accuse(&store, &charge)).await;
+        drop(ended);
+    })
+    .detach();
+    written
+}
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -16,6 +16,7 @@
     caller_request::{CallerRequest, Target},
     peers::Peer,
     router::Router,
+    serve::answer_by_unix_ms,
 };
 
 /// How long the store may take to say where a model is placed now, or where an agent listens.
@@ -183,11 +184,12 @@
 
 /// Reads the placement of the target's model anew, after an agent has said that it no longer
 /// holds the slot by which it was chosen. With the store down, what is known stays.
-pub async fn follow_placement(router: &Router, target: &Target) {
-    let Target::Model(model) = target else {
+pub async fn follow_placement(router: &Router, request: &CallerRequest) {
+    let Target::Model(model) = &request.target else {
         return;
     };
-    if let Some(object) = read_anew(router, &format!("{PLACEMENTS}{}", model.base)).await {
+    let key = format!("{PLACEMENTS}{}", model.base);
+    if let Some(object) = read_anew(router, request, &key).await {
         router.node.placements.apply(&object).ok();
     }
 }
@@ -195,21 +197,22 @@
 /// Reads where the agent of `upstream` listens, after it could not be reached: the watch may have
 /// missed that another has taken its place. A router reads so once a second at most, because the
 /// agents of a whole failure domain may be out of reach at once.
-pub async fn follow_agent(router: &Router, upstream: &str) {
+pub async fn follow_agent(router: &Router, request: &CallerRequest, upstream: &str) {
     let now = now_unix_ms();
     if now < router.agent_read_unix_ms.get() + AGENT_READ_INTERVAL_MS {
         return;
     }
     router.agent_read_unix_ms.set(now);
-    if let Some(object) = read_anew(router, &format!("{AGENTS}{upstream}")).await {
+    if let Some(object) = read_anew(router, request, &format!("{AGENTS}{upstream}")).await {
         router.node.agents.apply(&object).ok();
     }
 }
 
-/// Reads an object from the store, unless that takes long.
-async fn read_anew(router: &Router, key: &str) -> Option<Object> {
+/// Reads an object from the store, unless that takes long or the caller's time is over.
+async fn read_anew(router: &Router, request: &CallerRequest, key: &str) -> Option<Object> {
     let read = router.node.store.get(key);
-    let deadline_unix_ms = now_unix_ms() + FOLLOW_TIMEOUT_MS;
+    let answer_by_unix_ms = answer_by_unix_ms(router, request);
+    let deadline_unix_ms = answer_by_unix_ms.min(now_unix_ms() + FOLLOW_TIMEOUT_MS);
     before_deadline(deadline_unix_ms, read)
         .await?
         .ok()
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -121,8 +121,8 @@
                 suspect |= was_cut;
                 let may_retry = may_retry(request, &refusal) && cuts < CRASHES_MAX;
                 match refusal.reason {
-                    RefusalReason::NotHere => follow_placement(router, &request.target).await,
-                    RefusalReason::ConnectionLost => follow_agent(router, upstream).await,
+                    RefusalReason::NotHere => follow_placement(router, request).await,
+                    RefusalReason::ConnectionLost => follow_agent(router, request, upstream).await,
                     _ => {}
                 }
                 let detail = refusal.to_string();
@@ -202,6 +202,11 @@
     Refusal { run, ..cause }
 }
 
+/// By when the caller's answer must be on its way, whatever is still to be found out.
+pub fn answer_by_unix_ms(router: &Router, request: &CallerRequest) -> u64 {
+    request.deadline_unix_ms - answer_margin_ms(router) / 4
+}
+
 /// Kept from a request's time for the way back to the caller.
 fn answer_margin_ms(router: &Router) -> u64 {
     router.settings.answer_margin_ms
@@ -236,7 +241,7 @@
             &head,
             first,
             rest,
-            request.deadline_unix_ms - margin_ms / 4,
+            answer_by_unix_ms(router, request),
         );
         Ok(response(&head, cold_start_ms, body))
     };
@@ -246,7 +251,7 @@
     }
     let detail = "the upstream did not answer before the deadline";
     let refusal = Refusal::unknown(RefusalReason::DeadlineExceeded, detail);
-    let deadline_unix_ms = request.deadline_unix_ms - margin_ms / 4;
+    let deadline_unix_ms = answer_by_unix_ms(router, request);
     Err(tracked.settle(router, refusal, deadline_unix_ms).await)
 }
 
--- a/crates/celerystair_trial/src/caller.rs
+++ b/crates/celerystair_trial/src/caller.rs
@@ -9,6 +9,8 @@
 use futures_util::StreamExt;
 use serde_json::{Value, json};
 
+use crate::stalls::Stalls;
+
 /// Beyond the deadline, a caller waits this much longer, to see how late an answer is.
 const GRACE_MS: u64 = 10_000;
 
@@ -85,6 +87,8 @@
     pub ended_unix_ms: u64,
     /// When the caller stops waiting.
     pub deadline_unix_ms: u64,
+    /// How long the caller's own thread was kept from running around its deadline.
+    pub stalled_ms: u64,
     /// How long the request waited for a replica to be loaded.
     pub cold_start_ms: u64,
     /// Times between the parts of a streamed answer, in microseconds.
@@ -95,6 +99,15 @@
 #[derive(Clone)]
 pub struct Caller {
     client: cyper::Client,
+    stalls: Stalls,
+}
+
+impl Received {
+    /// Whether the answer ended `margin_ms` or more after the deadline, as far as that was not the
+    /// caller's own doing.
+    pub fn is_late(&self, margin_ms: u64) -> bool {
+        self.ended_unix_ms > self.deadline_unix_ms + margin_ms + self.stalled_ms
+    }
 }
 
 impl Caller {
@@ -102,6 +115,7 @@
     pub fn new() -> Result<Self, cyper::Error> {
         Ok(Self {
             client: cyper::Client::new()?,
+            stalls: Stalls::watch(),
         })
     }
 
@@ -115,6 +129,7 @@
             first_byte_unix_ms: 0,
             ended_unix_ms: 0,
             deadline_unix_ms,
+            stalled_ms: 0,
             cold_start_ms: 0,
             between_tokens_us: Vec::new(),
         };
@@ -124,6 +139,7 @@
             received.outcome = outcome.unwrap_or_else(|error| Outcome::Lost(error.to_string()));
         }
         received.ended_unix_ms = now_unix_ms();
+        received.stalled_ms = self.stalls.around_ms(deadline_unix_ms);
         received
     }
 
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -385,7 +385,7 @@
             settings.router_stop_notice_ms,
         ),
         body_max_bytes: 8 << 20,
-        answer_margin_ms: 200,
+        answer_margin_ms: settings.answer_margin_ms,
         admin: None,
     }
 }
--- a/crates/celerystair_trial/src/lib.rs
+++ b/crates/celerystair_trial/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`network`] | the network between failure domains, which can be cut |
 //! | [`overload`] | load at a multiple of the capacity, and its goodput |
 //! | [`settings`] | settings of a trial |
+//! | [`stalls`] | how long the callers' own thread was kept from running |
 //! | [`steady`] | calls at all routers for as long as a test lasts |
 //! | [`tally`] | what callers received |
 //! | [`threads`] | roles on threads with a runtime each |
@@ -30,6 +31,7 @@
 pub mod network;
 pub mod overload;
 pub mod settings;
+pub mod stalls;
 pub mod steady;
 pub mod tally;
 pub mod threads;
--- a/crates/celerystair_trial/src/load/report.rs
+++ b/crates/celerystair_trial/src/load/report.rs
@@ -81,7 +81,7 @@
 impl KindReport {
     fn add(&mut self, due_unix_ms: u64, received: &Received) {
         self.called += 1;
-        let is_late = received.ended_unix_ms > received.deadline_unix_ms + LATE_MARGIN_MS;
+        let is_late = received.is_late(LATE_MARGIN_MS);
         self.late += u64::from(is_late);
         match &received.outcome {
             Outcome::Answered => {
--- a/crates/celerystair_trial/src/settings.rs
+++ b/crates/celerystair_trial/src/settings.rs
@@ -44,6 +44,9 @@
     /// Where events of the time line go, as JSON lines.
     #[serde(default)]
     pub timeline_file: Option<std::path::PathBuf>,
+    /// Kept by routers from a request's time for the way back to its caller.
+    #[serde(default = "default_answer_margin_ms")]
+    pub answer_margin_ms: u64,
     /// How long an agent whose planned stop has begun still takes connections.
     #[serde(default = "default_agent_stop_notice_ms")]
     pub agent_stop_notice_ms: u64,
@@ -52,6 +55,10 @@
     pub router_stop_notice_ms: u64,
 }
 
+fn default_answer_margin_ms() -> u64 {
+    200
+}
+
 fn default_agent_stop_notice_ms() -> u64 {
     500
 }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -80,6 +80,7 @@
         first_byte_unix_ms: 10_600,
         ended_unix_ms: 10_700,
         deadline_unix_ms: 20_000,
+        stalled_ms: 0,
         cold_start_ms: 0,
         between_tokens_us: Vec::new(),
     };
@@ -101,3 +102,21 @@
     assert_eq!(drafts.answered + refused, drafts.called);
     assert!(drafts.answered > 0 && report.loads > 0);
 }
+
+#[test]
+fn an_answer_is_late_by_what_its_callers_own_thread_did_not_hold_up() {
+    let received = |ended_unix_ms, stalled_ms| Received {
+        outcome: Outcome::Answered,
+        called_unix_ms: 10_000,
+        first_byte_unix_ms: ended_unix_ms,
+        ended_unix_ms,
+        deadline_unix_ms: 20_000,
+        stalled_ms,
+        cold_start_ms: 0,
+        between_tokens_us: Vec::new(),
+    };
+    assert!(!received(20_050, 0).is_late(50));
+    assert!(received(20_051, 0).is_late(50));
+    assert!(!received(20_250, 200).is_late(50));
+    assert!(received(20_251, 200).is_late(50));
+}
