Run the fleets of one test file one after another

Change: each file runs its fleets one after another, so that their threads do not make one another late; the margin and the checks stay as they are. The tests of domains and regions have engines with room for every model; the tests of frozen holders keep the tight ones.

Conclusion: whether this suffices on a loaded machine is to be seen by repeating the files, one at a time, as `cargo test` runs them.

--- a/tests/support/domains.rs
+++ b/tests/support/domains.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+use std::sync::{Mutex, PoisonError};
+
 use celerystair::{
     config::prelude::*,
     core::prelude::*,
@@ -26,6 +28,23 @@
     read_settings("tests/support/domains.jsonc", SETTINGS).expect("the settings can be used")
 }
 
+/// The same with room for every model at each engine: whichever slots are left, none is refused
+/// for want of memory.
+pub fn roomy_trial() -> TrialSettings {
+    let mut settings = domains_trial();
+    settings.pools[0].engine.memory_bytes = 3000;
+    settings
+}
+
+/// Runs a test while no other of its file runs: each has a fleet of a dozen threads or more, and
+/// the deadlines of its calls are checked.
+pub fn block_on_alone<T>(work: impl Future<Output = T>) -> T {
+    static ALONE: Mutex<()> = Mutex::new(());
+    let _guard = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(work)
+}
+
 /// Starts the fleet and a load on all its routers.
 pub async fn start_loaded(settings: &TrialSettings) -> (FaultFleet, SteadyLoad) {
     start_called_every(settings, CALL_INTERVAL_MS).await
