Let a process that starts in an outage learn the objects from a peer

Cause: a router that started while the store was down had the configuration from its peers, and still waited for the store's objects.

Change: a process that has not read every prefix asks its peers for news whatever the size of the fleet, and takes the prefixes for read once a peer that knows them all has told the last part.

With nobody's answer complete the first fails after its minute, with every answer complete the second fails. Of the rest of the workspace's tests none was run again after this change.

--- a/crates/celerystair_node/src/share.rs
+++ b/crates/celerystair_node/src/share.rs
@@ -9,9 +9,18 @@
 
 use crate::{node::Node, spread::FOLLOWED_BY_ALL_MAX};
 
-/// Whether this process hands on its news. In a small fleet each reads for itself.
+/// Whether this process asks for news and tells of its own. In a small fleet each reads for
+/// itself, but one that starts while the platform is down has only its peers.
 pub fn is_shared(node: &Node) -> bool {
-    node.agents.len() >= FOLLOWED_BY_ALL_MAX
+    node.agents.len() >= FOLLOWED_BY_ALL_MAX || !is_complete(node)
+}
+
+/// Whether every prefix was read by this process, or by one that has told it all.
+fn is_complete(node: &Node) -> bool {
+    node.agents.is_complete()
+        && node.models.is_complete()
+        && node.placements.is_complete()
+        && node.services.is_complete()
 }
 
 /// What to ask of a process whose news is known up to `read`, and that was told of the news
@@ -52,6 +61,7 @@
         digest: shared.digest(),
         age_ms: shared.age_ms(),
         items: items.iter().map(to_message).collect(),
+        is_all: is_complete(node) && reached == shared.position(),
     }
 }
 
@@ -60,6 +70,12 @@
     node.shared.note_fresh(answer.age_ms);
     node.shared.take(answer.items.iter().map(from_message));
     node.heard.note_shared_digest(answerer, answer.digest);
+    if answer.is_all && !is_complete(node) {
+        node.agents.complete();
+        node.models.complete();
+        node.placements.complete();
+        node.services.complete();
+    }
     SharedPosition {
         life: answer.life,
         sequence: answer.sequence,
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -89,11 +89,17 @@
         mirror
     }
 
-    /// Whether the prefix was read at least once.
+    /// Whether the prefix was read at least once, here or by a process that told all of it.
     pub fn is_complete(&self) -> bool {
         self.inner.complete.get()
     }
 
+    /// Notes that another process has read the prefix and told all of it.
+    pub fn complete(&self) {
+        self.inner.complete.set(true);
+        self.inner.changed.notify(usize::MAX);
+    }
+
     /// The value of `name` (the key without the prefix), and its version.
     pub fn get(&self, name: &str) -> Option<(u64, Rc<T>)> {
         let objects = self.inner.objects.borrow();
@@ -278,8 +284,7 @@
             deleted,
             too_old: false,
         });
-        self.inner.complete.set(true);
-        self.inner.changed.notify(usize::MAX);
+        self.complete();
         Ok(())
     }
 
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -244,6 +244,66 @@
     });
 }
 
+#[test]
+fn a_process_that_starts_in_an_outage_learns_the_objects_from_a_peer() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        let early = Process::start("early", &url, Vec::new());
+        early.announce().await;
+        let version = place(&store_at(&url), "m", 3).await;
+        all_have(&[&early], "m", version).await;
+        let knows_all = || {
+            let node = &early.node;
+            let is_read = node.models.is_complete() && node.services.is_complete();
+            is_read && node.agents.get("early").is_some()
+        };
+        wait_until(knows_all, "all is read").await;
+        set_faults(&url, &down(true)).await;
+        let late = Process::start("late", &url, vec![early.address]);
+        let node = &late.node;
+        let is_complete = || {
+            node.agents.is_complete()
+                && node.models.is_complete()
+                && node.services.is_complete()
+                && node.placements.is_complete()
+        };
+        wait_until(is_complete, "a process that starts knows the objects").await;
+        // What is known as complete lacks nothing.
+        assert_eq!(node.placements.get("m").map(|(at, _)| at), Some(version));
+        assert!(node.agents.get("early").is_some());
+        // What changes after the outage comes as before.
+        set_faults(&url, &down(false)).await;
+        let version = place(&store_at(&url), "m", 4).await;
+        all_have(&[&early, &late], "m", version).await;
+        early.end();
+        late.end();
+        stop.end();
+    });
+}
+
+#[test]
+fn a_process_that_knows_a_part_completes_nobody() {
+    block_on(async {
+        let stop = Stop::new();
+        let url = start_platform(&stop);
+        set_faults(&url, &down(true)).await;
+        let first = Process::start("first", &url, Vec::new());
+        let second = Process::start("second", &url, vec![first.address]);
+        let moved = Object {
+            key: format!("{PLACEMENTS}m"),
+            version: 7,
+            value: serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] }),
+        };
+        first.node.placements.apply(&moved).expect("a placement");
+        all_have(&[&second], "m", moved.version).await;
+        assert!(!second.node.placements.is_complete());
+        first.end();
+        second.end();
+        stop.end();
+    });
+}
+
 /// Instances that hand on to `shared`, without a platform.
 fn start_instances(shared: &Shared, stop: &Stop) -> Instances {
     Instances::start(&store_at("http://127.0.0.1:9"), 1000, shared, stop)
