Serve what is loaded in an outage whatever a peer tells of placements

Change: a mirror tells whether this process itself has read the prefix from the store. Only then does an agent refuse for want of a slot, or unload what has none; a peer's word may be old, and nobody can have taken the slot without the instance being gone.

--- a/crates/celerystair_agent/src/slots.rs
+++ b/crates/celerystair_agent/src/slots.rs
@@ -60,8 +60,9 @@
 
 /// Refuses a request for a model of which this instance holds no slot, or gives it back.
 ///
-/// An agent that started while the store was down has seen no placements; it serves what is
-/// loaded, for nobody can have taken that slot without this instance being gone.
+/// An agent that started while the store was down has read no placements, and what its peers
+/// tell of them may be old; it serves what is loaded, for nobody can have taken that slot without
+/// this instance being gone.
 ///
 /// # Errors
 /// A refusal: nothing of the request has run.
@@ -74,7 +75,7 @@
         let detail = format!("{} gives back its slot of {model}", agent.settings.upstream);
         return Err(Refusal::not_run(RefusalReason::NotHere, detail));
     }
-    let is_known = agent.node.placements.is_complete();
+    let is_known = agent.node.placements.is_read();
     let is_loaded = agent.replicas.get(model).is_some();
     if holds_slot(agent, model) || (!is_known && is_loaded) {
         return Ok(());
@@ -127,7 +128,7 @@
 
 /// Unloads what this instance holds no slot of: it was off the list, and the slot has moved.
 pub fn unload_strays(agent: &Agent, engine: &EngineClient) {
-    if !agent.node.placements.is_complete() || !agent.claim.stands() {
+    if !agent.node.placements.is_read() || !agent.claim.stands() {
         return;
     }
     for replica in agent.replicas.all() {
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -49,6 +49,7 @@
     objects: RefCell<HashMap<String, Entry<T>>>,
     revision: Cell<u64>,
     complete: Cell<bool>,
+    read: Cell<bool>,
     changed: Event,
     shared: Option<Shared>,
 }
@@ -80,6 +81,7 @@
                 objects: RefCell::default(),
                 revision: Cell::new(0),
                 complete: Cell::new(false),
+                read: Cell::new(false),
                 changed: Event::new(),
                 shared,
             }),
@@ -94,6 +96,11 @@
         self.inner.complete.get()
     }
 
+    /// Whether this process itself has read the prefix from the store.
+    pub fn is_read(&self) -> bool {
+        self.inner.read.get()
+    }
+
     /// Notes that another process has read the prefix and told all of it.
     pub fn complete(&self) {
         self.inner.complete.set(true);
@@ -284,6 +291,7 @@
             deleted,
             too_old: false,
         });
+        self.inner.read.set(true);
         self.complete();
         Ok(())
     }
--- a/tests/failure_domains.rs
+++ b/tests/failure_domains.rs
@@ -9,6 +9,7 @@
     answers_all_models, assert_held, is_answered, outcomes, placed_on_live, placements,
     roomy_trial, start_loaded,
 };
+use support::block_on;
 
 const LOST: &str = "c";
 /// How long the platform's list still shows instances of a domain that is gone.
@@ -20,7 +21,7 @@
 
 #[test]
 fn models_go_on_at_their_other_slot_when_a_domain_is_lost() {
-    domains::block_on_alone(async {
+    block_on(async {
         let settings = roomy_trial();
         let (mut fleet, load) = start_loaded(&settings).await;
         placed_on_live(&fleet).await;
@@ -66,7 +67,7 @@
 
 #[test]
 fn models_go_on_when_a_domain_is_lost_in_an_outage_of_the_store() {
-    domains::block_on_alone(async {
+    block_on(async {
         let settings = roomy_trial();
         let (mut fleet, load) = start_loaded(&settings).await;
         placed_on_live(&fleet).await;
--- a/tests/paused.rs
+++ b/tests/paused.rs
@@ -10,6 +10,7 @@
     answers_all_models, assert_held, domains_trial, outcomes, placed_on_live, start_called_every,
     wait_until,
 };
+use support::block_on;
 
 /// An order lives for 2 s, and an agent that was frozen for longer must claim anew.
 const PAUSE_MS: u64 = 9000;
@@ -41,7 +42,7 @@
 }
 
 fn frozen_holders_give_no_order_that_is_not_theirs(checks_orders: bool) {
-    domains::block_on_alone(async {
+    block_on(async {
         let settings = trial_with_orders_under_way(checks_orders);
         let (mut fleet, load) = start_called_every(&settings, CALL_INTERVAL_MS).await;
         placed_on_live(&fleet).await;
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -19,6 +19,7 @@
     answers_all_models, assert_held, outcomes, placed_on_live, placements, roomy_trial,
     start_loaded, wait_until,
 };
+use support::block_on;
 
 /// The region that is cut off; the failure domains `a` and `b` are the other.
 const CUT_OFF: [&str; 1] = ["c"];
@@ -144,20 +145,20 @@
 
 #[test]
 fn regions_that_lose_each_other_silently_keep_every_promise() {
-    domains::block_on_alone(regions_lose_each_other(CutKind::Silent, true));
+    block_on(regions_lose_each_other(CutKind::Silent, true));
 }
 
 #[test]
 fn regions_whose_connections_are_reset_keep_every_promise() {
-    domains::block_on_alone(regions_lose_each_other(CutKind::Reset, true));
+    block_on(regions_lose_each_other(CutKind::Reset, true));
 }
 
 #[test]
 fn a_region_cut_off_from_the_store_too_catches_up_and_never_reverts() {
-    domains::block_on_alone(regions_lose_each_other(CutKind::Silent, false));
+    block_on(regions_lose_each_other(CutKind::Silent, false));
 }
 
 #[test]
 fn a_region_that_is_cut_off_by_resets_and_from_the_store_catches_up() {
-    domains::block_on_alone(regions_lose_each_other(CutKind::Reset, false));
+    block_on(regions_lose_each_other(CutKind::Reset, false));
 }
--- a/tests/support/domains.rs
+++ b/tests/support/domains.rs
@@ -2,8 +2,6 @@
 
 #![allow(dead_code)]
 
-use std::sync::{Mutex, PoisonError};
-
 use celerystair::{
     config::prelude::*,
     core::prelude::*,
@@ -36,15 +34,6 @@
     settings
 }
 
-/// Runs a test while no other of its file runs: each has a fleet of a dozen threads or more, and
-/// the deadlines of its calls are checked.
-pub fn block_on_alone<T>(work: impl Future<Output = T>) -> T {
-    static ALONE: Mutex<()> = Mutex::new(());
-    let _guard = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let runtime = compio::runtime::Runtime::new().expect("a runtime");
-    runtime.block_on(work)
-}
-
 /// Starts the fleet and a load on all its routers.
 pub async fn start_loaded(settings: &TrialSettings) -> (FaultFleet, SteadyLoad) {
     start_called_every(settings, CALL_INTERVAL_MS).await
--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -29,7 +29,7 @@
     start_loaded, wait_until,
 };
 use serde_json::json;
-use support::processes::Process;
+use support::{block_on, processes::Process};
 
 /// By when a leaving upstream gets nothing new any more.
 const LEAVING_MS: u64 = 2000;
@@ -205,7 +205,7 @@
 
 #[test]
 fn a_terminated_agent_gets_nothing_new_and_finishes_what_it_has() {
-    domains::block_on_alone(async {
+    block_on(async {
         let mut system = ServiceProcesses::start().await;
         let router: SocketAddr = system.router.logged("callers").parse().expect("an address");
         let caller = Caller::new().expect("a caller");
@@ -255,7 +255,7 @@
 
 #[test]
 fn a_rolling_restart_cuts_off_no_request() {
-    domains::block_on_alone(async {
+    block_on(async {
         let mut settings = domains_trial();
         let file = timeline_file();
         settings.timeline_file = Some(file.clone());
