--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -9,15 +9,12 @@
 use celerystair::{
     core::prelude::*,
     journal::entry::JOURNAL,
-    platform::{
-        objects::AGENTS,
-        prelude::{AgentObject, Store},
-    },
+    platform::{objects::AGENTS, prelude::AgentObject},
     standin::platform::PlatformFaults,
-    trial::{caller::CallTarget, fleet::store_settings, prelude::*},
+    trial::{caller::CallTarget, prelude::*},
 };
 use futures_util::future::{Either, join, join_all, select};
-use requests::{post, requests_trial};
+use requests::{post, refused, requests_trial, start, store_of};
 use support::block_on;
 
 const UPSTREAMS: usize = 5;
@@ -26,18 +23,6 @@
 /// Work that is under way until the test has ended it.
 const ENDLESS_WORK_MS: u64 = 20_000;
 
-async fn start(settings: &TrialSettings) -> (FaultFleet, Caller) {
-    let fleet = FaultFleet::start(settings).await;
-    (
-        fleet.expect("the fleet starts"),
-        Caller::new().expect("a caller"),
-    )
-}
-
-fn store_of(fleet: &FaultFleet) -> Store {
-    Store::new(store_settings(&fleet.platform_url)).expect("a client")
-}
-
 fn executions(fleet: &FaultFleet, key: &str) -> u32 {
     fleet
         .witness
@@ -54,10 +39,6 @@
     }
 }
 
-fn refused(reason: RefusalReason, run: RunState) -> Outcome {
-    Outcome::Refused { reason, run }
-}
-
 #[test]
 fn one_key_at_two_routers_at_once_runs_once_and_both_get_its_answer() {
     block_on(async {
--- a/tests/requests_neighbours.rs
+++ b/tests/requests_neighbours.rs
@@ -20,28 +20,16 @@
     protocol::engine_api::EngineState,
     trial::{
         caller::CallTarget,
-        fleet::{FleetUpstream, agent_settings, store_settings},
+        fleet::{FleetUpstream, agent_settings},
         prelude::*,
     },
 };
 use compio::{io::AsyncWriteExt, net::TcpStream};
 use futures_util::future::join_all;
 use hyper::body::Bytes;
-use requests::requests_trial;
+use requests::{requests_trial, start, store_of};
 use support::block_on;
 
-async fn start(settings: &TrialSettings) -> (FaultFleet, Caller) {
-    let fleet = FaultFleet::start(settings).await;
-    (
-        fleet.expect("the fleet starts"),
-        Caller::new().expect("a caller"),
-    )
-}
-
-fn store_of(fleet: &FaultFleet) -> Store {
-    Store::new(store_settings(&fleet.platform_url)).expect("a client")
-}
-
 /// A call that may be repeated.
 fn get(fleet: &FaultFleet, router: usize, firm: &str, path: &str, timeout_ms: u64) -> Call {
     Call {
--- a/tests/requests_overload.rs
+++ b/tests/requests_overload.rs
@@ -8,12 +8,11 @@
     config::prelude::*,
     core::prelude::*,
     journal::suspects::{SUSPECTS, SuspectObject},
-    platform::prelude::Store,
     standin::{engine::POISON, platform::PlatformFaults},
-    trial::{caller::CallTarget, fleet::store_settings, prelude::*},
+    trial::{caller::CallTarget, prelude::*},
 };
 use futures_util::future::join_all;
-use requests::{post, requests_trial};
+use requests::{post, refused, requests_trial, store_of};
 use support::block_on;
 
 fn completion(fleet: &FaultFleet, router: usize, marker: &str, tokens: u64) -> Call {
@@ -39,19 +38,11 @@
     }
 }
 
-fn refused(reason: RefusalReason, run: RunState) -> Outcome {
-    Outcome::Refused { reason, run }
-}
-
 fn executions(fleet: &FaultFleet, marker: &str) -> u32 {
     let seen = fleet.witness.seen();
     seen.completions.get(marker).copied().unwrap_or_default()
 }
 
-fn store_of(fleet: &FaultFleet) -> Store {
-    Store::new(store_settings(&fleet.platform_url)).expect("a client")
-}
-
 async fn suspects(fleet: &FaultFleet) -> Vec<SuspectObject> {
     let listed = store_of(fleet)
         .list(SUSPECTS)
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -6,7 +6,9 @@
 
 use celerystair::{
     config::prelude::*,
-    trial::{caller::CallTarget, prelude::*},
+    core::prelude::*,
+    platform::prelude::Store,
+    trial::{caller::CallTarget, fleet::store_settings, prelude::*},
 };
 
 const SETTINGS: &str = include_str!("requests.jsonc");
@@ -16,6 +18,25 @@
     read_settings("tests/support/requests.jsonc", SETTINGS).expect("the settings can be used")
 }
 
+/// Starts the system, and a caller.
+pub async fn start(settings: &TrialSettings) -> (FaultFleet, Caller) {
+    let fleet = FaultFleet::start(settings).await;
+    (
+        fleet.expect("the fleet starts"),
+        Caller::new().expect("a caller"),
+    )
+}
+
+/// A client of the system's store.
+pub fn store_of(fleet: &FaultFleet) -> Store {
+    Store::new(store_settings(&fleet.platform_url)).expect("a client")
+}
+
+/// What a caller that is refused receives.
+pub fn refused(reason: RefusalReason, run: RunState) -> Outcome {
+    Outcome::Refused { reason, run }
+}
+
 /// A call that may not be repeated, with a long deadline.
 pub fn post(router: SocketAddr, key: &str) -> Call {
     Call {
