Bound the planned stop of an agent in the fuzz, as a process bounds it

Cause: three fuzzers of 190 s made 1 to 10 trials each in 116 s: in an outage of the store a planned stop waits for it, and the trial's next step, which would mend the store, waited for the stop.

Change: the fuzz ends such a stop after 10 s, as stop_timeout_ms ends a process's.

--- a/crates/celerystair_trial/src/faults.rs
+++ b/crates/celerystair_trial/src/faults.rs
@@ -9,7 +9,7 @@
 
 use celerystair_agent::prelude::*;
 use celerystair_config::prelude::FleetConfig;
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_platform::{
     objects::{AGENTS, PLACEMENTS},
     prelude::*,
@@ -30,6 +30,8 @@
 
 const POLL_INTERVAL_MS: u64 = 20;
 const READY_TIMEOUT_MS: u64 = 60_000;
+/// How long a planned stop of an agent may take; longer than any call of a fuzzed trial runs.
+const REPLACE_TIMEOUT_MS: u64 = 10_000;
 
 /// A role that runs, or has been killed.
 pub(crate) struct Role {
@@ -219,7 +221,9 @@
     pub async fn replace_agent(&mut self, index: usize) -> Result<(), FleetError> {
         if let Some(thread) = &self.agents[index].thread {
             thread.stop.drain();
-            self.agent_stopped(index).await;
+            // As a process's stop_timeout_ms does: in an outage a stop waits for the store.
+            let deadline_unix_ms = now_unix_ms() + REPLACE_TIMEOUT_MS;
+            before_deadline(deadline_unix_ms, self.agent_stopped(index)).await;
         }
         self.restart_agent(index)
     }
