--- a/crates/celerystair_core/src/ids.rs
+++ b/crates/celerystair_core/src/ids.rs
@@ -86,6 +86,10 @@
     /// One request of a caller.
     RequestId
 );
+name_type!(
+    /// A group of upstreams that serve the same requests.
+    ServiceName
+);
 name_type!(
     /// An upstream: a model engine or a plain service, with the agent beside it.
     UpstreamId
--- a/crates/celerystair_core/src/lib.rs
+++ b/crates/celerystair_core/src/lib.rs
@@ -26,7 +26,7 @@
         hybrid::HybridClock,
         ids::{
             AttemptId, FailureDomain, FirmName, InstanceId, KindName, ModelName, ModelRef,
-            RequestId, UpstreamId,
+            RequestId, ServiceName, UpstreamId,
         },
         refusal::{Refusal, RefusalReason, RunState},
         stop::Stop,
--- /dev/null
+++ b/crates/celerystair_engine/src/agent.rs
@@ -0,0 +1,458 @@
+//! The agent's state, its start and its loop.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+};
+
+use celerystair_core::prelude::*;
+use celerystair_news::prelude::*;
+use celerystair_platform::prelude::*;
+use celerystair_policy::{
+    prelude::*,
+    replicas::{LoadUnderWay, adapter_to_drop},
+};
+use celerystair_telemetry::prelude::*;
+use event_listener::Event;
+use futures_util::future::select;
+use thiserror::Error;
+
+use crate::{
+    client::{EngineClient, EngineError},
+    dialect::{EngineOrder, OrderAnswer, OrderKind},
+    fence::claim_fence,
+    plan::{Plan, PlanStep, load_ms},
+    settings::EngineAgentSettings,
+    tell::{Told, hear, tell},
+};
+
+/// How often the engine's report is read when nothing is under way.
+const IDLE_INTERVAL_MS: u64 = 200;
+/// The same while an order is carried out.
+const BUSY_INTERVAL_MS: u64 = 50;
+/// The shortest pause between two rounds, however much is heard.
+const GAP_MS: u64 = 10;
+/// Reports that fail in a row before the engine counts as down.
+const FAILURES_MAX: u32 = 2;
+/// A model that was loaded makes no room for another for this long, so that two don't take turns.
+const KEEP_MS: u64 = 1500;
+/// An adapter that was wanted within this time makes no room for another.
+const ADAPTER_KEEP_MS: u64 = 300;
+/// How often the agent looks for its engine in the list while it isn't there.
+const FIND_INTERVAL_MS: u64 = 500;
+/// Agents that were heard within this time take part in the plan.
+const AGENTS_MEMORY_MS: u64 = 1500;
+/// Without news of this part of the other agents, most models would seem to be loaded nowhere.
+const HEARD_SHARE: f64 = 0.6;
+
+/// An agent; cheap to clone within its thread.
+#[derive(Clone)]
+pub struct EngineAgent {
+    inner: Rc<Inner>,
+}
+
+/// The parts of an [`EngineAgent`].
+pub struct Inner {
+    /// What it was started with.
+    pub settings: EngineAgentSettings,
+    /// Its log.
+    pub log: Logger,
+    /// What routers have told.
+    pub demand: DemandBoard,
+    /// What other agents have told.
+    pub engines: EngineBoard,
+    /// Where news goes out and comes in.
+    pub socket: NewsSocket,
+    /// The engine's name, once it is known.
+    pub upstream: RefCell<Option<UpstreamId>>,
+    /// The engine's last report.
+    pub state: RefCell<EngineState>,
+    /// The load under way.
+    pub plan: RefCell<Option<Plan>>,
+    /// What was told last.
+    pub told: RefCell<Told>,
+    /// Rises with each datagram, also over lives of the agent.
+    pub sequence: Cell<u64>,
+    client: EngineClient,
+    configs: Mirror<ServingConfig>,
+    fence: Cell<Option<u64>>,
+    failures: Cell<u32>,
+    found_unix_ms: Cell<u64>,
+    loaded_unix_ms: RefCell<HashMap<ModelName, u64>>,
+    wanted_unix_ms: RefCell<HashMap<(ModelName, String), u64>>,
+    woken: Event,
+}
+
+impl std::ops::Deref for EngineAgent {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.inner
+    }
+}
+
+/// Why an agent could not start.
+#[derive(Debug, Error)]
+pub enum AgentError {
+    /// It can't listen.
+    #[error("can't listen on {address}: {error}")]
+    Listen {
+        /// Where.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// The store's client can't be made.
+    #[error("the client of the store: {0}")]
+    Store(#[from] StoreError),
+    /// The engine's client can't be made.
+    #[error("the client of the engine: {0}")]
+    Engine(#[from] EngineError),
+}
+
+/// Starts an agent; it orders loads until `stop` drains.
+///
+/// # Errors
+/// [`AgentError`] if it can't listen. Neither the store nor the engine need be up.
+pub async fn run_engine_agent(
+    settings: EngineAgentSettings,
+    log: Logger,
+    stop: &Stop,
+) -> Result<EngineAgent, AgentError> {
+    let address = settings.news_listen;
+    let socket =
+        NewsSocket::bind(address).map_err(|error| AgentError::Listen { address, error })?;
+    let store = Store::with_dialect(settings.store.clone(), settings.store_dialect)?;
+    let configs = Mirror::start_reading(&store, settings.config_prefix, settings.read_config, stop);
+    info!(log, "started"; "agent" => &settings.agent, "engine" => %settings.engine);
+    let agent = EngineAgent {
+        inner: Rc::new(Inner {
+            settings,
+            log,
+            demand: DemandBoard::default(),
+            engines: EngineBoard::default(),
+            socket,
+            upstream: RefCell::default(),
+            state: RefCell::default(),
+            plan: RefCell::default(),
+            told: RefCell::default(),
+            sequence: Cell::new(now_unix_ms()),
+            client: EngineClient::new()?,
+            configs,
+            fence: Cell::default(),
+            failures: Cell::default(),
+            found_unix_ms: Cell::default(),
+            loaded_unix_ms: RefCell::default(),
+            wanted_unix_ms: RefCell::default(),
+            woken: Event::new(),
+        }),
+    };
+    compio::runtime::spawn(hear(agent.clone(), stop.clone())).detach();
+    compio::runtime::spawn(agent.clone().run(store, stop.clone())).detach();
+    Ok(agent)
+}
+
+impl EngineAgent {
+    /// Whether orders may be given now.
+    pub fn takes_orders(&self) -> bool {
+        self.fence.get().is_some()
+            && self.failures.get() == 0
+            && self.upstream.borrow().is_some()
+            && !self.state.borrow().is_draining
+    }
+
+    /// Takes in what a router tells; false if it is old.
+    pub fn note_demand(&self, demand: RouterDemand) -> bool {
+        let now = now_unix_ms();
+        let mut wanted = self.wanted_unix_ms.borrow_mut();
+        for adapter in &demand.adapters_wanted {
+            wanted.insert(adapter.clone(), now);
+        }
+        drop(wanted);
+        self.demand.take(demand)
+    }
+
+    /// Has the agent look now.
+    pub fn wake(&self) {
+        self.woken.notify(usize::MAX);
+    }
+
+    async fn run(self, store: Store, stop: Stop) {
+        let fence = claim_fence(&self.settings, &store, &self.log).await;
+        self.fence.set(Some(fence));
+        while !stop.is_draining() {
+            let woken = self.woken.listen();
+            self.read_report(&store).await;
+            if self.takes_orders() {
+                self.act(&store).await;
+            }
+            tell(&self).await;
+            let is_busy = self.state.borrow().is_busy || self.plan.borrow().is_some();
+            let interval_ms = if is_busy {
+                BUSY_INTERVAL_MS
+            } else {
+                IDLE_INTERVAL_MS
+            };
+            sleep_ms(GAP_MS).await;
+            select(
+                select(woken, pin!(sleep_ms(interval_ms - GAP_MS))),
+                pin!(stop.draining()),
+            )
+            .await;
+        }
+    }
+
+    async fn read_report(&self, store: &Store) {
+        match self.client.report(&self.settings).await {
+            Ok(state) => {
+                self.failures.set(0);
+                let is_other = state.born_unix_ms != self.state.borrow().born_unix_ms;
+                if is_other || self.upstream.borrow().is_none() {
+                    self.find_upstream(store, &state).await;
+                }
+                *self.state.borrow_mut() = state;
+            }
+            Err(error) => {
+                self.failures.set(self.failures.get() + 1);
+                if self.failures.get() == FAILURES_MAX {
+                    warn!(self.log, "engine_lost"; "error" => %error);
+                    // Nothing is loaded in an engine that is down.
+                    let mut state = self.state.borrow_mut();
+                    state.loaded.clear();
+                    state.running = 0;
+                    state.waiting = 0;
+                    *self.plan.borrow_mut() = None;
+                }
+            }
+        }
+    }
+
+    /// Finds the engine's name in the list, by its address and its start.
+    async fn find_upstream(&self, store: &Store, state: &EngineState) {
+        let now = now_unix_ms();
+        if now < self.found_unix_ms.get() + FIND_INTERVAL_MS {
+            return;
+        }
+        self.found_unix_ms.set(now);
+        *self.plan.borrow_mut() = None;
+        let list = match store.list(self.settings.upstreams_prefix).await {
+            Ok(list) => list,
+            Err(error) => {
+                info!(self.log, "engine_not_found"; "error" => %error);
+                return;
+            }
+        };
+        let entries = list.objects.iter();
+        let mut entries =
+            entries.filter_map(|object| (self.settings.read_upstream)(object).ok()?);
+        let own = entries.find(|entry| {
+            entry.address == self.settings.engine && entry.born_unix_ms == state.born_unix_ms
+        });
+        if let Some(own) = &own {
+            info!(self.log, "engine_found"; "upstream" => %own.id,
+                "born_unix_ms" => own.born_unix_ms, "models" => own.loaded.len());
+        }
+        *self.upstream.borrow_mut() = own.map(|entry| entry.id);
+    }
+
+    fn engine_config(&self) -> Option<EngineConfig> {
+        let (_, config) = self.configs.get(self.settings.config_name)?;
+        config.services.get(&self.settings.service)?.engine.clone()
+    }
+
+    async fn act(&self, store: &Store) {
+        let Some(config) = self.engine_config() else {
+            return;
+        };
+        if !self.state.borrow().is_busy {
+            self.order_adapters(store, &config).await;
+        }
+        if self.plan.borrow().is_none() && !self.state.borrow().is_busy {
+            let plan = self.decide(&config);
+            if let Some(plan) = &plan {
+                info!(self.log, "load_decided"; "model" => %plan.order.load,
+                    "unload" => format!("{:?}", plan.order.unload), "cold" => plan.order.is_cold);
+            }
+            *self.plan.borrow_mut() = plan;
+            // Routers hear what makes room before it does.
+            tell(self).await;
+        }
+        let plan = self.plan.borrow().clone();
+        if let Some(plan) = plan {
+            self.carry_out(store, &config, plan).await;
+        }
+    }
+
+    /// What this engine loads next.
+    fn decide(&self, config: &EngineConfig) -> Option<Plan> {
+        let now = now_unix_ms();
+        let since_unix_ms = now.saturating_sub(AGENTS_MEMORY_MS);
+        let own = self.upstream.borrow().clone()?;
+        let heard = self.engines.heard_since(since_unix_ms);
+        let others: Vec<_> = heard
+            .iter()
+            .filter(|status| status.upstream != own)
+            .collect();
+        let agents = self.demand.agents().len();
+        if agents == 0 || (others.len() as f64) < (agents - 1) as f64 * HEARD_SHARE {
+            return None;
+        }
+        let mut views = vec![self.own_view(&own, now)];
+        views.extend(others.iter().map(|status| view_of(status, now)));
+        let models = self.demand.models();
+        let order = next_order(config, &models, &views, 0)?;
+        Some(Plan::new(order, config, &self.state.borrow(), now))
+    }
+
+    fn own_view(&self, own: &UpstreamId, now_unix_ms: u64) -> EngineView {
+        let state = self.state.borrow();
+        let loaded_unix_ms = self.loaded_unix_ms.borrow();
+        let is_kept = |model: &&ModelName| {
+            let loaded = loaded_unix_ms.get(*model);
+            loaded.is_some_and(|loaded| now_unix_ms < loaded + KEEP_MS)
+        };
+        let loaded: Vec<ModelName> = state.loaded.iter().map(|l| l.model.clone()).collect();
+        EngineView {
+            upstream: own.clone(),
+            kept: loaded.iter().filter(is_kept).cloned().collect(),
+            loaded,
+            loading: None,
+            takes_orders: true,
+            in_memory: state.in_memory.clone(),
+            on_disk: state.on_disk.clone(),
+        }
+    }
+
+    async fn carry_out(&self, store: &Store, config: &EngineConfig, plan: Plan) {
+        let now = now_unix_ms();
+        let step = plan.step(config, &self.state.borrow(), now);
+        match step {
+            PlanStep::Wait => {}
+            PlanStep::Done => {
+                info!(self.log, "model_loaded"; "model" => %plan.order.load,
+                    "late_ms" => now.saturating_sub(plan.ready_unix_ms));
+                let mut loaded = self.loaded_unix_ms.borrow_mut();
+                loaded.insert(plan.order.load.clone(), now);
+                *self.plan.borrow_mut() = None;
+            }
+            PlanStep::GiveUp => {
+                warn!(self.log, "load_given_up"; "model" => %plan.order.load);
+                *self.plan.borrow_mut() = None;
+            }
+            PlanStep::Unload(model) => {
+                self.order(store, OrderKind::Unload, &model, None).await;
+            }
+            PlanStep::Load => {
+                let model = plan.order.load.clone();
+                let answer = self.order(store, OrderKind::Load, &model, None).await;
+                if answer == Some(OrderAnswer::Accepted) {
+                    let load_ms = load_ms(&model, config, &self.state.borrow());
+                    if let Some(plan) = &mut *self.plan.borrow_mut() {
+                        plan.ready_unix_ms = now + load_ms;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Loads the adapters that requests wait for, and drops what was wanted least lately.
+    async fn order_adapters(&self, store: &Store, config: &EngineConfig) {
+        let now = now_unix_ms();
+        let loaded = self.state.borrow().loaded.clone();
+        let has = |model: &ModelName, adapter: &String| {
+            let model = loaded.iter().find(|loaded| loaded.model == *model);
+            model.map(|model| model.adapters.contains(adapter))
+        };
+        let wanted = self.wanted_unix_ms.borrow().clone();
+        let missing = wanted.iter().find(|((model, adapter), unix_ms)| {
+            now < **unix_ms + FORGET_ADAPTER_MS && has(model, adapter) == Some(false)
+        });
+        let Some(((model, adapter), _)) = missing else {
+            return;
+        };
+        let adapters: Vec<(ModelName, String)> = loaded
+            .iter()
+            .flat_map(|l| {
+                l.adapters
+                    .iter()
+                    .map(|adapter| (l.model.clone(), adapter.clone()))
+            })
+            .collect();
+        let used = adapters.iter().map(|adapter| {
+            let wanted = wanted.get(adapter).copied();
+            (adapter, wanted.unwrap_or_default())
+        });
+        if let Some((old_model, old)) = adapter_to_drop(config, used) {
+            let key = (old_model.clone(), old.clone());
+            let used_unix_ms = wanted.get(&key).copied().unwrap_or_default();
+            if now < used_unix_ms + ADAPTER_KEEP_MS {
+                return;
+            }
+            self.order(store, OrderKind::Unload, old_model, Some(old))
+                .await;
+        } else {
+            self.order(store, OrderKind::Load, model, Some(adapter))
+                .await;
+        }
+        self.wake();
+    }
+
+    /// Gives an order by what was last reported; `None` if it is not known whether it holds.
+    async fn order(
+        &self,
+        store: &Store,
+        kind: OrderKind,
+        model: &ModelName,
+        adapter: Option<&str>,
+    ) -> Option<OrderAnswer> {
+        let engine = self.upstream.borrow().clone()?;
+        let order = EngineOrder {
+            kind,
+            model,
+            adapter,
+            expected_sequence: self.state.borrow().order_sequence,
+            holder: &self.settings.agent,
+            fence: self.fence.get()?,
+        };
+        let answer = self.client.order(&self.settings, &engine, &order).await;
+        info!(self.log, "ordered"; "kind" => ?kind, "model" => %model, "adapter" => adapter,
+            "expected" => order.expected_sequence, "answer" => ?answer);
+        let answer = answer.ok()?;
+        match answer {
+            OrderAnswer::Fenced => {
+                let fence = claim_fence(&self.settings, store, &self.log).await;
+                self.fence.set(Some(fence));
+            }
+            OrderAnswer::Misdirected => *self.upstream.borrow_mut() = None,
+            OrderAnswer::Accepted => self.state.borrow_mut().order_sequence += 1,
+            OrderAnswer::Conflict | OrderAnswer::Holds | OrderAnswer::Refused => {}
+        }
+        Some(answer)
+    }
+}
+
+/// An adapter that was not wanted for so long is not loaded any more.
+const FORGET_ADAPTER_MS: u64 = 1500;
+
+fn view_of(status: &EngineStatus, now_unix_ms: u64) -> EngineView {
+    EngineView {
+        upstream: status.upstream.clone(),
+        loaded: status
+            .loaded
+            .iter()
+            .map(|loaded| loaded.model.clone())
+            .collect(),
+        loading: status.loading.clone().map(|model| LoadUnderWay {
+            model,
+            is_cold: status.is_loading_cold,
+            ready_in_ms: status.ready_unix_ms.saturating_sub(now_unix_ms),
+        }),
+        takes_orders: status.takes_orders,
+        in_memory: status.in_memory.clone(),
+        on_disk: status.on_disk.clone(),
+        kept: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/celerystair_engine/src/plan.rs
@@ -0,0 +1,100 @@
+//! A load under way, with the unloads that make room for it.
+
+use celerystair_core::prelude::*;
+use celerystair_policy::{prelude::*, replicas::room_mb};
+
+/// A load that is not done this long after it should be is given up, and decided anew.
+const LATE_MS: u64 = 10_000;
+
+/// A load under way.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// What was decided.
+    pub order: Order,
+    /// When the model is expected to serve.
+    pub ready_unix_ms: u64,
+    /// When the load is given up.
+    pub until_unix_ms: u64,
+}
+
+/// What the engine must be ordered next for a plan.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlanStep {
+    /// The model serves.
+    Done,
+    /// The engine is busy; nothing now.
+    Wait,
+    /// This model makes room.
+    Unload(ModelName),
+    /// There is room.
+    Load,
+    /// There is no room after all, or no time.
+    GiveUp,
+}
+
+impl Plan {
+    /// A plan for what was decided.
+    pub fn new(order: Order, config: &EngineConfig, state: &EngineState, now_unix_ms: u64) -> Self {
+        let load_ms = load_ms(&order.load, config, state);
+        let ready_unix_ms = now_unix_ms + load_ms;
+        Self {
+            order,
+            ready_unix_ms,
+            until_unix_ms: ready_unix_ms + LATE_MS,
+        }
+    }
+
+    /// The next step, by what the engine reports.
+    pub fn step(&self, config: &EngineConfig, state: &EngineState, now_unix_ms: u64) -> PlanStep {
+        let is_loaded = |model: &ModelName| state.loaded.iter().any(|l| l.model == *model);
+        if is_loaded(&self.order.load) {
+            return PlanStep::Done;
+        }
+        if now_unix_ms >= self.until_unix_ms {
+            return PlanStep::GiveUp;
+        }
+        if state.is_busy {
+            return PlanStep::Wait;
+        }
+        if let Some(victim) = self.order.unload.iter().find(|model| is_loaded(model)) {
+            return PlanStep::Unload(victim.clone());
+        }
+        if has_room(&self.order.load, config, state) {
+            PlanStep::Load
+        } else {
+            PlanStep::GiveUp
+        }
+    }
+}
+
+/// How long a load of the model takes on this engine.
+pub fn load_ms(model: &ModelName, config: &EngineConfig, state: &EngineState) -> u64 {
+    let Some(model_config) = config.models.get(model) else {
+        return 0;
+    };
+    if state.in_memory.contains(model) {
+        model_config.memory_load_ms
+    } else if state.on_disk.contains(model) {
+        model_config.disk_load_ms
+    } else {
+        model_config.cold_load_ms
+    }
+}
+
+/// Whether the model fits beside what the engine reports. An engine that is ordered to load more
+/// than it holds crashes.
+fn has_room(model: &ModelName, config: &EngineConfig, state: &EngineState) -> bool {
+    let size_mb = |model: &ModelName| config.models.get(model).map(|model| model.weights_mb);
+    let Some(needed_mb) = size_mb(model) else {
+        return false;
+    };
+    let mut held_mb = 0.0;
+    for loaded in &state.loaded {
+        // A model that the configuration no longer has takes nobody knows how much.
+        let Some(mb) = size_mb(&loaded.model) else {
+            return false;
+        };
+        held_mb += mb;
+    }
+    held_mb + needed_mb <= room_mb(config)
+}
--- /dev/null
+++ b/crates/celerystair_front/src/attempt.rs
@@ -0,0 +1,284 @@
+//! One try of a request at one upstream.
+
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use celerystair_core::{
+    prelude::*,
+    time::{before_deadline, left_ms},
+};
+use celerystair_policy::prelude::*;
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use crate::{
+    connections::{UpstreamConnection, connect},
+    front::Front,
+    request::CallerRequest,
+    upstream::{InFlight, Upstream},
+};
+
+/// An answer that has begun.
+pub struct BegunAnswer {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The rest of it.
+    pub body: Incoming,
+    /// The connection that it comes on.
+    pub connection: UpstreamConnection,
+    /// Counts the request at its upstream.
+    pub in_flight: InFlight,
+    /// The upstream.
+    pub upstream: Rc<Upstream>,
+}
+
+/// An answer that is whole.
+#[derive(Clone)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: http::StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Why an attempt came to nothing.
+pub struct FailedAttempt {
+    /// How.
+    pub failure: AttemptFailure,
+    /// What the upstream itself answered, where it did.
+    pub answer: Option<WholeAnswer>,
+}
+
+impl From<AttemptFailure> for FailedAttempt {
+    fn from(failure: AttemptFailure) -> Self {
+        Self {
+            failure,
+            answer: None,
+        }
+    }
+}
+
+/// Sends the request to `upstream`; returns when its answer has begun, at the latest at
+/// `silent_unix_ms`.
+pub async fn send(
+    front: &Front,
+    request: &CallerRequest,
+    upstream: &Rc<Upstream>,
+    last_event_id: Option<u64>,
+    silent_unix_ms: u64,
+) -> Result<BegunAnswer, FailedAttempt> {
+    let model = request.head.model.as_ref().map(|model| &model.base);
+    let in_flight = upstream.enter(model);
+    let work = exchange(front, request, upstream, last_event_id);
+    let Some(exchanged) = before_deadline(silent_unix_ms, work).await else {
+        upstream.note(|health| health.note_failure(false, now_unix_ms()));
+        return Err(AttemptFailure::Silent.into());
+    };
+    let (response, connection) = exchanged.inspect_err(|failure| {
+        let is_certain = *failure == AttemptFailure::Unreachable;
+        upstream.note(|health| health.note_failure(is_certain, now_unix_ms()));
+    })?;
+    let (head, body) = response.into_parts();
+    if let Err(failure) = check_head(front, request, &head) {
+        let is_declined = matches!(
+            failure,
+            AttemptFailure::Declined | AttemptFailure::Misdirected
+        );
+        upstream.note(|health| health.note_failure(!is_declined, now_unix_ms()));
+        if is_declined {
+            release(upstream, connection, &head.headers, &body);
+        }
+        return Err(failure.into());
+    }
+    let begun = BegunAnswer {
+        head,
+        body,
+        connection,
+        in_flight,
+        upstream: upstream.clone(),
+    };
+    if begun.head.status.is_success() {
+        upstream.note(UpstreamHealth::note_success);
+        return Ok(begun);
+    }
+    upstream.note(|health| health.note_failure(false, now_unix_ms()));
+    Err(FailedAttempt {
+        failure: AttemptFailure::Failed,
+        answer: collect(begun, silent_unix_ms).await.ok(),
+    })
+}
+
+async fn exchange(
+    front: &Front,
+    request: &CallerRequest,
+    upstream: &Rc<Upstream>,
+    last_event_id: Option<u64>,
+) -> Result<(http::Response<Incoming>, UpstreamConnection), AttemptFailure> {
+    let mut outgoing = outgoing_request(front, request, upstream, last_event_id);
+    let mut idle = if request.route.is_repeatable() {
+        upstream.connections.take_idle()
+    } else {
+        // A kept connection may be closing just now, and a request that is lost on it can't be
+        // sent again.
+        None
+    };
+    loop {
+        let address = upstream.entry.borrow().address;
+        let mut connection = match idle.take() {
+            Some(connection) => connection,
+            None => connect(address).await.ok_or(AttemptFailure::Unreachable)?,
+        };
+        match connection.sender.try_send_request(outgoing).await {
+            Ok(response) => return Ok((response, connection)),
+            Err(mut error) => match error.take_message() {
+                // It never left; a new connection takes it.
+                Some(unsent) if connection.is_reused => outgoing = unsent,
+                Some(_) => return Err(AttemptFailure::Unreachable),
+                None => return Err(AttemptFailure::AnswerLost),
+            },
+        }
+    }
+}
+
+fn outgoing_request(
+    front: &Front,
+    request: &CallerRequest,
+    upstream: &Upstream,
+    last_event_id: Option<u64>,
+) -> http::Request<Full<Bytes>> {
+    let entry = upstream.entry.borrow();
+    let mut outgoing = http::Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.target.clone();
+    *outgoing.headers_mut() = request.headers.clone();
+    let is_engine = front.engine_config(&entry.service).is_some();
+    let send = crate::dialect::SendHead {
+        expected_upstream: &entry.id,
+        left_ms: left_ms(request.deadline_unix_ms),
+        priority: is_engine.then_some(request.route.urgency_rank.min(9)),
+        last_event_id,
+    };
+    (front.settings.callers.write_request)(outgoing.headers_mut(), &send);
+    outgoing
+}
+
+fn check_head(
+    front: &Front,
+    request: &CallerRequest,
+    head: &http::response::Parts,
+) -> Result<(), AttemptFailure> {
+    let answer = (front.settings.callers.read_answer)(&head.headers);
+    // An answer of another request: this one's own may still come, and must reach nobody else.
+    if answer
+        .request_id
+        .is_some_and(|id| id != request.head.id.as_str())
+    {
+        return Err(AttemptFailure::AnswerSpoiled);
+    }
+    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptFailure::Misdirected);
+    }
+    if answer.is_not_run {
+        return Err(AttemptFailure::Declined);
+    }
+    let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+    let is_own = answer.is_sealed && answer.request_id.is_some() && !is_encoded;
+    if head.status.is_success() && !is_own {
+        return Err(AttemptFailure::AnswerSpoiled);
+    }
+    if head.status.is_informational() || head.status.is_redirection() {
+        return Err(AttemptFailure::AnswerSpoiled);
+    }
+    Ok(())
+}
+
+/// Reads the rest of the answer until `deadline_unix_ms`, and frees the connection.
+pub async fn collect(
+    begun: BegunAnswer,
+    deadline_unix_ms: u64,
+) -> Result<WholeAnswer, AttemptFailure> {
+    let BegunAnswer {
+        head,
+        mut body,
+        connection,
+        in_flight,
+        upstream,
+    } = begun;
+    let reading = async {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| AttemptFailure::AnswerLost)?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok(bytes.freeze())
+    };
+    let bytes = before_deadline(deadline_unix_ms, reading)
+        .await
+        .ok_or(AttemptFailure::Silent)??;
+    drop(in_flight);
+    upstream.connections.keep(connection, &head.headers);
+    Ok(WholeAnswer {
+        status: head.status,
+        headers: answer_headers(&head.headers),
+        body: bytes,
+    })
+}
+
+/// Frees the connection of an answer whose body is of no use, if it is there already.
+fn release(
+    upstream: &Upstream,
+    connection: UpstreamConnection,
+    headers: &HeaderMap,
+    body: &Incoming,
+) {
+    if http_body::Body::is_end_stream(body) {
+        upstream.connections.keep(connection, headers);
+    }
+}
+
+/// Headers of one connection, which are not passed on.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// A caller's headers as they go on to an upstream.
+pub fn request_headers(headers: &HeaderMap, is_kept: fn(&HeaderName) -> bool) -> HeaderMap {
+    let mut passed = end_to_end(headers, is_kept);
+    passed.remove(header::CONTENT_LENGTH);
+    passed
+}
+
+/// An upstream's headers as they go on to the caller.
+pub fn answer_headers(headers: &HeaderMap) -> HeaderMap {
+    end_to_end(headers, |_| false)
+}
+
+fn end_to_end(headers: &HeaderMap, is_kept: fn(&HeaderName) -> bool) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| HeaderValue::to_str(value).ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|token| token.trim().parse().ok())
+        .filter(|name| !is_kept(name))
+        .collect();
+    let mut passed = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        if !CONNECTION_HEADERS.contains(name) && !named.contains(name) {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
--- /dev/null
+++ b/crates/celerystair_front/src/dialect.rs
@@ -0,0 +1,78 @@
+//! How a platform's headers are read and written.
+
+use celerystair_core::prelude::*;
+use http::{HeaderMap, HeaderName};
+use thiserror::Error;
+
+/// How one platform writes what a router must know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerDialect {
+    /// Where the platform asks whether this router takes requests.
+    pub ready_path: &'static str,
+    /// Reads what a caller says of its request.
+    pub read_request: fn(&HeaderMap) -> Result<CallerHead, BadHead>,
+    /// Sets what the router says to the upstream, in place of what the caller said.
+    pub write_request: fn(&mut HeaderMap, &SendHead<'_>),
+    /// Reads what an upstream says of its answer.
+    pub read_answer: fn(&HeaderMap) -> AnswerHead<'_>,
+    /// Whether a header goes on to the upstream even if the caller calls it one of its
+    /// connection.
+    pub is_kept: fn(&HeaderName) -> bool,
+}
+
+/// Why a request's head is refused.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum BadHead {
+    /// It has no id.
+    #[error("the request has no id")]
+    NoRequestId,
+    /// A header that must be unique is there twice.
+    #[error("the header {0} is given twice")]
+    Repeated(HeaderName),
+    /// A header is no text.
+    #[error("the header {0} can't be read")]
+    Unreadable(HeaderName),
+}
+
+/// What a caller says of its request.
+#[derive(Clone, Debug)]
+pub struct CallerHead {
+    /// One try of the caller's.
+    pub id: RequestId,
+    /// How long the caller waits; as long as the route allows if absent.
+    pub deadline_ms: Option<u64>,
+    /// The model or adapter, where one is asked.
+    pub model: Option<ModelRef>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// The most tokens of the answer.
+    pub output_tokens_max: u64,
+    /// The first part of the prompt, which requests share.
+    pub prompt_start: Option<String>,
+    /// The event after which a stream goes on.
+    pub last_event_id: Option<u64>,
+}
+
+/// What a router says to the upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct SendHead<'a> {
+    /// Any other upstream must decline.
+    pub expected_upstream: &'a UpstreamId,
+    /// What is left of the caller's time.
+    pub left_ms: u64,
+    /// 0 goes first; absent at plain services.
+    pub priority: Option<u32>,
+    /// The event after which a stream goes on; the caller's own if absent.
+    pub last_event_id: Option<u64>,
+}
+
+/// What an upstream says of its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerHead<'a> {
+    /// The request that it answers.
+    pub request_id: Option<&'a str>,
+    /// Whether it is proved to be an upstream's own.
+    pub is_sealed: bool,
+    /// Whether the upstream says that it has not run the request.
+    pub is_not_run: bool,
+}
--- /dev/null
+++ b/crates/celerystair_front/src/front.rs
@@ -0,0 +1,284 @@
+//! The router's state, its start and its planned stop.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc};
+
+use celerystair_core::prelude::*;
+use celerystair_net::prelude::*;
+use celerystair_news::prelude::*;
+use celerystair_platform::prelude::*;
+use celerystair_policy::prelude::*;
+use celerystair_telemetry::prelude::*;
+use event_listener::{Event, EventListener};
+use thiserror::Error;
+
+use crate::{
+    callers::answer_caller,
+    demand::{hear_agents, tell_agents},
+    request::CallerRequest,
+    settings::FrontSettings,
+    view::FleetView,
+};
+
+/// After a request to stop, the platform asks twice, a second apart, before it sends callers
+/// elsewhere; until then they are served.
+const STOP_NOTICE_MS: u64 = 2300;
+/// Others share the retry budget before any agent has told how many routers there are.
+const ROUTERS_UNKNOWN: u32 = 16;
+
+/// A router; cheap to clone within its thread.
+#[derive(Clone)]
+pub struct Front {
+    inner: Rc<FrontInner>,
+}
+
+/// The parts of a [`Front`].
+pub struct FrontInner {
+    /// What it was started with.
+    pub settings: FrontSettings,
+    /// Its log.
+    pub log: Logger,
+    /// The configuration and the upstreams in force.
+    pub view: FleetView,
+    /// What agents have told of their engines.
+    pub engines: EngineBoard,
+    /// Requests that crash upstreams.
+    pub suspects: RefCell<Suspects>,
+    /// Requests that wait for a replica, by a number of their own.
+    pub waiting: Rc<RefCell<HashMap<u64, ModelName>>>,
+    demand: RefCell<DemandMeter>,
+    demand_changed: Event,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+}
+
+impl std::ops::Deref for Front {
+    type Target = FrontInner;
+
+    fn deref(&self) -> &FrontInner {
+        &self.inner
+    }
+}
+
+/// Why a router could not start.
+#[derive(Debug, Error)]
+pub enum FrontError {
+    /// It can't listen.
+    #[error("can't listen on {address}: {error}")]
+    Listen {
+        /// Where.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// The store's client can't be made.
+    #[error("the client of the store: {0}")]
+    Store(#[from] StoreError),
+}
+
+/// A router that serves.
+pub struct RunningFront {
+    /// Its state.
+    pub front: Front,
+    /// Ends when a planned stop is complete.
+    pub served: compio::runtime::JoinHandle<()>,
+}
+
+/// A request that waits, until this is dropped.
+pub struct Waiting {
+    waiting: Rc<RefCell<HashMap<u64, ModelName>>>,
+    number: u64,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.waiting.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Front {
+    /// What the engines of a service have in common, if they are engines.
+    pub fn engine_config(&self, service: &ServiceName) -> Option<EngineConfig> {
+        let in_force = self.view.config()?;
+        in_force.config.services.get(service)?.engine.clone()
+    }
+
+    /// Counts a request for a model.
+    pub fn note_arrival(&self, model: &ModelName) {
+        self.demand.borrow_mut().note_arrival(model, now_unix_ms());
+    }
+
+    /// Counts a request as waiting until the guard is dropped.
+    pub fn enter_waiting(&self, request: &CallerRequest) -> Option<Waiting> {
+        let model = request.head.model.as_ref()?.base.clone();
+        let number = rand::random();
+        let is_first = !self
+            .waiting
+            .borrow()
+            .values()
+            .any(|waiting| *waiting == model);
+        self.waiting.borrow_mut().insert(number, model);
+        if is_first {
+            self.demand_changed();
+        }
+        Some(Waiting {
+            waiting: self.waiting.clone(),
+            number,
+        })
+    }
+
+    /// Has agents told soon.
+    pub fn demand_changed(&self) {
+        self.demand_changed.notify(usize::MAX);
+    }
+
+    /// Wakes when agents are to be told soon.
+    pub fn listen_demand(&self) -> EventListener {
+        self.demand_changed.listen()
+    }
+
+    /// What callers ask of this router, by model.
+    pub fn demand(&self) -> Vec<(ModelName, ModelView)> {
+        let mut models: HashMap<ModelName, ModelView> = HashMap::default();
+        let rates = self.demand.borrow_mut().rates(now_unix_ms());
+        for (model, requests_per_second) in rates {
+            models.entry(model).or_default().requests_per_second = requests_per_second;
+        }
+        for model in self.waiting.borrow().values() {
+            models.entry(model.clone()).or_default().waiting += 1;
+        }
+        for engine in self.view.engines() {
+            for (model, count) in engine.in_flight_by_model() {
+                models.entry(model).or_default().running += count;
+            }
+        }
+        models.into_iter().collect()
+    }
+
+    /// Uses the service's retry budget; `work` is also told how many routers share it.
+    pub fn budget<T>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RetryBudget, u32) -> T,
+    ) -> T {
+        let heard = self
+            .engines
+            .heard_since(now_unix_ms().saturating_sub(ROUTERS_MEMORY_MS));
+        let routers = heard.iter().map(|status| status.routers).max();
+        let routers = routers
+            .filter(|routers| *routers > 0)
+            .unwrap_or(ROUTERS_UNKNOWN);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(self.settings.retry_bound));
+        work(budget, routers)
+    }
+
+    /// Logs a decision about a request.
+    pub fn log_request(&self, request: &CallerRequest, event: &str, fields: &[(&str, &str)]) {
+        let fields: Vec<String> = fields.iter().map(|(k, v)| format!("{k}={v}")).collect();
+        info!(self.log, "{}", event; "request" => %request.head.id,
+            "route" => &request.route.name, "detail" => fields.join(" "),
+            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
+    }
+
+    /// Logs a refusal.
+    pub fn log_refusal(&self, request: &CallerRequest, refusal: &Refusal) {
+        let model = request.head.model.as_ref().map(ToString::to_string);
+        info!(self.log, "request_refused"; "request" => %request.head.id,
+            "route" => &request.route.name, "reason" => refusal.reason.as_str(),
+            "run" => refusal.run.as_str(), "detail" => &refusal.detail, "model" => model,
+            "retry_after_ms" => refusal.retry_after_ms,
+            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
+    }
+
+    /// Logs the refusal of a request that could not be read.
+    pub fn log_unread(&self, refusal: &Refusal) {
+        info!(self.log, "request_unread"; "reason" => refusal.reason.as_str(),
+            "detail" => &refusal.detail);
+    }
+}
+
+/// How long what an agent told of the number of routers holds.
+const ROUTERS_MEMORY_MS: u64 = 3000;
+
+/// Starts a router; it serves until `stop` drains, and finishes the requests that it has.
+///
+/// # Errors
+/// [`FrontError`] if it can't listen. The store need not be up.
+pub async fn run_front(
+    settings: FrontSettings,
+    log: Logger,
+    stop: &Stop,
+) -> Result<RunningFront, FrontError> {
+    let listen = |address| move |error| FrontError::Listen { address, error };
+    let callers = bind(settings.callers_listen).map_err(listen(settings.callers_listen))?;
+    let ready = bind(settings.ready_listen).map_err(listen(settings.ready_listen))?;
+    let news = NewsSocket::bind(settings.news_listen).map_err(listen(settings.news_listen))?;
+    let news = Rc::new(news);
+    let store = Store::with_dialect(settings.store.clone(), settings.store_dialect)?;
+    let view = FleetView::start(&settings, &store, &log, stop);
+    info!(log, "started"; "router" => &settings.router,
+        "callers" => %settings.callers_listen, "ready" => %settings.ready_listen);
+    let front = Front {
+        inner: Rc::new(FrontInner {
+            settings,
+            log,
+            view,
+            engines: EngineBoard::default(),
+            suspects: RefCell::default(),
+            waiting: Rc::default(),
+            demand: RefCell::default(),
+            demand_changed: Event::new(),
+            budgets: RefCell::default(),
+        }),
+    };
+    compio::runtime::spawn(tell_agents(front.clone(), news.clone(), stop.clone())).detach();
+    compio::runtime::spawn(hear_agents(front.clone(), news, stop.clone())).detach();
+    serve_ready(&front, ready, stop);
+    let (limiting, answering, serving) = (front.clone(), front.clone(), stop.clone());
+    let served = compio::runtime::spawn(async move {
+        let limits = move || connection_limits(&limiting);
+        let handle = move |request| answer_caller(answering.clone(), request);
+        serve_http_limited(callers, serving, STOP_NOTICE_MS, limits, handle)
+            .await
+            .ok();
+    });
+    Ok(RunningFront { front, served })
+}
+
+/// Answers whether this router takes requests: not before it can route them, and not after a
+/// stop was asked for.
+fn serve_ready(front: &Front, listener: compio::net::TcpListener, stop: &Stop) {
+    let (asked, stop) = (front.clone(), stop.clone());
+    let answer = move |request: HttpRequest| {
+        let is_ready = asked.view.is_complete() && !stop.is_draining();
+        let is_known = request.uri().path() == asked.settings.callers.ready_path;
+        let status = match (is_known, is_ready) {
+            (false, _) => 404,
+            (true, true) => 200,
+            (true, false) => 503,
+        };
+        async move {
+            let mut response = http::Response::new(HttpBody::empty());
+            *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+            response
+        }
+    };
+    // It answers to the end: a platform that hears nothing can't tell a stop from a fault.
+    let until_end = Stop::new();
+    compio::runtime::spawn(async move {
+        serve_http(listener, until_end, answer).await.ok();
+    })
+    .detach();
+}
+
+fn connection_limits(front: &Front) -> ConnectionLimits {
+    let in_force = front.view.config();
+    let limits = in_force
+        .map(|in_force| in_force.config.caller_limits)
+        .unwrap_or_default();
+    ConnectionLimits {
+        head_max_bytes: Some(limits.head_max_bytes),
+        idle_timeout_ms: Some(limits.idle_timeout_ms),
+    }
+}
--- /dev/null
+++ b/crates/celerystair_front/src/lib.rs
@@ -0,0 +1,45 @@
+//! A router on a platform: it takes callers' requests and sends each straight to the upstream
+//! that serves it. What it decides is in `celerystair_policy`; what the platform calls things, in
+//! its adapter.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`answers`] | refusals as callers receive them |
+//! | [`attempt`] | one try of a request at one upstream |
+//! | [`callers`] | a caller's request: reading it, and its way to an answer |
+//! | [`connections`] | connections to upstreams |
+//! | [`demand`] | what this router tells agents of its demand |
+//! | [`dialect`] | how a platform's headers are read and written |
+//! | [`events`] | the events of a stream |
+//! | [`front`] | the router's state, its start and its planned stop |
+//! | [`pick`] | which upstream a request can go to now |
+//! | [`request`] | the life of one request over all its attempts |
+//! | [`settings`] | what a router needs to start |
+//! | [`stream`] | a stream on its way to its caller |
+//! | [`upstream`] | an upstream as this router sees it |
+//! | [`view`] | the configuration and the upstreams in force |
+//!
+//! The design: `docs/PLATFORM.md`.
+
+pub mod answers;
+pub mod attempt;
+pub mod callers;
+pub mod connections;
+pub mod demand;
+pub mod dialect;
+pub mod events;
+pub mod front;
+pub mod pick;
+pub mod request;
+pub mod settings;
+pub mod stream;
+pub mod upstream;
+pub mod view;
+
+/// The types that a binary needs.
+pub mod prelude {
+    pub use crate::{
+        front::{Front, FrontError, RunningFront, run_front},
+        settings::FrontSettings,
+    };
+}
--- /dev/null
+++ b/crates/celerystair_front/src/pick.rs
@@ -0,0 +1,224 @@
+//! Which upstream a request can go to now: it gathers what is known of each, and leaves the choice
+//! to `celerystair_policy`.
+
+use std::rc::Rc;
+
+use celerystair_core::prelude::*;
+use celerystair_news::prelude::*;
+use celerystair_policy::prelude::*;
+
+use crate::{front::Front, request::CallerRequest, upstream::Upstream};
+
+/// An engine takes this many requests for each slot before others wait at the router: what waits
+/// at the engine can't go elsewhere any more.
+const LOAD_PER_SLOT_MAX: f64 = 1.25;
+/// A plain service queues a few more than it runs at once.
+const PLAIN_LOAD_PER_SLOT_MAX: f64 = 3.0;
+/// Time from a wish for a load to its order, over news and the agent's own work.
+const ORDER_DELAY_MS: u64 = 300;
+/// How soon an upstream that is full is expected to have room.
+const FULL_WAIT_MS: u64 = 100;
+
+/// Where a request can go.
+pub enum Pick {
+    /// To this upstream, now.
+    Now(Rc<Upstream>),
+    /// Nowhere yet.
+    Later {
+        /// When an upstream is expected to take it.
+        ready_unix_ms: u64,
+    },
+    /// Every upstream that could take it was tried, or there is none.
+    Nowhere,
+}
+
+/// Picks an upstream of `service` that is not among those tried.
+pub fn pick(
+    front: &Front,
+    request: &CallerRequest,
+    service: &ServiceName,
+    tried: &[UpstreamId],
+) -> Pick {
+    let now = now_unix_ms();
+    let upstreams: Vec<Rc<Upstream>> = front
+        .view
+        .upstreams(service)
+        .into_iter()
+        .filter(|upstream| is_usable(upstream, tried))
+        .collect();
+    if upstreams.is_empty() {
+        return Pick::Nowhere;
+    }
+    let engine = front.engine_config(service);
+    let Some((model, engine)) = request.head.model.as_ref().zip(engine) else {
+        return pick_with_room(front, request, &upstreams, PLAIN_LOAD_PER_SLOT_MAX, now);
+    };
+    let statuses: Vec<Option<Rc<EngineStatus>>> = upstreams
+        .iter()
+        .map(|upstream| status_of(front, upstream))
+        .collect();
+    let with_model: Vec<(Rc<Upstream>, LoadedModel)> = upstreams
+        .iter()
+        .zip(&statuses)
+        .filter_map(|(upstream, status)| {
+            let loaded = find_loaded(upstream, status.as_deref(), &model.base, now)?;
+            Some((upstream.clone(), loaded))
+        })
+        .collect();
+    if with_model.is_empty() {
+        let ready_unix_ms = ready_unix_ms(&statuses, &engine, &model.base, now);
+        return Pick::Later { ready_unix_ms };
+    }
+    let ready: Vec<Rc<Upstream>> = match &model.adapter {
+        None => with_model
+            .into_iter()
+            .map(|(upstream, _)| upstream)
+            .collect(),
+        Some(adapter) => {
+            let has = |loaded: &LoadedModel| loaded.adapters.iter().any(|a| **a == **adapter);
+            let ready: Vec<Rc<Upstream>> = with_model
+                .iter()
+                .filter(|(_, loaded)| has(loaded))
+                .map(|(upstream, _)| upstream.clone())
+                .collect();
+            for upstream in &ready {
+                upstream.want_adapter(&model.base, adapter);
+            }
+            if ready.is_empty() {
+                want_adapter(front, request, &with_model, &model.base, adapter);
+                return Pick::Later {
+                    ready_unix_ms: now + ORDER_DELAY_MS,
+                };
+            }
+            ready
+        }
+    };
+    pick_with_room(front, request, &ready, LOAD_PER_SLOT_MAX, now)
+}
+
+fn is_usable(upstream: &Upstream, tried: &[UpstreamId]) -> bool {
+    let entry = upstream.entry.borrow();
+    entry.state == UpstreamState::Ready && !tried.contains(&entry.id)
+}
+
+/// The news of the upstream's own life.
+fn status_of(front: &Front, upstream: &Upstream) -> Option<Rc<EngineStatus>> {
+    let entry = upstream.entry.borrow();
+    let status = front.engines.get(&entry.id)?;
+    (status.born_unix_ms == entry.born_unix_ms).then_some(status)
+}
+
+/// The model as loaded there: by fresh news, or else by the upstream's own entry.
+fn find_loaded(
+    upstream: &Upstream,
+    status: Option<&EngineStatus>,
+    model: &ModelName,
+    now_unix_ms: u64,
+) -> Option<LoadedModel> {
+    if let Some(status) = status.filter(|status| status.is_fresh(now_unix_ms)) {
+        return status.find(model).cloned();
+    }
+    let entry = upstream.entry.borrow();
+    let mut loaded = entry.loaded.iter();
+    loaded.find(|loaded| loaded.model == *model).cloned()
+}
+
+/// When a replica of the model is expected to take requests.
+fn ready_unix_ms(
+    statuses: &[Option<Rc<EngineStatus>>],
+    engine: &EngineConfig,
+    model: &ModelName,
+    now_unix_ms: u64,
+) -> u64 {
+    let known = || statuses.iter().flatten();
+    let under_way = known().filter(|status| status.loading.as_ref() == Some(model));
+    if let Some(ready) = under_way.map(|status| status.ready_unix_ms).min() {
+        return ready.max(now_unix_ms);
+    }
+    let Some(config) = engine.models.get(model) else {
+        return u64::MAX;
+    };
+    let load_ms = if known().any(|status| status.in_memory.contains(model)) {
+        config.memory_load_ms
+    } else if known().any(|status| status.on_disk.contains(model)) {
+        config.disk_load_ms
+    } else {
+        config.cold_load_ms
+    };
+    now_unix_ms + load_ms + ORDER_DELAY_MS
+}
+
+/// Asks one of the replicas for the adapter; the same adapter always the same one, as far as
+/// the same replicas are there.
+fn want_adapter(
+    front: &Front,
+    request: &CallerRequest,
+    replicas: &[(Rc<Upstream>, LoadedModel)],
+    model: &ModelName,
+    adapter: &str,
+) {
+    let ids: Vec<UpstreamId> = replicas.iter().map(|(upstream, _)| upstream.id()).collect();
+    let mut order: Vec<usize> = (0..ids.len()).collect();
+    order.sort_by_key(|index| {
+        std::cmp::Reverse(celerystair_core::rendezvous::weight(adapter, &ids[*index]))
+    });
+    if let Some(first) = order.first()
+        && replicas[*first].0.want_adapter(model, adapter)
+    {
+        front.log_request(request, "adapter_wanted", &[("adapter", adapter)]);
+        front.demand_changed();
+    }
+}
+
+fn pick_with_room(
+    front: &Front,
+    request: &CallerRequest,
+    upstreams: &[Rc<Upstream>],
+    load_per_slot_max: f64,
+    now_unix_ms: u64,
+) -> Pick {
+    let ids: Vec<UpstreamId> = upstreams.iter().map(|upstream| upstream.id()).collect();
+    let candidates: Vec<Candidate<'_>> = upstreams
+        .iter()
+        .zip(&ids)
+        .map(|(upstream, id)| candidate(front, upstream, id, now_unix_ms))
+        .collect();
+    let affinity = request.head.prompt_start.as_deref();
+    let affinity = affinity.unwrap_or(request.head.id.as_str());
+    let Some(best) = choose_upstream(&candidates, affinity) else {
+        return Pick::Nowhere;
+    };
+    let best_candidate = &candidates[best];
+    let load = best_candidate
+        .own_load
+        .max(best_candidate.known_load + best_candidate.sent_since_news);
+    if f64::from(load) >= f64::from(best_candidate.slots) * load_per_slot_max {
+        return Pick::Later {
+            ready_unix_ms: now_unix_ms + FULL_WAIT_MS,
+        };
+    }
+    Pick::Now(upstreams[best].clone())
+}
+
+fn candidate<'a>(
+    front: &Front,
+    upstream: &Upstream,
+    id: &'a UpstreamId,
+    now_unix_ms: u64,
+) -> Candidate<'a> {
+    let status = status_of(front, upstream).filter(|status| status.is_fresh(now_unix_ms));
+    let entry = upstream.entry.borrow();
+    let (known_load, sent_since_news) = status.map_or((0, 0), |status| {
+        let sent = upstream.sent_since(status.heard_unix_ms);
+        (status.waiting + status.running, sent)
+    });
+    Candidate {
+        upstream: id,
+        slots: entry.slots,
+        known_load,
+        own_load: upstream.in_flight(),
+        sent_since_news,
+        is_near: entry.failure_domain == front.settings.failure_domain,
+        is_doubted: upstream.health.get().is_doubted(now_unix_ms),
+    }
+}
--- /dev/null
+++ b/crates/celerystair_front/src/upstream.rs
@@ -0,0 +1,138 @@
+//! An upstream as this router sees it.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    rc::Rc,
+};
+
+use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
+
+use crate::connections::Connections;
+
+/// Sends that are older than this are in any news.
+const SENT_MEMORY_MS: u64 = 2000;
+/// An adapter is asked for until this long after the last request for it.
+const WANTED_MS: u64 = 1000;
+
+/// One life of an upstream.
+pub struct Upstream {
+    /// Its entry, as last read.
+    pub entry: RefCell<Rc<UpstreamEntry>>,
+    /// Its idle connections.
+    pub connections: Connections,
+    /// What was seen of it.
+    pub health: Cell<UpstreamHealth>,
+    in_flight: Cell<u32>,
+    in_flight_by_model: RefCell<HashMap<ModelName, u32>>,
+    sent_unix_ms: RefCell<VecDeque<u64>>,
+    adapters_wanted: RefCell<HashMap<(ModelName, String), u64>>,
+}
+
+impl Upstream {
+    /// An upstream to which nothing was sent yet.
+    pub fn new(entry: Rc<UpstreamEntry>) -> Self {
+        Self {
+            entry: RefCell::new(entry),
+            connections: Connections::default(),
+            health: Cell::default(),
+            in_flight: Cell::new(0),
+            in_flight_by_model: RefCell::default(),
+            sent_unix_ms: RefCell::default(),
+            adapters_wanted: RefCell::default(),
+        }
+    }
+
+    /// Its name.
+    pub fn id(&self) -> UpstreamId {
+        self.entry.borrow().id.clone()
+    }
+
+    /// Requests of this router that are there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// The same by model.
+    pub fn in_flight_by_model(&self) -> Vec<(ModelName, u32)> {
+        let by_model = self.in_flight_by_model.borrow();
+        by_model
+            .iter()
+            .map(|(model, count)| (model.clone(), *count))
+            .collect()
+    }
+
+    /// Requests that were sent there after `since_unix_ms`.
+    pub fn sent_since(&self, since_unix_ms: u64) -> u32 {
+        let sent = self.sent_unix_ms.borrow();
+        let later = sent.iter().rev().take_while(|time| **time > since_unix_ms);
+        later.count() as u32
+    }
+
+    /// Counts a request as sent there until the guard is dropped.
+    pub fn enter(self: &Rc<Self>, model: Option<&ModelName>) -> InFlight {
+        let now = now_unix_ms();
+        self.in_flight.set(self.in_flight.get() + 1);
+        if let Some(model) = model {
+            let mut by_model = self.in_flight_by_model.borrow_mut();
+            *by_model.entry(model.clone()).or_default() += 1;
+        }
+        let mut sent = self.sent_unix_ms.borrow_mut();
+        while sent.front().is_some_and(|time| time + SENT_MEMORY_MS < now) {
+            sent.pop_front();
+        }
+        sent.push_back(now);
+        InFlight {
+            upstream: self.clone(),
+            model: model.cloned(),
+        }
+    }
+
+    /// Notes that a request waits for an adapter there; true if that is news.
+    pub fn want_adapter(&self, model: &ModelName, adapter: &str) -> bool {
+        let until_unix_ms = now_unix_ms() + WANTED_MS;
+        let mut wanted = self.adapters_wanted.borrow_mut();
+        wanted
+            .insert((model.clone(), adapter.to_owned()), until_unix_ms)
+            .is_none()
+    }
+
+    /// The adapters that requests wait for, or have used of late.
+    pub fn adapters_wanted(&self) -> Vec<(ModelName, String)> {
+        let now = now_unix_ms();
+        let mut wanted = self.adapters_wanted.borrow_mut();
+        wanted.retain(|_, until_unix_ms| *until_unix_ms > now);
+        wanted.keys().cloned().collect()
+    }
+
+    /// Changes what was seen of it.
+    pub fn note(&self, change: impl FnOnce(&mut UpstreamHealth)) {
+        let mut health = self.health.get();
+        change(&mut health);
+        self.health.set(health);
+    }
+}
+
+/// A request that is at an upstream.
+pub struct InFlight {
+    upstream: Rc<Upstream>,
+    model: Option<ModelName>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let in_flight = &self.upstream.in_flight;
+        in_flight.set(in_flight.get() - 1);
+        let Some(model) = &self.model else {
+            return;
+        };
+        let mut by_model = self.upstream.in_flight_by_model.borrow_mut();
+        if let Some(count) = by_model.get_mut(model) {
+            *count -= 1;
+            if *count == 0 {
+                by_model.remove(model);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerystair_front/src/view.rs
@@ -0,0 +1,225 @@
+//! The configuration and the upstreams in force, kept current from the store.
+
+use std::{cell::RefCell, pin::pin, rc::Rc};
+
+use celerystair_core::prelude::*;
+use celerystair_platform::prelude::*;
+use celerystair_policy::prelude::*;
+use celerystair_telemetry::prelude::*;
+use event_listener::{Event, EventListener};
+use futures_util::future::select;
+
+use crate::{settings::FrontSettings, upstream::Upstream};
+
+/// How often the view is brought up to date when nothing has changed.
+const REFRESH_INTERVAL_MS: u64 = 1000;
+
+/// A configuration, and its routes in the order in which they are looked up.
+pub struct ConfigInForce {
+    /// The configuration.
+    pub config: ServingConfig,
+    /// Its routes.
+    pub routes: RouteTable,
+}
+
+/// What this router knows of the fleet; cheap to clone.
+#[derive(Clone)]
+pub struct FleetView {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    log: Logger,
+    config: RefCell<Option<Rc<ConfigInForce>>>,
+    upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
+    by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
+    departures: RefCell<Departures>,
+    changed: Event,
+}
+
+impl FleetView {
+    /// Starts to follow the store; tasks keep the view current until `stop` ends.
+    pub fn start(settings: &FrontSettings, store: &Store, log: &Logger, stop: &Stop) -> Self {
+        let view = Self {
+            inner: Rc::new(Inner {
+                log: log.clone(),
+                config: RefCell::default(),
+                upstreams: RefCell::default(),
+                by_service: RefCell::default(),
+                departures: RefCell::default(),
+                changed: Event::new(),
+            }),
+        };
+        let configs =
+            Mirror::start_reading(store, settings.config_prefix, settings.read_config, stop);
+        let name = settings.config_name;
+        let (following, ending) = (view.clone(), stop.clone());
+        compio::runtime::spawn(async move {
+            following.follow_config(&configs, name, &ending).await;
+        })
+        .detach();
+        let entries = Mirror::start_reading(
+            store,
+            settings.upstreams_prefix,
+            settings.read_upstream,
+            stop,
+        );
+        let (following, store, ending) = (view.clone(), store.clone(), stop.clone());
+        compio::runtime::spawn(async move {
+            following.follow_upstreams(&entries, &store, &ending).await;
+        })
+        .detach();
+        view
+    }
+
+    /// The configuration in force, if one is known.
+    pub fn config(&self) -> Option<Rc<ConfigInForce>> {
+        self.inner.config.borrow().clone()
+    }
+
+    /// Whether requests can be routed.
+    pub fn is_complete(&self) -> bool {
+        self.inner.config.borrow().is_some() && !self.inner.by_service.borrow().is_empty()
+    }
+
+    /// The upstreams of a service that are not gone.
+    pub fn upstreams(&self, service: &ServiceName) -> Vec<Rc<Upstream>> {
+        let by_service = self.inner.by_service.borrow();
+        by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Every upstream of a service with engines.
+    pub fn engines(&self) -> Vec<Rc<Upstream>> {
+        let Some(config) = self.config() else {
+            return Vec::new();
+        };
+        let by_service = self.inner.by_service.borrow();
+        let is_engine = |service: &ServiceName| {
+            let service = config.config.services.get(service);
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let engines = by_service.iter().filter(|(service, _)| is_engine(service));
+        engines
+            .flat_map(|(_, upstreams)| upstreams.iter().cloned())
+            .collect()
+    }
+
+    /// Wakes at the next change; listen first, then read.
+    pub fn listen(&self) -> EventListener {
+        self.inner.changed.listen()
+    }
+
+    /// Wakes whoever waits for a change.
+    pub fn wake(&self) {
+        self.inner.changed.notify(usize::MAX);
+    }
+
+    async fn follow_config(&self, configs: &Mirror<ServingConfig>, name: &str, stop: &Stop) {
+        while !stop.is_ended() {
+            let changed = configs.listen();
+            if let Some((_, config)) = configs.get(name) {
+                self.put_config(&config);
+            }
+            select(changed, pin!(stop.ended())).await;
+        }
+    }
+
+    /// Puts a configuration in force unless a later one is.
+    fn put_config(&self, config: &ServingConfig) {
+        let known = self.config().map(|known| known.config.version);
+        if known.is_some_and(|known| known >= config.version) {
+            return;
+        }
+        info!(self.inner.log, "config_in_force";
+            "version" => config.version, "before" => known, "routes" => config.routes.len());
+        let in_force = ConfigInForce {
+            routes: RouteTable::new(config),
+            config: config.clone(),
+        };
+        *self.inner.config.borrow_mut() = Some(Rc::new(in_force));
+        self.wake();
+    }
+
+    async fn follow_upstreams(
+        &self,
+        entries: &Mirror<Option<UpstreamEntry>>,
+        store: &Store,
+        stop: &Stop,
+    ) {
+        let mut returned_unix_ms = 0;
+        while !stop.is_ended() {
+            let changed = entries.listen();
+            let reach = store.reach();
+            if reach.returned_unix_ms != returned_unix_ms {
+                returned_unix_ms = reach.returned_unix_ms;
+                let mut departures = self.inner.departures.borrow_mut();
+                departures.note_return(reach.failed_from_unix_ms, returned_unix_ms);
+            }
+            self.put_upstreams(entries);
+            let now = now_unix_ms();
+            let next = self.inner.departures.borrow().next_unix_ms(now);
+            let wake_unix_ms = next.unwrap_or(u64::MAX).min(now + REFRESH_INTERVAL_MS);
+            let timer = pin!(sleep_until_unix_ms(wake_unix_ms));
+            select(select(changed, timer), pin!(stop.ended())).await;
+        }
+    }
+
+    fn put_upstreams(&self, entries: &Mirror<Option<UpstreamEntry>>) {
+        let mut listed: HashMap<UpstreamId, Rc<UpstreamEntry>> = HashMap::default();
+        for (_, entry) in entries.all() {
+            if let Some(entry) = &*entry {
+                listed.insert(entry.id.clone(), Rc::new(entry.clone()));
+            }
+        }
+        let mut upstreams = self.inner.upstreams.borrow_mut();
+        let mut departures = self.inner.departures.borrow_mut();
+        let now = now_unix_ms();
+        upstreams.retain(|id, upstream| {
+            let is_listed = listed.contains_key(id);
+            let is_kept = is_listed || departures.is_kept(id, now);
+            if !is_kept {
+                info!(self.inner.log, "upstream_gone"; "upstream" => %id,
+                    "in_flight" => upstream.in_flight());
+            }
+            is_kept
+        });
+        for (id, entry) in listed {
+            departures.note_present(&id);
+            self.put_upstream(&mut upstreams, entry);
+        }
+        let mut by_service: HashMap<ServiceName, Vec<Rc<Upstream>>> = HashMap::default();
+        for upstream in upstreams.values() {
+            let service = upstream.entry.borrow().service.clone();
+            by_service
+                .entry(service)
+                .or_default()
+                .push(upstream.clone());
+        }
+        *self.inner.by_service.borrow_mut() = by_service;
+        drop((upstreams, departures));
+        self.wake();
+    }
+
+    /// Takes in an entry; another start under the same id is another upstream.
+    fn put_upstream(
+        &self,
+        upstreams: &mut HashMap<UpstreamId, Rc<Upstream>>,
+        entry: Rc<UpstreamEntry>,
+    ) {
+        if let Some(known) = upstreams.get(&entry.id) {
+            let before = known.entry.borrow().clone();
+            if before.born_unix_ms == entry.born_unix_ms && before.address == entry.address {
+                if before.state != entry.state {
+                    info!(self.inner.log, "upstream_state"; "upstream" => %entry.id,
+                        "state" => ?entry.state, "in_flight" => known.in_flight());
+                }
+                *known.entry.borrow_mut() = entry;
+                return;
+            }
+        }
+        info!(self.inner.log, "upstream_found"; "upstream" => %entry.id,
+            "service" => %entry.service, "address" => %entry.address,
+            "state" => ?entry.state, "models" => entry.loaded.len());
+        upstreams.insert(entry.id.clone(), Rc::new(Upstream::new(entry)));
+    }
+}
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -1,6 +1,6 @@
 //! An HTTP/1.1 server: one task for each connection, and a planned stop that cuts off nothing.
 
-use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc};
+use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use celerystair_core::prelude::*;
 use compio::net::TcpListener;
@@ -16,6 +16,30 @@
 /// An answer.
 pub type HttpResponse = http::Response<HttpBody>;
 
+/// What a connection may hold and how long it may stay idle.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ConnectionLimits {
+    /// The largest request head; the library's own bound if absent.
+    pub head_max_bytes: Option<usize>,
+    /// How long the next request's head may take to come, the time before it included; as long
+    /// as it likes if absent.
+    pub idle_timeout_ms: Option<u64>,
+}
+
+impl ConnectionLimits {
+    fn builder(self) -> http1::Builder {
+        // The library takes no smaller buffer.
+        const HEAD_MIN_BYTES: usize = 8192;
+        let mut builder = http1::Builder::new();
+        builder.timer(ConnectionTimer);
+        if let Some(bytes) = self.head_max_bytes {
+            builder.max_buf_size(bytes.max(HEAD_MIN_BYTES));
+        }
+        builder.header_read_timeout(self.idle_timeout_ms.map(Duration::from_millis));
+        builder
+    }
+}
+
 /// Binds a listener. The address may be one that an earlier process has just left.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = std::net::TcpListener::bind(address)?;
@@ -35,7 +59,16 @@
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    serve_connections(listener, stop, handle).await
+    serve_connections(listener, stop, own_limits, handle).await
+}
+
+/// The library's own timeout for a request's head.
+fn own_limits() -> ConnectionLimits {
+    const IDLE_TIMEOUT_MS: u64 = 30_000;
+    ConnectionLimits {
+        head_max_bytes: None,
+        idle_timeout_ms: Some(IDLE_TIMEOUT_MS),
+    }
 }
 
 /// As [`serve_http`], for callers who learn late that the server stops: for `notice_ms` after the
@@ -50,12 +83,30 @@
     notice_ms: u64,
     handle: F,
 ) -> io::Result<()>
+where
+    F: Fn(HttpRequest) -> R + 'static,
+    R: Future<Output = HttpResponse> + 'static,
+{
+    serve_http_limited(listener, stop, notice_ms, own_limits, handle).await
+}
+
+/// As [`serve_http_with_notice`]; `limits` is asked at each new connection.
+///
+/// # Errors
+/// The listener failed.
+pub async fn serve_http_limited<F, R>(
+    listener: TcpListener,
+    stop: Stop,
+    notice_ms: u64,
+    limits: impl Fn() -> ConnectionLimits,
+    handle: F,
+) -> io::Result<()>
 where
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
     let closing = after_notice(&stop, notice_ms);
-    serve_connections(listener, closing, move |request| {
+    serve_connections(listener, closing, limits, move |request| {
         let answer = handle(request);
         let stop = stop.clone();
         async move {
@@ -85,7 +136,12 @@
     late
 }
 
-async fn serve_connections<F, R>(listener: TcpListener, stop: Stop, handle: F) -> io::Result<()>
+async fn serve_connections<F, R>(
+    listener: TcpListener,
+    stop: Stop,
+    limits: impl Fn() -> ConnectionLimits,
+    handle: F,
+) -> io::Result<()>
 where
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
@@ -97,14 +153,13 @@
         let handle = handle.clone();
         let stop = stop.clone();
         let guard = open.enter();
+        let builder = limits().builder();
         compio::runtime::spawn(async move {
             let service = service_fn(move |request| {
                 let answer = handle(request);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
-            let connection = http1::Builder::new()
-                .timer(ConnectionTimer)
-                .serve_connection(HyperStream::new_plain(stream), service);
+            let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
             let mut connection = pin!(connection);
             let draining = pin!(stop.draining());
             if let Either::Right(((), _)) = select(connection.as_mut(), draining).await {
--- /dev/null
+++ b/crates/celerystair_news/src/engines.rs
@@ -0,0 +1,186 @@
+//! What agents tell of their engines.
+
+use std::{
+    cell::RefCell,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
+
+use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
+use celerystair_protocol::{EngineModel, EngineNews};
+
+/// News that is older than this tells nothing of an engine's load: several in a row were lost, or
+/// the agent stands still.
+pub const FRESH_MS: u64 = 1500;
+
+/// An engine as its agent last told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineStatus {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// Its start.
+    pub born_unix_ms: u64,
+    /// Rises with each datagram, also over lives of the agent.
+    pub sequence: u64,
+    /// The models that it serves.
+    pub loaded: Vec<LoadedModel>,
+    /// The model that it loads, if any.
+    pub loading: Option<ModelName>,
+    /// When that model is expected to serve, by the reader's clock.
+    pub ready_unix_ms: u64,
+    /// Whether that model's weights come from the weight store.
+    pub is_loading_cold: bool,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that run there.
+    pub running: u32,
+    /// KV cache that can't yield, in tokens.
+    pub kv_used_tokens: u64,
+    /// KV cache in all, in tokens.
+    pub kv_total_tokens: u64,
+    /// Models with a copy of their weights in host memory.
+    pub in_memory: Vec<ModelName>,
+    /// Models with a copy of their weights on disk.
+    pub on_disk: Vec<ModelName>,
+    /// Routers that the agent has heard of late.
+    pub routers: u32,
+    /// Whether the agent orders loads now.
+    pub takes_orders: bool,
+    /// When this was heard.
+    pub heard_unix_ms: u64,
+    /// Where it came from.
+    pub agent: SocketAddr,
+}
+
+impl EngineStatus {
+    /// Whether it is fresh enough to tell the engine's load.
+    pub fn is_fresh(&self, now_unix_ms: u64) -> bool {
+        now_unix_ms < self.heard_unix_ms + FRESH_MS
+    }
+
+    /// The model as loaded there.
+    pub fn find(&self, model: &ModelName) -> Option<&LoadedModel> {
+        self.loaded.iter().find(|loaded| loaded.model == *model)
+    }
+
+    pub(crate) fn read(news: EngineNews, agent: SocketAddr, now_unix_ms: u64) -> Self {
+        let loaded = news.loaded.into_iter().map(|model| LoadedModel {
+            model: model.model.into(),
+            adapters: model.adapters,
+        });
+        let models = |names: Vec<String>| names.into_iter().map(ModelName::from).collect();
+        Self {
+            upstream: news.upstream.into(),
+            born_unix_ms: news.born_unix_ms,
+            sequence: news.sequence,
+            loaded: loaded.collect(),
+            loading: (!news.loading.is_empty()).then(|| news.loading.into()),
+            ready_unix_ms: now_unix_ms + u64::from(news.ready_in_ms),
+            is_loading_cold: news.loading_is_cold,
+            waiting: news.waiting,
+            running: news.running,
+            kv_used_tokens: news.kv_used_tokens,
+            kv_total_tokens: news.kv_total_tokens,
+            in_memory: models(news.in_memory),
+            on_disk: models(news.on_disk),
+            routers: news.routers,
+            takes_orders: news.takes_orders,
+            heard_unix_ms: now_unix_ms,
+            agent,
+        }
+    }
+
+    pub(crate) fn write(&self) -> EngineNews {
+        let loaded = self.loaded.iter().map(|model| EngineModel {
+            model: model.model.to_string(),
+            adapters: model.adapters.clone(),
+        });
+        let names = |models: &[ModelName]| models.iter().map(ToString::to_string).collect();
+        let ready_in_ms = self.ready_unix_ms.saturating_sub(self.heard_unix_ms);
+        EngineNews {
+            upstream: self.upstream.to_string(),
+            born_unix_ms: self.born_unix_ms,
+            sequence: self.sequence,
+            loaded: loaded.collect(),
+            loading: self
+                .loading
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+            ready_in_ms: ready_in_ms as u32,
+            waiting: self.waiting,
+            running: self.running,
+            kv_used_tokens: self.kv_used_tokens,
+            kv_total_tokens: self.kv_total_tokens,
+            in_memory: names(&self.in_memory),
+            on_disk: names(&self.on_disk),
+            routers: self.routers,
+            loading_is_cold: self.is_loading_cold,
+            takes_orders: self.takes_orders,
+        }
+    }
+}
+
+impl Default for EngineStatus {
+    fn default() -> Self {
+        Self {
+            upstream: UpstreamId::default(),
+            born_unix_ms: 0,
+            sequence: 0,
+            loaded: Vec::new(),
+            loading: None,
+            ready_unix_ms: 0,
+            is_loading_cold: false,
+            waiting: 0,
+            running: 0,
+            kv_used_tokens: 0,
+            kv_total_tokens: 0,
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+            routers: 0,
+            takes_orders: false,
+            heard_unix_ms: 0,
+            agent: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+        }
+    }
+}
+
+/// What was heard of each engine last.
+#[derive(Clone, Default)]
+pub struct EngineBoard {
+    engines: Rc<RefCell<HashMap<UpstreamId, Rc<EngineStatus>>>>,
+}
+
+impl EngineBoard {
+    /// Takes in what an agent told; false if something later was heard before.
+    pub fn take(&self, status: EngineStatus) -> bool {
+        let mut engines = self.engines.borrow_mut();
+        let known = engines.get(&status.upstream);
+        if known.is_some_and(|known| known.sequence >= status.sequence) {
+            return false;
+        }
+        engines.insert(status.upstream.clone(), Rc::new(status));
+        true
+    }
+
+    /// What was heard of `upstream` last.
+    pub fn get(&self, upstream: &UpstreamId) -> Option<Rc<EngineStatus>> {
+        self.engines.borrow().get(upstream).cloned()
+    }
+
+    /// Every engine that was heard of since `since_unix_ms`.
+    pub fn heard_since(&self, since_unix_ms: u64) -> Vec<Rc<EngineStatus>> {
+        let engines = self.engines.borrow();
+        let fresh = engines
+            .values()
+            .filter(|s| s.heard_unix_ms >= since_unix_ms);
+        fresh.cloned().collect()
+    }
+
+    /// Forgets engines that were not heard of since `since_unix_ms`.
+    pub fn forget_before(&self, since_unix_ms: u64) {
+        let mut engines = self.engines.borrow_mut();
+        engines.retain(|_, status| status.heard_unix_ms >= since_unix_ms);
+    }
+}
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | holds |
 //! |---|---|
 //! | [`backoff`] | waiting between tries, with jitter |
+//! | [`dialect`] | how calls are written and answers read |
 //! | [`error`] | failures, with "failed" kept apart from "unknown" |
 //! | [`instances`] | the list of live and leaving instances, and what it showed before |
 //! | [`mirror`] | a prefix of objects, kept current by a watch |
@@ -14,6 +15,7 @@
 //! What an operator does when the platform is down: `docs/STORE.md`.
 
 pub mod backoff;
+pub mod dialect;
 pub mod error;
 pub mod instances;
 pub mod mirror;
@@ -26,12 +28,13 @@
 pub mod prelude {
     pub use crate::{
         backoff::Backoff,
+        dialect::{ListPage, StoreDialect, WireCall},
         error::StoreError,
         instances::{InstanceEntry, InstanceState, Instances},
         mirror::Mirror,
         objects::{AgentObject, ModelObject, PlacementObject, ServiceObject, SlotObject},
         pacer::{CallCounts, CallPriority},
         shared::{Shared, SharedItem, SharedPosition},
-        store::{Expected, Object, Store, StoreSettings},
+        store::{Expected, Object, ObjectList, Store, StoreReach, StoreSettings, WatchReply},
     };
 }
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -52,8 +52,12 @@
     read: Cell<bool>,
     changed: Event,
     shared: Option<Shared>,
+    read_value: ReadValue<T>,
 }
 
+/// Makes an object's value of the object.
+type ReadValue<T> = Box<dyn Fn(&Object) -> Result<T, StoreError>>;
+
 struct Entry<T> {
     version: u64,
     value: Rc<T>,
@@ -62,19 +66,39 @@
 impl<T: DeserializeOwned + 'static> Mirror<T> {
     /// Starts to mirror `prefix`; a task keeps it current until `stop` ends.
     pub fn start(store: &Store, prefix: &str, stop: &Stop) -> Self {
-        Self::start_with(store, prefix, None, stop)
+        Self::start_with(store, prefix, None, Box::new(Object::read), stop)
     }
 
     /// The same for a prefix that processes tell one another of: where others watch for this
     /// process, it reads the prefix at its start and watches only while their news is stale.
     pub fn start_shared(store: &Store, prefix: &str, shared: &Shared, stop: &Stop) -> Self {
-        let mirror = Self::start_with(store, prefix, Some(shared.clone()), stop);
+        let read_value = Box::new(Object::read);
+        let mirror = Self::start_with(store, prefix, Some(shared.clone()), read_value, stop);
         let taking = mirror.clone();
         shared.set_taker(prefix, move |item| taking.take_told(item));
         mirror
     }
+}
+
+impl<T: 'static> Mirror<T> {
+    /// Starts to mirror a prefix whose values `read_value` makes, where they are not the
+    /// project's own.
+    pub fn start_reading(
+        store: &Store,
+        prefix: &str,
+        read_value: impl Fn(&Object) -> Result<T, StoreError> + 'static,
+        stop: &Stop,
+    ) -> Self {
+        Self::start_with(store, prefix, None, Box::new(read_value), stop)
+    }
 
-    fn start_with(store: &Store, prefix: &str, shared: Option<Shared>, stop: &Stop) -> Self {
+    fn start_with(
+        store: &Store,
+        prefix: &str,
+        shared: Option<Shared>,
+        read_value: ReadValue<T>,
+        stop: &Stop,
+    ) -> Self {
         let mirror = Self {
             inner: Rc::new(Inner {
                 prefix: prefix.to_owned(),
@@ -84,6 +108,7 @@
                 read: Cell::new(false),
                 changed: Event::new(),
                 shared,
+                read_value,
             }),
         };
         let (task, store, stop) = (mirror.clone(), store.clone(), stop.clone());
@@ -150,7 +175,7 @@
         let Some(name) = object.key.strip_prefix(&self.inner.prefix) else {
             return Ok(());
         };
-        let value = Rc::new(object.read::<T>()?);
+        let value = Rc::new((self.inner.read_value)(object)?);
         if self.put(name, object.version, value) {
             self.share(&object.key, object.version, &object.value);
         }
@@ -213,7 +238,14 @@
         if item.value.is_empty() {
             self.remove(name, item.version);
         } else if let Ok(value) = serde_json::from_slice(&item.value) {
-            self.put(name, item.version, Rc::new(value));
+            let object = Object {
+                key: item.key.clone(),
+                version: item.version,
+                value,
+            };
+            if let Ok(value) = (self.inner.read_value)(&object) {
+                self.put(name, item.version, Rc::new(value));
+            }
         }
         // Also what this version can't read or had no more: others may lack it.
         if let Some(shared) = &self.inner.shared {
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -1,12 +1,16 @@
 //! One place for all calls to the object API.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use celerystair_core::{prelude::*, time::before_deadline};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
 use crate::{
+    dialect::{StoreDialect, WireCall, get, own_dialect},
     error::StoreError,
     instances::InstanceEntry,
     pacer::{CallCounts, CallPriority, Pacer},
@@ -110,17 +114,28 @@
 struct Inner {
     client: cyper::Client,
     settings: StoreSettings,
+    dialect: StoreDialect,
     pacer: Pacer,
+    reach: Cell<StoreReach>,
     /// The list of instances as last read, with its tag: a list that has not changed is not
     /// sent again.
     instances: RefCell<(String, Rc<Vec<InstanceEntry>>)>,
 }
 
+/// Whether the store answers this process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreReach {
+    /// Since when calls have failed; 0 while they succeed.
+    pub failing_since_unix_ms: u64,
+    /// When the store last answered again after failures; 0 if never.
+    pub returned_unix_ms: u64,
+    /// When the failures before that began.
+    pub failed_from_unix_ms: u64,
+}
+
 /// A call to the object API.
 struct StoreCall<'a> {
-    method: http::Method,
-    path: &'a str,
-    body: Option<Vec<u8>>,
+    wire: WireCall,
     /// The tag of what is known already; empty if nothing is.
     known_tag: &'a str,
     priority: CallPriority,
@@ -138,10 +153,20 @@
 impl Store {
     /// A client; nothing is called yet.
     pub fn new(settings: StoreSettings) -> Result<Self, StoreError> {
+        Self::with_dialect(settings, own_dialect())
+    }
+
+    /// A client of an object API that writes and reads as `dialect` says.
+    pub fn with_dialect(
+        settings: StoreSettings,
+        dialect: StoreDialect,
+    ) -> Result<Self, StoreError> {
         let client = cyper::Client::new().map_err(|error| failed(&error))?;
         Ok(Self {
             inner: Rc::new(Inner {
                 client,
+                dialect,
+                reach: Cell::default(),
                 pacer: Pacer::new(settings.calls_per_second),
                 instances: RefCell::default(),
                 settings,
@@ -170,33 +195,49 @@
         self.get_at(key, CallPriority::Normal).await
     }
 
+    /// Whether the store answers this process.
+    pub fn reach(&self) -> StoreReach {
+        self.inner.reach.get()
+    }
+
     /// Reads one object for somebody at this priority.
     pub async fn get_at(
         &self,
         key: &str,
         priority: CallPriority,
     ) -> Result<Option<Object>, StoreError> {
-        let (status, body) = self
-            .call(
-                http::Method::GET,
-                &format!("/objects/{key}"),
-                None,
-                priority,
-            )
-            .await?;
-        match status {
-            404 => Ok(None),
-            _ => parse(key, status, &body).map(Some),
+        let dialect = &self.inner.dialect;
+        let answer = self.call((dialect.get)(key), priority).await?;
+        if answer.status == 404 {
+            return Ok(None);
         }
+        let body = self.done(&answer)?;
+        let object = (dialect.read_object)(key, body).map_err(|error| bad_object(key, &error))?;
+        Ok(Some(object))
     }
 
     /// Reads all objects below `prefix`.
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, StoreError> {
-        let path = format!("/objects?prefix={prefix}");
-        let (status, body) = self
-            .call(http::Method::GET, &path, None, CallPriority::Normal)
-            .await?;
-        parse(prefix, status, &body)
+        let dialect = &self.inner.dialect;
+        let mut list = ObjectList::default();
+        let mut after: Option<String> = None;
+        loop {
+            let call = (dialect.list)(prefix, after.as_deref());
+            let answer = self.call(call, CallPriority::Normal).await?;
+            let body = self.done(&answer)?;
+            let page =
+                (dialect.read_list)(prefix, body).map_err(|error| bad_object(prefix, &error))?;
+            // Later parts may be newer than the first: a watch from the first part's revision
+            // sees what has changed in between once more, and misses nothing.
+            if after.is_none() {
+                list.revision = page.list.revision;
+            }
+            list.objects.extend(page.list.objects);
+            after = page.after;
+            if after.is_none() {
+                return Ok(list);
+            }
+        }
     }
 
     /// Writes `value` if the object is as `expected`; gives its new version.
@@ -211,60 +252,66 @@
         expected: Expected,
         priority: CallPriority,
     ) -> Result<u64, StoreError> {
-        let body = serde_json::to_vec(value).map_err(|error| failed(&error))?;
-        let path = match expected {
-            Expected::Absent => format!("/objects/{key}?if_version=0"),
-            Expected::Version(version) => format!("/objects/{key}?if_version={version}"),
-        };
-        let (status, body) = self
-            .call(http::Method::PUT, &path, Some(body), priority)
+        let dialect = &self.inner.dialect;
+        let value = serde_json::to_value(value).map_err(|error| failed(&error))?;
+        let answer = self
+            .call((dialect.put)(key, &value, expected), priority)
             .await?;
-        let reply: WriteReply = match status {
-            200 | 412 => serde_json::from_slice(&body).map_err(|error| StoreError::Unknown {
+        let is_conflict = answer.status == dialect.conflict_status;
+        if !is_conflict && !(dialect.is_done)(answer.status) {
+            return Err(refused(answer.status, &answer.body));
+        }
+        let version =
+            (dialect.read_version)(&answer.body).map_err(|error| StoreError::Unknown {
                 detail: error.to_string(),
-            })?,
-            _ => return Err(refused(status, &body)),
-        };
-        if status == 412 {
+            })?;
+        if is_conflict {
             return Err(StoreError::Conflict {
                 key: key.to_owned(),
-                current_version: reply.version,
+                current_version: version,
             });
         }
-        Ok(reply.version)
+        Ok(version)
     }
 
     /// Deletes the object if it is at `version`.
     pub async fn delete(&self, key: &str, version: u64) -> Result<(), StoreError> {
-        let path = format!("/objects/{key}?if_version={version}");
-        let (status, body) = self
-            .call(http::Method::DELETE, &path, None, CallPriority::Normal)
+        let dialect = &self.inner.dialect;
+        let answer = self
+            .call((dialect.delete)(key, version), CallPriority::Normal)
             .await?;
-        match status {
-            200 | 404 => Ok(()),
-            412 => Err(StoreError::Conflict {
+        if answer.status == dialect.conflict_status {
+            return Err(StoreError::Conflict {
                 key: key.to_owned(),
                 current_version: 0,
-            }),
-            _ => Err(refused(status, &body)),
+            });
+        }
+        if answer.status == 404 || (dialect.is_done)(answer.status) {
+            return Ok(());
         }
+        Err(refused(answer.status, &answer.body))
     }
 
     /// Waits until something below `prefix` changes after `revision`.
     pub async fn watch(&self, prefix: &str, revision: u64) -> Result<WatchReply, StoreError> {
+        let dialect = &self.inner.dialect;
         let wait_ms = self.inner.settings.watch_timeout_ms;
-        let path = format!("/watch?prefix={prefix}&after={revision}&wait_ms={wait_ms}");
-        let deadline = now_unix_ms() + wait_ms + self.inner.settings.call_timeout_ms;
-        let (status, body) = self
-            .call_before(
-                http::Method::GET,
-                &path,
-                None,
-                CallPriority::Normal,
-                deadline,
-            )
+        let answer = self
+            .send(StoreCall {
+                wire: (dialect.watch)(prefix, revision, wait_ms),
+                known_tag: "",
+                priority: CallPriority::Normal,
+                deadline_unix_ms: now_unix_ms() + wait_ms + self.inner.settings.call_timeout_ms,
+            })
             .await?;
-        parse(prefix, status, &body)
+        if dialect.forgotten_status == Some(answer.status) {
+            return Ok(WatchReply {
+                too_old: true,
+                ..WatchReply::default()
+            });
+        }
+        let body = self.done(&answer)?;
+        (dialect.read_watch)(prefix, body).map_err(|error| bad_object(prefix, &error))
     }
 
     /// Reads the platform's list of instances.
@@ -272,9 +319,7 @@
         let (known_tag, known) = self.inner.instances.borrow().clone();
         let answer = self
             .send(StoreCall {
-                method: http::Method::GET,
-                path: "/instances",
-                body: None,
+                wire: get("/instances".to_owned()),
                 known_tag: &known_tag,
                 priority: CallPriority::Normal,
                 deadline_unix_ms: now_unix_ms() + self.inner.settings.call_timeout_ms,
@@ -283,43 +328,35 @@
         if answer.status == STATUS_NOT_MODIFIED {
             return Ok(known);
         }
-        let list: Rc<Vec<InstanceEntry>> =
-            Rc::new(parse("instances", answer.status, &answer.body)?);
+        let body = self.done(&answer)?;
+        let list: Rc<Vec<InstanceEntry>> = serde_json::from_slice(body)
+            .map(Rc::new)
+            .map_err(|error| bad_object("instances", &error))?;
         *self.inner.instances.borrow_mut() = (answer.tag, list.clone());
         Ok(list)
     }
 
     async fn call(
         &self,
-        method: http::Method,
-        path: &str,
-        body: Option<Vec<u8>>,
+        wire: WireCall,
         priority: CallPriority,
-    ) -> Result<(u16, Vec<u8>), StoreError> {
-        let deadline = now_unix_ms() + self.inner.settings.call_timeout_ms;
-        self.call_before(method, path, body, priority, deadline)
-            .await
+    ) -> Result<StoreAnswer, StoreError> {
+        self.send(StoreCall {
+            wire,
+            known_tag: "",
+            priority,
+            deadline_unix_ms: now_unix_ms() + self.inner.settings.call_timeout_ms,
+        })
+        .await
     }
 
-    async fn call_before(
-        &self,
-        method: http::Method,
-        path: &str,
-        body: Option<Vec<u8>>,
-        priority: CallPriority,
-        deadline_unix_ms: u64,
-    ) -> Result<(u16, Vec<u8>), StoreError> {
-        let answer = self
-            .send(StoreCall {
-                method,
-                path,
-                body,
-                known_tag: "",
-                priority,
-                deadline_unix_ms,
-            })
-            .await?;
-        Ok((answer.status, answer.body))
+    /// The body of an answer that says "done".
+    fn done<'a>(&self, answer: &'a StoreAnswer) -> Result<&'a [u8], StoreError> {
+        if (self.inner.dialect.is_done)(answer.status) {
+            Ok(&answer.body)
+        } else {
+            Err(refused(answer.status, &answer.body))
+        }
     }
 
     async fn send(&self, call: StoreCall<'_>) -> Result<StoreAnswer, StoreError> {
@@ -330,7 +367,10 @@
                 detail: "this process has called too often; nothing was sent".to_owned(),
             });
         }
-        match before_deadline(deadline_unix_ms, self.exchange(call)).await {
+        let outcome = before_deadline(deadline_unix_ms, self.exchange(call)).await;
+        let is_answered = matches!(&outcome, Some(Ok(answer)) if !is_turned_away(answer.status));
+        self.note_reach(is_answered);
+        match outcome {
             Some(Ok(answer)) => {
                 self.inner.pacer.note_answer(answer.status);
                 Ok(answer)
@@ -347,13 +387,26 @@
         }
     }
 
+    fn note_reach(&self, is_answered: bool) {
+        let mut reach = self.inner.reach.get();
+        let now = now_unix_ms();
+        if !is_answered && reach.failing_since_unix_ms == 0 {
+            reach.failing_since_unix_ms = now;
+        } else if is_answered && reach.failing_since_unix_ms != 0 {
+            reach.failed_from_unix_ms = reach.failing_since_unix_ms;
+            reach.returned_unix_ms = now;
+            reach.failing_since_unix_ms = 0;
+        }
+        self.inner.reach.set(reach);
+    }
+
     async fn exchange(&self, call: StoreCall<'_>) -> Result<StoreAnswer, cyper::Error> {
-        let url = format!("{}{}", self.inner.settings.url, call.path);
-        let mut request = self.inner.client.request(call.method, url)?;
+        let url = format!("{}{}", self.inner.settings.url, call.wire.path);
+        let mut request = self.inner.client.request(call.wire.method, url)?;
         if !call.known_tag.is_empty() {
             request = request.header(http::header::IF_NONE_MATCH, call.known_tag)?;
         }
-        if let Some(body) = call.body {
+        if let Some(body) = call.wire.body {
             request = request.body(body);
         }
         let response = request.send().await?;
@@ -388,12 +441,14 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(key: &str, status: u16, body: &[u8]) -> Result<T, StoreError> {
-    if status != 200 {
-        return Err(refused(status, body));
-    }
-    serde_json::from_slice(body).map_err(|error| StoreError::BadObject {
+/// Whether the platform serves others and turns this process away.
+fn is_turned_away(status: u16) -> bool {
+    matches!(status, 429 | 503)
+}
+
+fn bad_object(key: &str, error: &serde_json::Error) -> StoreError {
+    StoreError::BadObject {
         key: key.to_owned(),
         detail: error.to_string(),
-    })
+    }
 }
--- /dev/null
+++ b/crates/celerystair_policy/src/budget.rs
@@ -0,0 +1,70 @@
+//! Whether one more attempt fits the fleet's share of retries. Answers half of the upstreams
+//! vanishing at once: without a bound, every request would be sent again and again.
+//!
+//! The bound holds for the sum over all routers, so each keeps to its part of it. The part is
+//! made smaller while a router doesn't know how many others there are.
+
+use std::collections::VecDeque;
+
+/// The fleet's bound: retries in any window of `window_ms` stay within `ratio` of the requests
+/// in it plus `slack`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBound {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries that need no request.
+    pub slack: f64,
+    /// The window's length.
+    pub window_ms: u64,
+}
+
+/// Part of the bound that is used; the rest covers requests whose first attempt was counted in
+/// another window than their retry.
+const USED_SHARE: f64 = 0.7;
+
+/// One router's retries at one service.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    bound: RetryBound,
+    requests_unix_ms: VecDeque<u64>,
+    retries_unix_ms: VecDeque<u64>,
+}
+
+impl RetryBudget {
+    /// Nothing has been sent yet.
+    pub fn new(bound: RetryBound) -> Self {
+        Self {
+            bound,
+            requests_unix_ms: VecDeque::new(),
+            retries_unix_ms: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn note_request(&mut self, now_unix_ms: u64) {
+        self.forget(now_unix_ms);
+        self.requests_unix_ms.push_back(now_unix_ms);
+    }
+
+    /// Takes one retry, if there is one left for a router that shares the slack with
+    /// `routers` in all.
+    pub fn take(&mut self, now_unix_ms: u64, routers: u32) -> bool {
+        self.forget(now_unix_ms);
+        let own_slack = self.bound.slack / f64::from(routers.max(1));
+        let allowed = self.bound.ratio * self.requests_unix_ms.len() as f64 + own_slack;
+        if (self.retries_unix_ms.len() + 1) as f64 > allowed * USED_SHARE {
+            return false;
+        }
+        self.retries_unix_ms.push_back(now_unix_ms);
+        true
+    }
+
+    fn forget(&mut self, now_unix_ms: u64) {
+        let since_unix_ms = now_unix_ms.saturating_sub(self.bound.window_ms);
+        for times in [&mut self.requests_unix_ms, &mut self.retries_unix_ms] {
+            while times.front().is_some_and(|time| *time < since_unix_ms) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerystair_policy/src/choose.rs
@@ -0,0 +1,46 @@
+//! Which upstream gets an attempt. Answers stale news after a freeze, and the rush of all routers
+//! to the one upstream that looks empty: what a router has itself sent since the news was made
+//! counts on top of it, and equals are told apart by a draw of the request's own.
+
+use celerystair_core::{prelude::*, rendezvous::weight};
+
+/// An upstream that could take the attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub upstream: &'a UpstreamId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Requests that ran or waited there by its latest news; 0 if there is none.
+    pub known_load: u32,
+    /// Requests of this router that are there.
+    pub own_load: u32,
+    /// Those of them that were sent after the news was made.
+    pub sent_since_news: u32,
+    /// Whether it stands in the router's failure domain.
+    pub is_near: bool,
+    /// Whether it has failed of late.
+    pub is_doubted: bool,
+}
+
+/// Loads that differ by less than this share of the slots count as equal, so that nearness and
+/// kept prefixes decide among upstreams that have room.
+const EQUAL_LOAD_SHARE: f64 = 0.125;
+
+/// The best of `candidates` for a request whose prompt begins as `affinity` says; empty if it has
+/// none. `None` only if there is no candidate.
+pub fn choose_upstream(candidates: &[Candidate<'_>], affinity: &str) -> Option<usize> {
+    let key = |candidate: &Candidate<'_>| {
+        let slots = f64::from(candidate.slots.max(1));
+        let load = f64::from(load(candidate)) / slots;
+        let step = (load / EQUAL_LOAD_SHARE) as u64;
+        let rank = u64::MAX - weight(affinity, candidate.upstream);
+        (candidate.is_doubted, step, !candidate.is_near, rank)
+    };
+    (0..candidates.len()).min_by_key(|index| key(&candidates[*index]))
+}
+
+fn load(candidate: &Candidate<'_>) -> u32 {
+    let by_news = candidate.known_load + candidate.sent_since_news;
+    by_news.max(candidate.own_load)
+}
--- /dev/null
+++ b/crates/celerystair_policy/src/lib.rs
@@ -0,0 +1,51 @@
+//! Decisions about requests and replicas, as plain functions over plain data: time is passed in,
+//! and nothing here opens a socket, reads a clock or calls the store. Each module names the load
+//! that it answers; its test under `tests/` replays that load.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`budget`] | whether one more attempt fits the fleet's share of retries |
+//! | [`choose`] | which upstream gets an attempt |
+//! | [`demand`] | how much each model is asked for |
+//! | [`departures`] | when an upstream that is missing from the list counts as gone |
+//! | [`fleet`] | nothing: the configuration and the upstreams that decisions are about |
+//! | [`health`] | which upstreams are left out for a while |
+//! | [`outcome`] | what an attempt that failed allows next |
+//! | [`replicas`] | which model an engine loads next, and what makes room for it |
+//! | [`routes`] | which route a request takes |
+//! | [`suspects`] | which requests are refused because they crash upstreams |
+//! | [`waiting`] | whether a request waits for a replica, and what a refusal says |
+//!
+//! Why they are apart, and how they fit together: `docs/PLATFORM.md`.
+
+pub mod budget;
+pub mod choose;
+pub mod demand;
+pub mod departures;
+pub mod fleet;
+pub mod health;
+pub mod outcome;
+pub mod replicas;
+pub mod routes;
+pub mod suspects;
+pub mod waiting;
+
+/// The types that a process needs.
+pub mod prelude {
+    pub use crate::{
+        budget::RetryBudget,
+        choose::{Candidate, choose_upstream},
+        demand::DemandMeter,
+        departures::Departures,
+        fleet::{
+            CallerLimits, EngineConfig, EngineState, LoadedModel, ModelConfig, RequestKind, Route,
+            RouteTarget, ServiceConfig, ServingConfig, UpstreamEntry, UpstreamState,
+        },
+        health::UpstreamHealth,
+        outcome::{AttemptFailure, NextStep, next_step},
+        replicas::{EngineView, ModelView, Order, next_order},
+        routes::{RouteTable, choose_service},
+        suspects::Suspects,
+        waiting::{WaitDecision, WaitInputs, decide_wait},
+    };
+}
--- /dev/null
+++ b/crates/celerystair_policy/src/outcome.rs
@@ -0,0 +1,76 @@
+//! What an attempt that failed allows next. Answers lost answers and crashes under load: whatever
+//! may run once is sent again only if the upstream itself said that it had not run.
+
+/// How an attempt came to nothing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptFailure {
+    /// No connection could be opened: nothing was sent.
+    Unreachable,
+    /// The upstream said that it has not run the request and will not.
+    Declined,
+    /// The upstream is not the one that was expected at its address.
+    Misdirected,
+    /// The request was sent, and the connection ended without an answer.
+    AnswerLost,
+    /// The upstream answered with something that can't be passed on.
+    AnswerSpoiled,
+    /// The upstream answered with a failure of its own.
+    Failed,
+    /// Nothing came for so long that the upstream is taken for dead.
+    Silent,
+}
+
+impl AttemptFailure {
+    /// Whether the request has surely not run there.
+    pub fn has_not_run(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Declined | Self::Misdirected)
+    }
+
+    /// Whether the upstream saw the request, so that another attempt counts as a retry.
+    pub fn has_arrived(self) -> bool {
+        self != Self::Unreachable
+    }
+
+    /// The word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Declined => "declined",
+            Self::Misdirected => "misdirected",
+            Self::AnswerLost => "answer_lost",
+            Self::AnswerSpoiled => "answer_spoiled",
+            Self::Failed => "failed",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// What to do with a request after a failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NextStep {
+    /// Another upstream may be tried.
+    TryAnother,
+    /// The caller gets a refusal that says "not run".
+    RefuseNotRun,
+    /// The caller gets a failure that promises nothing.
+    Fail,
+}
+
+/// Decides after `failure`; `may_have_run` is of the attempts before it, `sent` counts the
+/// attempts that reached an upstream.
+pub fn next_step(
+    failure: AttemptFailure,
+    may_have_run: bool,
+    is_repeatable: bool,
+    sent: u32,
+    attempts_max: u32,
+) -> NextStep {
+    let may_have_run = may_have_run || !failure.has_not_run();
+    if sent < attempts_max && (is_repeatable || !may_have_run) {
+        NextStep::TryAnother
+    } else if may_have_run {
+        NextStep::Fail
+    } else {
+        NextStep::RefuseNotRun
+    }
+}
--- /dev/null
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -0,0 +1,309 @@
+//! Which model an engine loads next, and what makes room for it. Answers demand that moves to
+//! other models every few seconds, rare models that are asked for all at once, and engines taken
+//! away at two seconds' notice.
+//!
+//! Every agent plans for all engines from the same news, in the same order, and carries out what
+//! falls to its own engine; so no leader is needed, and two agents that differ for a moment load
+//! one replica too many at worst. What a load gains and what an eviction loses are both counted in
+//! requests that would have to wait.
+
+use celerystair_core::{prelude::*, rendezvous::weight};
+
+use crate::fleet::EngineConfig;
+
+/// What the fleet asks of one model.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ModelView {
+    /// Arrivals a second, over all routers.
+    pub requests_per_second: f64,
+    /// Requests that wait for a replica, over all routers.
+    pub waiting: u32,
+    /// Requests that run, over all routers.
+    pub running: u32,
+}
+
+/// One engine, as its agent's news tells.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EngineView {
+    /// Its name.
+    pub upstream: UpstreamId,
+    /// The models that it serves.
+    pub loaded: Vec<ModelName>,
+    /// The load that is under way there.
+    pub loading: Option<LoadUnderWay>,
+    /// Whether its agent orders loads now: it is in touch, and its engine isn't leaving.
+    pub takes_orders: bool,
+    /// Models with a copy of their weights in host memory.
+    pub in_memory: Vec<ModelName>,
+    /// Models with a copy of their weights on disk.
+    pub on_disk: Vec<ModelName>,
+    /// Models that make no room now: they were loaded a moment ago.
+    pub kept: Vec<ModelName>,
+}
+
+/// A load that an engine carries out.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadUnderWay {
+    /// The model.
+    pub model: ModelName,
+    /// Whether the weights come from the weight store.
+    pub is_cold: bool,
+    /// How long it still takes.
+    pub ready_in_ms: u64,
+}
+
+/// What an engine is to do: unload, then load.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The model to load.
+    pub load: ModelName,
+    /// What makes room for it, the first first.
+    pub unload: Vec<ModelName>,
+    /// Whether the weights come from the weight store.
+    pub is_cold: bool,
+}
+
+/// A replica is asked to carry this part of its engine's slots; above it another one is wanted.
+/// Beyond it prompts that are read delay the tokens of the others past the pause that is allowed.
+const REPLICA_LOAD_SHARE: f64 = 0.25;
+/// Loads from the weight store that run at full speed together; more only slow one another.
+const COLD_LOADS_AT_ONCE: usize = 4;
+/// Seconds of a model's demand that a load or an eviction is weighed by.
+const HORIZON_SECONDS: f64 = 3.0;
+/// What a waiting request weighs against one that is expected.
+const WAITING_WEIGHT: f64 = 2.0;
+/// A load must gain this many times what its evictions lose, so that models don't trade places.
+const GAIN_OVER_LOSS: f64 = 1.5;
+/// What a second until a replica is ready costs, in requests: engines that have the weights at
+/// hand go first, but not at any price.
+const SECOND_COST: f64 = 0.5;
+
+/// Decides what the engine at `own` loads next; `None` if nothing falls to it now.
+pub fn next_order(
+    config: &EngineConfig,
+    models: &HashMap<ModelName, ModelView>,
+    engines: &[EngineView],
+    own: usize,
+) -> Option<Order> {
+    let mut fleet = Fleet::new(config, models, engines);
+    for need in fleet.needs() {
+        let Some(chosen) = fleet.best_engine(&need) else {
+            continue;
+        };
+        if chosen.engine == own && engines[own].loading.is_none() {
+            return Some(chosen.order);
+        }
+        fleet.assign(&chosen);
+    }
+    None
+}
+
+/// A model that wants one more replica.
+struct Need<'a> {
+    model: &'a ModelName,
+    /// Requests that one more replica spares a wait.
+    gain: f64,
+}
+
+/// An engine for a need.
+struct Chosen {
+    engine: usize,
+    order: Order,
+}
+
+/// The engines as they will be once what was assigned so far is carried out.
+struct Fleet<'a> {
+    config: &'a EngineConfig,
+    models: &'a HashMap<ModelName, ModelView>,
+    engines: &'a [EngineView],
+    replicas: HashMap<&'a ModelName, usize>,
+    is_taken: Vec<bool>,
+    cold_loads: usize,
+}
+
+impl<'a> Fleet<'a> {
+    fn new(
+        config: &'a EngineConfig,
+        models: &'a HashMap<ModelName, ModelView>,
+        engines: &'a [EngineView],
+    ) -> Self {
+        let mut replicas: HashMap<&ModelName, usize> = HashMap::default();
+        for engine in engines {
+            let loading = engine.loading.iter().map(|load| &load.model);
+            for model in engine.loaded.iter().chain(loading) {
+                *replicas.entry(model).or_default() += 1;
+            }
+        }
+        let is_cold = |engine: &&EngineView| engine.loading.as_ref().is_some_and(|l| l.is_cold);
+        Self {
+            config,
+            models,
+            engines,
+            replicas,
+            is_taken: vec![false; engines.len()],
+            cold_loads: engines.iter().filter(is_cold).count(),
+        }
+    }
+
+    fn replicas(&self, model: &ModelName) -> usize {
+        self.replicas.get(model).copied().unwrap_or_default()
+    }
+
+    /// Requests that one replica carries.
+    fn replica_load(&self) -> f64 {
+        (f64::from(self.config.slots) * REPLICA_LOAD_SHARE).max(1.0)
+    }
+
+    /// What `replicas` of a model leave waiting, in requests.
+    fn shortage(&self, model: &ModelName, replicas: usize) -> f64 {
+        let Some(view) = self.models.get(model) else {
+            return 0.0;
+        };
+        let expected = view.requests_per_second * HORIZON_SECONDS;
+        if replicas == 0 {
+            return expected + f64::from(view.waiting) * WAITING_WEIGHT;
+        }
+        let load = f64::from(view.running + view.waiting);
+        let carried = replicas as f64 * self.replica_load();
+        if load <= carried {
+            return 0.0;
+        }
+        expected * (1.0 - carried / load)
+    }
+
+    /// The models that want one more replica, the most wanted first; then those that nobody asks
+    /// for and that fit in what is free.
+    fn needs(&self) -> Vec<Need<'a>> {
+        let mut needs: Vec<Need<'a>> = self
+            .config
+            .models
+            .keys()
+            .map(|model| {
+                let replicas = self.replicas(model);
+                let gain = self.shortage(model, replicas) - self.shortage(model, replicas + 1);
+                Need { model, gain }
+            })
+            .filter(|need| need.gain > 0.0 || self.replicas(need.model) == 0)
+            .collect();
+        needs.sort_by(|a, b| b.gain.total_cmp(&a.gain).then(a.model.cmp(b.model)));
+        needs
+    }
+
+    /// Where the model is loaded at the least cost; `None` if no engine's cost is worth it, or if
+    /// the best engine must finish another load first.
+    fn best_engine(&self, need: &Need<'_>) -> Option<Chosen> {
+        let mut best: Option<(f64, u64, bool, Chosen)> = None;
+        for (index, engine) in self.engines.iter().enumerate() {
+            if !engine.takes_orders || self.is_taken[index] || has(engine, need.model) {
+                continue;
+            }
+            let Some((unload, loss)) = self.make_room(engine, need) else {
+                continue;
+            };
+            let (load_ms, is_cold) = self.load_ms(engine, need.model);
+            let busy_ms = engine.loading.as_ref().map_or(0, |load| load.ready_in_ms);
+            let cost = loss + (load_ms + busy_ms) as f64 / 1000.0 * SECOND_COST;
+            let rank = u64::MAX - weight(need.model, &engine.upstream);
+            let is_better = best
+                .as_ref()
+                .is_none_or(|(c, r, _, _)| (cost, rank) < (*c, *r));
+            if is_better {
+                let order = Order {
+                    load: need.model.clone(),
+                    unload,
+                    is_cold,
+                };
+                let chosen = Chosen {
+                    engine: index,
+                    order,
+                };
+                best = Some((cost, rank, engine.loading.is_some(), chosen));
+            }
+        }
+        let (_, _, is_busy, chosen) = best?;
+        let waits_for_store = chosen.order.is_cold && self.cold_loads >= COLD_LOADS_AT_ONCE;
+        (!is_busy && !waits_for_store).then_some(chosen)
+    }
+
+    fn load_ms(&self, engine: &EngineView, model: &ModelName) -> (u64, bool) {
+        let config = self.config.models.get(model);
+        let ms = |of: fn(&crate::fleet::ModelConfig) -> u64| config.map_or(0, of);
+        if engine.in_memory.contains(model) {
+            (ms(|config| config.memory_load_ms), false)
+        } else if engine.on_disk.contains(model) {
+            (ms(|config| config.disk_load_ms), false)
+        } else {
+            (ms(|config| config.cold_load_ms), true)
+        }
+    }
+
+    /// What the engine unloads to make room, and what that loses; `None` if it isn't worth it.
+    fn make_room(&self, engine: &EngineView, need: &Need<'_>) -> Option<(Vec<ModelName>, f64)> {
+        let size_mb =
+            |model: &ModelName| self.config.models.get(model).map_or(0.0, |m| m.weights_mb);
+        let held = engine.loaded.iter().map(size_mb).sum::<f64>();
+        let loading = engine.loading.iter().map(|load| size_mb(&load.model));
+        let mut free_mb = room_mb(self.config) - held - loading.sum::<f64>();
+        let needed_mb = size_mb(need.model);
+        let mut victims: Vec<(f64, &ModelName)> = engine
+            .loaded
+            .iter()
+            .filter(|model| !engine.kept.contains(model))
+            .map(|model| (self.loss(model), model))
+            .collect();
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        let mut unload = Vec::new();
+        let mut loss = 0.0;
+        for (victim_loss, model) in victims {
+            if free_mb >= needed_mb {
+                break;
+            }
+            free_mb += size_mb(model);
+            loss += victim_loss;
+            unload.push(model.clone());
+        }
+        let is_worth = unload.is_empty() || need.gain > loss * GAIN_OVER_LOSS;
+        (free_mb >= needed_mb && is_worth).then_some((unload, loss))
+    }
+
+    /// Requests that would wait if one replica of `model` went.
+    fn loss(&self, model: &ModelName) -> f64 {
+        let replicas = self.replicas(model);
+        let without = replicas.saturating_sub(1);
+        let view = self.models.get(model);
+        let shortage = self.shortage(model, without) - self.shortage(model, replicas);
+        // An unload waits for what runs, and holds up the engine's next order until then.
+        let running = view.map_or(0, |view| view.running);
+        shortage + f64::from(running) / replicas.max(1) as f64 * SECOND_COST
+    }
+
+    fn assign(&mut self, chosen: &Chosen) {
+        self.is_taken[chosen.engine] = true;
+        self.cold_loads += usize::from(chosen.order.is_cold);
+    }
+}
+
+fn has(engine: &EngineView, model: &ModelName) -> bool {
+    engine.loaded.contains(model) || engine.loading.as_ref().is_some_and(|l| l.model == *model)
+}
+
+/// Accelerator memory of an engine for models; the rest is kept for adapters.
+pub fn room_mb(config: &EngineConfig) -> f64 {
+    let adapter_mb = config.models.values().map(|model| model.adapter_mb);
+    let largest_mb = adapter_mb.fold(0.0, f64::max);
+    config.weights_mb - config.adapter_slots as f64 * largest_mb
+}
+
+/// Which adapter an engine drops so that another fits; `None` if there is room, or nothing that
+/// may go. `used_unix_ms` tells when each loaded adapter was last wanted.
+pub fn adapter_to_drop<'a, T>(
+    config: &EngineConfig,
+    used_unix_ms: impl IntoIterator<Item = (&'a T, u64)>,
+) -> Option<&'a T> {
+    let mut used: Vec<(&T, u64)> = used_unix_ms.into_iter().collect();
+    if used.len() < config.adapter_slots {
+        return None;
+    }
+    used.sort_by_key(|(_, unix_ms)| *unix_ms);
+    used.first().map(|(adapter, _)| *adapter)
+}
--- a/crates/celerystair_telemetry/src/logs.rs
+++ b/crates/celerystair_telemetry/src/logs.rs
@@ -24,6 +24,13 @@
     }
 }
 
+/// A logger that writes JSON to standard output, where the users' platform collects it.
+pub fn logger_to_stdout(role: &'static str, process: &str) -> Logger {
+    let values = o!("role" => role, "process" => process.to_owned());
+    let drain = slog_json::Json::default(std::io::stdout());
+    Logger::root(on_thread(drain.fuse()), values)
+}
+
 fn on_thread<D>(drain: D) -> slog::Fuse<slog_async::Async>
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
--- a/src/commands/agent.rs
+++ b/src/commands/agent.rs
@@ -9,7 +9,12 @@
     core::{prelude::*, time::set_clock_scale},
 };
 
-use super::process::{block_on, serve_until_signal};
+use eyre::bail;
+
+use super::{
+    platform,
+    process::{block_on, serve_until_signal},
+};
 
 /// Runs beside one upstream and looks after its memory, loads and requests.
 #[derive(FromArgs)]
@@ -17,12 +22,22 @@
 pub struct AgentCommand {
     /// settings, JSON with comments
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+
+    /// run on the users' platform, by the settings file that it provides
+    #[argh(switch)]
+    platform: bool,
 }
 
 /// Runs the agent until a signal.
 pub fn run(command: &AgentCommand) -> eyre::Result<()> {
-    let settings: AgentSettings = read_settings_file(&command.settings)?;
+    if command.platform {
+        return platform::run_agent();
+    }
+    let Some(path) = &command.settings else {
+        bail!("give --settings FILE, or --platform");
+    };
+    let settings: AgentSettings = read_settings_file(path)?;
     set_clock_scale(settings.process.clock_scale);
     let stop_timeout_ms = settings.process.stop_timeout_ms;
     block_on(async {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod check;
 pub mod load;
+pub mod platform;
 pub mod process;
 pub mod router;
 pub mod standin;
--- a/src/commands/router.rs
+++ b/src/commands/router.rs
@@ -9,7 +9,12 @@
     router::prelude::*,
 };
 
-use super::process::{block_on, serve_until_signal};
+use eyre::bail;
+
+use super::{
+    platform,
+    process::{block_on, serve_until_signal},
+};
 
 /// Takes callers' requests and routes them to upstreams.
 #[derive(FromArgs)]
@@ -17,12 +22,22 @@
 pub struct RouterCommand {
     /// settings, JSON with comments
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+
+    /// run on the users' platform, by the settings file that it provides
+    #[argh(switch)]
+    platform: bool,
 }
 
 /// Runs the router until a signal.
 pub fn run(command: &RouterCommand) -> eyre::Result<()> {
-    let settings: RouterSettings = read_settings_file(&command.settings)?;
+    if command.platform {
+        return platform::run_router();
+    }
+    let Some(path) = &command.settings else {
+        bail!("give --settings FILE, or --platform");
+    };
+    let settings: RouterSettings = read_settings_file(path)?;
     set_clock_scale(settings.process.clock_scale);
     let stop_timeout_ms = settings.process.stop_timeout_ms;
     block_on(async {
--- a/tools/protogen/src/main.rs
+++ b/tools/protogen/src/main.rs
@@ -6,7 +6,7 @@
 
 use eyre::bail;
 
-const PROTOS: [&str; 3] = ["agent.proto", "peer.proto", "permits.proto"];
+const PROTOS: [&str; 4] = ["agent.proto", "news.proto", "peer.proto", "permits.proto"];
 const GENERATED: &str = "celerystair.v1.rs";
 
 fn main() -> eyre::Result<()> {
