--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -78,6 +78,10 @@
 pub struct RunningFront {
     /// Its state.
     pub front: Front,
+    /// Where callers connect.
+    pub callers_address: SocketAddr,
+    /// Where the platform asks whether it takes requests.
+    pub ready_address: SocketAddr,
     /// Ends when a planned stop is complete.
     pub served: compio::runtime::JoinHandle<()>,
 }
@@ -213,6 +217,10 @@
     let listen = |address| move |error| FrontError::Listen { address, error };
     let callers = bind(settings.callers_listen).map_err(listen(settings.callers_listen))?;
     let ready = bind(settings.ready_listen).map_err(listen(settings.ready_listen))?;
+    let callers_address = callers
+        .local_addr()
+        .map_err(listen(settings.callers_listen))?;
+    let ready_address = ready.local_addr().map_err(listen(settings.ready_listen))?;
     let news = NewsSocket::bind(settings.news_listen).map_err(listen(settings.news_listen))?;
     let news = Rc::new(news);
     let store = Store::with_dialect(settings.store.clone(), settings.store_dialect)?;
@@ -243,7 +251,12 @@
             .await
             .ok();
     });
-    Ok(RunningFront { front, served })
+    Ok(RunningFront {
+        front,
+        callers_address,
+        ready_address,
+        served,
+    })
 }
 
 /// Answers whether this router takes requests: not before it can route them, and not after a
--- /dev/null
+++ b/crates/celerystair_policy/tests/choose.rs
@@ -0,0 +1,118 @@
+//! Loads under which the choice of upstream goes wrong.
+
+use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
+
+fn candidate(upstream: &UpstreamId) -> Candidate<'_> {
+    Candidate {
+        upstream,
+        slots: 48,
+        known_load: 0,
+        own_load: 0,
+        sent_since_news: 0,
+        is_near: false,
+        is_doubted: false,
+    }
+}
+
+fn ids(count: usize) -> Vec<UpstreamId> {
+    (0..count)
+        .map(|n| UpstreamId::from(format!("u{n}")))
+        .collect()
+}
+
+/// Five routers with the same stale news send two hundred requests between two pieces of news.
+/// The upstream that the news calls empty must not get them all.
+#[test]
+fn stale_news_sends_no_herd_to_the_empty_upstream() {
+    let ids = ids(4);
+    let mut total = vec![20_u32, 20, 20, 0];
+    let news = total.clone();
+    for _router in 0..5 {
+        let mut own = [0_u32; 4];
+        for request in 0..40 {
+            let candidates: Vec<Candidate<'_>> = ids
+                .iter()
+                .enumerate()
+                .map(|(index, id)| Candidate {
+                    known_load: news[index],
+                    own_load: own[index],
+                    sent_since_news: own[index],
+                    ..candidate(id)
+                })
+                .collect();
+            let chosen = choose_upstream(&candidates, &format!("prompt-{request}"));
+            let chosen = chosen.expect("one of four");
+            own[chosen] += 1;
+            total[chosen] += 1;
+        }
+    }
+    let busiest = total.iter().max().expect("four");
+    let mean = total.iter().sum::<u32>() / 4;
+    assert!(*busiest < mean * 2, "{total:?}");
+}
+
+/// A frozen agent's news says "empty" for as long as it stands still; what was sent there must
+/// count all the same.
+#[test]
+fn what_was_sent_since_the_news_counts() {
+    let ids = ids(2);
+    let frozen = Candidate {
+        sent_since_news: 30,
+        own_load: 30,
+        ..candidate(&ids[0])
+    };
+    let busy = Candidate {
+        known_load: 15,
+        ..candidate(&ids[1])
+    };
+    assert_eq!(choose_upstream(&[frozen, busy], "p"), Some(1));
+}
+
+#[test]
+fn a_doubted_upstream_comes_last_and_is_used_when_it_is_the_only_one() {
+    let ids = ids(2);
+    let doubted = Candidate {
+        is_doubted: true,
+        is_near: true,
+        ..candidate(&ids[0])
+    };
+    let full = Candidate {
+        known_load: 47,
+        ..candidate(&ids[1])
+    };
+    assert_eq!(choose_upstream(&[doubted, full], "p"), Some(1));
+    assert_eq!(choose_upstream(&[doubted], "p"), Some(0));
+    assert_eq!(choose_upstream(&[], "p"), None);
+}
+
+#[test]
+fn nearness_decides_among_upstreams_with_room_and_not_against_a_queue() {
+    let ids = ids(2);
+    let near = Candidate {
+        is_near: true,
+        known_load: 3,
+        ..candidate(&ids[0])
+    };
+    let far = candidate(&ids[1]);
+    assert_eq!(choose_upstream(&[near, far], "p"), Some(0));
+    let crowded = Candidate {
+        known_load: 40,
+        ..near
+    };
+    assert_eq!(choose_upstream(&[crowded, far], "p"), Some(1));
+}
+
+#[test]
+fn requests_that_share_a_prompt_meet_while_there_is_room() {
+    let ids = ids(6);
+    let candidates: Vec<Candidate<'_>> = ids.iter().map(candidate).collect();
+    let first = choose_upstream(&candidates, "shared");
+    for _ in 0..5 {
+        assert_eq!(choose_upstream(&candidates, "shared"), first);
+    }
+    let others: HashSet<_> = (0..40)
+        .filter_map(|n| choose_upstream(&candidates, &format!("prompt-{n}")))
+        .collect();
+    assert!(others.len() >= 5, "other prompts are spread: {others:?}");
+}
--- /dev/null
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -0,0 +1,244 @@
+//! The small decisions: waiting, retries after failures, departures, doubt, suspects, routes.
+
+use celerystair_core::prelude::*;
+use celerystair_policy::{
+    departures::RETURN_GRACE_MS, prelude::*, suspects::CRASHES_MAX, waiting::retry_after_ms,
+};
+
+const INPUTS: WaitInputs = WaitInputs {
+    ready_unix_ms: 11_000,
+    leaves_unix_ms: 12_000,
+    deadline_unix_ms: 22_000,
+    waiting: 0,
+    waiting_max: 10,
+};
+
+/// A model that takes six seconds to load is asked for by callers who leave after two: each is
+/// refused at once, and told to come back within the time that it honours.
+#[test]
+fn who_cannot_be_served_in_time_is_refused_at_once() {
+    let late = WaitInputs {
+        ready_unix_ms: 16_000,
+        ..INPUTS
+    };
+    assert_eq!(
+        decide_wait(&late, 10_000),
+        WaitDecision::Refuse {
+            retry_after_ms: 4_000
+        }
+    );
+    let never = WaitInputs {
+        ready_unix_ms: u64::MAX,
+        ..INPUTS
+    };
+    assert_eq!(
+        decide_wait(&never, 10_000),
+        WaitDecision::Refuse {
+            retry_after_ms: 4_000
+        }
+    );
+}
+
+#[test]
+fn who_can_be_served_in_time_waits_and_no_longer_than_that() {
+    let WaitDecision::Wait { until_unix_ms } = decide_wait(&INPUTS, 10_000) else {
+        panic!("it waits");
+    };
+    assert!(until_unix_ms < INPUTS.leaves_unix_ms);
+    let after = decide_wait(&INPUTS, until_unix_ms);
+    assert!(matches!(after, WaitDecision::Refuse { .. }));
+}
+
+#[test]
+fn a_full_waiting_room_refuses() {
+    let full = WaitInputs {
+        waiting: 10,
+        ..INPUTS
+    };
+    assert!(matches!(
+        decide_wait(&full, 10_000),
+        WaitDecision::Refuse { .. }
+    ));
+}
+
+#[test]
+fn callers_come_back_when_there_is_room_and_not_before() {
+    assert_eq!(retry_after_ms(10_700, 40_000, 10_000), 700);
+    assert_eq!(retry_after_ms(9_000, 40_000, 10_000), 100, "not at once");
+    assert_eq!(
+        retry_after_ms(90_000, 40_000, 10_000),
+        10_000,
+        "what callers honour"
+    );
+    assert_eq!(retry_after_ms(90_000, 10_000, 10_000), 0, "no time is left");
+}
+
+/// Whatever fails in whatever order: what may run once is sent again only while no upstream may
+/// have run it, and "not run" is said only if none has.
+#[test]
+fn nothing_that_may_have_run_once_is_sent_again_or_called_not_run() {
+    const FAILURES: [AttemptFailure; 7] = [
+        AttemptFailure::Unreachable,
+        AttemptFailure::Declined,
+        AttemptFailure::Misdirected,
+        AttemptFailure::AnswerLost,
+        AttemptFailure::AnswerSpoiled,
+        AttemptFailure::Failed,
+        AttemptFailure::Silent,
+    ];
+    arbtest::arbtest(|u| {
+        let attempts_max = u.int_in_range(1..=4)?;
+        let is_repeatable: bool = u.arbitrary()?;
+        let (mut may_have_run, mut sent, mut runs) = (false, 0, 0);
+        for _ in 0..8 {
+            let failure = *u.choose(&FAILURES)?;
+            sent += u32::from(failure.has_arrived());
+            runs += u32::from(!failure.has_not_run());
+            let step = next_step(failure, may_have_run, is_repeatable, sent, attempts_max);
+            may_have_run |= !failure.has_not_run();
+            match step {
+                NextStep::TryAnother => {
+                    assert!(is_repeatable || runs == 0);
+                    assert!(sent < attempts_max);
+                }
+                NextStep::RefuseNotRun => assert_eq!(runs, 0),
+                NextStep::Fail => assert!(runs > 0),
+            }
+            if step != NextStep::TryAnother {
+                break;
+            }
+        }
+        Ok(())
+    });
+}
+
+/// The store is away and every entry expires: the upstreams are used until they could be back.
+#[test]
+fn upstreams_that_vanish_with_the_store_are_kept_until_they_could_be_back() {
+    let upstream = UpstreamId::from("u1");
+    let mut departures = Departures::default();
+    departures.note_return(10_000, 15_000);
+    assert!(departures.is_kept(&upstream, 15_050));
+    assert!(departures.is_kept(&upstream, 15_000 + RETURN_GRACE_MS - 1));
+    assert!(!departures.is_kept(&upstream, 15_000 + RETURN_GRACE_MS));
+    departures.note_present(&upstream);
+    assert!(
+        !departures.is_kept(&upstream, 40_000),
+        "a calm departure is one at once"
+    );
+}
+
+#[test]
+fn a_short_failure_of_the_store_keeps_nobody() {
+    let mut departures = Departures::default();
+    departures.note_return(14_500, 15_000);
+    assert!(!departures.is_kept(&UpstreamId::from("u1"), 15_050));
+}
+
+/// An upstream that fails every other request and calls itself healthy is asked less and less;
+/// one lost answer costs nothing.
+#[test]
+fn doubt_grows_with_failures_and_ends_with_successes() {
+    let mut health = UpstreamHealth::default();
+    health.note_failure(false, 1_000);
+    assert!(!health.is_doubted(1_001));
+    health.note_failure(false, 1_100);
+    assert!(health.is_doubted(1_200));
+    assert!(!health.is_doubted(1_100 + 4_001), "it is tried again");
+    health.note_success();
+    health.note_success();
+    assert!(!health.is_doubted(1_200));
+    let mut unreachable = UpstreamHealth::default();
+    unreachable.note_failure(true, 1_000);
+    assert!(unreachable.is_doubted(1_100), "once is enough");
+}
+
+#[test]
+fn a_request_that_has_crashed_three_upstreams_is_refused() {
+    let mut suspects = Suspects::default();
+    for crash in 1..=CRASHES_MAX {
+        assert!(!suspects.is_refused(7, 1_000));
+        assert_eq!(suspects.note_crash(7, 1_000), crash);
+    }
+    assert!(suspects.is_refused(7, 1_001));
+    assert!(!suspects.is_refused(8, 1_001));
+    assert!(!suspects.is_refused(7, 1_000 + 200_000), "it is forgotten");
+    for other in 100..1_000 {
+        suspects.note_crash(other, 2_000);
+    }
+    suspects.clear(999);
+    assert!(!suspects.is_refused(999, 2_001));
+}
+
+fn route(name: &str, host: &str, path_prefix: &str, targets: &[(&str, f64)]) -> Route {
+    let target = |(service, weight): &(&str, f64)| RouteTarget {
+        service: ServiceName::from(*service),
+        weight: *weight,
+    };
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        urgency_rank: 1,
+        targets: targets.iter().map(target).collect(),
+        attempts_max: 1,
+        can_resume: false,
+        pause_max_ms: 0,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let config = ServingConfig {
+        routes: vec![
+            route("short", "a.example", "/x/", &[("s", 1.0)]),
+            route("long", "a.example", "/x/y/", &[("s", 1.0)]),
+            route("other", "b.example", "/", &[("s", 1.0)]),
+        ],
+        ..ServingConfig::default()
+    };
+    let table = RouteTable::new(&config);
+    let name = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/x/y/z").as_deref(), Some("long"));
+    assert_eq!(name("A.example:8080", "/x/yy").as_deref(), Some("short"));
+    assert_eq!(name("b.example", "/x/y/z").as_deref(), Some("other"));
+    assert_eq!(name("a.example", "/"), None);
+    assert_eq!(name("c.example", "/x/"), None);
+}
+
+#[test]
+fn a_split_route_keeps_its_weights() {
+    let route = route(
+        "split",
+        "a",
+        "/",
+        &[("most", 90.0), ("none", 0.0), ("few", 10.0)],
+    );
+    let count = |name: &str| {
+        let draws = (0..1000).map(|draw| f64::from(draw) / 1000.0);
+        draws
+            .filter(|draw| choose_service(&route, *draw).is_some_and(|s| &**s == name))
+            .count()
+    };
+    assert_eq!((count("most"), count("none"), count("few")), (900, 0, 100));
+}
+
+/// A model that everybody asked for is forgotten within seconds once nobody does.
+#[test]
+fn demand_forgets_what_is_no_longer_asked_for() {
+    let (old, new) = (ModelName::from("old"), ModelName::from("new"));
+    let mut meter = DemandMeter::default();
+    for ms in (0..10_000).step_by(50) {
+        meter.note_arrival(&old, ms);
+    }
+    for ms in (10_000..18_000).step_by(50) {
+        meter.note_arrival(&new, ms);
+    }
+    let rates: HashMap<ModelName, f64> = meter.rates(18_000).into_iter().collect();
+    assert!((15.0..25.0).contains(&rates[&new]), "{rates:?}");
+    assert!(rates[&old] < 4.0, "{rates:?}");
+    assert!(meter.rates(200_000).is_empty());
+}
--- /dev/null
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -0,0 +1,267 @@
+//! Demand that moves, models that are asked for all at once, engines that go: what each engine
+//! loads, replayed over a fleet that carries out what it is told.
+
+use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
+use celerystair_policy::replicas::{LoadUnderWay, adapter_to_drop, room_mb};
+
+const SIZES_MB: [f64; 3] = [42_700.0, 65_100.0, 72_700.0];
+
+fn model(number: usize) -> ModelName {
+    ModelName::from(format!("m{number}"))
+}
+
+fn config(models: usize) -> EngineConfig {
+    let models = (0..models).map(|number| {
+        let config = ModelConfig {
+            weights_mb: SIZES_MB[number % 3],
+            adapter_mb: 66.0,
+            adapters: 4,
+            cold_load_ms: 6000,
+            disk_load_ms: 1000,
+            memory_load_ms: 500,
+        };
+        (model(number), config)
+    });
+    EngineConfig {
+        slots: 48,
+        weights_mb: 200_000.0,
+        adapter_slots: 8,
+        cold_loads_per_second: 2.9,
+        models: models.collect(),
+    }
+}
+
+fn engine(number: usize, loaded: &[usize]) -> EngineView {
+    EngineView {
+        upstream: UpstreamId::from(format!("e{number}")),
+        loaded: loaded.iter().map(|number| model(*number)).collect(),
+        on_disk: loaded.iter().map(|number| model(*number)).collect(),
+        takes_orders: true,
+        ..EngineView::default()
+    }
+}
+
+fn asked(requests_per_second: f64, waiting: u32, running: u32) -> ModelView {
+    ModelView {
+        requests_per_second,
+        waiting,
+        running,
+    }
+}
+
+fn held_mb(config: &EngineConfig, engine: &EngineView) -> f64 {
+    let loading = engine.loading.iter().map(|load| &load.model);
+    let models = engine.loaded.iter().chain(loading);
+    models.map(|model| config.models[model].weights_mb).sum()
+}
+
+/// Every engine carries out its order, in turn, until none has one; gives the orders.
+fn settle(
+    config: &EngineConfig,
+    models: &HashMap<ModelName, ModelView>,
+    engines: &mut [EngineView],
+) -> Vec<(usize, Order)> {
+    let mut orders = Vec::new();
+    for _round in 0..20 {
+        let before = orders.len();
+        for own in 0..engines.len() {
+            let Some(order) = next_order(config, models, engines, own) else {
+                continue;
+            };
+            let engine = &mut engines[own];
+            engine.loaded.retain(|model| !order.unload.contains(model));
+            engine.loading = Some(LoadUnderWay {
+                model: order.load.clone(),
+                is_cold: order.is_cold,
+                ready_in_ms: 1000,
+            });
+            assert!(held_mb(config, engine) <= room_mb(config), "{engine:?}");
+            orders.push((own, order));
+        }
+        for engine in engines.iter_mut() {
+            if let Some(load) = engine.loading.take() {
+                engine.loaded.push(load.model.clone());
+                engine.on_disk.push(load.model);
+            }
+        }
+        if orders.len() == before {
+            break;
+        }
+    }
+    orders
+}
+
+fn replicas(engines: &[EngineView], number: usize) -> usize {
+    let model = model(number);
+    engines
+        .iter()
+        .filter(|engine| engine.loaded.contains(&model))
+        .count()
+}
+
+/// The busy model falls silent and another one rises: it gets replicas where its weights are at
+/// hand, and the silent one makes room.
+#[test]
+fn demand_that_moves_on_is_followed() {
+    let config = config(6);
+    let mut engines: Vec<EngineView> = (0..4).map(|n| engine(n, &[0, 1])).collect();
+    for engine in &mut engines {
+        engine.on_disk.push(model(2));
+    }
+    engines[0].loaded.push(model(3));
+    let mut models = HashMap::default();
+    models.insert(model(1), asked(8.0, 0, 12));
+    models.insert(model(2), asked(30.0, 10, 0));
+    settle(&config, &models, &mut engines);
+    assert!(replicas(&engines, 2) >= 1);
+    models.insert(model(2), asked(30.0, 0, 40));
+    settle(&config, &models, &mut engines);
+    assert!(replicas(&engines, 2) >= 3, "{engines:?}");
+    assert!(replicas(&engines, 1) >= 1, "who still serves callers stays");
+}
+
+/// Three of the largest models are asked for alike, and only two fit: they must not take turns for
+/// ever.
+#[test]
+fn models_that_are_asked_for_alike_do_not_trade_places() {
+    let config = config(9);
+    let mut engines = vec![engine(0, &[2, 5])];
+    engines[0].on_disk.push(model(8));
+    let mut models = HashMap::default();
+    for number in [2, 5, 8] {
+        models.insert(model(number), asked(0.5, 0, 0));
+    }
+    let orders = settle(&config, &models, &mut engines);
+    let trades = orders.iter().filter(|(_, order)| !order.unload.is_empty());
+    assert_eq!(trades.count(), 0, "{orders:?}");
+}
+
+/// Who waits for a rare model gets it in the place of one that nobody uses just now.
+#[test]
+fn a_rare_model_that_is_waited_for_replaces_an_idle_one() {
+    let config = config(9);
+    let mut engines = vec![engine(0, &[2, 5])];
+    engines[0].on_disk.push(model(8));
+    let mut models = HashMap::default();
+    models.insert(model(8), asked(0.3, 1, 0));
+    models.insert(model(2), asked(0.3, 0, 0));
+    models.insert(model(5), asked(0.3, 0, 2));
+    let order = next_order(&config, &models, &engines, 0).expect("an order");
+    assert_eq!(order.load, model(8));
+    assert_eq!(order.unload, [model(2)], "the one without runs");
+    assert!(!order.is_cold);
+}
+
+/// Rare models are asked for at once. Together the engines begin no more loads from the weight
+/// store than run at full speed, the most wanted first.
+#[test]
+fn loads_from_the_weight_store_are_few_and_the_most_wanted() {
+    let config = config(30);
+    let mut engines: Vec<EngineView> = (0..12).map(|n| engine(n, &[n])).collect();
+    let mut models = HashMap::default();
+    for number in 12..30 {
+        models.insert(model(number), asked(f64::from(number as u32), 1, 0));
+    }
+    let mut cold = Vec::new();
+    for own in 0..engines.len() {
+        if let Some(order) = next_order(&config, &models, &engines, own) {
+            assert!(order.is_cold);
+            engines[own].loading = Some(LoadUnderWay {
+                model: order.load.clone(),
+                is_cold: true,
+                ready_in_ms: 6000,
+            });
+            cold.push(order.load);
+        }
+    }
+    assert_eq!(cold.len(), 4, "{cold:?}");
+    assert!(
+        cold.contains(&model(29)) && cold.contains(&model(28)),
+        "{cold:?}"
+    );
+}
+
+/// Engines are taken away at short notice: what only they had comes up elsewhere.
+#[test]
+fn what_a_lost_engine_had_comes_up_elsewhere() {
+    let config = config(6);
+    let mut engines: Vec<EngineView> = vec![engine(0, &[0, 1]), engine(1, &[2]), engine(2, &[3])];
+    for engine in &mut engines {
+        engine.on_disk = (0..6).map(model).collect();
+    }
+    let mut models = HashMap::default();
+    for number in 0..4 {
+        models.insert(model(number), asked(1.0, 0, 1));
+    }
+    engines[0].takes_orders = false;
+    engines[0].loaded.clear();
+    models.insert(model(0), asked(1.0, 2, 0));
+    models.insert(model(1), asked(1.0, 2, 0));
+    settle(&config, &models, &mut engines);
+    for number in 0..4 {
+        assert!(
+            replicas(&engines[1..], number) >= 1,
+            "m{number} {engines:?}"
+        );
+    }
+}
+
+/// Whatever is asked for, no engine is told to hold more than it can, to load what it has, or to
+/// unload what it hasn't; and every agent that sees the same decides the same.
+#[test]
+fn orders_always_fit() {
+    arbtest::arbtest(|u| {
+        let count = u.int_in_range(1..=20)?;
+        let config = config(count);
+        let mut engines = Vec::new();
+        for number in 0..u.int_in_range(1..=6)? {
+            let mut loaded: Vec<usize> = Vec::new();
+            for _ in 0..u.int_in_range(0..=3)? {
+                let more = u.int_in_range(0..=count - 1)?;
+                let mut with_more = loaded.clone();
+                with_more.push(more);
+                let fits = held_mb(&config, &engine(0, &with_more)) <= room_mb(&config);
+                if fits && !loaded.contains(&more) {
+                    loaded = with_more;
+                }
+            }
+            engines.push(engine(number, &loaded));
+        }
+        let mut models = HashMap::default();
+        for number in 0..count {
+            if u.arbitrary()? {
+                let rate = f64::from(u.int_in_range(0..=300)?) / 10.0;
+                let view = asked(rate, u.int_in_range(0..=30)?, u.int_in_range(0..=60)?);
+                models.insert(model(number), view);
+            }
+        }
+        for own in 0..engines.len() {
+            let Some(order) = next_order(&config, &models, &engines, own) else {
+                continue;
+            };
+            assert!(!engines[own].loaded.contains(&order.load));
+            assert!(
+                order
+                    .unload
+                    .iter()
+                    .all(|model| engines[own].loaded.contains(model))
+            );
+            let mut after = engines[own].clone();
+            after.loaded.retain(|model| !order.unload.contains(model));
+            after.loaded.push(order.load.clone());
+            assert!(held_mb(&config, &after) <= room_mb(&config));
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn the_adapter_that_was_wanted_least_lately_makes_room() {
+    let config = config(1);
+    let used: Vec<(String, u64)> = (0..8).map(|n| (format!("a{n}"), 100 - n)).collect();
+    let few = used[..7].iter().map(|(name, unix_ms)| (name, *unix_ms));
+    assert_eq!(adapter_to_drop(&config, few), None);
+    let all = used.iter().map(|(name, unix_ms)| (name, *unix_ms));
+    assert_eq!(adapter_to_drop(&config, all), Some(&"a7".to_owned()));
+}
