Ask free engines for adapters; weigh replicas by their callers' target

After the power came back, 106 requests were refused because they met an engine that had started again at the old address, and a request that may be sent to one upstream gave up there. Drafts were late (318 of 1,812) because a model whose callers wait half a second made room for one whose callers wait three, although the latter can be loaded from disk in time.

Change: adapters are asked of an engine that loads nothing else; an answer of another upstream counts for the retry budget and not among the upstreams that a request may be sent to, and marks the entry as replaced; a model that is not loaded there says nothing of an upstream's health; demand carries its target, and a replica whose callers can wait for a load from disk weighs less.

The test of failures named the set that it tests from the code itself; it now states it, and would have caught a failure that was left out of it.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -82,13 +82,9 @@
         upstream.note(|health| health.note_failure(is_certain, now_unix_ms()));
     })?;
     let (head, body) = response.into_parts();
-    if let Err(failure) = check_head(front, request, &head) {
-        let is_declined = matches!(
-            failure,
-            AttemptFailure::Declined | AttemptFailure::Misdirected
-        );
-        upstream.note(|health| health.note_failure(!is_declined, now_unix_ms()));
-        if is_declined {
+    if let Err(failure) = check_head(front, request, &upstream.id(), &head) {
+        note_bad_head(upstream, failure);
+        if failure.has_not_run() {
             release(upstream, connection, &head.headers, &body);
         }
         return Err(failure.into());
@@ -168,6 +164,7 @@
 fn check_head(
     front: &Front,
     request: &CallerRequest,
+    expected: &UpstreamId,
     head: &http::response::Parts,
 ) -> Result<(), AttemptFailure> {
     let answer = (front.settings.callers.read_answer)(&head.headers);
@@ -179,7 +176,12 @@
         return Err(AttemptFailure::AnswerSpoiled);
     }
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptFailure::Misdirected);
+        let is_other = answer.upstream.is_some_and(|id| id != expected.as_str());
+        return Err(if is_other {
+            AttemptFailure::Misdirected
+        } else {
+            AttemptFailure::NotLoaded
+        });
     }
     if answer.is_not_run {
         return Err(AttemptFailure::Declined);
@@ -195,6 +197,18 @@
     Ok(())
 }
 
+fn note_bad_head(upstream: &Upstream, failure: AttemptFailure) {
+    match failure {
+        AttemptFailure::Misdirected => upstream.replaced.set(true),
+        // It is as well as before; only what was known of it is old.
+        AttemptFailure::NotLoaded => {}
+        _ => {
+            let is_certain = failure != AttemptFailure::Declined;
+            upstream.note(|health| health.note_failure(is_certain, now_unix_ms()));
+        }
+    }
+}
+
 /// Reads the rest of the answer until `deadline_unix_ms`, and frees the connection.
 pub async fn collect(
     begun: BegunAnswer,
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -75,4 +75,6 @@
     pub is_sealed: bool,
     /// Whether the upstream says that it has not run the request.
     pub is_not_run: bool,
+    /// The upstream that answers, where it says so.
+    pub upstream: Option<&'a str>,
 }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -106,8 +106,9 @@
     }
 
     /// Counts a request for a model.
-    pub fn note_arrival(&self, model: &ModelName) {
-        self.demand.borrow_mut().note_arrival(model, now_unix_ms());
+    pub fn note_arrival(&self, model: &ModelName, target_latency_ms: u64) {
+        let mut demand = self.demand.borrow_mut();
+        demand.note_arrival(model, target_latency_ms, now_unix_ms());
     }
 
     /// Counts a request as waiting until the guard is dropped.
@@ -143,8 +144,10 @@
     pub fn demand(&self) -> Vec<(ModelName, ModelView)> {
         let mut models: HashMap<ModelName, ModelView> = HashMap::default();
         let rates = self.demand.borrow_mut().rates(now_unix_ms());
-        for (model, requests_per_second) in rates {
-            models.entry(model).or_default().requests_per_second = requests_per_second;
+        for rate in rates {
+            let view = models.entry(rate.model).or_default();
+            view.requests_per_second = rate.per_second;
+            view.target_latency_ms = rate.target_latency_ms;
         }
         for model in self.waiting.borrow().values() {
             models.entry(model.clone()).or_default().waiting += 1;
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -98,7 +98,7 @@
 
 fn is_usable(upstream: &Upstream, tried: &[UpstreamId]) -> bool {
     let entry = upstream.entry.borrow();
-    entry.state == UpstreamState::Ready && !tried.contains(&entry.id)
+    entry.state == UpstreamState::Ready && !upstream.replaced.get() && !tried.contains(&entry.id)
 }
 
 /// The news of the upstream's own life.
@@ -158,12 +158,16 @@
     adapter: &str,
 ) {
     let ids: Vec<UpstreamId> = replicas.iter().map(|(upstream, _)| upstream.id()).collect();
-    let mut order: Vec<usize> = (0..ids.len()).collect();
-    order.sort_by_key(|index| {
-        std::cmp::Reverse(celerystair_core::rendezvous::weight(adapter, &ids[*index]))
-    });
-    if let Some(first) = order.first()
-        && replicas[*first].0.want_adapter(model, adapter)
+    let key = |index: &usize| {
+        // An engine that carries out another order takes none for an adapter until it is done.
+        let is_loading =
+            status_of(front, &replicas[*index].0).is_some_and(|status| status.loading.is_some());
+        let rank = u64::MAX - celerystair_core::rendezvous::weight(adapter, &ids[*index]);
+        (is_loading, rank)
+    };
+    let first = (0..ids.len()).min_by_key(key);
+    if let Some(first) = first
+        && replicas[first].0.want_adapter(model, adapter)
     {
         front.log_request(request, "adapter_wanted", &[("adapter", adapter)]);
         front.demand_changed();
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -56,8 +56,10 @@
 pub struct Progress {
     /// Upstreams to which it was sent.
     pub tried: Vec<UpstreamId>,
-    /// Attempts that reached an upstream.
+    /// Upstreams that it has reached.
     pub sent: u32,
+    /// Attempts that any upstream has seen.
+    pub arrived: u32,
     /// Whether an upstream may have run it.
     pub may_have_run: bool,
     /// An upstream's own answer, for want of a better one.
@@ -79,7 +81,7 @@
         .ok_or_else(|| Refusal::not_run(RefusalReason::NoUpstream, "the route has no service"))?;
     let service = service.clone();
     if let Some(model) = &request.head.model {
-        front.note_arrival(&model.base);
+        front.note_arrival(&model.base, request.route.target_latency_ms);
     }
     front.budget(&service, |budget, _| budget.note_request(now_unix_ms()));
     let mut progress = Progress::default();
@@ -131,7 +133,8 @@
                 );
             }
         };
-        if progress.sent > 0 && !front.budget(service, |budget, routers| budget.take(now, routers))
+        if progress.arrived > 0
+            && !front.budget(service, |budget, routers| budget.take(now, routers))
         {
             return fall_back(progress, RefusalReason::Overloaded, "no retry is left");
         }
@@ -139,6 +142,7 @@
             Ok(served) => {
                 progress.tried.push(upstream.id());
                 progress.sent += 1;
+                progress.arrived += 1;
                 return Ok(served);
             }
             Err(failed) => {
@@ -196,7 +200,8 @@
         &[("upstream", id.as_str()), ("how", failure.as_str())],
     );
     progress.tried.push(id);
-    progress.sent += u32::from(failure.has_arrived());
+    progress.sent += u32::from(failure.has_reached());
+    progress.arrived += u32::from(failure.has_arrived());
     if failure == AttemptFailure::AnswerLost {
         let mut suspects = front.suspects.borrow_mut();
         suspects.note_crash(request.fingerprint, now_unix_ms());
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -24,6 +24,8 @@
     pub connections: Connections,
     /// What was seen of it.
     pub health: Cell<UpstreamHealth>,
+    /// Whether another upstream has its address by now.
+    pub replaced: Cell<bool>,
     in_flight: Cell<u32>,
     in_flight_by_model: RefCell<HashMap<ModelName, u32>>,
     sent_unix_ms: RefCell<VecDeque<u64>>,
@@ -37,6 +39,7 @@
             entry: RefCell::new(entry),
             connections: Connections::default(),
             health: Cell::default(),
+            replaced: Cell::new(false),
             in_flight: Cell::new(0),
             in_flight_by_model: RefCell::default(),
             sent_unix_ms: RefCell::default(),
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -46,6 +46,7 @@
                 requests_per_second: f64::from(demand.requests_per_second),
                 waiting: demand.waiting,
                 running: demand.running,
+                target_latency_ms: f64::from(demand.target_latency_ms),
             };
             models.push((model, view));
         }
@@ -71,6 +72,7 @@
             waiting: view.waiting,
             running: view.running,
             running_here: here.get(model).copied().unwrap_or_default(),
+            target_latency_ms: view.target_latency_ms as f32,
         });
         let wanted = self
             .adapters_wanted
@@ -122,10 +124,7 @@
             .values()
             .flat_map(|demand| &demand.models)
         {
-            let sum = sums.entry(model.clone()).or_default();
-            sum.requests_per_second += view.requests_per_second;
-            sum.waiting += view.waiting;
-            sum.running += view.running;
+            sums.entry(model.clone()).or_default().add(view);
         }
         sums
     }
--- a/crates/celerystair_policy/src/demand.rs
+++ b/crates/celerystair_policy/src/demand.rs
@@ -14,9 +14,21 @@
     models: HashMap<ModelName, Rate>,
 }
 
+/// How much a model is asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelRate {
+    /// The model.
+    pub model: ModelName,
+    /// Arrivals a second.
+    pub per_second: f64,
+    /// The time within which its callers want an answer to begin, on average.
+    pub target_latency_ms: f64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Rate {
     per_second: f64,
+    target_latency_ms: f64,
     at_unix_ms: u64,
 }
 
@@ -28,23 +40,34 @@
 }
 
 impl DemandMeter {
-    /// Counts a request for `model`.
-    pub fn note_arrival(&mut self, model: &ModelName, now_unix_ms: u64) {
+    /// Counts a request for `model` whose caller wants its answer to begin within
+    /// `target_latency_ms`.
+    pub fn note_arrival(&mut self, model: &ModelName, target_latency_ms: u64, now_unix_ms: u64) {
+        let target_latency_ms = target_latency_ms as f64;
         let rate = self.models.entry(model.clone()).or_insert(Rate {
             per_second: 0.0,
+            target_latency_ms,
             at_unix_ms: now_unix_ms,
         });
-        rate.per_second = rate.at(now_unix_ms) + 1000.0 / MEMORY_MS;
+        let own = 1000.0 / MEMORY_MS;
+        let before = rate.at(now_unix_ms);
+        let sum = rate.target_latency_ms * before + target_latency_ms * own;
+        rate.per_second = before + own;
+        rate.target_latency_ms = sum / rate.per_second;
         rate.at_unix_ms = now_unix_ms;
     }
 
-    /// Arrivals a second of each model that is still asked for.
-    pub fn rates(&mut self, now_unix_ms: u64) -> Vec<(ModelName, f64)> {
+    /// Each model that is still asked for.
+    pub fn rates(&mut self, now_unix_ms: u64) -> Vec<ModelRate> {
         self.models
             .retain(|_, rate| rate.at(now_unix_ms) >= FORGOTTEN_PER_SECOND);
         let rates = self.models.iter();
         rates
-            .map(|(model, rate)| (model.clone(), rate.at(now_unix_ms)))
+            .map(|(model, rate)| ModelRate {
+                model: model.clone(),
+                per_second: rate.at(now_unix_ms),
+                target_latency_ms: rate.target_latency_ms,
+            })
             .collect()
     }
 }
--- a/crates/celerystair_policy/src/outcome.rs
+++ b/crates/celerystair_policy/src/outcome.rs
@@ -8,7 +8,9 @@
     Unreachable,
     /// The upstream said that it has not run the request and will not.
     Declined,
-    /// The upstream is not the one that was expected at its address.
+    /// The upstream has not loaded the model or adapter, and has not run the request.
+    NotLoaded,
+    /// Another upstream has the address by now; it has not run the request.
     Misdirected,
     /// The request was sent, and the connection ended without an answer.
     AnswerLost,
@@ -23,19 +25,29 @@
 impl AttemptFailure {
     /// Whether the request has surely not run there.
     pub fn has_not_run(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Declined | Self::Misdirected)
+        matches!(
+            self,
+            Self::Unreachable | Self::Declined | Self::NotLoaded | Self::Misdirected
+        )
     }
 
-    /// Whether the upstream saw the request, so that another attempt counts as a retry.
+    /// Whether any upstream saw the request, so that another attempt counts as a retry.
     pub fn has_arrived(self) -> bool {
         self != Self::Unreachable
     }
 
+    /// Whether the upstream that it was meant for saw the request, so that it counts among those
+    /// to which one request may be sent.
+    pub fn has_reached(self) -> bool {
+        !matches!(self, Self::Unreachable | Self::Misdirected)
+    }
+
     /// The word for logs.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
             Self::Declined => "declined",
+            Self::NotLoaded => "not_loaded",
             Self::Misdirected => "misdirected",
             Self::AnswerLost => "answer_lost",
             Self::AnswerSpoiled => "answer_spoiled",
@@ -57,7 +69,7 @@
 }
 
 /// Decides after `failure`; `may_have_run` is of the attempts before it, `sent` counts the
-/// attempts that reached an upstream.
+/// upstreams that it has reached.
 pub fn next_step(
     failure: AttemptFailure,
     may_have_run: bool,
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -20,6 +20,23 @@
     pub waiting: u32,
     /// Requests that run, over all routers.
     pub running: u32,
+    /// The time within which callers want an answer to begin, on average; 0 if nobody asks.
+    pub target_latency_ms: f64,
+}
+
+impl ModelView {
+    /// Adds what another router is asked for.
+    pub fn add(&mut self, other: &Self) {
+        let sum = self.requests_per_second + other.requests_per_second;
+        if sum > 0.0 {
+            let own = self.target_latency_ms * self.requests_per_second;
+            let others = other.target_latency_ms * other.requests_per_second;
+            self.target_latency_ms = (own + others) / sum;
+        }
+        self.requests_per_second = sum;
+        self.waiting += other.waiting;
+        self.running += other.running;
+    }
 }
 
 /// One engine, as its agent's news tells.
@@ -72,6 +89,15 @@
 const HORIZON_SECONDS: f64 = 3.0;
 /// What a waiting request weighs against one that is expected.
 const WAITING_WEIGHT: f64 = 2.0;
+/// Time from a wish for a load to its order, over news and the agent's own work.
+const ORDER_DELAY_MS: f64 = 300.0;
+/// How much less it matters that a model is not loaded if its callers' target leaves time for a
+/// load from disk, and how much more if a load takes far longer than the target.
+const URGENCY: (f64, f64) = (0.3, 2.0);
+/// What a model that nobody asks for just now is expected to be asked for: demand that moves on
+/// comes to one of these. It keeps a last replica from making room for a request that can wait
+/// for a load; it loads nothing by itself.
+const UNASKED_PER_SECOND: f64 = 0.1;
 /// A load must gain this many times what its evictions lose, so that models don't trade places.
 const GAIN_OVER_LOSS: f64 = 1.5;
 /// What a second until a replica is ready costs, in requests: engines that have the weights at
@@ -154,12 +180,26 @@
         (f64::from(self.config.slots) * REPLICA_LOAD_SHARE).max(1.0)
     }
 
+    /// How much it matters that the model is not loaded when it is asked for.
+    fn urgency(&self, model: &ModelName) -> f64 {
+        let target_ms = self
+            .models
+            .get(model)
+            .map_or(0.0, |view| view.target_latency_ms);
+        if target_ms <= 0.0 {
+            return URGENCY.1;
+        }
+        let disk_ms = self.config.models.get(model).map_or(0, |m| m.disk_load_ms);
+        let load_ms = disk_ms as f64 + ORDER_DELAY_MS;
+        (load_ms / target_ms).clamp(URGENCY.0, URGENCY.1)
+    }
+
     /// What `replicas` of a model leave waiting, in requests.
     fn shortage(&self, model: &ModelName, replicas: usize) -> f64 {
         let Some(view) = self.models.get(model) else {
             return 0.0;
         };
-        let expected = view.requests_per_second * HORIZON_SECONDS;
+        let expected = view.requests_per_second * HORIZON_SECONDS * self.urgency(model);
         if replicas == 0 {
             return expected + f64::from(view.waiting) * WAITING_WEIGHT;
         }
@@ -272,8 +312,19 @@
         let without = replicas.saturating_sub(1);
         let view = self.models.get(model);
         let shortage = self.shortage(model, without) - self.shortage(model, replicas);
+        let unasked = if without == 0 {
+            UNASKED_PER_SECOND * HORIZON_SECONDS * URGENCY.1
+        } else {
+            0.0
+        };
         // An unload waits for what runs, and holds up the engine's next order until then.
         let running = view.map_or(0, |view| view.running);
+        let rate = view.map_or(0.0, |view| view.requests_per_second);
+        let shortage = if rate < UNASKED_PER_SECOND {
+            shortage.max(unasked)
+        } else {
+            shortage
+        };
         shortage + f64::from(running) / replicas.max(1) as f64 * SECOND_COST
     }
 
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -77,10 +77,14 @@
 /// have run it, and "not run" is said only if none has.
 #[test]
 fn nothing_that_may_have_run_once_is_sent_again_or_called_not_run() {
-    const FAILURES: [AttemptFailure; 7] = [
+    // What each failure means for the caller is stated here once more, apart from the code.
+    const NOT_RUN: [AttemptFailure; 4] = [
         AttemptFailure::Unreachable,
         AttemptFailure::Declined,
+        AttemptFailure::NotLoaded,
         AttemptFailure::Misdirected,
+    ];
+    const MAY_HAVE_RUN: [AttemptFailure; 4] = [
         AttemptFailure::AnswerLost,
         AttemptFailure::AnswerSpoiled,
         AttemptFailure::Failed,
@@ -91,11 +95,13 @@
         let is_repeatable: bool = u.arbitrary()?;
         let (mut may_have_run, mut sent, mut runs) = (false, 0, 0);
         for _ in 0..8 {
-            let failure = *u.choose(&FAILURES)?;
-            sent += u32::from(failure.has_arrived());
-            runs += u32::from(!failure.has_not_run());
+            let has_run = u.arbitrary()?;
+            let failures = if has_run { &MAY_HAVE_RUN } else { &NOT_RUN };
+            let failure = *u.choose(failures)?;
+            sent += u32::from(failure.has_reached());
+            runs += u32::from(has_run);
             let step = next_step(failure, may_have_run, is_repeatable, sent, attempts_max);
-            may_have_run |= !failure.has_not_run();
+            may_have_run |= has_run;
             match step {
                 NextStep::TryAnother => {
                     assert!(is_repeatable || runs == 0);
@@ -232,12 +238,13 @@
     let (old, new) = (ModelName::from("old"), ModelName::from("new"));
     let mut meter = DemandMeter::default();
     for ms in (0..10_000).step_by(50) {
-        meter.note_arrival(&old, ms);
+        meter.note_arrival(&old, 500, ms);
     }
     for ms in (10_000..18_000).step_by(50) {
-        meter.note_arrival(&new, ms);
+        meter.note_arrival(&new, 500, ms);
     }
-    let rates: HashMap<ModelName, f64> = meter.rates(18_000).into_iter().collect();
+    let rates = meter.rates(18_000).into_iter();
+    let rates: HashMap<ModelName, f64> = rates.map(|r| (r.model, r.per_second)).collect();
     assert!((15.0..25.0).contains(&rates[&new]), "{rates:?}");
     assert!(rates[&old] < 4.0, "{rates:?}");
     assert!(meter.rates(200_000).is_empty());
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -47,6 +47,7 @@
         requests_per_second,
         waiting,
         running,
+        target_latency_ms: 500.0,
     }
 }
 
