Answer who waits before a planned stop ends; make news and decisions cheaper

A router got SIGTERM at 23.6 s and took a request for a batch draft at 25.4 s, whose model nobody had loaded; it waited up to ten seconds as its callers allow, and was still waiting when the process ended. Ruled out: a cut stream (the request had reached no engine). Change: shortly before the end of the grace a closing signal has every request without an answer refused: "not run" where that is true.

Change: requests wake for their own model; the configuration is borrowed; between rounds only the agents concerned are told, and rounds grow longer with the fleet; an engine's victims are worked out once a decision.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -33,6 +33,8 @@
 const IDLE_INTERVAL_MS: u64 = 200;
 /// The same while an order is carried out.
 const BUSY_INTERVAL_MS: u64 = 50;
+/// The shortest pause between two decisions on what to load: news of all engines go in.
+const DECIDE_INTERVAL_MS: u64 = 60;
 /// The shortest pause between two rounds, however much is heard.
 const GAP_MS: u64 = 10;
 /// Reports that fail in a row before the engine counts as down.
@@ -44,7 +46,7 @@
 /// How often the agent looks for its engine in the list while it isn't there.
 const FIND_INTERVAL_MS: u64 = 500;
 /// Agents that were heard within this time take part in the plan.
-const AGENTS_MEMORY_MS: u64 = 1500;
+const AGENTS_MEMORY_MS: u64 = 2500;
 /// Without news of this part of the other agents, most models would seem to be loaded nowhere.
 const HEARD_SHARE: f64 = 0.6;
 
@@ -81,6 +83,7 @@
     fence: Cell<Option<u64>>,
     failures: Cell<u32>,
     found_unix_ms: Cell<u64>,
+    decide_unix_ms: Cell<u64>,
     loaded_unix_ms: RefCell<HashMap<ModelName, u64>>,
     wanted_unix_ms: RefCell<HashMap<(ModelName, String), u64>>,
     woken: Event,
@@ -145,6 +148,7 @@
             fence: Cell::default(),
             failures: Cell::default(),
             found_unix_ms: Cell::default(),
+            decide_unix_ms: Cell::default(),
             loaded_unix_ms: RefCell::default(),
             wanted_unix_ms: RefCell::default(),
             woken: Event::new(),
@@ -270,7 +274,10 @@
         if !self.state.borrow().is_busy {
             self.order_adapters(store, &config).await;
         }
-        if self.plan.borrow().is_none() && !self.state.borrow().is_busy {
+        let now = now_unix_ms();
+        let is_free = self.plan.borrow().is_none() && !self.state.borrow().is_busy;
+        if is_free && now >= self.decide_unix_ms.get() {
+            self.decide_unix_ms.set(now + DECIDE_INTERVAL_MS);
             let plan = self.decide(&config);
             if let Some(plan) = &plan {
                 info!(self.log, "load_decided"; "model" => %plan.order.load,
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -12,6 +12,9 @@
 
 /// How often the agent tells of its engine when nothing has changed.
 const INTERVAL_MS: u64 = 400;
+/// The interval grows with the fleet, so that news cost the same processor time in any: for each
+/// process that is told, by this much.
+const INTERVAL_MS_EACH: u64 = 12;
 
 /// What was told last.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -29,12 +32,14 @@
     let Some(status) = status(agent, now) else {
         return;
     };
+    let targets = targets(agent);
+    let interval_ms = INTERVAL_MS.max(INTERVAL_MS_EACH * targets.len() as u64);
     let is_same = {
         let told = agent.told.borrow();
         told.loaded == status.loaded
             && told.loading == status.loading
             && told.takes_orders == status.takes_orders
-            && now < told.at_unix_ms + INTERVAL_MS
+            && now < told.at_unix_ms + interval_ms
     };
     if is_same {
         return;
@@ -45,11 +50,6 @@
         takes_orders: status.takes_orders,
         at_unix_ms: now,
     };
-    let mut targets = agent.demand.routers();
-    let own = agent.settings.news_listen;
-    let agents = agent.demand.agents().into_iter().map(IpAddr::V4);
-    let others = agents.filter(|address| *address != own.ip());
-    targets.extend(others.map(|address| SocketAddr::new(address, own.port())));
     let news = News::Engine(status);
     for target in targets {
         if let Err(error) = agent.socket.send(&news, target).await {
@@ -58,6 +58,16 @@
     }
 }
 
+/// The routers that ask for its models, and the other agents.
+fn targets(agent: &EngineAgent) -> Vec<SocketAddr> {
+    let mut targets = agent.demand.routers();
+    let own = agent.settings.news_listen;
+    let agents = agent.demand.agents().into_iter().map(IpAddr::V4);
+    let others = agents.filter(|address| *address != own.ip());
+    targets.extend(others.map(|address| SocketAddr::new(address, own.port())));
+    targets
+}
+
 /// The engine as others may use it: what is to make room is no longer loaded.
 fn status(agent: &EngineAgent, now_unix_ms: u64) -> Option<EngineStatus> {
     let upstream = agent.upstream.borrow().clone()?;
--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One try of a request at one upstream.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use celerystair_core::{
@@ -8,6 +8,7 @@
     time::{before_deadline, left_ms},
 };
 use celerystair_policy::prelude::*;
+use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -73,9 +74,14 @@
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.enter(model);
     let work = exchange(front, request, upstream, last_event_id);
-    let Some(exchanged) = before_deadline(silent_unix_ms, work).await else {
-        upstream.note(|health| health.note_failure(false, now_unix_ms()));
-        return Err(AttemptFailure::Silent.into());
+    let work = before_deadline(silent_unix_ms, work);
+    let exchanged = match select(pin!(work), pin!(front.closing.draining())).await {
+        Either::Left((Some(exchanged), _)) => exchanged,
+        Either::Left((None, _)) => {
+            upstream.note(|health| health.note_failure(false, now_unix_ms()));
+            return Err(AttemptFailure::Silent.into());
+        }
+        Either::Right(_) => return Err(AttemptFailure::Silent.into()),
     };
     let (response, connection) = exchanged.inspect_err(|failure| {
         let is_certain = *failure == AttemptFailure::Unreachable;
@@ -150,7 +156,7 @@
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.clone();
     *outgoing.headers_mut() = request.headers.clone();
-    let is_engine = front.engine_config(&entry.service).is_some();
+    let is_engine = front.has_engines(&entry.service);
     let send = crate::dialect::SendHead {
         expected_upstream: &entry.id,
         left_ms: left_ms(request.deadline_unix_ms),
@@ -177,7 +183,8 @@
     }
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
         let is_other = answer.upstream.is_some_and(|id| id != expected.as_str());
-        return Err(if is_other {
+        // Only a model can be missing at the upstream that was meant.
+        return Err(if is_other || request.head.model.is_none() {
             AttemptFailure::Misdirected
         } else {
             AttemptFailure::NotLoaded
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -1,6 +1,11 @@
 //! The router's state, its start and its planned stop.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
@@ -17,6 +22,7 @@
     request::CallerRequest,
     settings::FrontSettings,
     view::FleetView,
+    waiting::WaitingRequests,
 };
 
 /// After a request to stop, the platform asks twice, a second apart, before it sends callers
@@ -43,8 +49,12 @@
     pub engines: EngineBoard,
     /// Requests that crash upstreams.
     pub suspects: RefCell<Suspects>,
-    /// Requests that wait for a replica, by a number of their own.
-    pub waiting: Rc<RefCell<HashMap<u64, ModelName>>>,
+    /// Requests that wait for a replica.
+    pub waiting: WaitingRequests,
+    /// Raised shortly before the end of a planned stop: who has no answer by then gets a refusal.
+    pub closing: Stop,
+    /// Routers in the fleet, as agents have told last; 0 if none has.
+    pub routers: Cell<u32>,
     demand: RefCell<DemandMeter>,
     demand_changed: Event,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -86,23 +96,11 @@
     pub served: compio::runtime::JoinHandle<()>,
 }
 
-/// A request that waits, until this is dropped.
-pub struct Waiting {
-    waiting: Rc<RefCell<HashMap<u64, ModelName>>>,
-    number: u64,
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.waiting.borrow_mut().remove(&self.number);
-    }
-}
-
 impl Front {
-    /// What the engines of a service have in common, if they are engines.
-    pub fn engine_config(&self, service: &ServiceName) -> Option<EngineConfig> {
-        let in_force = self.view.config()?;
-        in_force.config.services.get(service)?.engine.clone()
+    /// Whether the upstreams of a service are engines.
+    pub fn has_engines(&self, service: &ServiceName) -> bool {
+        let in_force = self.view.config();
+        in_force.is_some_and(|in_force| in_force.engine(service).is_some())
     }
 
     /// Counts a request for a model.
@@ -111,25 +109,6 @@
         demand.note_arrival(model, target_latency_ms, now_unix_ms());
     }
 
-    /// Counts a request as waiting until the guard is dropped.
-    pub fn enter_waiting(&self, request: &CallerRequest) -> Option<Waiting> {
-        let model = request.head.model.as_ref()?.base.clone();
-        let number = rand::random();
-        let is_first = !self
-            .waiting
-            .borrow()
-            .values()
-            .any(|waiting| *waiting == model);
-        self.waiting.borrow_mut().insert(number, model);
-        if is_first {
-            self.demand_changed();
-        }
-        Some(Waiting {
-            waiting: self.waiting.clone(),
-            number,
-        })
-    }
-
     /// Has agents told soon.
     pub fn demand_changed(&self) {
         self.demand_changed.notify(usize::MAX);
@@ -149,8 +128,8 @@
             view.requests_per_second = rate.per_second;
             view.target_latency_ms = rate.target_latency_ms;
         }
-        for model in self.waiting.borrow().values() {
-            models.entry(model.clone()).or_default().waiting += 1;
+        for (model, count) in self.waiting.by_model() {
+            models.entry(model).or_default().waiting = count;
         }
         for engine in self.view.engines() {
             for (model, count) in engine.in_flight_by_model() {
@@ -166,13 +145,10 @@
         service: &ServiceName,
         work: impl FnOnce(&mut RetryBudget, u32) -> T,
     ) -> T {
-        let heard = self
-            .engines
-            .heard_since(now_unix_ms().saturating_sub(ROUTERS_MEMORY_MS));
-        let routers = heard.iter().map(|status| status.routers).max();
-        let routers = routers
-            .filter(|routers| *routers > 0)
-            .unwrap_or(ROUTERS_UNKNOWN);
+        let routers = match self.routers.get() {
+            0 => ROUTERS_UNKNOWN,
+            routers => routers,
+        };
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.clone())
@@ -205,9 +181,6 @@
     }
 }
 
-/// How long what an agent told of the number of routers holds.
-const ROUTERS_MEMORY_MS: u64 = 3000;
-
 /// Starts a router; it serves until `stop` drains, and finishes the requests that it has.
 ///
 /// # Errors
@@ -237,7 +210,9 @@
             view,
             engines: EngineBoard::default(),
             suspects: RefCell::default(),
-            waiting: Rc::default(),
+            waiting: WaitingRequests::default(),
+            closing: Stop::new(),
+            routers: Cell::new(0),
             demand: RefCell::default(),
             demand_changed: Event::new(),
             budgets: RefCell::default(),
@@ -246,6 +221,7 @@
     compio::runtime::spawn(tell_agents(front.clone(), news.clone(), stop.clone())).detach();
     compio::runtime::spawn(hear_agents(front.clone(), news, stop.clone())).detach();
     serve_ready(&front, ready, stop);
+    compio::runtime::spawn(close_in_time(front.clone(), stop.clone())).detach();
     let (limiting, answering, serving) = (front.clone(), front.clone(), stop.clone());
     let served = compio::runtime::spawn(async move {
         let limits = move || connection_limits(&limiting);
@@ -262,6 +238,17 @@
     })
 }
 
+/// Kept from the time that a stop may take, for the last refusals.
+const CLOSING_MS: u64 = 800;
+
+/// Has every request answered before the platform kills this process.
+async fn close_in_time(front: Front, stop: Stop) {
+    stop.draining().await;
+    info!(front.log, "stopping"; "waiting" => front.waiting.len());
+    sleep_ms(front.settings.stop_grace_ms.saturating_sub(CLOSING_MS)).await;
+    front.closing.drain();
+}
+
 /// Answers whether this router takes requests: not before it can route them, and not after a
 /// stop was asked for.
 fn serve_ready(front: &Front, listener: compio::net::TcpListener, stop: &Stop) {
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`stream`] | a stream on its way to its caller |
 //! | [`upstream`] | an upstream as this router sees it |
 //! | [`view`] | the configuration and the upstreams in force |
+//! | [`waiting`] | requests that wait for a replica |
 //!
 //! The design: `docs/PLATFORM.md`.
 
@@ -35,6 +36,7 @@
 pub mod stream;
 pub mod upstream;
 pub mod view;
+pub mod waiting;
 
 /// The types that a binary needs.
 pub mod prelude {
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -49,7 +49,10 @@
     if upstreams.is_empty() {
         return Pick::Nowhere;
     }
-    let engine = front.engine_config(service);
+    let in_force = front.view.config();
+    let engine = in_force
+        .as_ref()
+        .and_then(|in_force| in_force.engine(service));
     let Some((model, engine)) = request.head.model.as_ref().zip(engine) else {
         return pick_with_room(front, request, &upstreams, PLAIN_LOAD_PER_SLOT_MAX, now);
     };
@@ -66,7 +69,7 @@
         })
         .collect();
     if with_model.is_empty() {
-        let ready_unix_ms = ready_unix_ms(&statuses, &engine, &model.base, now);
+        let ready_unix_ms = ready_unix_ms(&statuses, engine, &model.base, now);
         return Pick::Later { ready_unix_ms };
     }
     let ready: Vec<Rc<Upstream>> = match &model.adapter {
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
-use celerystair_policy::prelude::*;
+use celerystair_policy::{prelude::*, waiting::retry_after_ms};
 use futures_util::future::select;
 
 use crate::{
@@ -293,7 +293,7 @@
         ready_unix_ms,
         leaves_unix_ms: request.arrived_unix_ms + patience_ms,
         deadline_unix_ms: request.deadline_unix_ms,
-        waiting: front.waiting.borrow().len(),
+        waiting: front.waiting.len(),
         waiting_max: WAITING_MAX,
     };
     let until_unix_ms = match decide_wait(&inputs, now) {
@@ -305,15 +305,33 @@
             return Err(refusal(progress, reason, &detail, retry_after_ms));
         }
     };
-    let changed = front.view.listen();
-    let _waiting = front.enter_waiting(request);
+    if front.closing.is_draining() {
+        let detail = "this router is about to end";
+        let retry_after_ms = retry_after_ms(now, request.deadline_unix_ms, now);
+        return Err(refusal(
+            progress,
+            RefusalReason::Leaving,
+            detail,
+            retry_after_ms,
+        ));
+    }
+    let queue = request
+        .head
+        .model
+        .as_ref()
+        .map_or_else(ModelName::default, |m| m.base.clone());
+    let (waiting, changed) = front.waiting.enter(&queue);
+    if waiting.is_first {
+        front.demand_changed();
+    }
     let wake_unix_ms = until_unix_ms.min(now + RECHECK_INTERVAL_MS);
-    select(changed, pin!(sleep_until_unix_ms(wake_unix_ms))).await;
+    let timer = pin!(sleep_until_unix_ms(wake_unix_ms));
+    select(select(changed, timer), pin!(front.closing.draining())).await;
     Ok(())
 }
 
 /// How often a waiting request looks again though nothing was heard.
-const RECHECK_INTERVAL_MS: u64 = 100;
+const RECHECK_INTERVAL_MS: u64 = 150;
 
 /// An upstream's whole answer as it goes to the caller.
 fn whole_response(answer: WholeAnswer) -> HttpResponse {
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -29,6 +29,8 @@
     in_flight: Cell<u32>,
     in_flight_by_model: RefCell<HashMap<ModelName, u32>>,
     sent_unix_ms: RefCell<VecDeque<u64>>,
+    /// Whether its agent has not been told yet of an adapter that is wanted there.
+    pub wants_adapter: Cell<bool>,
     adapters_wanted: RefCell<HashMap<(ModelName, String), u64>>,
 }
 
@@ -43,6 +45,7 @@
             in_flight: Cell::new(0),
             in_flight_by_model: RefCell::default(),
             sent_unix_ms: RefCell::default(),
+            wants_adapter: Cell::new(false),
             adapters_wanted: RefCell::default(),
         }
     }
@@ -96,9 +99,11 @@
     pub fn want_adapter(&self, model: &ModelName, adapter: &str) -> bool {
         let until_unix_ms = now_unix_ms() + WANTED_MS;
         let mut wanted = self.adapters_wanted.borrow_mut();
-        wanted
-            .insert((model.clone(), adapter.to_owned()), until_unix_ms)
-            .is_none()
+        let before = wanted.insert((model.clone(), adapter.to_owned()), until_unix_ms);
+        if before.is_none() {
+            self.wants_adapter.set(true);
+        }
+        before.is_none()
     }
 
     /// The adapters that requests wait for, or have used of late.
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -6,7 +6,6 @@
 use celerystair_platform::prelude::*;
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
-use event_listener::{Event, EventListener};
 use futures_util::future::select;
 
 use crate::{settings::FrontSettings, upstream::Upstream};
@@ -22,6 +21,13 @@
     pub routes: RouteTable,
 }
 
+impl ConfigInForce {
+    /// What the engines of a service have in common, if they are engines.
+    pub fn engine(&self, service: &ServiceName) -> Option<&EngineConfig> {
+        self.config.services.get(service)?.engine.as_ref()
+    }
+}
+
 /// What this router knows of the fleet; cheap to clone.
 #[derive(Clone)]
 pub struct FleetView {
@@ -34,7 +40,6 @@
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     departures: RefCell<Departures>,
-    changed: Event,
 }
 
 impl FleetView {
@@ -47,7 +52,6 @@
                 upstreams: RefCell::default(),
                 by_service: RefCell::default(),
                 departures: RefCell::default(),
-                changed: Event::new(),
             }),
         };
         let configs =
@@ -94,26 +98,14 @@
             return Vec::new();
         };
         let by_service = self.inner.by_service.borrow();
-        let is_engine = |service: &ServiceName| {
-            let service = config.config.services.get(service);
-            service.is_some_and(|service| service.engine.is_some())
-        };
-        let engines = by_service.iter().filter(|(service, _)| is_engine(service));
+        let engines = by_service
+            .iter()
+            .filter(|(service, _)| config.engine(service).is_some());
         engines
             .flat_map(|(_, upstreams)| upstreams.iter().cloned())
             .collect()
     }
 
-    /// Wakes at the next change; listen first, then read.
-    pub fn listen(&self) -> EventListener {
-        self.inner.changed.listen()
-    }
-
-    /// Wakes whoever waits for a change.
-    pub fn wake(&self) {
-        self.inner.changed.notify(usize::MAX);
-    }
-
     async fn follow_config(&self, configs: &Mirror<ServingConfig>, name: &str, stop: &Stop) {
         while !stop.is_ended() {
             let changed = configs.listen();
@@ -137,7 +129,6 @@
             config: config.clone(),
         };
         *self.inner.config.borrow_mut() = Some(Rc::new(in_force));
-        self.wake();
     }
 
     async fn follow_upstreams(
@@ -197,7 +188,6 @@
         }
         *self.inner.by_service.borrow_mut() = by_service;
         drop((upstreams, departures));
-        self.wake();
     }
 
     /// Takes in an entry; another start under the same id is another upstream.
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -137,12 +137,21 @@
     order: Order,
 }
 
+/// What an engine can make room with. It stays the same over one decision, so it is worked out
+/// once: fleets have dozens of engines and models.
+struct Room<'a> {
+    free_mb: f64,
+    /// What may make room, the cheapest first: what its going loses, and its size.
+    victims: Vec<(f64, f64, &'a ModelName)>,
+}
+
 /// The engines as they will be once what was assigned so far is carried out.
 struct Fleet<'a> {
     config: &'a EngineConfig,
     models: &'a HashMap<ModelName, ModelView>,
     engines: &'a [EngineView],
     replicas: HashMap<&'a ModelName, usize>,
+    rooms: Vec<Room<'a>>,
     is_taken: Vec<bool>,
     cold_loads: usize,
 }
@@ -161,13 +170,39 @@
             }
         }
         let is_cold = |engine: &&EngineView| engine.loading.as_ref().is_some_and(|l| l.is_cold);
-        Self {
+        let mut fleet = Self {
             config,
             models,
             engines,
             replicas,
+            rooms: Vec::new(),
             is_taken: vec![false; engines.len()],
             cold_loads: engines.iter().filter(is_cold).count(),
+        };
+        fleet.rooms = engines.iter().map(|engine| fleet.room(engine)).collect();
+        fleet
+    }
+
+    fn size_mb(&self, model: &ModelName) -> f64 {
+        let config = self.config.models.get(model);
+        config.map_or(0.0, |config| config.weights_mb)
+    }
+
+    fn room(&self, engine: &'a EngineView) -> Room<'a> {
+        let loading = engine.loading.iter().map(|load| &load.model);
+        let held = engine.loaded.iter().chain(loading);
+        let held_mb: f64 = held.map(|model| self.size_mb(model)).sum();
+        let may_go = engine
+            .loaded
+            .iter()
+            .filter(|model| !engine.kept.contains(model));
+        let mut victims: Vec<(f64, f64, &ModelName)> = may_go
+            .map(|model| (self.loss(model), self.size_mb(model), model))
+            .collect();
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(b.2)));
+        Room {
+            free_mb: room_mb(self.config) - held_mb,
+            victims,
         }
     }
 
@@ -182,10 +217,8 @@
 
     /// How much it matters that the model is not loaded when it is asked for.
     fn urgency(&self, model: &ModelName) -> f64 {
-        let target_ms = self
-            .models
-            .get(model)
-            .map_or(0.0, |view| view.target_latency_ms);
+        let view = self.models.get(model);
+        let target_ms = view.map_or(0.0, |view| view.target_latency_ms);
         if target_ms <= 0.0 {
             return URGENCY.1;
         }
@@ -232,37 +265,47 @@
     /// Where the model is loaded at the least cost; `None` if no engine's cost is worth it, or if
     /// the best engine must finish another load first.
     fn best_engine(&self, need: &Need<'_>) -> Option<Chosen> {
-        let mut best: Option<(f64, u64, bool, Chosen)> = None;
+        let mut best: Option<(f64, u64, usize)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
-            if !engine.takes_orders || self.is_taken[index] || has(engine, need.model) {
+            if !engine.takes_orders || self.is_taken[index] {
                 continue;
             }
-            let Some((unload, loss)) = self.make_room(engine, need) else {
+            let Some(loss) = self.loss_of_room(index, need) else {
                 continue;
             };
-            let (load_ms, is_cold) = self.load_ms(engine, need.model);
+            if has(engine, need.model) {
+                continue;
+            }
+            let (load_ms, _) = self.load_ms(engine, need.model);
             let busy_ms = engine.loading.as_ref().map_or(0, |load| load.ready_in_ms);
             let cost = loss + (load_ms + busy_ms) as f64 / 1000.0 * SECOND_COST;
+            if best.is_some_and(|(least, _, _)| cost > least) {
+                continue;
+            }
             let rank = u64::MAX - weight(need.model, &engine.upstream);
-            let is_better = best
-                .as_ref()
-                .is_none_or(|(c, r, _, _)| (cost, rank) < (*c, *r));
-            if is_better {
-                let order = Order {
-                    load: need.model.clone(),
-                    unload,
-                    is_cold,
-                };
-                let chosen = Chosen {
-                    engine: index,
-                    order,
-                };
-                best = Some((cost, rank, engine.loading.is_some(), chosen));
+            if best.is_none_or(|(c, r, _)| (cost, rank) < (c, r)) {
+                best = Some((cost, rank, index));
             }
         }
-        let (_, _, is_busy, chosen) = best?;
-        let waits_for_store = chosen.order.is_cold && self.cold_loads >= COLD_LOADS_AT_ONCE;
-        (!is_busy && !waits_for_store).then_some(chosen)
+        let (_, _, index) = best?;
+        let engine = &self.engines[index];
+        let (_, is_cold) = self.load_ms(engine, need.model);
+        if engine.loading.is_some() || (is_cold && self.cold_loads >= COLD_LOADS_AT_ONCE) {
+            return None;
+        }
+        let order = Order {
+            load: need.model.clone(),
+            unload: self
+                .victims(index, need)?
+                .iter()
+                .map(|(_, _, model)| (*model).clone())
+                .collect(),
+            is_cold,
+        };
+        Some(Chosen {
+            engine: index,
+            order,
+        })
     }
 
     fn load_ms(&self, engine: &EngineView, model: &ModelName) -> (u64, bool) {
@@ -277,33 +320,26 @@
         }
     }
 
-    /// What the engine unloads to make room, and what that loses; `None` if it isn't worth it.
-    fn make_room(&self, engine: &EngineView, need: &Need<'_>) -> Option<(Vec<ModelName>, f64)> {
-        let size_mb =
-            |model: &ModelName| self.config.models.get(model).map_or(0.0, |m| m.weights_mb);
-        let held = engine.loaded.iter().map(size_mb).sum::<f64>();
-        let loading = engine.loading.iter().map(|load| size_mb(&load.model));
-        let mut free_mb = room_mb(self.config) - held - loading.sum::<f64>();
-        let needed_mb = size_mb(need.model);
-        let mut victims: Vec<(f64, &ModelName)> = engine
-            .loaded
-            .iter()
-            .filter(|model| !engine.kept.contains(model))
-            .map(|model| (self.loss(model), model))
-            .collect();
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
-        let mut unload = Vec::new();
-        let mut loss = 0.0;
-        for (victim_loss, model) in victims {
+    /// What room for the model loses on an engine; `None` if it isn't worth it, or can't be made.
+    fn loss_of_room(&self, engine: usize, need: &Need<'_>) -> Option<f64> {
+        let victims = self.victims(engine, need)?;
+        let loss = victims.iter().map(|(loss, _, _)| loss).sum();
+        let is_worth = victims.is_empty() || need.gain > loss * GAIN_OVER_LOSS;
+        is_worth.then_some(loss)
+    }
+
+    /// What makes room for the model on an engine; `None` if nothing can.
+    fn victims(&self, engine: usize, need: &Need<'_>) -> Option<&[(f64, f64, &'a ModelName)]> {
+        let room = &self.rooms[engine];
+        let needed_mb = self.size_mb(need.model);
+        let mut free_mb = room.free_mb;
+        for count in 0..=room.victims.len() {
             if free_mb >= needed_mb {
-                break;
+                return Some(&room.victims[..count]);
             }
-            free_mb += size_mb(model);
-            loss += victim_loss;
-            unload.push(model.clone());
+            free_mb += room.victims.get(count).map_or(0.0, |(_, mb, _)| *mb);
         }
-        let is_worth = unload.is_empty() || need.gain > loss * GAIN_OVER_LOSS;
-        (free_mb >= needed_mb && is_worth).then_some((unload, loss))
+        None
     }
 
     /// Requests that would wait if one replica of `model` went.
@@ -311,20 +347,13 @@
         let replicas = self.replicas(model);
         let without = replicas.saturating_sub(1);
         let view = self.models.get(model);
-        let shortage = self.shortage(model, without) - self.shortage(model, replicas);
-        let unasked = if without == 0 {
-            UNASKED_PER_SECOND * HORIZON_SECONDS * URGENCY.1
-        } else {
-            0.0
-        };
+        let rate = view.map_or(0.0, |view| view.requests_per_second);
+        let mut shortage = self.shortage(model, without) - self.shortage(model, replicas);
+        if without == 0 && rate < UNASKED_PER_SECOND {
+            shortage = shortage.max(UNASKED_PER_SECOND * HORIZON_SECONDS * URGENCY.1);
+        }
         // An unload waits for what runs, and holds up the engine's next order until then.
         let running = view.map_or(0, |view| view.running);
-        let rate = view.map_or(0.0, |view| view.requests_per_second);
-        let shortage = if rate < UNASKED_PER_SECOND {
-            shortage.max(unasked)
-        } else {
-            shortage
-        };
         shortage + f64::from(running) / replicas.max(1) as f64 * SECOND_COST
     }
 
