Keep few idle connections to an upstream, and reuse them for writes at once

Each write opened a connection and left it idle for as long as the upstream keeps one; 25 routers filled the 210 connections that a desk server takes, and it reset the next ones with the request that was sent on them. Ruled out: failing servers (no arrival at any), the retry budget. Change: a router keeps half of its share of an upstream's connections idle at most, and sends a write on one that was in use less than 300 ms ago.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -120,13 +120,9 @@
     last_event_id: Option<u64>,
 ) -> Result<(http::Response<Incoming>, UpstreamConnection), AttemptFailure> {
     let mut outgoing = outgoing_request(front, request, upstream, last_event_id);
-    let mut idle = if request.route.is_repeatable() {
-        upstream.connections.take_idle()
-    } else {
-        // A kept connection may be closing just now, and a request that is lost on it can't be
-        // sent again.
-        None
-    };
+    let connections = &upstream.connections;
+    connections.set_idle_max(front.idle_max(&upstream.entry.borrow().service));
+    let mut idle = connections.take_idle(request.route.is_repeatable());
     loop {
         let address = upstream.entry.borrow().address;
         let mut connection = match idle.take() {
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -1,7 +1,12 @@
 //! Connections to upstreams. A connection serves one request at a time; it is kept for the next
 //! one if the upstream keeps it too.
 
-use std::{cell::RefCell, net::SocketAddr, pin::pin, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
@@ -22,6 +27,19 @@
 /// longer is closed.
 const REUSE_WAIT_MS: u64 = 500;
 
+/// A request that can't be repeated goes on a kept connection only if that was in use this short a
+/// time ago: an upstream may be closing one that has been idle for longer.
+const FRESH_MS: u64 = 300;
+/// Part of a router's share of an upstream's connections that may be idle.
+const IDLE_SHARE: u32 = 2;
+
+/// How many idle connections one router may keep to an upstream that takes `connections_max`
+/// from `routers` together. Answers many routers that each keep a few: the upstream resets what
+/// is over its bound, with the request that was sent on it.
+pub fn idle_max(connections_max: u32, routers: u32) -> usize {
+    (connections_max / routers.max(1) / IDLE_SHARE).max(1) as usize
+}
+
 /// A connection to an upstream. Dropping it closes it.
 pub struct UpstreamConnection {
     /// Where requests go in.
@@ -34,21 +52,33 @@
 
 struct IdleConnection {
     connection: UpstreamConnection,
+    since_unix_ms: u64,
     use_until_unix_ms: u64,
 }
 
-/// The idle connections to one upstream; cheap to clone.
+/// The idle connections to one upstream, the last used last; cheap to clone.
 #[derive(Clone, Default)]
 pub struct Connections {
     idle: Rc<RefCell<Vec<IdleConnection>>>,
+    idle_max: Rc<Cell<usize>>,
 }
 
 impl Connections {
-    /// A connection that was used before and still stands, the last used first.
-    pub fn take_idle(&self) -> Option<UpstreamConnection> {
+    /// Sets how many idle connections are kept.
+    pub fn set_idle_max(&self, idle_max: usize) {
+        self.idle_max.set(idle_max);
+    }
+
+    /// A connection that was used before and still stands, the last used first; for a request
+    /// that can't be repeated, only one that was in use a moment ago.
+    pub fn take_idle(&self, is_repeatable: bool) -> Option<UpstreamConnection> {
         let now = now_unix_ms();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|idle| idle.use_until_unix_ms > now && !idle.connection.sender.is_closed());
+        let is_fresh = |idle: &IdleConnection| now < idle.since_unix_ms + FRESH_MS;
+        if !is_repeatable && !idle.last().is_some_and(is_fresh) {
+            return None;
+        }
         let taken = idle.pop()?;
         Some(taken.connection)
     }
@@ -61,15 +91,19 @@
         };
         connection.is_reused = true;
         let use_until_unix_ms = now_unix_ms() + idle_ms;
-        let idle = self.idle.clone();
+        let (idle, idle_max) = (self.idle.clone(), self.idle_max.get());
         compio::runtime::spawn(async move {
             let deadline_unix_ms = now_unix_ms() + REUSE_WAIT_MS;
             let is_free = before_deadline(deadline_unix_ms, connection.sender.ready()).await;
             if matches!(is_free, Some(Ok(()))) {
-                idle.borrow_mut().push(IdleConnection {
+                let mut idle = idle.borrow_mut();
+                idle.push(IdleConnection {
                     connection,
+                    since_unix_ms: now_unix_ms(),
                     use_until_unix_ms,
                 });
+                let surplus = idle.len().saturating_sub(idle_max);
+                idle.drain(..surplus);
             }
         })
         .detach();
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     callers::answer_caller,
+    connections::idle_max,
     demand::{hear_agents, tell_agents},
     request::CallerRequest,
     settings::FrontSettings,
@@ -103,6 +104,15 @@
         in_force.is_some_and(|in_force| in_force.engine(service).is_some())
     }
 
+    /// How many idle connections this router may keep to an upstream of a service.
+    pub fn idle_max(&self, service: &ServiceName) -> usize {
+        let in_force = self.view.config();
+        let services = in_force.as_ref().map(|in_force| &in_force.config.services);
+        let service = services.and_then(|services| services.get(service));
+        let connections_max = service.map_or(0, |service| service.connections_max);
+        idle_max(connections_max, self.known_routers())
+    }
+
     /// Counts a request for a model.
     pub fn note_arrival(&self, model: &ModelName, target_latency_ms: u64) {
         let mut demand = self.demand.borrow_mut();
@@ -145,10 +155,7 @@
         service: &ServiceName,
         work: impl FnOnce(&mut RetryBudget, u32) -> T,
     ) -> T {
-        let routers = match self.routers.get() {
-            0 => ROUTERS_UNKNOWN,
-            routers => routers,
-        };
+        let routers = self.known_routers();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.clone())
@@ -156,6 +163,14 @@
         work(budget, routers)
     }
 
+    /// How many routers share what is meant for all.
+    fn known_routers(&self) -> u32 {
+        match self.routers.get() {
+            0 => ROUTERS_UNKNOWN,
+            routers => routers,
+        }
+    }
+
     /// Logs a decision about a request.
     pub fn log_request(&self, request: &CallerRequest, event: &str, fields: &[(&str, &str)]) {
         let fields: Vec<String> = fields.iter().map(|(k, v)| format!("{k}={v}")).collect();
--- a/crates/celerystair_policy/src/fleet.rs
+++ b/crates/celerystair_policy/src/fleet.rs
@@ -87,6 +87,8 @@
 /// A group of upstreams.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceConfig {
+    /// Connections that one upstream takes from all routers together.
+    pub connections_max: u32,
     /// Set where the upstreams are model engines.
     pub engine: Option<EngineConfig>,
 }
