--- a/benches/cold_start.rs
+++ b/benches/cold_start.rs
@@ -4,9 +4,9 @@
 //! `cargo bench --bench cold_start -- burst` plays a press deadline: every model and half of the
 //! adapters are first called within 2 s, at 4 routers. `-- day` plays rare calls in sessions.
 //! `-- news` plays sessions that outgrow one replica, with and without news on replies.
-//! `-- adapters` plays first calls of adapters of loaded models. A firm's name after it plays that
-//! firm alone.
-//! What the columns mean and what was found: `docs/COLD_STARTS.md`.
+//! `-- adapters` plays first calls of adapters of loaded models. An organisation's name after it
+//! plays that organisation alone. What the columns mean and what was found:
+//! `docs/COLD_STARTS.md`.
 
 use std::{cell::RefCell, rc::Rc};
 
@@ -206,9 +206,9 @@
     } else {
         BURST_CLOCK_SCALE
     });
-    let firms = [("office", OFFICE), ("hangang", HANGANG)];
-    let named = std::env::args().find(|a| firms.iter().any(|(name, _)| name == a));
-    for (name, text) in firms {
+    let organisations = [("office", OFFICE), ("hangang", HANGANG)];
+    let named = std::env::args().find(|a| organisations.iter().any(|(name, _)| name == a));
+    for (name, text) in organisations {
         if named.as_ref().is_some_and(|named| named != name) {
             continue;
         }
@@ -261,7 +261,7 @@
 ) -> eyre::Result<()> {
     println!(
         "\n{}, {fault:?}: {} calls{}",
-        settings.firm,
+        settings.organisation,
         plan.len(),
         if limit_ms > 0.0 {
             format!(", the weight store's limit is {limit_ms:.0} ms")
@@ -347,7 +347,7 @@
         sleep_until_unix_ms(start_unix_ms + planned.at_ms).await;
         let call = Call {
             router: fleet.router_addresses[index % fleet.router_addresses.len()],
-            firm: settings.firm.clone(),
+            organisation: settings.organisation.clone(),
             kind: "draft".into(),
             target: CallTarget::Completion {
                 model: planned.model.clone(),
@@ -625,7 +625,7 @@
     let routers = fleet.router_addresses.clone();
     let call = |index: usize, model: String, timeout_ms: u64| Call {
         router: routers[index % routers.len()],
-        firm: settings.firm.clone(),
+        organisation: settings.organisation.clone(),
         kind: "draft".into(),
         target: CallTarget::Completion {
             model,
--- a/crates/celerystair_agent/src/keyed.rs
+++ b/crates/celerystair_agent/src/keyed.rs
@@ -171,7 +171,7 @@
     deadline_unix_ms: u64,
 ) -> KeyedOutcome {
     let key = CallKey {
-        firm: request.firm.as_str().into(),
+        organisation: request.organisation.as_str().into(),
         key: request.idempotency_key.clone(),
     };
     while now_unix_ms() < deadline_unix_ms {
@@ -226,7 +226,7 @@
     let domain = &agent.node.settings.failure_domain;
     let limits = fleet::for_upstream(&config, domain, &agent.settings.upstream, now_unix_ms());
     TurnRequest {
-        firm: &request.firm,
+        organisation: &request.organisation,
         priority: request.priority,
         deadline_unix_ms,
         waiting_max: limits.queue_max,
--- a/crates/celerystair_agent/src/queue.rs
+++ b/crates/celerystair_agent/src/queue.rs
@@ -1,5 +1,5 @@
 //! Requests that wait for their turn at the upstream: by priority, then by deadline, and fairly
-//! between firms. What can't be met is refused at once. See `docs/OVERLOAD.md`.
+//! between organisations. What can't be met is refused at once. See `docs/OVERLOAD.md`.
 
 use std::{
     cell::{Cell, RefCell},
@@ -31,17 +31,17 @@
     held: Cell<bool>,
     changed: Event,
     waiting: RefCell<BTreeMap<Place, Rc<Waiter>>>,
-    /// The turn, counted over all firms, at which the last one was given.
+    /// The turn, counted over all organisations, at which the last one was given.
     turn: Cell<u64>,
-    /// For each firm that is ahead of its part: the first turn that is its again.
-    next_turn: RefCell<HashMap<FirmName, u64>>,
+    /// For each organisation that is ahead of its part: the first turn that is its again.
+    next_turn: RefCell<HashMap<OrganisationName, u64>>,
 }
 
 /// A request that asks for a turn.
 #[derive(Clone, Copy, Debug)]
 pub struct TurnRequest<'a> {
     /// For whom.
-    pub firm: &'a str,
+    pub organisation: &'a str,
     /// Its weight; the greater goes first.
     pub priority: u32,
     /// Until when it waits.
@@ -73,7 +73,7 @@
 }
 
 struct Waiter {
-    firm: FirmName,
+    organisation: OrganisationName,
     state: Cell<WaitState>,
     event: Event,
 }
@@ -147,14 +147,14 @@
     /// left, else at the deadline.
     pub async fn enter(&self, request: TurnRequest<'_>) -> Result<RunPermit, Refusal> {
         if self.has_free_turn() {
-            return Ok(self.take_turn(request.firm));
+            return Ok(self.take_turn(request.organisation));
         }
         let number = self.inner.next_number.get();
         self.inner.next_number.set(number + 1);
         let place = self.place(request, number);
         self.refuse_unmeetable(request, place)?;
         let waiter = Rc::new(Waiter {
-            firm: request.firm.into(),
+            organisation: request.organisation.into(),
             state: Cell::default(),
             event: Event::new(),
         });
@@ -167,7 +167,7 @@
             place,
             waiter: &waiter,
         };
-        self.refuse_overtaken(request.firm, place);
+        self.refuse_overtaken(request.organisation, place);
         let settled = async {
             while waiter.state.get() == WaitState::Waiting {
                 let listener = waiter.event.listen();
@@ -222,8 +222,9 @@
     }
 
     /// How many turns will be given before that of a request at `place`. Heavier requests go
-    /// first, and those of the same firm by deadline; of each other firm, no more than of its own.
-    fn ahead(&self, firm: &str, place: Place) -> u32 {
+    /// first, and those of the same organisation by deadline; of each other organisation, no more
+    /// than of its own.
+    fn ahead(&self, organisation: &str, place: Place) -> u32 {
         let waiting = self.inner.waiting.borrow();
         if !self.inner.shedding.get() {
             return waiting.range(..place).count() as u32;
@@ -236,8 +237,8 @@
                 heavier += 1;
             } else if other.priority_inverted > place.priority_inverted {
                 break;
-            } else if *waiter.firm != *firm {
-                *others.entry(&waiter.firm).or_default() += 1;
+            } else if *waiter.organisation != *organisation {
+                *others.entry(&waiter.organisation).or_default() += 1;
             } else if *other < place {
                 own += 1;
             }
@@ -250,8 +251,8 @@
                 .sum::<u32>()
     }
 
-    /// Who gets the next turn: among the heaviest, the firm that has had the least of late, and
-    /// of its requests the one whose deadline comes first.
+    /// Who gets the next turn: among the heaviest, the organisation that has had the least of
+    /// late, and of its requests the one whose deadline comes first.
     fn next(&self) -> Option<Place> {
         let waiting = self.inner.waiting.borrow();
         let (first, _) = waiting.first_key_value()?;
@@ -261,23 +262,23 @@
         let heaviest = waiting
             .iter()
             .take_while(|(place, _)| place.priority_inverted == first.priority_inverted);
-        let turns = heaviest.map(|(place, waiter)| (self.first_turn(&waiter.firm), *place));
+        let turns = heaviest.map(|(place, waiter)| (self.first_turn(&waiter.organisation), *place));
         turns.min().map(|(_, place)| place)
     }
 
-    /// The first turn that the firm may have.
-    fn first_turn(&self, firm: &str) -> u64 {
-        let next = self.inner.next_turn.borrow().get(firm).copied();
+    /// The first turn that the organisation may have.
+    fn first_turn(&self, organisation: &str) -> u64 {
+        let next = self.inner.next_turn.borrow().get(organisation).copied();
         next.unwrap_or_default().max(self.inner.turn.get())
     }
 
-    /// Counts a turn as given to the firm. Firms that wait get turns one after the other; a firm
-    /// that did not wait has saved up none.
-    fn count_turn(&self, firm: &str) {
-        let turn = self.first_turn(firm);
+    /// Counts a turn as given to the organisation. Organisations that wait get turns one after
+    /// the other; an organisation that did not wait has saved up none.
+    fn count_turn(&self, organisation: &str) {
+        let turn = self.first_turn(organisation);
         self.inner.turn.set(turn);
         let mut next_turn = self.inner.next_turn.borrow_mut();
-        next_turn.insert(firm.into(), turn + 1);
+        next_turn.insert(organisation.into(), turn + 1);
         next_turn.retain(|_, next| *next > turn);
     }
 
@@ -320,7 +321,7 @@
     }
 
     fn refuse_unmeetable(&self, request: TurnRequest<'_>, place: Place) -> Result<(), Refusal> {
-        let wait_ms = self.expected_wait_ms(self.ahead(request.firm, place));
+        let wait_ms = self.expected_wait_ms(self.ahead(request.organisation, place));
         let waiting_max = request.waiting_max;
         if self.waiting() >= waiting_max {
             let detail = format!("{waiting_max} requests wait already");
@@ -338,7 +339,7 @@
 
     /// Refuses those whose turn the newest has pushed past their deadline, so that they learn of
     /// it now and not at their deadline. Each that is refused makes room for those behind it.
-    fn refuse_overtaken(&self, firm: &str, newest: Place) {
+    fn refuse_overtaken(&self, organisation: &str, newest: Place) {
         if !self.inner.shedding.get() {
             return;
         }
@@ -346,7 +347,7 @@
         let is_behind = |place: &Place, waiter: &Waiter| {
             place.priority_inverted > newest.priority_inverted
                 || place.priority_inverted == newest.priority_inverted
-                    && (*waiter.firm != *firm || *place > newest)
+                    && (*waiter.organisation != *organisation || *place > newest)
         };
         let mut line = self.line();
         let mut overtaken = Vec::new();
@@ -368,18 +369,18 @@
     }
 
     /// Those who wait, in the order in which turns will be given: the heavier first, then one of
-    /// each firm after the other.
+    /// each organisation after the other.
     fn line(&self) -> Vec<(Place, Rc<Waiter>)> {
         let waiting = self.inner.waiting.borrow();
-        let mut of_firm: HashMap<(u32, &str), u64> = HashMap::default();
+        let mut of_organisation: HashMap<(u32, &str), u64> = HashMap::default();
         let mut line: Vec<_> = waiting
             .iter()
             .map(|(place, waiter)| {
-                let turns = of_firm
-                    .entry((place.priority_inverted, &waiter.firm))
+                let turns = of_organisation
+                    .entry((place.priority_inverted, &waiter.organisation))
                     .or_default();
                 *turns += 1;
-                let turn = self.first_turn(&waiter.firm) + *turns;
+                let turn = self.first_turn(&waiter.organisation) + *turns;
                 (place.priority_inverted, turn, *place, waiter.clone())
             })
             .collect();
@@ -389,8 +390,8 @@
             .collect()
     }
 
-    fn take_turn(&self, firm: &str) -> RunPermit {
-        self.count_turn(firm);
+    fn take_turn(&self, organisation: &str) -> RunPermit {
+        self.count_turn(organisation);
         self.inner.running.set(self.inner.running.get() + 1);
         self.permit()
     }
@@ -419,7 +420,7 @@
             let Some(waiter) = self.inner.waiting.borrow_mut().remove(&place) else {
                 return;
             };
-            self.count_turn(&waiter.firm);
+            self.count_turn(&waiter.organisation);
             self.inner.running.set(self.inner.running.get() + 1);
             waiter.settle(WaitState::Granted);
         }
--- a/crates/celerystair_agent/src/upstream.rs
+++ b/crates/celerystair_agent/src/upstream.rs
@@ -47,7 +47,7 @@
     for (name, value) in [
         ("content-type", &request.content_type),
         ("idempotency-key", &request.idempotency_key),
-        ("celerystair-firm", &request.firm),
+        ("celerystair-organisation", &request.organisation),
     ] {
         if !value.is_empty() {
             call =
--- a/crates/celerystair_agent/tests/queue.rs
+++ b/crates/celerystair_agent/tests/queue.rs
@@ -6,10 +6,10 @@
 const SERVICE_MS: u64 = 400;
 const WAITING_MAX: u32 = 100;
 
-/// A request of a firm for a turn.
-fn asking(firm: &str, priority: u32, deadline_unix_ms: u64) -> TurnRequest<'_> {
+/// A request of an organisation for a turn.
+fn asking(organisation: &str, priority: u32, deadline_unix_ms: u64) -> TurnRequest<'_> {
     TurnRequest {
-        firm,
+        organisation,
         priority,
         deadline_unix_ms,
         waiting_max: WAITING_MAX,
@@ -103,7 +103,7 @@
 }
 
 #[test]
-fn a_firm_that_sends_few_requests_stands_before_one_that_sends_many() {
+fn a_organisation_that_sends_few_requests_stands_before_one_that_sends_many() {
     compio::runtime::Runtime::new()
         .expect("a runtime")
         .block_on(async {
@@ -111,13 +111,13 @@
             let (order, served) = async_channel::unbounded();
             let deadline_unix_ms = now_unix_ms() + 600_000;
             let mut calls = Vec::new();
-            let firms = [("hangang", 40), ("office", 5)];
-            for (firm, count) in firms {
+            let organisations = [("hangang", 40), ("office", 5)];
+            for (organisation, count) in organisations {
                 for _ in 0..count {
                     let (asked, order) = (queue.clone(), order.clone());
                     calls.push(compio::runtime::spawn(async move {
-                        let turn = asked.enter(asking(firm, 1, deadline_unix_ms)).await;
-                        order.try_send(firm).ok();
+                        let turn = asked.enter(asking(organisation, 1, deadline_unix_ms)).await;
+                        order.try_send(organisation).ok();
                         turn.map(drop)
                     }));
                     while queue.waiting() < calls.len() as u32 {
@@ -129,11 +129,14 @@
             for call in calls {
                 assert!(call.await.expect("the task ends").is_ok());
             }
-            // One of each firm after the other; the turn before was the office's.
+            // One of each organisation after the other; the turn before was the office's.
             let first: Vec<&str> = std::iter::from_fn(|| served.try_recv().ok())
                 .take(11)
                 .collect();
-            let few = first.iter().filter(|firm| **firm == "office").count();
+            let few = first
+                .iter()
+                .filter(|organisation| **organisation == "office")
+                .count();
             assert_eq!(few, 5, "{first:?}");
         });
 }
--- a/crates/celerystair_config/src/fleet.rs
+++ b/crates/celerystair_config/src/fleet.rs
@@ -73,8 +73,8 @@
     pub request_timeout_max_ms: u64,
     /// Weight of a kind when requests must be shed; higher is kept longer.
     pub kind_weight: u32,
-    /// Requests of one firm that a router has at once; 0 for no limit.
-    pub firm_requests_max: u32,
+    /// Requests of one organisation that a router has at once; 0 for no limit.
+    pub organisation_requests_max: u32,
     /// Requests that wait at one agent at most.
     pub queue_max: u32,
     /// Whether requests are shed by weight and by expected wait; without, each waits its turn in
@@ -108,7 +108,7 @@
             request_timeout_ms: 60_000,
             request_timeout_max_ms: 600_000,
             kind_weight: 1,
-            firm_requests_max: 0,
+            organisation_requests_max: 0,
             queue_max: 512,
             shedding: true,
             retry_budget_percent: 20,
@@ -204,8 +204,8 @@
     Adapter,
     /// All upstreams of a failure domain.
     FailureDomain,
-    /// All requests of a firm.
-    Firm,
+    /// All requests of an organisation.
+    Organisation,
     /// All requests of a kind.
     Kind,
     /// One base model.
@@ -235,7 +235,7 @@
     pub const ALL: [Self; 6] = [
         Self::Adapter,
         Self::FailureDomain,
-        Self::Firm,
+        Self::Organisation,
         Self::Kind,
         Self::Model,
         Self::Upstream,
@@ -246,7 +246,7 @@
         match self {
             Self::Adapter => "adapter",
             Self::FailureDomain => "failure_domain",
-            Self::Firm => "firm",
+            Self::Organisation => "organisation",
             Self::Kind => "kind",
             Self::Model => "model",
             Self::Upstream => "upstream",
@@ -317,7 +317,7 @@
 /// What is in force for a request.
 pub fn for_request(
     document: &FleetDocument,
-    firm: &FirmName,
+    organisation: &OrganisationName,
     kind: &KindName,
     model: Option<&ModelRef>,
     now_unix_ms: u64,
@@ -325,7 +325,7 @@
     let adapter = model.map(ToString::to_string).unwrap_or_default();
     let base = model.map(|model| model.base.as_str()).unwrap_or_default();
     let scopes = [
-        (ScopeKind::Firm, firm.as_str()),
+        (ScopeKind::Organisation, organisation.as_str()),
         (ScopeKind::Kind, kind.as_str()),
         (ScopeKind::Model, base),
         (ScopeKind::Adapter, adapter.as_str()),
--- a/crates/celerystair_core/src/ids.rs
+++ b/crates/celerystair_core/src/ids.rs
@@ -67,8 +67,8 @@
     FailureDomain
 );
 name_type!(
-    /// A firm that the platform serves.
-    FirmName
+    /// An organisation that the platform serves.
+    OrganisationName
 );
 name_type!(
     /// One life of a process on an instance; a restart gets a new one.
--- a/crates/celerystair_core/src/lib.rs
+++ b/crates/celerystair_core/src/lib.rs
@@ -25,7 +25,7 @@
         collections::{HashMap, HashSet},
         hybrid::HybridClock,
         ids::{
-            AttemptId, FailureDomain, FirmName, InstanceId, KindName, ModelName, ModelRef,
+            AttemptId, FailureDomain, InstanceId, KindName, ModelName, ModelRef, OrganisationName,
             RequestId, ServiceName, UpstreamId,
         },
         refusal::{Refusal, RefusalReason, RunState},
--- a/crates/celerystair_core/src/refusal.rs
+++ b/crates/celerystair_core/src/refusal.rs
@@ -93,8 +93,8 @@
     WaitTooLong => "wait_too_long", 503;
     /// A queue is full.
     Overloaded => "overloaded", 503;
-    /// The firm is past its limit.
-    FirmLimit => "firm_limit", 429;
+    /// The organisation is past its limit.
+    OrganisationLimit => "organisation_limit", 429;
     /// No upstream can serve it now.
     NoUpstream => "no_upstream", 503;
     /// The agent does not hold a slot of the model.
--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -2,13 +2,12 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io,
-    net::SocketAddr,
     pin::pin,
     rc::Rc,
 };
 
 use celerystair_core::prelude::*;
+use celerystair_net::prelude::ListenError;
 use celerystair_news::prelude::*;
 use celerystair_platform::prelude::*;
 use celerystair_policy::{
@@ -101,13 +100,8 @@
 #[derive(Debug, Error)]
 pub enum AgentError {
     /// It can't listen.
-    #[error("can't listen on {address}: {error}")]
-    Listen {
-        /// Where.
-        address: SocketAddr,
-        /// Why.
-        error: io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// The store's client can't be made.
     #[error("the client of the store: {0}")]
     Store(#[from] StoreError),
@@ -126,10 +120,10 @@
     stop: &Stop,
 ) -> Result<EngineAgent, AgentError> {
     let address = settings.news_listen;
-    let socket =
-        NewsSocket::bind(address).map_err(|error| AgentError::Listen { address, error })?;
-    let store = Store::with_dialect(settings.store.clone(), settings.store_dialect)?;
-    let configs = Mirror::start_reading(&store, settings.config_prefix, settings.read_config, stop);
+    let socket = NewsSocket::bind(address).map_err(ListenError::at(address))?;
+    let store = settings.source.open()?;
+    let source = &settings.source;
+    let configs = Mirror::start_reading(&store, source.config_prefix, source.read_config, stop);
     info!(log, "started"; "agent" => &settings.agent, "engine" => %settings.engine);
     let agent = EngineAgent {
         inner: Rc::new(Inner {
@@ -242,7 +236,7 @@
         }
         self.found_unix_ms.set(now);
         *self.plan.borrow_mut() = None;
-        let list = match store.list(self.settings.upstreams_prefix).await {
+        let list = match store.list(self.settings.source.upstreams_prefix).await {
             Ok(list) => list,
             Err(error) => {
                 info!(self.log, "engine_not_found"; "error" => %error);
@@ -251,7 +245,7 @@
         };
         let entries = list.objects.iter();
         let mut entries =
-            entries.filter_map(|object| (self.settings.read_upstream)(object).ok()?);
+            entries.filter_map(|object| (self.settings.source.read_upstream)(object).ok()?);
         let own = entries.find(|entry| {
             entry.address == self.settings.engine && entry.born_unix_ms == state.born_unix_ms
         });
@@ -263,7 +257,7 @@
     }
 
     fn engine_config(&self) -> Option<EngineConfig> {
-        let (_, config) = self.configs.get(self.settings.config_name)?;
+        let (_, config) = self.configs.get(self.settings.source.config_name)?;
         config.services.get(&self.settings.service)?.engine.clone()
     }
 
--- a/crates/celerystair_engine/src/settings.rs
+++ b/crates/celerystair_engine/src/settings.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use celerystair_core::prelude::*;
-use celerystair_platform::prelude::{Object, StoreDialect, StoreError, StoreSettings};
-use celerystair_policy::prelude::*;
+use celerystair_platform::prelude::FleetSource;
 
 use crate::dialect::EngineDialect;
 
@@ -19,20 +18,8 @@
     pub service: ServiceName,
     /// Where it sends and receives news; routers and other agents use the same port.
     pub news_listen: SocketAddr,
-    /// How the store is reached.
-    pub store: StoreSettings,
-    /// How the store's calls are written.
-    pub store_dialect: StoreDialect,
-    /// Keys of upstreams start with this.
-    pub upstreams_prefix: &'static str,
-    /// Reads an upstream's entry; `None` if it names no upstream that can be used.
-    pub read_upstream: fn(&Object) -> Result<Option<UpstreamEntry>, StoreError>,
-    /// The key of the configuration starts with this.
-    pub config_prefix: &'static str,
-    /// And ends with this.
-    pub config_name: &'static str,
-    /// Reads the configuration.
-    pub read_config: fn(&Object) -> Result<ServingConfig, StoreError>,
+    /// Where the fleet's configuration and upstreams are read.
+    pub source: FleetSource,
     /// Keys of fencing numbers start with this.
     pub fences_prefix: &'static str,
     /// How the engine is asked and ordered.
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io,
     net::SocketAddr,
     rc::Rc,
 };
@@ -75,13 +74,8 @@
 #[derive(Debug, Error)]
 pub enum FrontError {
     /// It can't listen.
-    #[error("can't listen on {address}: {error}")]
-    Listen {
-        /// Where.
-        address: SocketAddr,
-        /// Why.
-        error: io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// The store's client can't be made.
     #[error("the client of the store: {0}")]
     Store(#[from] StoreError),
@@ -243,7 +237,7 @@
     log: Logger,
     stop: &Stop,
 ) -> Result<RunningFront, FrontError> {
-    let listen = |address| move |error| FrontError::Listen { address, error };
+    let listen = ListenError::at;
     let callers = bind(settings.callers_listen).map_err(listen(settings.callers_listen))?;
     let ready = bind(settings.ready_listen).map_err(listen(settings.ready_listen))?;
     let callers_address = callers
@@ -252,8 +246,8 @@
     let ready_address = ready.local_addr().map_err(listen(settings.ready_listen))?;
     let news = NewsSocket::bind(settings.news_listen).map_err(listen(settings.news_listen))?;
     let news = Rc::new(news);
-    let store = Store::with_dialect(settings.store.clone(), settings.store_dialect)?;
-    let view = FleetView::start(&settings, &store, &log, stop);
+    let store = settings.source.open()?;
+    let view = FleetView::start(&settings.source, &store, &log, stop);
     info!(log, "started"; "router" => &settings.router,
         "callers" => %settings.callers_listen, "ready" => %settings.ready_listen);
     let front = Front {
--- a/crates/celerystair_front/src/settings.rs
+++ b/crates/celerystair_front/src/settings.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use celerystair_core::prelude::*;
-use celerystair_platform::prelude::{Object, StoreDialect, StoreError, StoreSettings};
-use celerystair_policy::{budget::RetryBound, prelude::*};
+use celerystair_platform::prelude::FleetSource;
+use celerystair_policy::budget::RetryBound;
 
 use crate::dialect::CallerDialect;
 
@@ -21,20 +21,8 @@
     pub ready_listen: SocketAddr,
     /// Where it sends and receives news; agents use the same port.
     pub news_listen: SocketAddr,
-    /// How the store is reached.
-    pub store: StoreSettings,
-    /// How the store's calls are written.
-    pub store_dialect: StoreDialect,
-    /// Keys of upstreams start with this.
-    pub upstreams_prefix: &'static str,
-    /// Reads an upstream's entry; `None` if it names no upstream that can be used.
-    pub read_upstream: fn(&Object) -> Result<Option<UpstreamEntry>, StoreError>,
-    /// The key of the configuration starts with this.
-    pub config_prefix: &'static str,
-    /// And ends with this.
-    pub config_name: &'static str,
-    /// Reads the configuration.
-    pub read_config: fn(&Object) -> Result<ServingConfig, StoreError>,
+    /// Where the fleet's configuration and upstreams are read.
+    pub source: FleetSource,
     /// How callers' headers are read.
     pub callers: CallerDialect,
     /// The fleet's bound on retries.
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -8,7 +8,7 @@
 use celerystair_telemetry::prelude::*;
 use futures_util::future::select;
 
-use crate::{settings::FrontSettings, upstream::Upstream};
+use crate::upstream::Upstream;
 
 /// How often the view is brought up to date when nothing has changed.
 const REFRESH_INTERVAL_MS: u64 = 1000;
@@ -44,7 +44,7 @@
 
 impl FleetView {
     /// Starts to follow the store; tasks keep the view current until `stop` ends.
-    pub fn start(settings: &FrontSettings, store: &Store, log: &Logger, stop: &Stop) -> Self {
+    pub fn start(source: &FleetSource, store: &Store, log: &Logger, stop: &Stop) -> Self {
         let view = Self {
             inner: Rc::new(Inner {
                 log: log.clone(),
@@ -54,20 +54,15 @@
                 departures: RefCell::default(),
             }),
         };
-        let configs =
-            Mirror::start_reading(store, settings.config_prefix, settings.read_config, stop);
-        let name = settings.config_name;
+        let configs = Mirror::start_reading(store, source.config_prefix, source.read_config, stop);
+        let name = source.config_name;
         let (following, ending) = (view.clone(), stop.clone());
         compio::runtime::spawn(async move {
             following.follow_config(&configs, name, &ending).await;
         })
         .detach();
-        let entries = Mirror::start_reading(
-            store,
-            settings.upstreams_prefix,
-            settings.read_upstream,
-            stop,
-        );
+        let entries =
+            Mirror::start_reading(store, source.upstreams_prefix, source.read_upstream, stop);
         let (following, store, ending) = (view.clone(), store.clone(), stop.clone());
         compio::runtime::spawn(async move {
             following.follow_upstreams(&entries, &store, &ending).await;
--- a/crates/celerystair_journal/src/entry.rs
+++ b/crates/celerystair_journal/src/entry.rs
@@ -15,18 +15,18 @@
 /// type of a body is as long as its upstream likes.
 pub const RECORDED_MAX_BYTES: usize = 2 * RECORDED_BODY_MAX_BYTES;
 
-/// An idempotency key; each firm has keys of its own.
+/// An idempotency key; each organisation has keys of its own.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct CallKey {
-    /// The firm.
-    pub firm: FirmName,
+    /// The organisation.
+    pub organisation: OrganisationName,
     /// The key that the caller chose.
     pub key: String,
 }
 
 /// The shard that holds `key`.
 pub fn shard_of(key: &CallKey) -> u64 {
-    let mut identity = key.firm.as_bytes().to_vec();
+    let mut identity = key.organisation.as_bytes().to_vec();
     identity.push(0);
     identity.extend_from_slice(key.key.as_bytes());
     fingerprint(&identity) % SHARDS
--- a/crates/celerystair_journal/tests/shard_limit.rs
+++ b/crates/celerystair_journal/tests/shard_limit.rs
@@ -39,7 +39,7 @@
         String::new()
     };
     let keys = (0_u64..).map(|number| CallKey {
-        firm: "office".into(),
+        organisation: "office".into(),
         key: format!("{number}{fill}"),
     });
     keys.filter(|key| shard_of(key) == SHARD)
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -7,6 +7,7 @@
 use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use thiserror::Error;
 
 use crate::{body::HttpBody, timer::ConnectionTimer};
 
@@ -40,6 +41,23 @@
     }
 }
 
+/// Why a process can't listen where it should.
+#[derive(Debug, Error)]
+#[error("can't listen on {address}: {error}")]
+pub struct ListenError {
+    /// Where.
+    pub address: SocketAddr,
+    /// Why.
+    pub error: io::Error,
+}
+
+impl ListenError {
+    /// The failure of opening `address`, for `map_err`.
+    pub fn at(address: SocketAddr) -> impl Fn(io::Error) -> Self {
+        move |error| Self { address, error }
+    }
+}
+
 /// Binds a listener. The address may be one that an earlier process has just left.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = std::net::TcpListener::bind(address)?;
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -25,8 +25,8 @@
         dial::{Dialer, set_dialer},
         grpc::{Connection, ConnectionError, serve_grpc},
         http_server::{
-            ConnectionLimits, HttpRequest, HttpResponse, after_notice, bind, serve_http,
-            serve_http_limited, serve_http_with_notice,
+            ConnectionLimits, HttpRequest, HttpResponse, ListenError, after_notice, bind,
+            serve_http, serve_http_limited, serve_http_with_notice,
         },
         tls::{PeerTls, TlsError, TlsSettings},
     };
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`backoff`] | waiting between tries, with jitter |
 //! | [`dialect`] | how calls are written and answers read |
 //! | [`error`] | failures, with "failed" kept apart from "unknown" |
+//! | [`fleet_source`] | where the fleet's configuration and upstreams are read on other platforms |
 //! | [`instances`] | the list of live and leaving instances, and what it showed before |
 //! | [`mirror`] | a prefix of objects, kept current by a watch |
 //! | [`objects`] | the kinds of objects that the system keeps |
@@ -17,6 +18,7 @@
 pub mod backoff;
 pub mod dialect;
 pub mod error;
+pub mod fleet_source;
 pub mod instances;
 pub mod mirror;
 pub mod objects;
@@ -30,6 +32,7 @@
         backoff::Backoff,
         dialect::{ListPage, StoreDialect, WireCall},
         error::StoreError,
+        fleet_source::FleetSource,
         instances::{InstanceEntry, InstanceState, Instances},
         mirror::Mirror,
         objects::{AgentObject, ModelObject, PlacementObject, ServiceObject, SlotObject},
--- a/crates/celerystair_policy/src/waiting.rs
+++ b/crates/celerystair_policy/src/waiting.rs
@@ -32,8 +32,9 @@
     },
 }
 
-/// Kept from the caller's time for the answer's first event.
-const ANSWER_MS: u64 = 150;
+/// Kept from the caller's time for the answer's first event, at an engine that has just loaded the
+/// model and has a queue at once. Who is refused by then can still come back; who leaves can't.
+const ANSWER_MS: u64 = 400;
 /// A caller that is told to come back waits at least this long.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 /// Callers honour a time up to this part of what they have left.
--- a/crates/celerystair_router/src/admission.rs
+++ b/crates/celerystair_router/src/admission.rs
@@ -1,5 +1,5 @@
 //! Which requests are taken on when there are more than the upstreams can serve: shed by the
-//! weight of their kind, then fairly between firms, before anything is queued. See
+//! weight of their kind, then fairly between organisations, before anything is queued. See
 //! `docs/OVERLOAD.md`.
 
 use std::{cell::RefCell, rc::Rc};
@@ -16,21 +16,24 @@
 /// The requests that a router has now.
 #[derive(Default)]
 pub struct Admission {
-    by_firm: RefCell<HashMap<FirmName, u32>>,
+    by_organisation: RefCell<HashMap<OrganisationName, u32>>,
     by_weight: RefCell<HashMap<u32, u32>>,
 }
 
 /// A request that was taken on; it is counted until this is dropped.
 pub struct Admitted {
     router: Router,
-    firm: FirmName,
+    organisation: OrganisationName,
     weight: u32,
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
         let admission = &self.router.admission;
-        count_down(&mut admission.by_firm.borrow_mut(), &self.firm);
+        count_down(
+            &mut admission.by_organisation.borrow_mut(),
+            &self.organisation,
+        );
         count_down(&mut admission.by_weight.borrow_mut(), &self.weight);
     }
 }
@@ -47,27 +50,37 @@
 /// Takes the request on, or sheds it.
 ///
 /// # Errors
-/// [`RefusalReason::FirmLimit`] or [`RefusalReason::Overloaded`], not run, at once.
+/// [`RefusalReason::OrganisationLimit`] or [`RefusalReason::Overloaded`], not run, at once.
 pub fn admit(router: &Router, request: &CallerRequest) -> Result<Rc<Admitted>, Refusal> {
     let admission = &router.admission;
-    let firm_requests = admission.by_firm.borrow().get(&request.firm).copied();
-    let firm_requests = firm_requests.unwrap_or_default();
-    if request.firm_requests_max > 0 && firm_requests >= request.firm_requests_max {
-        let detail = format!("the firm has {firm_requests} requests here");
-        return Err(Refusal::not_run(RefusalReason::FirmLimit, detail));
+    let organisation_requests = admission
+        .by_organisation
+        .borrow()
+        .get(&request.organisation)
+        .copied();
+    let organisation_requests = organisation_requests.unwrap_or_default();
+    if request.organisation_requests_max > 0
+        && organisation_requests >= request.organisation_requests_max
+    {
+        let detail = format!("the organisation has {organisation_requests} requests here");
+        return Err(Refusal::not_run(RefusalReason::OrganisationLimit, detail));
     }
-    let firm = request.firm.clone();
-    *admission.by_firm.borrow_mut().entry(firm).or_default() += 1;
+    let organisation = request.organisation.clone();
+    *admission
+        .by_organisation
+        .borrow_mut()
+        .entry(organisation)
+        .or_default() += 1;
     let mut by_weight = admission.by_weight.borrow_mut();
     *by_weight.entry(request.weight).or_default() += 1;
     Ok(Rc::new(Admitted {
         router: router.clone(),
-        firm: request.firm.clone(),
+        organisation: request.organisation.clone(),
         weight: request.weight,
     }))
 }
 
-/// Sheds an admitted request whose expected wait is too long for its weight and its firm.
+/// Sheds an admitted request whose expected wait is too long for its weight and its organisation.
 ///
 /// # Errors
 /// [`RefusalReason::Overloaded`], not run, with the time after which the wait is short enough.
@@ -79,7 +92,7 @@
     if !router.node.config.current().defaults.shedding {
         return Ok(());
     }
-    let own_part = own_part(&router.admission, &request.firm);
+    let own_part = own_part(&router.admission, &request.organisation);
     let expected_wait_ms = (expected_wait_ms as f64 * own_part) as u64;
     let left_ms = left_ms(request.deadline_unix_ms);
     let wait_max_ms = (left_ms as f64 * share(&router.admission, request)) as u64;
@@ -99,16 +112,20 @@
     LEAST_SHARE + (GREATEST_SHARE - LEAST_SHARE) * relative
 }
 
-/// How much of the wait that agents report is the firm's own. An agent's queue puts a firm that
-/// sends many behind itself, so that one with a small part of the requests waits for little more
-/// than its own. A firm's only request here waits for none of its own: the agent, which sees all
-/// routers' requests, decides on it.
-fn own_part(admission: &Admission, firm: &FirmName) -> f64 {
-    let by_firm = admission.by_firm.borrow();
-    let total: u32 = by_firm.values().sum();
-    match by_firm.get(firm).copied().unwrap_or_default() {
+/// How much of the wait that agents report is the organisation's own. An agent's queue puts an
+/// organisation that sends many behind itself, so that one with a small part of the requests
+/// waits for little more than its own. An organisation's only request here waits for none of its
+/// own: the agent, which sees all routers' requests, decides on it.
+fn own_part(admission: &Admission, organisation: &OrganisationName) -> f64 {
+    let by_organisation = admission.by_organisation.borrow();
+    let total: u32 = by_organisation.values().sum();
+    match by_organisation
+        .get(organisation)
+        .copied()
+        .unwrap_or_default()
+    {
         0 | 1 => 0.0,
-        _ if by_firm.len() == 1 => 1.0,
-        own => (f64::from(own - 1) * by_firm.len() as f64 / f64::from(total)).min(1.0),
+        _ if by_organisation.len() == 1 => 1.0,
+        own => (f64::from(own - 1) * by_organisation.len() as f64 / f64::from(total)).min(1.0),
     }
 }
--- a/crates/celerystair_router/src/answer.rs
+++ b/crates/celerystair_router/src/answer.rs
@@ -46,7 +46,7 @@
         refusal.reason,
         RefusalReason::ConnectionLost
             | RefusalReason::DeadlineExceeded
-            | RefusalReason::FirmLimit
+            | RefusalReason::OrganisationLimit
             | RefusalReason::Leaving
             | RefusalReason::LoadFailed
             | RefusalReason::NoMemory
--- a/crates/celerystair_router/src/attempt.rs
+++ b/crates/celerystair_router/src/attempt.rs
@@ -240,7 +240,7 @@
         stamp: router.node.stamp(),
         request_id: request.id.to_string(),
         attempt_id: tracked.attempt.to_string(),
-        firm: request.firm.to_string(),
+        organisation: request.organisation.to_string(),
         kind: request.kind.to_string(),
         model,
         adapter,
--- a/crates/celerystair_router/src/caller_request.rs
+++ b/crates/celerystair_router/src/caller_request.rs
@@ -8,7 +8,7 @@
 
 use crate::router::Router;
 
-const FIRM: &str = "celerystair-firm";
+const ORGANISATION: &str = "celerystair-organisation";
 const KIND: &str = "celerystair-kind";
 const TIMEOUT: &str = "request-timeout-ms";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -30,7 +30,7 @@
     /// Its identifier.
     pub id: RequestId,
     /// For whom.
-    pub firm: FirmName,
+    pub organisation: OrganisationName,
     /// Its kind, by which it is weighted.
     pub kind: KindName,
     /// What it is for.
@@ -51,8 +51,8 @@
     pub idempotency_key: String,
     /// Its weight among others that wait.
     pub weight: u32,
-    /// Requests that its firm may have at this router; 0 for no limit.
-    pub firm_requests_max: u32,
+    /// Requests that its organisation may have at this router; 0 for no limit.
+    pub organisation_requests_max: u32,
     /// Retries that this request earns, in percent of one.
     pub retry_budget_percent: u32,
     /// Whether the answer is to be streamed.
@@ -145,14 +145,14 @@
     target: Target,
     arrived_unix_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
-    let firm = FirmName::from(header(&parts.headers, FIRM));
+    let organisation = OrganisationName::from(header(&parts.headers, ORGANISATION));
     let kind = KindName::from(header(&parts.headers, KIND));
     let model = match &target {
         Target::Model(model) => Some(model),
         Target::Service(_) => None,
     };
     let config = router.node.config.current();
-    let limits = fleet::for_request(&config, &firm, &kind, model, arrived_unix_ms);
+    let limits = fleet::for_request(&config, &organisation, &kind, model, arrived_unix_ms);
     let timeout_ms = match header(&parts.headers, TIMEOUT) {
         "" => limits.request_timeout_ms,
         text => text.parse::<u64>().map_err(|_| {
@@ -169,7 +169,7 @@
     identity.extend_from_slice(&body);
     Ok(CallerRequest {
         id: id.clone(),
-        firm,
+        organisation,
         kind,
         target,
         method: parts.method.to_string(),
@@ -179,7 +179,7 @@
         idempotent: false,
         idempotency_key: header(&parts.headers, IDEMPOTENCY_KEY).to_owned(),
         weight: limits.kind_weight,
-        firm_requests_max: limits.firm_requests_max,
+        organisation_requests_max: limits.organisation_requests_max,
         retry_budget_percent: limits.retry_budget_percent,
         stream: false,
         fingerprint: fingerprint(&identity),
--- a/crates/celerystair_router/src/select.rs
+++ b/crates/celerystair_router/src/select.rs
@@ -138,7 +138,7 @@
 /// upstream, whose agent writes many of them at once. Safety does not rest on it.
 fn choose_for_key(candidates: &[Candidate], request: &CallerRequest) -> Option<usize> {
     let key = CallKey {
-        firm: request.firm.clone(),
+        organisation: request.organisation.clone(),
         key: request.idempotency_key.clone(),
     };
     let shard = shard_of(&key).to_string();
--- a/crates/celerystair_trial/src/caller.rs
+++ b/crates/celerystair_trial/src/caller.rs
@@ -20,7 +20,7 @@
     /// Which router takes it.
     pub router: SocketAddr,
     /// For whom.
-    pub firm: FirmName,
+    pub organisation: OrganisationName,
     /// Its kind.
     pub kind: KindName,
     /// What is called.
@@ -213,7 +213,7 @@
             }
         };
         request
-            .header("celerystair-firm", call.firm.as_str())?
+            .header("celerystair-organisation", call.organisation.as_str())?
             .header("celerystair-kind", call.kind.as_str())?
             .header("request-timeout-ms", call.timeout_ms.to_string())
     }
--- a/crates/celerystair_trial/src/fuzz.rs
+++ b/crates/celerystair_trial/src/fuzz.rs
@@ -118,7 +118,7 @@
     };
     let call = Call {
         router: fleet.router_address(planned.router),
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "draft".into(),
         target: call_target(&planned.target, &marker),
         timeout_ms: planned.timeout_ms,
@@ -196,7 +196,7 @@
     let deadline_unix_ms = now_unix_ms() + RECOVERY_MS;
     let call = Call {
         router: fleet.router_address(0),
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "draft".into(),
         target: call_target(&PlannedTarget::Keyed(0), key),
         timeout_ms: RECOVERY_TIMEOUT_MS,
--- a/crates/celerystair_trial/src/load/run.rs
+++ b/crates/celerystair_trial/src/load/run.rs
@@ -146,7 +146,7 @@
     let kind = &load.mix[planned.mix];
     Call {
         router: fleet.router_addresses[planned.router],
-        firm: trial.firm.clone(),
+        organisation: trial.organisation.clone(),
         kind: kind.kind.as_str().into(),
         target: planned.target,
         timeout_ms: kind.timeout_ms,
--- a/crates/celerystair_trial/src/overload.rs
+++ b/crates/celerystair_trial/src/overload.rs
@@ -15,8 +15,8 @@
 /// One kind of call among the load.
 #[derive(Clone, Debug, Deserialize)]
 pub struct LoadKind {
-    /// The firm that calls.
-    pub firm: FirmName,
+    /// The organisation that calls.
+    pub organisation: OrganisationName,
     /// The kind.
     pub kind: KindName,
     /// What an answer in time counts.
@@ -32,7 +32,7 @@
     pub offered: u64,
     /// Weights of the calls that were answered in time.
     pub answered: u64,
-    /// Calls made, and calls answered in time, by firm and kind.
+    /// Calls made, and calls answered in time, by organisation and kind.
     pub by_kind: HashMap<String, (u64, u64)>,
     /// How long refused callers waited for their refusal.
     pub refused_ms: Vec<u64>,
@@ -59,7 +59,7 @@
         let kind = Rc::new(pick(kinds).clone());
         let call = Call {
             router: fleet.router_address(number as usize % routers),
-            firm: kind.firm.clone(),
+            organisation: kind.organisation.clone(),
             kind: kind.kind.clone(),
             target: CallTarget::Service {
                 method: http::Method::GET,
@@ -101,7 +101,7 @@
 
 fn count(goodput: &mut Goodput, kind: &LoadKind, received: &Received) {
     let weight = u64::from(kind.weight);
-    let name = format!("{} {}", kind.firm, kind.kind);
+    let name = format!("{} {}", kind.organisation, kind.kind);
     let by_kind = goodput.by_kind.entry(name).or_default();
     goodput.offered += weight;
     by_kind.0 += 1;
--- a/crates/celerystair_trial/src/settings.rs
+++ b/crates/celerystair_trial/src/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of a trial: the sizes of a firm's fleet, its stand-ins and its calls.
+//! Settings of a trial: the sizes of an organisation's fleet, its stand-ins and its calls.
 
 use celerystair_config::{
     prelude::*,
@@ -13,8 +13,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct TrialSettings {
-    /// The firm whose callers are played.
-    pub firm: FirmName,
+    /// The organisation whose callers are played.
+    pub organisation: OrganisationName,
     /// Its region.
     pub region: String,
     /// The region's failure domains.
@@ -182,7 +182,11 @@
 
 impl Checked for TrialSettings {
     fn check(&self, problems: &mut Problems) {
-        problems.require(!self.firm.is_empty(), "firm", "must not be empty");
+        problems.require(
+            !self.organisation.is_empty(),
+            "organisation",
+            "must not be empty",
+        );
         problems.require(
             !self.failure_domains.is_empty(),
             "failure_domains",
--- a/crates/celerystair_trial/src/steady.rs
+++ b/crates/celerystair_trial/src/steady.rs
@@ -114,7 +114,7 @@
 async fn make_call(shared: Rc<Shared>, router: usize, address: SocketAddr, target: CallTarget) {
     let call = Call {
         router: address,
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "draft".into(),
         target,
         timeout_ms: shared.timeout_ms,
--- a/crates/celerystair_trial/src/workload.rs
+++ b/crates/celerystair_trial/src/workload.rs
@@ -46,7 +46,7 @@
         sleep_until_unix_ms(at_unix_ms).await;
         let call = Call {
             router: routers[index % routers.len()],
-            firm: settings.firm.clone(),
+            organisation: settings.organisation.clone(),
             kind: kind_of(&planned.target),
             target: planned.target,
             timeout_ms: settings.workload.timeout_ms,
--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -22,8 +22,8 @@
         ("hangang", "draft", 4, 20),
         ("hangang", "weighbridge", 1, 40),
     ]
-    .map(|(firm, kind, weight, percent)| LoadKind {
-        firm: firm.into(),
+    .map(|(organisation, kind, weight, percent)| LoadKind {
+        organisation: organisation.into(),
         kind: kind.into(),
         weight,
         percent,
@@ -44,7 +44,7 @@
             },
             field: "kind_weight".to_owned(),
             value: kind.weight.into(),
-            reason: "counted so by its firm".to_owned(),
+            reason: "counted so by its organisation".to_owned(),
             author: "overload".to_owned(),
             from_unix_ms: None,
             until_unix_ms: None,
--- a/examples/request_cost.rs
+++ b/examples/request_cost.rs
@@ -120,7 +120,7 @@
 fn call(way: &Way, number: u64) -> Call {
     Call {
         router: way.address,
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "status".into(),
         target: (way.target)(number),
         timeout_ms: 10_000,
--- a/examples/wake_a_model.rs
+++ b/examples/wake_a_model.rs
@@ -16,7 +16,7 @@
         let mut fleet = Fleet::start(&settings).await?;
         let call = Call {
             router: fleet.router_addresses[0],
-            firm: settings.firm.clone(),
+            organisation: settings.organisation.clone(),
             kind: "draft".into(),
             target: CallTarget::Completion {
                 model: "draft-1:a1".to_owned(),
--- a/src/commands/admin.rs
+++ b/src/commands/admin.rs
@@ -103,7 +103,7 @@
     /// when it ends, in milliseconds since 1970
     #[argh(option)]
     until_unix_ms: Option<u64>,
-    /// one of `adapter`, `failure_domain`, `firm`, `kind`, `model`, `upstream`
+    /// one of `adapter`, `failure_domain`, `organisation`, `kind`, `model`, `upstream`
     #[argh(positional)]
     kind: String,
     /// its name
@@ -121,7 +121,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 struct Explain {
-    /// one of `adapter`, `failure_domain`, `firm`, `kind`, `model`, `upstream`
+    /// one of `adapter`, `failure_domain`, `organisation`, `kind`, `model`, `upstream`
     #[argh(positional)]
     kind: String,
     /// its name
@@ -146,7 +146,7 @@
     /// why
     #[argh(option)]
     reason: String,
-    /// one of `adapter`, `failure_domain`, `firm`, `kind`, `model`, `upstream`
+    /// one of `adapter`, `failure_domain`, `organisation`, `kind`, `model`, `upstream`
     #[argh(positional)]
     kind: String,
     /// its name
--- a/tests/placement_orders.rs
+++ b/tests/placement_orders.rs
@@ -197,7 +197,7 @@
 fn call(router: &celerystair::router::prelude::RunningRouter) -> Call {
     Call {
         router: router.address,
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "draft".into(),
         target: CallTarget::Completion {
             model: "m-1".to_owned(),
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -108,8 +108,8 @@
         };
         let expected = refused(RefusalReason::KeyReused, RunState::NotRun);
         assert_eq!(caller.call(&other).await.outcome, expected);
-        // Another firm's key of the same name is another key.
-        other.firm = "hangang".into();
+        // Another organisation's key of the same name is another key.
+        other.organisation = "hangang".into();
         assert_eq!(caller.call(&other).await.outcome, Outcome::Answered);
         fleet.end();
     });
--- a/tests/requests_neighbours.rs
+++ b/tests/requests_neighbours.rs
@@ -1,4 +1,4 @@
-//! What a slow caller, a firm that floods, or lost instances do to the requests of others.
+//! What a slow caller, an organisation that floods, or lost instances do to the requests of others.
 
 #[path = "support/requests.rs"]
 mod requests;
@@ -31,10 +31,10 @@
 use support::block_on;
 
 /// A call that may be repeated.
-fn get(fleet: &FaultFleet, router: usize, firm: &str, path: &str, timeout_ms: u64) -> Call {
+fn get(fleet: &FaultFleet, router: usize, organisation: &str, path: &str, timeout_ms: u64) -> Call {
     Call {
         router: fleet.router_address(router),
-        firm: firm.into(),
+        organisation: organisation.into(),
         kind: "status".into(),
         target: CallTarget::Service {
             method: http::Method::GET,
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn a_firm_that_floods_does_not_take_the_turns_of_another() {
+fn a_organisation_that_floods_does_not_take_the_turns_of_another() {
     const FLOOD: usize = 150;
     const TIMEOUT_MS: u64 = 10_000;
     block_on(async {
@@ -95,7 +95,7 @@
     });
 }
 
-/// Whether a further request of the firm that floods would still be taken.
+/// Whether a further request of the organisation that floods would still be taken.
 async fn fleet_waits(fleet: &FaultFleet, caller: &Caller) -> bool {
     let call = get(fleet, 0, "hangang", "/services/ledger/", 2_000);
     caller.call(&call).await.outcome == Outcome::Answered
@@ -241,7 +241,7 @@
 async fn ask_and_read_nothing(router: SocketAddr) -> TcpStream {
     let mut stream = TcpStream::connect(router).await.expect("a connection");
     let request = "GET /services/endless/endless HTTP/1.1\r\nhost: router\r\n\
-                   celerystair-firm: office\r\nrequest-timeout-ms: 300000\r\n\r\n";
+                   celerystair-organisation: office\r\nrequest-timeout-ms: 300000\r\n\r\n";
     stream.write_all(request).await.0.expect("it is sent");
     stream
 }
--- a/tests/requests_overload.rs
+++ b/tests/requests_overload.rs
@@ -1,4 +1,4 @@
-//! Requests that crash upstreams, limits of firms, and shedding.
+//! Requests that crash upstreams, limits of organisations, and shedding.
 
 #[path = "support/requests.rs"]
 mod requests;
@@ -18,7 +18,7 @@
 fn completion(fleet: &FaultFleet, router: usize, marker: &str, tokens: u64) -> Call {
     Call {
         router: fleet.router_address(router),
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "draft".into(),
         target: CallTarget::Completion {
             model: "m-1".to_owned(),
@@ -145,15 +145,15 @@
 }
 
 #[test]
-fn a_firm_past_its_limit_is_refused_and_another_is_not() {
+fn a_organisation_past_its_limit_is_refused_and_another_is_not() {
     block_on(async {
         let mut settings = requests_trial();
         settings.config.exceptions = vec![Exception {
             scope: Scope {
-                kind: ScopeKind::Firm,
+                kind: ScopeKind::Organisation,
                 name: "hangang".to_owned(),
             },
-            field: "firm_requests_max".to_owned(),
+            field: "organisation_requests_max".to_owned(),
             value: 2.into(),
             reason: "a test".to_owned(),
             author: "a test".to_owned(),
@@ -168,12 +168,12 @@
         let calls: Vec<Call> = (0..12)
             .map(|number| {
                 let mut call = post(fleet.router_address(0), &format!("k{number}"));
-                call.firm = if number < 6 { "hangang" } else { "office" }.into();
+                call.organisation = if number < 6 { "hangang" } else { "office" }.into();
                 call
             })
             .collect();
         let received = join_all(calls.iter().map(|call| caller.call(call))).await;
-        let limit = refused(RefusalReason::FirmLimit, RunState::NotRun);
+        let limit = refused(RefusalReason::OrganisationLimit, RunState::NotRun);
         let limited = received.iter().filter(|r| r.outcome == limit).count();
         let answered = received
             .iter()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -28,7 +28,7 @@
 pub fn call_to(fleet: &Fleet, target: CallTarget) -> Call {
     Call {
         router: fleet.router_addresses[0],
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "draft".into(),
         target,
         timeout_ms: 30_000,
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -41,7 +41,7 @@
 pub fn post(router: SocketAddr, key: &str) -> Call {
     Call {
         router,
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "payout".into(),
         target: CallTarget::Service {
             method: http::Method::POST,
--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -173,7 +173,7 @@
 fn status_call(router: SocketAddr) -> Call {
     Call {
         router,
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "status".into(),
         target: CallTarget::Service {
             method: http::Method::GET,
--- a/tools/capacity/src/measure/requests.rs
+++ b/tools/capacity/src/measure/requests.rs
@@ -137,7 +137,7 @@
 pub fn completion(fleet: &Fleet, model: String, number: u64, tokens: u64) -> Call {
     Call {
         router: fleet.router_addresses[0],
-        firm: "office".into(),
+        organisation: "office".into(),
         kind: "draft".into(),
         target: CallTarget::Completion {
             model,
@@ -191,7 +191,7 @@
     for number in 0..count {
         let call = Call {
             router: fleet.router_addresses[0],
-            firm: "office".into(),
+            organisation: "office".into(),
             kind: "draft".into(),
             target: CallTarget::Service {
                 method: http::Method::GET,
--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -37,6 +37,8 @@
         ],
     )?;
     check_features()?;
+    check_policy()?;
+    check_platform_names()?;
     cargo(
         "generated code",
         &["run", "--quiet", "--package", "protogen", "--", "--check"],
@@ -67,6 +69,66 @@
     Ok(())
 }
 
+/// What the policy may depend on: nothing that waits, talks or stores.
+const POLICY_DEPENDENCIES: [&str; 1] = ["celerystair_core"];
+
+/// Decisions stay apart from input and output.
+fn check_policy() -> eyre::Result<()> {
+    println!("== policy");
+    let path = "crates/celerystair_policy/Cargo.toml";
+    let manifest = std::fs::read_to_string(path).wrap_err(path)?;
+    let table = manifest.split("[dependencies]").nth(1).unwrap_or_default();
+    let table = table.split("\n[").next().unwrap_or_default();
+    let names = table.lines().filter_map(|line| line.split('.').next());
+    for name in names.map(str::trim).filter(|name| !name.is_empty()) {
+        if !POLICY_DEPENDENCIES.contains(&name) {
+            bail!("celerystair_policy depends on {name}");
+        }
+    }
+    Ok(())
+}
+
+/// Names of the users' platform that nothing outside its adapter knows.
+const PLATFORM_NAMES: [&str; 7] = [
+    "Celerystair-",
+    "StableWindowMs",
+    "/v1/objects",
+    "LoraSlots",
+    "WeightsMb",
+    "CELERYSTAIR_CONFIG",
+    "PathPrefix",
+];
+/// Where they may stand.
+const ADAPTER: &str = "platform";
+/// This list itself.
+const NAME_LIST: &str = "tools/ci/src/main.rs";
+
+/// The platform's names stay in the adapter.
+fn check_platform_names() -> eyre::Result<()> {
+    println!("== platform's names");
+    let mut folders = vec![std::path::PathBuf::from(".")];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(&folder)? {
+            let path = entry?.path();
+            let place = path.strip_prefix(".").unwrap_or(&path);
+            let is_left_out = [ADAPTER, "target", ".git", "journal"]
+                .iter()
+                .any(|left_out| place == std::path::Path::new(left_out));
+            if path.is_dir() && !is_left_out {
+                folders.push(path);
+            } else if path.extension().is_some_and(|end| end == "rs")
+                && place != std::path::Path::new(NAME_LIST)
+            {
+                let text = std::fs::read_to_string(&path)?;
+                if let Some(name) = PLATFORM_NAMES.iter().find(|name| text.contains(**name)) {
+                    bail!("{} knows the platform's name {name}", place.display());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
 /// The feature tree must have neither `io_uring` nor a tokio runtime.
 fn check_features() -> eyre::Result<()> {
     println!("== dependencies");
