Serve metrics; start no load while one from the weight store is overdue

Change: an agent tells when a load is overdue, and expects it as much later again; no other load from the store begins while one is overdue. A load is given up after a minute instead of ten seconds: the engine carries it out all the same.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -7,14 +7,14 @@
 };
 
 use celerystair_core::prelude::*;
-use celerystair_net::prelude::ListenError;
+use celerystair_net::prelude::*;
 use celerystair_news::prelude::*;
 use celerystair_platform::prelude::*;
 use celerystair_policy::{
     prelude::*,
     replicas::{LoadUnderWay, adapter_to_drop},
 };
-use celerystair_telemetry::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
 use event_listener::Event;
 use futures_util::future::select;
 use thiserror::Error;
@@ -61,6 +61,8 @@
     pub settings: EngineAgentSettings,
     /// Its log.
     pub log: Logger,
+    /// Its counters and histograms.
+    pub metrics: Metrics,
     /// What routers have told.
     pub demand: DemandBoard,
     /// What other agents have told.
@@ -129,6 +131,7 @@
         inner: Rc::new(Inner {
             settings,
             log,
+            metrics: Metrics::new("agent"),
             demand: DemandBoard::default(),
             engines: EngineBoard::default(),
             socket,
@@ -149,6 +152,7 @@
         }),
     };
     compio::runtime::spawn(hear(agent.clone(), stop.clone())).detach();
+    agent.serve_metrics(stop);
     compio::runtime::spawn(agent.clone().run(store, stop.clone())).detach();
     Ok(agent)
 }
@@ -178,6 +182,30 @@
         self.woken.notify(usize::MAX);
     }
 
+    /// Serves the metrics; without a port for them the agent runs all the same.
+    fn serve_metrics(&self, stop: &Stop) {
+        let address = self.settings.metrics_listen;
+        let listener = match bind(address) {
+            Ok(listener) => listener,
+            Err(error) => {
+                warn!(self.log, "metrics_not_served"; "address" => %address, "error" => %error);
+                return;
+            }
+        };
+        let (scraped, stop) = (self.clone(), stop.clone());
+        let text = move || {
+            let (gauges, state) = (&scraped.metrics.gauges, scraped.state.borrow());
+            gauges.waiting.record(state.waiting.into(), &[]);
+            gauges.running.record(state.running.into(), &[]);
+            gauges.replicas.record(state.loaded.len() as u64, &[]);
+            scraped.metrics.scrape()
+        };
+        compio::runtime::spawn(
+            async move { serve_text(listener, "/metrics", stop, text).await.ok() },
+        )
+        .detach();
+    }
+
     async fn run(self, store: Store, stop: Stop) {
         let fence = claim_fence(&self.settings, &store, &self.log).await;
         self.fence.set(Some(fence));
@@ -335,12 +363,14 @@
             PlanStep::Done => {
                 info!(self.log, "model_loaded"; "model" => %plan.order.load,
                     "late_ms" => now.saturating_sub(plan.ready_unix_ms));
+                self.count_load("loaded");
                 let mut loaded = self.loaded_unix_ms.borrow_mut();
                 loaded.insert(plan.order.load.clone(), now);
                 *self.plan.borrow_mut() = None;
             }
             PlanStep::GiveUp => {
                 warn!(self.log, "load_given_up"; "model" => %plan.order.load);
+                self.count_load("given_up");
                 *self.plan.borrow_mut() = None;
             }
             PlanStep::Unload(model) => {
@@ -359,6 +389,10 @@
         }
     }
 
+    fn count_load(&self, outcome: &str) {
+        self.metrics.loads.add(1, &[label("outcome", outcome)]);
+    }
+
     /// Loads the adapters that requests wait for, and drops what was wanted least lately.
     async fn order_adapters(&self, store: &Store, config: &EngineConfig) {
         let now = now_unix_ms();
@@ -450,6 +484,7 @@
             model,
             is_cold: status.is_loading_cold,
             ready_in_ms: status.ready_unix_ms.saturating_sub(now_unix_ms),
+            is_overdue: status.is_loading_overdue,
         }),
         takes_orders: status.takes_orders,
         in_memory: status.in_memory.clone(),
--- a/crates/celerystair_engine/src/plan.rs
+++ b/crates/celerystair_engine/src/plan.rs
@@ -3,8 +3,10 @@
 use celerystair_core::prelude::*;
 use celerystair_policy::{prelude::*, replicas::room_mb};
 
+/// A load that is late by less is not called late: reports are read every so often.
+const OVERDUE_MIN_MS: u64 = 500;
 /// A load that is not done this long after it should be is given up, and decided anew.
-const LATE_MS: u64 = 10_000;
+const LATE_MS: u64 = 60_000;
 
 /// A load under way.
 #[derive(Clone, Debug)]
@@ -44,6 +46,21 @@
         }
     }
 
+    /// When the model is expected to serve, seen from now: a load that is late by some time may be
+    /// late by as much again.
+    pub fn expected_unix_ms(&self, now_unix_ms: u64) -> u64 {
+        if now_unix_ms <= self.ready_unix_ms {
+            self.ready_unix_ms
+        } else {
+            now_unix_ms + (now_unix_ms - self.ready_unix_ms) + OVERDUE_MIN_MS
+        }
+    }
+
+    /// Whether the load takes longer than it should.
+    pub fn is_overdue(&self, now_unix_ms: u64) -> bool {
+        now_unix_ms > self.ready_unix_ms + OVERDUE_MIN_MS
+    }
+
     /// The next step, by what the engine reports.
     pub fn step(&self, config: &EngineConfig, state: &EngineState, now_unix_ms: u64) -> PlanStep {
         let is_loaded = |model: &ModelName| state.loaded.iter().any(|l| l.model == *model);
--- a/crates/celerystair_engine/src/settings.rs
+++ b/crates/celerystair_engine/src/settings.rs
@@ -16,6 +16,8 @@
     pub engine: SocketAddr,
     /// The service that the engine belongs to.
     pub service: ServiceName,
+    /// Where its metrics are served.
+    pub metrics_listen: SocketAddr,
     /// Where it sends and receives news; routers and other agents use the same port.
     pub news_listen: SocketAddr,
     /// Where the fleet's configuration and upstreams are read.
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -85,7 +85,12 @@
         sequence: agent.sequence.get(),
         loaded: loaded.cloned().collect(),
         loading: plan.as_ref().map(|plan| plan.order.load.clone()),
-        ready_unix_ms: plan.as_ref().map_or(0, |plan| plan.ready_unix_ms),
+        ready_unix_ms: plan
+            .as_ref()
+            .map_or(0, |plan| plan.expected_unix_ms(now_unix_ms)),
+        is_loading_overdue: plan
+            .as_ref()
+            .is_some_and(|plan| plan.is_overdue(now_unix_ms)),
         is_loading_cold: plan.as_ref().is_some_and(|plan| plan.order.is_cold),
         waiting: state.waiting,
         running: state.running,
--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -31,14 +31,19 @@
         Ok(request) => {
             let request = Rc::new(request);
             match serve(&front, request.clone()).await {
-                Ok(response) => response,
+                Ok(response) => {
+                    front.count("answered", arrived_unix_ms);
+                    response
+                }
                 Err(refusal) => {
+                    front.count(refusal.reason.as_str(), arrived_unix_ms);
                     front.log_refusal(&request, &refusal);
                     refusal_response(&refusal, Some(&request.head.id))
                 }
             }
         }
         Err(refusal) => {
+            front.count(refusal.reason.as_str(), arrived_unix_ms);
             front.log_unread(&refusal);
             refusal_response(&refusal, None)
         }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -11,7 +11,7 @@
 use celerystair_news::prelude::*;
 use celerystair_platform::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_telemetry::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
 use event_listener::{Event, EventListener};
 use thiserror::Error;
 
@@ -45,6 +45,8 @@
     pub settings: FrontSettings,
     /// Its log.
     pub log: Logger,
+    /// Its counters and histograms.
+    pub metrics: Metrics,
     /// The configuration and the upstreams in force.
     pub view: FleetView,
     /// What agents have told of their engines.
@@ -167,6 +169,13 @@
         }
     }
 
+    /// Counts how a request ended, and how long its answer took to begin.
+    pub fn count(&self, outcome: &str, arrived_unix_ms: u64) {
+        let seconds = now_unix_ms().saturating_sub(arrived_unix_ms) as f64 / 1000.0;
+        self.metrics.requests.add(1, &[label("outcome", outcome)]);
+        self.metrics.first_byte_seconds.record(seconds, &[]);
+    }
+
     /// Logs a decision about a request.
     pub fn log_request(&self, request: &CallerRequest, event: &str, fields: &[(&str, &str)]) {
         let fields: Vec<String> = fields.iter().map(|(k, v)| format!("{k}={v}")).collect();
@@ -254,6 +263,7 @@
         inner: Rc::new(FrontInner {
             settings,
             log,
+            metrics: Metrics::new("router"),
             view,
             engines: EngineBoard::default(),
             suspects: RefCell::default(),
@@ -268,6 +278,7 @@
     compio::runtime::spawn(tell_agents(front.clone(), news.clone(), stop.clone())).detach();
     compio::runtime::spawn(hear_agents(front.clone(), news, stop.clone())).detach();
     serve_ready(&front, ready, stop);
+    serve_metrics(&front, stop);
     compio::runtime::spawn(close_in_time(front.clone(), stop.clone())).detach();
     let (limiting, answering, serving) = (front.clone(), front.clone(), stop.clone());
     let served = compio::runtime::spawn(async move {
@@ -296,6 +307,31 @@
     front.closing.drain();
 }
 
+/// Serves the metrics; without a port for them the router runs all the same.
+fn serve_metrics(front: &Front, stop: &Stop) {
+    let address = front.settings.metrics_listen;
+    let listener = match bind(address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!(front.log, "metrics_not_served"; "address" => %address, "error" => %error);
+            return;
+        }
+    };
+    let (scraped, stop) = (front.clone(), stop.clone());
+    let text = move || {
+        let gauges = &scraped.metrics.gauges;
+        gauges.waiting.record(scraped.waiting.len() as u64, &[]);
+        let version = scraped
+            .view
+            .config()
+            .map_or(0, |config| config.config.version);
+        gauges.config_revision.record(version, &[]);
+        scraped.metrics.scrape()
+    };
+    compio::runtime::spawn(async move { serve_text(listener, "/metrics", stop, text).await.ok() })
+        .detach();
+}
+
 /// Answers whether this router takes requests: not before it can route them, and not after a
 /// stop was asked for.
 fn serve_ready(front: &Front, listener: compio::net::TcpListener, stop: &Stop) {
--- a/crates/celerystair_front/src/settings.rs
+++ b/crates/celerystair_front/src/settings.rs
@@ -19,6 +19,8 @@
     pub callers_listen: SocketAddr,
     /// Where the platform asks whether it takes requests.
     pub ready_listen: SocketAddr,
+    /// Where its metrics are served.
+    pub metrics_listen: SocketAddr,
     /// Where it sends and receives news; agents use the same port.
     pub news_listen: SocketAddr,
     /// Where the fleet's configuration and upstreams are read.
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -9,7 +9,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use thiserror::Error;
 
-use crate::{body::HttpBody, timer::ConnectionTimer};
+use crate::{body::HttpBody, json::typed_response, timer::ConnectionTimer};
 
 /// A request as it arrives.
 pub type HttpRequest = http::Request<Incoming>;
@@ -89,6 +89,27 @@
     }
 }
 
+/// Serves what `text` gives at `path`, such as metrics, until `stop` ends.
+///
+/// # Errors
+/// The listener failed.
+pub async fn serve_text(
+    listener: TcpListener,
+    path: &'static str,
+    stop: Stop,
+    text: impl Fn() -> Vec<u8> + 'static,
+) -> io::Result<()> {
+    serve_http(listener, stop, move |request| {
+        let response = if request.uri().path() == path {
+            typed_response(200, "text/plain; version=0.0.4", text())
+        } else {
+            typed_response(404, "text/plain", "no such path\n")
+        };
+        async move { response }
+    })
+    .await
+}
+
 /// As [`serve_http`], for callers who learn late that the server stops: for `notice_ms` after the
 /// stop has begun it goes on accepting connections and answering, and asks each caller to close
 /// its connection. A caller of a balancer that has not noticed yet is thereby not turned away.
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -26,7 +26,7 @@
         grpc::{Connection, ConnectionError, serve_grpc},
         http_server::{
             ConnectionLimits, HttpRequest, HttpResponse, ListenError, after_notice, bind,
-            serve_http, serve_http_limited, serve_http_with_notice,
+            serve_http, serve_http_limited, serve_http_with_notice, serve_text,
         },
         tls::{PeerTls, TlsError, TlsSettings},
     };
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -31,6 +31,8 @@
     pub ready_unix_ms: u64,
     /// Whether that model's weights come from the weight store.
     pub is_loading_cold: bool,
+    /// Whether that load takes longer than it should.
+    pub is_loading_overdue: bool,
     /// Requests that wait there.
     pub waiting: u32,
     /// Requests that run there.
@@ -78,6 +80,7 @@
             loading: (!news.loading.is_empty()).then(|| news.loading.into()),
             ready_unix_ms: now_unix_ms + u64::from(news.ready_in_ms),
             is_loading_cold: news.loading_is_cold,
+            is_loading_overdue: news.loading_is_overdue,
             waiting: news.waiting,
             running: news.running,
             kv_used_tokens: news.kv_used_tokens,
@@ -117,6 +120,7 @@
             on_disk: names(&self.on_disk),
             routers: self.routers,
             loading_is_cold: self.is_loading_cold,
+            loading_is_overdue: self.is_loading_overdue,
             takes_orders: self.takes_orders,
         }
     }
@@ -132,6 +136,7 @@
             loading: None,
             ready_unix_ms: 0,
             is_loading_cold: false,
+            is_loading_overdue: false,
             waiting: 0,
             running: 0,
             kv_used_tokens: 0,
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -67,6 +67,8 @@
     pub is_cold: bool,
     /// How long it still takes.
     pub ready_in_ms: u64,
+    /// Whether it takes longer than it should.
+    pub is_overdue: bool,
 }
 
 /// What an engine is to do: unload, then load.
@@ -83,7 +85,8 @@
 /// A replica is asked to carry this part of its engine's slots; above it another one is wanted.
 /// Beyond it prompts that are read delay the tokens of the others past the pause that is allowed.
 const REPLICA_LOAD_SHARE: f64 = 0.25;
-/// Loads from the weight store that run at full speed together; more only slow one another.
+/// Loads from the weight store that run at full speed together; more only slow one another. Where
+/// one of them is overdue, fewer do, and no other one begins until it is done.
 const COLD_LOADS_AT_ONCE: usize = 4;
 /// Seconds of a model's demand that a load or an eviction is weighed by.
 const HORIZON_SECONDS: f64 = 3.0;
@@ -170,6 +173,10 @@
             }
         }
         let is_cold = |engine: &&EngineView| engine.loading.as_ref().is_some_and(|l| l.is_cold);
+        let is_store_slow = engines.iter().filter(is_cold).any(|engine| {
+            let load = engine.loading.as_ref();
+            load.is_some_and(|load| load.is_overdue)
+        });
         let mut fleet = Self {
             config,
             models,
@@ -177,7 +184,11 @@
             replicas,
             rooms: Vec::new(),
             is_taken: vec![false; engines.len()],
-            cold_loads: engines.iter().filter(is_cold).count(),
+            cold_loads: if is_store_slow {
+                COLD_LOADS_AT_ONCE
+            } else {
+                engines.iter().filter(is_cold).count()
+            },
         };
         fleet.rooms = engines.iter().map(|engine| fleet.room(engine)).collect();
         fleet
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -76,6 +76,7 @@
                 model: order.load.clone(),
                 is_cold: order.is_cold,
                 ready_in_ms: 1000,
+                is_overdue: false,
             });
             assert!(held_mb(config, engine) <= room_mb(config), "{engine:?}");
             orders.push((own, order));
@@ -172,6 +173,7 @@
                 model: order.load.clone(),
                 is_cold: true,
                 ready_in_ms: 6000,
+                is_overdue: false,
             });
             cold.push(order.load);
         }
@@ -183,6 +185,34 @@
     );
 }
 
+/// The weight store is slower than its sheet says: loads are overdue. Others that begin then slow
+/// all of them further, and none is done in time for anybody.
+#[test]
+fn a_slow_weight_store_gets_no_more_loads_until_one_is_done() {
+    let config = config(30);
+    let mut engines: Vec<EngineView> = (0..12).map(|n| engine(n, &[n])).collect();
+    let mut models = HashMap::default();
+    for number in 12..30 {
+        models.insert(model(number), asked(3.0, 1, 0));
+    }
+    engines[0].loading = Some(LoadUnderWay {
+        model: model(12),
+        is_cold: true,
+        ready_in_ms: 3000,
+        is_overdue: true,
+    });
+    let orders = |engines: &[EngineView]| {
+        let orders =
+            (0..engines.len()).filter_map(|own| next_order(&config, &models, engines, own));
+        orders.count()
+    };
+    assert_eq!(orders(&engines), 0);
+    engines[1].on_disk.push(model(20));
+    assert_eq!(orders(&engines), 1, "a load from a disk needs no store");
+    engines[0].loading = None;
+    assert!(orders(&engines) > 1);
+}
+
 /// Engines are taken away at short notice: what only they had comes up elsewhere.
 #[test]
 fn what_a_lost_engine_had_comes_up_elsewhere() {
