Forget crashes that were none; split the front and the agent by concern

Cause, found while reading: a lost answer counted as a crash of the request's fingerprint (path and body), and nothing ever cleared it, so three lost answers of a read that many callers send would have refused it everywhere for two minutes. Change: an answer that is whole clears the request; a stream that breaks off counts too; each count has its line.

Also: lines of requests, probes of the platform, adapters, orders and the decision's inputs have a module each; fields that nothing read are gone, from messages too; sends are remembered as long as news is believed.

Ruled out: counting resets and not closed connections; a crash shows as either.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -10,20 +10,16 @@
 use celerystair_net::prelude::*;
 use celerystair_news::prelude::*;
 use celerystair_platform::prelude::*;
-use celerystair_policy::{
-    prelude::*,
-    replicas::{LoadUnderWay, adapter_to_drop},
-};
-use celerystair_telemetry::{metrics::label, prelude::*};
+use celerystair_policy::prelude::*;
+use celerystair_telemetry::prelude::*;
 use event_listener::Event;
 use futures_util::future::select;
 use thiserror::Error;
 
 use crate::{
     client::{EngineClient, EngineError},
-    dialect::{EngineOrder, OrderAnswer, OrderKind},
     fence::claim_fence,
-    plan::{Plan, PlanStep, load_ms},
+    plan::Plan,
     settings::EngineAgentSettings,
     tell::{Told, hear, tell},
 };
@@ -38,16 +34,8 @@
 const GAP_MS: u64 = 10;
 /// Reports that fail in a row before the engine counts as down.
 const FAILURES_MAX: u32 = 2;
-/// A model that was loaded makes no room for another for this long, so that two don't take turns.
-const KEEP_MS: u64 = 1500;
-/// An adapter that was wanted within this time makes no room for another.
-const ADAPTER_KEEP_MS: u64 = 300;
 /// How often the agent looks for its engine in the list while it isn't there.
 const FIND_INTERVAL_MS: u64 = 500;
-/// Agents that were heard within this time take part in the plan.
-const AGENTS_MEMORY_MS: u64 = 4000;
-/// Without news of this part of the other agents, most models would seem to be loaded nowhere.
-const HEARD_SHARE: f64 = 0.6;
 
 /// An agent; cheap to clone within its thread.
 #[derive(Clone)]
@@ -79,14 +67,14 @@
     pub told: RefCell<Told>,
     /// Rises with each datagram, also over lives of the agent.
     pub sequence: Cell<u64>,
-    client: EngineClient,
-    configs: Mirror<ServingConfig>,
-    fence: Cell<Option<u64>>,
+    pub(crate) client: EngineClient,
+    pub(crate) configs: Mirror<ServingConfig>,
+    pub(crate) fence: Cell<Option<u64>>,
     failures: Cell<u32>,
     found_unix_ms: Cell<u64>,
     decide_unix_ms: Cell<u64>,
-    loaded_unix_ms: RefCell<HashMap<ModelName, u64>>,
-    wanted_unix_ms: RefCell<HashMap<(ModelName, String), u64>>,
+    pub(crate) loaded_unix_ms: RefCell<HashMap<ModelName, u64>>,
+    pub(crate) wanted_unix_ms: RefCell<HashMap<(ModelName, String), u64>>,
     woken: Event,
 }
 
@@ -314,181 +302,4 @@
             self.carry_out(store, &config, plan).await;
         }
     }
-
-    /// What this engine loads next.
-    fn decide(&self, config: &EngineConfig) -> Option<Plan> {
-        let now = now_unix_ms();
-        let since_unix_ms = now.saturating_sub(AGENTS_MEMORY_MS);
-        let own = self.upstream.borrow().clone()?;
-        let heard = self.engines.heard_since(since_unix_ms);
-        let others: Vec<_> = heard
-            .iter()
-            .filter(|status| status.upstream != own)
-            .collect();
-        let agents = self.demand.agents().len();
-        if agents == 0 || (others.len() as f64) < (agents - 1) as f64 * HEARD_SHARE {
-            return None;
-        }
-        let mut views = vec![self.own_view(&own, now)];
-        views.extend(others.iter().map(|status| view_of(status, now)));
-        let models = self.demand.models();
-        let order = next_order(config, &models, &views, 0)?;
-        Some(Plan::new(order, config, &self.state.borrow(), now))
-    }
-
-    fn own_view(&self, own: &UpstreamId, now_unix_ms: u64) -> EngineView {
-        let state = self.state.borrow();
-        let loaded_unix_ms = self.loaded_unix_ms.borrow();
-        let is_kept = |model: &&ModelName| {
-            let loaded = loaded_unix_ms.get(*model);
-            loaded.is_some_and(|loaded| now_unix_ms < loaded + KEEP_MS)
-        };
-        let loaded: Vec<ModelName> = state.loaded.iter().map(|l| l.model.clone()).collect();
-        EngineView {
-            upstream: own.clone(),
-            kept: loaded.iter().filter(is_kept).cloned().collect(),
-            loaded,
-            loading: None,
-            takes_orders: true,
-            in_memory: state.in_memory.clone(),
-            on_disk: state.on_disk.clone(),
-        }
-    }
-
-    async fn carry_out(&self, store: &Store, config: &EngineConfig, plan: Plan) {
-        let now = now_unix_ms();
-        let step = plan.step(config, &self.state.borrow(), now);
-        match step {
-            PlanStep::Wait => {}
-            PlanStep::Done => {
-                info!(self.log, "model_loaded"; "model" => %plan.order.load,
-                    "late_ms" => now.saturating_sub(plan.ready_unix_ms));
-                self.count_load("loaded");
-                let mut loaded = self.loaded_unix_ms.borrow_mut();
-                loaded.insert(plan.order.load.clone(), now);
-                *self.plan.borrow_mut() = None;
-            }
-            PlanStep::GiveUp => {
-                warn!(self.log, "load_given_up"; "model" => %plan.order.load);
-                self.count_load("given_up");
-                *self.plan.borrow_mut() = None;
-            }
-            PlanStep::Unload(model) => {
-                self.order(store, OrderKind::Unload, &model, None).await;
-            }
-            PlanStep::Load => {
-                let model = plan.order.load.clone();
-                let answer = self.order(store, OrderKind::Load, &model, None).await;
-                if answer == Some(OrderAnswer::Accepted) {
-                    let load_ms = load_ms(&model, config, &self.state.borrow());
-                    if let Some(plan) = &mut *self.plan.borrow_mut() {
-                        plan.ready_unix_ms = now + load_ms;
-                    }
-                }
-            }
-        }
-    }
-
-    fn count_load(&self, outcome: &str) {
-        self.metrics.loads.add(1, &[label("outcome", outcome)]);
-    }
-
-    /// Loads the adapters that requests wait for, and drops what was wanted least lately.
-    async fn order_adapters(&self, store: &Store, config: &EngineConfig) {
-        let now = now_unix_ms();
-        let loaded = self.state.borrow().loaded.clone();
-        let has = |model: &ModelName, adapter: &String| {
-            let model = loaded.iter().find(|loaded| loaded.model == *model);
-            model.map(|model| model.adapters.contains(adapter))
-        };
-        let wanted = self.wanted_unix_ms.borrow().clone();
-        let missing = wanted.iter().find(|((model, adapter), unix_ms)| {
-            now < **unix_ms + FORGET_ADAPTER_MS && has(model, adapter) == Some(false)
-        });
-        let Some(((model, adapter), _)) = missing else {
-            return;
-        };
-        let adapters: Vec<(ModelName, String)> = loaded
-            .iter()
-            .flat_map(|l| {
-                l.adapters
-                    .iter()
-                    .map(|adapter| (l.model.clone(), adapter.clone()))
-            })
-            .collect();
-        let used = adapters.iter().map(|adapter| {
-            let wanted = wanted.get(adapter).copied();
-            (adapter, wanted.unwrap_or_default())
-        });
-        if let Some((old_model, old)) = adapter_to_drop(config, used) {
-            let key = (old_model.clone(), old.clone());
-            let used_unix_ms = wanted.get(&key).copied().unwrap_or_default();
-            if now < used_unix_ms + ADAPTER_KEEP_MS {
-                return;
-            }
-            self.order(store, OrderKind::Unload, old_model, Some(old))
-                .await;
-        } else {
-            self.order(store, OrderKind::Load, model, Some(adapter))
-                .await;
-        }
-        self.wake();
-    }
-
-    /// Gives an order by what was last reported; `None` if it is not known whether it holds.
-    async fn order(
-        &self,
-        store: &Store,
-        kind: OrderKind,
-        model: &ModelName,
-        adapter: Option<&str>,
-    ) -> Option<OrderAnswer> {
-        let engine = self.upstream.borrow().clone()?;
-        let order = EngineOrder {
-            kind,
-            model,
-            adapter,
-            expected_sequence: self.state.borrow().order_sequence,
-            holder: &self.settings.agent,
-            fence: self.fence.get()?,
-        };
-        let answer = self.client.order(&self.settings, &engine, &order).await;
-        info!(self.log, "ordered"; "kind" => ?kind, "model" => %model, "adapter" => adapter,
-            "expected" => order.expected_sequence, "answer" => ?answer);
-        let answer = answer.ok()?;
-        match answer {
-            OrderAnswer::Fenced => {
-                let fence = claim_fence(&self.settings, store, &self.log).await;
-                self.fence.set(Some(fence));
-            }
-            OrderAnswer::Misdirected => *self.upstream.borrow_mut() = None,
-            OrderAnswer::Accepted => self.state.borrow_mut().order_sequence += 1,
-            OrderAnswer::Conflict | OrderAnswer::Holds | OrderAnswer::Refused => {}
-        }
-        Some(answer)
-    }
-}
-
-/// An adapter that was not wanted for so long is not loaded any more.
-const FORGET_ADAPTER_MS: u64 = 1500;
-
-fn view_of(status: &EngineStatus, now_unix_ms: u64) -> EngineView {
-    EngineView {
-        upstream: status.upstream.clone(),
-        loaded: status
-            .loaded
-            .iter()
-            .map(|loaded| loaded.model.clone())
-            .collect(),
-        loading: status.loading.clone().map(|model| LoadUnderWay {
-            model,
-            is_cold: status.is_loading_cold,
-            ready_in_ms: status.ready_unix_ms.saturating_sub(now_unix_ms),
-            is_overdue: status.is_loading_overdue,
-        }),
-        takes_orders: status.takes_orders,
-        in_memory: status.in_memory.clone(),
-        on_disk: status.on_disk.clone(),
-        kept: Vec::new(),
-    }
 }
--- a/crates/celerystair_engine/src/lib.rs
+++ b/crates/celerystair_engine/src/lib.rs
@@ -5,20 +5,26 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`adapters`] | adapters of loaded models |
 //! | [`agent`] | the agent's state, its start and its loop |
 //! | [`client`] | calls to the engine |
+//! | [`decide`] | what goes into the decision on the next load |
 //! | [`dialect`] | how a platform's engines are asked and ordered |
 //! | [`fence`] | the fencing number of the agent's orders |
+//! | [`orders`] | orders to the engine |
 //! | [`plan`] | a load under way, with the unloads that make room for it |
 //! | [`settings`] | what an agent needs to start |
 //! | [`tell`] | what the agent tells and hears |
 //!
 //! The design: `docs/PLATFORM.md`.
 
+pub mod adapters;
 pub mod agent;
 pub mod client;
+pub mod decide;
 pub mod dialect;
 pub mod fence;
+pub mod orders;
 pub mod plan;
 pub mod settings;
 pub mod tell;
--- /dev/null
+++ b/crates/celerystair_engine/src/orders.rs
@@ -0,0 +1,86 @@
+//! Orders to the engine, and the load under way step by step.
+
+use celerystair_core::prelude::*;
+use celerystair_platform::prelude::*;
+use celerystair_policy::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
+
+use crate::{
+    agent::EngineAgent,
+    dialect::{EngineOrder, OrderAnswer, OrderKind},
+    fence::claim_fence,
+    plan::{Plan, PlanStep, load_ms},
+};
+
+impl EngineAgent {
+    pub(crate) async fn carry_out(&self, store: &Store, config: &EngineConfig, plan: Plan) {
+        let now = now_unix_ms();
+        let step = plan.step(config, &self.state.borrow(), now);
+        match step {
+            PlanStep::Wait => {}
+            PlanStep::Done => {
+                info!(self.log, "model_loaded"; "model" => %plan.order.load,
+                    "late_ms" => now.saturating_sub(plan.ready_unix_ms));
+                self.count_load("loaded");
+                let mut loaded = self.loaded_unix_ms.borrow_mut();
+                loaded.insert(plan.order.load.clone(), now);
+                *self.plan.borrow_mut() = None;
+            }
+            PlanStep::GiveUp => {
+                warn!(self.log, "load_given_up"; "model" => %plan.order.load);
+                self.count_load("given_up");
+                *self.plan.borrow_mut() = None;
+            }
+            PlanStep::Unload(model) => {
+                self.order(store, OrderKind::Unload, &model, None).await;
+            }
+            PlanStep::Load => {
+                let model = plan.order.load.clone();
+                let answer = self.order(store, OrderKind::Load, &model, None).await;
+                if answer == Some(OrderAnswer::Accepted) {
+                    let load_ms = load_ms(&model, config, &self.state.borrow());
+                    if let Some(plan) = &mut *self.plan.borrow_mut() {
+                        plan.ready_unix_ms = now + load_ms;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives an order by what was last reported; `None` if it is not known whether it holds.
+    pub(crate) async fn order(
+        &self,
+        store: &Store,
+        kind: OrderKind,
+        model: &ModelName,
+        adapter: Option<&str>,
+    ) -> Option<OrderAnswer> {
+        let engine = self.upstream.borrow().clone()?;
+        let order = EngineOrder {
+            kind,
+            model,
+            adapter,
+            expected_sequence: self.state.borrow().order_sequence,
+            holder: &self.settings.agent,
+            fence: self.fence.get()?,
+        };
+        let answer = self.client.order(&self.settings, &engine, &order).await;
+        info!(self.log, "ordered"; "kind" => ?kind, "model" => %model, "adapter" => adapter,
+            "expected" => order.expected_sequence, "answer" => ?answer);
+        let answer = answer.ok()?;
+        match answer {
+            OrderAnswer::Fenced => {
+                let fence = claim_fence(&self.settings, store, &self.log).await;
+                self.fence.set(Some(fence));
+            }
+            OrderAnswer::Misdirected => *self.upstream.borrow_mut() = None,
+            OrderAnswer::Accepted => self.state.borrow_mut().order_sequence += 1,
+            OrderAnswer::Conflict | OrderAnswer::Holds | OrderAnswer::Refused => {}
+        }
+        Some(answer)
+    }
+
+    fn count_load(&self, outcome: &str) {
+        self.metrics.loads.add(1, &[label("outcome", outcome)]);
+    }
+}
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -94,8 +94,6 @@
         is_loading_cold: plan.as_ref().is_some_and(|plan| plan.order.is_cold),
         waiting: state.waiting,
         running: state.running,
-        kv_used_tokens: state.kv_used_tokens,
-        kv_total_tokens: state.kv_total_tokens,
         in_memory: state.in_memory.clone(),
         on_disk: state.on_disk.clone(),
         routers: agent.demand.routers().len() as u32,
--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -88,7 +88,6 @@
         target: http::Uri::from(target),
         arrived_unix_ms,
         deadline_unix_ms: arrived_unix_ms + deadline_ms.min(route.timeout_ms),
-        caller_deadline_unix_ms: arrived_unix_ms + deadline_ms,
         fingerprint: fingerprint(&identity),
         head,
         body,
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -45,10 +45,6 @@
     pub model: Option<ModelRef>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
-    /// The most tokens of the answer.
-    pub output_tokens_max: u64,
-    /// The first part of the prompt, which requests share.
-    pub prompt_start: Option<String>,
     /// The event after which a stream goes on.
     pub last_event_id: Option<u64>,
 }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -19,10 +19,9 @@
     callers::answer_caller,
     connections::idle_max,
     demand::{hear_agents, tell_agents},
-    pick::WaitsFor,
+    probes::{serve_metrics, serve_ready},
     request::CallerRequest,
     settings::FrontSettings,
-    upstream::Upstream,
     view::FleetView,
     waiting::WaitingRequests,
 };
@@ -161,6 +160,16 @@
         work(budget, routers)
     }
 
+    /// Notes that the request was running when its upstream went. It is forgotten once such a
+    /// request is answered whole: most that are cut off have crashed nothing.
+    pub fn note_crash(&self, request: &CallerRequest) {
+        let mut suspects = self.suspects.borrow_mut();
+        let crashes = suspects.note_crash(request.fingerprint, now_unix_ms());
+        drop(suspects);
+        let crashes = crashes.to_string();
+        self.log_request(request, "request_suspected", &[("crashes", &crashes)]);
+    }
+
     /// How many routers share what is meant for all.
     fn known_routers(&self) -> u32 {
         match self.routers.get() {
@@ -175,66 +184,6 @@
         self.metrics.requests.add(1, &[label("outcome", outcome)]);
         self.metrics.first_byte_seconds.record(seconds, &[]);
     }
-
-    /// Logs a decision about a request.
-    pub fn log_request(&self, request: &CallerRequest, event: &str, fields: &[(&str, &str)]) {
-        let fields: Vec<String> = fields.iter().map(|(k, v)| format!("{k}={v}")).collect();
-        info!(self.log, "{}", event; "request" => %request.head.id,
-            "route" => &request.route.name, "detail" => fields.join(" "),
-            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
-    }
-
-    /// Logs that a request waits.
-    pub fn log_wait(&self, request: &CallerRequest, what: WaitsFor, ready_unix_ms: u64) {
-        let model = request.head.model.as_ref().map(ToString::to_string);
-        let now = now_unix_ms();
-        info!(self.log, "request_waits"; "request" => %request.head.id,
-            "route" => &request.route.name, "model" => model, "for" => ?what,
-            "ready_in_ms" => ready_unix_ms.saturating_sub(now), "waiting" => self.waiting.len());
-    }
-
-    /// Logs that an answer has begun later than its callers want.
-    pub fn log_start(
-        &self,
-        request: &CallerRequest,
-        upstream: &Upstream,
-        waited: Option<(WaitsFor, u64)>,
-        sent_unix_ms: u64,
-    ) {
-        let now = now_unix_ms();
-        let age_ms = now.saturating_sub(request.arrived_unix_ms);
-        if age_ms <= request.route.target_latency_ms {
-            return;
-        }
-        let model = request.head.model.as_ref().map(ToString::to_string);
-        let waited_ms = waited.map(|(_, since)| sent_unix_ms.saturating_sub(since));
-        let status = self.engines.get(&upstream.id());
-        let load = status
-            .as_ref()
-            .map(|status| status.running + status.waiting);
-        let news_age_ms = status.map(|status| now.saturating_sub(status.heard_unix_ms));
-        info!(self.log, "answer_began_late"; "request" => %request.head.id,
-            "route" => &request.route.name, "model" => model, "age_ms" => age_ms,
-            "waited_ms" => waited_ms, "for" => ?waited.map(|(what, _)| what),
-            "upstream" => %upstream.id(), "load" => load, "news_age_ms" => news_age_ms,
-            "in_flight" => upstream.in_flight(), "upstream_ms" => now.saturating_sub(sent_unix_ms));
-    }
-
-    /// Logs a refusal.
-    pub fn log_refusal(&self, request: &CallerRequest, refusal: &Refusal) {
-        let model = request.head.model.as_ref().map(ToString::to_string);
-        info!(self.log, "request_refused"; "request" => %request.head.id,
-            "route" => &request.route.name, "reason" => refusal.reason.as_str(),
-            "run" => refusal.run.as_str(), "detail" => &refusal.detail, "model" => model,
-            "retry_after_ms" => refusal.retry_after_ms,
-            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
-    }
-
-    /// Logs the refusal of a request that could not be read.
-    pub fn log_unread(&self, refusal: &Refusal) {
-        info!(self.log, "request_unread"; "reason" => refusal.reason.as_str(),
-            "detail" => &refusal.detail);
-    }
 }
 
 /// Starts a router; it serves until `stop` drains, and finishes the requests that it has.
@@ -307,57 +256,6 @@
     front.closing.drain();
 }
 
-/// Serves the metrics; without a port for them the router runs all the same.
-fn serve_metrics(front: &Front, stop: &Stop) {
-    let address = front.settings.metrics_listen;
-    let listener = match bind(address) {
-        Ok(listener) => listener,
-        Err(error) => {
-            warn!(front.log, "metrics_not_served"; "address" => %address, "error" => %error);
-            return;
-        }
-    };
-    let (scraped, stop) = (front.clone(), stop.clone());
-    let text = move || {
-        let gauges = &scraped.metrics.gauges;
-        gauges.waiting.record(scraped.waiting.len() as u64, &[]);
-        let version = scraped
-            .view
-            .config()
-            .map_or(0, |config| config.config.version);
-        gauges.config_revision.record(version, &[]);
-        scraped.metrics.scrape()
-    };
-    compio::runtime::spawn(async move { serve_text(listener, "/metrics", stop, text).await.ok() })
-        .detach();
-}
-
-/// Answers whether this router takes requests: not before it can route them, and not after a
-/// stop was asked for.
-fn serve_ready(front: &Front, listener: compio::net::TcpListener, stop: &Stop) {
-    let (asked, stop) = (front.clone(), stop.clone());
-    let answer = move |request: HttpRequest| {
-        let is_ready = asked.view.is_complete() && !stop.is_draining();
-        let is_known = request.uri().path() == asked.settings.callers.ready_path;
-        let status = match (is_known, is_ready) {
-            (false, _) => 404,
-            (true, true) => 200,
-            (true, false) => 503,
-        };
-        async move {
-            let mut response = http::Response::new(HttpBody::empty());
-            *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
-            response
-        }
-    };
-    // It answers to the end: a platform that hears nothing can't tell a stop from a fault.
-    let until_end = Stop::new();
-    compio::runtime::spawn(async move {
-        serve_http(listener, until_end, answer).await.ok();
-    })
-    .detach();
-}
-
 fn connection_limits(front: &Front) -> ConnectionLimits {
     let in_force = front.view.config();
     let limits = in_force
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -12,7 +12,9 @@
 //! | [`dialect`] | how a platform's headers are read and written |
 //! | [`events`] | the events of a stream |
 //! | [`front`] | the router's state, its start and its planned stop |
+//! | [`log`] | a line for each decision that touches a request |
 //! | [`pick`] | which upstream a request can go to now |
+//! | [`probes`] | what the platform asks: readiness, metrics |
 //! | [`request`] | the life of one request over all its attempts |
 //! | [`settings`] | what a router needs to start |
 //! | [`stream`] | a stream on its way to its caller |
@@ -30,7 +32,9 @@
 pub mod dialect;
 pub mod events;
 pub mod front;
+pub mod log;
 pub mod pick;
+pub mod probes;
 pub mod request;
 pub mod settings;
 pub mod stream;
--- /dev/null
+++ b/crates/celerystair_front/src/log.rs
@@ -0,0 +1,69 @@
+//! One line for each decision that touches a request, with what decided it. The lines are listed in
+//! `docs/OPERATIONS.md`.
+
+use celerystair_core::prelude::*;
+use celerystair_telemetry::prelude::*;
+
+use crate::{front::Front, pick::WaitsFor, request::CallerRequest, upstream::Upstream};
+
+impl Front {
+    /// Logs a decision about a request.
+    pub fn log_request(&self, request: &CallerRequest, event: &str, fields: &[(&str, &str)]) {
+        let fields: Vec<String> = fields.iter().map(|(k, v)| format!("{k}={v}")).collect();
+        info!(self.log, "{}", event; "request" => %request.head.id,
+            "route" => &request.route.name, "detail" => fields.join(" "),
+            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
+    }
+
+    /// Logs that a request waits.
+    pub fn log_wait(&self, request: &CallerRequest, what: WaitsFor, ready_unix_ms: u64) {
+        let model = request.head.model.as_ref().map(ToString::to_string);
+        let now = now_unix_ms();
+        info!(self.log, "request_waits"; "request" => %request.head.id,
+            "route" => &request.route.name, "model" => model, "for" => ?what,
+            "ready_in_ms" => ready_unix_ms.saturating_sub(now), "waiting" => self.waiting.len());
+    }
+
+    /// Logs that an answer has begun later than its callers want.
+    pub fn log_start(
+        &self,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        waited: Option<(WaitsFor, u64)>,
+        sent_unix_ms: u64,
+    ) {
+        let now = now_unix_ms();
+        let age_ms = now.saturating_sub(request.arrived_unix_ms);
+        if age_ms <= request.route.target_latency_ms {
+            return;
+        }
+        let model = request.head.model.as_ref().map(ToString::to_string);
+        let waited_ms = waited.map(|(_, since)| sent_unix_ms.saturating_sub(since));
+        let status = self.engines.get(&upstream.id());
+        let load = status
+            .as_ref()
+            .map(|status| status.running + status.waiting);
+        let news_age_ms = status.map(|status| now.saturating_sub(status.heard_unix_ms));
+        info!(self.log, "answer_began_late"; "request" => %request.head.id,
+            "route" => &request.route.name, "model" => model, "age_ms" => age_ms,
+            "waited_ms" => waited_ms, "for" => ?waited.map(|(what, _)| what),
+            "upstream" => %upstream.id(), "load" => load, "news_age_ms" => news_age_ms,
+            "in_flight" => upstream.in_flight(), "upstream_ms" => now.saturating_sub(sent_unix_ms));
+    }
+
+    /// Logs a refusal.
+    pub fn log_refusal(&self, request: &CallerRequest, refusal: &Refusal) {
+        let model = request.head.model.as_ref().map(ToString::to_string);
+        info!(self.log, "request_refused"; "request" => %request.head.id,
+            "route" => &request.route.name, "reason" => refusal.reason.as_str(),
+            "run" => refusal.run.as_str(), "detail" => &refusal.detail, "model" => model,
+            "retry_after_ms" => refusal.retry_after_ms,
+            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
+    }
+
+    /// Logs the refusal of a request that could not be read.
+    pub fn log_unread(&self, refusal: &Refusal) {
+        info!(self.log, "request_unread"; "reason" => refusal.reason.as_str(),
+            "detail" => &refusal.detail);
+    }
+}
--- /dev/null
+++ b/crates/celerystair_front/src/probes.rs
@@ -0,0 +1,58 @@
+//! What the platform asks of a router: whether it takes requests, and its metrics.
+
+use celerystair_core::prelude::*;
+use celerystair_net::prelude::*;
+use celerystair_telemetry::prelude::*;
+
+use crate::front::Front;
+
+/// Serves the metrics; without a port for them the router runs all the same.
+pub fn serve_metrics(front: &Front, stop: &Stop) {
+    let address = front.settings.metrics_listen;
+    let listener = match bind(address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            warn!(front.log, "metrics_not_served"; "address" => %address, "error" => %error);
+            return;
+        }
+    };
+    let (scraped, stop) = (front.clone(), stop.clone());
+    let text = move || {
+        let gauges = &scraped.metrics.gauges;
+        gauges.waiting.record(scraped.waiting.len() as u64, &[]);
+        let version = scraped
+            .view
+            .config()
+            .map_or(0, |config| config.config.version);
+        gauges.config_revision.record(version, &[]);
+        scraped.metrics.scrape()
+    };
+    compio::runtime::spawn(async move { serve_text(listener, "/metrics", stop, text).await.ok() })
+        .detach();
+}
+
+/// Answers whether this router takes requests: not before it can route them, and not after a
+/// stop was asked for.
+pub fn serve_ready(front: &Front, listener: compio::net::TcpListener, stop: &Stop) {
+    let (asked, stop) = (front.clone(), stop.clone());
+    let answer = move |request: HttpRequest| {
+        let is_ready = asked.view.is_complete() && !stop.is_draining();
+        let is_known = request.uri().path() == asked.settings.callers.ready_path;
+        let status = match (is_known, is_ready) {
+            (false, _) => 404,
+            (true, true) => 200,
+            (true, false) => 503,
+        };
+        async move {
+            let mut response = http::Response::new(HttpBody::empty());
+            *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+            response
+        }
+    };
+    // It answers to the end: a platform that hears nothing can't tell a stop from a fault.
+    let until_end = Stop::new();
+    compio::runtime::spawn(async move {
+        serve_http(listener, until_end, answer).await.ok();
+    })
+    .detach();
+}
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -45,8 +45,6 @@
     pub arrived_unix_ms: u64,
     /// When its answer must be there: the caller's deadline, or the route's timeout.
     pub deadline_unix_ms: u64,
-    /// The caller's own deadline.
-    pub caller_deadline_unix_ms: u64,
     /// Tells it from others: of its path and body.
     pub fingerprint: u64,
 }
@@ -87,7 +85,10 @@
     let mut progress = Progress::default();
     let served = serve_at(front, &request, &service, &mut progress, None).await?;
     Ok(match served {
-        Served::Whole(answer) => whole_response(answer),
+        Served::Whole(answer) => {
+            front.suspects.borrow_mut().clear(request.fingerprint);
+            whole_response(answer)
+        }
         Served::Begun(begun) => streamed(front, request, service, progress, begun),
     })
 }
@@ -212,8 +213,7 @@
     progress.sent += u32::from(failure.has_reached());
     progress.arrived += u32::from(failure.has_arrived());
     if failure == AttemptFailure::AnswerLost {
-        let mut suspects = front.suspects.borrow_mut();
-        suspects.note_crash(request.fingerprint, now_unix_ms());
+        front.note_crash(request);
     }
     let is_repeatable = request.route.is_repeatable();
     let attempts_max = request.route.attempts_max;
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -131,6 +131,9 @@
 
     /// Keeps the connection for the next request.
     fn finish(&mut self) {
+        let mut suspects = self.front.suspects.borrow_mut();
+        suspects.clear(self.request.fingerprint);
+        drop(suspects);
         if let Some(begun) = self.begun.take() {
             let connections = &begun.upstream.connections;
             connections.keep(begun.connection, &begun.head.headers);
@@ -155,6 +158,9 @@
             "stream_broken",
             &[("upstream", upstream.as_str()), ("how", failure.as_str())],
         );
+        if failure == AttemptFailure::AnswerLost {
+            self.front.note_crash(&self.request);
+        }
         let is_first_life = self.progress.sent < self.request.route.attempts_max;
         if !self.request.route.can_resume || !has_time || !is_first_life {
             return false;
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -11,8 +11,8 @@
 
 use crate::connections::Connections;
 
-/// Sends that are older than this are in any news.
-const SENT_MEMORY_MS: u64 = 2000;
+/// Sends that are older than this are in any news that is still believed.
+const SENT_MEMORY_MS: u64 = 4000;
 /// An engine has read a prompt of usual length this long after it was sent, between the tokens of
 /// its other requests.
 const READ_MS: u64 = 120;
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -37,10 +37,6 @@
     pub waiting: u32,
     /// Requests that run there.
     pub running: u32,
-    /// KV cache that can't yield, in tokens.
-    pub kv_used_tokens: u64,
-    /// KV cache in all, in tokens.
-    pub kv_total_tokens: u64,
     /// Models with a copy of their weights in host memory.
     pub in_memory: Vec<ModelName>,
     /// Models with a copy of their weights on disk.
@@ -83,8 +79,6 @@
             is_loading_overdue: news.loading_is_overdue,
             waiting: news.waiting,
             running: news.running,
-            kv_used_tokens: news.kv_used_tokens,
-            kv_total_tokens: news.kv_total_tokens,
             in_memory: models(news.in_memory),
             on_disk: models(news.on_disk),
             routers: news.routers,
@@ -114,8 +108,6 @@
             ready_in_ms: ready_in_ms as u32,
             waiting: self.waiting,
             running: self.running,
-            kv_used_tokens: self.kv_used_tokens,
-            kv_total_tokens: self.kv_total_tokens,
             in_memory: names(&self.in_memory),
             on_disk: names(&self.on_disk),
             routers: self.routers,
@@ -139,8 +131,6 @@
             is_loading_overdue: false,
             waiting: 0,
             running: 0,
-            kv_used_tokens: 0,
-            kv_total_tokens: 0,
             in_memory: Vec::new(),
             on_disk: Vec::new(),
             routers: 0,
--- a/crates/celerystair_policy/src/fleet.rs
+++ b/crates/celerystair_policy/src/fleet.rs
@@ -102,8 +102,6 @@
     pub weights_mb: f64,
     /// Adapters that one engine may hold.
     pub adapter_slots: usize,
-    /// Loads from the weight store that all engines together may begin a second.
-    pub cold_loads_per_second: f64,
     /// The models by name.
     pub models: HashMap<ModelName, ModelConfig>,
 }
@@ -203,10 +201,6 @@
     pub waiting: u32,
     /// Requests that run there.
     pub running: u32,
-    /// KV cache that can't yield, in tokens.
-    pub kv_used_tokens: u64,
-    /// KV cache in all, in tokens.
-    pub kv_total_tokens: u64,
     /// Models with a copy of their weights in host memory.
     pub in_memory: Vec<ModelName>,
     /// Models with a copy of their weights on disk.
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -42,7 +42,7 @@
         suspect.crashes
     }
 
-    /// Notes that the request was answered: it crashes nothing.
+    /// Notes that such a request was answered whole: it crashes nothing.
     pub fn clear(&mut self, fingerprint: u64) {
         self.crashes.remove(&fingerprint);
     }
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -27,7 +27,6 @@
         slots: 48,
         weights_mb: 200_000.0,
         adapter_slots: 8,
-        cold_loads_per_second: 2.9,
         models: models.collect(),
     }
 }
