Let a silent stream wait unless another upstream can go on

A silence alone ended an answer: after one second on any resumable stream, also when its attempts were used up. Ruled out: the change of configuration beside it (its stream was on a kept route), and the caller (still there). Change: the decision is a module of celerystair_policy: the stream goes elsewhere only if an attempt and a retry are left and another upstream takes it now; else it waits.

--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::left_ms};
 use celerystair_net::prelude::*;
-use celerystair_policy::prelude::*;
+use celerystair_policy::{prelude::*, stall::goes_elsewhere};
 use futures_util::stream;
 use http_body_util::BodyExt;
 
@@ -14,11 +14,13 @@
     attempt::{BegunAnswer, answer_headers},
     events::EventSplitter,
     front::Front,
+    pick::{Pick, pick},
     request::{CallerRequest, Progress, Served, serve_at},
 };
 
-/// A stream without an event for this long goes on elsewhere, where it can: an engine makes one
-/// in well under a tenth of it.
+/// After a silence of this long, and again after as long, it is asked whether the stream goes on
+/// elsewhere: an engine makes an event in well under a tenth of it, and callers wait for twice as
+/// long at least.
 const STALLED_MS: u64 = 1000;
 
 /// A stream, and what is needed to go on with it.
@@ -93,19 +95,22 @@
 
     async fn next_part(&mut self) -> Part {
         let can_resume = self.request.route.can_resume;
-        let left_ms = left_ms(self.request.deadline_unix_ms);
-        let wait_ms = if can_resume {
-            left_ms.min(STALLED_MS)
-        } else {
-            left_ms
-        };
-        let Some(begun) = &mut self.begun else {
-            return Part::End;
-        };
         loop {
+            let left_ms = left_ms(self.request.deadline_unix_ms);
+            let wait_ms = if can_resume {
+                left_ms.min(STALLED_MS)
+            } else {
+                left_ms
+            };
+            let Some(begun) = &mut self.begun else {
+                return Part::End;
+            };
             let timer = compio::time::timeout(Duration::from_millis(wait_ms), begun.body.frame());
             let data = match timer.await {
-                Err(_) => return Part::Broken(AttemptFailure::Silent),
+                Err(_) if wait_ms == left_ms || self.goes_elsewhere() => {
+                    return Part::Broken(AttemptFailure::Silent);
+                }
+                Err(_) => continue,
                 Ok(Some(Err(_))) => return Part::Broken(AttemptFailure::AnswerLost),
                 Ok(None) => break,
                 Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -129,6 +134,20 @@
         }
     }
 
+    /// Whether the stream, silent for a while, is better off at another upstream.
+    fn goes_elsewhere(&self) -> bool {
+        let now = now_unix_ms();
+        let (front, service) = (&self.front, &self.service);
+        let picked = pick(front, &self.request, service, &self.progress.tried);
+        goes_elsewhere(&StallInputs {
+            can_resume: self.request.route.can_resume,
+            sent: self.progress.sent,
+            attempts_max: self.request.route.attempts_max,
+            has_retry: front.budget(service, |budget, routers| budget.has_room(now, routers)),
+            is_other_ready: matches!(picked, Pick::Now(_)),
+        })
+    }
+
     /// Keeps the connection for the next request.
     fn finish(&mut self) {
         let mut suspects = self.front.suspects.borrow_mut();
--- a/crates/celerystair_policy/src/budget.rs
+++ b/crates/celerystair_policy/src/budget.rs
@@ -46,17 +46,21 @@
         self.requests_unix_ms.push_back(now_unix_ms);
     }
 
-    /// Takes one retry, if there is one left for a router that shares the slack with
-    /// `routers` in all.
-    pub fn take(&mut self, now_unix_ms: u64, routers: u32) -> bool {
+    /// Whether there is a retry left for a router that shares the slack with `routers` in all.
+    pub fn has_room(&mut self, now_unix_ms: u64, routers: u32) -> bool {
         self.forget(now_unix_ms);
         let own_slack = self.bound.slack / f64::from(routers.max(1));
         let allowed = self.bound.ratio * self.requests_unix_ms.len() as f64 + own_slack;
-        if (self.retries_unix_ms.len() + 1) as f64 > allowed * USED_SHARE {
-            return false;
+        (self.retries_unix_ms.len() + 1) as f64 <= allowed * USED_SHARE
+    }
+
+    /// Takes one retry, if there is one left.
+    pub fn take(&mut self, now_unix_ms: u64, routers: u32) -> bool {
+        let has_room = self.has_room(now_unix_ms, routers);
+        if has_room {
+            self.retries_unix_ms.push_back(now_unix_ms);
         }
-        self.retries_unix_ms.push_back(now_unix_ms);
-        true
+        has_room
     }
 
     fn forget(&mut self, now_unix_ms: u64) {
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`outcome`] | what an attempt that failed allows next |
 //! | [`replicas`] | which model an engine loads next, and what makes room for it |
 //! | [`routes`] | which route a request takes |
+//! | [`stall`] | whether a silent stream goes on at another upstream |
 //! | [`suspects`] | which requests are refused because they crash upstreams |
 //! | [`waiting`] | whether a request waits for a replica, and what a refusal says |
 //!
@@ -27,6 +28,7 @@
 pub mod outcome;
 pub mod replicas;
 pub mod routes;
+pub mod stall;
 pub mod suspects;
 pub mod waiting;
 
@@ -45,6 +47,7 @@
         outcome::{AttemptFailure, NextStep, next_step},
         replicas::{EngineView, ModelView, Order, next_order},
         routes::{RouteTable, choose_service},
+        stall::StallInputs,
         suspects::Suspects,
         waiting::{WaitDecision, WaitInputs, decide_wait},
     };
--- /dev/null
+++ b/crates/celerystair_policy/src/stall.rs
@@ -0,0 +1,27 @@
+//! Whether a stream whose upstream has fallen silent goes on at another one. Answers engines whose
+//! memory is full under a burst: they put a run back, and it goes on after a second or two. A stream
+//! that is broken off then, with nowhere to go, is lost though its answer was on the way; so silence
+//! alone ends none.
+
+/// What is known of a stream that has been silent for a while.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StallInputs {
+    /// Whether its route lets another upstream go on after the last event.
+    pub can_resume: bool,
+    /// Upstreams that it has reached.
+    pub sent: u32,
+    /// Upstreams that it may reach.
+    pub attempts_max: u32,
+    /// Whether the retry budget has room for one more attempt.
+    pub has_retry: bool,
+    /// Whether another upstream takes it now.
+    pub is_other_ready: bool,
+}
+
+/// Whether the stream is taken elsewhere; else it waits for its upstream.
+pub fn goes_elsewhere(inputs: &StallInputs) -> bool {
+    inputs.can_resume
+        && inputs.sent < inputs.attempts_max
+        && inputs.has_retry
+        && inputs.is_other_ready
+}
--- /dev/null
+++ b/crates/celerystair_policy/tests/stall.rs
@@ -0,0 +1,82 @@
+//! Replays a burst that fills engines' memory: they put runs back, and streams fall silent.
+
+use celerystair_policy::{prelude::*, stall::goes_elsewhere};
+
+const STALLED: StallInputs = StallInputs {
+    can_resume: true,
+    sent: 1,
+    attempts_max: 2,
+    has_retry: true,
+    is_other_ready: true,
+};
+
+#[test]
+fn a_silent_stream_goes_where_it_can_go_on_at_once() {
+    assert!(goes_elsewhere(&STALLED));
+}
+
+#[test]
+fn a_silent_stream_with_nowhere_to_go_waits_for_its_upstream() {
+    let nowhere = [
+        StallInputs {
+            can_resume: false,
+            ..STALLED
+        },
+        StallInputs { sent: 2, ..STALLED },
+        StallInputs {
+            has_retry: false,
+            ..STALLED
+        },
+        StallInputs {
+            is_other_ready: false,
+            ..STALLED
+        },
+    ];
+    for inputs in nowhere {
+        assert!(!goes_elsewhere(&inputs), "{inputs:?}");
+    }
+}
+
+/// Streams that an engine puts back for a time, while every other engine is full as well: each must
+/// come to its end.
+#[test]
+fn no_stream_is_broken_off_while_all_engines_are_full() {
+    let (mut budget, now) = (bound(), 10_000);
+    for _ in 0..100 {
+        budget.note_request(now);
+    }
+    let mut broken_off = 0;
+    for stream in 0..200_u64 {
+        let at = now + stream * 20;
+        let inputs = StallInputs {
+            has_retry: budget.has_room(at, 5),
+            is_other_ready: false,
+            ..STALLED
+        };
+        broken_off += u32::from(goes_elsewhere(&inputs));
+    }
+    assert_eq!(broken_off, 0);
+}
+
+/// As many go elsewhere as the retry budget allows, and asking uses none of it.
+#[test]
+fn asking_for_a_retry_takes_none() {
+    let mut budget = bound();
+    for _ in 0..1000 {
+        assert!(budget.has_room(10_000, 5));
+    }
+    let mut taken = 0;
+    while budget.has_room(10_000, 5) {
+        assert!(budget.take(10_000, 5));
+        taken += 1;
+    }
+    assert!(taken > 0 && !budget.take(10_000, 5));
+}
+
+fn bound() -> RetryBudget {
+    RetryBudget::new(celerystair_policy::budget::RetryBound {
+        ratio: 0.2,
+        slack: 56.0,
+        window_ms: 10_000,
+    })
+}
