Find out how many loads the weight store runs at once; leave a silent upstream only for another

First: the weight store of that deployment gives one load its full speed (13.2 s), and the k-th at once takes k times as long, as the load times show (13.2, 26.4 s). At 20.8 s the only engine with the busiest model was taken away; nobody loaded it again, and 60 requests a second were refused. Change: agents note beside how many loads at once their own were on time or late and tell it with their news; celerystair_policy::cold_loads makes the limit of it. Loads that nobody asks for leave one free.

Second: requests that may be repeated left an upstream after three targets of silence with nowhere to go, and ended as 'unknown' (65 in one second of the burst). Change: the decision for silent streams holds before the first event and for reads, too.

The test of a slow weight store is replaced by one as strict: no load beside the late one, then one alone, then two once one was on time. is_overdue of a plan is gone, and the test that read it now reads what is noted.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -63,6 +63,8 @@
     pub state: RefCell<EngineState>,
     /// The load under way.
     pub plan: RefCell<Option<Plan>>,
+    /// What was seen of loads from the weight store.
+    pub cold_loads_seen: Cell<ColdLoadsSeen>,
     /// What was told last.
     pub told: RefCell<Told>,
     /// Rises with each datagram, also over lives of the agent.
@@ -126,6 +128,7 @@
             upstream: RefCell::default(),
             state: RefCell::default(),
             plan: RefCell::default(),
+            cold_loads_seen: Cell::default(),
             told: RefCell::default(),
             sequence: Cell::new(now_unix_ms()),
             client: EngineClient::new()?,
@@ -291,7 +294,8 @@
             let plan = self.decide(&config);
             if let Some(plan) = &plan {
                 info!(self.log, "load_decided"; "model" => %plan.order.load,
-                    "unload" => format!("{:?}", plan.order.unload), "cold" => plan.order.is_cold);
+                    "unload" => format!("{:?}", plan.order.unload), "cold" => plan.order.is_cold,
+                    "cold_at_once" => plan.order.cold_at_once);
             }
             *self.plan.borrow_mut() = plan;
             // Routers hear what makes room before it does.
--- a/crates/celerystair_engine/src/decide.rs
+++ b/crates/celerystair_engine/src/decide.rs
@@ -35,6 +35,13 @@
         Some(Plan::new(order, config, &self.state.borrow(), now))
     }
 
+    /// What this agent has seen of loads from the weight store, and what still holds of it.
+    pub(crate) fn cold_loads_seen(&self, now_unix_ms: u64) -> ColdLoadsSeen {
+        let mut seen = self.cold_loads_seen.get();
+        seen.forget(now_unix_ms);
+        seen
+    }
+
     fn own_view(&self, own: &UpstreamId, now_unix_ms: u64) -> EngineView {
         let state = self.state.borrow();
         let loaded_unix_ms = self.loaded_unix_ms.borrow();
@@ -51,6 +58,7 @@
             takes_orders: true,
             in_memory: state.in_memory.clone(),
             on_disk: state.on_disk.clone(),
+            cold_loads_seen: self.cold_loads_seen(now_unix_ms),
         }
     }
 }
@@ -67,11 +75,11 @@
             model,
             is_cold: status.is_loading_cold,
             ready_in_ms: status.ready_unix_ms.saturating_sub(now_unix_ms),
-            is_overdue: status.is_loading_overdue,
         }),
         takes_orders: status.takes_orders,
         in_memory: status.in_memory.clone(),
         on_disk: status.on_disk.clone(),
         kept: Vec::new(),
+        cold_loads_seen: status.cold_loads_seen,
     }
 }
--- a/crates/celerystair_engine/src/orders.rs
+++ b/crates/celerystair_engine/src/orders.rs
@@ -16,11 +16,16 @@
     pub(crate) async fn carry_out(&self, store: &Store, config: &EngineConfig, plan: Plan) {
         let now = now_unix_ms();
         let step = plan.step(config, &self.state.borrow(), now);
+        let mut seen = self.cold_loads_seen.get();
+        plan.note_run(&mut seen, config, step == PlanStep::Done, now);
+        self.cold_loads_seen.set(seen);
         match step {
             PlanStep::Wait => {}
             PlanStep::Done => {
                 info!(self.log, "model_loaded"; "model" => %plan.order.load,
-                    "late_ms" => now.saturating_sub(plan.ready_unix_ms));
+                    "late_ms" => now.saturating_sub(plan.ready_unix_ms),
+                    "cold_at_once" => plan.order.cold_at_once,
+                    "on_time_at_once" => seen.on_time, "served_at_once" => seen.served);
                 self.count_load("loaded");
                 let mut loaded = self.loaded_unix_ms.borrow_mut();
                 loaded.insert(plan.order.load.clone(), now);
@@ -40,7 +45,7 @@
                 if answer == Some(OrderAnswer::Accepted) {
                     let load_ms = load_ms(&model, config, &self.state.borrow());
                     if let Some(plan) = &mut *self.plan.borrow_mut() {
-                        plan.ready_unix_ms = now + load_ms;
+                        plan.note_ordered(load_ms, now);
                     }
                 }
             }
--- a/crates/celerystair_engine/src/plan.rs
+++ b/crates/celerystair_engine/src/plan.rs
@@ -17,6 +17,8 @@
     pub ready_unix_ms: u64,
     /// When the load is given up.
     pub until_unix_ms: u64,
+    /// When the engine has taken the order to load; `None` before, or if its answer was lost.
+    pub ordered_unix_ms: Option<u64>,
 }
 
 /// What the engine must be ordered next for a plan.
@@ -43,6 +45,36 @@
             order,
             ready_unix_ms,
             until_unix_ms: ready_unix_ms + LATE_MS,
+            ordered_unix_ms: None,
+        }
+    }
+
+    /// Notes that the engine has taken the order to load.
+    pub fn note_ordered(&mut self, load_ms: u64, now_unix_ms: u64) {
+        self.ordered_unix_ms = Some(now_unix_ms);
+        self.ready_unix_ms = now_unix_ms + load_ms;
+    }
+
+    /// Notes in `seen` how long a load from the weight store has run.
+    pub fn note_run(
+        &self,
+        seen: &mut ColdLoadsSeen,
+        config: &EngineConfig,
+        is_done: bool,
+        now_unix_ms: u64,
+    ) {
+        let model = config.models.get(&self.order.load);
+        let Some((model, ordered_unix_ms)) = model.zip(self.ordered_unix_ms) else {
+            return;
+        };
+        if self.order.is_cold {
+            let run = ColdLoadRun {
+                at_once: self.order.cold_at_once,
+                run_ms: now_unix_ms.saturating_sub(ordered_unix_ms),
+                full_speed_ms: model.cold_load_ms,
+                is_done,
+            };
+            seen.note(&run, now_unix_ms);
         }
     }
 
@@ -56,11 +88,6 @@
         }
     }
 
-    /// Whether the load takes longer than it should.
-    pub fn is_overdue(&self, now_unix_ms: u64) -> bool {
-        now_unix_ms > self.ready_unix_ms + OVERDUE_MIN_MS
-    }
-
     /// The next step, by what the engine reports.
     pub fn step(&self, config: &EngineConfig, state: &EngineState, now_unix_ms: u64) -> PlanStep {
         let is_loaded = |model: &ModelName| state.loaded.iter().any(|l| l.model == *model);
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -88,9 +88,7 @@
         ready_unix_ms: plan
             .as_ref()
             .map_or(0, |plan| plan.expected_unix_ms(now_unix_ms)),
-        is_loading_overdue: plan
-            .as_ref()
-            .is_some_and(|plan| plan.is_overdue(now_unix_ms)),
+        cold_loads_seen: agent.cold_loads_seen(now_unix_ms),
         is_loading_cold: plan.as_ref().is_some_and(|plan| plan.order.is_cold),
         waiting: state.waiting,
         running: state.running,
--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     connections::{UpstreamConnection, connect},
+    elsewhere::RECHECK_SILENCE_MS,
     front::Front,
     request::CallerRequest,
     upstream::{InFlight, Upstream},
@@ -62,19 +63,28 @@
     }
 }
 
-/// Sends the request to `upstream`; returns when its answer has begun, at the latest at
-/// `silent_unix_ms`.
+/// How long an attempt waits for its answer to begin.
+pub struct AnswerWait<'a> {
+    /// It ends then.
+    pub end_unix_ms: u64,
+    /// From then on it ends if the request is better off elsewhere.
+    pub silent_unix_ms: u64,
+    /// Whether the request is better off elsewhere.
+    pub goes_elsewhere: &'a dyn Fn() -> bool,
+}
+
+/// Sends the request to `upstream`; returns when its answer has begun.
 pub async fn send(
     front: &Front,
     request: &CallerRequest,
     upstream: &Rc<Upstream>,
     last_event_id: Option<u64>,
-    silent_unix_ms: u64,
+    wait: &AnswerWait<'_>,
 ) -> Result<BegunAnswer, FailedAttempt> {
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.enter(model, request.head.prompt_tokens);
     let work = exchange(front, request, upstream, last_event_id);
-    let work = before_deadline(silent_unix_ms, work);
+    let work = unless_silent(work, wait);
     let exchanged = match select(pin!(work), pin!(front.closing.draining())).await {
         Either::Left((Some(exchanged), _)) => exchanged,
         Either::Left((None, _)) => {
@@ -109,10 +119,26 @@
     upstream.note(|health| health.note_failure(false, now_unix_ms()));
     Err(FailedAttempt {
         failure: AttemptFailure::Failed,
-        answer: collect(begun, silent_unix_ms).await.ok(),
+        answer: collect(begun, wait.end_unix_ms).await.ok(),
     })
 }
 
+/// The result of `work`, unless the wait for it ends first.
+async fn unless_silent<T>(work: impl Future<Output = T>, wait: &AnswerWait<'_>) -> Option<T> {
+    let mut work = pin!(work);
+    let mut until_unix_ms = wait.silent_unix_ms.min(wait.end_unix_ms);
+    loop {
+        if let Some(result) = before_deadline(until_unix_ms, work.as_mut()).await {
+            return Some(result);
+        }
+        let now = now_unix_ms();
+        if now >= wait.end_unix_ms || (wait.goes_elsewhere)() {
+            return None;
+        }
+        until_unix_ms = (now + RECHECK_SILENCE_MS).min(wait.end_unix_ms);
+    }
+}
+
 async fn exchange(
     front: &Front,
     request: &CallerRequest,
--- /dev/null
+++ b/crates/celerystair_front/src/elsewhere.rs
@@ -0,0 +1,35 @@
+//! Whether a request that its upstream leaves without an answer, or without the next event, goes on
+//! at another one: it gathers what is known, and leaves the decision to `celerystair_policy`.
+
+use celerystair_core::prelude::*;
+use celerystair_policy::{prelude::*, stall::goes_elsewhere};
+
+use crate::{
+    front::Front,
+    pick::{Pick, pick},
+    request::CallerRequest,
+};
+
+/// How often it is asked again while the silence lasts: room at another upstream comes and goes
+/// with each answer that ends there.
+pub const RECHECK_SILENCE_MS: u64 = 250;
+
+/// Whether the silent request goes elsewhere now. It was sent to the upstreams in `tried`, of which
+/// it has reached `sent`.
+pub fn leaves_silent_upstream(
+    front: &Front,
+    request: &CallerRequest,
+    service: &ServiceName,
+    tried: &[UpstreamId],
+    sent: u32,
+) -> bool {
+    let now = now_unix_ms();
+    let inputs = StallInputs {
+        is_repeatable: request.route.is_repeatable(),
+        sent,
+        attempts_max: request.route.attempts_max,
+        has_retry: front.budget(service, |budget, routers| budget.has_room(now, routers)),
+        is_other_ready: matches!(pick(front, request, service, tried), Pick::Now(_)),
+    };
+    goes_elsewhere(&inputs)
+}
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`connections`] | connections to upstreams |
 //! | [`demand`] | what this router tells agents of its demand |
 //! | [`dialect`] | how a platform's headers are read and written |
+//! | [`elsewhere`] | whether a request that hears nothing goes on at another upstream |
 //! | [`events`] | the events of a stream |
 //! | [`front`] | the router's state, its start and its planned stop |
 //! | [`log`] | a line for each decision that touches a request |
@@ -30,6 +31,7 @@
 pub mod connections;
 pub mod demand;
 pub mod dialect;
+pub mod elsewhere;
 pub mod events;
 pub mod front;
 pub mod log;
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -9,8 +9,9 @@
 use futures_util::future::select;
 
 use crate::{
-    attempt::{BegunAnswer, FailedAttempt, WholeAnswer, collect, send},
+    attempt::{AnswerWait, BegunAnswer, FailedAttempt, WholeAnswer, collect, send},
     dialect::CallerHead,
+    elsewhere::leaves_silent_upstream,
     front::Front,
     pick::{Pick, WaitsFor, pick},
     stream::streamed,
@@ -21,8 +22,8 @@
 const WAITING_MAX: usize = 400;
 /// Kept from a caller's time for the way back.
 const ANSWER_MARGIN_MS: u64 = 20;
-/// An upstream that is silent for this many times the route's target is taken for dead, where the
-/// request can be sent elsewhere.
+/// An upstream that is silent for this many times the route's target is left, where another one
+/// takes the request now.
 const SILENT_TARGETS: u64 = 3;
 /// But not before this.
 const SILENT_MIN_MS: u64 = 400;
@@ -147,7 +148,7 @@
         {
             return fall_back(progress, RefusalReason::Overloaded, "no retry is left");
         }
-        match attempt(front, request, &upstream, last_event_id).await {
+        match attempt(front, request, service, progress, &upstream, last_event_id).await {
             Ok(served) => {
                 front.log_start(request, &upstream, waited, now);
                 progress.tried.push(upstream.id());
@@ -172,22 +173,26 @@
 async fn attempt(
     front: &Front,
     request: &CallerRequest,
+    service: &ServiceName,
+    progress: &Progress,
     upstream: &Rc<Upstream>,
     last_event_id: Option<u64>,
 ) -> Result<Served, FailedAttempt> {
-    let now = now_unix_ms();
-    let answer_by_unix_ms = request.deadline_unix_ms - ANSWER_MARGIN_MS;
-    let silent_unix_ms = if request.route.is_repeatable() {
-        let silent_ms = (request.route.target_latency_ms * SILENT_TARGETS).max(SILENT_MIN_MS);
-        answer_by_unix_ms.min(now + silent_ms)
-    } else {
-        answer_by_unix_ms
+    let mut tried = progress.tried.clone();
+    tried.push(upstream.id());
+    let sent = progress.sent + 1;
+    let silent_ms = (request.route.target_latency_ms * SILENT_TARGETS).max(SILENT_MIN_MS);
+    let end_unix_ms = request.deadline_unix_ms - ANSWER_MARGIN_MS;
+    let wait = AnswerWait {
+        end_unix_ms,
+        silent_unix_ms: now_unix_ms() + silent_ms,
+        goes_elsewhere: &|| leaves_silent_upstream(front, request, service, &tried, sent),
     };
-    let begun = send(front, request, upstream, last_event_id, silent_unix_ms).await?;
+    let begun = send(front, request, upstream, last_event_id, &wait).await?;
     if request.route.kind == RequestKind::Stream {
         return Ok(Served::Begun(begun));
     }
-    Ok(Served::Whole(collect(begun, silent_unix_ms).await?))
+    Ok(Served::Whole(collect(begun, end_unix_ms).await?))
 }
 
 /// Takes in a failed attempt. Gives what the upstream itself answered if no other one may be
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -6,21 +6,20 @@
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::left_ms};
 use celerystair_net::prelude::*;
-use celerystair_policy::{prelude::*, stall::goes_elsewhere};
+use celerystair_policy::prelude::*;
 use futures_util::stream;
 use http_body_util::BodyExt;
 
 use crate::{
     attempt::{BegunAnswer, answer_headers},
+    elsewhere::{RECHECK_SILENCE_MS, leaves_silent_upstream},
     events::EventSplitter,
     front::Front,
-    pick::{Pick, pick},
     request::{CallerRequest, Progress, Served, serve_at},
 };
 
-/// After a silence of this long, and again after as long, it is asked whether the stream goes on
-/// elsewhere: an engine makes an event in well under a tenth of it, and callers wait for twice as
-/// long at least.
+/// After a silence of this long it is asked whether the stream goes on elsewhere: an engine makes an
+/// event in well under a tenth of it, and callers wait for twice as long at least.
 const STALLED_MS: u64 = 1000;
 
 /// A stream, and what is needed to go on with it.
@@ -95,10 +94,11 @@
 
     async fn next_part(&mut self) -> Part {
         let can_resume = self.request.route.can_resume;
+        let mut silence_ms = STALLED_MS;
         loop {
             let left_ms = left_ms(self.request.deadline_unix_ms);
             let wait_ms = if can_resume {
-                left_ms.min(STALLED_MS)
+                left_ms.min(silence_ms)
             } else {
                 left_ms
             };
@@ -110,7 +110,10 @@
                 Err(_) if wait_ms == left_ms || self.goes_elsewhere() => {
                     return Part::Broken(AttemptFailure::Silent);
                 }
-                Err(_) => continue,
+                Err(_) => {
+                    silence_ms = RECHECK_SILENCE_MS;
+                    continue;
+                }
                 Ok(Some(Err(_))) => return Part::Broken(AttemptFailure::AnswerLost),
                 Ok(None) => break,
                 Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -136,16 +139,8 @@
 
     /// Whether the stream, silent for a while, is better off at another upstream.
     fn goes_elsewhere(&self) -> bool {
-        let now = now_unix_ms();
-        let (front, service) = (&self.front, &self.service);
-        let picked = pick(front, &self.request, service, &self.progress.tried);
-        goes_elsewhere(&StallInputs {
-            can_resume: self.request.route.can_resume,
-            sent: self.progress.sent,
-            attempts_max: self.request.route.attempts_max,
-            has_retry: front.budget(service, |budget, routers| budget.has_room(now, routers)),
-            is_other_ready: matches!(picked, Pick::Now(_)),
-        })
+        let Progress { tried, sent, .. } = &self.progress;
+        leaves_silent_upstream(&self.front, &self.request, &self.service, tried, *sent)
     }
 
     /// Keeps the connection for the next request.
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -31,8 +31,8 @@
     pub ready_unix_ms: u64,
     /// Whether that model's weights come from the weight store.
     pub is_loading_cold: bool,
-    /// Whether that load takes longer than it should.
-    pub is_loading_overdue: bool,
+    /// What its agent has seen of loads from the weight store.
+    pub cold_loads_seen: ColdLoadsSeen,
     /// Requests that wait there.
     pub waiting: u32,
     /// Requests that run there.
@@ -76,7 +76,12 @@
             loading: (!news.loading.is_empty()).then(|| news.loading.into()),
             ready_unix_ms: now_unix_ms + u64::from(news.ready_in_ms),
             is_loading_cold: news.loading_is_cold,
-            is_loading_overdue: news.loading_is_overdue,
+            cold_loads_seen: ColdLoadsSeen {
+                on_time: news.cold_loads_on_time,
+                served: news.cold_loads_served,
+                // Its agent forgets it; this copy is replaced by the next news.
+                forget_unix_ms: u64::MAX,
+            },
             waiting: news.waiting,
             running: news.running,
             in_memory: models(news.in_memory),
@@ -112,7 +117,8 @@
             on_disk: names(&self.on_disk),
             routers: self.routers,
             loading_is_cold: self.is_loading_cold,
-            loading_is_overdue: self.is_loading_overdue,
+            cold_loads_on_time: self.cold_loads_seen.on_time,
+            cold_loads_served: self.cold_loads_seen.served,
             takes_orders: self.takes_orders,
         }
     }
@@ -128,7 +134,7 @@
             loading: None,
             ready_unix_ms: 0,
             is_loading_cold: false,
-            is_loading_overdue: false,
+            cold_loads_seen: ColdLoadsSeen::default(),
             waiting: 0,
             running: 0,
             in_memory: Vec::new(),
--- /dev/null
+++ b/crates/celerystair_policy/src/cold_loads.rs
@@ -0,0 +1,88 @@
+//! How many loads from the weight store run at once. Answers a store that serves one load at full
+//! speed, or four: each load beyond takes proportionally longer, and can't be given up. Where idle
+//! models are fetched all at once, a model that everybody asks for waits for all of them.
+//!
+//! No deployment says how many run at full speed, so agents find out: each notes beside how many
+//! others its own loads were on time or late, and tells it. See `docs/COLD_STARTS.md`.
+
+/// Loads that run at once before anything was seen, and by how many more are tried where those so
+/// far were on time: the least that tells a store that serves one from others.
+const STEP: u32 = 2;
+/// A load that takes this many times as long as one alone is late. Reports are read every 50 ms, and
+/// loads take seconds.
+const LATE_RATIO: f64 = 1.1;
+/// A late load tells nothing of the store after this long: it may be as fast as ever again.
+const LATE_MEMORY_MS: u64 = 60_000;
+
+/// What one agent has seen of its own loads.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ColdLoadsSeen {
+    /// The most loads at once, its own among them, of which its own was on time; 0 if none was.
+    pub on_time: u32,
+    /// Loads that the store serves at full speed, by the latest load that was late; 0 if none was.
+    pub served: u32,
+    /// When that is forgotten; 0 if there is nothing to forget.
+    pub forget_unix_ms: u64,
+}
+
+/// A load from the weight store as its agent sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ColdLoadRun {
+    /// Loads that ran when it began, itself among them.
+    pub at_once: u32,
+    /// How long it has run.
+    pub run_ms: u64,
+    /// How long one alone takes.
+    pub full_speed_ms: u64,
+    /// Whether it is done.
+    pub is_done: bool,
+}
+
+impl ColdLoadsSeen {
+    /// Notes a load; may be called again and again while it runs.
+    pub fn note(&mut self, run: &ColdLoadRun, now_unix_ms: u64) {
+        self.forget(now_unix_ms);
+        let ratio = run.run_ms as f64 / run.full_speed_ms.max(1) as f64;
+        if ratio > LATE_RATIO {
+            self.served = ((f64::from(run.at_once) / ratio) as u32).max(1);
+            self.on_time = self.on_time.min(self.served);
+            self.forget_unix_ms = now_unix_ms + LATE_MEMORY_MS;
+        } else if run.is_done {
+            self.on_time = self.on_time.max(run.at_once);
+        }
+    }
+
+    /// Forgets what may no longer hold.
+    pub fn forget(&mut self, now_unix_ms: u64) {
+        if now_unix_ms >= self.forget_unix_ms {
+            self.served = 0;
+            self.forget_unix_ms = 0;
+        }
+    }
+}
+
+/// How many loads from the weight store may run at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ColdLoadLimit {
+    /// As many are known to run at full speed, or must be tried to know anything.
+    pub known: usize,
+    /// As many may run where callers wait.
+    pub max: usize,
+}
+
+/// The limit by what all agents have seen.
+pub fn cold_load_limit(seen: impl IntoIterator<Item = ColdLoadsSeen>) -> ColdLoadLimit {
+    let (mut on_time, mut served) = (0, u32::MAX);
+    for agent in seen {
+        on_time = on_time.max(agent.on_time);
+        if agent.served > 0 {
+            served = served.min(agent.served);
+        }
+    }
+    let known = if on_time == 0 { STEP } else { on_time };
+    let max = if on_time < STEP { STEP } else { on_time + STEP };
+    ColdLoadLimit {
+        known: known.min(served) as usize,
+        max: max.min(served) as usize,
+    }
+}
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`budget`] | whether one more attempt fits the fleet's share of retries |
 //! | [`choose`] | which upstream gets an attempt |
+//! | [`cold_loads`] | how many loads from the weight store run at once |
 //! | [`demand`] | how much each model is asked for |
 //! | [`departures`] | when an upstream that is missing from the list counts as gone |
 //! | [`fleet`] | nothing: the configuration and the upstreams that decisions are about |
@@ -21,6 +22,7 @@
 
 pub mod budget;
 pub mod choose;
+pub mod cold_loads;
 pub mod demand;
 pub mod departures;
 pub mod fleet;
@@ -37,6 +39,7 @@
     pub use crate::{
         budget::RetryBudget,
         choose::{Candidate, choose_upstream},
+        cold_loads::{ColdLoadRun, ColdLoadsSeen},
         demand::DemandMeter,
         departures::Departures,
         fleet::{
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -9,7 +9,10 @@
 
 use celerystair_core::{prelude::*, rendezvous::weight};
 
-use crate::fleet::EngineConfig;
+use crate::{
+    cold_loads::{ColdLoadLimit, ColdLoadsSeen, cold_load_limit},
+    fleet::EngineConfig,
+};
 
 /// What the fleet asks of one model.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -56,6 +59,8 @@
     pub on_disk: Vec<ModelName>,
     /// Models that make no room now: they were loaded a moment ago.
     pub kept: Vec<ModelName>,
+    /// What its agent has seen of loads from the weight store.
+    pub cold_loads_seen: ColdLoadsSeen,
 }
 
 /// A load that an engine carries out.
@@ -67,8 +72,6 @@
     pub is_cold: bool,
     /// How long it still takes.
     pub ready_in_ms: u64,
-    /// Whether it takes longer than it should.
-    pub is_overdue: bool,
 }
 
 /// What an engine is to do: unload, then load.
@@ -80,14 +83,15 @@
     pub unload: Vec<ModelName>,
     /// Whether the weights come from the weight store.
     pub is_cold: bool,
+    /// Loads from the weight store that run then, this one among them if it is one.
+    pub cold_at_once: u32,
 }
 
 /// A replica is asked to carry this part of its engine's slots; above it another one is wanted.
 /// Beyond it prompts that are read delay the tokens of the others past the pause that is allowed.
 const REPLICA_LOAD_SHARE: f64 = 0.25;
-/// Loads from the weight store that run at full speed together; more only slow one another. Where
-/// one of them is overdue, fewer do, and no other one begins until it is done.
-const COLD_LOADS_AT_ONCE: usize = 4;
+/// Loads from the weight store that are left to models that somebody asks for.
+const COLD_LOADS_FOR_ASKED: usize = 1;
 /// Seconds of a model's demand that a load or an eviction is weighed by.
 const HORIZON_SECONDS: f64 = 3.0;
 /// What a waiting request weighs against one that is expected.
@@ -157,6 +161,9 @@
     rooms: Vec<Room<'a>>,
     is_taken: Vec<bool>,
     cold_loads: usize,
+    cold_limit: ColdLoadLimit,
+    /// Whether anything is asked for at all.
+    is_asked: bool,
 }
 
 impl<'a> Fleet<'a> {
@@ -173,10 +180,6 @@
             }
         }
         let is_cold = |engine: &&EngineView| engine.loading.as_ref().is_some_and(|l| l.is_cold);
-        let is_store_slow = engines.iter().filter(is_cold).any(|engine| {
-            let load = engine.loading.as_ref();
-            load.is_some_and(|load| load.is_overdue)
-        });
         let mut fleet = Self {
             config,
             models,
@@ -184,11 +187,9 @@
             replicas,
             rooms: Vec::new(),
             is_taken: vec![false; engines.len()],
-            cold_loads: if is_store_slow {
-                COLD_LOADS_AT_ONCE
-            } else {
-                engines.iter().filter(is_cold).count()
-            },
+            cold_loads: engines.iter().filter(is_cold).count(),
+            cold_limit: cold_load_limit(engines.iter().map(|engine| engine.cold_loads_seen)),
+            is_asked: models.values().any(is_asked),
         };
         fleet.rooms = engines.iter().map(|engine| fleet.room(engine)).collect();
         fleet
@@ -301,7 +302,7 @@
         let (_, _, index) = best?;
         let engine = &self.engines[index];
         let (_, is_cold) = self.load_ms(engine, need.model);
-        if engine.loading.is_some() || (is_cold && self.cold_loads >= COLD_LOADS_AT_ONCE) {
+        if engine.loading.is_some() || (is_cold && !self.may_load_cold(need)) {
             return None;
         }
         let order = Order {
@@ -312,6 +313,7 @@
                 .map(|(_, _, model)| (*model).clone())
                 .collect(),
             is_cold,
+            cold_at_once: self.cold_loads as u32 + u32::from(is_cold),
         };
         Some(Chosen {
             engine: index,
@@ -319,6 +321,20 @@
         })
     }
 
+    /// Whether one more load from the weight store may begin. One that nobody asks for leaves room:
+    /// it can't be given up when somebody asks for another model.
+    fn may_load_cold(&self, need: &Need<'_>) -> bool {
+        if need.gain > 0.0 {
+            return self.cold_loads < self.cold_limit.max;
+        }
+        let kept_free = if self.is_asked {
+            COLD_LOADS_FOR_ASKED
+        } else {
+            0
+        };
+        self.cold_loads + kept_free < self.cold_limit.known
+    }
+
     fn load_ms(&self, engine: &EngineView, model: &ModelName) -> (u64, bool) {
         let config = self.config.models.get(model);
         let ms = |of: fn(&crate::fleet::ModelConfig) -> u64| config.map_or(0, of);
@@ -374,6 +390,10 @@
     }
 }
 
+fn is_asked(model: &ModelView) -> bool {
+    model.requests_per_second > 0.0 || model.waiting > 0
+}
+
 fn has(engine: &EngineView, model: &ModelName) -> bool {
     engine.loaded.contains(model) || engine.loading.as_ref().is_some_and(|l| l.model == *model)
 }
--- a/crates/celerystair_policy/src/stall.rs
+++ b/crates/celerystair_policy/src/stall.rs
@@ -1,13 +1,13 @@
-//! Whether a stream whose upstream has fallen silent goes on at another one. Answers engines whose
-//! memory is full under a burst: they put a run back, and it goes on after a second or two. A stream
-//! that is broken off then, with nowhere to go, is lost though its answer was on the way; so silence
-//! alone ends none.
+//! Whether a request whose upstream has fallen silent goes on at another one. Answers engines whose
+//! memory is full under a burst: they put a run back, or begin it late, and it goes on after a second
+//! or two. A request that is broken off then, with nowhere to go, is lost though its answer was on
+//! the way; so silence alone ends none.
 
-/// What is known of a stream that has been silent for a while.
+/// What is known of a request that has heard nothing for a while.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StallInputs {
-    /// Whether its route lets another upstream go on after the last event.
-    pub can_resume: bool,
+    /// Whether it may run more than once; a stream, whether it may go on after its last event.
+    pub is_repeatable: bool,
     /// Upstreams that it has reached.
     pub sent: u32,
     /// Upstreams that it may reach.
@@ -18,9 +18,9 @@
     pub is_other_ready: bool,
 }
 
-/// Whether the stream is taken elsewhere; else it waits for its upstream.
+/// Whether the request is taken elsewhere; else it waits for its upstream.
 pub fn goes_elsewhere(inputs: &StallInputs) -> bool {
-    inputs.can_resume
+    inputs.is_repeatable
         && inputs.sent < inputs.attempts_max
         && inputs.has_retry
         && inputs.is_other_ready
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -75,7 +75,6 @@
                 model: order.load.clone(),
                 is_cold: order.is_cold,
                 ready_in_ms: 1000,
-                is_overdue: false,
             });
             assert!(held_mb(config, engine) <= room_mb(config), "{engine:?}");
             orders.push((own, order));
@@ -160,6 +159,8 @@
 fn loads_from_the_weight_store_are_few_and_the_most_wanted() {
     let config = config(30);
     let mut engines: Vec<EngineView> = (0..12).map(|n| engine(n, &[n])).collect();
+    engines[3].cold_loads_seen.on_time = 4;
+    engines[7].cold_loads_seen.served = 4;
     let mut models = HashMap::default();
     for number in 12..30 {
         models.insert(model(number), asked(f64::from(number as u32), 1, 0));
@@ -172,7 +173,6 @@
                 model: order.load.clone(),
                 is_cold: true,
                 ready_in_ms: 6000,
-                is_overdue: false,
             });
             cold.push(order.load);
         }
@@ -198,18 +198,28 @@
         model: model(12),
         is_cold: true,
         ready_in_ms: 3000,
-        is_overdue: true,
     });
-    let orders = |engines: &[EngineView]| {
+    engines[0].cold_loads_seen.served = 1;
+    let orders = |engines: &[EngineView]| -> Vec<Order> {
         let orders =
             (0..engines.len()).filter_map(|own| next_order(&config, &models, engines, own));
-        orders.count()
+        orders.collect()
     };
-    assert_eq!(orders(&engines), 0);
+    assert_eq!(orders(&engines), []);
     engines[1].on_disk.push(model(20));
-    assert_eq!(orders(&engines), 1, "a load from a disk needs no store");
+    assert_eq!(orders(&engines).len(), 1, "a disk needs no store");
     engines[0].loading = None;
-    assert!(orders(&engines) > 1);
+    let cold = |orders: &[Order]| orders.iter().filter(|order| order.is_cold).count();
+    assert_eq!(cold(&orders(&engines)), 1, "the next one, alone");
+    engines[0].cold_loads_seen = ColdLoadsSeen {
+        on_time: 1,
+        ..ColdLoadsSeen::default()
+    };
+    assert_eq!(
+        cold(&orders(&engines)),
+        2,
+        "once the store is as it should be"
+    );
 }
 
 /// Engines are taken away at short notice: what only they had comes up elsewhere.
--- a/crates/celerystair_policy/tests/stall.rs
+++ b/crates/celerystair_policy/tests/stall.rs
@@ -1,9 +1,9 @@
-//! Replays a burst that fills engines' memory: they put runs back, and streams fall silent.
+//! Replays a burst that fills engines' memory: they put runs back, and requests hear nothing.
 
 use celerystair_policy::{prelude::*, stall::goes_elsewhere};
 
 const STALLED: StallInputs = StallInputs {
-    can_resume: true,
+    is_repeatable: true,
     sent: 1,
     attempts_max: 2,
     has_retry: true,
@@ -19,7 +19,7 @@
 fn a_silent_stream_with_nowhere_to_go_waits_for_its_upstream() {
     let nowhere = [
         StallInputs {
-            can_resume: false,
+            is_repeatable: false,
             ..STALLED
         },
         StallInputs { sent: 2, ..STALLED },
