Come back faster after a loss of all power; stop adapters from taking turns

Routers just started had heard of no engine and took every model for one without a copy: 900 requests in a second were refused as 13.2 s away, though their weights lay on disks and were loaded a second later. 2. The old entries of all engines stay in the list for 3.6 s beside the new ones at the same addresses: 760 attempts in a second were declined by the next life there, and used up the retry budget (280 refusals). 3. Agents loaded and unloaded the same adapter every 31 ms (425 orders a second) once more were wanted than have a place: the one that had made room was the first found missing. Changes: without news of half of the engines a model counts as on a disk; of two entries at one address the later start is the upstream; adapters are decided by a module of celerystair_policy, where only one that was wanted later takes a place. Agents forget when an adapter was wanted after a minute (that list grew without bound). Ruled out: slow starts (all 71 processes were up 0.3 s after the power).

--- a/crates/celerystair_engine/src/adapters.rs
+++ b/crates/celerystair_engine/src/adapters.rs
@@ -1,56 +1,54 @@
-//! Adapters of loaded models: loaded when requests wait for them, dropped when others need the place.
+//! Adapters of loaded models: it gathers which are loaded and wanted, and carries out what
+//! `celerystair_policy` decides.
 
 use celerystair_core::prelude::*;
 use celerystair_platform::prelude::*;
-use celerystair_policy::{prelude::*, replicas::adapter_to_drop};
+use celerystair_policy::{
+    adapters::{AdapterOrder, AdapterUse, next_adapter_order},
+    prelude::*,
+};
 
 use crate::{agent::EngineAgent, dialect::OrderKind};
 
-/// An adapter that was wanted within this time makes no room for another.
-const ADAPTER_KEEP_MS: u64 = 300;
-/// An adapter that was not wanted for so long is not loaded any more.
-const FORGET_ADAPTER_MS: u64 = 1500;
-
 impl EngineAgent {
-    /// Loads the adapters that requests wait for, and drops what was wanted least lately.
+    /// Gives the next order for an adapter, if there is one to be given.
     pub(crate) async fn order_adapters(&self, store: &Store, config: &EngineConfig) {
+        let uses = self.adapter_uses();
         let now = now_unix_ms();
-        let loaded = self.state.borrow().loaded.clone();
-        let has = |model: &ModelName, adapter: &String| {
-            let model = loaded.iter().find(|loaded| loaded.model == *model);
-            model.map(|model| model.adapters.contains(adapter))
-        };
-        let wanted = self.wanted_unix_ms.borrow().clone();
-        let missing = wanted.iter().find(|((model, adapter), unix_ms)| {
-            now < **unix_ms + FORGET_ADAPTER_MS && has(model, adapter) == Some(false)
-        });
-        let Some(((model, adapter), _)) = missing else {
-            return;
+        let (kind, adapter) = match next_adapter_order(config.adapter_slots, &uses, now) {
+            Some(AdapterOrder::Load(adapter)) => (OrderKind::Load, adapter),
+            Some(AdapterOrder::Unload(adapter)) => (OrderKind::Unload, adapter),
+            None => return,
         };
-        let adapters: Vec<(ModelName, String)> = loaded
-            .iter()
-            .flat_map(|l| {
-                l.adapters
-                    .iter()
-                    .map(|adapter| (l.model.clone(), adapter.clone()))
-            })
-            .collect();
-        let used = adapters.iter().map(|adapter| {
-            let wanted = wanted.get(adapter).copied();
-            (adapter, wanted.unwrap_or_default())
-        });
-        if let Some((old_model, old)) = adapter_to_drop(config, used) {
-            let key = (old_model.clone(), old.clone());
-            let used_unix_ms = wanted.get(&key).copied().unwrap_or_default();
-            if now < used_unix_ms + ADAPTER_KEEP_MS {
-                return;
+        self.order(store, kind, &adapter.model, Some(&adapter.adapter))
+            .await;
+        self.wake();
+    }
+
+    /// The adapters of loaded models, loaded or wanted.
+    fn adapter_uses(&self) -> Vec<AdapterUse> {
+        let (state, wanted) = (self.state.borrow(), self.wanted_unix_ms.borrow());
+        let mut uses = Vec::new();
+        for loaded in &state.loaded {
+            let key = |adapter: &String| (loaded.model.clone(), adapter.clone());
+            for adapter in &loaded.adapters {
+                uses.push(AdapterUse {
+                    model: loaded.model.clone(),
+                    adapter: adapter.clone(),
+                    wanted_unix_ms: wanted.get(&key(adapter)).copied().unwrap_or_default(),
+                    is_loaded: true,
+                });
             }
-            self.order(store, OrderKind::Unload, old_model, Some(old))
-                .await;
-        } else {
-            self.order(store, OrderKind::Load, model, Some(adapter))
-                .await;
+            let missing = wanted.iter().filter(|((model, adapter), _)| {
+                *model == loaded.model && !loaded.adapters.contains(adapter)
+            });
+            uses.extend(missing.map(|((model, adapter), unix_ms)| AdapterUse {
+                model: model.clone(),
+                adapter: adapter.clone(),
+                wanted_unix_ms: *unix_ms,
+                is_loaded: false,
+            }));
         }
-        self.wake();
+        uses
     }
 }
--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -34,6 +34,8 @@
 const GAP_MS: u64 = 10;
 /// Reports that fail in a row before the engine counts as down.
 const FAILURES_MAX: u32 = 2;
+/// Adapters that were not wanted for so long are alike when one has to make room.
+const WANTED_MEMORY_MS: u64 = 60_000;
 /// How often the agent looks for its engine in the list while it isn't there.
 const FIND_INTERVAL_MS: u64 = 500;
 
@@ -161,6 +163,7 @@
     pub fn note_demand(&self, demand: RouterDemand) -> bool {
         let now = now_unix_ms();
         let mut wanted = self.wanted_unix_ms.borrow_mut();
+        wanted.retain(|_, wanted_unix_ms| now < *wanted_unix_ms + WANTED_MEMORY_MS);
         for adapter in &demand.adapters_wanted {
             wanted.insert(adapter.clone(), now);
         }
--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -228,7 +228,7 @@
 
 fn note_bad_head(upstream: &Upstream, failure: AttemptFailure) {
     match failure {
-        AttemptFailure::Misdirected => upstream.replaced.set(true),
+        AttemptFailure::Misdirected => upstream.misdirected.set(true),
         // It is as well as before; only what was known of it is old.
         AttemptFailure::NotLoaded => {}
         _ => {
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -118,7 +118,7 @@
 
 fn is_usable(upstream: &Upstream, tried: &[UpstreamId]) -> bool {
     let entry = upstream.entry.borrow();
-    entry.state == UpstreamState::Ready && !upstream.replaced.get() && !tried.contains(&entry.id)
+    entry.state == UpstreamState::Ready && !upstream.is_replaced() && !tried.contains(&entry.id)
 }
 
 /// The news of the upstream's own life.
@@ -158,13 +158,13 @@
     let Some(config) = engine.models.get(model) else {
         return u64::MAX;
     };
-    let load_ms = if known().any(|status| status.in_memory.contains(model)) {
-        config.memory_load_ms
-    } else if known().any(|status| status.on_disk.contains(model)) {
-        config.disk_load_ms
-    } else {
-        config.cold_load_ms
+    let copies = KnownCopies {
+        in_memory: known().any(|status| status.in_memory.contains(model)),
+        on_disk: known().any(|status| status.on_disk.contains(model)),
+        engines: statuses.len(),
+        unheard: statuses.len() - known().count(),
     };
+    let load_ms = shortest_load_ms(config, &copies);
     now_unix_ms + load_ms + ORDER_DELAY_MS
 }
 
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -27,8 +27,10 @@
     pub connections: Connections,
     /// What was seen of it.
     pub health: Cell<UpstreamHealth>,
-    /// Whether another upstream has its address by now.
-    pub replaced: Cell<bool>,
+    /// Whether another upstream has answered at its address.
+    pub misdirected: Cell<bool>,
+    /// Whether the list has a later upstream at its address.
+    pub superseded: Cell<bool>,
     in_flight: Cell<u32>,
     in_flight_by_model: RefCell<HashMap<ModelName, u32>>,
     /// When requests were sent there, and the tokens of their prompts.
@@ -45,7 +47,8 @@
             entry: RefCell::new(entry),
             connections: Connections::default(),
             health: Cell::default(),
-            replaced: Cell::new(false),
+            misdirected: Cell::new(false),
+            superseded: Cell::new(false),
             in_flight: Cell::new(0),
             in_flight_by_model: RefCell::default(),
             sent: RefCell::default(),
@@ -59,6 +62,11 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Whether another upstream has its address by now.
+    pub fn is_replaced(&self) -> bool {
+        self.misdirected.get() || self.superseded.get()
+    }
+
     /// Requests of this router that are there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -173,6 +173,7 @@
             departures.note_present(&id);
             self.put_upstream(&mut upstreams, entry);
         }
+        self.note_superseded(&upstreams);
         let mut by_service: HashMap<ServiceName, Vec<Rc<Upstream>>> = HashMap::default();
         for upstream in upstreams.values() {
             let service = upstream.entry.borrow().service.clone();
@@ -185,6 +186,23 @@
         drop((upstreams, departures));
     }
 
+    /// Marks the upstreams whose address a later one has. One that has answered for another is out
+    /// already, and says nothing of others: clocks differ, and it may call itself the later one.
+    fn note_superseded(&self, upstreams: &HashMap<UpstreamId, Rc<Upstream>>) {
+        let candidates = upstreams.values().filter(|u| !u.misdirected.get());
+        let entries: Vec<Rc<UpstreamEntry>> =
+            candidates.map(|u| u.entry.borrow().clone()).collect();
+        let replaced = replaced_entries(entries.iter().map(|entry| &**entry));
+        for (id, upstream) in upstreams {
+            let is_superseded = replaced.contains(id);
+            if is_superseded && !upstream.superseded.get() {
+                info!(self.inner.log, "upstream_superseded"; "upstream" => %id,
+                    "in_flight" => upstream.in_flight());
+            }
+            upstream.superseded.set(is_superseded);
+        }
+    }
+
     /// Takes in an entry; another start under the same id is another upstream.
     fn put_upstream(
         &self,
--- a/crates/celerystair_policy/src/departures.rs
+++ b/crates/celerystair_policy/src/departures.rs
@@ -1,9 +1,14 @@
-//! When an upstream that is missing from the list counts as gone. Answers an outage of the store
-//! in which entries expire though their upstreams live: all of them vanish from the list at once,
-//! and are back within seconds of the store's return.
+//! When an upstream counts as gone. Answers an outage of the store in which entries expire though
+//! their upstreams live: all of them vanish from the list at once, and are back within seconds of
+//! the store's return. Answers the loss of all power, too: every upstream starts again at its old
+//! address, and its old entry stays in the list for seconds.
+
+use std::net::SocketAddr;
 
 use celerystair_core::prelude::*;
 
+use crate::fleet::UpstreamEntry;
+
 /// An entry that expired in an outage is back within this time of the store's return if its
 /// upstream lives; the platform's own figure.
 pub const RETURN_GRACE_MS: u64 = 2000;
@@ -46,3 +51,21 @@
         times.filter(|time| *time > now_unix_ms).min()
     }
 }
+
+/// The entries whose address another one has by now: of those at one address, all but the one that
+/// started last. An upstream that has crashed leaves its entry behind until it expires, and whoever
+/// sends there reaches the next one.
+pub fn replaced_entries<'a>(
+    entries: impl IntoIterator<Item = &'a UpstreamEntry>,
+) -> HashSet<UpstreamId> {
+    let mut latest: HashMap<SocketAddr, &UpstreamEntry> = HashMap::default();
+    let mut replaced = HashSet::default();
+    for entry in entries {
+        let earlier = match latest.get(&entry.address) {
+            Some(known) if known.born_unix_ms >= entry.born_unix_ms => Some(entry),
+            _ => latest.insert(entry.address, entry),
+        };
+        replaced.extend(earlier.map(|entry| entry.id.clone()));
+    }
+    replaced
+}
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -4,11 +4,12 @@
 //!
 //! | module | decides |
 //! |---|---|
+//! | [`adapters`] | which adapter an engine loads next, and which makes room for it |
 //! | [`budget`] | whether one more attempt fits the fleet's share of retries |
 //! | [`choose`] | which upstream gets an attempt |
 //! | [`cold_loads`] | how many loads from the weight store run at once |
 //! | [`demand`] | how much each model is asked for |
-//! | [`departures`] | when an upstream that is missing from the list counts as gone |
+//! | [`departures`] | when an upstream counts as gone |
 //! | [`fleet`] | nothing: the configuration and the upstreams that decisions are about |
 //! | [`health`] | which upstreams are left out for a while |
 //! | [`outcome`] | what an attempt that failed allows next |
@@ -20,6 +21,7 @@
 //!
 //! Why they are apart, and how they fit together: `docs/PLATFORM.md`.
 
+pub mod adapters;
 pub mod budget;
 pub mod choose;
 pub mod cold_loads;
@@ -41,7 +43,7 @@
         choose::{Candidate, choose_upstream},
         cold_loads::{ColdLoadRun, ColdLoadsSeen},
         demand::DemandMeter,
-        departures::Departures,
+        departures::{Departures, replaced_entries},
         fleet::{
             CallerLimits, EngineConfig, EngineState, LoadedModel, ModelConfig, RequestKind, Route,
             RouteTarget, ServiceConfig, ServingConfig, UpstreamEntry, UpstreamState,
@@ -52,6 +54,6 @@
         routes::{RouteTable, choose_service},
         stall::StallInputs,
         suspects::Suspects,
-        waiting::{WaitDecision, WaitInputs, decide_wait},
+        waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
     };
 }
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -404,17 +404,3 @@
     let largest_mb = adapter_mb.fold(0.0, f64::max);
     config.weights_mb - config.adapter_slots as f64 * largest_mb
 }
-
-/// Which adapter an engine drops so that another fits; `None` if there is room, or nothing that
-/// may go. `used_unix_ms` tells when each loaded adapter was last wanted.
-pub fn adapter_to_drop<'a, T>(
-    config: &EngineConfig,
-    used_unix_ms: impl IntoIterator<Item = (&'a T, u64)>,
-) -> Option<&'a T> {
-    let mut used: Vec<(&T, u64)> = used_unix_ms.into_iter().collect();
-    if used.len() < config.adapter_slots {
-        return None;
-    }
-    used.sort_by_key(|(_, unix_ms)| *unix_ms);
-    used.first().map(|(adapter, _)| *adapter)
-}
--- a/crates/celerystair_policy/src/waiting.rs
+++ b/crates/celerystair_policy/src/waiting.rs
@@ -2,6 +2,8 @@
 //! callers ask for at once, and a store of weights that is slow: who can't be served before the
 //! caller leaves is refused at once, and told when there will be a replica.
 
+use crate::fleet::ModelConfig;
+
 /// What is known when a request finds no replica that could take it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitInputs {
@@ -55,6 +57,35 @@
     }
 }
 
+/// What is known of the copies of a model's weights.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KnownCopies {
+    /// Whether an engine has one in host memory.
+    pub in_memory: bool,
+    /// Whether an engine has one on disk.
+    pub on_disk: bool,
+    /// Engines that could load the model.
+    pub engines: usize,
+    /// Those of them of which nothing was heard yet.
+    pub unheard: usize,
+}
+
+/// Without news of this part of the engines, nobody knows that there is no copy: after a loss of
+/// all power, engines still have what was on their disks.
+const UNHEARD_SHARE: f64 = 0.5;
+
+/// How long a load of the model takes where it is fastest.
+pub fn shortest_load_ms(model: &ModelConfig, copies: &KnownCopies) -> u64 {
+    let may_be_on_disk = copies.unheard as f64 >= copies.engines as f64 * UNHEARD_SHARE;
+    if copies.in_memory {
+        model.memory_load_ms
+    } else if copies.on_disk || may_be_on_disk {
+        model.disk_load_ms
+    } else {
+        model.cold_load_ms
+    }
+}
+
 /// When a caller should come back for something that is expected at `ready_unix_ms`.
 pub fn retry_after_ms(ready_unix_ms: u64, deadline_unix_ms: u64, now_unix_ms: u64) -> u64 {
     let longest_ms = deadline_unix_ms.saturating_sub(now_unix_ms) / RETRY_AFTER_SHARE;
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -249,3 +249,64 @@
     assert!(rates[&old] < 4.0, "{rates:?}");
     assert!(meter.rates(200_000).is_empty());
 }
+
+/// After a loss of all power a router knows the engines and has heard of none: callers of models
+/// that are on a disk somewhere wait for them, and are not sent away for the time of a load from
+/// the weight store.
+#[test]
+fn what_nobody_has_told_yet_may_be_on_a_disk() {
+    let model = ModelConfig {
+        cold_load_ms: 13_200,
+        disk_load_ms: 1200,
+        memory_load_ms: 600,
+        ..ModelConfig::default()
+    };
+    let copies = |unheard, on_disk| KnownCopies {
+        in_memory: false,
+        on_disk,
+        engines: 46,
+        unheard,
+    };
+    assert_eq!(shortest_load_ms(&model, &copies(46, false)), 1200);
+    assert_eq!(shortest_load_ms(&model, &copies(4, false)), 13_200);
+    assert_eq!(shortest_load_ms(&model, &copies(4, true)), 1200);
+    let now = 100_000;
+    let inputs = WaitInputs {
+        ready_unix_ms: now + shortest_load_ms(&model, &copies(46, false)) + 300,
+        leaves_unix_ms: now + 2000,
+        deadline_unix_ms: now + 12_000,
+        waiting: 3,
+        waiting_max: 400,
+    };
+    assert!(matches!(
+        decide_wait(&inputs, now),
+        WaitDecision::Wait { .. }
+    ));
+}
+
+/// Every upstream has started again at its old address, and the old entries have not expired yet.
+#[test]
+fn of_two_entries_at_one_address_the_later_start_is_the_upstream() {
+    let entry = |id: &str, port: u16, born_unix_ms| UpstreamEntry {
+        id: UpstreamId::from(id),
+        service: ServiceName::from("engines"),
+        address: ([127, 0, 0, 1], port).into(),
+        failure_domain: FailureDomain::default(),
+        slots: 8,
+        state: UpstreamState::Ready,
+        born_unix_ms,
+        loaded: Vec::new(),
+    };
+    let entries = [
+        entry("b-old", 2, 100),
+        entry("a-new", 1, 200),
+        entry("a-old", 1, 100),
+        entry("b-new", 2, 200),
+        entry("c", 3, 50),
+        entry("a-older", 1, 50),
+    ];
+    let replaced = replaced_entries(&entries);
+    let mut names: Vec<&str> = replaced.iter().map(|id| id.as_str()).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["a-old", "a-older", "b-old"]);
+}
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -3,7 +3,7 @@
 
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_policy::replicas::{LoadUnderWay, adapter_to_drop, room_mb};
+use celerystair_policy::replicas::{LoadUnderWay, room_mb};
 
 const SIZES_MB: [f64; 3] = [42_700.0, 65_100.0, 72_700.0];
 
@@ -295,13 +295,3 @@
         Ok(())
     });
 }
-
-#[test]
-fn the_adapter_that_was_wanted_least_lately_makes_room() {
-    let config = config(1);
-    let used: Vec<(String, u64)> = (0..8).map(|n| (format!("a{n}"), 100 - n)).collect();
-    let few = used[..7].iter().map(|(name, unix_ms)| (name, *unix_ms));
-    assert_eq!(adapter_to_drop(&config, few), None);
-    let all = used.iter().map(|(name, unix_ms)| (name, *unix_ms));
-    assert_eq!(adapter_to_drop(&config, all), Some(&"a7".to_owned()));
-}
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -273,7 +273,7 @@
     let store = store_of(fleet);
     let agents = store.list(AGENTS).await.expect("the store answers").objects;
     let mut agent: AgentObject = agents[0].read().expect("an agent's object");
-    agent.claim_id = "a-new-life".to_owned();
+    "a-new-life".clone_into(&mut agent.claim_id);
     let key = format!("{AGENTS}new");
     let written = store.put(&key, &agent, Expected::Absent, CallPriority::Urgent);
     written.await.expect("the agent is written");
