Tell news on within each failure domain; try more cold loads only where several were on time

Cause: each router told each agent, and each agent every process: at 25 routers and 46 agents 70 datagrams a round, most of them between failure domains. Change: news goes to the own domain and to one agent of each other one, another one each time, which tells its domain; demand is encoded once a round; adapters wanted go to their engine alone; requests at the receiver, which nobody read, are gone. A full round goes out for requests that wait, not for adapters. The number of loads at once counts as shown once as many agents had one on time; before anything is known there is one at a time. Ruled out: hashes in place of names (a fifth of the bytes at best, against a fourteenth).

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -159,16 +159,12 @@
             && !self.state.borrow().is_draining
     }
 
-    /// Takes in what a router tells; false if it is old.
-    pub fn note_demand(&self, demand: RouterDemand) -> bool {
+    /// Notes which adapters a router's requests wait for, or have used.
+    pub(crate) fn note_adapters(&self, adapters: &[(ModelName, String)]) {
         let now = now_unix_ms();
         let mut wanted = self.wanted_unix_ms.borrow_mut();
         wanted.retain(|_, wanted_unix_ms| now < *wanted_unix_ms + WANTED_MEMORY_MS);
-        for adapter in &demand.adapters_wanted {
-            wanted.insert(adapter.clone(), now);
-        }
-        drop(wanted);
-        self.demand.take(demand)
+        wanted.extend(adapters.iter().map(|adapter| (adapter.clone(), now)));
     }
 
     /// Has the agent look now.
--- a/crates/celerystair_engine/src/settings.rs
+++ b/crates/celerystair_engine/src/settings.rs
@@ -12,6 +12,8 @@
 pub struct EngineAgentSettings {
     /// The agent's name, unique in the fleet.
     pub agent: String,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
     /// Where its engine takes requests and orders.
     pub engine: SocketAddr,
     /// The service that the engine belongs to.
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -1,6 +1,9 @@
 //! What the agent tells and hears.
 
-use std::{net::IpAddr, net::SocketAddr, pin::pin};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    pin::pin,
+};
 
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
@@ -32,8 +35,8 @@
     let Some(status) = status(agent, now) else {
         return;
     };
-    let targets = targets(agent);
-    let interval_ms = INTERVAL_MS.max(INTERVAL_MS_EACH * targets.len() as u64);
+    let peers = peers(agent, now);
+    let interval_ms = INTERVAL_MS.max(INTERVAL_MS_EACH * peers.len() as u64);
     let is_same = {
         let told = agent.told.borrow();
         told.loaded == status.loaded
@@ -50,22 +53,57 @@
         takes_orders: status.takes_orders,
         at_unix_ms: now,
     };
-    let news = News::Engine(status);
-    for target in targets {
-        if let Err(error) = agent.socket.send(&news, target).await {
-            debug!(agent.log, "news_not_sent"; "to" => %target, "error" => %error);
-        }
+    let targets = sends(&agent.settings.failure_domain, &peers, agent.sequence.get());
+    log_unsent(
+        agent,
+        agent.socket.send(&News::Engine(status), &targets).await,
+    );
+}
+
+fn log_unsent(agent: &EngineAgent, unsent: Vec<(SocketAddr, std::io::Error)>) {
+    for (address, error) in unsent {
+        debug!(agent.log, "news_not_sent"; "to" => %address, "error" => %error);
     }
 }
 
 /// The routers that ask for its models, and the other agents.
-fn targets(agent: &EngineAgent) -> Vec<SocketAddr> {
-    let mut targets = agent.demand.routers();
+fn peers(agent: &EngineAgent, now_unix_ms: u64) -> Vec<Peer> {
+    let mut peers = agent.demand.routers();
+    peers.extend(other_agents(agent, now_unix_ms));
+    peers
+}
+
+fn other_agents(agent: &EngineAgent, now_unix_ms: u64) -> impl Iterator<Item = Peer> {
     let own = agent.settings.news_listen;
-    let agents = agent.demand.agents().into_iter().map(IpAddr::V4);
-    let others = agents.filter(|address| *address != own.ip());
-    targets.extend(others.map(|address| SocketAddr::new(address, own.port())));
-    targets
+    let heard = agent.engines.heard_from(now_unix_ms);
+    let others = agent.demand.agents().into_iter();
+    others
+        .filter(move |(address, _)| IpAddr::V4(*address) != own.ip())
+        .map(move |(address, domain)| Peer {
+            address: SocketAddr::new(IpAddr::V4(address), own.port()),
+            domain,
+            tells_on: heard.contains(&address),
+        })
+}
+
+/// Tells the processes of the agent's own failure domain what came from another one.
+async fn tell_on(agent: &EngineAgent, news: &News) {
+    let now = now_unix_ms();
+    let peers: Vec<Peer> = match news {
+        News::Engine(_) => peers(agent, now),
+        News::Demand(_) => other_agents(agent, now).collect(),
+        News::AdaptersWanted(_) => return,
+    };
+    let domain = &agent.settings.failure_domain;
+    let here = sends_on(domain, &peers, agent.settings.news_listen);
+    let targets: Vec<SendTo> = here
+        .into_iter()
+        .map(|address| SendTo {
+            address,
+            tells_on: false,
+        })
+        .collect();
+    log_unsent(agent, agent.socket.send(news, &targets).await);
 }
 
 /// The engine as others may use it: what is to make room is no longer loaded.
@@ -94,10 +132,13 @@
         running: state.running,
         in_memory: state.in_memory.clone(),
         on_disk: state.on_disk.clone(),
-        routers: agent.demand.routers().len() as u32,
+        routers: agent.demand.router_count() as u32,
         takes_orders: agent.takes_orders(),
         heard_unix_ms: now_unix_ms,
-        agent: agent.settings.news_listen,
+        address: match agent.settings.news_listen.ip() {
+            IpAddr::V4(address) => address,
+            IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+        },
     })
 }
 
@@ -105,19 +146,15 @@
 pub async fn hear(agent: EngineAgent, stop: Stop) {
     while !stop.is_ended() {
         let heard = pin!(agent.socket.receive(now_unix_ms));
-        let news = match select(heard, pin!(stop.ended())).await {
-            Either::Left((news, _)) => news,
+        let heard = match select(heard, pin!(stop.ended())).await {
+            Either::Left((heard, _)) => heard,
             Either::Right(_) => return,
         };
-        match news {
-            Ok(News::Engine(status)) => {
-                agent.engines.take(status);
-            }
-            Ok(News::Demand(demand)) => {
-                let is_urgent = !demand.adapters_wanted.is_empty()
-                    || demand.models.iter().any(|(_, view)| view.waiting > 0);
-                if agent.note_demand(demand) && is_urgent {
-                    agent.wake();
+        match heard {
+            Ok(heard) => {
+                let is_new = take(&agent, &heard.news);
+                if is_new && heard.tells_on {
+                    tell_on(&agent, &heard.news).await;
                 }
             }
             Err(error) => {
@@ -127,3 +164,23 @@
         }
     }
 }
+
+/// Takes in one piece of news; false if it is old.
+fn take(agent: &EngineAgent, news: &News) -> bool {
+    match news {
+        News::Engine(status) => agent.engines.take(status.clone()),
+        News::Demand(demand) => {
+            let is_urgent = demand.models.iter().any(|(_, view)| view.waiting > 0);
+            let is_new = agent.demand.take(demand.clone());
+            if is_new && is_urgent {
+                agent.wake();
+            }
+            is_new
+        }
+        News::AdaptersWanted(adapters) => {
+            agent.note_adapters(adapters);
+            agent.wake();
+            true
+        }
+    }
+}
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -1,6 +1,10 @@
 //! What this router tells agents of its demand, and what it hears from them.
 
-use std::{cell::Cell, net::IpAddr, net::SocketAddr, pin::pin, rc::Rc};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    pin::pin,
+    rc::Rc,
+};
 
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
@@ -23,66 +27,110 @@
 /// Engines of which nothing was heard for so long are forgotten.
 const FORGET_MS: u64 = 60_000;
 
-/// Tells every agent of this router's demand until `stop` ends.
+/// Tells agents of this router's demand until `stop` ends.
 pub async fn tell_agents(front: Front, socket: Rc<NewsSocket>, stop: Stop) {
-    let sequence = Cell::new(now_unix_ms());
-    let mut round_unix_ms = 0;
-    let port = front.settings.news_listen.port();
+    // It rises over lives of the router, too.
+    let mut sequence = now_unix_ms();
+    let (mut round_unix_ms, mut urgent_unix_ms) = (0, 0);
     while !stop.is_ended() {
         let changed = front.listen_demand();
         let engines = front.view.engines();
-        let agents: Vec<IpAddr> = engines.iter().map(|engine| agent_of(engine)).collect();
-        let models = front.demand();
         let now = now_unix_ms();
-        let count = engines.len() as u64;
-        let is_round = now >= round_unix_ms;
+        let is_urgent = front.waits_untold.get() && now >= urgent_unix_ms;
+        let is_round = now >= round_unix_ms || is_urgent;
         if is_round {
-            round_unix_ms = now + GAP_MS.max(GAP_MS_EACH * count);
-        }
-        for (engine, agent) in engines.iter().zip(&agents) {
-            // Between rounds, only those hear that have something to do.
-            if !engine.wants_adapter.replace(false) && !is_round {
-                continue;
-            }
-            sequence.set(sequence.get() + 1);
-            let demand = demand_for(&front, engine, &models, &agents, sequence.get());
-            let news = News::Demand(demand);
-            if let Err(error) = socket.send(&news, SocketAddr::new(*agent, port)).await {
-                debug!(front.log, "demand_not_sent"; "agent" => %agent, "error" => %error);
-            }
+            front.waits_untold.set(false);
+            let count = engines.len() as u64;
+            round_unix_ms = now + INTERVAL_MS.max(INTERVAL_MS_EACH * count);
+            urgent_unix_ms = now + GAP_MS.max(GAP_MS_EACH * count);
+            sequence += 1;
+            tell_demand(&front, &socket, &engines, sequence).await;
         }
+        tell_adapters(&front, &socket, &engines, is_round).await;
         sleep_ms(GAP_MS).await;
-        let interval_ms = INTERVAL_MS.max(INTERVAL_MS_EACH * count);
-        select(changed, pin!(sleep_ms(interval_ms - GAP_MS))).await;
+        let now = now_unix_ms();
+        let wake_unix_ms = if front.waits_untold.get() {
+            urgent_unix_ms.min(round_unix_ms)
+        } else {
+            round_unix_ms
+        };
+        select(changed, pin!(sleep_until_unix_ms(wake_unix_ms.max(now)))).await;
     }
 }
 
-/// An engine's agent runs on the engine's own instance.
-fn agent_of(engine: &Upstream) -> IpAddr {
-    engine.entry.borrow().address.ip()
-}
-
-fn demand_for(
-    front: &Front,
-    engine: &Upstream,
-    models: &[(ModelName, ModelView)],
-    agents: &[IpAddr],
-    sequence: u64,
-) -> RouterDemand {
-    let as_v4 = |agent: &IpAddr| match agent {
-        IpAddr::V4(agent) => Some(*agent),
-        IpAddr::V6(_) => None,
-    };
-    RouterDemand {
+/// Tells the agents of the router's own failure domain, and one of each other domain, what callers
+/// ask of each model.
+async fn tell_demand(front: &Front, socket: &NewsSocket, engines: &[Rc<Upstream>], sequence: u64) {
+    let now = now_unix_ms();
+    let peers: Vec<Peer> = engines.iter().map(|e| peer_of(front, e, now)).collect();
+    let news = News::Demand(RouterDemand {
         router: front.settings.router.clone(),
         sequence,
-        models: models.to_vec(),
-        running_here: engine.in_flight_by_model(),
-        agents: agents.iter().filter_map(as_v4).collect(),
-        adapters_wanted: engine.adapters_wanted(),
-        heard_unix_ms: 0,
+        models: front.demand(),
+        agents: groups(&peers),
+        domain: front.settings.failure_domain.clone(),
         address: front.settings.news_listen,
+        heard_unix_ms: now,
+    });
+    let targets = sends(&front.settings.failure_domain, &peers, sequence);
+    log_unsent(front, socket.send(&news, &targets).await);
+}
+
+/// Tells each agent of the adapters that requests wait for, or have used, at its engine: those that
+/// have news of that, and all in a round.
+async fn tell_adapters(
+    front: &Front,
+    socket: &NewsSocket,
+    engines: &[Rc<Upstream>],
+    is_round: bool,
+) {
+    for engine in engines {
+        if !engine.wants_adapter.replace(false) && !is_round {
+            continue;
+        }
+        let adapters = engine.adapters_wanted();
+        if adapters.is_empty() {
+            continue;
+        }
+        let target = SendTo {
+            address: agent_of(front, engine),
+            tells_on: false,
+        };
+        let news = News::AdaptersWanted(adapters);
+        log_unsent(front, socket.send(&news, &[target]).await);
+    }
+}
+
+fn log_unsent(front: &Front, unsent: Vec<(SocketAddr, std::io::Error)>) {
+    for (address, error) in unsent {
+        debug!(front.log, "news_not_sent"; "to" => %address, "error" => %error);
+    }
+}
+
+/// An engine's agent runs on the engine's own instance.
+fn agent_of(front: &Front, engine: &Upstream) -> SocketAddr {
+    let address = engine.entry.borrow().address;
+    SocketAddr::new(address.ip(), front.settings.news_listen.port())
+}
+
+fn peer_of(front: &Front, engine: &Upstream, now_unix_ms: u64) -> Peer {
+    let status = front.engines.get(&engine.id());
+    Peer {
+        address: agent_of(front, engine),
+        domain: engine.entry.borrow().failure_domain.clone(),
+        tells_on: status.is_some_and(|status| status.is_fresh(now_unix_ms)),
+    }
+}
+
+/// The agents by failure domain.
+fn groups(peers: &[Peer]) -> Vec<(FailureDomain, Vec<Ipv4Addr>)> {
+    let mut groups: HashMap<FailureDomain, Vec<Ipv4Addr>> = HashMap::default();
+    for peer in peers {
+        if let IpAddr::V4(address) = peer.address.ip() {
+            groups.entry(peer.domain.clone()).or_default().push(address);
+        }
     }
+    groups.into_iter().collect()
 }
 
 /// Takes in what agents tell, until `stop` ends.
@@ -95,14 +143,18 @@
             futures_util::future::Either::Right(_) => return,
         };
         match news {
-            Ok(News::Engine(status)) => {
+            Ok(Heard {
+                news: News::Engine(status),
+                ..
+            }) => {
                 front.routers.set(status.routers);
                 let before = front.engines.get(&status.upstream);
                 if front.engines.take(status.clone()) {
                     wake_for(&front, before.as_deref(), &status);
                 }
             }
-            Ok(News::Demand(_)) => {}
+            // What others tell agents.
+            Ok(_) => {}
             Err(error) => {
                 warn!(front.log, "news_not_received"; "error" => %error);
                 sleep_ms(INTERVAL_MS).await;
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -60,6 +60,8 @@
     pub routers: Cell<u32>,
     demand: RefCell<DemandMeter>,
     demand_changed: Event,
+    /// Whether requests wait that no agent was told of.
+    pub(crate) waits_untold: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
 }
 
@@ -221,6 +223,7 @@
             routers: Cell::new(0),
             demand: RefCell::default(),
             demand_changed: Event::new(),
+            waits_untold: Cell::new(false),
             budgets: RefCell::default(),
         }),
     };
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -336,6 +336,7 @@
         .map_or_else(ModelName::default, |m| m.base.clone());
     let (waiting, changed) = front.waiting.enter(&queue);
     if waiting.is_first {
+        front.waits_untold.set(true);
         front.demand_changed();
     }
     let wake_unix_ms = until_unix_ms.min(now + RECHECK_INTERVAL_MS);
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -7,7 +7,7 @@
 
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_protocol::{AdapterName, DemandNews, ModelDemand};
+use celerystair_protocol::{AgentGroup, DemandNews, ModelDemand};
 
 /// A router that was not heard for this long has stopped, or is cut off.
 const SILENT_MS: u64 = 4000;
@@ -21,72 +21,68 @@
     pub sequence: u64,
     /// What callers ask of it, by model.
     pub models: Vec<(ModelName, ModelView)>,
-    /// Its requests at the receiver's engine, by model.
-    pub running_here: Vec<(ModelName, u32)>,
-    /// The agents that it knows.
-    pub agents: Vec<Ipv4Addr>,
-    /// Adapters that its requests wait for at the receiver's engine.
-    pub adapters_wanted: Vec<(ModelName, String)>,
+    /// The agents that it knows, and where they stand.
+    pub agents: Vec<(FailureDomain, Vec<Ipv4Addr>)>,
+    /// Where it stands.
+    pub domain: FailureDomain,
+    /// Where it takes news.
+    pub address: SocketAddr,
     /// When this was heard.
     pub heard_unix_ms: u64,
-    /// Where it came from.
-    pub address: SocketAddr,
 }
 
 impl RouterDemand {
-    pub(crate) fn read(news: DemandNews, address: SocketAddr, now_unix_ms: u64) -> Self {
-        let mut models = Vec::with_capacity(news.models.len());
-        let mut running_here = Vec::new();
-        for demand in news.models {
-            let model = ModelName::from(demand.model);
-            if demand.running_here > 0 {
-                running_here.push((model.clone(), demand.running_here));
-            }
+    pub(crate) fn read(news: DemandNews, sender: SocketAddr, now_unix_ms: u64) -> Self {
+        let models = news.models.into_iter().map(|demand| {
             let view = ModelView {
-                requests_per_second: f64::from(demand.requests_per_second),
+                requests_per_second: f64::from(demand.requests_per_1000_s) / 1000.0,
                 waiting: demand.waiting,
                 running: demand.running,
                 target_latency_ms: f64::from(demand.target_latency_ms),
             };
-            models.push((model, view));
-        }
-        let wanted = news.adapters_wanted.into_iter();
+            (ModelName::from(demand.model), view)
+        });
+        let agents = news.agents.into_iter().map(|group| {
+            let addresses = group.addresses.into_iter().map(Ipv4Addr::from);
+            (group.failure_domain.into(), addresses.collect())
+        });
         Self {
             router: news.router,
             sequence: news.sequence,
-            models,
-            running_here,
-            agents: news.agents.into_iter().map(Ipv4Addr::from).collect(),
-            adapters_wanted: wanted.map(|a| (a.model.into(), a.adapter)).collect(),
+            models: models.collect(),
+            agents: agents.collect(),
+            domain: news.failure_domain.into(),
+            // All processes take news on one port; the sender may only have told it on.
+            address: SocketAddr::new(Ipv4Addr::from(news.address).into(), sender.port()),
             heard_unix_ms: now_unix_ms,
-            address,
         }
     }
 
     pub(crate) fn write(&self) -> DemandNews {
-        let here: HashMap<&ModelName, u32> =
-            self.running_here.iter().map(|(m, n)| (m, *n)).collect();
         let models = self.models.iter().map(|(model, view)| ModelDemand {
             model: model.to_string(),
-            requests_per_second: view.requests_per_second as f32,
+            requests_per_1000_s: (view.requests_per_second * 1000.0) as u32,
             waiting: view.waiting,
             running: view.running,
-            running_here: here.get(model).copied().unwrap_or_default(),
-            target_latency_ms: view.target_latency_ms as f32,
+            target_latency_ms: view.target_latency_ms as u32,
+        });
+        let agents = self.agents.iter().map(|(domain, addresses)| AgentGroup {
+            failure_domain: domain.to_string(),
+            addresses: addresses
+                .iter()
+                .map(|address| u32::from(*address))
+                .collect(),
         });
-        let wanted = self
-            .adapters_wanted
-            .iter()
-            .map(|(model, adapter)| AdapterName {
-                model: model.to_string(),
-                adapter: adapter.clone(),
-            });
         DemandNews {
             router: self.router.clone(),
             sequence: self.sequence,
             models: models.collect(),
-            agents: self.agents.iter().map(|agent| u32::from(*agent)).collect(),
-            adapters_wanted: wanted.collect(),
+            agents: agents.collect(),
+            failure_domain: self.domain.to_string(),
+            address: match self.address {
+                SocketAddr::V4(address) => u32::from(*address.ip()),
+                SocketAddr::V6(_) => 0,
+            },
         }
     }
 }
@@ -129,18 +125,30 @@
         sums
     }
 
-    /// Where the routers are.
-    pub fn routers(&self) -> Vec<SocketAddr> {
+    /// How many routers there are.
+    pub fn router_count(&self) -> usize {
+        self.routers.borrow().len()
+    }
+
+    /// The routers, to be told of engines.
+    pub fn routers(&self) -> Vec<Peer> {
         let routers = self.routers.borrow();
-        routers.values().map(|demand| demand.address).collect()
+        let peers = routers.values().map(|demand| Peer {
+            address: demand.address,
+            domain: demand.domain.clone(),
+            tells_on: false,
+        });
+        peers.collect()
     }
 
-    /// The agents that the routers know.
-    pub fn agents(&self) -> HashSet<Ipv4Addr> {
+    /// The agents that the routers know, and where they stand.
+    pub fn agents(&self) -> HashMap<Ipv4Addr, FailureDomain> {
         let routers = self.routers.borrow();
-        let agents = routers
-            .values()
-            .flat_map(|demand| demand.agents.iter().copied());
-        agents.collect()
+        let groups = routers.values().flat_map(|demand| &demand.agents);
+        groups
+            .flat_map(|(domain, addresses)| {
+                addresses.iter().map(|address| (*address, domain.clone()))
+            })
+            .collect()
     }
 }
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -1,10 +1,6 @@
 //! What agents tell of their engines.
 
-use std::{
-    cell::RefCell,
-    net::{Ipv4Addr, SocketAddr},
-    rc::Rc,
-};
+use std::{cell::RefCell, net::Ipv4Addr, rc::Rc};
 
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
@@ -47,8 +43,8 @@
     pub takes_orders: bool,
     /// When this was heard.
     pub heard_unix_ms: u64,
-    /// Where it came from.
-    pub agent: SocketAddr,
+    /// The instance of the engine and its agent.
+    pub address: Ipv4Addr,
 }
 
 impl EngineStatus {
@@ -62,7 +58,7 @@
         self.loaded.iter().find(|loaded| loaded.model == *model)
     }
 
-    pub(crate) fn read(news: EngineNews, agent: SocketAddr, now_unix_ms: u64) -> Self {
+    pub(crate) fn read(news: EngineNews, now_unix_ms: u64) -> Self {
         let loaded = news.loaded.into_iter().map(|model| LoadedModel {
             model: model.model.into(),
             adapters: model.adapters,
@@ -89,7 +85,7 @@
             routers: news.routers,
             takes_orders: news.takes_orders,
             heard_unix_ms: now_unix_ms,
-            agent,
+            address: Ipv4Addr::from(news.address),
         }
     }
 
@@ -120,6 +116,7 @@
             cold_loads_on_time: self.cold_loads_seen.on_time,
             cold_loads_served: self.cold_loads_seen.served,
             takes_orders: self.takes_orders,
+            address: u32::from(self.address),
         }
     }
 }
@@ -142,7 +139,7 @@
             routers: 0,
             takes_orders: false,
             heard_unix_ms: 0,
-            agent: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            address: Ipv4Addr::UNSPECIFIED,
         }
     }
 }
@@ -179,6 +176,13 @@
         fresh.cloned().collect()
     }
 
+    /// The instances whose agents were heard of late.
+    pub fn heard_from(&self, now_unix_ms: u64) -> HashSet<Ipv4Addr> {
+        let engines = self.engines.borrow();
+        let fresh = engines.values().filter(|s| s.is_fresh(now_unix_ms));
+        fresh.map(|status| status.address).collect()
+    }
+
     /// Forgets engines that were not heard of since `since_unix_ms`.
     pub fn forget_before(&self, since_unix_ms: u64) {
         let mut engines = self.engines.borrow_mut();
--- a/crates/celerystair_news/src/lib.rs
+++ b/crates/celerystair_news/src/lib.rs
@@ -1,6 +1,7 @@
 //! What routers and the agents of engines tell one another: small datagrams, sent on a change and
 //! at a floor rate. One that is lost is made good by the next, and none is waited for; the age of
-//! what was heard is part of each decision.
+//! what was heard is part of each decision. Between failure domains it goes to one agent, which
+//! tells its own domain.
 //!
 //! | module | holds |
 //! |---|---|
@@ -19,6 +20,6 @@
     pub use crate::{
         demand::{DemandBoard, RouterDemand},
         engines::{EngineBoard, EngineStatus},
-        socket::{News, NewsSocket},
+        socket::{Heard, News, NewsSocket},
     };
 }
--- a/crates/celerystair_news/src/socket.rs
+++ b/crates/celerystair_news/src/socket.rs
@@ -2,7 +2,10 @@
 
 use std::{io, net::SocketAddr};
 
-use celerystair_protocol::{NewsDatagram, news_datagram};
+use bytes::Bytes;
+use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
+use celerystair_protocol::{AdapterName, AdaptersWanted, NewsDatagram, news_datagram};
 use compio::net::UdpSocket;
 use prost::Message;
 
@@ -18,6 +21,60 @@
     Demand(RouterDemand),
     /// An agent tells of its engine.
     Engine(EngineStatus),
+    /// A router tells an agent which adapters its requests wait for, or have used, at its engine.
+    AdaptersWanted(Vec<(ModelName, String)>),
+}
+
+/// What was received.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heard {
+    /// The news.
+    pub news: News,
+    /// Whether the receiver tells the processes of its failure domain.
+    pub tells_on: bool,
+}
+
+impl News {
+    /// As it goes out.
+    fn encode(&self, tells_on: bool) -> Bytes {
+        let news = match self {
+            Self::Demand(demand) => news_datagram::News::Demand(demand.write()),
+            Self::Engine(engine) => news_datagram::News::Engine(engine.write()),
+            Self::AdaptersWanted(adapters) => {
+                let adapters = adapters.iter().map(|(model, adapter)| AdapterName {
+                    model: model.to_string(),
+                    adapter: adapter.clone(),
+                });
+                news_datagram::News::AdaptersWanted(AdaptersWanted {
+                    adapters: adapters.collect(),
+                })
+            }
+        };
+        let datagram = NewsDatagram {
+            news: Some(news),
+            tells_on,
+        };
+        datagram.encode_to_vec().into()
+    }
+
+    /// `None` for news of a version that this one doesn't know.
+    fn decode(datagram: &[u8], sender: SocketAddr, now_unix_ms: u64) -> Option<Heard> {
+        let datagram = NewsDatagram::decode(datagram).ok()?;
+        let news = match datagram.news? {
+            news_datagram::News::Demand(demand) => {
+                Self::Demand(RouterDemand::read(demand, sender, now_unix_ms))
+            }
+            news_datagram::News::Engine(engine) => {
+                Self::Engine(EngineStatus::read(engine, now_unix_ms))
+            }
+            news_datagram::News::AdaptersWanted(wanted) => {
+                let adapters = wanted.adapters.into_iter();
+                Self::AdaptersWanted(adapters.map(|a| (a.model.into(), a.adapter)).collect())
+            }
+        };
+        let tells_on = datagram.tells_on;
+        Some(Heard { news, tells_on })
+    }
 }
 
 /// A socket for news.
@@ -42,48 +99,35 @@
         self.socket.local_addr()
     }
 
-    /// Sends `news` to `address`.
-    ///
-    /// # Errors
-    /// The network took it not; the next datagram makes up for it.
-    pub async fn send(&self, news: &News, address: SocketAddr) -> io::Result<()> {
-        let news = match news {
-            News::Demand(demand) => news_datagram::News::Demand(demand.write()),
-            News::Engine(engine) => news_datagram::News::Engine(engine.write()),
-        };
-        let datagram = NewsDatagram { news: Some(news) }.encode_to_vec();
-        self.socket.send_to(datagram, address).await.0.map(drop)
+    /// Sends `news` to each of `targets`; gives those that the network did not take. The next news
+    /// makes up for it.
+    pub async fn send(&self, news: &News, targets: &[SendTo]) -> Vec<(SocketAddr, io::Error)> {
+        let (direct, told_on) = (news.encode(false), news.encode(true));
+        let mut failed = Vec::new();
+        for target in targets {
+            let datagram = if target.tells_on { &told_on } else { &direct };
+            let sent = self.socket.send_to(datagram.clone(), target.address).await;
+            if let Err(error) = sent.0 {
+                failed.push((target.address, error));
+            }
+        }
+        failed
     }
 
     /// Waits for the next datagram that can be read.
     ///
     /// # Errors
     /// The socket failed.
-    pub async fn receive(&self, now_unix_ms: impl Fn() -> u64) -> io::Result<News> {
+    pub async fn receive(&self, now_unix_ms: impl Fn() -> u64) -> io::Result<Heard> {
         let mut buffer = Vec::with_capacity(DATAGRAM_MAX_BYTES);
         loop {
             let (result, returned) = self.socket.recv_from(buffer).await.into();
             buffer = returned;
             let (length, sender) = result?;
-            let datagram = NewsDatagram::decode(&buffer[..length]);
+            let heard = News::decode(&buffer[..length], sender, now_unix_ms());
             buffer.clear();
-            match datagram.ok().and_then(|datagram| datagram.news) {
-                Some(news_datagram::News::Demand(demand)) => {
-                    return Ok(News::Demand(RouterDemand::read(
-                        demand,
-                        sender,
-                        now_unix_ms(),
-                    )));
-                }
-                Some(news_datagram::News::Engine(engine)) => {
-                    return Ok(News::Engine(EngineStatus::read(
-                        engine,
-                        sender,
-                        now_unix_ms(),
-                    )));
-                }
-                // Of a version that this one doesn't know.
-                None => {}
+            if let Some(heard) = heard {
+                return Ok(heard);
             }
         }
     }
--- a/crates/celerystair_policy/src/cold_loads.rs
+++ b/crates/celerystair_policy/src/cold_loads.rs
@@ -5,9 +5,10 @@
 //! No deployment says how many run at full speed, so agents find out: each notes beside how many
 //! others its own loads were on time or late, and tells it. See `docs/COLD_STARTS.md`.
 
-/// Loads that run at once before anything was seen, and by how many more are tried where those so
-/// far were on time: the least that tells a store that serves one from others.
-const STEP: u32 = 2;
+/// By how many more loads at once are tried where callers wait and two at once were on time. Where
+/// only one was, one more is tried: at a store that serves one, it is done as soon as if it had
+/// waited for the other.
+const STEP: usize = 2;
 /// A load that takes this many times as long as one alone is late. Reports are read every 50 ms, and
 /// loads take seconds.
 const LATE_RATIO: f64 = 1.1;
@@ -64,7 +65,7 @@
 /// How many loads from the weight store may run at once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ColdLoadLimit {
-    /// As many are known to run at full speed, or must be tried to know anything.
+    /// As many are known to run at full speed; one before anything was seen.
     pub known: usize,
     /// As many may run where callers wait.
     pub max: usize,
@@ -72,17 +73,29 @@
 
 /// The limit by what all agents have seen.
 pub fn cold_load_limit(seen: impl IntoIterator<Item = ColdLoadsSeen>) -> ColdLoadLimit {
-    let (mut on_time, mut served) = (0, u32::MAX);
+    let (mut on_time, mut served) = (Vec::new(), usize::MAX);
     for agent in seen {
-        on_time = on_time.max(agent.on_time);
+        on_time.push(agent.on_time);
         if agent.served > 0 {
-            served = served.min(agent.served);
+            served = served.min(agent.served as usize);
         }
     }
-    let known = if on_time == 0 { STEP } else { on_time };
-    let max = if on_time < STEP { STEP } else { on_time + STEP };
+    let confirmed = confirmed(on_time);
+    let max = match confirmed {
+        0 | 1 => confirmed + 1,
+        _ => confirmed + STEP,
+    };
     ColdLoadLimit {
-        known: known.min(served) as usize,
-        max: max.min(served) as usize,
+        known: confirmed.max(1).min(served),
+        max: max.min(served),
     }
 }
+
+/// The most loads at once of which as many agents had one on time. Two that begin at the same
+/// moment both count two, though the store may serve one and let the other wait: what one agent
+/// alone has seen of several at once proves nothing.
+fn confirmed(mut on_time: Vec<u32>) -> usize {
+    on_time.sort_unstable_by(|a, b| b.cmp(a));
+    let proves = |(index, at_once): &(usize, &u32)| **at_once as usize > *index;
+    on_time.iter().enumerate().take_while(proves).count()
+}
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`outcome`] | what an attempt that failed allows next |
 //! | [`replicas`] | which model an engine loads next, and what makes room for it |
 //! | [`routes`] | which route a request takes |
+//! | [`spread`] | who is told news directly, and who tells it on |
 //! | [`stall`] | whether a silent stream goes on at another upstream |
 //! | [`suspects`] | which requests are refused because they crash upstreams |
 //! | [`waiting`] | whether a request waits for a replica, and what a refusal says |
@@ -32,6 +33,7 @@
 pub mod outcome;
 pub mod replicas;
 pub mod routes;
+pub mod spread;
 pub mod stall;
 pub mod suspects;
 pub mod waiting;
@@ -52,6 +54,7 @@
         outcome::{AttemptFailure, NextStep, next_step},
         replicas::{EngineView, ModelView, Order, next_order},
         routes::{RouteTable, choose_service},
+        spread::{Peer, SendTo, sends, sends_on},
         stall::StallInputs,
         suspects::Suspects,
         waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
