Soak the real programs under faults from outside

Change: tests/soak starts the binary's routers and agents as processes on loopback, against the stand-ins of the platform that the adapter's tests use. Ruled out: a crate of its own under tools/: only an integration test of the root package is given the path of the built binary.

--- /dev/null
+++ b/tests/soak/fleet.rs
@@ -0,0 +1,485 @@
+//! The system under test: its processes, what they stand on, and what is done to them.
+
+use std::{
+    collections::BTreeMap,
+    fs::File,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use crate::{
+    callers::{is_served, status_of},
+    checks::KINDS,
+    links::{Link, LinkFault},
+    plan::{Plan, Step},
+    support::{
+        StoreStandin, System, UpstreamStandin,
+        system::{
+            DESK, ENGINES, Instance, SETTINGS_VARIABLE, config_with_own_route, path_of_version,
+            ready_status,
+        },
+        upstream::TakenOrder,
+    },
+};
+
+/// How long a planned stop may take.
+const STOP_GRACE_SECONDS: u64 = 5;
+/// The platform's own delay before it would kill.
+const STOP_SLACK: Duration = Duration::from_millis(500);
+/// After a leave is known, new work may come for so long.
+const DRAIN: Duration = Duration::from_millis(2300);
+/// How long a plain upstream stays away.
+const AWAY: Duration = Duration::from_millis(3500);
+/// How soon all is served again once all is mended.
+const RECOVERY: Duration = Duration::from_secs(12);
+const POLL: Duration = Duration::from_millis(10);
+
+/// How much of everything there is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Routers.
+    pub routers: usize,
+    /// Engines, each with its agent.
+    pub engines: usize,
+    /// Plain upstreams.
+    pub desks: usize,
+}
+
+impl Size {
+    /// So many processes of the system: two routers to three agents.
+    pub fn of(processes: u64) -> Self {
+        let routers = (processes as usize * 2 / 5).max(2);
+        Self {
+            routers,
+            engines: (processes as usize - routers.min(processes as usize)).max(2),
+            desks: 2,
+        }
+    }
+
+    /// Processes of the system: routers first.
+    pub fn processes(self) -> usize {
+        self.routers + self.engines
+    }
+
+    /// Upstreams: engines first.
+    pub fn upstreams(self) -> usize {
+        self.engines + self.desks
+    }
+
+    /// Links: of each process to the store, then to each upstream.
+    pub fn links(self) -> usize {
+        self.processes() + self.upstreams()
+    }
+}
+
+/// A process of the system.
+struct Process {
+    role: &'static str,
+    name: String,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+    /// By when a planned stop must be complete, if one is under way.
+    stop_until: Option<Instant>,
+}
+
+/// What ends by itself after a time.
+enum Undo {
+    Thaw(usize),
+    StoreUp,
+    StoreAnswers,
+    MendLink(usize),
+    CheckDrained(usize),
+    Return(usize),
+}
+
+/// The system.
+pub struct Fleet {
+    size: Size,
+    store: StoreStandin,
+    engines: Vec<UpstreamStandin>,
+    desks: Vec<UpstreamStandin>,
+    links: Vec<Link>,
+    processes: Vec<Process>,
+    routers: Vec<(SocketAddr, SocketAddr)>,
+    version: u64,
+    undos: Vec<(Instant, Undo)>,
+    /// Of each plain upstream that is away, how many requests it had run when it was to get no more.
+    away: BTreeMap<usize, usize>,
+    lives: u64,
+    broken: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts all, and waits until every router serves.
+    pub fn start(size: Size, folder: &Path) -> Self {
+        let store = StoreStandin::start();
+        let mut number = 0;
+        let mut ip = || {
+            number += 1;
+            System::ip(number)
+        };
+        let engines: Vec<UpstreamStandin> = (0..size.engines)
+            .map(|n| UpstreamStandin::start(ip(), &format!("engine-{n}"), ENGINES, &["m1", "m2"]))
+            .collect();
+        let desks: Vec<UpstreamStandin> = (0..size.desks)
+            .map(|n| UpstreamStandin::start(ip(), &format!("desk-{n}"), DESK, &[]))
+            .collect();
+        let mut links: Vec<Link> = (0..size.processes())
+            .map(|_| Link::start(store.address.ip(), store.address))
+            .collect();
+        let upstreams = engines.iter().chain(&desks);
+        links.extend(upstreams.map(|u| Link::start(u.address.ip(), u.address)));
+        let mut fleet = Self {
+            size,
+            store,
+            engines,
+            desks,
+            links,
+            processes: Vec::new(),
+            routers: Vec::new(),
+            version: 1,
+            undos: Vec::new(),
+            away: BTreeMap::new(),
+            lives: 0,
+            broken: Vec::new(),
+        };
+        fleet.list_all();
+        let news_port = free_port(ip());
+        for index in 0..size.processes() {
+            let address = match index.checked_sub(size.routers) {
+                Some(engine) => fleet.engines[engine].address.ip(),
+                None => ip(),
+            };
+            fleet.add_process(index, address, news_port, folder);
+        }
+        fleet.broken.extend(fleet.wait_until_served());
+        fleet
+    }
+
+    fn list_all(&self) {
+        let config = config_with_own_route(self.version);
+        self.store.write("config", "main", config);
+        for (index, upstream) in self.engines.iter().chain(&self.desks).enumerate() {
+            let link = &self.links[self.size.processes() + index];
+            let entry = upstream.entry_at(link.address);
+            self.store.write("servers", &upstream.id(), entry);
+        }
+    }
+
+    fn add_process(&mut self, index: usize, ip: std::net::IpAddr, news_port: u16, folder: &Path) {
+        let engine = index.checked_sub(self.size.routers);
+        let role = if engine.is_some() { "agent" } else { "router" };
+        let name = format!("{role}-{index}");
+        let instance = Instance {
+            name: &name,
+            ip,
+            domain: ["zone-a", "zone-b"][index % 2],
+            front_port: free_port(ip),
+            ready_port: free_port(ip),
+            news_port,
+            store: self.links[index].address,
+            stop_grace_seconds: STOP_GRACE_SECONDS,
+        };
+        let text = match engine {
+            Some(engine) => {
+                instance.settings_beside(self.links[self.size.processes() + engine].address)
+            }
+            None => instance.settings(),
+        };
+        if engine.is_none() {
+            let at = |port| SocketAddr::new(ip, port);
+            self.routers
+                .push((at(instance.front_port), at(instance.ready_port)));
+        }
+        let settings = folder.join(format!("{name}.settings"));
+        std::fs::write(&settings, text).expect("settings are written");
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(role, &settings, &log);
+        self.processes.push(Process {
+            role,
+            name,
+            settings,
+            log,
+            child,
+            stop_until: None,
+        });
+    }
+
+    /// Where callers connect, by router.
+    pub fn router_addresses(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(|(callers, _)| *callers).collect()
+    }
+
+    /// How often each request ran, over all upstreams.
+    pub fn runs_by_id(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        for upstream in self.engines.iter().chain(&self.desks) {
+            for request in upstream.seen() {
+                let id = request.header("celerystair-request-id");
+                *runs.entry(id.unwrap_or_default().to_owned()).or_default() += 1;
+            }
+        }
+        runs
+    }
+
+    /// The orders that each engine has taken.
+    pub fn orders(&self) -> Vec<Vec<TakenOrder>> {
+        self.engines
+            .iter()
+            .map(UpstreamStandin::taken_orders)
+            .collect()
+    }
+
+    /// Does what the plan says; gives what did not hold meanwhile.
+    pub fn carry_out(&mut self, plan: &Plan) -> Vec<String> {
+        for (pause_ms, step) in &plan.steps {
+            self.wait_for(Duration::from_millis(*pause_ms));
+            self.take(*step);
+        }
+        while !self.undos.is_empty() || self.processes.iter().any(|p| p.stop_until.is_some()) {
+            self.wait_for(POLL);
+        }
+        std::mem::take(&mut self.broken)
+    }
+
+    fn wait_for(&mut self, pause: Duration) {
+        let until = Instant::now() + pause;
+        loop {
+            self.undo_due();
+            self.watch_processes();
+            if Instant::now() >= until {
+                return;
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        let later = |for_ms| Instant::now() + Duration::from_millis(for_ms);
+        match step {
+            Step::Stop(index) => self.stop(index),
+            Step::Kill(index) => {
+                let process = &mut self.processes[index];
+                process.child.kill().expect("the process was there");
+                process.child.wait().expect("it has ended");
+                process.stop_until = None;
+                process.start_again();
+            }
+            Step::Freeze(index, for_ms) => {
+                self.processes[index].signal("STOP");
+                self.undos.push((later(for_ms), Undo::Thaw(index)));
+            }
+            Step::Reload(index) => self.processes[index].signal("HUP"),
+            Step::Configure => {
+                self.version += 1 + self.version % 3;
+                let config = config_with_own_route(self.version);
+                self.store.write("config", "main", config);
+            }
+            Step::StoreDown(for_ms) => {
+                self.store.set_faults(|faults| faults.is_down = true);
+                self.undos.push((later(for_ms), Undo::StoreUp));
+            }
+            Step::StoreLosesAnswers(for_ms) => {
+                self.store.set_faults(|faults| faults.loses_answers = true);
+                self.undos.push((later(for_ms), Undo::StoreAnswers));
+            }
+            Step::StoreForgets => {
+                let revision = self.store.revision();
+                self.store
+                    .set_faults(|faults| faults.forgotten_before = revision);
+            }
+            Step::Link(index, fault, for_ms) => {
+                self.links[index].set(fault);
+                self.undos.push((later(for_ms), Undo::MendLink(index)));
+            }
+            Step::Upstream(index, fault) => {
+                let upstreams = self.engines.iter().chain(&self.desks);
+                if let Some(upstream) = upstreams.into_iter().nth(index) {
+                    upstream.fault_next(fault);
+                }
+            }
+            Step::Leave(index) => self.leave(index),
+        }
+    }
+
+    fn stop(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        if process.stop_until.is_none() {
+            process.signal("TERM");
+            let grace = Duration::from_secs(STOP_GRACE_SECONDS);
+            process.stop_until = Some(Instant::now() + grace + STOP_SLACK);
+        }
+    }
+
+    /// One plain upstream at a time leaves.
+    fn leave(&mut self, index: usize) {
+        let is_away = |(_, undo): &(Instant, Undo)| matches!(undo, Undo::Return(_));
+        if self.undos.iter().any(is_away) {
+            return;
+        }
+        let desk = &self.desks[index];
+        let entry = desk.draining_entry_at(self.desk_link(index).address);
+        self.store.write("servers", &desk.id(), entry);
+        let now = Instant::now();
+        self.undos.push((now + DRAIN, Undo::CheckDrained(index)));
+        self.undos.push((now + AWAY, Undo::Return(index)));
+    }
+
+    fn desk_link(&self, index: usize) -> &Link {
+        &self.links[self.size.processes() + self.size.engines + index]
+    }
+
+    fn undo_due(&mut self) {
+        let now = Instant::now();
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.undos)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.undos = later;
+        for (_, undo) in due {
+            match undo {
+                Undo::Thaw(index) => self.processes[index].signal("CONT"),
+                Undo::StoreUp => self.store.set_faults(|faults| faults.is_down = false),
+                Undo::StoreAnswers => {
+                    self.store.set_faults(|faults| faults.loses_answers = false);
+                }
+                Undo::MendLink(index) => self.links[index].set(LinkFault::None),
+                Undo::CheckDrained(index) => {
+                    self.away.insert(index, self.desks[index].seen().len());
+                }
+                Undo::Return(index) => self.take_back(index),
+            }
+        }
+    }
+
+    /// A plain upstream starts again under another name.
+    fn take_back(&mut self, index: usize) {
+        let desk = &self.desks[index];
+        let ran = desk.seen().len();
+        if self.away.remove(&index) != Some(ran) {
+            self.broken
+                .push(format!("{} got work after it had left", desk.id()));
+        }
+        self.store.remove("servers", &desk.id());
+        self.lives += 1;
+        desk.rename(&format!("desk-{index}-{}", self.lives));
+        let entry = desk.entry_at(self.desk_link(index).address);
+        self.store.write("servers", &desk.id(), entry);
+    }
+
+    /// Starts anew what has stopped as planned; what ends otherwise should not have.
+    fn watch_processes(&mut self) {
+        for process in &mut self.processes {
+            let ended = process.child.try_wait().expect("the process is ours");
+            match (ended, process.stop_until) {
+                (None, Some(until)) if Instant::now() > until => {
+                    let what = format!("{}: its planned stop has no end", process.name);
+                    self.broken.push(what);
+                    process.child.kill().expect("the process was there");
+                    process.stop_until = Some(until + Duration::from_secs(60));
+                }
+                (None, _) => {}
+                (Some(status), None) => {
+                    self.broken
+                        .push(format!("{} ended by itself: {status}", process.name));
+                    process.start_again();
+                }
+                (Some(_), Some(_)) => {
+                    process.stop_until = None;
+                    process.start_again();
+                }
+            }
+        }
+    }
+
+    /// All is mended: everything must be served again, by the latest configuration.
+    pub fn recover(&mut self) -> Vec<String> {
+        for link in &self.links {
+            link.set(LinkFault::None);
+        }
+        self.store.set_faults(|faults| {
+            faults.is_down = false;
+            faults.loses_answers = false;
+        });
+        let unserved = self.wait_until_served();
+        unserved.into_iter().collect()
+    }
+
+    fn wait_until_served(&self) -> Option<String> {
+        let until = Instant::now() + RECOVERY;
+        loop {
+            let unserved = self.unserved()?;
+            if Instant::now() >= until {
+                return Some(format!("not served again within {RECOVERY:?}: {unserved}"));
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// What is not served now, if anything.
+    fn unserved(&self) -> Option<String> {
+        for (index, (callers, ready)) in self.routers.iter().enumerate() {
+            if std::net::TcpStream::connect(ready).is_err() || ready_status(*ready) != 200 {
+                return Some(format!("router {index} is not ready"));
+            }
+            let path = path_of_version(self.version);
+            let id = format!("probe-{index}-{}", rand::random::<u32>());
+            if status_of(*callers, &path, &id) != Some(200) {
+                return Some(format!("router {index}: version {}", self.version));
+            }
+            for kind in KINDS {
+                let id = format!("probe-{index}-{}", rand::random::<u32>());
+                if !is_served(*callers, kind, &id) {
+                    return Some(format!("router {index}: {kind:?}"));
+                }
+            }
+        }
+        None
+    }
+
+    /// Ends all that was started.
+    pub fn end(mut self) {
+        for process in &mut self.processes {
+            process.child.kill().ok();
+            process.child.wait().ok();
+        }
+        for link in &self.links {
+            link.end();
+        }
+    }
+}
+
+impl Process {
+    fn start_again(&mut self) {
+        self.child = spawn(self.role, &self.settings, &self.log);
+    }
+
+    /// Sends a signal by the process's id.
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let signal = format!("-{name}");
+        Command::new("kill")
+            .args([signal.as_str(), &id])
+            .status()
+            .expect("kill runs");
+    }
+}
+
+fn spawn(role: &str, settings: &Path, log: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(log);
+    let log = log.expect("a log");
+    Command::new(env!("CARGO_BIN_EXE_celerystair"))
+        .args([role, "--platform"])
+        .env(SETTINGS_VARIABLE, settings)
+        .stdout(Stdio::from(log.try_clone().expect("a log")))
+        .stderr(Stdio::from(log))
+        .spawn()
+        .expect("the process starts")
+}
+
+fn free_port(ip: std::net::IpAddr) -> u16 {
+    let probe = TcpListener::bind((ip, 0)).expect("a port");
+    probe.local_addr().expect("its address").port()
+}
