Log with each failed attempt what its upstream was chosen by

Change: a line of its own for each kind, with typed fields; refusals name the version of the configuration. Ruled out: a line for each choice: a front of 0.09 of a core serves hundreds a second, and choices that went well are counted.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -168,8 +168,7 @@
         let mut suspects = self.suspects.borrow_mut();
         let crashes = suspects.note_crash(request.fingerprint, now_unix_ms());
         drop(suspects);
-        let crashes = crashes.to_string();
-        self.log_request(request, "request_suspected", &[("crashes", &crashes)]);
+        self.log_suspected(request, crashes);
     }
 
     /// How many routers share what is meant for all.
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -2,17 +2,56 @@
 //! `docs/OPERATIONS.md`.
 
 use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
 
 use crate::{front::Front, pick::WaitsFor, request::CallerRequest, upstream::Upstream};
 
 impl Front {
-    /// Logs a decision about a request.
-    pub fn log_request(&self, request: &CallerRequest, event: &str, fields: &[(&str, &str)]) {
-        let fields: Vec<String> = fields.iter().map(|(k, v)| format!("{k}={v}")).collect();
-        info!(self.log, "{}", event; "request" => %request.head.id,
-            "route" => &request.route.name, "detail" => fields.join(" "),
-            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
+    /// Logs that an attempt came to nothing, and by what its upstream was chosen.
+    pub fn log_failure(
+        &self,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        failure: AttemptFailure,
+        sent_unix_ms: u64,
+    ) {
+        let now = now_unix_ms();
+        let status = self.engines.get(&upstream.id());
+        let load = status.as_ref().map(|s| s.running + s.waiting);
+        let news_age_ms = status.map(|status| now.saturating_sub(status.heard_unix_ms));
+        info!(self.log, "attempt_failed"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream.id(),
+            "how" => failure.as_str(), "upstream_ms" => now.saturating_sub(sent_unix_ms),
+            "load" => load, "news_age_ms" => news_age_ms, "in_flight" => upstream.in_flight(),
+            "config_version" => self.view.version(), "age_ms" => request.age_ms(now));
+    }
+
+    /// Logs that a stream broke off, or has been silent for long, and what follows.
+    pub fn log_broken(&self, request: &CallerRequest, upstream: &UpstreamId, how: AttemptFailure) {
+        info!(self.log, "stream_broken"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream, "how" => how.as_str(),
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
+    /// Logs that the request's upstream went while it ran.
+    pub fn log_suspected(&self, request: &CallerRequest, crashes: u32) {
+        info!(self.log, "request_suspected"; "request" => %request.head.id,
+            "route" => &request.route.name, "crashes" => crashes,
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
+    /// Logs that an agent is asked for an adapter.
+    pub fn log_adapter_wanted(
+        &self,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        model: &ModelName,
+        adapter: &str,
+    ) {
+        info!(self.log, "adapter_wanted"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream.id(), "model" => %model,
+            "adapter" => adapter, "age_ms" => request.age_ms(now_unix_ms()));
     }
 
     /// Logs that a request waits.
@@ -33,7 +72,7 @@
         sent_unix_ms: u64,
     ) {
         let now = now_unix_ms();
-        let age_ms = now.saturating_sub(request.arrived_unix_ms);
+        let age_ms = request.age_ms(now);
         if age_ms <= request.route.target_latency_ms {
             return;
         }
@@ -57,8 +96,8 @@
         info!(self.log, "request_refused"; "request" => %request.head.id,
             "route" => &request.route.name, "reason" => refusal.reason.as_str(),
             "run" => refusal.run.as_str(), "detail" => &refusal.detail, "model" => model,
-            "retry_after_ms" => refusal.retry_after_ms,
-            "age_ms" => now_unix_ms().saturating_sub(request.arrived_unix_ms));
+            "retry_after_ms" => refusal.retry_after_ms, "config_version" => self.view.version(),
+            "age_ms" => request.age_ms(now_unix_ms()));
     }
 
     /// Logs the refusal of a request that could not be read.
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -189,7 +189,7 @@
     if let Some(first) = first
         && replicas[first].0.want_adapter(model, adapter)
     {
-        front.log_request(request, "adapter_wanted", &[("adapter", adapter)]);
+        front.log_adapter_wanted(request, &replicas[first].0, model, adapter);
         front.demand_changed();
     }
 }
--- a/crates/celerystair_front/src/probes.rs
+++ b/crates/celerystair_front/src/probes.rs
@@ -20,11 +20,7 @@
     let text = move || {
         let gauges = &scraped.metrics.gauges;
         gauges.waiting.record(scraped.waiting.len() as u64, &[]);
-        let version = scraped
-            .view
-            .config()
-            .map_or(0, |config| config.config.version);
-        gauges.config_revision.record(version, &[]);
+        gauges.config_revision.record(scraped.view.version(), &[]);
         scraped.metrics.scrape()
     };
     compio::runtime::spawn(async move { serve_text(listener, "/metrics", stop, text).await.ok() })
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -50,6 +50,13 @@
     pub fingerprint: u64,
 }
 
+impl CallerRequest {
+    /// How long ago it arrived.
+    pub fn age_ms(&self, now_unix_ms: u64) -> u64 {
+        now_unix_ms.saturating_sub(self.arrived_unix_ms)
+    }
+}
+
 /// What the attempts so far have come to.
 #[derive(Default)]
 pub struct Progress {
@@ -157,6 +164,7 @@
                 return Ok(served);
             }
             Err(failed) => {
+                front.log_failure(request, &upstream, failed.failure, now);
                 let served = after_failure(front, request, &upstream, progress, failed)?;
                 if let Some(served) = served {
                     return Ok(served);
@@ -209,11 +217,6 @@
 ) -> Result<Option<Served>, Refusal> {
     let failure = failed.failure;
     let id = upstream.id();
-    front.log_request(
-        request,
-        "attempt_failed",
-        &[("upstream", id.as_str()), ("how", failure.as_str())],
-    );
     progress.tried.push(id);
     progress.sent += u32::from(failure.has_reached());
     progress.arrived += u32::from(failure.has_arrived());
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -167,11 +167,7 @@
         // Closed before the next one starts: two must not run at once.
         drop(begun);
         let has_time = now < self.request.deadline_unix_ms;
-        self.front.log_request(
-            &self.request,
-            "stream_broken",
-            &[("upstream", upstream.as_str()), ("how", failure.as_str())],
-        );
+        self.front.log_broken(&self.request, &upstream, failure);
         if failure == AttemptFailure::AnswerLost {
             self.front.note_crash(&self.request);
         }
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -76,6 +76,12 @@
         self.inner.config.borrow().clone()
     }
 
+    /// The version of the configuration in force; 0 if none is known.
+    pub fn version(&self) -> u64 {
+        let config = self.inner.config.borrow();
+        config.as_ref().map_or(0, |config| config.config.version)
+    }
+
     /// Whether requests can be routed.
     pub fn is_complete(&self) -> bool {
         self.inner.config.borrow().is_some() && !self.inner.by_service.borrow().is_empty()
