Keep models that a few callers ask for beside busy ones; count a distant load as none

And a load from the weight store that takes 26 s counted as a replica, so the one replica that served a busy model made room for another model. Change: what a replica spares goes by the square of how full the slots are, from a quarter on; the runs that an unload waits for are part of how long a load takes; a load counts as a replica when it is nearly done, and until then the model is loaded from a copy if that is sooner. Ruled out: the weight store (few cold loads), adapters.

--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -87,17 +87,19 @@
     pub cold_at_once: u32,
 }
 
-/// A replica is asked to carry this part of its engine's slots; above it another one is wanted.
-/// Beyond it prompts that are read delay the tokens of the others past the pause that is allowed.
-const REPLICA_LOAD_SHARE: f64 = 0.25;
+/// A replica carries this part of its engine's slots without harm. Beyond it, prompts that are read
+/// begin to delay the tokens of others past the pause that is allowed: a few at first, and all once
+/// the slots are full.
+const UNHARMED_SHARE: f64 = 0.25;
 /// Loads from the weight store that are left to models that somebody asks for.
 const COLD_LOADS_FOR_ASKED: usize = 1;
 /// Seconds of a model's demand that a load or an eviction is weighed by.
 const HORIZON_SECONDS: f64 = 3.0;
 /// What a waiting request weighs against one that is expected.
 const WAITING_WEIGHT: f64 = 2.0;
-/// Time from a wish for a load to its order, over news and the agent's own work.
-const ORDER_DELAY_MS: f64 = 300.0;
+/// Time from a wish for a load to its order: over news, the agent's own work, and mostly the runs of
+/// the model that makes room, which are waited for.
+const ORDER_DELAY_MS: f64 = 1800.0;
 /// How much less it matters that a model is not loaded if its callers' target leaves time for a
 /// load from disk, and how much more if a load takes far longer than the target.
 const URGENCY: (f64, f64) = (0.3, 2.0);
@@ -111,6 +113,13 @@
 /// hand go first, but not at any price.
 const SECOND_COST: f64 = 0.5;
 
+/// A load that is done within this time counts as a replica. One from the weight store may take a
+/// minute: until it is nearly done its model goes by the replicas that it has, and comes from a disk
+/// where there is a copy.
+const SOON_MS: u64 = 3000;
+/// Runs beyond this many make an unload no longer: they end at the same time as the others.
+const RUNS_WAITED_FOR: f64 = 4.0;
+
 /// Decides what the engine at `own` loads next; `None` if nothing falls to it now.
 pub fn next_order(
     config: &EngineConfig,
@@ -158,6 +167,8 @@
     models: &'a HashMap<ModelName, ModelView>,
     engines: &'a [EngineView],
     replicas: HashMap<&'a ModelName, usize>,
+    /// When a load that is under way is done, for models whose load takes long.
+    distant_ms: HashMap<&'a ModelName, u64>,
     rooms: Vec<Room<'a>>,
     is_taken: Vec<bool>,
     cold_loads: usize,
@@ -173,11 +184,20 @@
         engines: &'a [EngineView],
     ) -> Self {
         let mut replicas: HashMap<&ModelName, usize> = HashMap::default();
+        let mut distant_ms: HashMap<&ModelName, u64> = HashMap::default();
         for engine in engines {
-            let loading = engine.loading.iter().map(|load| &load.model);
-            for model in engine.loaded.iter().chain(loading) {
+            for model in &engine.loaded {
                 *replicas.entry(model).or_default() += 1;
             }
+            let Some(load) = &engine.loading else {
+                continue;
+            };
+            if load.ready_in_ms <= SOON_MS {
+                *replicas.entry(&load.model).or_default() += 1;
+            } else {
+                let ready_in_ms = distant_ms.entry(&load.model).or_insert(u64::MAX);
+                *ready_in_ms = load.ready_in_ms.min(*ready_in_ms);
+            }
         }
         let is_cold = |engine: &&EngineView| engine.loading.as_ref().is_some_and(|l| l.is_cold);
         let mut fleet = Self {
@@ -185,6 +205,7 @@
             models,
             engines,
             replicas,
+            distant_ms,
             rooms: Vec::new(),
             is_taken: vec![false; engines.len()],
             cold_loads: engines.iter().filter(is_cold).count(),
@@ -222,11 +243,6 @@
         self.replicas.get(model).copied().unwrap_or_default()
     }
 
-    /// Requests that one replica carries.
-    fn replica_load(&self) -> f64 {
-        (f64::from(self.config.slots) * REPLICA_LOAD_SHARE).max(1.0)
-    }
-
     /// How much it matters that the model is not loaded when it is asked for.
     fn urgency(&self, model: &ModelName) -> f64 {
         let view = self.models.get(model);
@@ -249,11 +265,9 @@
             return expected + f64::from(view.waiting) * WAITING_WEIGHT;
         }
         let load = f64::from(view.running + view.waiting);
-        let carried = replicas as f64 * self.replica_load();
-        if load <= carried {
-            return 0.0;
-        }
-        expected * (1.0 - carried / load)
+        let slots = replicas as f64 * f64::from(self.config.slots.max(1));
+        let over = (load / slots - UNHARMED_SHARE) / (1.0 - UNHARMED_SHARE);
+        expected * over.clamp(0.0, 1.0).powi(2)
     }
 
     /// The models that want one more replica, the most wanted first; then those that nobody asks
@@ -290,6 +304,9 @@
             }
             let (load_ms, _) = self.load_ms(engine, need.model);
             let busy_ms = engine.loading.as_ref().map_or(0, |load| load.ready_in_ms);
+            if !self.is_sooner(need.model, load_ms + busy_ms) {
+                continue;
+            }
             let cost = loss + (load_ms + busy_ms) as f64 / 1000.0 * SECOND_COST;
             if best.is_some_and(|(least, _, _)| cost > least) {
                 continue;
@@ -321,6 +338,12 @@
         })
     }
 
+    /// Whether a load is done well before the one that is under way elsewhere, if one is.
+    fn is_sooner(&self, model: &ModelName, load_ms: u64) -> bool {
+        let distant_ms = self.distant_ms.get(model);
+        distant_ms.is_none_or(|distant_ms| load_ms + SOON_MS < *distant_ms)
+    }
+
     /// Whether one more load from the weight store may begin. One that nobody asks for leaves room:
     /// it can't be given up when somebody asks for another model.
     fn may_load_cold(&self, need: &Need<'_>) -> bool {
@@ -381,7 +404,8 @@
         }
         // An unload waits for what runs, and holds up the engine's next order until then.
         let running = view.map_or(0, |view| view.running);
-        shortage + f64::from(running) / replicas.max(1) as f64 * SECOND_COST
+        let running_here = f64::from(running) / replicas.max(1) as f64;
+        shortage + running_here.min(RUNS_WAITED_FOR) * SECOND_COST
     }
 
     fn assign(&mut self, chosen: &Chosen) {
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -297,3 +297,85 @@
         Ok(())
     });
 }
+
+/// Engines with room for two models each. Five models are asked for by everybody, and 38 a little
+/// each by callers who wait for seconds, all the time: each of those is to stay loaded, and not to
+/// take turns with the others, while the five still have slots to spare.
+#[test]
+fn models_that_are_asked_for_a_little_stay_beside_busy_ones() {
+    const BUSY: usize = 5;
+    const MODELS: usize = 43;
+    let mut config = config(MODELS);
+    config.slots = 32;
+    for model in config.models.values_mut() {
+        model.weights_mb = 90_000.0;
+        model.disk_load_ms = 780;
+    }
+    let mut engines: Vec<EngineView> = (0..44)
+        .map(|number| {
+            let mut engine = engine(number, &[number % BUSY, (number + 1) % BUSY]);
+            engine.on_disk = (0..MODELS).map(model).collect();
+            engine
+        })
+        .collect();
+    let mut rounds_with_loads = 0;
+    for round in 0..30 {
+        let mut models = HashMap::default();
+        for number in 0..MODELS {
+            let is_loaded = replicas(&engines, number) > 0;
+            let (rate, running, target_ms) = if number < BUSY {
+                (60.0, 120, 500.0)
+            } else {
+                (1.8, 4, 2500.0)
+            };
+            let mut view = asked(rate, 0, if is_loaded { running } else { 0 });
+            view.waiting = if is_loaded { 0 } else { 4 };
+            view.target_latency_ms = target_ms;
+            models.insert(model(number), view);
+        }
+        let orders = settle(&config, &models, &mut engines);
+        rounds_with_loads += usize::from(round >= 10 && !orders.is_empty());
+    }
+    let missing = (0..MODELS).filter(|number| replicas(&engines, *number) == 0);
+    assert_eq!(missing.count(), 0, "{engines:?}");
+    for number in 0..BUSY {
+        let slots = 32 * replicas(&engines, number);
+        assert!(
+            slots >= 160,
+            "m{number}: half of its slots are free: {slots}"
+        );
+    }
+    assert_eq!(rounds_with_loads, 0, "they take turns");
+}
+
+/// A load from the weight store takes a minute. Meanwhile the one replica that serves the model is
+/// not given up for it; and where the model is on a disk, it comes from there, but no second load
+/// from the weight store begins.
+#[test]
+fn a_load_that_takes_long_is_no_replica_yet() {
+    let config = config(9);
+    let mut engines = vec![engine(0, &[2, 5]), engine(1, &[]), engine(2, &[])];
+    engines[0].on_disk.push(model(8));
+    engines[1].loading = Some(LoadUnderWay {
+        model: model(2),
+        is_cold: true,
+        ready_in_ms: 26_000,
+    });
+    engines[2].takes_orders = false;
+    let mut models = HashMap::default();
+    models.insert(model(2), asked(20.0, 0, 6));
+    models.insert(model(5), asked(20.0, 0, 6));
+    models.insert(model(8), asked(2.0, 2, 0));
+    assert_eq!(next_order(&config, &models, &engines, 0), None);
+    engines[0].loaded.retain(|loaded| *loaded != model(2));
+    engines[0].on_disk.retain(|copy| *copy != model(2));
+    models.insert(model(2), asked(20.0, 30, 0));
+    let order = next_order(&config, &models, &engines, 0);
+    assert!(
+        order.is_none_or(|order| order.load != model(2)),
+        "no second cold load"
+    );
+    engines[0].on_disk.push(model(2));
+    let order = next_order(&config, &models, &engines, 0).expect("an order");
+    assert_eq!((order.load, order.is_cold), (model(2), false));
+}
