Share the room at a replica among routers; tell of load when it has changed

Every router with requests that waited for a model saw the same empty slots of its first replica, and each filled all of them. News of an engine's load were up to 1.4 s old. Change: a router takes three times its equal part of the room between two pieces of news; an agent tells of its load when it has changed by a quarter of the slots, at most five times a second. Ruled out: a lower bound for each slot: it holds back routers that are alone with a model.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -274,7 +274,7 @@
         *self.upstream.borrow_mut() = own.map(|entry| entry.id);
     }
 
-    fn engine_config(&self) -> Option<EngineConfig> {
+    pub(crate) fn engine_config(&self) -> Option<EngineConfig> {
         let (_, config) = self.configs.get(self.settings.source.config_name)?;
         config.services.get(&self.settings.service)?.engine.clone()
     }
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -25,9 +25,16 @@
     loaded: Vec<LoadedModel>,
     loading: Option<ModelName>,
     takes_orders: bool,
+    load: u32,
     at_unix_ms: u64,
 }
 
+/// A load that has changed by this part of the engine's slots is news: routers fill what they take
+/// for empty.
+const LOAD_CHANGE_SHARE: f64 = 0.25;
+/// But not sooner than this after the last news.
+const LOAD_INTERVAL_MS: u64 = 200;
+
 /// Tells routers and other agents of the engine, if anything has changed or it is time.
 pub async fn tell(agent: &EngineAgent) {
     let now = now_unix_ms();
@@ -43,6 +50,7 @@
             && told.loading == status.loading
             && told.takes_orders == status.takes_orders
             && now < told.at_unix_ms + interval_ms
+            && !has_load_changed(agent, &told, &status, now)
     };
     if is_same {
         return;
@@ -51,6 +59,7 @@
         loaded: status.loaded.clone(),
         loading: status.loading.clone(),
         takes_orders: status.takes_orders,
+        load: status.running + status.waiting,
         at_unix_ms: now,
     };
     let targets = sends(&agent.settings.failure_domain, &peers, agent.sequence.get());
@@ -60,6 +69,13 @@
     );
 }
 
+fn has_load_changed(agent: &EngineAgent, told: &Told, status: &EngineStatus, now: u64) -> bool {
+    let slots = agent.engine_config().map_or(0, |config| config.slots);
+    let changed_by = (status.running + status.waiting).abs_diff(told.load);
+    now >= told.at_unix_ms + LOAD_INTERVAL_MS
+        && f64::from(changed_by) >= (f64::from(slots) * LOAD_CHANGE_SHARE).max(1.0)
+}
+
 fn log_unsent(agent: &EngineAgent, unsent: Vec<(SocketAddr, std::io::Error)>) {
     for (address, error) in unsent {
         debug!(agent.log, "news_not_sent"; "to" => %address, "error" => %error);
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -172,7 +172,7 @@
     }
 
     /// How many routers share what is meant for all.
-    fn known_routers(&self) -> u32 {
+    pub(crate) fn known_routers(&self) -> u32 {
         match self.routers.get() {
             0 => ROUTERS_UNKNOWN,
             routers => routers,
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -207,20 +207,18 @@
         .zip(&ids)
         .map(|(upstream, id)| candidate(front, upstream, id, now_unix_ms))
         .collect();
-    let Some(best) = choose_upstream(&candidates, &request.head.id) else {
-        return Pick::Nowhere;
-    };
-    let best_candidate = &candidates[best];
-    let load = best_candidate
-        .own_load
-        .max(best_candidate.known_load + best_candidate.sent_since_news);
-    if f64::from(load) >= f64::from(best_candidate.slots) * load_per_slot_max {
-        return Pick::Later {
+    let routers = front.known_routers();
+    let has_room = |index: &usize| has_room(&candidates[*index], load_per_slot_max, routers);
+    let roomy: Vec<usize> = (0..candidates.len()).filter(has_room).collect();
+    let with_room: Vec<Candidate<'_>> = roomy.iter().map(|index| candidates[*index]).collect();
+    match choose_upstream(&with_room, &request.head.id) {
+        Some(best) => Pick::Now(upstreams[roomy[best]].clone()),
+        None if candidates.is_empty() => Pick::Nowhere,
+        None => Pick::Later {
             ready_unix_ms: now_unix_ms + FULL_WAIT_MS,
             what: WaitsFor::Room,
-        };
+        },
     }
-    Pick::Now(upstreams[best].clone())
 }
 
 fn candidate<'a>(
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -46,14 +46,19 @@
             let addresses = group.addresses.into_iter().map(Ipv4Addr::from);
             (group.failure_domain.into(), addresses.collect())
         });
+        // Another process may have told it on; an earlier version doesn't say whose it is.
+        let ip = match news.address {
+            0 => sender.ip(),
+            address => Ipv4Addr::from(address).into(),
+        };
         Self {
             router: news.router,
             sequence: news.sequence,
             models: models.collect(),
             agents: agents.collect(),
             domain: news.failure_domain.into(),
-            // All processes take news on one port; the sender may only have told it on.
-            address: SocketAddr::new(Ipv4Addr::from(news.address).into(), sender.port()),
+            // All processes take news on one port.
+            address: SocketAddr::new(ip, sender.port()),
             heard_unix_ms: now_unix_ms,
         }
     }
--- a/crates/celerystair_policy/src/choose.rs
+++ b/crates/celerystair_policy/src/choose.rs
@@ -34,6 +34,23 @@
 /// Prompt tokens that delay the streams of an engine by less than they may pause count as none.
 const EQUAL_UNREAD_TOKENS: u64 = 500;
 
+/// A router takes so many times its equal part of the room between two pieces of news: not all
+/// have requests for the same upstream, and if they have, an engine queues three times as many as it
+/// runs.
+const ROOM_SHARES: f64 = 3.0;
+/// But so many at least, so that a large fleet does not stand still before an empty upstream.
+const SENT_MIN: f64 = 2.0;
+
+/// Whether an upstream that takes `load_per_slot_max` requests for each slot has room for one more
+/// of a router that is one of `routers`. When a model has just been loaded, every router has
+/// requests that wait for it, and all of them see the same empty slots.
+pub fn has_room(candidate: &Candidate<'_>, load_per_slot_max: f64, routers: u32) -> bool {
+    let load_max = f64::from(candidate.slots) * load_per_slot_max;
+    let room = load_max - f64::from(candidate.known_load);
+    let share = (room * ROOM_SHARES / f64::from(routers.max(1))).max(SENT_MIN);
+    f64::from(load(candidate)) < load_max && f64::from(candidate.sent_since_news) < share
+}
+
 /// The best of `candidates` for the request called `request`. `None` only if there is no candidate.
 ///
 /// Requests that share the start of a prompt are not sent to one place on purpose: the shared start
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -42,7 +42,7 @@
 pub mod prelude {
     pub use crate::{
         budget::RetryBudget,
-        choose::{Candidate, choose_upstream},
+        choose::{Candidate, choose_upstream, has_room},
         cold_loads::{ColdLoadRun, ColdLoadsSeen},
         demand::DemandMeter,
         departures::{Departures, replaced_entries},
--- a/crates/celerystair_policy/tests/choose.rs
+++ b/crates/celerystair_policy/tests/choose.rs
@@ -128,3 +128,44 @@
         assert_eq!(unread, [700; 4]);
     }
 }
+
+/// A model has just been loaded by one engine, and twenty requests wait for it at each of 25
+/// routers. Until the next news they must not send more than the engine runs and queues.
+#[test]
+fn requests_that_wait_everywhere_do_not_overrun_the_first_replica() {
+    const ROUTERS: u32 = 25;
+    let (slots, queue) = (32, 96);
+    let id = UpstreamId::from("u");
+    let mut sent_by_all = 0;
+    for _router in 0..ROUTERS {
+        let mut sent = 0;
+        for _waiting in 0..20 {
+            let seen = Candidate {
+                slots,
+                own_load: sent,
+                sent_since_news: sent,
+                ..candidate(&id)
+            };
+            sent += u32::from(has_room(&seen, 1.25, ROUTERS));
+        }
+        sent_by_all += sent;
+    }
+    assert!(sent_by_all <= slots + queue, "{sent_by_all} sent");
+    assert!(
+        sent_by_all >= slots,
+        "{sent_by_all} sent, and slots are free"
+    );
+}
+
+#[test]
+fn a_router_alone_fills_the_upstream() {
+    let id = UpstreamId::from("u");
+    let seen = |sent| Candidate {
+        slots: 32,
+        own_load: sent,
+        sent_since_news: sent,
+        ..candidate(&id)
+    };
+    assert!(has_room(&seen(39), 1.25, 1));
+    assert!(!has_room(&seen(40), 1.25, 1));
+}
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -378,7 +378,7 @@
                     let what = format!("{}: its planned stop has no end", process.name);
                     self.broken.push(what);
                     process.child.kill().expect("the process was there");
-                    process.stop_until = Some(until + Duration::from_secs(60));
+                    process.stop_until = Some(until + Duration::from_mins(1));
                 }
                 (None, _) => {}
                 (Some(status), None) => {
