Let a further replica gain where the slots are overrun

Cause: what a replica spares was cut where all slots are full. Change: requests that find no slot count as much again as late ones.

--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -113,10 +113,12 @@
 /// hand go first, but not at any price.
 const SECOND_COST: f64 = 0.5;
 
-/// A load that is done within this time counts as a replica. One from the weight store may take a
-/// minute: until it is nearly done its model goes by the replicas that it has, and comes from a disk
-/// where there is a copy.
-const SOON_MS: u64 = 3000;
+/// A load that is done within this time counts as a replica: one from a disk is, though an unload
+/// before it waits for runs of some seconds. One from the weight store may take a minute: until it
+/// is nearly done its model goes by the replicas that it has.
+const SOON_MS: u64 = 5000;
+/// Beside a load that takes longer the model is loaded from a copy, if that is done sooner by this.
+const SOONER_MS: u64 = 2000;
 /// Runs beyond this many make an unload no longer: they end at the same time as the others.
 const RUNS_WAITED_FOR: f64 = 4.0;
 
@@ -266,8 +268,7 @@
         }
         let load = f64::from(view.running + view.waiting);
         let slots = replicas as f64 * f64::from(self.config.slots.max(1));
-        let over = (load / slots - UNHARMED_SHARE) / (1.0 - UNHARMED_SHARE);
-        expected * over.clamp(0.0, 1.0).powi(2)
+        expected * harm(load / slots)
     }
 
     /// The models that want one more replica, the most wanted first; then those that nobody asks
@@ -341,7 +342,7 @@
     /// Whether a load is done well before the one that is under way elsewhere, if one is.
     fn is_sooner(&self, model: &ModelName, load_ms: u64) -> bool {
         let distant_ms = self.distant_ms.get(model);
-        distant_ms.is_none_or(|distant_ms| load_ms + SOON_MS < *distant_ms)
+        distant_ms.is_none_or(|distant_ms| load_ms + SOONER_MS < *distant_ms)
     }
 
     /// Whether one more load from the weight store may begin. One that nobody asks for leaves room:
@@ -414,6 +415,16 @@
     }
 }
 
+/// What becomes of requests at replicas that run or queue so many for each slot: 1 if all are late.
+/// Those that find no slot count as much again, so that a second replica is worth its place however
+/// much is asked of the first.
+fn harm(load_per_slot: f64) -> f64 {
+    let over = (load_per_slot - UNHARMED_SHARE) / (1.0 - UNHARMED_SHARE);
+    let late = over.clamp(0.0, 1.0).powi(2);
+    let without_slot = 1.0 - 1.0 / load_per_slot.max(1.0);
+    late + without_slot
+}
+
 fn is_asked(model: &ModelView) -> bool {
     model.requests_per_second > 0.0 || model.waiting > 0
 }
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -379,3 +379,24 @@
     let order = next_order(&config, &models, &engines, 0).expect("an order");
     assert_eq!((order.load, order.is_cold), (model(2), false));
 }
+
+/// Everybody asks for one model, and its one replica has more than four engines could run: each
+/// further replica is worth its place beside models that are asked for a little.
+#[test]
+fn a_model_that_overruns_its_replica_gets_more() {
+    let config = config(9);
+    let mut engines: Vec<EngineView> = (0..6)
+        .map(|n| engine(n, &[n + 1, (n + 1) % 6 + 1]))
+        .collect();
+    engines[0].loaded.push(model(0));
+    for engine in &mut engines {
+        engine.on_disk.push(model(0));
+    }
+    let mut models = HashMap::default();
+    for number in 1..7 {
+        models.insert(model(number), asked(1.0, 0, 2));
+    }
+    models.insert(model(0), asked(80.0, 120, 100));
+    settle(&config, &models, &mut engines);
+    assert!(replicas(&engines, 0) >= 4, "{engines:?}");
+}
