--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -67,6 +67,8 @@
     pub plan: RefCell<Option<Plan>>,
     /// What was seen of loads from the weight store.
     pub cold_loads_seen: Cell<ColdLoadsSeen>,
+    /// Requests that the engine runs at once; 0 until the configuration is known.
+    pub(crate) slots: Cell<u32>,
     /// What was told last.
     pub told: RefCell<Told>,
     /// Rises with each datagram, also over lives of the agent.
@@ -131,6 +133,7 @@
             state: RefCell::default(),
             plan: RefCell::default(),
             cold_loads_seen: Cell::default(),
+            slots: Cell::default(),
             told: RefCell::default(),
             sequence: Cell::new(now_unix_ms()),
             client: EngineClient::new()?,
@@ -274,7 +277,7 @@
         *self.upstream.borrow_mut() = own.map(|entry| entry.id);
     }
 
-    pub(crate) fn engine_config(&self) -> Option<EngineConfig> {
+    fn engine_config(&self) -> Option<EngineConfig> {
         let (_, config) = self.configs.get(self.settings.source.config_name)?;
         config.services.get(&self.settings.service)?.engine.clone()
     }
@@ -283,6 +286,7 @@
         let Some(config) = self.engine_config() else {
             return;
         };
+        self.slots.set(config.slots);
         if !self.state.borrow().is_busy {
             self.order_adapters(store, &config).await;
         }
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -70,10 +70,9 @@
 }
 
 fn has_load_changed(agent: &EngineAgent, told: &Told, status: &EngineStatus, now: u64) -> bool {
-    let slots = agent.engine_config().map_or(0, |config| config.slots);
     let changed_by = (status.running + status.waiting).abs_diff(told.load);
-    now >= told.at_unix_ms + LOAD_INTERVAL_MS
-        && f64::from(changed_by) >= (f64::from(slots) * LOAD_CHANGE_SHARE).max(1.0)
+    let least = f64::from(agent.slots.get()) * LOAD_CHANGE_SHARE;
+    now >= told.at_unix_ms + LOAD_INTERVAL_MS && f64::from(changed_by) >= least.max(1.0)
 }
 
 fn log_unsent(agent: &EngineAgent, unsent: Vec<(SocketAddr, std::io::Error)>) {
