Keep the weight store for models that nobody serves

Change: more loads than the store is known to serve are for models without a replica. Ruled out: one load more in such a case: the store takes k times as long for the k-th at once, so it is done no sooner.

--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -345,11 +345,18 @@
         distant_ms.is_none_or(|distant_ms| load_ms + SOONER_MS < *distant_ms)
     }
 
-    /// Whether one more load from the weight store may begin. One that nobody asks for leaves room:
-    /// it can't be given up when somebody asks for another model.
+    /// Whether one more load from the weight store may begin. More than it is known to serve are for
+    /// models that nobody serves; and one that nobody asks for leaves room: it can't be given up when
+    /// somebody asks for another model.
     fn may_load_cold(&self, need: &Need<'_>) -> bool {
         if need.gain > 0.0 {
-            return self.cold_loads < self.cold_limit.max;
+            let is_served = self.replicas(need.model) > 0;
+            let limit = if is_served {
+                self.cold_limit.known
+            } else {
+                self.cold_limit.max
+            };
+            return self.cold_loads < limit;
         }
         let kept_free = if self.is_asked {
             COLD_LOADS_FOR_ASKED
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -400,3 +400,33 @@
     settle(&config, &models, &mut engines);
     assert!(replicas(&engines, 0) >= 4, "{engines:?}");
 }
+
+/// The weight store is known to serve one load at once. A further replica of a busy model waits for
+/// it, and a model that nobody serves does not.
+#[test]
+fn the_weight_store_is_kept_for_models_that_nobody_serves() {
+    let config = config(9);
+    let mut engines = vec![engine(0, &[0]), engine(1, &[]), engine(2, &[1])];
+    engines[2].cold_loads_seen.on_time = 1;
+    engines[2].loading = Some(LoadUnderWay {
+        model: model(3),
+        is_cold: true,
+        ready_in_ms: 4000,
+    });
+    let mut models = HashMap::default();
+    models.insert(model(0), asked(60.0, 40, 48));
+    assert_eq!(next_order(&config, &models, &engines, 1), None);
+    models.insert(model(4), asked(2.0, 3, 0));
+    let orders = [0, 1].map(|own| next_order(&config, &models, &engines, own));
+    let loads: Vec<ModelName> = orders.into_iter().flatten().map(|o| o.load).collect();
+    assert_eq!(loads, [model(4)]);
+    engines[2].loading = None;
+    models.remove(&model(4));
+    let orders = [1, 2].map(|own| next_order(&config, &models, &engines, own));
+    let loads: Vec<(ModelName, bool)> = orders
+        .into_iter()
+        .flatten()
+        .map(|order| (order.load, order.is_cold))
+        .collect();
+    assert_eq!(loads, [(model(0), true)], "once the store is free");
+}
