Tell in logs and metrics what a retry was decided by

Nothing told afterwards which router had made how many retries of a service, what it went by, and how many attempts it had not charged; so the hypotheses of the retry incident could not be told apart.

Each decision on a retry is a line (requests and retries in the window, allowed, routers that the slack was divided by, age of the process); each window's sums are a line by service, with attempts that arrived and that reached nobody; a change of the number of routers is a line with who told it. Counters and gauges by service beside them. Decisions are unchanged.

--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -147,7 +147,7 @@
                 news: News::Engine(status),
                 ..
             }) => {
-                front.routers.set(status.routers);
+                front.note_routers(status.routers, &status.upstream);
                 let before = front.engines.get(&status.upstream);
                 if front.engines.take(status.clone()) {
                     wake_for(&front, before.as_deref(), &status);
--- a/crates/celerystair_front/src/elsewhere.rs
+++ b/crates/celerystair_front/src/elsewhere.rs
@@ -23,12 +23,11 @@
     tried: &[UpstreamId],
     sent: u32,
 ) -> bool {
-    let now = now_unix_ms();
     let inputs = StallInputs {
         is_repeatable: request.route.is_repeatable(),
         sent,
         attempts_max: request.route.attempts_max,
-        has_retry: front.budget(service, |budget, routers| budget.has_room(now, routers)),
+        has_retry: front.has_retry(service),
         is_other_ready: matches!(pick(front, request, service, tried), Pick::Now(_)),
     };
     goes_elsewhere(&inputs)
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -21,6 +21,7 @@
     demand::{hear_agents, tell_agents},
     probes::{serve_metrics, serve_ready},
     request::CallerRequest,
+    retries::{Retries, log_retries},
     settings::FrontSettings,
     view::FleetView,
     waiting::WaitingRequests,
@@ -62,7 +63,7 @@
     demand_changed: Event,
     /// Whether requests wait that no agent was told of.
     pub(crate) waits_untold: Cell<bool>,
-    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    pub(crate) retries: Retries,
 }
 
 impl std::ops::Deref for Front {
@@ -148,20 +149,6 @@
         models.into_iter().collect()
     }
 
-    /// Uses the service's retry budget; `work` is also told how many routers share it.
-    pub fn budget<T>(
-        &self,
-        service: &ServiceName,
-        work: impl FnOnce(&mut RetryBudget, u32) -> T,
-    ) -> T {
-        let routers = self.known_routers();
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(self.settings.retry_bound));
-        work(budget, routers)
-    }
-
     /// Notes that the request was running when its upstream went. It is forgotten once such a
     /// request is answered whole: most that are cut off have crashed nothing.
     pub fn note_crash(&self, request: &CallerRequest) {
@@ -211,6 +198,7 @@
         "callers" => %settings.callers_listen, "ready" => %settings.ready_listen);
     let front = Front {
         inner: Rc::new(FrontInner {
+            retries: Retries::new(settings.retry_bound),
             settings,
             log,
             metrics: Metrics::new("router"),
@@ -223,13 +211,13 @@
             demand: RefCell::default(),
             demand_changed: Event::new(),
             waits_untold: Cell::new(false),
-            budgets: RefCell::default(),
         }),
     };
     compio::runtime::spawn(tell_agents(front.clone(), news.clone(), stop.clone())).detach();
     compio::runtime::spawn(hear_agents(front.clone(), news, stop.clone())).detach();
     serve_ready(&front, ready, stop);
     serve_metrics(&front, stop);
+    compio::runtime::spawn(log_retries(front.clone(), stop.clone())).detach();
     compio::runtime::spawn(close_in_time(front.clone(), stop.clone())).detach();
     let (limiting, answering, serving) = (front.clone(), front.clone(), stop.clone());
     let served = compio::runtime::spawn(async move {
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`pick`] | which upstream a request can go to now |
 //! | [`probes`] | what the platform asks: readiness, metrics |
 //! | [`request`] | the life of one request over all its attempts |
+//! | [`retries`] | the retry budgets, and what operators are told of them |
 //! | [`settings`] | what a router needs to start |
 //! | [`stream`] | a stream on its way to its caller |
 //! | [`upstream`] | an upstream as this router sees it |
@@ -38,6 +39,7 @@
 pub mod pick;
 pub mod probes;
 pub mod request;
+pub mod retries;
 pub mod settings;
 pub mod stream;
 pub mod upstream;
--- a/crates/celerystair_front/src/probes.rs
+++ b/crates/celerystair_front/src/probes.rs
@@ -21,6 +21,7 @@
         let gauges = &scraped.metrics.gauges;
         gauges.waiting.record(scraped.waiting.len() as u64, &[]);
         gauges.config_revision.record(scraped.view.version(), &[]);
+        scraped.show_retries();
         scraped.metrics.scrape()
     };
     compio::runtime::spawn(async move { serve_text(listener, "/metrics", stop, text).await.ok() })
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -89,7 +89,7 @@
     if let Some(model) = &request.head.model {
         front.note_arrival(&model.base, request.route.target_latency_ms);
     }
-    front.budget(&service, |budget, _| budget.note_request(now_unix_ms()));
+    front.note_request(&service);
     let mut progress = Progress::default();
     let served = serve_at(front, &request, &service, &mut progress, None).await?;
     Ok(match served {
@@ -150,13 +150,12 @@
                 );
             }
         };
-        if progress.arrived > 0
-            && !front.budget(service, |budget, routers| budget.take(now, routers))
-        {
+        if progress.arrived > 0 && !front.take_retry(request, service) {
             return fall_back(progress, RefusalReason::Overloaded, "no retry is left");
         }
         match attempt(front, request, service, progress, &upstream, last_event_id).await {
             Ok(served) => {
+                front.note_attempt(service, None);
                 front.log_start(request, &upstream, waited, now);
                 progress.tried.push(upstream.id());
                 progress.sent += 1;
@@ -164,6 +163,7 @@
                 return Ok(served);
             }
             Err(failed) => {
+                front.note_attempt(service, Some(failed.failure));
                 front.log_failure(request, &upstream, failed.failure, now);
                 let served = after_failure(front, request, &upstream, progress, failed)?;
                 if let Some(served) = served {
--- /dev/null
+++ b/crates/celerystair_front/src/retries.rs
@@ -0,0 +1,159 @@
+//! The retry budget of each service at this router, and what operators are told of it: whether a
+//! retry was granted and by what, and the sums of each window. `docs/OPERATIONS.md` shows how to
+//! read them.
+
+use std::cell::RefCell;
+
+use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
+
+use crate::{front::Front, request::CallerRequest};
+
+/// This router's retries, by service.
+pub struct Retries {
+    bound: RetryBound,
+    started_unix_ms: u64,
+    services: RefCell<HashMap<ServiceName, ServiceRetries>>,
+}
+
+struct ServiceRetries {
+    budget: RetryBudget,
+    sums: AttemptSums,
+}
+
+/// What was sent for one service since it was last logged.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct AttemptSums {
+    requests: u64,
+    /// Attempts that an upstream saw, or may have seen.
+    arrived: u64,
+    /// Attempts that no upstream saw; they are not charged.
+    unreachable: u64,
+    charged: u64,
+    denied: u64,
+}
+
+impl Retries {
+    /// Nothing has been sent yet.
+    pub fn new(bound: RetryBound) -> Self {
+        Self {
+            bound,
+            started_unix_ms: now_unix_ms(),
+            services: RefCell::default(),
+        }
+    }
+
+    fn at<T>(&self, service: &ServiceName, work: impl FnOnce(&mut ServiceRetries) -> T) -> T {
+        let mut services = self.services.borrow_mut();
+        let entry = services.entry(service.clone());
+        work(entry.or_insert_with(|| ServiceRetries {
+            budget: RetryBudget::new(self.bound, self.started_unix_ms),
+            sums: AttemptSums::default(),
+        }))
+    }
+
+    /// The sums since the last call, and where the budget stands, of each service that was used.
+    fn take_sums(&self, routers: u32) -> Vec<(ServiceName, AttemptSums, RetryStanding)> {
+        let now = now_unix_ms();
+        let mut services = self.services.borrow_mut();
+        let used = services
+            .iter_mut()
+            .filter(|(_, retries)| retries.sums != AttemptSums::default());
+        used.map(|(service, retries)| {
+            let sums = std::mem::take(&mut retries.sums);
+            let standing = retries.budget.standing(now, routers);
+            (service.clone(), sums, standing)
+        })
+        .collect()
+    }
+}
+
+impl Front {
+    /// Counts a request of callers for the service.
+    pub fn note_request(&self, service: &ServiceName) {
+        self.retries.at(service, |retries| {
+            retries.budget.note_request(now_unix_ms());
+            retries.sums.requests += 1;
+        });
+    }
+
+    /// Counts an attempt; `failure` says how it came to nothing, if it did.
+    pub fn note_attempt(&self, service: &ServiceName, failure: Option<AttemptFailure>) {
+        let has_arrived = failure.is_none_or(AttemptFailure::has_arrived);
+        self.retries.at(service, |retries| {
+            retries.sums.arrived += u64::from(has_arrived);
+            retries.sums.unreachable += u64::from(!has_arrived);
+        });
+        let outcome = failure.map_or("answered", AttemptFailure::as_str);
+        let labels = [label("service", service), label("outcome", outcome)];
+        self.metrics.attempts.add(1, &labels);
+    }
+
+    /// Whether the service's budget has room for one more retry.
+    pub fn has_retry(&self, service: &ServiceName) -> bool {
+        let routers = self.known_routers();
+        self.retries.at(service, |retries| {
+            retries.budget.has_room(now_unix_ms(), routers)
+        })
+    }
+
+    /// Takes one retry for the request, if the service's budget has room for it.
+    pub fn take_retry(&self, request: &CallerRequest, service: &ServiceName) -> bool {
+        let (now, routers) = (now_unix_ms(), self.known_routers());
+        let (standing, is_granted) = self.retries.at(service, |retries| {
+            let standing = retries.budget.standing(now, routers);
+            let is_granted = retries.budget.take(now, routers);
+            retries.sums.charged += u64::from(is_granted);
+            retries.sums.denied += u64::from(!is_granted);
+            (standing, is_granted)
+        });
+        let outcome = if is_granted { "granted" } else { "denied" };
+        let labels = [label("service", service), label("outcome", outcome)];
+        self.metrics.retries.add(1, &labels);
+        info!(self.log, "retry"; "request" => %request.head.id, "route" => &request.route.name,
+            "service" => %service, "outcome" => outcome, "window_requests" => standing.requests,
+            "window_retries" => standing.retries, "allowed" => standing.allowed,
+            "routers" => standing.routers, "routers_heard" => self.routers.get(),
+            "life_ms" => standing.life_ms, "age_ms" => request.age_ms(now));
+        is_granted
+    }
+
+    /// Takes in how many routers an agent counts.
+    pub fn note_routers(&self, routers: u32, told_by: &UpstreamId) {
+        let before = self.routers.replace(routers);
+        if before != routers {
+            info!(self.log, "routers_counted"; "routers" => routers, "before" => before,
+                "told_by" => %told_by);
+        }
+    }
+
+    /// Shows where the budgets stand in the metrics.
+    pub fn show_retries(&self) {
+        let routers = self.known_routers();
+        let gauges = &self.metrics.gauges;
+        gauges.routers.record(u64::from(routers), &[]);
+        let now = now_unix_ms();
+        for (service, retries) in self.retries.services.borrow_mut().iter_mut() {
+            let allowed = retries.budget.standing(now, routers).allowed;
+            let labels = [label("service", service)];
+            gauges.retries_allowed.record(allowed, &labels);
+        }
+    }
+}
+
+/// Logs the sums of each window until `stop` ends.
+pub async fn log_retries(front: Front, stop: Stop) {
+    while !stop.is_ended() {
+        sleep_ms(front.settings.retry_bound.window_ms).await;
+        let routers = front.known_routers();
+        for (service, sums, standing) in front.retries.take_sums(routers) {
+            info!(front.log, "attempts_of_window"; "service" => %service,
+                "window_ms" => front.settings.retry_bound.window_ms, "requests" => sums.requests,
+                "arrived" => sums.arrived, "unreachable" => sums.unreachable,
+                "charged" => sums.charged, "denied" => sums.denied,
+                "allowed" => standing.allowed, "routers" => standing.routers,
+                "routers_heard" => front.routers.get());
+        }
+    }
+}
--- a/crates/celerystair_policy/src/budget.rs
+++ b/crates/celerystair_policy/src/budget.rs
@@ -22,19 +22,43 @@
 /// another window than their retry.
 const USED_SHARE: f64 = 0.7;
 
+/// What a decision about a retry goes by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryStanding {
+    /// Requests of this router in the window.
+    pub requests: usize,
+    /// Retries of this router in the window.
+    pub retries: usize,
+    /// Retries that it may make in the window.
+    pub allowed: f64,
+    /// Routers among which the slack was divided.
+    pub routers: u32,
+    /// How long this router has run.
+    pub life_ms: u64,
+}
+
+impl RetryStanding {
+    /// Whether one more retry fits.
+    pub fn has_room(&self) -> bool {
+        (self.retries + 1) as f64 <= self.allowed
+    }
+}
+
 /// One router's retries at one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     bound: RetryBound,
+    started_unix_ms: u64,
     requests_unix_ms: VecDeque<u64>,
     retries_unix_ms: VecDeque<u64>,
 }
 
 impl RetryBudget {
-    /// Nothing has been sent yet.
-    pub fn new(bound: RetryBound) -> Self {
+    /// Nothing has been sent yet by a router that runs since `started_unix_ms`.
+    pub fn new(bound: RetryBound, started_unix_ms: u64) -> Self {
         Self {
             bound,
+            started_unix_ms,
             requests_unix_ms: VecDeque::new(),
             retries_unix_ms: VecDeque::new(),
         }
@@ -46,12 +70,23 @@
         self.requests_unix_ms.push_back(now_unix_ms);
     }
 
-    /// Whether there is a retry left for a router that shares the slack with `routers` in all.
-    pub fn has_room(&mut self, now_unix_ms: u64, routers: u32) -> bool {
+    /// What a router may retry that shares the slack with `routers` in all.
+    pub fn standing(&mut self, now_unix_ms: u64, routers: u32) -> RetryStanding {
         self.forget(now_unix_ms);
         let own_slack = self.bound.slack / f64::from(routers.max(1));
         let allowed = self.bound.ratio * self.requests_unix_ms.len() as f64 + own_slack;
-        (self.retries_unix_ms.len() + 1) as f64 <= allowed * USED_SHARE
+        RetryStanding {
+            requests: self.requests_unix_ms.len(),
+            retries: self.retries_unix_ms.len(),
+            allowed: allowed * USED_SHARE,
+            routers,
+            life_ms: now_unix_ms.saturating_sub(self.started_unix_ms),
+        }
+    }
+
+    /// Whether there is a retry left.
+    pub fn has_room(&mut self, now_unix_ms: u64, routers: u32) -> bool {
+        self.standing(now_unix_ms, routers).has_room()
     }
 
     /// Takes one retry, if there is one left.
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -41,7 +41,7 @@
 /// The types that a process needs.
 pub mod prelude {
     pub use crate::{
-        budget::RetryBudget,
+        budget::{RetryBound, RetryBudget, RetryStanding},
         choose::{Candidate, choose_upstream, has_room},
         cold_loads::{ColdLoadRun, ColdLoadsSeen},
         demand::DemandMeter,
--- a/crates/celerystair_policy/tests/budget.rs
+++ b/crates/celerystair_policy/tests/budget.rs
@@ -1,6 +1,6 @@
 //! The fleet's bound on retries, kept by each router for its part.
 
-use celerystair_policy::budget::{RetryBound, RetryBudget};
+use celerystair_policy::prelude::*;
 
 const BOUND: RetryBound = RetryBound {
     ratio: 0.2,
@@ -14,7 +14,7 @@
 fn no_window_has_more_retries_than_the_fleet_may_make() {
     arbtest::arbtest(|u| {
         let routers = u.int_in_range(1..=8)?;
-        let mut budgets = vec![RetryBudget::new(BOUND); routers];
+        let mut budgets = vec![RetryBudget::new(BOUND, 0); routers];
         let mut requests: Vec<u64> = Vec::new();
         let mut retries: Vec<u64> = Vec::new();
         let mut now_unix_ms = 1_000_000;
@@ -42,8 +42,8 @@
 
 #[test]
 fn a_router_that_does_not_know_the_others_keeps_to_a_small_part() {
-    let mut alone = RetryBudget::new(BOUND);
-    let mut among_many = RetryBudget::new(BOUND);
+    let mut alone = RetryBudget::new(BOUND, 0);
+    let mut among_many = RetryBudget::new(BOUND, 0);
     let taken = |budget: &mut RetryBudget, routers| {
         (0..100).filter(|_| budget.take(5_000, routers)).count()
     };
--- a/crates/celerystair_policy/tests/stall.rs
+++ b/crates/celerystair_policy/tests/stall.rs
@@ -74,9 +74,10 @@
 }
 
 fn bound() -> RetryBudget {
-    RetryBudget::new(celerystair_policy::budget::RetryBound {
+    let bound = RetryBound {
         ratio: 0.2,
         slack: 56.0,
         window_ms: 10_000,
-    })
+    };
+    RetryBudget::new(bound, 0)
 }
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -37,6 +37,10 @@
     pub idle_accelerator_seconds: Counter<f64>,
     /// Loads, by `outcome`.
     pub loads: Counter<u64>,
+    /// Attempts at upstreams, by `service` and `outcome`.
+    pub attempts: Counter<u64>,
+    /// Retries that the budget has decided on, by `service` and `outcome`.
+    pub retries: Counter<u64>,
     /// Readings of the process's state, taken when the metrics are served.
     pub gauges: Gauges,
 }
@@ -61,6 +65,10 @@
     pub free_memory_bytes: Gauge<u64>,
     /// Replicas that hold accelerator memory.
     pub replicas: Gauge<u64>,
+    /// Routers among which the fleet's bounds are divided.
+    pub routers: Gauge<u64>,
+    /// Retries that this router may make in a window, by `service`.
+    pub retries_allowed: Gauge<f64>,
 }
 
 impl Gauges {
@@ -77,6 +85,8 @@
             running: gauge("celerystair_running"),
             free_memory_bytes: bytes("celerystair_free_memory"),
             replicas: gauge("celerystair_replicas"),
+            routers: gauge("celerystair_routers"),
+            retries_allowed: meter.f64_gauge("celerystair_retries_allowed").build(),
         }
     }
 }
@@ -108,6 +118,8 @@
                 .with_unit("s")
                 .build(),
             loads: meter.u64_counter("celerystair_loads").build(),
+            attempts: meter.u64_counter("celerystair_attempts").build(),
+            retries: meter.u64_counter("celerystair_retries").build(),
             gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
