Reproduce the retry incident between real processes and in the decision

The soak checked nothing of the fleet's bound on retries. Its upstreams now keep every arrival, run or declined, and each seed is checked for the bound over all routers and lives, in windows that slide, and for deadlines that are longer than their callers'.

--- a/crates/celerystair_policy/tests/budget.rs
+++ b/crates/celerystair_policy/tests/budget.rs
@@ -51,3 +51,76 @@
     assert!(alone > 30);
     assert!(among_many * 16 <= 56);
 }
+
+/// What the fleet has done.
+#[derive(Default)]
+struct Fleet {
+    requests_unix_ms: Vec<u64>,
+    retries_unix_ms: Vec<u64>,
+}
+
+impl Fleet {
+    /// Every window, wherever it begins: retries against the requests in it, in the one before it or
+    /// in the one half a window before it, whichever has most.
+    fn check(&self) {
+        let count = |times: &[u64], from: u64| {
+            let inside = times
+                .iter()
+                .filter(|time| **time >= from && **time < from + BOUND.window_ms);
+            inside.count() as f64
+        };
+        let last = self.retries_unix_ms.iter().max().copied().unwrap_or(0);
+        for from in (BOUND.window_ms..=last).step_by(20) {
+            let retries = count(&self.retries_unix_ms, from);
+            let requests = [from, from - BOUND.window_ms / 2, from - BOUND.window_ms]
+                .map(|from| count(&self.requests_unix_ms, from))
+                .into_iter()
+                .fold(0.0, f64::max);
+            assert!(
+                retries <= BOUND.ratio * requests + BOUND.slack,
+                "{retries} retries of {requests} requests in the window from {from} on"
+            );
+        }
+    }
+}
+
+/// Five routers, of which each is started anew every two seconds while every request fails.
+#[test]
+fn routers_that_start_anew_do_not_spend_their_share_again() {
+    const ROUTERS: u32 = 5;
+    let mut fleet = Fleet::default();
+    let mut budgets = vec![RetryBudget::new(BOUND, 0); ROUTERS as usize];
+    for now_unix_ms in (20_000..50_000).step_by(40) {
+        let router = (now_unix_ms / 40 % u64::from(ROUTERS)) as usize;
+        if now_unix_ms >= 35_000 && now_unix_ms % 2000 < 200 {
+            budgets[router] = RetryBudget::new(BOUND, now_unix_ms);
+        }
+        budgets[router].note_request(now_unix_ms);
+        fleet.requests_unix_ms.push(now_unix_ms);
+        while budgets[router].take(now_unix_ms, ROUTERS) {
+            fleet.retries_unix_ms.push(now_unix_ms);
+        }
+    }
+    fleet.check();
+}
+
+/// Two bursts of requests seven seconds apart; all of them fail once the second has come.
+#[test]
+fn two_bursts_do_not_both_count_where_the_bound_counts_one() {
+    const ROUTERS: u32 = 5;
+    let mut fleet = Fleet::default();
+    let mut budgets = vec![RetryBudget::new(BOUND, 0); ROUTERS as usize];
+    for burst_unix_ms in [30_000, 37_000] {
+        for number in 0..2000 {
+            let now_unix_ms = burst_unix_ms + number / 20;
+            budgets[number as usize % ROUTERS as usize].note_request(now_unix_ms);
+            fleet.requests_unix_ms.push(now_unix_ms);
+        }
+    }
+    for budget in &mut budgets {
+        while budget.take(37_200, ROUTERS) {
+            fleet.retries_unix_ms.push(37_200);
+        }
+    }
+    fleet.check();
+}
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -15,18 +15,33 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
+    checks::KINDS,
     fleet::Fleet,
     support::{
         Answer, Request,
         http::{read_head, read_message},
+        system::{DESK, ENGINES},
         upstream::EVENTS,
     },
 };
 
-/// Callers at once.
-const CALLERS: usize = 8;
-/// The pause between two requests of one caller.
-const PAUSE_MS: (u64, u64) = (1, 25);
+/// What callers ask for, and how often.
+#[derive(Clone, Copy, Debug)]
+pub struct Calling {
+    /// Callers at once.
+    pub callers: usize,
+    /// The kinds that they draw from.
+    pub kinds: &'static [Kind],
+    /// The pause between two requests of one caller.
+    pub pause_ms: (u64, u64),
+}
+
+/// A few hurried callers that call for everything.
+pub const HURRIED: Calling = Calling {
+    callers: 8,
+    kinds: &KINDS,
+    pause_ms: (1, 25),
+};
 /// Longer than any request may take.
 const TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -49,6 +64,14 @@
         matches!(self, Self::Read | Self::ResumedStream)
     }
 
+    /// The service that it is for.
+    pub fn service(self) -> &'static str {
+        match self {
+            Self::Read | Self::Write => DESK,
+            Self::Stream | Self::ResumedStream => ENGINES,
+        }
+    }
+
     fn request(self, id: &str) -> Request {
         match self {
             Self::Read => Request::new("GET /read/a", id),
@@ -83,6 +106,8 @@
     pub id: String,
     /// Its kind.
     pub kind: Kind,
+    /// When it was sent.
+    pub sent_at: Instant,
     /// What came of it.
     pub outcome: Outcome,
 }
@@ -102,14 +127,15 @@
 }
 
 /// Starts them.
-pub fn start(fleet: &Fleet, seed: u64) -> Callers {
+pub fn start(fleet: &Fleet, seed: u64, calling: Calling) -> Callers {
     let (stop, told) = (Arc::new(AtomicBool::new(false)), Arc::default());
     let routers = fleet.router_addresses();
-    let threads = (0..CALLERS).map(|number| {
+    let threads = (0..calling.callers).map(|number| {
         let mut caller = Caller {
             number,
             routers: routers.clone(),
             rng: StdRng::seed_from_u64(seed * 1000 + number as u64),
+            calling,
             connection: None,
             told: Arc::clone(&told),
         };
@@ -145,33 +171,35 @@
     number: usize,
     routers: Vec<SocketAddr>,
     rng: StdRng,
+    calling: Calling,
     connection: Option<(usize, BufReader<TcpStream>)>,
     told: Arc<Mutex<Vec<Told>>>,
 }
 
 impl Caller {
     fn call(&mut self, count: u64) {
-        let pause_ms = self.rng.random_range(PAUSE_MS.0..=PAUSE_MS.1);
+        let Calling {
+            kinds, pause_ms, ..
+        } = self.calling;
+        let pause_ms = self.rng.random_range(pause_ms.0..=pause_ms.1);
         std::thread::sleep(Duration::from_millis(pause_ms));
-        let kind = match self.rng.random_range(0..4) {
-            0 => Kind::Read,
-            1 => Kind::Write,
-            2 => Kind::Stream,
-            _ => Kind::ResumedStream,
-        };
+        let kind = kinds[self.rng.random_range(0..kinds.len())];
         let id = format!("c{}-{count}", self.number);
         let Some((router, mut connection)) = self.connection.take().or_else(|| self.connect())
         else {
             return;
         };
+        let sent_at = Instant::now();
         let (outcome, is_kept) = exchange(&mut connection, kind, &id);
         if is_kept {
             self.connection = Some((router, connection));
         }
-        self.told
-            .lock()
-            .expect("what was told")
-            .push(Told { id, kind, outcome });
+        self.told.lock().expect("what was told").push(Told {
+            id,
+            kind,
+            sent_at,
+            outcome,
+        });
     }
 
     /// A connection to any router that takes one.
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -6,6 +6,7 @@
     callers::{Kind, Outcome, Told},
     fleet::Fleet,
     plan::Plan,
+    retries,
     support::upstream::TakenOrder,
 };
 
@@ -27,6 +28,7 @@
         broken.extend(check_request(plan, told, ran));
     }
     broken.extend(check_unasked(&runs, told));
+    broken.extend(retries::check(fleet, told));
     broken.extend(fleet.orders().into_iter().flat_map(check_orders));
     broken
 }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -20,7 +20,7 @@
             DESK, ENGINES, Instance, SETTINGS_VARIABLE, config_with_own_route, path_of_version,
             ready_status,
         },
-        upstream::TakenOrder,
+        upstream::{Arrival, TakenOrder},
     },
 };
 
@@ -45,6 +45,8 @@
     pub engines: usize,
     /// Plain upstreams.
     pub desks: usize,
+    /// Failure domains, over which processes are dealt in turn.
+    pub domains: usize,
 }
 
 impl Size {
@@ -55,6 +57,7 @@
             routers,
             engines: (processes as usize - routers.min(processes as usize)).max(2),
             desks: 2,
+            domains: 2,
         }
     }
 
@@ -93,6 +96,8 @@
     MendLink(usize),
     CheckDrained(usize),
     Return(usize),
+    ThawUpstream(usize),
+    Calm(&'static str),
 }
 
 /// The system.
@@ -176,7 +181,7 @@
         let instance = Instance {
             name: &name,
             ip,
-            domain: ["zone-a", "zone-b"][index % 2],
+            domain: &format!("zone-{}", index % self.size.domains),
             front_port: free_port(ip),
             ready_port: free_port(ip),
             news_port,
@@ -225,6 +230,24 @@
         runs
     }
 
+    /// What the upstreams of a service have received.
+    pub fn arrivals(&self, service: &str) -> Vec<Arrival> {
+        let upstreams = self.upstreams_of(service).into_iter();
+        upstreams.flat_map(UpstreamStandin::arrivals).collect()
+    }
+
+    fn upstreams_of(&self, service: &str) -> Vec<&UpstreamStandin> {
+        let upstreams = self.engines.iter().chain(&self.desks);
+        upstreams.filter(|u| u.service == service).collect()
+    }
+
+    fn upstream(&self, index: usize) -> &UpstreamStandin {
+        match index.checked_sub(self.size.engines) {
+            Some(desk) => &self.desks[desk],
+            None => &self.engines[index],
+        }
+    }
+
     /// The orders that each engine has taken.
     pub fn orders(&self) -> Vec<Vec<TakenOrder>> {
         self.engines
@@ -295,11 +318,21 @@
                 self.links[index].set(fault);
                 self.undos.push((later(for_ms), Undo::MendLink(index)));
             }
-            Step::Upstream(index, fault) => {
-                let upstreams = self.engines.iter().chain(&self.desks);
-                if let Some(upstream) = upstreams.into_iter().nth(index) {
-                    upstream.fault_next(fault);
+            Step::Upstream(index, fault) => self.upstream(index).fault_next(fault),
+            Step::FreezeUpstream(index, for_ms) => {
+                self.upstream(index).set_frozen(true);
+                self.undos.push((later(for_ms), Undo::ThawUpstream(index)));
+            }
+            Step::Storm {
+                service,
+                fault,
+                every,
+                for_ms,
+            } => {
+                for upstream in self.upstreams_of(service) {
+                    upstream.set_lasting_fault(Some((fault, every)));
                 }
+                self.undos.push((later(for_ms), Undo::Calm(service)));
             }
             Step::Leave(index) => self.leave(index),
         }
@@ -350,6 +383,12 @@
                     self.away.insert(index, self.desks[index].seen().len());
                 }
                 Undo::Return(index) => self.take_back(index),
+                Undo::ThawUpstream(index) => self.upstream(index).set_frozen(false),
+                Undo::Calm(service) => {
+                    for upstream in self.upstreams_of(service) {
+                        upstream.set_lasting_fault(None);
+                    }
+                }
             }
         }
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,11 +9,16 @@
 mod fleet;
 mod links;
 mod plan;
+mod retries;
 #[path = "../../platform/tests/support/mod.rs"]
 mod support;
 
+use std::sync::{Mutex, PoisonError};
+
+use callers::{Callers, Calling, HURRIED, Kind};
 use fleet::{Fleet, Size};
-use plan::Plan;
+use plan::{Plan, Step};
+use support::{Fault, system::DESK};
 
 /// Seeds that CI plays: one with planned work alone, one with faults.
 const SEEDS: [u64; 2] = [2, 3];
@@ -27,41 +32,63 @@
     Some(text.parse().expect("a number"))
 }
 
-/// Plays one seed; gives what did not hold. The processes' logs are kept if anything did not.
+/// Plays one seed; gives what did not hold.
 fn play(seed: u64, faults_ms: u64, size: Size) -> Vec<String> {
     let plan = Plan::draw(seed, faults_ms, size);
+    let broken = play_plan(&format!("{seed}"), &plan, size, |fleet| {
+        callers::start(fleet, seed, HURRIED)
+    });
+    if !broken.is_empty() {
+        println!("again: CELERYSTAIR_SOAK_SEED={seed} cargo test --test soak -- --nocapture");
+    }
+    broken
+}
+
+/// Plays a plan; gives what did not hold. The processes' logs are kept if anything did not.
+fn play_plan(
+    name: &str,
+    plan: &Plan,
+    size: Size,
+    start_callers: impl Fn(&Fleet) -> Callers,
+) -> Vec<String> {
+    // Fleets use the same addresses, and the machine's processors.
+    static TURN: Mutex<()> = Mutex::new(());
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let folder =
-        std::env::temp_dir().join(format!("celerystair-soak-{}-{seed}", std::process::id()));
+        std::env::temp_dir().join(format!("celerystair-soak-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder for logs");
     let mut fleet = Fleet::start(size, &folder);
-    let callers = callers::start(&fleet, seed);
-    let mut broken = fleet.carry_out(&plan);
+    let callers = start_callers(&fleet);
+    let mut broken = fleet.carry_out(plan);
     broken.extend(fleet.recover());
     let told = callers.stop();
-    broken.extend(checks::check(&fleet, &plan, &told));
+    broken.extend(checks::check(&fleet, plan, &told));
     fleet.end();
     println!(
-        "seed {seed}: {} requests, {} answered; {} steps",
+        "seed {name}: {} requests, {} answered; {} steps",
         told.len(),
         told.iter().filter(|told| told.is_answered()).count(),
         plan.steps.len()
     );
-    if broken.is_empty() {
+    let is_kept = std::env::var_os("CELERYSTAIR_SOAK_KEEP").is_some();
+    if broken.is_empty() && is_kept {
+        println!("seed {name}: kept in {}", folder.display());
+    } else if broken.is_empty() {
         std::fs::remove_dir_all(&folder).expect("the folder goes");
     } else {
         std::fs::write(folder.join("plan.txt"), format!("{plan:#?}")).expect("the plan is kept");
         println!(
-            "seed {seed} failed; kept in {}: {broken:#?}",
+            "seed {name} failed; kept in {}: {broken:#?}",
             folder.display()
         );
-        println!("again: CELERYSTAIR_SOAK_SEED={seed} cargo test --test soak -- --nocapture");
     }
     broken
 }
 
 /// Plays the seeds that CI plays, or those that the variables name: `CELERYSTAIR_SOAK_SEED` from
 /// which on, `CELERYSTAIR_SOAK_SEEDS` how many, `CELERYSTAIR_SOAK_FAULTS_MS` how long each lasts,
-/// `CELERYSTAIR_SOAK_PROCESSES` how many processes of the system.
+/// `CELERYSTAIR_SOAK_PROCESSES` how many processes of the system. With `CELERYSTAIR_SOAK_KEEP` the logs
+/// of seeds that held are kept, too.
 #[test]
 fn what_must_hold_holds_whatever_fails() {
     let seeds: Vec<u64> = match (
@@ -87,3 +114,70 @@
         "seeds {failed:?}; what did not hold stands above"
     );
 }
+
+/// A fleet of the size of the users' deployments.
+const DEPLOYED: Size = Size {
+    routers: 5,
+    engines: 12,
+    desks: 4,
+    domains: 4,
+};
+/// Callers of reads as often as there: most of the bound on retries is slack.
+const DEPLOYED_READS: Calling = Calling {
+    callers: 20,
+    kinds: &[Kind::Read],
+    pause_ms: (600, 900),
+};
+/// Every read fails at every plain upstream, for longer than a window of the bound.
+const ALL_DECLINE: Step = Step::Storm {
+    service: DESK,
+    fault: Fault::Decline,
+    every: 1,
+    for_ms: 14_000,
+};
+
+fn play_reads(name: &str, steps: impl IntoIterator<Item = (u64, Step)>) {
+    let plan = Plan::of(steps);
+    let broken = play_plan(name, &plan, DEPLOYED, |fleet| {
+        callers::start(fleet, 1, DEPLOYED_READS)
+    });
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Without faults of processes, each router keeps to its share.
+#[test]
+fn retries_stay_in_the_bound_when_all_upstreams_decline() {
+    play_reads("all-decline", [(500, ALL_DECLINE)]);
+}
+
+/// A router that starts anew must not spend its share of the fleet's retries again.
+#[test]
+fn retries_stay_in_the_bound_when_routers_are_killed_again_and_again() {
+    let mut steps = vec![(500, ALL_DECLINE)];
+    for _ in 0..4 {
+        steps.push((1800, Step::Kill(0)));
+        steps.extend((1..DEPLOYED.routers).map(|router| (100, Step::Kill(router))));
+    }
+    play_reads("routers-killed", steps);
+}
+
+/// An agent that has just started has heard of few routers; they must not share by its count.
+#[test]
+fn retries_stay_in_the_bound_when_agents_are_killed_again_and_again() {
+    let mut steps = vec![(500, ALL_DECLINE)];
+    for _ in 0..3 {
+        let agents = (0..DEPLOYED.engines).map(|agent| DEPLOYED.routers + agent);
+        steps.extend(agents.map(|agent| (250, Step::Kill(agent))));
+    }
+    play_reads("agents-killed", steps);
+}
+
+/// What upstreams that stand still were sent arrives when they go on, beside the retries of then.
+#[test]
+fn retries_stay_in_the_bound_when_upstreams_stand_still() {
+    let frozen = |desk| (0, Step::FreezeUpstream(DEPLOYED.engines + desk, 8000));
+    let mut steps = vec![(12_000, Step::Reload(0))];
+    steps.extend((0..DEPLOYED.desks).map(frozen));
+    steps.push((8000, ALL_DECLINE));
+    play_reads("upstreams-frozen", steps);
+}
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -2,7 +2,14 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
-use crate::{fleet::Size, links::LinkFault, support::Fault};
+use crate::{
+    fleet::Size,
+    links::LinkFault,
+    support::{
+        Fault,
+        system::{DESK, ENGINES},
+    },
+};
 
 /// A seed's plan.
 #[derive(Debug)]
@@ -38,6 +45,19 @@
     Upstream(usize, Fault),
     /// A plain upstream leaves, and comes back under another name.
     Leave(usize),
+    /// An upstream reads nothing for so many milliseconds, and then all that was sent meanwhile.
+    FreezeUpstream(usize, u64),
+    /// Every upstream of a service does this to every so many-th request.
+    Storm {
+        /// The service.
+        service: &'static str,
+        /// What they do.
+        fault: Fault,
+        /// To every so many-th request.
+        every: u64,
+        /// For so many milliseconds.
+        for_ms: u64,
+    },
 }
 
 /// The shortest and longest pause between two steps.
@@ -54,7 +74,22 @@
     Fault::Pause,
 ];
 
+/// Seeds that end in 5 add failures that make routers use up their retries, while processes end
+/// and start in series.
+const STORM_SEEDS: (u64, u64) = (10, 5);
+/// The shortest and longest pause between two such steps.
+const STORM_PAUSE_MS: (u64, u64) = (50, 900);
+const STORM_FAULTS: [Fault; 3] = [Fault::Decline, Fault::Fail, Fault::Unsealed];
+
 impl Plan {
+    /// These steps, each with the pause before it.
+    pub fn of(steps: impl IntoIterator<Item = (u64, Step)>) -> Self {
+        Self {
+            is_planned: false,
+            steps: steps.into_iter().collect(),
+        }
+    }
+
     /// Even seeds have planned work alone.
     pub fn draw(seed: u64, faults_ms: u64, size: Size) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -70,10 +105,59 @@
             };
             steps.push((pause_ms, step));
         }
+        if seed % STORM_SEEDS.0 == STORM_SEEDS.1 {
+            steps = merge(&steps, &draw_storms(&mut rng, faults_ms, size));
+        }
         Self { is_planned, steps }
     }
 }
 
+/// Both lists of steps, each at its own time.
+fn merge(one: &[(u64, Step)], other: &[(u64, Step)]) -> Vec<(u64, Step)> {
+    let timed = |steps: &[(u64, Step)]| {
+        let mut at_ms = 0;
+        let timed = steps.iter().map(|(pause_ms, step)| {
+            at_ms += pause_ms;
+            (at_ms, *step)
+        });
+        timed.collect::<Vec<_>>()
+    };
+    let mut all = timed(one);
+    all.extend(timed(other));
+    all.sort_by_key(|(at_ms, _)| *at_ms);
+    let mut last_ms = 0;
+    all.into_iter()
+        .map(|(at_ms, step)| (at_ms - std::mem::replace(&mut last_ms, at_ms), step))
+        .collect()
+}
+
+fn draw_storms(rng: &mut StdRng, faults_ms: u64, size: Size) -> Vec<(u64, Step)> {
+    let (mut steps, mut at_ms) = (Vec::new(), 0);
+    while at_ms < faults_ms {
+        let pause_ms = rng.random_range(STORM_PAUSE_MS.0..=STORM_PAUSE_MS.1);
+        at_ms += pause_ms;
+        let router = rng.random_range(0..size.routers);
+        let agent = size.routers + rng.random_range(0..size.engines);
+        let step = match rng.random_range(0..8) {
+            0..=2 => Step::Storm {
+                service: if rng.random_bool(0.5) { DESK } else { ENGINES },
+                fault: *STORM_FAULTS.choose(rng).unwrap_or(&Fault::Decline),
+                every: rng.random_range(1..=2),
+                for_ms: rng.random_range(1000..6000),
+            },
+            3..=4 => Step::Kill(router),
+            5 => Step::Kill(agent),
+            6 => Step::Freeze(agent, rng.random_range(100..6000)),
+            _ => Step::FreezeUpstream(
+                rng.random_range(0..size.upstreams()),
+                rng.random_range(100..6000),
+            ),
+        };
+        steps.push((pause_ms, step));
+    }
+    steps
+}
+
 fn draw_planned(rng: &mut StdRng, size: Size) -> Step {
     let process = rng.random_range(0..size.processes());
     match rng.random_range(0..8) {
