Let a router that has just started live on what its own requests earn

Callers' requests were repeated beyond the fleet's bound when routers were killed or restarted while upstreams failed. Each life began with an empty ledger, and so with its whole share of the fleet's slack, though the life before it had spent that share within the same window: a bound on the fleet, kept in a memory that dies with the process.

A router has its share of the slack once a window has passed since its start: what an earlier life has spent is out of every window by then. Until then it lives on what its own requests earn, which no other life can spend, and one retry, without which a quiet router could not repeat its first request. It needs neither the store nor a count, so it holds when both are away.

Evidence: 180 repeats in 10 s, 109.8 allowed, over 25 lives of 5 routers; all granted by the right number of routers, so the count was not it, and 180 charged, so nothing arrived uncharged. In the decision alone 112 of 106.

--- a/crates/celerystair_policy/src/budget.rs
+++ b/crates/celerystair_policy/src/budget.rs
@@ -1,8 +1,9 @@
 //! Whether one more attempt fits the fleet's share of retries. Answers half of the upstreams
 //! vanishing at once: without a bound, every request would be sent again and again.
 //!
-//! The bound holds for the sum over all routers, so each keeps to its part of it. The part is
-//! made smaller while a router doesn't know how many others there are.
+//! The bound holds for the sum over all routers and all their lives, so each keeps to its part of it.
+//! A process can't know what the one before it has spent; until a window has passed since its start
+//! it lives on what its own requests earn, and one retry. See `docs/OVERLOAD.md`.
 
 use std::collections::VecDeque;
 
@@ -18,6 +19,9 @@
     pub window_ms: u64,
 }
 
+/// Retries that need no request, of a router in the first window of its life. Without any, a router
+/// that takes few requests could not repeat the first of them.
+const FIRST_WINDOW_SLACK: f64 = 1.0;
 /// Part of the bound that is used; the rest covers requests whose first attempt was counted in
 /// another window than their retry.
 const USED_SHARE: f64 = 0.7;
@@ -73,14 +77,19 @@
     /// What a router may retry that shares the slack with `routers` in all.
     pub fn standing(&mut self, now_unix_ms: u64, routers: u32) -> RetryStanding {
         self.forget(now_unix_ms);
-        let own_slack = self.bound.slack / f64::from(routers.max(1));
-        let allowed = self.bound.ratio * self.requests_unix_ms.len() as f64 + own_slack;
+        let life_ms = now_unix_ms.saturating_sub(self.started_unix_ms);
+        let own_slack = if life_ms < self.bound.window_ms {
+            FIRST_WINDOW_SLACK
+        } else {
+            self.bound.slack / f64::from(routers.max(1)) * USED_SHARE
+        };
+        let earned = self.bound.ratio * self.requests_unix_ms.len() as f64 * USED_SHARE;
         RetryStanding {
             requests: self.requests_unix_ms.len(),
             retries: self.retries_unix_ms.len(),
-            allowed: allowed * USED_SHARE,
+            allowed: earned + own_slack,
             routers,
-            life_ms: now_unix_ms.saturating_sub(self.started_unix_ms),
+            life_ms,
         }
     }
 
