Hold the highest count of routers for a while; know when there is none

Callers' requests were repeated beyond the fleet's bound while agents counted fewer routers than there are. A router divided the slack by the count in the last datagram of any agent, and each agent counted the routers that it had heard for 4 s. An agent that has just started, whose news is lost, or that stands where news is not told on counts one or two, and every router that hears it takes the parts of the others as well. Before any count was heard, routers divided by 16, however many there are.

A router goes by the highest count that any agent told in the last 60 s (RouterCensus), and agents count routers for as long. Too high a count costs a part of a share; too low a one breaks a bound. Without a count a router has no share: it lives on what its requests earn, and one retry. The room at a replica and the idle connections to an upstream go by the same count and are mended with it.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -30,7 +30,8 @@
 /// After a request to stop, the platform asks twice, a second apart, before it sends callers
 /// elsewhere; until then they are served.
 const STOP_NOTICE_MS: u64 = 2300;
-/// Others share the retry budget before any agent has told how many routers there are.
+/// Others share the room and the connections of upstreams before any agent has told how many routers
+/// there are.
 const ROUTERS_UNKNOWN: u32 = 16;
 
 /// A router; cheap to clone within its thread.
@@ -57,8 +58,8 @@
     pub waiting: WaitingRequests,
     /// Raised shortly before the end of a planned stop: who has no answer by then gets a refusal.
     pub closing: Stop,
-    /// Routers in the fleet, as agents have told last; 0 if none has.
-    pub routers: Cell<u32>,
+    /// Routers in the fleet, as agents have told of late.
+    pub routers: RefCell<RouterCensus>,
     demand: RefCell<DemandMeter>,
     demand_changed: Event,
     /// Whether requests wait that no agent was told of.
@@ -160,10 +161,12 @@
 
     /// How many routers share what is meant for all.
     pub(crate) fn known_routers(&self) -> u32 {
-        match self.routers.get() {
-            0 => ROUTERS_UNKNOWN,
-            routers => routers,
-        }
+        self.counted_routers().unwrap_or(ROUTERS_UNKNOWN)
+    }
+
+    /// The same, if agents have told of late.
+    pub(crate) fn counted_routers(&self) -> Option<u32> {
+        self.routers.borrow().routers(now_unix_ms())
     }
 
     /// Counts how a request ended, and how long its answer took to begin.
@@ -207,7 +210,7 @@
             suspects: RefCell::default(),
             waiting: WaitingRequests::default(),
             closing: Stop::new(),
-            routers: Cell::new(0),
+            routers: RefCell::default(),
             demand: RefCell::default(),
             demand_changed: Event::new(),
             waits_untold: Cell::new(false),
--- a/crates/celerystair_front/src/retries.rs
+++ b/crates/celerystair_front/src/retries.rs
@@ -54,7 +54,7 @@
     }
 
     /// The sums since the last call, and where the budget stands, of each service that was used.
-    fn take_sums(&self, routers: u32) -> Vec<(ServiceName, AttemptSums, RetryStanding)> {
+    fn take_sums(&self, routers: Option<u32>) -> Vec<(ServiceName, AttemptSums, RetryStanding)> {
         let now = now_unix_ms();
         let mut services = self.services.borrow_mut();
         let used = services
@@ -92,7 +92,7 @@
 
     /// Whether the service's budget has room for one more retry.
     pub fn has_retry(&self, service: &ServiceName) -> bool {
-        let routers = self.known_routers();
+        let routers = self.counted_routers();
         self.retries.at(service, |retries| {
             retries.budget.has_room(now_unix_ms(), routers)
         })
@@ -100,7 +100,7 @@
 
     /// Takes one retry for the request, if the service's budget has room for it.
     pub fn take_retry(&self, request: &CallerRequest, service: &ServiceName) -> bool {
-        let (now, routers) = (now_unix_ms(), self.known_routers());
+        let (now, routers) = (now_unix_ms(), self.counted_routers());
         let (standing, is_granted) = self.retries.at(service, |retries| {
             let standing = retries.budget.standing(now, routers);
             let is_granted = retries.budget.take(now, routers);
@@ -114,25 +114,28 @@
         info!(self.log, "retry"; "request" => %request.head.id, "route" => &request.route.name,
             "service" => %service, "outcome" => outcome, "window_requests" => standing.requests,
             "window_retries" => standing.retries, "allowed" => standing.allowed,
-            "routers" => standing.routers, "routers_heard" => self.routers.get(),
+            "routers" => standing.routers,
             "life_ms" => standing.life_ms, "age_ms" => request.age_ms(now));
         is_granted
     }
 
     /// Takes in how many routers an agent counts.
     pub fn note_routers(&self, routers: u32, told_by: &UpstreamId) {
-        let before = self.routers.replace(routers);
-        if before != routers {
-            info!(self.log, "routers_counted"; "routers" => routers, "before" => before,
-                "told_by" => %told_by);
+        let before = self.counted_routers();
+        self.routers.borrow_mut().note(routers, now_unix_ms());
+        let counted = self.counted_routers();
+        if before != counted {
+            info!(self.log, "routers_counted"; "routers" => counted, "before" => before,
+                "told" => routers, "told_by" => %told_by);
         }
     }
 
     /// Shows where the budgets stand in the metrics.
     pub fn show_retries(&self) {
-        let routers = self.known_routers();
+        let routers = self.counted_routers();
         let gauges = &self.metrics.gauges;
-        gauges.routers.record(u64::from(routers), &[]);
+        let counted = routers.map_or(0, u64::from);
+        gauges.routers.record(counted, &[]);
         let now = now_unix_ms();
         for (service, retries) in self.retries.services.borrow_mut().iter_mut() {
             let allowed = retries.budget.standing(now, routers).allowed;
@@ -146,14 +149,13 @@
 pub async fn log_retries(front: Front, stop: Stop) {
     while !stop.is_ended() {
         sleep_ms(front.settings.retry_bound.window_ms).await;
-        let routers = front.known_routers();
+        let routers = front.counted_routers();
         for (service, sums, standing) in front.retries.take_sums(routers) {
             info!(front.log, "attempts_of_window"; "service" => %service,
                 "window_ms" => front.settings.retry_bound.window_ms, "requests" => sums.requests,
                 "arrived" => sums.arrived, "unreachable" => sums.unreachable,
                 "charged" => sums.charged, "denied" => sums.denied,
-                "allowed" => standing.allowed, "routers" => standing.routers,
-                "routers_heard" => front.routers.get());
+                "allowed" => standing.allowed, "routers" => standing.routers);
         }
     }
 }
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -12,6 +12,10 @@
 /// A router that was not heard for this long has stopped, or is cut off.
 const SILENT_MS: u64 = 4000;
 
+/// A router counts among those that share the fleet's bounds until this long after it was heard: longer
+/// than any round of news, and than its process may stand still.
+const COUNTED_MS: u64 = 60_000;
+
 /// What one router told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterDemand {
@@ -96,6 +100,7 @@
 #[derive(Default)]
 pub struct DemandBoard {
     routers: RefCell<HashMap<String, RouterDemand>>,
+    heard_unix_ms: RefCell<HashMap<String, u64>>,
 }
 
 impl DemandBoard {
@@ -106,6 +111,8 @@
         if known.is_some_and(|known| known.sequence >= demand.sequence) {
             return false;
         }
+        let mut heard = self.heard_unix_ms.borrow_mut();
+        heard.insert(demand.router.clone(), demand.heard_unix_ms);
         routers.insert(demand.router.clone(), demand);
         true
     }
@@ -114,6 +121,8 @@
     pub fn forget_silent(&self, now_unix_ms: u64) {
         let mut routers = self.routers.borrow_mut();
         routers.retain(|_, demand| now_unix_ms < demand.heard_unix_ms + SILENT_MS);
+        let mut heard = self.heard_unix_ms.borrow_mut();
+        heard.retain(|_, heard_unix_ms| now_unix_ms < *heard_unix_ms + COUNTED_MS);
     }
 
     /// The demand for each model, over all routers.
@@ -130,9 +139,9 @@
         sums
     }
 
-    /// How many routers there are.
+    /// How many routers there are, those among them that have fallen silent of late.
     pub fn router_count(&self) -> usize {
-        self.routers.borrow().len()
+        self.heard_unix_ms.borrow().len()
     }
 
     /// The routers, to be told of engines.
--- a/crates/celerystair_policy/src/budget.rs
+++ b/crates/celerystair_policy/src/budget.rs
@@ -3,7 +3,8 @@
 //!
 //! The bound holds for the sum over all routers and all their lives, so each keeps to its part of it.
 //! A process can't know what the one before it has spent; until a window has passed since its start
-//! it lives on what its own requests earn, and one retry. See `docs/OVERLOAD.md`.
+//! it lives on what its own requests earn, and one retry. So does one that can't tell how many routers
+//! share the slack. See `docs/OVERLOAD.md`.
 
 use std::collections::VecDeque;
 
@@ -19,9 +20,9 @@
     pub window_ms: u64,
 }
 
-/// Retries that need no request, of a router in the first window of its life. Without any, a router
-/// that takes few requests could not repeat the first of them.
-const FIRST_WINDOW_SLACK: f64 = 1.0;
+/// Retries that need no request, of a router that does not know its share, or is in the first window
+/// of its life. Without any, a router that takes few requests could not repeat the first of them.
+const FIRST_SLACK: f64 = 1.0;
 /// Part of the bound that is used; the rest covers requests whose first attempt was counted in
 /// another window than their retry.
 const USED_SHARE: f64 = 0.7;
@@ -35,8 +36,8 @@
     pub retries: usize,
     /// Retries that it may make in the window.
     pub allowed: f64,
-    /// Routers among which the slack was divided.
-    pub routers: u32,
+    /// Routers among which the slack was divided; `None` if their number was not known.
+    pub routers: Option<u32>,
     /// How long this router has run.
     pub life_ms: u64,
 }
@@ -74,14 +75,15 @@
         self.requests_unix_ms.push_back(now_unix_ms);
     }
 
-    /// What a router may retry that shares the slack with `routers` in all.
-    pub fn standing(&mut self, now_unix_ms: u64, routers: u32) -> RetryStanding {
+    /// What a router may retry that shares the slack with `routers` in all, if their number is known.
+    pub fn standing(&mut self, now_unix_ms: u64, routers: Option<u32>) -> RetryStanding {
         self.forget(now_unix_ms);
         let life_ms = now_unix_ms.saturating_sub(self.started_unix_ms);
-        let own_slack = if life_ms < self.bound.window_ms {
-            FIRST_WINDOW_SLACK
-        } else {
-            self.bound.slack / f64::from(routers.max(1)) * USED_SHARE
+        let own_slack = match routers {
+            Some(routers) if life_ms >= self.bound.window_ms => {
+                self.bound.slack / f64::from(routers.max(1)) * USED_SHARE
+            }
+            _ => FIRST_SLACK,
         };
         let earned = self.bound.ratio * self.requests_unix_ms.len() as f64 * USED_SHARE;
         RetryStanding {
@@ -94,12 +96,12 @@
     }
 
     /// Whether there is a retry left.
-    pub fn has_room(&mut self, now_unix_ms: u64, routers: u32) -> bool {
+    pub fn has_room(&mut self, now_unix_ms: u64, routers: Option<u32>) -> bool {
         self.standing(now_unix_ms, routers).has_room()
     }
 
     /// Takes one retry, if there is one left.
-    pub fn take(&mut self, now_unix_ms: u64, routers: u32) -> bool {
+    pub fn take(&mut self, now_unix_ms: u64, routers: Option<u32>) -> bool {
         let has_room = self.has_room(now_unix_ms, routers);
         if has_room {
             self.retries_unix_ms.push_back(now_unix_ms);
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`adapters`] | which adapter an engine loads next, and which makes room for it |
 //! | [`budget`] | whether one more attempt fits the fleet's share of retries |
+//! | [`census`] | how many routers share what is meant for all |
 //! | [`choose`] | which upstream gets an attempt |
 //! | [`cold_loads`] | how many loads from the weight store run at once |
 //! | [`demand`] | how much each model is asked for |
@@ -24,6 +25,7 @@
 
 pub mod adapters;
 pub mod budget;
+pub mod census;
 pub mod choose;
 pub mod cold_loads;
 pub mod demand;
@@ -42,6 +44,7 @@
 pub mod prelude {
     pub use crate::{
         budget::{RetryBound, RetryBudget, RetryStanding},
+        census::RouterCensus,
         choose::{Candidate, choose_upstream, has_room},
         cold_loads::{ColdLoadRun, ColdLoadsSeen},
         demand::DemandMeter,
--- a/crates/celerystair_policy/tests/budget.rs
+++ b/crates/celerystair_policy/tests/budget.rs
@@ -23,7 +23,7 @@
             let router = u.int_in_range(0..=routers - 1)?;
             budgets[router].note_request(now_unix_ms);
             requests.push(now_unix_ms);
-            if u.ratio(9, 10)? && budgets[router].take(now_unix_ms, routers as u32) {
+            if u.ratio(9, 10)? && budgets[router].take(now_unix_ms, Some(routers as u32)) {
                 retries.push(now_unix_ms);
             }
         }
@@ -46,7 +46,7 @@
     let mut among_many = RetryBudget::new(BOUND, 0);
     let taken = |budget: &mut RetryBudget, routers| {
         (0..100)
-            .filter(|_| budget.take(BOUND.window_ms, routers))
+            .filter(|_| budget.take(BOUND.window_ms, Some(routers)))
             .count()
     };
     let (alone, among_many) = (taken(&mut alone, 1), taken(&mut among_many, 16));
@@ -99,7 +99,7 @@
         }
         budgets[router].note_request(now_unix_ms);
         fleet.requests_unix_ms.push(now_unix_ms);
-        while budgets[router].take(now_unix_ms, ROUTERS) {
+        while budgets[router].take(now_unix_ms, Some(ROUTERS)) {
             fleet.retries_unix_ms.push(now_unix_ms);
         }
     }
@@ -120,9 +120,27 @@
         }
     }
     for budget in &mut budgets {
-        while budget.take(37_200, ROUTERS) {
+        while budget.take(37_200, Some(ROUTERS)) {
             fleet.retries_unix_ms.push(37_200);
         }
     }
     fleet.check();
 }
+
+/// Routers that hear of no agent can't tell how many share the slack: a fleet of any size keeps to the
+/// bound.
+#[test]
+fn routers_that_know_no_count_do_not_spend_shares_of_a_guess() {
+    const ROUTERS: usize = 50;
+    let mut fleet = Fleet::default();
+    let mut budgets = vec![RetryBudget::new(BOUND, 0); ROUTERS];
+    for now_unix_ms in (30_000..50_000).step_by(50) {
+        let budget = &mut budgets[now_unix_ms as usize / 50 % ROUTERS];
+        budget.note_request(now_unix_ms);
+        fleet.requests_unix_ms.push(now_unix_ms);
+        while budget.take(now_unix_ms, None) {
+            fleet.retries_unix_ms.push(now_unix_ms);
+        }
+    }
+    fleet.check();
+}
