Count a retry until what it may add has arrived

Upstreams received more repeats than routers had charged in the same window when they stood still and went on. A request that hears nothing is sent to another upstream and charged then; but what the first one's socket holds is read when it goes on, seconds later, beside the retries of that moment. Whichever arrives last is the repeat, and it falls into a window that the router had ended by then.

A retry counts until what it adds has arrived: half a second after it was taken, for a connection that is opened; 20 s where an attempt before it was given up without an answer, since a stopped process or a cut link may hold it back so long.

--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -68,6 +68,8 @@
     pub arrived: u32,
     /// Whether an upstream may have run it.
     pub may_have_run: bool,
+    /// Whether an attempt was given up that may arrive yet.
+    pub is_in_doubt: bool,
     /// An upstream's own answer, for want of a better one.
     pub answer: Option<WholeAnswer>,
 }
@@ -150,7 +152,7 @@
                 );
             }
         };
-        if progress.arrived > 0 && !front.take_retry(request, service) {
+        if progress.arrived > 0 && !front.take_retry(request, service, progress) {
             return fall_back(progress, RefusalReason::Overloaded, "no retry is left");
         }
         match attempt(front, request, service, progress, &upstream, last_event_id).await {
@@ -233,6 +235,7 @@
         attempts_max,
     );
     progress.may_have_run |= !failure.has_not_run();
+    progress.is_in_doubt |= failure == AttemptFailure::Silent;
     progress.answer = failed.answer.or(progress.answer.take());
     match (step, progress.answer.take()) {
         (NextStep::TryAnother, answer) => {
--- a/crates/celerystair_front/src/retries.rs
+++ b/crates/celerystair_front/src/retries.rs
@@ -8,7 +8,10 @@
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::{metrics::label, prelude::*};
 
-use crate::{front::Front, request::CallerRequest};
+use crate::{
+    front::Front,
+    request::{CallerRequest, Progress},
+};
 
 /// This router's retries, by service.
 pub struct Retries {
@@ -99,11 +102,21 @@
     }
 
     /// Takes one retry for the request, if the service's budget has room for it.
-    pub fn take_retry(&self, request: &CallerRequest, service: &ServiceName) -> bool {
+    pub fn take_retry(
+        &self,
+        request: &CallerRequest,
+        service: &ServiceName,
+        progress: &Progress,
+    ) -> bool {
+        let earlier = if progress.is_in_doubt {
+            EarlierAttempts::InDoubt
+        } else {
+            EarlierAttempts::Settled
+        };
         let (now, routers) = (now_unix_ms(), self.counted_routers());
         let (standing, is_granted) = self.retries.at(service, |retries| {
             let standing = retries.budget.standing(now, routers);
-            let is_granted = retries.budget.take(now, routers);
+            let is_granted = retries.budget.take(now, routers, earlier);
             retries.sums.charged += u64::from(is_granted);
             retries.sums.denied += u64::from(!is_granted);
             (standing, is_granted)
@@ -112,7 +125,7 @@
         let labels = [label("service", service), label("outcome", outcome)];
         self.metrics.retries.add(1, &labels);
         info!(self.log, "retry"; "request" => %request.head.id, "route" => &request.route.name,
-            "service" => %service, "outcome" => outcome, "window_requests" => standing.requests,
+            "service" => %service, "outcome" => outcome, "earlier" => ?earlier, "window_requests" => standing.requests,
             "window_retries" => standing.retries, "allowed" => standing.allowed,
             "routers" => standing.routers,
             "life_ms" => standing.life_ms, "age_ms" => request.age_ms(now));
--- a/crates/celerystair_policy/src/budget.rs
+++ b/crates/celerystair_policy/src/budget.rs
@@ -31,6 +31,20 @@
 /// fewer requests are counted.
 const SLOTS: u64 = 100;
 
+/// What is known of a request's attempts before a retry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EarlierAttempts {
+    /// Each has arrived by now, or never will.
+    Settled,
+    /// One was sent and not heard of: a stopped process or a cut link may hold it back.
+    InDoubt,
+}
+
+/// A retry arrives within this: a new connection may take part of it.
+const ARRIVAL_MS: u64 = 500;
+/// What a stopped process or a cut link holds back arrives within this.
+const HELD_BACK_MS: u64 = 20_000;
+
 /// What a decision about a retry goes by: the window that leaves least room.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryStanding {
@@ -59,6 +73,7 @@
     bound: RetryBound,
     started_unix_ms: u64,
     requests_by_slot: BTreeMap<u64, u32>,
+    /// By when upstreams have received what the retry adds to their arrivals.
     retries_by_slot: BTreeMap<u64, u32>,
 }
 
@@ -130,11 +145,21 @@
         self.standing(now_unix_ms, routers).has_room()
     }
 
-    /// Takes one retry, if there is one left.
-    pub fn take(&mut self, now_unix_ms: u64, routers: Option<u32>) -> bool {
+    /// Takes one retry, if there is one left. Whichever of a request's attempts arrives last is the
+    /// repeat, so one after an attempt in doubt counts until that can't arrive any more.
+    pub fn take(
+        &mut self,
+        now_unix_ms: u64,
+        routers: Option<u32>,
+        earlier: EarlierAttempts,
+    ) -> bool {
         let has_room = self.has_room(now_unix_ms, routers);
         if has_room {
-            let slot = self.slot(now_unix_ms);
+            let arrived_unix_ms = match earlier {
+                EarlierAttempts::Settled => now_unix_ms + ARRIVAL_MS,
+                EarlierAttempts::InDoubt => now_unix_ms + HELD_BACK_MS,
+            };
+            let slot = self.slot(arrived_unix_ms);
             *self.retries_by_slot.entry(slot).or_default() += 1;
         }
         has_room
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -43,7 +43,7 @@
 /// The types that a process needs.
 pub mod prelude {
     pub use crate::{
-        budget::{RetryBound, RetryBudget, RetryStanding},
+        budget::{EarlierAttempts, RetryBound, RetryBudget, RetryStanding},
         census::RouterCensus,
         choose::{Candidate, choose_upstream, has_room},
         cold_loads::{ColdLoadRun, ColdLoadsSeen},
--- a/crates/celerystair_policy/tests/stall.rs
+++ b/crates/celerystair_policy/tests/stall.rs
@@ -67,10 +67,10 @@
     }
     let mut taken = 0;
     while budget.has_room(10_000, Some(5)) {
-        assert!(budget.take(10_000, Some(5)));
+        assert!(budget.take(10_000, Some(5), EarlierAttempts::Settled));
         taken += 1;
     }
-    assert!(taken > 0 && !budget.take(10_000, Some(5)));
+    assert!(taken > 0 && !budget.take(10_000, Some(5), EarlierAttempts::Settled));
 }
 
 fn bound() -> RetryBudget {
