Earn a retry by requests as soon as they come

Counted from half a window before a window to half a window after, requests earned nothing for five seconds: a router whose load had just begun, or had risen, had no retry but its slack, so callers met failures that a retry would have spared.

A window's retries now stay within half the ratio of the requests in it and in the window before it together. The bound counts the better of these two over all routers, which is at least half of both, so the sums hold as before, whatever the load does. Requests earn half a retry's worth at once, and the whole ratio where load is steady.

--- a/crates/celerystair_policy/src/budget.rs
+++ b/crates/celerystair_policy/src/budget.rs
@@ -27,8 +27,8 @@
 /// Part of the slack that routers divide. The rest covers lives that have just begun, and routers that
 /// the count has missed.
 const SLACK_SHARE: f64 = 0.6;
-/// Parts into which a window is divided. Times within one are not told apart; where that matters,
-/// fewer requests are counted.
+/// Parts into which a window is divided. Times within one are not told apart; a window that begins
+/// within one counts its retries and, of the window before, not the requests of its first slot.
 const SLOTS: u64 = 100;
 
 /// What is known of a request's attempts before a retry.
@@ -48,7 +48,7 @@
 /// What a decision about a retry goes by: the window that leaves least room.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryStanding {
-    /// Requests of this router that count for the window.
+    /// Requests of this router in the window and in the one before it.
     pub requests: u32,
     /// Retries of this router in the window.
     pub retries: u32,
@@ -97,9 +97,10 @@
 
     /// What a router may retry that shares the slack with `routers` in all, if their number is known.
     ///
-    /// For every window that may hold a retry made now, the retries since it began stay within the
-    /// ratio of the requests from half a window before it began to half a window after. The bound
-    /// counts at least those, summed over all routers; so what each keeps to, all keep to together.
+    /// For every window that may hold a retry made now, the retries since it began stay within half the
+    /// ratio of the requests in it and in the window before it. Of these two the bound counts the one
+    /// with more requests of all routers, which is half of both or more; so what each router keeps to,
+    /// all keep to together, however load moves between them.
     pub fn standing(&mut self, now_unix_ms: u64, routers: Option<u32>) -> RetryStanding {
         self.forget(now_unix_ms);
         let life_ms = now_unix_ms.saturating_sub(self.started_unix_ms);
@@ -110,25 +111,21 @@
             _ => FIRST_SLACK,
         };
         let now_slot = self.slot(now_unix_ms);
-        let requests = RequestSums::new(&self.requests_by_slot, now_slot);
-        let mut retries = self.retries_by_slot.range(now_slot + 1..).map(count).sum();
-        let windows = (now_slot.saturating_sub(SLOTS)..=now_slot)
-            .rev()
-            .map(|begin| {
-                retries += self
-                    .retries_by_slot
-                    .get(&begin)
-                    .copied()
-                    .unwrap_or_default();
-                let requests = requests.around(begin);
-                RetryStanding {
-                    requests,
-                    retries,
-                    allowed: self.bound.ratio * f64::from(requests) + own_slack,
-                    routers,
-                    life_ms,
-                }
-            });
+        let first_counted = |begin: u64| (begin + 1).saturating_sub(SLOTS);
+        let mut requests = sum_from(&self.requests_by_slot, first_counted(now_slot + 1));
+        let mut retries = sum_from(&self.retries_by_slot, now_slot + 1);
+        let begins = (now_slot.saturating_sub(SLOTS)..=now_slot).rev();
+        let windows = begins.map(|begin| {
+            requests += count_at(&self.requests_by_slot, first_counted(begin));
+            retries += count_at(&self.retries_by_slot, begin);
+            RetryStanding {
+                requests,
+                retries,
+                allowed: self.bound.ratio / 2.0 * f64::from(requests) + own_slack,
+                routers,
+                life_ms,
+            }
+        });
         let room = |standing: &RetryStanding| standing.allowed - f64::from(standing.retries);
         let tightest = windows.min_by(|a, b| room(a).total_cmp(&room(b)));
         tightest.unwrap_or(RetryStanding {
@@ -172,15 +169,20 @@
     /// Drops what no window counts that may hold a retry made now.
     fn forget(&mut self, now_unix_ms: u64) {
         let now_slot = self.slot(now_unix_ms);
-        let requests_since = now_slot.saturating_sub(SLOTS + SLOTS / 2);
-        let retries_since = now_slot.saturating_sub(SLOTS);
-        drop_before(&mut self.requests_by_slot, requests_since);
-        drop_before(&mut self.retries_by_slot, retries_since);
+        drop_before(
+            &mut self.requests_by_slot,
+            now_slot.saturating_sub(2 * SLOTS),
+        );
+        drop_before(&mut self.retries_by_slot, now_slot.saturating_sub(SLOTS));
     }
 }
 
-fn count((_, count): (&u64, &u32)) -> u32 {
-    *count
+fn count_at(counts: &BTreeMap<u64, u32>, slot: u64) -> u32 {
+    counts.get(&slot).copied().unwrap_or_default()
+}
+
+fn sum_from(counts: &BTreeMap<u64, u32>, first: u64) -> u32 {
+    counts.range(first..).map(|(_, count)| count).sum()
 }
 
 fn drop_before(counts: &mut BTreeMap<u64, u32>, first: u64) {
@@ -191,39 +193,3 @@
         counts.pop_first();
     }
 }
-
-/// Sums of requests up to each slot, from the first that counts to the present one.
-struct RequestSums {
-    first: u64,
-    sums: Vec<u32>,
-}
-
-impl RequestSums {
-    fn new(by_slot: &BTreeMap<u64, u32>, now_slot: u64) -> Self {
-        let first = now_slot.saturating_sub(SLOTS + SLOTS / 2);
-        let mut sum = 0;
-        let slots = first..=now_slot;
-        let sums = slots.map(|slot| {
-            sum += by_slot.get(&slot).copied().unwrap_or_default();
-            sum
-        });
-        Self {
-            first,
-            sums: sums.collect(),
-        }
-    }
-
-    /// Requests that count for any window that begins within the slot `begin`: one slot less than a
-    /// window, since it may begin at either end of that slot.
-    fn around(&self, begin: u64) -> u32 {
-        let half = SLOTS / 2;
-        self.up_to(begin + half - 1) - self.up_to(begin.saturating_sub(half))
-    }
-
-    /// Requests in the slots up to this one.
-    fn up_to(&self, slot: u64) -> u32 {
-        let index = slot.checked_sub(self.first);
-        let index = index.map(|index| (index as usize).min(self.sums.len() - 1));
-        index.map_or(0, |index| self.sums[index])
-    }
-}
--- a/crates/celerystair_policy/tests/budget.rs
+++ b/crates/celerystair_policy/tests/budget.rs
@@ -210,3 +210,14 @@
     }
     fleet.check();
 }
+
+/// Load that has just begun earns retries at once, in the first window of a life, too.
+#[test]
+fn requests_earn_retries_as_soon_as_they_come() {
+    let mut budget = RetryBudget::new(BOUND, 30_000);
+    for _ in 0..100 {
+        budget.note_request(30_050);
+    }
+    let taken = (0..100).filter(|_| budget.take(30_090, None, Settled));
+    assert!(taken.count() as f64 >= BOUND.ratio * 100.0 / 2.0);
+}
