Catch SIGHUP from a process's first moment on, on a thread of its own

A router or agent that got SIGHUP just after its start, or twice in a row, ended by it, with the requests that it had. The runtime's listener was set up after the sockets, and is for one signal alone: when the last one is dropped the default is in force again until the next is set up.

signal-hook's handler is set before anything else and stays; it writes to a pipe, and a thread that reads the pipe logs the reload.

--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -10,11 +10,10 @@
     telemetry::{logs::logger_to_stdout, prelude::*},
 };
 use eyre::WrapErr;
+use signal_hook::{consts::SIGHUP, iterator::Signals};
 
 use super::process::{block_on, serve_until_signal};
 
-/// Signal by which the platform tells that the settings file has changed.
-const SIGHUP: i32 = 1;
 /// Kept from the time that a stop may take, for the process's own end.
 const STOP_MARGIN_MS: u64 = 300;
 /// What an agent's planned stop may take; it has nothing to finish.
@@ -22,6 +21,7 @@
 
 /// Runs a router until a signal.
 pub fn run_router() -> eyre::Result<()> {
+    let reloads = Signals::new([SIGHUP])?;
     let path = settings_path();
     let settings = read_front_settings(&read(&path)?)?;
     let log = logger_to_stdout("router", &settings.router);
@@ -29,7 +29,7 @@
     block_on(async {
         let stop = Stop::new();
         let running = run_front(settings, log.clone(), &stop).await?;
-        compio::runtime::spawn(note_reloads(log.clone())).detach();
+        note_reloads(reloads, &log);
         serve_until_signal(&stop, stop_timeout_ms, running.served).await;
         info!(log, "stopped");
         Ok(())
@@ -38,13 +38,14 @@
 
 /// Runs an engine's agent until a signal.
 pub fn run_agent() -> eyre::Result<()> {
+    let reloads = Signals::new([SIGHUP])?;
     let path = settings_path();
     let settings = read_agent_settings(&read(&path)?)?;
     let log = logger_to_stdout("agent", &settings.agent);
     block_on(async {
         let stop = Stop::new();
         run_engine_agent(settings, log.clone(), &stop).await?;
-        compio::runtime::spawn(note_reloads(log.clone())).detach();
+        note_reloads(reloads, &log);
         serve_until_signal(&stop, AGENT_STOP_MS, std::future::ready(())).await;
         info!(log, "stopped");
         Ok(())
@@ -57,8 +58,15 @@
 
 /// Notes each reload of the settings. Nothing in them changes while a process runs but what is
 /// read at its next start.
-async fn note_reloads(log: Logger) {
-    while compio::signal::unix::signal(SIGHUP).await.is_ok() {
-        info!(log, "settings_changed");
-    }
+///
+/// On a thread of its own, that waits for signals caught since the process's first moment: the
+/// runtime's listeners are for one signal each and have no effect between two, and they wake tasks
+/// from whichever thread the signal meets, which aborts one that is just being started.
+fn note_reloads(mut reloads: Signals, log: &Logger) {
+    let log = log.clone();
+    std::thread::spawn(move || {
+        for _ in reloads.forever() {
+            info!(log, "settings_changed");
+        }
+    });
 }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -15,7 +15,7 @@
     links::{Link, LinkFault},
     plan::{Plan, Step},
     support::{
-        StoreStandin, System, UpstreamStandin,
+        StoreStandin, System, UpstreamStandin, eventually,
         system::{
             DESK, ENGINES, Instance, SETTINGS_VARIABLE, config_with_own_route, path_of_version,
             ready_status,
@@ -99,6 +99,8 @@
     name: String,
     settings: PathBuf,
     log: PathBuf,
+    /// Starts so far.
+    starts: usize,
     child: Child,
     /// By when a planned stop must be complete, if one is under way.
     stop_until: Option<Instant>,
@@ -230,6 +232,7 @@
             name,
             settings,
             log,
+            starts: 1,
             child,
             stop_until: None,
         });
@@ -318,6 +321,12 @@
                 self.undos.push((later(for_ms), Undo::Thaw(index)));
             }
             Step::Reload(index) => self.processes[index].signal("HUP"),
+            Step::ReloadWhenStarted(index) => {
+                let process = &self.processes[index];
+                eventually("the process logs its start", || process.has_started());
+                process.signal("HUP");
+                process.signal("HUP");
+            }
             Step::Configure => {
                 self.version += 1 + self.version % 3;
                 let config = config_with_own_route(self.version);
@@ -514,9 +523,15 @@
 
 impl Process {
     fn start_again(&mut self) {
+        self.starts += 1;
         self.child = spawn(self.role, &self.settings, &self.log);
     }
 
+    fn has_started(&self) -> bool {
+        let log = std::fs::read_to_string(&self.log).expect("a log");
+        log.matches(r#""msg":"started""#).count() >= self.starts
+    }
+
     /// Sends a signal by the process's id.
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -194,3 +194,21 @@
     steps.push((8000, ALL_DECLINE));
     play_reads("upstreams-frozen", steps);
 }
+
+/// While nothing listens for the signal it ends the process: just after its start, and between two
+/// signals.
+#[test]
+fn a_process_lives_through_reloads_from_its_start_on() {
+    let small = Size::of(4);
+    let steps = (0..40).flat_map(|number| {
+        let process = number % small.processes();
+        [
+            (100, Step::Kill(process)),
+            (0, Step::ReloadWhenStarted(process)),
+        ]
+    });
+    let broken = play_plan("reloads", &Plan::of(steps), small, |fleet| {
+        callers::start(fleet, 1, HURRIED)
+    });
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -31,6 +31,8 @@
     Freeze(usize, u64),
     /// SIGHUP.
     Reload(usize),
+    /// SIGHUP, and again, as soon as the process logs its start.
+    ReloadWhenStarted(usize),
     /// The next version of the configuration.
     Configure,
     /// The store refuses calls for so many milliseconds.
