Count crashes of upstreams by their lives, not by lost answers

Requests that are alike (the same path and body) were refused as suspect for two minutes at a router after a link to one engine broke under three of their callers: each lost answer counted as a crash by itself.

An upstream crashes once in its life. A request is suspect once it was running at three lives that ended or lost an answer, by the upstream's name and the time of its birth; it is refused then as before, and forgotten when such a request is answered whole.

Not mended: each router still counts alone.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -23,6 +23,7 @@
     request::CallerRequest,
     retries::{Retries, log_retries},
     settings::FrontSettings,
+    upstream::Upstream,
     view::FleetView,
     waiting::WaitingRequests,
 };
@@ -152,9 +153,10 @@
 
     /// Notes that the request was running when its upstream went. It is forgotten once such a
     /// request is answered whole: most that are cut off have crashed nothing.
-    pub fn note_crash(&self, request: &CallerRequest) {
+    pub fn note_crash(&self, request: &CallerRequest, upstream: &Upstream) {
         let mut suspects = self.suspects.borrow_mut();
-        let crashes = suspects.note_crash(request.fingerprint, now_unix_ms());
+        let life = upstream.life();
+        let crashes = suspects.note_crash(request.fingerprint, life, now_unix_ms());
         drop(suspects);
         self.log_suspected(request, crashes);
     }
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -223,7 +223,7 @@
     progress.sent += u32::from(failure.has_reached());
     progress.arrived += u32::from(failure.has_arrived());
     if failure == AttemptFailure::AnswerLost {
-        front.note_crash(request);
+        front.note_crash(request, upstream);
     }
     let is_repeatable = request.route.is_repeatable();
     let attempts_max = request.route.attempts_max;
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -159,17 +159,16 @@
         let Some(begun) = self.begun.take() else {
             return false;
         };
-        let upstream = begun.upstream.id();
+        let upstream = begun.upstream.clone();
         let now = now_unix_ms();
-        begun
-            .upstream
-            .note(|health| health.note_failure(false, now));
+        upstream.note(|health| health.note_failure(false, now));
         // Closed before the next one starts: two must not run at once.
         drop(begun);
         let has_time = now < self.request.deadline_unix_ms;
-        self.front.log_broken(&self.request, &upstream, failure);
+        self.front
+            .log_broken(&self.request, &upstream.id(), failure);
         if failure == AttemptFailure::AnswerLost {
-            self.front.note_crash(&self.request);
+            self.front.note_crash(&self.request, &upstream);
         }
         let is_first_life = self.progress.sent < self.request.route.attempts_max;
         if !self.request.route.can_resume || !has_time || !is_first_life {
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -62,6 +62,15 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Which of its lives this is.
+    pub fn life(&self) -> UpstreamLife {
+        let entry = self.entry.borrow();
+        UpstreamLife {
+            upstream: entry.id.clone(),
+            born_unix_ms: entry.born_unix_ms,
+        }
+    }
+
     /// Whether another upstream has its address by now.
     pub fn is_replaced(&self) -> bool {
         self.misdirected.get() || self.superseded.get()
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -59,7 +59,7 @@
         routes::{RouteTable, choose_service},
         spread::{Peer, SendTo, sends, sends_on},
         stall::StallInputs,
-        suspects::Suspects,
+        suspects::{Suspects, UpstreamLife},
         waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
     };
 }
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -1,5 +1,8 @@
 //! Which requests are refused because they crash upstreams. Answers a request that takes down
 //! each upstream that runs it, and that its caller sends again and again.
+//!
+//! An upstream crashes once in its life: answers that are lost at one life, to callers that send alike,
+//! are one crash at most, and a link that breaks under all of them is none.
 
 use celerystair_core::prelude::*;
 
@@ -10,47 +13,63 @@
 /// The most requests that are remembered; the oldest go first.
 const REMEMBERED_MAX: usize = 256;
 
-/// Requests that were running when their upstream crashed, by fingerprint.
+/// One life of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamLife {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// When it was born; it may start again under the same name.
+    pub born_unix_ms: u64,
+}
+
+/// Requests that were running when their upstream went, by fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    crashes: HashMap<u64, Suspect>,
+    by_fingerprint: HashMap<u64, Suspect>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Suspect {
-    crashes: u32,
+    /// The lives that ended, or lost an answer, while it ran; at most [`CRASHES_MAX`].
+    lives: Vec<UpstreamLife>,
     forget_unix_ms: u64,
 }
 
 impl Suspects {
-    /// Counts a crash while the request ran; gives the count.
-    pub fn note_crash(&mut self, fingerprint: u64, now_unix_ms: u64) -> u32 {
-        self.crashes
+    /// Notes a life that may have ended while the request ran; gives how many those are by now.
+    pub fn note_crash(&mut self, fingerprint: u64, life: UpstreamLife, now_unix_ms: u64) -> u32 {
+        self.by_fingerprint
             .retain(|_, suspect| suspect.forget_unix_ms > now_unix_ms);
-        if self.crashes.len() >= REMEMBERED_MAX {
-            let oldest = self.crashes.iter().min_by_key(|(_, s)| s.forget_unix_ms);
+        if self.by_fingerprint.len() >= REMEMBERED_MAX {
+            let suspects = self.by_fingerprint.iter();
+            let oldest = suspects.min_by_key(|(_, suspect)| suspect.forget_unix_ms);
             if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
-                self.crashes.remove(&oldest);
+                self.by_fingerprint.remove(&oldest);
             }
         }
-        let suspect = self.crashes.entry(fingerprint).or_insert(Suspect {
-            crashes: 0,
+        let suspect = self.by_fingerprint.entry(fingerprint).or_insert(Suspect {
+            lives: Vec::new(),
             forget_unix_ms: 0,
         });
-        suspect.crashes += 1;
         suspect.forget_unix_ms = now_unix_ms + MEMORY_MS;
-        suspect.crashes
+        if suspect.lives.len() < CRASHES_MAX as usize && !suspect.lives.contains(&life) {
+            suspect.lives.push(life);
+        }
+        suspect.lives.len() as u32
     }
 
     /// Notes that such a request was answered whole: it crashes nothing.
     pub fn clear(&mut self, fingerprint: u64) {
-        self.crashes.remove(&fingerprint);
+        self.by_fingerprint.remove(&fingerprint);
     }
 
     /// Whether the request is refused.
     pub fn is_refused(&self, fingerprint: u64, now_unix_ms: u64) -> bool {
-        self.crashes.get(&fingerprint).is_some_and(|suspect| {
-            suspect.crashes >= CRASHES_MAX && suspect.forget_unix_ms > now_unix_ms
-        })
+        self.by_fingerprint
+            .get(&fingerprint)
+            .is_some_and(|suspect| {
+                let has_crashed = suspect.lives.len() >= CRASHES_MAX as usize;
+                has_crashed && suspect.forget_unix_ms > now_unix_ms
+            })
     }
 }
