--- a/crates/celerystair_front/src/retries.rs
+++ b/crates/celerystair_front/src/retries.rs
@@ -125,9 +125,9 @@
         let labels = [label("service", service), label("outcome", outcome)];
         self.metrics.retries.add(1, &labels);
         info!(self.log, "retry"; "request" => %request.head.id, "route" => &request.route.name,
-            "service" => %service, "outcome" => outcome, "earlier" => ?earlier, "window_requests" => standing.requests,
-            "window_retries" => standing.retries, "allowed" => standing.allowed,
-            "routers" => standing.routers,
+            "service" => %service, "outcome" => outcome, "earlier" => ?earlier,
+            "window_requests" => standing.requests, "window_retries" => standing.retries,
+            "allowed" => standing.allowed, "routers" => standing.routers,
             "life_ms" => standing.life_ms, "age_ms" => request.age_ms(now));
         is_granted
     }
