--- a/crates/celerystair_front/src/retries.rs
+++ b/crates/celerystair_front/src/retries.rs
@@ -128,7 +128,8 @@
             "service" => %service, "outcome" => outcome, "earlier" => ?earlier,
             "window_requests" => standing.requests, "window_retries" => standing.retries,
             "allowed" => standing.allowed, "routers" => standing.routers,
-            "life_ms" => standing.life_ms, "age_ms" => request.age_ms(now));
+            "life_ms" => now.saturating_sub(self.retries.started_unix_ms),
+            "age_ms" => request.age_ms(now));
         is_granted
     }
 
--- a/crates/celerystair_policy/src/budget.rs
+++ b/crates/celerystair_policy/src/budget.rs
@@ -56,8 +56,6 @@
     pub allowed: f64,
     /// Routers among which the slack was divided; `None` if their number was not known.
     pub routers: Option<u32>,
-    /// How long this router has run.
-    pub life_ms: u64,
 }
 
 impl RetryStanding {
@@ -103,9 +101,8 @@
     /// all keep to together, however load moves between them.
     pub fn standing(&mut self, now_unix_ms: u64, routers: Option<u32>) -> RetryStanding {
         self.forget(now_unix_ms);
-        let life_ms = now_unix_ms.saturating_sub(self.started_unix_ms);
         let own_slack = match routers {
-            Some(routers) if life_ms >= self.bound.window_ms => {
+            Some(routers) if now_unix_ms >= self.started_unix_ms + self.bound.window_ms => {
                 self.bound.slack / f64::from(routers.max(1)) * SLACK_SHARE
             }
             _ => FIRST_SLACK,
@@ -123,7 +120,6 @@
                 retries,
                 allowed: self.bound.ratio / 2.0 * f64::from(requests) + own_slack,
                 routers,
-                life_ms,
             }
         });
         let room = |standing: &RetryStanding| standing.allowed - f64::from(standing.retries);
@@ -133,7 +129,6 @@
             retries: 0,
             allowed: own_slack,
             routers,
-            life_ms,
         })
     }
 
