--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -62,6 +62,22 @@
     },
 }
 
+impl Step {
+    /// For how long it keeps a router from what the store says, if it does; routers and their links to
+    /// the store come first.
+    pub fn keeps_from_store_ms(self, routers: usize) -> Option<u64> {
+        match self {
+            Self::StoreDown(for_ms) => Some(for_ms),
+            Self::Freeze(index, for_ms) | Self::Link(index, _, for_ms) if index < routers => {
+                Some(for_ms)
+            }
+            Self::Kill(index) | Self::Stop(index) if index < routers => Some(0),
+            Self::StoreForgets => Some(0),
+            _ => None,
+        }
+    }
+}
+
 /// The shortest and longest pause between two steps.
 const PAUSE_MS: (u64, u64) = (20, 700);
 const UPSTREAM_FAULTS: [Fault; 9] = [
