Log and measure suspicions of crashing upstreams so that retries can be joined

The lines of a caller's retries, which have ids of their own, could not be joined, and nothing told when a suspicion was cleared. request_suspected, attempt_failed, stream_broken and request_refused now carry the request's fingerprint, the first also the incarnation that was lost; suspicion_cleared is new, and two gauges count suspects.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -159,7 +159,15 @@
         let incarnation = upstream.incarnation();
         let crashes = suspects.record_crash(request.fingerprint, incarnation, now_unix_ms());
         drop(suspects);
-        self.log_request_suspected(request, crashes);
+        self.log_request_suspected(request, upstream, crashes);
+    }
+
+    /// Clears the request of suspicion, because it received a complete response.
+    pub fn clear_suspicion(&self, request: &CallerRequest) {
+        let crashes = self.suspects.borrow_mut().clear(request.fingerprint);
+        if crashes > 0 {
+            self.log_suspicion_cleared(request, crashes);
+        }
     }
 
     /// Returns the number of routers that share the upstreams, or a default if it is unknown.
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -22,7 +22,8 @@
         let news_age_ms = status.map(|status| now.saturating_sub(status.received_unix_ms));
         info!(self.log, "attempt_failed"; "request" => %request.head.id,
             "route" => &request.route.name, "upstream" => %upstream.id(),
-            "how" => failure.as_str(), "upstream_ms" => now.saturating_sub(sent_unix_ms),
+            "fingerprint" => hex(request.fingerprint), "how" => failure.as_str(),
+            "upstream_ms" => now.saturating_sub(sent_unix_ms),
             "load" => load, "news_age_ms" => news_age_ms, "in_flight" => upstream.in_flight(),
             "config_version" => self.view.config_version(), "age_ms" => request.age_ms(now));
     }
@@ -35,15 +36,30 @@
         how: AttemptFailure,
     ) {
         info!(self.log, "stream_broken"; "request" => %request.head.id,
-            "route" => &request.route.name, "upstream" => %upstream, "how" => how.as_str(),
+            "route" => &request.route.name, "fingerprint" => hex(request.fingerprint),
+            "upstream" => %upstream, "how" => how.as_str(),
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
     /// Logs that the request's upstream was lost while it ran the request.
-    pub fn log_request_suspected(&self, request: &CallerRequest, crashes: u32) {
+    pub fn log_request_suspected(
+        &self,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        crashes: u32,
+    ) {
+        let incarnation = upstream.incarnation();
         info!(self.log, "request_suspected"; "request" => %request.head.id,
-            "route" => &request.route.name, "crashes" => crashes,
-            "age_ms" => request.age_ms(now_unix_ms()));
+            "route" => &request.route.name, "fingerprint" => hex(request.fingerprint),
+            "upstream" => %incarnation.upstream, "born_unix_ms" => incarnation.started_unix_ms,
+            "crashes" => crashes, "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
+    /// Logs that a complete response cleared the request of suspicion.
+    pub fn log_suspicion_cleared(&self, request: &CallerRequest, crashes: u32) {
+        info!(self.log, "suspicion_cleared"; "request" => %request.head.id,
+            "route" => &request.route.name, "fingerprint" => hex(request.fingerprint),
+            "crashes" => crashes);
     }
 
     /// Logs that an agent is asked to load an adapter.
@@ -104,7 +120,8 @@
     pub fn log_refusal(&self, request: &CallerRequest, refusal: &Refusal) {
         let model = request.head.model.as_ref().map(ToString::to_string);
         info!(self.log, "request_refused"; "request" => %request.head.id,
-            "route" => &request.route.name, "reason" => refusal.reason.as_str(),
+            "route" => &request.route.name, "fingerprint" => hex(request.fingerprint),
+            "reason" => refusal.reason.as_str(),
             "run" => refusal.run.as_str(), "detail" => &refusal.detail, "model" => model,
             "retry_after_ms" => refusal.retry_after_ms,
             "config_version" => self.view.config_version(),
@@ -117,3 +134,8 @@
             "detail" => &refusal.detail);
     }
 }
+
+/// Formats a fingerprint, by which the lines of a request's retries with other ids can be joined.
+fn hex(fingerprint: u64) -> String {
+    format!("{fingerprint:016x}")
+}
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -102,7 +102,7 @@
     let response = try_upstreams(router, &request, &service, &mut progress, None).await?;
     Ok(match response {
         UpstreamResponse::Buffered(response) => {
-            router.suspects.borrow_mut().clear(request.fingerprint);
+            router.clear_suspicion(&request);
             buffered_response(response)
         }
         UpstreamResponse::Started(started) => {
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -155,9 +155,7 @@
 
     /// Clears the request of suspicion and keeps the connection for reuse.
     fn finish(&mut self) {
-        let mut suspects = self.router.suspects.borrow_mut();
-        suspects.clear(self.request.fingerprint);
-        drop(suspects);
+        self.router.clear_suspicion(&self.request);
         if let Some(started) = self.started.take() {
             let connections = &started.upstream.connections;
             connections.keep(started.connection, &started.head.headers);
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -36,6 +36,15 @@
     forget_unix_ms: u64,
 }
 
+/// The number of requests that a [`Suspects`] holds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SuspectCounts {
+    /// Requests with at least one recorded crash.
+    pub remembered: u32,
+    /// Those of them that are refused.
+    pub refused: u32,
+}
+
 impl Suspects {
     /// Records that an incarnation may have crashed while it ran the request, and returns the
     /// number of such incarnations so far.
@@ -67,9 +76,23 @@
         suspect.incarnations.len() as u32
     }
 
-    /// Clears a request that received a complete answer and so doesn't crash upstreams.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.by_fingerprint.remove(&fingerprint);
+    /// Clears a request that received a complete answer and so doesn't crash upstreams. Returns the
+    /// number of crashes that were recorded for it.
+    pub fn clear(&mut self, fingerprint: u64) -> u32 {
+        let cleared = self.by_fingerprint.remove(&fingerprint);
+        cleared.map_or(0, |suspect| suspect.incarnations.len() as u32)
+    }
+
+    /// Returns how many requests are remembered, and how many of them are refused.
+    pub fn counts(&self, now_unix_ms: u64) -> SuspectCounts {
+        let suspects = self.by_fingerprint.values();
+        let remembered = suspects.filter(|suspect| suspect.forget_unix_ms > now_unix_ms);
+        let mut counts = SuspectCounts::default();
+        for suspect in remembered {
+            counts.remembered += 1;
+            counts.refused += u32::from(suspect.incarnations.len() >= CRASHES_MAX as usize);
+        }
+        counts
     }
 
     /// Whether the request has caused enough crashes to be refused.
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -69,6 +69,10 @@
     pub routers: Gauge<u64>,
     /// Retries that this router may make per window of the retry budget, by `service`.
     pub retries_allowed: Gauge<f64>,
+    /// Requests that may have crashed an upstream.
+    pub suspects: Gauge<u64>,
+    /// Requests that are refused because they crash upstreams.
+    pub suspects_refused: Gauge<u64>,
 }
 
 impl Gauges {
@@ -86,6 +90,8 @@
             free_memory_bytes: bytes("celerystair_free_memory"),
             replicas: gauge("celerystair_replicas"),
             routers: gauge("celerystair_routers"),
+            suspects: gauge("celerystair_suspects"),
+            suspects_refused: gauge("celerystair_suspects_refused"),
             retries_allowed: meter.f64_gauge("celerystair_retries_allowed").build(),
         }
     }
