--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -193,6 +193,19 @@
     assert!(!suspects.is_refused(999, 2_001));
 }
 
+/// The upstreams that a request crashes run others too, and each of those becomes a suspect.
+#[test]
+fn a_request_near_refusal_is_remembered_while_many_others_become_suspects() {
+    let mut suspects = Suspects::default();
+    suspects.record_crash(7, incarnation(1), 1_000);
+    suspects.record_crash(7, incarnation(2), 1_001);
+    for other in 100..1_000 {
+        suspects.record_crash(other, incarnation(2), 1_002);
+    }
+    suspects.record_crash(7, incarnation(3), 1_003);
+    assert!(suspects.is_refused(7, 1_004));
+}
+
 fn incarnation(number: u32) -> UpstreamIncarnation {
     UpstreamIncarnation {
         upstream: UpstreamId::from("u1"),
