Keep the suspects with the most crashes when too many are remembered

Callers saw a request crash more servers than three: the router's memory of suspects holds 256, dropped the oldest first, and every request that ran at a server that ended becomes one. So a request with two crashes was displaced by innocent ones with one and counted from the start again. Now those with the fewest crashes go first; a suspect that is already remembered displaces nobody. The test failed before and passes now: a_request_near_refusal_is_remembered_while_many_others_become_suspects.

--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -11,7 +11,8 @@
 pub const CRASHES_MAX: u32 = 3;
 /// A request is forgotten when it has caused no crash for this long.
 const RETENTION_MS: u64 = 120_000;
-/// The most requests that are remembered; the oldest is dropped first.
+/// The most requests that are remembered; of those with the fewest crashes, the oldest is dropped
+/// first.
 const SUSPECTS_MAX: usize = 256;
 
 /// One run of an upstream's process.
@@ -56,11 +57,15 @@
     ) -> u32 {
         self.by_fingerprint
             .retain(|_, suspect| suspect.forget_unix_ms > now_unix_ms);
-        if self.by_fingerprint.len() >= SUSPECTS_MAX {
+        let is_new = !self.by_fingerprint.contains_key(&fingerprint);
+        if is_new && self.by_fingerprint.len() >= SUSPECTS_MAX {
             let suspects = self.by_fingerprint.iter();
-            let oldest = suspects.min_by_key(|(_, suspect)| suspect.forget_unix_ms);
-            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
-                self.by_fingerprint.remove(&oldest);
+            // An upstream that crashes makes suspects of all the requests that it ran, so those with
+            // one crash are many, and those near refusal are few.
+            let dropped = suspects
+                .min_by_key(|(_, suspect)| (suspect.incarnations.len(), suspect.forget_unix_ms));
+            if let Some(dropped) = dropped.map(|(fingerprint, _)| *fingerprint) {
+                self.by_fingerprint.remove(&dropped);
             }
         }
         let suspect = self.by_fingerprint.entry(fingerprint).or_insert(Suspect {
