Count runs of identical requests that end in one event as one crash

Callers were refused a good request: three identical ones that ran at three servers when one partition cut all of them off counted as three crashes, and every later one was refused for two minutes. Runs that overlap in time at a router count once now. A request that crashes servers is sent again only after the crash before, so its runs don't overlap; of two copies that one router runs at once, one counts.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -33,6 +33,8 @@
     pub in_flight: InFlightGuard,
     /// The upstream that responded.
     pub upstream: Rc<Upstream>,
+    /// When the request was sent.
+    pub sent_unix_ms: u64,
 }
 
 /// A complete response of an upstream.
@@ -81,6 +83,7 @@
     last_event_id: Option<u64>,
     wait: &ResponseWait<'_>,
 ) -> Result<StartedResponse, FailedAttempt> {
+    let sent_unix_ms = now_unix_ms();
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.track_request(model, request.head.prompt_tokens);
     let work = exchange(router, request, upstream, last_event_id);
@@ -111,6 +114,7 @@
         connection,
         in_flight,
         upstream: upstream.clone(),
+        sent_unix_ms,
     };
     if started.head.status.is_success() {
         upstream.update_health(UpstreamHealth::record_success);
@@ -255,6 +259,7 @@
         connection,
         in_flight,
         upstream,
+        ..
     } = started;
     let reading = async {
         let mut bytes = BytesMut::new();
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -152,12 +152,17 @@
         models.into_iter().collect()
     }
 
-    /// Records that the request was running when its upstream was lost. The record is cleared once
+    /// Records that the request, sent at `sent_unix_ms`, was running when its upstream was lost. The record is cleared once
     /// the same request gets a complete response: most requests that are cut off crash nothing.
-    pub fn record_crash(&self, request: &CallerRequest, upstream: &Upstream) {
+    pub fn record_crash(&self, request: &CallerRequest, upstream: &Upstream, sent_unix_ms: u64) {
+        let now = now_unix_ms();
+        let run = LostRun {
+            incarnation: upstream.incarnation(),
+            sent_unix_ms,
+            ended_unix_ms: now,
+        };
         let mut suspects = self.suspects.borrow_mut();
-        let incarnation = upstream.incarnation();
-        let crashes = suspects.record_crash(request.fingerprint, incarnation, now_unix_ms());
+        let crashes = suspects.record_crash(request.fingerprint, run, now);
         drop(suspects);
         self.log_request_suspected(request, upstream, crashes);
     }
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -183,7 +183,8 @@
             Err(failed) => {
                 router.count_attempt(service, Some(failed.failure));
                 router.log_attempt_failed(request, &upstream, failed.failure, now);
-                let response = handle_failed_attempt(router, request, &upstream, progress, failed)?;
+                let response =
+                    handle_failed_attempt(router, request, &upstream, progress, failed, now)?;
                 if let Some(response) = response {
                     return Ok(response);
                 }
@@ -237,6 +238,7 @@
     upstream: &Rc<Upstream>,
     progress: &mut Progress,
     failed: FailedAttempt,
+    sent_unix_ms: u64,
 ) -> Result<Option<UpstreamResponse>, Refusal> {
     let failure = failed.failure;
     let id = upstream.id();
@@ -244,7 +246,7 @@
     progress.reached_upstreams += u32::from(failure.has_reached_intended_upstream());
     progress.delivered_attempts += u32::from(failure.has_reached_any_upstream());
     if failure == AttemptFailure::AnswerLost {
-        router.record_crash(request, upstream);
+        router.record_crash(request, upstream, sent_unix_ms);
     }
     let is_repeatable = request.route.is_repeatable();
     let attempts_max = request.route.attempts_max;
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -167,7 +167,7 @@
         let Some(started) = self.started.take() else {
             return false;
         };
-        let upstream = started.upstream.clone();
+        let (upstream, sent_unix_ms) = (started.upstream.clone(), started.sent_unix_ms);
         let now = now_unix_ms();
         upstream.update_health(|health| health.record_failure(false, now));
         // Close this response before the next attempt, so that the request never runs twice at
@@ -177,7 +177,8 @@
         self.router
             .log_stream_broken(&self.request, &upstream.id(), failure);
         if failure == AttemptFailure::AnswerLost {
-            self.router.record_crash(&self.request, &upstream);
+            self.router
+                .record_crash(&self.request, &upstream, sent_unix_ms);
         }
         let has_attempts_left = self.progress.reached_upstreams < self.request.route.attempts_max;
         if !self.request.route.can_resume || !has_time || !has_attempts_left {
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -59,7 +59,7 @@
         routes::{RouteTable, choose_service},
         spread::{GossipTarget, Peer, gossip_targets, relay_targets},
         stall::StallInputs,
-        suspects::{SuspectCounts, Suspects, UpstreamIncarnation},
+        suspects::{LostRun, SuspectCounts, Suspects, UpstreamIncarnation},
         waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
     };
 }
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -3,7 +3,9 @@
 //!
 //! An incarnation of an upstream crashes at most once. So the answers that identical requests lose
 //! at one incarnation count as one crash at most, also when a broken link loses all of them without
-//! any crash.
+//! any crash. For the same reason, runs of identical requests that overlap in time at one router
+//! count once: a broken link or a restarted switch cuts off several upstreams in one moment, while a
+//! request that crashes upstreams is sent again only after the crash before.
 
 use celerystair_core::prelude::*;
 
@@ -24,6 +26,23 @@
     pub started_unix_ms: u64,
 }
 
+/// A run of a request that ended without a complete answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LostRun {
+    /// The incarnation that ran the request.
+    pub incarnation: UpstreamIncarnation,
+    /// When the request was sent.
+    pub sent_unix_ms: u64,
+    /// When the connection was lost.
+    pub ended_unix_ms: u64,
+}
+
+impl LostRun {
+    fn overlaps(&self, other: &Self) -> bool {
+        self.sent_unix_ms < other.ended_unix_ms && other.sent_unix_ms < self.ended_unix_ms
+    }
+}
+
 /// Requests whose upstream may have crashed while it ran them, by fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
@@ -32,8 +51,8 @@
 
 #[derive(Clone, Debug)]
 struct Suspect {
-    /// Incarnations that ended, or lost an answer, while the request ran; at most [`CRASHES_MAX`].
-    incarnations: Vec<UpstreamIncarnation>,
+    /// Runs at incarnations that ended, or lost an answer; at most [`CRASHES_MAX`].
+    runs: Vec<LostRun>,
     forget_unix_ms: u64,
 }
 
@@ -48,13 +67,8 @@
 
 impl Suspects {
     /// Records that an incarnation may have crashed while it ran the request, and returns the
-    /// number of such incarnations so far.
-    pub fn record_crash(
-        &mut self,
-        fingerprint: u64,
-        incarnation: UpstreamIncarnation,
-        now_unix_ms: u64,
-    ) -> u32 {
+    /// number of crashes so far.
+    pub fn record_crash(&mut self, fingerprint: u64, run: LostRun, now_unix_ms: u64) -> u32 {
         self.by_fingerprint
             .retain(|_, suspect| suspect.forget_unix_ms > now_unix_ms);
         let is_new = !self.by_fingerprint.contains_key(&fingerprint);
@@ -62,30 +76,30 @@
             let suspects = self.by_fingerprint.iter();
             // An upstream that crashes makes suspects of all the requests that it ran, so those with
             // one crash are many, and those near refusal are few.
-            let dropped = suspects
-                .min_by_key(|(_, suspect)| (suspect.incarnations.len(), suspect.forget_unix_ms));
+            let dropped =
+                suspects.min_by_key(|(_, suspect)| (suspect.runs.len(), suspect.forget_unix_ms));
             if let Some(dropped) = dropped.map(|(fingerprint, _)| *fingerprint) {
                 self.by_fingerprint.remove(&dropped);
             }
         }
         let suspect = self.by_fingerprint.entry(fingerprint).or_insert(Suspect {
-            incarnations: Vec::new(),
+            runs: Vec::new(),
             forget_unix_ms: 0,
         });
         suspect.forget_unix_ms = now_unix_ms + RETENTION_MS;
-        if suspect.incarnations.len() < CRASHES_MAX as usize
-            && !suspect.incarnations.contains(&incarnation)
-        {
-            suspect.incarnations.push(incarnation);
+        let is_same_event =
+            |known: &LostRun| known.incarnation == run.incarnation || known.overlaps(&run);
+        if suspect.runs.len() < CRASHES_MAX as usize && !suspect.runs.iter().any(is_same_event) {
+            suspect.runs.push(run);
         }
-        suspect.incarnations.len() as u32
+        suspect.runs.len() as u32
     }
 
     /// Clears a request that received a complete answer and so doesn't crash upstreams. Returns the
     /// number of crashes that were recorded for it.
     pub fn clear(&mut self, fingerprint: u64) -> u32 {
         let cleared = self.by_fingerprint.remove(&fingerprint);
-        cleared.map_or(0, |suspect| suspect.incarnations.len() as u32)
+        cleared.map_or(0, |suspect| suspect.runs.len() as u32)
     }
 
     /// Returns how many requests are remembered, and how many of them are refused.
@@ -95,7 +109,7 @@
         let mut counts = SuspectCounts::default();
         for suspect in remembered {
             counts.remembered += 1;
-            counts.refused += u32::from(suspect.incarnations.len() >= CRASHES_MAX as usize);
+            counts.refused += u32::from(suspect.runs.len() >= CRASHES_MAX as usize);
         }
         counts
     }
@@ -105,7 +119,7 @@
         self.by_fingerprint
             .get(&fingerprint)
             .is_some_and(|suspect| {
-                let has_crashed = suspect.incarnations.len() >= CRASHES_MAX as usize;
+                let has_crashed = suspect.runs.len() >= CRASHES_MAX as usize;
                 has_crashed && suspect.forget_unix_ms > now_unix_ms
             })
     }
