Count crashes of upstreams over all routers, and remember them beyond a router's life

Evidence: with two crashes at one router, another ran the request twice more; a router started after three crashes ran it again; with one router that isn't restarted the bound held.

Routers and agents now report crashes to each other by gossip. A report adds to what its receiver knows, each crash has an identifier that is the same everywhere, and a complete answer anywhere clears the crashes recorded so far. Agents keep the reports, so routers that start later get them. It works because nothing that decides is kept by one process only, and because any order, loss or repetition of datagrams leads to the same set.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -21,6 +21,7 @@
     fence::claim_fence,
     plan::LoadPlan,
     settings::EngineAgentSettings,
+    suspicion::spread_suspects,
     tell::{SentStatus, receive_gossip, send_status_if_due},
 };
 
@@ -59,6 +60,10 @@
     pub router_demand: DemandTable,
     /// The latest status of each engine, as its agent reported it.
     pub engine_statuses: EngineStatusTable,
+    /// Requests that may crash upstreams, as routers and other agents reported them.
+    pub suspects: RefCell<Suspects>,
+    /// Notified when a report of suspects held anything new.
+    pub(crate) suspects_changed: Event,
     /// The socket on which gossip is sent and received.
     pub gossip_socket: GossipSocket,
     /// The engine's upstream id; `None` until the engine is found in the list of upstreams.
@@ -140,6 +145,8 @@
             metrics: Metrics::new("agent"),
             router_demand: DemandTable::default(),
             engine_statuses: EngineStatusTable::default(),
+            suspects: RefCell::default(),
+            suspects_changed: Event::new(),
             gossip_socket,
             upstream_id: RefCell::default(),
             engine_state: RefCell::default(),
@@ -160,6 +167,7 @@
         }),
     };
     compio::runtime::spawn(receive_gossip(agent.clone(), stop.clone())).detach();
+    compio::runtime::spawn(spread_suspects(agent.clone(), stop.clone())).detach();
     agent.serve_metrics(stop);
     compio::runtime::spawn(agent.clone().run(store, stop.clone())).detach();
     Ok(agent)
--- a/crates/celerystair_engine/src/lib.rs
+++ b/crates/celerystair_engine/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`orders`] | sending orders, and advancing a load step by step |
 //! | [`plan`] | a load in progress, with the unloads that free memory for it |
 //! | [`settings`] | the settings of an agent |
+//! | [`suspicion`] | spreading reports on requests that crash upstreams |
 //! | [`tell`] | sending, receiving and relaying gossip |
 //!
 //! The design: `docs/PLATFORM.md`.
@@ -27,6 +28,7 @@
 pub mod orders;
 pub mod plan;
 pub mod settings;
+pub mod suspicion;
 pub mod tell;
 
 /// The types that a binary needs to run an agent.
--- /dev/null
+++ b/crates/celerystair_engine/src/suspicion.rs
@@ -0,0 +1,83 @@
+//! Spreads reports on requests that crash upstreams among the routers, which don't know each other.
+//! An agent outlives a router's process, so that a router that starts later learns of the suspects.
+
+use std::pin::pin;
+
+use celerystair_core::prelude::*;
+use celerystair_news::prelude::*;
+use celerystair_policy::prelude::*;
+use futures_util::future::select;
+
+use crate::{
+    agent::EngineAgent,
+    tell::{log_send_failures, status_receivers},
+};
+
+/// The most requests that one round reports.
+const REPORTS_PER_ROUND_MAX: usize = 4 * REPORTS_PER_DATAGRAM_MAX;
+
+/// Sends suspects to routers and other agents until `stop` ends.
+pub async fn spread_suspects(agent: EngineAgent, stop: Stop) {
+    let mut draw = now_unix_ms();
+    let mut next_sample_unix_ms = 0;
+    while !stop.is_ended() {
+        let changed = agent.suspects_changed.listen();
+        draw += 1;
+        send_changes(&agent, draw).await;
+        let now = now_unix_ms();
+        if now >= next_sample_unix_ms {
+            next_sample_unix_ms = now + REPORT_SAMPLE_MS;
+            send_sample(&agent, draw).await;
+        }
+        sleep_ms(REPORT_ROUND_MS).await;
+        if !agent.suspects.borrow().has_pending() {
+            let timer = pin!(sleep_until_unix_ms(next_sample_unix_ms));
+            select(select(changed, timer), pin!(stop.ended())).await;
+        }
+    }
+}
+
+async fn send_changes(agent: &EngineAgent, draw: u64) {
+    let reports = {
+        let mut suspects = agent.suspects.borrow_mut();
+        suspects.take_pending(REPORTS_PER_ROUND_MAX, now_unix_ms())
+    };
+    if reports.is_empty() {
+        return;
+    }
+    let peers = status_receivers(agent, now_unix_ms());
+    let targets = suspect_change_targets(&agent.settings.failure_domain, &peers, draw);
+    for datagram in reports.chunks(REPORTS_PER_DATAGRAM_MAX) {
+        let message = GossipMessage::Suspects(datagram.to_vec());
+        log_send_failures(agent, agent.gossip_socket.send(&message, &targets).await);
+    }
+}
+
+async fn send_sample(agent: &EngineAgent, draw: u64) {
+    let reports = {
+        let mut suspects = agent.suspects.borrow_mut();
+        suspects.sample(REPORTS_PER_DATAGRAM_MAX, draw, now_unix_ms())
+    };
+    if reports.is_empty() {
+        return;
+    }
+    let peers = status_receivers(agent, now_unix_ms());
+    let targets = suspect_sample_targets(&agent.settings.failure_domain, &peers, draw);
+    let message = GossipMessage::Suspects(reports);
+    log_send_failures(agent, agent.gossip_socket.send(&message, &targets).await);
+}
+
+/// Adds what another process has reported of suspects; returns whether any of it is new.
+pub fn merge_suspect_reports(agent: &EngineAgent, reports: &[SuspectReport]) -> bool {
+    let now = now_unix_ms();
+    let mut suspects = agent.suspects.borrow_mut();
+    let mut is_new = false;
+    for report in reports {
+        is_new |= suspects.merge(report, AGENT_CHANGE_SENDS, now).is_some();
+    }
+    drop(suspects);
+    if is_new {
+        agent.suspects_changed.notify(usize::MAX);
+    }
+    is_new
+}
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -11,7 +11,7 @@
 use celerystair_telemetry::prelude::*;
 use futures_util::future::{Either, select};
 
-use crate::agent::EngineAgent;
+use crate::{agent::EngineAgent, suspicion::merge_suspect_reports};
 
 /// The shortest interval at which the agent sends an unchanged status.
 const MIN_STATUS_INTERVAL_MS: u64 = 600;
@@ -91,14 +91,14 @@
         && f64::from(change) >= min_change.max(1.0)
 }
 
-fn log_send_failures(agent: &EngineAgent, failures: Vec<(SocketAddr, std::io::Error)>) {
+pub(crate) fn log_send_failures(agent: &EngineAgent, failures: Vec<(SocketAddr, std::io::Error)>) {
     for (address, error) in failures {
         debug!(agent.log, "news_not_sent"; "to" => %address, "error" => %error);
     }
 }
 
 /// Returns the processes that use the status of an engine: the routers and the other agents.
-fn status_receivers(agent: &EngineAgent, now_unix_ms: u64) -> Vec<Peer> {
+pub(crate) fn status_receivers(agent: &EngineAgent, now_unix_ms: u64) -> Vec<Peer> {
     let mut peers = agent.router_demand.router_peers();
     peers.extend(other_agents(agent, now_unix_ms));
     peers
@@ -123,7 +123,8 @@
     let peers: Vec<Peer> = match message {
         GossipMessage::Engine(_) => status_receivers(agent, now),
         GossipMessage::Demand(_) => other_agents(agent, now).collect(),
-        GossipMessage::AdaptersWanted(_) => return,
+        // Agents spread the changes of suspects by themselves.
+        GossipMessage::AdaptersWanted(_) | GossipMessage::Suspects(_) => return,
     };
     let domain = &agent.settings.failure_domain;
     let addresses = relay_targets(domain, &peers, agent.settings.gossip_listen);
@@ -218,5 +219,6 @@
             agent.wake();
             true
         }
+        GossipMessage::Suspects(reports) => merge_suspect_reports(agent, reports),
     }
 }
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -12,7 +12,7 @@
 use celerystair_telemetry::prelude::*;
 use futures_util::future::select;
 
-use crate::{front::PlatformRouter, upstream::Upstream};
+use crate::{front::PlatformRouter, suspicion::merge_suspect_reports, upstream::Upstream};
 
 /// Interval between rounds of gossip when nothing is urgent; a few rounds fit into the shortest
 /// time in which demand shifts.
@@ -44,7 +44,7 @@
             next_round_unix_ms = now + INTERVAL_MS.max(INTERVAL_PER_AGENT_MS * count);
             next_urgent_unix_ms = now + PAUSE_MS.max(PAUSE_PER_AGENT_MS * count);
             sequence += 1;
-            send_demand(&router, &socket, &engines, sequence).await;
+            send_demand(&router, &socket, sequence).await;
         }
         send_wanted_adapters(&router, &socket, &engines, is_round).await;
         sleep_ms(PAUSE_MS).await;
@@ -60,17 +60,9 @@
 
 /// Sends the demand for each model to all agents in the router's own failure domain and to one
 /// agent in each other domain, which relays it there.
-async fn send_demand(
-    router: &PlatformRouter,
-    socket: &GossipSocket,
-    engines: &[Rc<Upstream>],
-    sequence: u64,
-) {
+async fn send_demand(router: &PlatformRouter, socket: &GossipSocket, sequence: u64) {
     let now = now_unix_ms();
-    let peers: Vec<Peer> = engines
-        .iter()
-        .map(|e| gossip_peer(router, e, now))
-        .collect();
+    let peers = gossip_peers(router);
     let message = GossipMessage::Demand(RouterDemand {
         router: router.settings.router.clone(),
         sequence,
@@ -109,7 +101,8 @@
     }
 }
 
-fn log_unsent(router: &PlatformRouter, unsent: Vec<(SocketAddr, std::io::Error)>) {
+/// Logs the addresses that a datagram could not be sent to.
+pub(crate) fn log_unsent(router: &PlatformRouter, unsent: Vec<(SocketAddr, std::io::Error)>) {
     for (address, error) in unsent {
         debug!(router.log, "news_not_sent"; "to" => %address, "error" => %error);
     }
@@ -121,6 +114,16 @@
     SocketAddr::new(address.ip(), router.settings.gossip_listen.port())
 }
 
+/// Returns the agents of all engines that this router knows.
+pub(crate) fn gossip_peers(router: &PlatformRouter) -> Vec<Peer> {
+    let now = now_unix_ms();
+    let engines = router.view.engines();
+    engines
+        .iter()
+        .map(|engine| gossip_peer(router, engine, now))
+        .collect()
+}
+
 fn gossip_peer(router: &PlatformRouter, engine: &Upstream, now_unix_ms: u64) -> Peer {
     let status = router.engines.get(&engine.id());
     Peer {
@@ -161,6 +164,10 @@
                     wake_changed_models(&router, before.as_deref(), &status);
                 }
             }
+            Ok(ReceivedGossip {
+                message: GossipMessage::Suspects(reports),
+                ..
+            }) => merge_suspect_reports(&router, &reports),
             // Messages that are meant for agents.
             Ok(_) => {}
             Err(error) => {
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -23,6 +23,7 @@
     request::CallerRequest,
     retries::{Retries, log_attempts_per_window},
     settings::PlatformRouterSettings,
+    suspicion::send_suspects_to_agents,
     upstream::Upstream,
     view::FleetView,
     waiting::WaitingRequests,
@@ -64,6 +65,7 @@
     pub router_count_estimate: RefCell<RouterCountEstimate>,
     demand: RefCell<DemandMeter>,
     demand_changed: Event,
+    suspects_changed: Event,
     /// Whether requests have begun to wait since demand was last sent to agents.
     pub(crate) has_unreported_waits: Cell<bool>,
     pub(crate) retries: Retries,
@@ -162,19 +164,28 @@
             ended_unix_ms: now,
         };
         let mut suspects = self.suspects.borrow_mut();
-        let crashes = suspects.record_crash(request.fingerprint, run, now);
+        let crashes = suspects.record_crash(request.fingerprint, &run, ROUTER_CHANGE_SENDS, now);
         drop(suspects);
+        self.suspects_changed.notify(usize::MAX);
         self.log_request_suspected(request, upstream, crashes);
     }
 
     /// Clears the request of suspicion, because it received a complete response.
     pub fn clear_suspicion(&self, request: &CallerRequest) {
-        let crashes = self.suspects.borrow_mut().clear(request.fingerprint);
+        let mut suspects = self.suspects.borrow_mut();
+        let crashes = suspects.clear(request.fingerprint, ROUTER_CHANGE_SENDS);
+        drop(suspects);
         if crashes > 0 {
+            self.suspects_changed.notify(usize::MAX);
             self.log_suspicion_cleared(request, crashes);
         }
     }
 
+    /// Returns a listener for the next change of the suspects that other routers are to know of.
+    pub fn listen_for_suspects_change(&self) -> EventListener {
+        self.suspects_changed.listen()
+    }
+
     /// Returns the number of routers that share the upstreams, or a default if it is unknown.
     pub(crate) fn router_count_or_default(&self) -> u32 {
         self.router_count().unwrap_or(DEFAULT_ROUTER_COUNT)
@@ -231,6 +242,7 @@
             router_count_estimate: RefCell::default(),
             demand: RefCell::default(),
             demand_changed: Event::new(),
+            suspects_changed: Event::new(),
             has_unreported_waits: Cell::new(false),
         }),
     };
@@ -240,6 +252,12 @@
         stop.clone(),
     ))
     .detach();
+    compio::runtime::spawn(send_suspects_to_agents(
+        router.clone(),
+        gossip_socket.clone(),
+        stop.clone(),
+    ))
+    .detach();
     compio::runtime::spawn(receive_from_agents(
         router.clone(),
         gossip_socket,
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`retries`] | the retry budgets, with their logs and metrics |
 //! | [`settings`] | the settings of a router |
 //! | [`stream`] | relaying a stream to its caller |
+//! | [`suspicion`] | exchanging reports on requests that crash upstreams |
 //! | [`upstream`] | this router's state about one upstream |
 //! | [`view`] | the active configuration and the known upstreams |
 //! | [`waiting`] | requests that wait for a replica |
@@ -42,6 +43,7 @@
 pub mod retries;
 pub mod settings;
 pub mod stream;
+pub mod suspicion;
 pub mod upstream;
 pub mod view;
 pub mod waiting;
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -55,6 +55,12 @@
             "crashes" => crashes, "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs that other processes know of crashes of a request that this router didn't know.
+    pub fn log_suspect_learned(&self, fingerprint: u64, crashes: u32) {
+        info!(self.log, "suspect_learned"; "fingerprint" => hex(fingerprint),
+            "crashes" => crashes);
+    }
+
     /// Logs that a complete response cleared the request of suspicion.
     pub fn log_suspicion_cleared(&self, request: &CallerRequest, crashes: u32) {
         info!(self.log, "suspicion_cleared"; "request" => %request.head.id,
--- a/crates/celerystair_news/src/socket.rs
+++ b/crates/celerystair_news/src/socket.rs
@@ -9,7 +9,7 @@
 use compio::net::UdpSocket;
 use prost::Message;
 
-use crate::{demand::RouterDemand, engines::EngineStatus};
+use crate::{demand::RouterDemand, engines::EngineStatus, suspects};
 
 /// The largest datagram that is received whole; senders stay far below it.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -24,6 +24,8 @@
     /// The adapters, by model, that a router's requests wait for or have used at the receiver's
     /// engine.
     AdaptersWanted(Vec<(ModelName, String)>),
+    /// Requests that may crash the upstreams that run them.
+    Suspects(Vec<SuspectReport>),
 }
 
 /// A received message, with what its sender asks of the receiver.
@@ -50,6 +52,7 @@
                     adapters: adapters.collect(),
                 })
             }
+            Self::Suspects(reports) => news_datagram::News::Suspects(suspects::to_wire(reports)),
         };
         let datagram = NewsDatagram {
             news: Some(news),
@@ -73,6 +76,7 @@
                 let adapters = wanted.adapters.into_iter();
                 Self::AdaptersWanted(adapters.map(|a| (a.model.into(), a.adapter)).collect())
             }
+            news_datagram::News::Suspects(reports) => Self::Suspects(suspects::from_wire(reports)),
         };
         let should_relay = datagram.tells_on;
         Some(ReceivedGossip {
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -69,10 +69,17 @@
             .expect("a bound socket has an address")
             .port();
         let adapters = vec![(ModelName::from("m1"), "a1".to_owned())];
+        let report = SuspectReport {
+            fingerprint: 7,
+            crashes: vec![CrashId(1), CrashId(2)],
+            cleared: vec![CrashId(3)],
+            expires_in_ms: 60_000,
+        };
         for message in [
             demand_message(port),
             engine_message(),
             GossipMessage::AdaptersWanted(adapters),
+            GossipMessage::Suspects(vec![report]),
         ] {
             for should_relay in [false, true] {
                 let target = GossipTarget {
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -57,9 +57,15 @@
         outcome::{AttemptFailure, NextStep, next_step},
         replicas::{EngineView, ModelView, Order, next_order},
         routes::{RouteTable, choose_service},
-        spread::{GossipTarget, Peer, gossip_targets, relay_targets},
+        spread::{
+            GossipTarget, Peer, gossip_targets, random_targets, relay_targets,
+            suspect_change_targets, suspect_sample_targets,
+        },
         stall::StallInputs,
-        suspects::{LostRun, SuspectCounts, Suspects, UpstreamIncarnation},
+        suspects::{
+            AGENT_CHANGE_SENDS, CrashId, LostRun, REPORT_ROUND_MS, REPORT_SAMPLE_MS,
+            ROUTER_CHANGE_SENDS, SuspectCounts, SuspectReport, Suspects, UpstreamIncarnation,
+        },
         waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
     };
 }
--- a/crates/celerystair_policy/src/spread.rs
+++ b/crates/celerystair_policy/src/spread.rs
@@ -6,9 +6,9 @@
 //! The relay changes with every message, so a frozen agent costs its domain a part of the messages
 //! and not all of them.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, rendezvous::fingerprint};
 
 /// A process that receives gossip.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -70,3 +70,59 @@
         .filter(|address| *address != own)
         .collect()
 }
+
+/// To how many processes of its failure domain an agent sends a change of a suspect each time.
+const SUSPECT_CHANGE_FANOUT: usize = 6;
+
+/// Returns to whom an agent in `own_domain` sends a suspect that changed: to a few processes of its
+/// own domain, which `draw` selects. The agents among them do the same, so the change reaches the
+/// whole domain within a few rounds, and each process sends little however large the domain is.
+pub fn suspect_change_targets(
+    own_domain: &FailureDomain,
+    peers: &[Peer],
+    draw: u64,
+) -> Vec<GossipTarget> {
+    let same_domain = peers.iter().filter(|peer| peer.domain == *own_domain);
+    random_targets(same_domain, SUSPECT_CHANGE_FANOUT, draw)
+}
+
+/// Returns to whom an agent in `own_domain` sends suspects that have not changed, for processes that
+/// missed the change or started since: to a router of its own domain and to any process of the
+/// fleet, so that neither a domain without agents nor one that was cut off misses them for long.
+pub fn suspect_sample_targets(
+    own_domain: &FailureDomain,
+    peers: &[Peer],
+    draw: u64,
+) -> Vec<GossipTarget> {
+    let own_routers = peers
+        .iter()
+        .filter(|peer| peer.domain == *own_domain && !peer.can_relay);
+    let mut targets = random_targets(own_routers, 1, draw);
+    targets.extend(random_targets(peers.iter(), 1, draw));
+    targets
+}
+
+/// Returns up to `count` of the peers, which `draw` selects, as direct receivers.
+pub fn random_targets<'a>(
+    peers: impl Iterator<Item = &'a Peer>,
+    count: usize,
+    draw: u64,
+) -> Vec<GossipTarget> {
+    let mut targets: Vec<GossipTarget> = peers
+        .map(|peer| GossipTarget {
+            address: peer.address,
+            is_relay: false,
+        })
+        .collect();
+    targets.sort_by_cached_key(|target| {
+        let mut bytes = draw.to_le_bytes().to_vec();
+        match target.address.ip() {
+            IpAddr::V4(ip) => bytes.extend(ip.octets()),
+            IpAddr::V6(ip) => bytes.extend(ip.octets()),
+        }
+        bytes.extend(target.address.port().to_le_bytes());
+        fingerprint(&bytes)
+    });
+    targets.truncate(count);
+    targets
+}
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -6,16 +6,31 @@
 //! any crash. For the same reason, runs of identical requests that overlap in time at one router
 //! count once: a broken link or a restarted switch cuts off several upstreams in one moment, while a
 //! request that crashes upstreams is sent again only after the crash before.
+//!
+//! A caller retries at other routers, so the crashes are counted over all of them: routers and
+//! agents exchange [`SuspectReport`]s, each of which adds to what its receiver knows. A crash has an
+//! identifier of its own, so a report that arrives twice, late or over other processes counts once.
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, rendezvous::fingerprint as hash_bytes};
 
 /// Crashes after which a request is refused.
 pub const CRASHES_MAX: u32 = 3;
+/// How often a router reports a change: a datagram may be lost, or its relay be frozen.
+pub const ROUTER_CHANGE_SENDS: u32 = 3;
+/// How often an agent reports a change further; each agent of its failure domain does.
+pub const AGENT_CHANGE_SENDS: u32 = 2;
+/// The shortest time between two rounds of reports of a process.
+pub const REPORT_ROUND_MS: u64 = 150;
+/// How often a process reports suspects that have not changed.
+pub const REPORT_SAMPLE_MS: u64 = 1000;
 /// A request is forgotten when it has caused no crash for this long.
 const RETENTION_MS: u64 = 120_000;
 /// The most requests that are remembered; of those with the fewest crashes, the oldest is dropped
 /// first.
 const SUSPECTS_MAX: usize = 256;
+/// The most crashes, and as many cleared ones, that are remembered of one request. Routers that
+/// learn of a crash at the same time may exceed [`CRASHES_MAX`].
+const CRASHES_REMEMBERED_MAX: usize = 6;
 
 /// One run of an upstream's process.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,6 +41,19 @@
     pub started_unix_ms: u64,
 }
 
+impl UpstreamIncarnation {
+    /// Returns the identifier of this incarnation's crash, which is the same at every process.
+    pub fn crash_id(&self) -> CrashId {
+        let mut bytes = self.upstream.as_bytes().to_vec();
+        bytes.extend_from_slice(&self.started_unix_ms.to_le_bytes());
+        CrashId(hash_bytes(&bytes))
+    }
+}
+
+/// Identifies the crash of one incarnation of an upstream: a hash of the incarnation.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct CrashId(pub u64);
+
 /// A run of a request that ended without a complete answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LostRun {
@@ -37,10 +65,26 @@
     pub ended_unix_ms: u64,
 }
 
-impl LostRun {
-    fn overlaps(&self, other: &Self) -> bool {
-        self.sent_unix_ms < other.ended_unix_ms && other.sent_unix_ms < self.ended_unix_ms
-    }
+/// What one process tells another about one request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SuspectReport {
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// The crashes of upstreams that ran it.
+    pub crashes: Vec<CrashId>,
+    /// Crashes that were recorded of it and don't count any more.
+    pub cleared: Vec<CrashId>,
+    /// Time until the report expires. A duration, because clocks differ between processes.
+    pub expires_in_ms: u64,
+}
+
+/// The number of requests that a [`Suspects`] holds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SuspectCounts {
+    /// Requests with at least one recorded crash.
+    pub remembered: u32,
+    /// Those of them that are refused.
+    pub refused: u32,
 }
 
 /// Requests whose upstream may have crashed while it ran them, by fingerprint.
@@ -49,78 +93,193 @@
     by_fingerprint: HashMap<u64, Suspect>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// Runs at incarnations that ended, or lost an answer; at most [`CRASHES_MAX`].
-    runs: Vec<LostRun>,
+    crashes: Vec<CrashId>,
+    cleared: Vec<CrashId>,
+    /// When this process's own runs that count as crashes were sent, and when they ended.
+    own_run_spans_unix_ms: Vec<(u64, u64)>,
     forget_unix_ms: u64,
+    /// How often the request is still to be reported since it last changed.
+    pending_sends: u32,
 }
 
-/// The number of requests that a [`Suspects`] holds.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct SuspectCounts {
-    /// Requests with at least one recorded crash.
-    pub remembered: u32,
-    /// Those of them that are refused.
-    pub refused: u32,
+impl Suspect {
+    fn is_refused(&self) -> bool {
+        self.crashes.len() >= CRASHES_MAX as usize
+    }
+
+    /// Adds a crash unless it is known or cleared; returns whether it was added.
+    fn add_crash(&mut self, crash: CrashId) -> bool {
+        let is_known = self.crashes.contains(&crash) || self.cleared.contains(&crash);
+        let is_added = !is_known && self.crashes.len() < CRASHES_REMEMBERED_MAX;
+        if is_added {
+            self.crashes.push(crash);
+        }
+        is_added
+    }
+
+    /// Marks a crash as one that doesn't count; returns whether that changed anything.
+    fn clear_crash(&mut self, crash: CrashId) -> bool {
+        self.crashes.retain(|known| *known != crash);
+        let is_new = !self.cleared.contains(&crash);
+        if is_new {
+            let surplus = (self.cleared.len() + 1).saturating_sub(CRASHES_REMEMBERED_MAX);
+            self.cleared.drain(..surplus);
+            self.cleared.push(crash);
+        }
+        is_new
+    }
+
+    fn report(&self, fingerprint: u64, now_unix_ms: u64) -> SuspectReport {
+        SuspectReport {
+            fingerprint,
+            crashes: self.crashes.clone(),
+            cleared: self.cleared.clone(),
+            expires_in_ms: self.forget_unix_ms.saturating_sub(now_unix_ms),
+        }
+    }
 }
 
 impl Suspects {
-    /// Records that an incarnation may have crashed while it ran the request, and returns the
-    /// number of crashes so far.
-    pub fn record_crash(&mut self, fingerprint: u64, run: LostRun, now_unix_ms: u64) -> u32 {
-        self.by_fingerprint
-            .retain(|_, suspect| suspect.forget_unix_ms > now_unix_ms);
-        let is_new = !self.by_fingerprint.contains_key(&fingerprint);
-        if is_new && self.by_fingerprint.len() >= SUSPECTS_MAX {
-            let suspects = self.by_fingerprint.iter();
-            // An upstream that crashes makes suspects of all the requests that it ran, so those with
-            // one crash are many, and those near refusal are few.
-            let dropped =
-                suspects.min_by_key(|(_, suspect)| (suspect.runs.len(), suspect.forget_unix_ms));
-            if let Some(dropped) = dropped.map(|(fingerprint, _)| *fingerprint) {
-                self.by_fingerprint.remove(&dropped);
-            }
-        }
-        let suspect = self.by_fingerprint.entry(fingerprint).or_insert(Suspect {
-            runs: Vec::new(),
-            forget_unix_ms: 0,
-        });
+    /// Records that an incarnation may have crashed while it ran the request, to be reported
+    /// `sends` times, and returns the number of crashes so far.
+    pub fn record_crash(
+        &mut self,
+        fingerprint: u64,
+        run: &LostRun,
+        sends: u32,
+        now_unix_ms: u64,
+    ) -> u32 {
+        let suspect = self.entry(fingerprint, now_unix_ms);
         suspect.forget_unix_ms = now_unix_ms + RETENTION_MS;
-        let is_same_event =
-            |known: &LostRun| known.incarnation == run.incarnation || known.overlaps(&run);
-        if suspect.runs.len() < CRASHES_MAX as usize && !suspect.runs.iter().any(is_same_event) {
-            suspect.runs.push(run);
+        let overlaps = |(sent_unix_ms, ended_unix_ms): &(u64, u64)| {
+            *sent_unix_ms < run.ended_unix_ms && run.sent_unix_ms < *ended_unix_ms
+        };
+        let is_same_event = suspect.own_run_spans_unix_ms.iter().any(overlaps);
+        if !is_same_event && suspect.add_crash(run.incarnation.crash_id()) {
+            let span = (run.sent_unix_ms, run.ended_unix_ms);
+            suspect.own_run_spans_unix_ms.push(span);
+            suspect.pending_sends = sends;
         }
-        suspect.runs.len() as u32
+        suspect.crashes.len() as u32
     }
 
-    /// Clears a request that received a complete answer and so doesn't crash upstreams. Returns the
-    /// number of crashes that were recorded for it.
-    pub fn clear(&mut self, fingerprint: u64) -> u32 {
-        let cleared = self.by_fingerprint.remove(&fingerprint);
-        cleared.map_or(0, |suspect| suspect.runs.len() as u32)
+    /// Adds what another process reports, to be reported further `sends` times. Returns the number
+    /// of crashes that are known now if the report held anything new.
+    pub fn merge(&mut self, report: &SuspectReport, sends: u32, now_unix_ms: u64) -> Option<u32> {
+        if report.expires_in_ms == 0 {
+            return None;
+        }
+        let suspect = self.entry(report.fingerprint, now_unix_ms);
+        let forget_unix_ms = now_unix_ms + report.expires_in_ms.min(RETENTION_MS);
+        suspect.forget_unix_ms = suspect.forget_unix_ms.max(forget_unix_ms);
+        let mut is_new = false;
+        for crash in report.cleared.iter().take(CRASHES_REMEMBERED_MAX) {
+            is_new |= suspect.clear_crash(*crash);
+        }
+        for crash in &report.crashes {
+            is_new |= suspect.add_crash(*crash);
+        }
+        if is_new {
+            suspect.pending_sends = sends;
+        }
+        is_new.then_some(suspect.crashes.len() as u32)
+    }
+
+    /// Clears a request that received a complete answer and so doesn't crash upstreams, to be
+    /// reported `sends` times. Returns the number of crashes that were recorded for it.
+    pub fn clear(&mut self, fingerprint: u64, sends: u32) -> u32 {
+        let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
+            return 0;
+        };
+        let crashes = std::mem::take(&mut suspect.crashes);
+        for crash in &crashes {
+            suspect.clear_crash(*crash);
+        }
+        suspect.own_run_spans_unix_ms.clear();
+        if !crashes.is_empty() {
+            suspect.pending_sends = sends;
+        }
+        crashes.len() as u32
+    }
+
+    /// Whether the request has caused enough crashes to be refused.
+    pub fn is_refused(&self, fingerprint: u64, now_unix_ms: u64) -> bool {
+        let suspect = self.by_fingerprint.get(&fingerprint);
+        suspect.is_some_and(|s| s.is_refused() && s.forget_unix_ms > now_unix_ms)
+    }
+
+    /// Whether [`Suspects::take_pending`] would return anything.
+    pub fn has_pending(&self) -> bool {
+        let mut suspects = self.by_fingerprint.values();
+        suspects.any(|suspect| suspect.pending_sends > 0)
+    }
+
+    /// Returns reports of up to `count` requests that changed: first those that were reported least
+    /// often since, and of them those with the most crashes.
+    pub fn take_pending(&mut self, count: usize, now_unix_ms: u64) -> Vec<SuspectReport> {
+        self.remove_expired(now_unix_ms);
+        let suspects = self.by_fingerprint.iter_mut();
+        let mut pending: Vec<(&u64, &mut Suspect)> =
+            suspects.filter(|(_, s)| s.pending_sends > 0).collect();
+        pending.sort_by_key(|(_, s)| std::cmp::Reverse((s.pending_sends, s.crashes.len())));
+        let taken = pending.into_iter().take(count);
+        taken
+            .map(|(fingerprint, suspect)| {
+                suspect.pending_sends -= 1;
+                suspect.report(*fingerprint, now_unix_ms)
+            })
+            .collect()
+    }
+
+    /// Returns reports of up to `count` requests, for a receiver that may have missed them or
+    /// started since: first those that are refused, then others, of which `draw` selects.
+    pub fn sample(&mut self, count: usize, draw: u64, now_unix_ms: u64) -> Vec<SuspectReport> {
+        self.remove_expired(now_unix_ms);
+        let mut suspects: Vec<(&u64, &Suspect)> = self.by_fingerprint.iter().collect();
+        suspects.sort_by_key(|(fingerprint, suspect)| {
+            let order = hash_bytes(&(*fingerprint ^ draw).to_le_bytes());
+            (!suspect.is_refused(), order)
+        });
+        let selected = suspects.into_iter().take(count);
+        selected
+            .map(|(fingerprint, suspect)| suspect.report(*fingerprint, now_unix_ms))
+            .collect()
     }
 
     /// Returns how many requests are remembered, and how many of them are refused.
     pub fn counts(&self, now_unix_ms: u64) -> SuspectCounts {
         let suspects = self.by_fingerprint.values();
-        let remembered = suspects.filter(|suspect| suspect.forget_unix_ms > now_unix_ms);
+        let remembered =
+            suspects.filter(|s| !s.crashes.is_empty() && s.forget_unix_ms > now_unix_ms);
         let mut counts = SuspectCounts::default();
         for suspect in remembered {
             counts.remembered += 1;
-            counts.refused += u32::from(suspect.runs.len() >= CRASHES_MAX as usize);
+            counts.refused += u32::from(suspect.is_refused());
         }
         counts
     }
 
-    /// Whether the request has caused enough crashes to be refused.
-    pub fn is_refused(&self, fingerprint: u64, now_unix_ms: u64) -> bool {
+    fn remove_expired(&mut self, now_unix_ms: u64) {
         self.by_fingerprint
-            .get(&fingerprint)
-            .is_some_and(|suspect| {
-                let has_crashed = suspect.runs.len() >= CRASHES_MAX as usize;
-                has_crashed && suspect.forget_unix_ms > now_unix_ms
-            })
+            .retain(|_, suspect| suspect.forget_unix_ms > now_unix_ms);
+    }
+
+    /// Returns the request's entry, for which it drops another one if too many are remembered.
+    fn entry(&mut self, fingerprint: u64, now_unix_ms: u64) -> &mut Suspect {
+        self.remove_expired(now_unix_ms);
+        let is_new = !self.by_fingerprint.contains_key(&fingerprint);
+        if is_new && self.by_fingerprint.len() >= SUSPECTS_MAX {
+            let suspects = self.by_fingerprint.iter();
+            // An upstream that crashes makes suspects of all the requests that it ran, so those with
+            // one crash are many, and those near refusal are few.
+            let dropped =
+                suspects.min_by_key(|(_, suspect)| (suspect.crashes.len(), suspect.forget_unix_ms));
+            if let Some(dropped) = dropped.map(|(fingerprint, _)| *fingerprint) {
+                self.by_fingerprint.remove(&dropped);
+            }
+        }
+        self.by_fingerprint.entry(fingerprint).or_default()
     }
 }
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -176,9 +176,9 @@
     let mut suspects = Suspects::default();
     for crash in 1..=CRASHES_MAX {
         assert!(!suspects.is_refused(7, 1_000));
-        assert_eq!(suspects.record_crash(7, lost_run(crash), 1_000), crash);
+        assert_eq!(suspects.record_crash(7, &lost_run(crash), 0, 1_000), crash);
         // Another answer that is lost at the same incarnation is not a further crash.
-        assert_eq!(suspects.record_crash(7, lost_run(crash), 1_000), crash);
+        assert_eq!(suspects.record_crash(7, &lost_run(crash), 0, 1_000), crash);
     }
     assert!(suspects.is_refused(7, 1_001));
     assert!(!suspects.is_refused(8, 1_001));
@@ -187,9 +187,9 @@
         "the suspicion has expired"
     );
     for other in 100..1_000 {
-        suspects.record_crash(other, lost_run(1), 2_000);
+        suspects.record_crash(other, &lost_run(1), 0, 2_000);
     }
-    suspects.clear(999);
+    suspects.clear(999, 0);
     assert!(!suspects.is_refused(999, 2_001));
 }
 
@@ -197,12 +197,12 @@
 #[test]
 fn a_request_near_refusal_is_remembered_while_many_others_become_suspects() {
     let mut suspects = Suspects::default();
-    suspects.record_crash(7, lost_run(1), 1_000);
-    suspects.record_crash(7, lost_run(2), 1_001);
+    suspects.record_crash(7, &lost_run(1), 0, 1_000);
+    suspects.record_crash(7, &lost_run(2), 0, 1_001);
     for other in 100..1_000 {
-        suspects.record_crash(other, lost_run(2), 1_002);
+        suspects.record_crash(other, &lost_run(2), 0, 1_002);
     }
-    suspects.record_crash(7, lost_run(3), 1_003);
+    suspects.record_crash(7, &lost_run(3), 0, 1_003);
     assert!(suspects.is_refused(7, 1_004));
 }
 
