Count a run without an answer as a crash once its upstream has ended

Callers saw a request run at a fourth server after three had gone dark under it: only a connection that closed before the answer was complete counted. A server that loses power sends no reset; the router gives up on it, or its caller does, and forgot the run. Evidence: with three incarnations that fall silent and are replaced, one router ran the request a fourth time, and no request_suspected line was written.

A run that ends without an outcome is now remembered for 10 s, and counts as a crash if its incarnation leaves the list without draining, or another one takes its place. Each run is followed by a guard, so that a caller who leaves can't hide a crash.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -18,6 +18,7 @@
     elsewhere::SILENCE_RECHECK_MS,
     front::PlatformRouter,
     request::CallerRequest,
+    runs::RunGuard,
     upstream::{InFlightGuard, Upstream},
 };
 
@@ -33,8 +34,8 @@
     pub in_flight: InFlightGuard,
     /// The upstream that responded.
     pub upstream: Rc<Upstream>,
-    /// When the request was sent.
-    pub sent_unix_ms: u64,
+    /// The run that the response ends once it is complete.
+    pub run: RunGuard,
 }
 
 /// A complete response of an upstream.
@@ -83,7 +84,7 @@
     last_event_id: Option<u64>,
     wait: &ResponseWait<'_>,
 ) -> Result<StartedResponse, FailedAttempt> {
-    let sent_unix_ms = now_unix_ms();
+    let mut run = RunGuard::start(router, request, upstream);
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.track_request(model, request.head.prompt_tokens);
     let work = exchange(router, request, upstream, last_event_id);
@@ -97,11 +98,16 @@
         Either::Right(_) => return Err(AttemptFailure::Silent.into()),
     };
     let (response, connection) = exchanged.inspect_err(|failure| {
+        match failure {
+            AttemptFailure::AnswerLost => run.lose(),
+            _ => run.finish(),
+        }
         let is_certain = *failure == AttemptFailure::Unreachable;
         upstream.update_health(|health| health.record_failure(is_certain, now_unix_ms()));
     })?;
     let (head, body) = response.into_parts();
     if let Err(failure) = check_response_head(router, request, &upstream.id(), &head) {
+        run.finish();
         record_rejected_response(upstream, failure);
         if failure.has_not_run() {
             reuse_if_complete(upstream, connection, &head.headers, &body);
@@ -114,7 +120,7 @@
         connection,
         in_flight,
         upstream: upstream.clone(),
-        sent_unix_ms,
+        run,
     };
     if started.head.status.is_success() {
         upstream.update_health(UpstreamHealth::record_success);
@@ -259,7 +265,7 @@
         connection,
         in_flight,
         upstream,
-        ..
+        mut run,
     } = started;
     let reading = async {
         let mut bytes = BytesMut::new();
@@ -273,7 +279,9 @@
     };
     let bytes = before_deadline(deadline_unix_ms, reading)
         .await
-        .ok_or(AttemptFailure::Silent)??;
+        .ok_or(AttemptFailure::Silent)?
+        .inspect_err(|_| run.lose())?;
+    run.finish();
     drop(in_flight);
     upstream.connections.keep(connection, &head.headers);
     Ok(BufferedResponse {
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -22,9 +22,9 @@
     probes::{serve_metrics, serve_ready},
     request::CallerRequest,
     retries::{Retries, log_attempts_per_window},
+    runs::{Run, UnansweredRuns},
     settings::PlatformRouterSettings,
     suspicion::send_suspects_to_agents,
-    upstream::Upstream,
     view::FleetView,
     waiting::WaitingRequests,
 };
@@ -56,6 +56,8 @@
     pub engines: EngineStatusTable,
     /// Requests that were running when upstreams crashed.
     pub suspects: RefCell<Suspects>,
+    /// Runs that ended without an answer at upstreams that may have crashed.
+    pub unanswered_runs: RefCell<UnansweredRuns>,
     /// Requests that wait for a replica.
     pub waiting: WaitingRequests,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
@@ -154,20 +156,21 @@
         models.into_iter().collect()
     }
 
-    /// Records that the request, sent at `sent_unix_ms`, was running when its upstream was lost. The record is cleared once
-    /// the same request gets a complete response: most requests that are cut off crash nothing.
-    pub fn record_crash(&self, request: &CallerRequest, upstream: &Upstream, sent_unix_ms: u64) {
-        let now = now_unix_ms();
-        let run = LostRun {
-            incarnation: upstream.incarnation(),
-            sent_unix_ms,
-            ended_unix_ms: now,
+    /// Records that the run ended at `ended_unix_ms` because its upstream was lost. The record is
+    /// cleared once the same request gets a complete response: most requests that are cut off crash
+    /// nothing.
+    pub fn record_crash(&self, run: &Run, ended_unix_ms: u64) {
+        let lost = LostRun {
+            incarnation: run.upstream.incarnation(),
+            sent_unix_ms: run.sent_unix_ms,
+            ended_unix_ms,
         };
         let mut suspects = self.suspects.borrow_mut();
-        let crashes = suspects.record_crash(request.fingerprint, &run, ROUTER_CHANGE_SENDS, now);
+        let fingerprint = run.fingerprint;
+        let crashes = suspects.record_crash(fingerprint, &lost, ROUTER_CHANGE_SENDS, now_unix_ms());
         drop(suspects);
         self.suspects_changed.notify(usize::MAX);
-        self.log_request_suspected(request, upstream, crashes);
+        self.log_request_suspected(run, &lost.incarnation, crashes);
     }
 
     /// Clears the request of suspicion, because it received a complete response.
@@ -237,6 +240,7 @@
             view,
             engines: EngineStatusTable::default(),
             suspects: RefCell::default(),
+            unanswered_runs: RefCell::default(),
             waiting: WaitingRequests::default(),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`probes`] | the readiness and metrics endpoints |
 //! | [`request`] | one request over all its attempts |
 //! | [`retries`] | the retry budgets, with their logs and metrics |
+//! | [`runs`] | how runs at upstreams ended, and whether their upstream may have crashed |
 //! | [`settings`] | the settings of a router |
 //! | [`stream`] | relaying a stream to its caller |
 //! | [`suspicion`] | exchanging reports on requests that crash upstreams |
@@ -41,6 +42,7 @@
 pub mod probes;
 pub mod request;
 pub mod retries;
+pub mod runs;
 pub mod settings;
 pub mod stream;
 pub mod suspicion;
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -5,7 +5,9 @@
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
 
-use crate::{front::PlatformRouter, pick::WaitReason, request::CallerRequest, upstream::Upstream};
+use crate::{
+    front::PlatformRouter, pick::WaitReason, request::CallerRequest, runs::Run, upstream::Upstream,
+};
 
 impl PlatformRouter {
     /// Logs a failed attempt, with the load figures that its upstream was chosen by.
@@ -41,18 +43,17 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
-    /// Logs that the request's upstream was lost while it ran the request.
+    /// Logs that a request's upstream was lost while it ran the request.
     pub fn log_request_suspected(
         &self,
-        request: &CallerRequest,
-        upstream: &Upstream,
+        run: &Run,
+        incarnation: &UpstreamIncarnation,
         crashes: u32,
     ) {
-        let incarnation = upstream.incarnation();
-        info!(self.log, "request_suspected"; "request" => %request.head.id,
-            "route" => &request.route.name, "fingerprint" => hex(request.fingerprint),
+        info!(self.log, "request_suspected"; "request" => %run.request,
+            "route" => &run.route.name, "fingerprint" => hex(run.fingerprint),
             "upstream" => %incarnation.upstream, "born_unix_ms" => incarnation.started_unix_ms,
-            "crashes" => crashes, "age_ms" => request.age_ms(now_unix_ms()));
+            "crashes" => crashes, "sent_ms_ago" => now_unix_ms().saturating_sub(run.sent_unix_ms));
     }
 
     /// Logs that other processes know of crashes of a request that this router didn't know.
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -183,8 +183,7 @@
             Err(failed) => {
                 router.count_attempt(service, Some(failed.failure));
                 router.log_attempt_failed(request, &upstream, failed.failure, now);
-                let response =
-                    handle_failed_attempt(router, request, &upstream, progress, failed, now)?;
+                let response = handle_failed_attempt(request, &upstream, progress, failed)?;
                 if let Some(response) = response {
                     return Ok(response);
                 }
@@ -233,21 +232,16 @@
 /// # Errors
 /// Returns a refusal if no other attempt may be made and no upstream has sent a response.
 fn handle_failed_attempt(
-    router: &PlatformRouter,
     request: &CallerRequest,
     upstream: &Rc<Upstream>,
     progress: &mut Progress,
     failed: FailedAttempt,
-    sent_unix_ms: u64,
 ) -> Result<Option<UpstreamResponse>, Refusal> {
     let failure = failed.failure;
     let id = upstream.id();
     progress.tried.push(id);
     progress.reached_upstreams += u32::from(failure.has_reached_intended_upstream());
     progress.delivered_attempts += u32::from(failure.has_reached_any_upstream());
-    if failure == AttemptFailure::AnswerLost {
-        router.record_crash(request, upstream, sent_unix_ms);
-    }
     let is_repeatable = request.route.is_repeatable();
     let attempts_max = request.route.attempts_max;
     let step = next_step(
--- /dev/null
+++ b/crates/celerystair_front/src/runs.rs
@@ -0,0 +1,115 @@
+//! Runs of requests at upstreams, and how each ended: whether its upstream may have crashed.
+
+use std::rc::Rc;
+
+use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
+
+use crate::{front::PlatformRouter, request::CallerRequest, upstream::Upstream};
+
+/// How long a run without an answer is remembered: an incarnation that crashes without closing its
+/// connections leaves the list of upstreams within a few seconds.
+const UNANSWERED_RETENTION_MS: u64 = 10_000;
+/// The most unanswered runs that are remembered; the oldest is dropped first.
+const UNANSWERED_MAX: usize = 256;
+
+/// A request that was sent to an upstream.
+#[derive(Clone)]
+pub struct Run {
+    /// The request's id.
+    pub request: RequestId,
+    /// The request's route.
+    pub route: Rc<Route>,
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// The upstream that the request was sent to.
+    pub upstream: Rc<Upstream>,
+    /// When the request was sent.
+    pub sent_unix_ms: u64,
+}
+
+/// A run in progress. When it is dropped without an outcome, because the router gave up on the
+/// upstream or the caller left, it is remembered in case the upstream turns out to have crashed.
+pub struct RunGuard {
+    router: PlatformRouter,
+    run: Option<Run>,
+}
+
+impl RunGuard {
+    /// Starts a run of `request` at `upstream`.
+    pub fn start(
+        router: &PlatformRouter,
+        request: &CallerRequest,
+        upstream: &Rc<Upstream>,
+    ) -> Self {
+        Self {
+            router: router.clone(),
+            run: Some(Run {
+                request: request.head.id.clone(),
+                route: request.route.clone(),
+                fingerprint: request.fingerprint,
+                upstream: upstream.clone(),
+                sent_unix_ms: now_unix_ms(),
+            }),
+        }
+    }
+
+    /// Ends the run: the upstream answered, or never received the request.
+    pub fn finish(&mut self) {
+        self.run = None;
+    }
+
+    /// Ends the run: its connection was lost before the answer was complete.
+    pub fn lose(&mut self) {
+        if let Some(run) = self.run.take() {
+            self.router.record_crash(&run, now_unix_ms());
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(run) = self.run.take() {
+            self.router.unanswered_runs.borrow_mut().push(run);
+        }
+    }
+}
+
+/// Runs that ended without an answer at upstreams that may have crashed.
+#[derive(Default)]
+pub struct UnansweredRuns {
+    /// Each run, and when the router gave up on it.
+    runs: Vec<(Run, u64)>,
+}
+
+impl UnansweredRuns {
+    fn push(&mut self, run: Run) {
+        let surplus = (self.runs.len() + 1).saturating_sub(UNANSWERED_MAX);
+        self.runs.drain(..surplus);
+        self.runs.push((run, now_unix_ms()));
+    }
+
+    /// Removes the runs whose upstream has ended, and returns each with the time at which the
+    /// router gave up on it.
+    fn take_crashed(&mut self, has_crashed: impl Fn(&Upstream) -> bool) -> Vec<(Run, u64)> {
+        let now = now_unix_ms();
+        self.runs
+            .retain(|(_, ended_unix_ms)| now < ended_unix_ms + UNANSWERED_RETENTION_MS);
+        let crashed = |(run, _): &mut (Run, u64)| has_crashed(&run.upstream);
+        self.runs.extract_if(.., crashed).collect()
+    }
+}
+
+/// Records a crash for each run without an answer whose upstream has ended since without notice.
+pub fn record_silent_crashes(router: &PlatformRouter) {
+    let has_crashed = |upstream: &Upstream| {
+        let is_leaving = upstream.entry.borrow().state == UpstreamState::Draining;
+        !is_leaving && router.view.has_ended(upstream)
+    };
+    let mut unanswered = router.unanswered_runs.borrow_mut();
+    let crashed = unanswered.take_crashed(has_crashed);
+    drop(unanswered);
+    for (run, ended_unix_ms) in crashed {
+        router.record_crash(&run, ended_unix_ms);
+    }
+}
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -156,7 +156,8 @@
     /// Clears the request of suspicion and keeps the connection for reuse.
     fn finish(&mut self) {
         self.router.clear_suspicion(&self.request);
-        if let Some(started) = self.started.take() {
+        if let Some(mut started) = self.started.take() {
+            started.run.finish();
             let connections = &started.upstream.connections;
             connections.keep(started.connection, &started.head.headers);
         }
@@ -164,22 +165,21 @@
 
     /// Resumes at another upstream after the last whole event; returns false if it can't.
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
-        let Some(started) = self.started.take() else {
+        let Some(mut started) = self.started.take() else {
             return false;
         };
-        let (upstream, sent_unix_ms) = (started.upstream.clone(), started.sent_unix_ms);
+        let upstream = started.upstream.clone();
         let now = now_unix_ms();
         upstream.update_health(|health| health.record_failure(false, now));
+        if failure == AttemptFailure::AnswerLost {
+            started.run.lose();
+        }
         // Close this response before the next attempt, so that the request never runs twice at
         // once.
         drop(started);
         let has_time = now < self.request.deadline_unix_ms;
         self.router
             .log_stream_broken(&self.request, &upstream.id(), failure);
-        if failure == AttemptFailure::AnswerLost {
-            self.router
-                .record_crash(&self.request, &upstream, sent_unix_ms);
-        }
         let has_attempts_left = self.progress.reached_upstreams < self.request.route.attempts_max;
         if !self.request.route.can_resume || !has_time || !has_attempts_left {
             return false;
--- a/crates/celerystair_front/src/suspicion.rs
+++ b/crates/celerystair_front/src/suspicion.rs
@@ -10,6 +10,7 @@
 use crate::{
     demand::{gossip_peers, log_unsent},
     front::PlatformRouter,
+    runs::record_silent_crashes,
 };
 
 /// The most requests that one round reports.
@@ -22,6 +23,7 @@
     while !stop.is_ended() {
         let changed = router.listen_for_suspects_change();
         draw += 1;
+        record_silent_crashes(&router);
         send_changes(&router, &socket, draw).await;
         let now = now_unix_ms();
         if now >= next_sample_unix_ms {
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -99,6 +99,15 @@
         by_service.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns whether an incarnation of an upstream has ended: it is no longer listed, or another one
+    /// has taken its place.
+    pub fn has_ended(&self, upstream: &Upstream) -> bool {
+        let upstreams = self.inner.upstreams.borrow();
+        let current = upstreams.get(&upstream.id());
+        let is_current = current.is_some_and(|c| std::ptr::eq(&raw const **c, upstream));
+        !is_current || upstream.is_replaced()
+    }
+
     /// Returns the upstreams of all services whose upstreams are engines.
     pub fn engines(&self) -> Vec<Rc<Upstream>> {
         let Some(config) = self.config() else {
