Clear a crash when its upstream is still listed seconds later

A lost answer is no proof of a crash, and since crashes count over all routers, a router whose own links fail could have a good request refused by the whole fleet for two minutes. The list of upstreams drops one that has crashed after three heartbeats; if it still holds the incarnation 10 s later, and the store has answered all that time, the crash is cleared and the clearing reported to the others. Before, only an answer to the same request could clear it, which nobody gets while it is refused. The test is the policy's a_request_whose_upstreams_are_still_alive_is_served_again.

--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -62,6 +62,11 @@
             "crashes" => crashes);
     }
 
+    /// Logs that an upstream that was thought to have crashed under a request is still listed.
+    pub fn log_false_crash_cleared(&self, fingerprint: u64) {
+        info!(self.log, "false_crash_cleared"; "fingerprint" => hex(fingerprint));
+    }
+
     /// Logs that a complete response cleared the request of suspicion.
     pub fn log_suspicion_cleared(&self, request: &CallerRequest, crashes: u32) {
         info!(self.log, "suspicion_cleared"; "request" => %request.head.id,
--- a/crates/celerystair_front/src/suspicion.rs
+++ b/crates/celerystair_front/src/suspicion.rs
@@ -28,6 +28,7 @@
         let now = now_unix_ms();
         if now >= next_sample_unix_ms {
             next_sample_unix_ms = now + REPORT_SAMPLE_MS;
+            clear_suspects_of_living_upstreams(&router);
             send_sample(&router, &socket, draw).await;
         }
         sleep_ms(REPORT_ROUND_MS).await;
@@ -38,6 +39,30 @@
     }
 }
 
+/// Clears the crashes of upstreams that the list still holds although they would have expired by
+/// now, unless an outage of the store keeps entries from expiring.
+fn clear_suspects_of_living_upstreams(router: &PlatformRouter) {
+    let now = now_unix_ms();
+    let listed_since_unix_ms = router.view.listed_since_unix_ms();
+    let is_list_current =
+        listed_since_unix_ms.is_some_and(|since| now >= since + UNLISTED_AFTER_MS);
+    let has_suspects = router.suspects.borrow().counts(now).remembered > 0;
+    if !is_list_current || !has_suspects {
+        return;
+    }
+    let incarnations = router.view.incarnations();
+    let alive: Vec<CrashId> = incarnations
+        .iter()
+        .map(UpstreamIncarnation::crash_id)
+        .collect();
+    let mut suspects = router.suspects.borrow_mut();
+    let cleared = suspects.clear_alive(&alive, ROUTER_CHANGE_SENDS, now);
+    drop(suspects);
+    for fingerprint in cleared {
+        router.log_false_crash_cleared(fingerprint);
+    }
+}
+
 async fn send_changes(router: &PlatformRouter, socket: &GossipSocket, draw: u64) {
     let reports = {
         let mut suspects = router.suspects.borrow_mut();
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -36,6 +36,7 @@
 
 struct Inner {
     log: Logger,
+    store: Store,
     config: RefCell<Option<Rc<ActiveConfig>>>,
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
@@ -48,6 +49,7 @@
         let view = Self {
             inner: Rc::new(Inner {
                 log: log.clone(),
+                store: store.clone(),
                 config: RefCell::default(),
                 upstreams: RefCell::default(),
                 by_service: RefCell::default(),
@@ -99,6 +101,24 @@
         by_service.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns since when the list of upstreams has been read without an outage of the store, or
+    /// `None` during an outage.
+    pub fn listed_since_unix_ms(&self) -> Option<u64> {
+        let availability = self.inner.store.availability();
+        let is_available = availability.failing_since_unix_ms == 0;
+        is_available.then_some(availability.recovered_unix_ms)
+    }
+
+    /// Returns the incarnations of all listed upstreams, except those whose address another one has
+    /// taken over.
+    pub fn incarnations(&self) -> Vec<UpstreamIncarnation> {
+        let upstreams = self.inner.upstreams.borrow();
+        let current = upstreams
+            .values()
+            .filter(|upstream| !upstream.is_replaced());
+        current.map(|upstream| upstream.incarnation()).collect()
+    }
+
     /// Returns whether an incarnation of an upstream has ended: it is no longer listed, or another one
     /// has taken its place.
     pub fn has_ended(&self, upstream: &Upstream) -> bool {
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -64,7 +64,8 @@
         stall::StallInputs,
         suspects::{
             AGENT_CHANGE_SENDS, CrashId, LostRun, REPORT_ROUND_MS, REPORT_SAMPLE_MS,
-            ROUTER_CHANGE_SENDS, SuspectCounts, SuspectReport, Suspects, UpstreamIncarnation,
+            ROUTER_CHANGE_SENDS, SuspectCounts, SuspectReport, Suspects, UNLISTED_AFTER_MS,
+            UpstreamIncarnation,
         },
         waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
     };
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -10,6 +10,9 @@
 //! A caller retries at other routers, so the crashes are counted over all of them: routers and
 //! agents exchange [`SuspectReport`]s, each of which adds to what its receiver knows. A crash has an
 //! identifier of its own, so a report that arrives twice, late or over other processes counts once.
+//!
+//! A lost answer is no proof of a crash. So a complete answer clears the crashes recorded so far, and
+//! an incarnation that is still listed seconds later counts as alive.
 
 use celerystair_core::{prelude::*, rendezvous::fingerprint as hash_bytes};
 
@@ -25,6 +28,9 @@
 pub const REPORT_SAMPLE_MS: u64 = 1000;
 /// A request is forgotten when it has caused no crash for this long.
 const RETENTION_MS: u64 = 120_000;
+/// An upstream that has crashed is no longer listed after this time: entries expire after three
+/// heartbeats of about a second, and reach routers within one or two.
+pub const UNLISTED_AFTER_MS: u64 = 10_000;
 /// The most requests that are remembered; of those with the fewest crashes, the oldest is dropped
 /// first.
 const SUSPECTS_MAX: usize = 256;
@@ -93,9 +99,15 @@
     by_fingerprint: HashMap<u64, Suspect>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct KnownCrash {
+    id: CrashId,
+    learned_unix_ms: u64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    crashes: Vec<CrashId>,
+    crashes: Vec<KnownCrash>,
     cleared: Vec<CrashId>,
     /// When this process's own runs that count as crashes were sent, and when they ended.
     own_run_spans_unix_ms: Vec<(u64, u64)>,
@@ -110,23 +122,27 @@
     }
 
     /// Adds a crash unless it is known or cleared; returns whether it was added.
-    fn add_crash(&mut self, crash: CrashId) -> bool {
-        let is_known = self.crashes.contains(&crash) || self.cleared.contains(&crash);
+    fn add_crash(&mut self, id: CrashId, now_unix_ms: u64) -> bool {
+        let mut crashes = self.crashes.iter();
+        let is_known = crashes.any(|known| known.id == id) || self.cleared.contains(&id);
         let is_added = !is_known && self.crashes.len() < CRASHES_REMEMBERED_MAX;
         if is_added {
-            self.crashes.push(crash);
+            self.crashes.push(KnownCrash {
+                id,
+                learned_unix_ms: now_unix_ms,
+            });
         }
         is_added
     }
 
     /// Marks a crash as one that doesn't count; returns whether that changed anything.
-    fn clear_crash(&mut self, crash: CrashId) -> bool {
-        self.crashes.retain(|known| *known != crash);
-        let is_new = !self.cleared.contains(&crash);
+    fn clear_crash(&mut self, id: CrashId) -> bool {
+        self.crashes.retain(|known| known.id != id);
+        let is_new = !self.cleared.contains(&id);
         if is_new {
             let surplus = (self.cleared.len() + 1).saturating_sub(CRASHES_REMEMBERED_MAX);
             self.cleared.drain(..surplus);
-            self.cleared.push(crash);
+            self.cleared.push(id);
         }
         is_new
     }
@@ -134,7 +150,7 @@
     fn report(&self, fingerprint: u64, now_unix_ms: u64) -> SuspectReport {
         SuspectReport {
             fingerprint,
-            crashes: self.crashes.clone(),
+            crashes: self.crashes.iter().map(|crash| crash.id).collect(),
             cleared: self.cleared.clone(),
             expires_in_ms: self.forget_unix_ms.saturating_sub(now_unix_ms),
         }
@@ -157,7 +173,7 @@
             *sent_unix_ms < run.ended_unix_ms && run.sent_unix_ms < *ended_unix_ms
         };
         let is_same_event = suspect.own_run_spans_unix_ms.iter().any(overlaps);
-        if !is_same_event && suspect.add_crash(run.incarnation.crash_id()) {
+        if !is_same_event && suspect.add_crash(run.incarnation.crash_id(), now_unix_ms) {
             let span = (run.sent_unix_ms, run.ended_unix_ms);
             suspect.own_run_spans_unix_ms.push(span);
             suspect.pending_sends = sends;
@@ -179,7 +195,7 @@
             is_new |= suspect.clear_crash(*crash);
         }
         for crash in &report.crashes {
-            is_new |= suspect.add_crash(*crash);
+            is_new |= suspect.add_crash(*crash, now_unix_ms);
         }
         if is_new {
             suspect.pending_sends = sends;
@@ -195,7 +211,7 @@
         };
         let crashes = std::mem::take(&mut suspect.crashes);
         for crash in &crashes {
-            suspect.clear_crash(*crash);
+            suspect.clear_crash(crash.id);
         }
         suspect.own_run_spans_unix_ms.clear();
         if !crashes.is_empty() {
@@ -204,6 +220,29 @@
         crashes.len() as u32
     }
 
+    /// Clears the crashes of incarnations that are still alive when the list of upstreams should have
+    /// dropped them, to be reported `sends` times. Returns the fingerprints of the requests that had
+    /// any.
+    pub fn clear_alive(&mut self, alive: &[CrashId], sends: u32, now_unix_ms: u64) -> Vec<u64> {
+        let mut cleared = Vec::new();
+        for (fingerprint, suspect) in &mut self.by_fingerprint {
+            let crashes = suspect.crashes.iter();
+            let false_crashes: Vec<CrashId> = crashes
+                .filter(|crash| now_unix_ms >= crash.learned_unix_ms + UNLISTED_AFTER_MS)
+                .map(|crash| crash.id)
+                .filter(|id| alive.contains(id))
+                .collect();
+            for id in &false_crashes {
+                suspect.clear_crash(*id);
+            }
+            if !false_crashes.is_empty() {
+                suspect.pending_sends = sends;
+                cleared.push(*fingerprint);
+            }
+        }
+        cleared
+    }
+
     /// Whether the request has caused enough crashes to be refused.
     pub fn is_refused(&self, fingerprint: u64, now_unix_ms: u64) -> bool {
         let suspect = self.by_fingerprint.get(&fingerprint);
--- a/crates/celerystair_policy/tests/suspects.rs
+++ b/crates/celerystair_policy/tests/suspects.rs
@@ -76,6 +76,30 @@
     }
 }
 
+/// A router's links fail for a moment under a request that is sent often: it loses answers at three
+/// upstreams, which run on.
+#[test]
+fn a_request_whose_upstreams_are_still_alive_is_served_again() {
+    let mut suspects = Suspects::default();
+    let runs: Vec<LostRun> = (1..=3).map(lost_run).collect();
+    for run in &runs {
+        suspects.record_crash(FINGERPRINT, run, 0, START_UNIX_MS);
+    }
+    let alive: Vec<CrashId> = runs.iter().map(|run| run.incarnation.crash_id()).collect();
+    // The list still holds an upstream for some time after it has crashed.
+    let now = START_UNIX_MS + 4_000;
+    assert_eq!(suspects.clear_alive(&alive, 0, now), []);
+    assert!(suspects.is_refused(FINGERPRINT, now));
+    let now = START_UNIX_MS + 10_000;
+    assert_eq!(suspects.clear_alive(&alive[..1], 0, now), [FINGERPRINT]);
+    assert!(!suspects.is_refused(FINGERPRINT, now));
+    assert_eq!(
+        suspects.counts(now).remembered,
+        1,
+        "two crashes still count"
+    );
+}
+
 /// The processes of a fleet, which exchange suspects as routers and agents do.
 struct Fleet {
     routers: Vec<Process>,
