Bound what a router buffers of a response

A response may have 8 MiB now, all incomplete ones together 32 MiB, an event of a resumable stream 256 KiB and a head 64 KiB; what is longer is an invalid answer, its connection is closed and the request goes to another upstream where its attempts and the retry budget allow it. An agent reads 1 MiB of its engine's report.

--- a/crates/celerystair_engine/src/client.rs
+++ b/crates/celerystair_engine/src/client.rs
@@ -1,7 +1,11 @@
 //! The HTTP client of the engine.
 
+use std::pin::pin;
+
+use bytes::BytesMut;
 use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_policy::prelude::*;
+use futures_util::StreamExt;
 use thiserror::Error;
 
 use crate::{
@@ -14,6 +18,9 @@
 /// An order may still be carried out after this timeout.
 const ORDER_TIMEOUT_MS: u64 = 1000;
 
+/// The longest response that is read: an engine in trouble may send bytes without end.
+const RESPONSE_MAX_BYTES: usize = 1024 * 1024;
+
 /// Errors of calls to the engine.
 #[derive(Debug, Error)]
 pub enum EngineError {
@@ -29,6 +36,9 @@
     /// The engine answered the report request with a status other than 200.
     #[error("the engine answered the report request with HTTP status {0}")]
     Failed(u16),
+    /// The response is longer than any report.
+    #[error("the engine's response is longer than {RESPONSE_MAX_BYTES} bytes")]
+    TooLong,
 }
 
 /// An HTTP client for the agent's engine.
@@ -54,7 +64,7 @@
         let exchange = async {
             let response = self.http.get(url)?.send().await?;
             let status = response.status().as_u16();
-            Ok::<_, cyper::Error>((status, response.bytes().await?))
+            Ok::<_, EngineError>((status, read_limited(response).await?))
         };
         let deadline_unix_ms = now_unix_ms() + REPORT_TIMEOUT_MS;
         let response = before_deadline(deadline_unix_ms, exchange).await;
@@ -89,8 +99,8 @@
                 .body(body);
             let response = request.send().await?;
             let status = response.status().as_u16();
-            response.bytes().await?;
-            Ok::<_, cyper::Error>(status)
+            read_limited(response).await?;
+            Ok::<_, EngineError>(status)
         };
         let deadline_unix_ms = now_unix_ms() + ORDER_TIMEOUT_MS;
         let status = before_deadline(deadline_unix_ms, exchange).await;
@@ -99,3 +109,16 @@
         ))
     }
 }
+
+/// Reads the body of a response of the engine.
+async fn read_limited(response: cyper::Response) -> Result<BytesMut, EngineError> {
+    let mut chunks = pin!(response.bytes_stream());
+    let mut body = BytesMut::new();
+    while let Some(chunk) = chunks.next().await {
+        body.extend_from_slice(&chunk?);
+        if body.len() > RESPONSE_MAX_BYTES {
+            return Err(EngineError::TooLong);
+        }
+    }
+    Ok(body)
+}
--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to one upstream.
 
-use std::{pin::pin, rc::Rc};
+use std::{cell::Cell, pin::pin, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use celerystair_core::{
@@ -129,7 +129,9 @@
     upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
     Err(FailedAttempt {
         failure: AttemptFailure::Failed,
-        response: buffer_response(started, wait.end_unix_ms).await.ok(),
+        response: buffer_response(router, started, wait.end_unix_ms)
+            .await
+            .ok(),
     })
 }
 
@@ -254,8 +256,39 @@
     }
 }
 
-/// Reads the rest of the response until `deadline_unix_ms`, and keeps the connection for reuse.
+/// The longest response that is buffered. An upstream in trouble may send bytes without end.
+const RESPONSE_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// The most bytes of incomplete responses that a router buffers at a time: a fifth of the memory of
+/// the smallest instances that run one.
+const INCOMPLETE_RESPONSES_MAX_BYTES: usize = 32 * 1024 * 1024;
+
+/// Counts the bytes of an incomplete response among those that a router buffers until it is dropped.
+struct BufferReservation<'a> {
+    buffered_bytes: &'a Cell<usize>,
+    own_bytes: usize,
+}
+
+impl BufferReservation<'_> {
+    /// Counts more bytes of the response; returns whether they may be buffered.
+    fn add(&mut self, bytes: usize) -> bool {
+        let total = self.buffered_bytes.get() + bytes;
+        self.own_bytes += bytes;
+        self.buffered_bytes.set(total);
+        self.own_bytes <= RESPONSE_MAX_BYTES && total <= INCOMPLETE_RESPONSES_MAX_BYTES
+    }
+}
+
+impl Drop for BufferReservation<'_> {
+    fn drop(&mut self) {
+        let buffered_bytes = self.buffered_bytes.get();
+        self.buffered_bytes.set(buffered_bytes - self.own_bytes);
+    }
+}
+
+/// Reads the rest of the response until `deadline_unix_ms`, and keeps the connection for reuse. The
+/// connection of a response that is too long is closed.
 pub async fn buffer_response(
+    router: &PlatformRouter,
     started: StartedResponse,
     deadline_unix_ms: u64,
 ) -> Result<BufferedResponse, AttemptFailure> {
@@ -269,9 +302,16 @@
     } = started;
     let reading = async {
         let mut bytes = BytesMut::new();
+        let mut reservation = BufferReservation {
+            buffered_bytes: &router.buffered_bytes,
+            own_bytes: 0,
+        };
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| AttemptFailure::AnswerLost)?;
             if let Ok(data) = frame.into_data() {
+                if !reservation.add(data.len()) {
+                    return Err(AttemptFailure::InvalidAnswer);
+                }
                 bytes.extend_from_slice(&data);
             }
         }
@@ -280,7 +320,14 @@
     let bytes = before_deadline(deadline_unix_ms, reading)
         .await
         .ok_or(AttemptFailure::Silent)?
-        .inspect_err(|_| run.lose())?;
+        .inspect_err(|failure| {
+            if *failure == AttemptFailure::AnswerLost {
+                run.lose();
+            } else {
+                run.finish();
+                upstream.update_health(|health| health.record_failure(true, now_unix_ms()));
+            }
+        })?;
     run.finish();
     drop(in_flight);
     upstream.connections.keep(connection, &head.headers);
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -40,6 +40,9 @@
     (connections_max / routers.max(1) / IDLE_SHARE_DIVISOR).max(1) as usize
 }
 
+/// The longest head of a response, and the most that a connection reads ahead.
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+
 /// A connection to an upstream, closed when dropped.
 pub struct UpstreamConnection {
     /// Sends requests on the connection.
@@ -138,6 +141,7 @@
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok();
         let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
             .handshake(HyperStream::new_plain(stream))
             .await
             .ok()?;
--- a/crates/celerystair_front/src/events.rs
+++ b/crates/celerystair_front/src/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The longest event that is buffered.
+const EVENT_MAX_BYTES: usize = 256 * 1024;
+
 /// Buffers the bytes of a stream and returns them in whole events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
@@ -23,6 +26,11 @@
         Some(whole)
     }
 
+    /// Returns whether the event that has begun is longer than any that is buffered.
+    pub fn is_event_too_long(&self) -> bool {
+        self.partial.len() > EVENT_MAX_BYTES
+    }
+
     /// Returns the id of the last whole event that had one.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -58,6 +58,8 @@
     pub suspects: RefCell<Suspects>,
     /// Runs that ended without an answer at upstreams that may have crashed.
     pub unanswered_runs: RefCell<UnansweredRuns>,
+    /// Bytes of incomplete responses that are buffered.
+    pub buffered_bytes: Cell<usize>,
     /// Requests that wait for a replica.
     pub waiting: WaitingRequests,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
@@ -241,6 +243,7 @@
             engines: EngineStatusTable::default(),
             suspects: RefCell::default(),
             unanswered_runs: RefCell::default(),
+            buffered_bytes: Cell::default(),
             waiting: WaitingRequests::default(),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -222,7 +222,7 @@
         return Ok(UpstreamResponse::Started(started));
     }
     Ok(UpstreamResponse::Buffered(
-        buffer_response(started, end_unix_ms).await?,
+        buffer_response(router, started, end_unix_ms).await?,
     ))
 }
 
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -127,6 +127,9 @@
             if let Some(events) = self.events.push(&data) {
                 return StreamPart::Bytes(events);
             }
+            if self.events.is_event_too_long() {
+                return StreamPart::Broken(AttemptFailure::InvalidAnswer);
+            }
         }
         // A complete response may end without a blank line after its last event.
         let rest = self.events.take_rest();
@@ -170,9 +173,12 @@
         };
         let upstream = started.upstream.clone();
         let now = now_unix_ms();
-        upstream.update_health(|health| health.record_failure(false, now));
-        if failure == AttemptFailure::AnswerLost {
-            started.run.lose();
+        let is_conclusive = failure == AttemptFailure::InvalidAnswer;
+        upstream.update_health(|health| health.record_failure(is_conclusive, now));
+        match failure {
+            AttemptFailure::AnswerLost => started.run.lose(),
+            AttemptFailure::InvalidAnswer => started.run.finish(),
+            _ => {}
         }
         // Close this response before the next attempt, so that the request never runs twice at
         // once.
