Log the rate limits that upstreams name and what each router sends them

Nothing told whether a router knew of a limit, kept to a part of it or forgot it. No decision uses the limit yet.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     connections::{UpstreamConnection, connect},
+    dialect::RateLimitHeader,
     elsewhere::SILENCE_RECHECK_MS,
     front::PlatformRouter,
     request::CallerRequest,
@@ -85,6 +86,7 @@
     wait: &ResponseWait<'_>,
 ) -> Result<StartedResponse, FailedAttempt> {
     let mut run = RunGuard::start(router, request, upstream);
+    let sent_unix_ms = now_unix_ms();
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.track_request(model, request.head.prompt_tokens);
     let work = exchange(router, request, upstream, last_event_id);
@@ -106,6 +108,7 @@
         upstream.update_health(|health| health.record_failure(is_certain, now_unix_ms()));
     })?;
     let (head, body) = response.into_parts();
+    record_rate_limit(router, request, upstream, &head, sent_unix_ms);
     if let Err(failure) = check_response_head(router, request, &upstream.id(), &head) {
         run.finish();
         record_rejected_response(upstream, failure);
@@ -244,6 +247,40 @@
     Ok(())
 }
 
+/// Records the rate limit that the response names, or that it names none any more, if the response
+/// is the upstream's own.
+fn record_rate_limit(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    upstream: &Upstream,
+    head: &http::response::Parts,
+    sent_unix_ms: u64,
+) {
+    let codec = &router.settings.header_codec;
+    if let Some(name) = (codec.unknown_response_header)(&head.headers) {
+        router.log_unknown_header(name);
+    }
+    let response_head = (codec.read_response)(&head.headers);
+    let is_own = response_head.request_id == Some(request.head.id.as_str());
+    if !is_own || head.status == http::StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let now = now_unix_ms();
+    match response_head.rate_limit {
+        RateLimitHeader::PerSecond(per_second) => {
+            if upstream.set_rate_limit(per_second, now) {
+                router.log_rate_limit(upstream, Some(per_second));
+            }
+        }
+        RateLimitHeader::Absent => {
+            if upstream.end_rate_limit(sent_unix_ms) {
+                router.log_rate_limit(upstream, None);
+            }
+        }
+        RateLimitHeader::Invalid => router.log_invalid_rate_limit(upstream),
+    }
+}
+
 fn record_rejected_response(upstream: &Upstream, failure: AttemptFailure) {
     match failure {
         AttemptFailure::Misdirected => upstream.is_misdirected.set(true),
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -15,6 +15,9 @@
     pub write_request: fn(&mut HeaderMap, &ForwardedHead<'_>),
     /// Reads the headers of an upstream's response.
     pub read_response: fn(&HeaderMap) -> ResponseHead<'_>,
+    /// Returns a header of an upstream's response that looks like one of the platform's and that
+    /// this version doesn't know.
+    pub unknown_response_header: fn(&HeaderMap) -> Option<&HeaderName>,
     /// Whether a header is forwarded to the upstream even if the caller's `Connection` header
     /// names it.
     pub is_always_forwarded: fn(&HeaderName) -> bool,
@@ -64,7 +67,7 @@
 }
 
 /// The platform's headers of an upstream's response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead<'a> {
     /// The id of the request that the response belongs to.
     pub request_id: Option<&'a str>,
@@ -74,4 +77,17 @@
     pub is_not_run: bool,
     /// The upstream that sent the response, if it is named.
     pub upstream: Option<&'a str>,
+    /// The rate limit that the upstream names.
+    pub rate_limit: RateLimitHeader,
+}
+
+/// The rate limit in the headers of an upstream's response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RateLimitHeader {
+    /// The upstream names no limit.
+    Absent,
+    /// Requests per second that the upstream accepts from all routers together.
+    PerSecond(f64),
+    /// The value is not a number from 0 on.
+    Invalid,
 }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -70,6 +70,8 @@
     demand: RefCell<DemandMeter>,
     demand_changed: Event,
     suspects_changed: Event,
+    /// Unknown headers of responses that were logged.
+    pub(crate) logged_headers: RefCell<HashSet<http::HeaderName>>,
     /// Whether requests have begun to wait since demand was last sent to agents.
     pub(crate) has_unreported_waits: Cell<bool>,
     pub(crate) retries: Retries,
@@ -250,6 +252,7 @@
             demand: RefCell::default(),
             demand_changed: Event::new(),
             suspects_changed: Event::new(),
+            logged_headers: RefCell::default(),
             has_unreported_waits: Cell::new(false),
         }),
     };
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -9,6 +9,9 @@
     front::PlatformRouter, pick::WaitReason, request::CallerRequest, runs::Run, upstream::Upstream,
 };
 
+/// The most unknown headers that are logged: their names are the upstreams' choice.
+const LOGGED_HEADERS_MAX: usize = 32;
+
 impl PlatformRouter {
     /// Logs a failed attempt, with the load figures that its upstream was chosen by.
     pub fn log_attempt_failed(
@@ -74,6 +77,40 @@
             "crashes" => crashes);
     }
 
+    /// Logs that an upstream has named a rate limit, or names none any more.
+    pub fn log_rate_limit(&self, upstream: &Upstream, per_second: Option<f64>) {
+        info!(self.log, "upstream_limit"; "upstream" => %upstream.id(),
+            "per_second" => per_second, "routers" => self.router_count());
+    }
+
+    /// Logs that an upstream has named a rate limit that can't be read.
+    pub fn log_invalid_rate_limit(&self, upstream: &Upstream) {
+        warn!(self.log, "upstream_limit_invalid"; "upstream" => %upstream.id());
+    }
+
+    /// Logs, for each upstream with a rate limit, how much this router has sent to it.
+    pub fn log_limited_upstreams(&self) {
+        for upstream in self.view.all_upstreams() {
+            let Some(mut limit) = upstream.rate_limit.get() else {
+                continue;
+            };
+            info!(self.log, "upstream_limit_of_window"; "upstream" => %upstream.id(),
+                "per_second" => limit.per_second, "sent" => limit.sent,
+                "routers" => self.router_count(),
+                "named_ms_ago" => now_unix_ms().saturating_sub(limit.named_unix_ms));
+            limit.sent = 0;
+            upstream.rate_limit.set(Some(limit));
+        }
+    }
+
+    /// Logs a header of the platform that this version doesn't know, once for each name.
+    pub fn log_unknown_header(&self, name: &http::HeaderName) {
+        let mut logged = self.logged_headers.borrow_mut();
+        if logged.len() < LOGGED_HEADERS_MAX && logged.insert(name.clone()) {
+            info!(self.log, "response_header_unknown"; "header" => name.as_str());
+        }
+    }
+
     /// Logs that an agent is asked to load an adapter.
     pub fn log_adapter_wanted(
         &self,
--- a/crates/celerystair_front/src/retries.rs
+++ b/crates/celerystair_front/src/retries.rs
@@ -175,6 +175,7 @@
 pub async fn log_attempts_per_window(router: PlatformRouter, stop: Stop) {
     while !stop.is_ended() {
         sleep_ms(router.settings.retry_bound.window_ms).await;
+        router.log_limited_upstreams();
         let routers = router.router_count();
         for (service, counts, allowance) in router.retries.drain_counts(routers) {
             info!(router.log, "attempts_of_window"; "service" => %service,
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -19,6 +19,17 @@
 /// An adapter stays wanted for this long after the last request for it.
 const ADAPTER_WANTED_MS: u64 = 1000;
 
+/// A rate limit that an upstream has named in its responses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NamedRateLimit {
+    /// Requests per second that the upstream accepts from all routers together.
+    pub per_second: f64,
+    /// When a response last named it.
+    pub named_unix_ms: u64,
+    /// Requests that this router has sent since it was last logged.
+    pub sent: u32,
+}
+
 /// One incarnation of an upstream: a restart under the same id is another one.
 pub struct Upstream {
     /// The upstream's entry, as last read from the store.
@@ -31,6 +42,8 @@
     pub is_misdirected: Cell<bool>,
     /// Whether the store lists a later upstream at the same address.
     pub is_superseded: Cell<bool>,
+    /// The rate limit that the upstream has named.
+    pub rate_limit: Cell<Option<NamedRateLimit>>,
     in_flight: Cell<u32>,
     in_flight_by_model: RefCell<HashMap<ModelName, u32>>,
     /// When each recent request was sent, and its number of prompt tokens.
@@ -50,6 +63,7 @@
             health: Cell::default(),
             is_misdirected: Cell::new(false),
             is_superseded: Cell::new(false),
+            rate_limit: Cell::default(),
             in_flight: Cell::new(0),
             in_flight_by_model: RefCell::default(),
             sent: RefCell::default(),
@@ -129,12 +143,38 @@
             sent.pop_front();
         }
         sent.push_back((now, prompt_tokens));
+        if let Some(mut limit) = self.rate_limit.get() {
+            limit.sent += 1;
+            self.rate_limit.set(Some(limit));
+        }
         InFlightGuard {
             upstream: self.clone(),
             model: model.cloned(),
         }
     }
 
+    /// Records the rate limit that a response names; returns whether it differs from the one before.
+    pub fn set_rate_limit(&self, per_second: f64, now_unix_ms: u64) -> bool {
+        let before = self.rate_limit.get();
+        self.rate_limit.set(Some(NamedRateLimit {
+            per_second,
+            named_unix_ms: now_unix_ms,
+            sent: before.map_or(0, |limit| limit.sent),
+        }));
+        before.is_none_or(|before| before.per_second.total_cmp(&per_second).is_ne())
+    }
+
+    /// Ends the rate limit because a response to a request sent at `sent_unix_ms` names none, unless
+    /// a response has named it since; returns whether there was a limit to end.
+    pub fn end_rate_limit(&self, sent_unix_ms: u64) -> bool {
+        let limit = self.rate_limit.get();
+        let has_ended = limit.is_some_and(|limit| limit.named_unix_ms < sent_unix_ms);
+        if has_ended {
+            self.rate_limit.set(None);
+        }
+        has_ended
+    }
+
     /// Marks an adapter as wanted at the upstream; returns whether it was not wanted before.
     pub fn mark_adapter_wanted(&self, model: &ModelName, adapter: &str) -> bool {
         let until_unix_ms = now_unix_ms() + ADAPTER_WANTED_MS;
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -128,6 +128,11 @@
         !is_current || upstream.is_replaced()
     }
 
+    /// Returns the upstreams of all services.
+    pub fn all_upstreams(&self) -> Vec<Rc<Upstream>> {
+        self.inner.upstreams.borrow().values().cloned().collect()
+    }
+
     /// Returns the upstreams of all services whose upstreams are engines.
     pub fn engines(&self) -> Vec<Rc<Upstream>> {
         let Some(config) = self.config() else {
