Keep to the rate limit that an upstream names, by equal shares over all routers

The header was passed on to callers like any other.

A router that has read a limit now keeps to its share of it, counting every attempt that it sends. Requests beyond it go to other upstreams, wait if their turn comes in time, or are refused at once. It works without messages between routers: the shares add up to the limit, and what may be saved up for a burst adds up to less than the tolerance; in fleets where that is under one request for each router, the right to send lapses instead of piling up. Failed before, pass now: an_upstream_that_names_a_rate_limit_gets_no_more_from_all_routers_together and requests_beyond_the_rate_limit_of_the_only_upstream_are_refused_early. The second has six callers for each router now, as waiting for a turn serves a single one; its assertions are the same.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -87,6 +87,7 @@
 ) -> Result<StartedResponse, FailedAttempt> {
     let mut run = RunGuard::start(router, request, upstream);
     let sent_unix_ms = now_unix_ms();
+    upstream.count_towards_rate_limit(router.router_count_or_default(), sent_unix_ms);
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.track_request(model, request.head.prompt_tokens);
     let work = exchange(router, request, upstream, last_event_id);
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -95,7 +95,7 @@
                 continue;
             };
             info!(self.log, "upstream_limit_of_window"; "upstream" => %upstream.id(),
-                "per_second" => limit.per_second, "sent" => limit.sent,
+                "per_second" => limit.share.per_second, "sent" => limit.sent,
                 "routers" => self.router_count(),
                 "named_ms_ago" => now_unix_ms().saturating_sub(limit.named_unix_ms));
             limit.sent = 0;
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -44,6 +44,8 @@
     Adapter,
     /// Capacity at an upstream that could serve the request.
     Room,
+    /// The next request that the rate limit of an upstream admits.
+    RateLimit,
 }
 
 /// Picks an upstream of `service` that is not in `tried`.
@@ -210,7 +212,12 @@
         .map(|(upstream, id)| candidate(router, upstream, id, now_unix_ms))
         .collect();
     let routers = router.router_count_or_default();
-    let can_accept = |index: &usize| has_capacity(&candidates[*index], load_per_slot_max, routers);
+    let admits_unix_ms: Vec<u64> = upstreams
+        .iter()
+        .map(|upstream| upstream.admits_unix_ms(routers, now_unix_ms))
+        .collect();
+    let has_room = |index: &usize| has_capacity(&candidates[*index], load_per_slot_max, routers);
+    let can_accept = |index: &usize| admits_unix_ms[*index] <= now_unix_ms && has_room(index);
     let indices_with_capacity: Vec<usize> = (0..candidates.len()).filter(can_accept).collect();
     let with_capacity: Vec<Candidate<'_>> = indices_with_capacity
         .iter()
@@ -219,13 +226,44 @@
     match choose_upstream(&with_capacity, &request.head.id) {
         Some(best) => Pick::Now(upstreams[indices_with_capacity[best]].clone()),
         None if candidates.is_empty() => Pick::NoneLeft,
-        None => Pick::Later {
-            ready_unix_ms: now_unix_ms + FULL_UPSTREAM_WAIT_MS,
-            reason: WaitReason::Room,
-        },
+        None => {
+            let only_limited: Vec<&Rc<Upstream>> = (0..candidates.len())
+                .filter(has_room)
+                .map(|index| &upstreams[index])
+                .collect();
+            if only_limited.len() < candidates.len() {
+                return Pick::Later {
+                    ready_unix_ms: now_unix_ms + FULL_UPSTREAM_WAIT_MS,
+                    reason: WaitReason::Room,
+                };
+            }
+            Pick::Later {
+                ready_unix_ms: rate_limit_ready_unix_ms(router, request, &only_limited),
+                reason: WaitReason::RateLimit,
+            }
+        }
     }
 }
 
+/// Returns when the rate limits of `upstreams` are expected to admit the request, after those that
+/// wait for the same model at this router.
+fn rate_limit_ready_unix_ms(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    upstreams: &[&Rc<Upstream>],
+) -> u64 {
+    let now = now_unix_ms();
+    let routers = router.router_count_or_default();
+    let admits = upstreams.iter().map(|u| u.admits_unix_ms(routers, now));
+    let first_unix_ms = admits.min().unwrap_or(now);
+    let limits = upstreams.iter().filter_map(|u| u.rate_limit.get());
+    let per_second: f64 = limits
+        .map(|limit| 1000.0 / limit.share.interval_ms(routers).max(1) as f64)
+        .sum();
+    let ahead = router.waiting.count(&request.queue());
+    first_unix_ms + (f64::from(ahead) / per_second * 1000.0) as u64
+}
+
 fn candidate<'a>(
     router: &PlatformRouter,
     upstream: &Upstream,
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -54,6 +54,12 @@
 }
 
 impl CallerRequest {
+    /// Returns the model that the request waits for, which is empty at plain services.
+    pub fn queue(&self) -> ModelName {
+        let model = self.head.model.as_ref();
+        model.map_or_else(ModelName::default, |model| model.base.clone())
+    }
+
     /// Returns the time since the request arrived.
     pub fn age_ms(&self, now_unix_ms: u64) -> u64 {
         now_unix_ms.saturating_sub(self.arrived_unix_ms)
@@ -354,11 +360,7 @@
             retry_after_ms,
         ));
     }
-    let queue = request
-        .head
-        .model
-        .as_ref()
-        .map_or_else(ModelName::default, |m| m.base.clone());
+    let queue = request.queue();
     let (wait_guard, changed) = router.waiting.register(&queue);
     if wait_guard.is_first {
         router.has_unreported_waits.set(true);
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -22,8 +22,8 @@
 /// A rate limit that an upstream has named in its responses.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NamedRateLimit {
-    /// Requests per second that the upstream accepts from all routers together.
-    pub per_second: f64,
+    /// This router's share of the limit.
+    pub share: RateLimit,
     /// When a response last named it.
     pub named_unix_ms: u64,
     /// Requests that this router has sent since it was last logged.
@@ -143,10 +143,6 @@
             sent.pop_front();
         }
         sent.push_back((now, prompt_tokens));
-        if let Some(mut limit) = self.rate_limit.get() {
-            limit.sent += 1;
-            self.rate_limit.set(Some(limit));
-        }
         InFlightGuard {
             upstream: self.clone(),
             model: model.cloned(),
@@ -156,12 +152,36 @@
     /// Records the rate limit that a response names; returns whether it differs from the one before.
     pub fn set_rate_limit(&self, per_second: f64, now_unix_ms: u64) -> bool {
         let before = self.rate_limit.get();
-        self.rate_limit.set(Some(NamedRateLimit {
-            per_second,
+        let mut limit = before.unwrap_or_else(|| NamedRateLimit {
+            share: RateLimit::new(per_second, rand::random(), now_unix_ms),
             named_unix_ms: now_unix_ms,
-            sent: before.map_or(0, |limit| limit.sent),
-        }));
-        before.is_none_or(|before| before.per_second.total_cmp(&per_second).is_ne())
+            sent: 0,
+        });
+        let is_changed = before.is_none() || limit.share.per_second.total_cmp(&per_second).is_ne();
+        limit.share.per_second = per_second;
+        limit.named_unix_ms = now_unix_ms;
+        self.rate_limit.set(Some(limit));
+        is_changed
+    }
+
+    /// Returns when the upstream's rate limit admits the next request of this router, which is one
+    /// of `routers`: `now_unix_ms` if it admits one now.
+    pub fn admits_unix_ms(&self, routers: u32, now_unix_ms: u64) -> u64 {
+        let Some(mut limit) = self.rate_limit.get() else {
+            return now_unix_ms;
+        };
+        let next_unix_ms = limit.share.next_unix_ms(routers, now_unix_ms);
+        self.rate_limit.set(Some(limit));
+        next_unix_ms
+    }
+
+    /// Counts a request that is sent towards the upstream's rate limit.
+    pub fn count_towards_rate_limit(&self, routers: u32, now_unix_ms: u64) {
+        if let Some(mut limit) = self.rate_limit.get() {
+            limit.share.spend(routers, now_unix_ms);
+            limit.sent += 1;
+            self.rate_limit.set(Some(limit));
+        }
     }
 
     /// Ends the rate limit because a response to a request sent at `sent_unix_ms` names none, unless
--- a/crates/celerystair_front/src/waiting.rs
+++ b/crates/celerystair_front/src/waiting.rs
@@ -57,6 +57,12 @@
             .collect()
     }
 
+    /// Returns the number of requests that wait for `model`.
+    pub fn count(&self, model: &ModelName) -> u32 {
+        let models = self.models.borrow();
+        models.get(model).map_or(0, |queue| queue.waiting.get())
+    }
+
     /// Counts a request as waiting for `model`, and returns a listener for changes of that model.
     pub fn register(&self, model: &ModelName) -> (WaitGuard, EventListener) {
         let mut models = self.models.borrow_mut();
