Count a replica at a rate-limited engine as the part of one that it serves

Routers now report the limits with their demand; a replica counts as the part of one that the limit serves of the rate that its engine would get, models are loaded at engines without limits first, and a request waits for such a load if it is done in time. Without limits every part is one, and the plan is what it was.

--- a/crates/celerystair_engine/src/decide.rs
+++ b/crates/celerystair_engine/src/decide.rs
@@ -34,8 +34,12 @@
         {
             return None;
         }
+        let rate_limits = self.router_demand.rate_limits();
         let mut views = vec![self.own_view(&own, now)];
         views.extend(others.iter().map(|status| engine_view(status, now)));
+        for view in &mut views {
+            view.rate_limit_per_second = rate_limits.get(&view.upstream).copied();
+        }
         let models = self.router_demand.demand_by_model();
         let order = next_order(config, &models, &views, 0)?;
         Some(LoadPlan::new(
@@ -71,6 +75,7 @@
             in_memory: state.in_memory.clone(),
             on_disk: state.on_disk.clone(),
             cold_load_observations: self.current_cold_load_observations(now_unix_ms),
+            rate_limit_per_second: None,
         }
     }
 }
@@ -93,5 +98,6 @@
         on_disk: status.on_disk.clone(),
         protected: Vec::new(),
         cold_load_observations: status.cold_load_observations,
+        rate_limit_per_second: None,
     }
 }
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -24,6 +24,8 @@
 const INTERVAL_PER_AGENT_MS: u64 = 25;
 /// Minimum pause per known engine.
 const PAUSE_PER_AGENT_MS: u64 = 3;
+/// Agents are told of a rate limit for this long after a response has named it.
+const RATE_LIMIT_EXPIRY_MS: u64 = 10_000;
 /// The status of an engine is removed if it was not renewed for this long.
 const FORGET_AFTER_MS: u64 = 60_000;
 
@@ -44,7 +46,7 @@
             next_round_unix_ms = now + INTERVAL_MS.max(INTERVAL_PER_AGENT_MS * count);
             next_urgent_unix_ms = now + PAUSE_MS.max(PAUSE_PER_AGENT_MS * count);
             sequence += 1;
-            send_demand(&router, &socket, sequence).await;
+            send_demand(&router, &socket, &engines, sequence).await;
         }
         send_wanted_adapters(&router, &socket, &engines, is_round).await;
         sleep_ms(PAUSE_MS).await;
@@ -60,7 +62,12 @@
 
 /// Sends the demand for each model to all agents in the router's own failure domain and to one
 /// agent in each other domain, which relays it there.
-async fn send_demand(router: &PlatformRouter, socket: &GossipSocket, sequence: u64) {
+async fn send_demand(
+    router: &PlatformRouter,
+    socket: &GossipSocket,
+    engines: &[Rc<Upstream>],
+    sequence: u64,
+) {
     let now = now_unix_ms();
     let peers = gossip_peers(router);
     let message = GossipMessage::Demand(RouterDemand {
@@ -69,6 +76,7 @@
         models: router.demand_by_model(),
         agents: group_by_domain(&peers),
         failure_domain: router.settings.failure_domain.clone(),
+        rate_limits: recent_rate_limits(engines, now),
         address: router.settings.gossip_listen,
         received_unix_ms: now,
     });
@@ -76,6 +84,17 @@
     log_unsent(router, socket.send(&message, &targets).await);
 }
 
+/// Returns the rate limits that engines have named lately. An engine that this router sends nothing
+/// may have lifted its limit since.
+fn recent_rate_limits(engines: &[Rc<Upstream>], now_unix_ms: u64) -> Vec<(UpstreamId, f64)> {
+    let limits = engines.iter().filter_map(|engine| {
+        let limit = engine.rate_limit.get()?;
+        let is_recent = now_unix_ms < limit.named_unix_ms + RATE_LIMIT_EXPIRY_MS;
+        is_recent.then(|| (engine.id(), limit.share.per_second))
+    });
+    limits.collect()
+}
+
 /// Sends each agent the adapters that requests wait for, or have recently used, at its engine. In a
 /// regular round all agents are sent theirs, at other times only those with an unreported adapter.
 async fn send_wanted_adapters(
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -117,7 +117,17 @@
             ready
         }
     };
-    pick_with_capacity(router, request, &ready, ENGINE_LOAD_PER_SLOT_MAX, now)
+    match pick_with_capacity(router, request, &ready, ENGINE_LOAD_PER_SLOT_MAX, now) {
+        Pick::Later {
+            ready_unix_ms,
+            reason: WaitReason::RateLimit,
+        } => Pick::Later {
+            ready_unix_ms: loading_ready_unix_ms(&statuses, &model.base)
+                .map_or(ready_unix_ms, |loaded| loaded.max(now).min(ready_unix_ms)),
+            reason: WaitReason::RateLimit,
+        },
+        pick => pick,
+    }
 }
 
 fn is_usable(upstream: &Upstream, tried: &[UpstreamId]) -> bool {
@@ -155,8 +165,7 @@
     now_unix_ms: u64,
 ) -> u64 {
     let known = || statuses.iter().flatten();
-    let loading = known().filter(|status| status.loading.as_ref() == Some(model));
-    if let Some(ready) = loading.map(|status| status.ready_unix_ms).min() {
+    if let Some(ready) = loading_ready_unix_ms(statuses, model) {
         return ready.max(now_unix_ms);
     }
     let Some(config) = engine.models.get(model) else {
@@ -172,6 +181,13 @@
     now_unix_ms + load_ms + LOAD_ORDER_DELAY_MS
 }
 
+/// Returns when the load of a replica that is in progress is expected to be done.
+fn loading_ready_unix_ms(statuses: &[Option<Rc<EngineStatus>>], model: &ModelName) -> Option<u64> {
+    let known = statuses.iter().flatten();
+    let loading = known.filter(|status| status.loading.as_ref() == Some(model));
+    loading.map(|status| status.ready_unix_ms).min()
+}
+
 /// Asks one of the replicas to load the adapter. Rendezvous hashing picks the same replica for the
 /// same adapter as long as the set of replicas does not change.
 fn request_adapter(
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -7,7 +7,7 @@
 
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_protocol::{AgentGroup, DemandNews, ModelDemand};
+use celerystair_protocol::{AgentGroup, DemandNews, ModelDemand, UpstreamRateLimit};
 
 /// A router whose last datagram is this old has stopped or is unreachable; its demand is dropped.
 const ROUTER_TIMEOUT_MS: u64 = 4000;
@@ -29,6 +29,8 @@
     pub agents: Vec<(FailureDomain, Vec<Ipv4Addr>)>,
     /// The router's failure domain.
     pub failure_domain: FailureDomain,
+    /// The rate limits, in requests per second, that upstreams have named to the router lately.
+    pub rate_limits: Vec<(UpstreamId, f64)>,
     /// Where the router receives gossip.
     pub address: SocketAddr,
     /// When the datagram arrived, by the receiver's clock.
@@ -50,6 +52,10 @@
             let addresses = group.addresses.into_iter().map(Ipv4Addr::from);
             (group.failure_domain.into(), addresses.collect())
         });
+        let rate_limits = news.rate_limits.into_iter().map(|limit| {
+            let per_second = f64::from(limit.requests_per_1000_s) / 1000.0;
+            (UpstreamId::from(limit.upstream), per_second)
+        });
         // The sender may be an agent that relays the datagram, so the router gives its own address.
         // Earlier versions leave it at 0.
         let ip = match news.address {
@@ -62,6 +68,7 @@
             models: models.collect(),
             agents: agents.collect(),
             failure_domain: news.failure_domain.into(),
+            rate_limits: rate_limits.collect(),
             // All processes receive gossip on the same port.
             address: SocketAddr::new(ip, sender.port()),
             received_unix_ms: now_unix_ms,
@@ -83,7 +90,15 @@
                 .map(|address| u32::from(*address))
                 .collect(),
         });
+        let rate_limits = self
+            .rate_limits
+            .iter()
+            .map(|(upstream, per_second)| UpstreamRateLimit {
+                upstream: upstream.to_string(),
+                requests_per_1000_s: (per_second * 1000.0) as u32,
+            });
         DemandNews {
+            rate_limits: rate_limits.collect(),
             router: self.router.clone(),
             sequence: self.sequence,
             models: models.collect(),
@@ -143,6 +158,18 @@
         sums
     }
 
+    /// Returns the rate limits that upstreams have named to any router lately, in requests per
+    /// second; the lowest if they differ.
+    pub fn rate_limits(&self) -> HashMap<UpstreamId, f64> {
+        let mut limits: HashMap<UpstreamId, f64> = HashMap::default();
+        let routers = self.routers.borrow();
+        for (upstream, per_second) in routers.values().flat_map(|demand| &demand.rate_limits) {
+            let lowest = limits.entry(upstream.clone()).or_insert(f64::INFINITY);
+            *lowest = lowest.min(*per_second);
+        }
+        limits
+    }
+
     /// Counts the routers that share the fleet-wide limits, including those that stopped sending
     /// within the last minute.
     pub fn router_count(&self) -> usize {
--- a/crates/celerystair_news/tests/board.rs
+++ b/crates/celerystair_news/tests/board.rs
@@ -11,6 +11,7 @@
         sequence: received_unix_ms,
         models: Vec::new(),
         agents: Vec::new(),
+        rate_limits: Vec::new(),
         failure_domain: FailureDomain::from("a"),
         address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 7000),
         received_unix_ms,
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -23,6 +23,7 @@
         models: vec![(ModelName::from("m1"), view)],
         agents: vec![(FailureDomain::from("a"), vec![Ipv4Addr::new(10, 1, 0, 9)])],
         failure_domain: FailureDomain::from("b"),
+        rate_limits: vec![(UpstreamId::from("e1"), 3.25)],
         address,
         received_unix_ms: 1000,
     })
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -61,6 +61,8 @@
     pub protected: Vec<ModelName>,
     /// What its agent has observed of loads from the weight store.
     pub cold_load_observations: ColdLoadObservations,
+    /// The rate limit that it names, if any.
+    pub rate_limit_per_second: Option<f64>,
 }
 
 /// A load that an engine is carrying out.
@@ -172,7 +174,10 @@
     config: &'a EngineConfig,
     models: &'a HashMap<ModelName, ModelView>,
     engines: &'a [EngineView],
-    replicas: HashMap<&'a ModelName, usize>,
+    /// How many replicas each model has; one at an engine with a rate limit counts as a part of one.
+    replicas: HashMap<&'a ModelName, f64>,
+    /// The part of the requests for its models that each engine serves by its rate limit.
+    served_share: Vec<f64>,
     /// The time until the load of a model is done, for slow loads, which don't count as replicas.
     slow_load_ready_ms: HashMap<&'a ModelName, u64>,
     memory: Vec<EngineMemory<'a>>,
@@ -189,17 +194,18 @@
         models: &'a HashMap<ModelName, ModelView>,
         engines: &'a [EngineView],
     ) -> Self {
-        let mut replicas: HashMap<&ModelName, usize> = HashMap::default();
+        let served_share = served_shares(models, engines);
+        let mut replicas: HashMap<&ModelName, f64> = HashMap::default();
         let mut slow_load_ready_ms: HashMap<&ModelName, u64> = HashMap::default();
-        for engine in engines {
+        for (engine, share) in engines.iter().zip(&served_share) {
             for model in &engine.loaded {
-                *replicas.entry(model).or_default() += 1;
+                *replicas.entry(model).or_default() += share;
             }
             let Some(load) = &engine.loading else {
                 continue;
             };
             if load.ready_in_ms <= COUNTS_AS_REPLICA_MS {
-                *replicas.entry(&load.model).or_default() += 1;
+                *replicas.entry(&load.model).or_default() += share;
             } else {
                 let ready_in_ms = slow_load_ready_ms.entry(&load.model).or_insert(u64::MAX);
                 *ready_in_ms = load.ready_in_ms.min(*ready_in_ms);
@@ -211,6 +217,7 @@
             models,
             engines,
             replicas,
+            served_share,
             slow_load_ready_ms,
             memory: Vec::new(),
             is_assigned: vec![false; engines.len()],
@@ -220,7 +227,8 @@
         };
         plan.memory = engines
             .iter()
-            .map(|engine| plan.engine_memory(engine))
+            .zip(&plan.served_share)
+            .map(|(engine, share)| plan.engine_memory(engine, *share))
             .collect();
         plan
     }
@@ -230,7 +238,7 @@
         config.map_or(0.0, |config| config.weights_mb)
     }
 
-    fn engine_memory(&self, engine: &'a EngineView) -> EngineMemory<'a> {
+    fn engine_memory(&self, engine: &'a EngineView, served_share: f64) -> EngineMemory<'a> {
         let loading = engine.loading.iter().map(|load| &load.model);
         let held = engine.loaded.iter().chain(loading);
         let used_mb: f64 = held.map(|model| self.size_mb(model)).sum();
@@ -239,7 +247,7 @@
             .iter()
             .filter(|model| !engine.protected.contains(model));
         let mut victims: Vec<(f64, f64, &ModelName)> = evictable
-            .map(|model| (self.loss(model), self.size_mb(model), model))
+            .map(|model| (self.loss(model, served_share), self.size_mb(model), model))
             .collect();
         victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(b.2)));
         EngineMemory {
@@ -248,7 +256,7 @@
         }
     }
 
-    fn replicas(&self, model: &ModelName) -> usize {
+    fn replicas(&self, model: &ModelName) -> f64 {
         self.replicas.get(model).copied().unwrap_or_default()
     }
 
@@ -264,18 +272,21 @@
         (load_ms / target_ms).clamp(URGENCY_RANGE.0, URGENCY_RANGE.1)
     }
 
-    /// Returns the number of requests that wait or are delayed with this many replicas of a model.
-    fn shortage(&self, model: &ModelName, replicas: usize) -> f64 {
+    /// Returns the number of requests that wait or are delayed with this many replicas of a model. Of
+    /// less than one, a part of the requests waits as without any.
+    fn shortage(&self, model: &ModelName, replicas: f64) -> f64 {
         let Some(view) = self.models.get(model) else {
             return 0.0;
         };
         let expected = view.requests_per_second * HORIZON_SECONDS * self.urgency(model);
-        if replicas == 0 {
-            return expected + f64::from(view.waiting) * WAITING_WEIGHT;
+        let unserved = (1.0 - replicas).max(0.0);
+        let waiting = unserved * (expected + f64::from(view.waiting) * WAITING_WEIGHT);
+        if unserved >= 1.0 {
+            return waiting;
         }
         let load = f64::from(view.running + view.waiting);
-        let slots = replicas as f64 * f64::from(self.config.slots.max(1));
-        expected * delayed_share(load / slots)
+        let slots = replicas.max(1.0) * f64::from(self.config.slots.max(1));
+        waiting + (1.0 - unserved) * expected * delayed_share(load / slots)
     }
 
     /// Returns the models that need one more replica, the highest gain first; then those without
@@ -287,10 +298,10 @@
             .keys()
             .map(|model| {
                 let replicas = self.replicas(model);
-                let gain = self.shortage(model, replicas) - self.shortage(model, replicas + 1);
+                let gain = self.shortage(model, replicas) - self.shortage(model, replicas + 1.0);
                 Need { model, gain }
             })
-            .filter(|need| need.gain > 0.0 || self.replicas(need.model) == 0)
+            .filter(|need| need.gain > 0.0 || self.replicas(need.model) <= 0.0)
             .collect();
         needs.sort_by(|a, b| b.gain.total_cmp(&a.gain).then(a.model.cmp(b.model)));
         needs
@@ -315,7 +326,8 @@
             if !self.is_sooner(need.model, load_ms + busy_ms) {
                 continue;
             }
-            let cost = loss + (load_ms + busy_ms) as f64 / 1000.0 * COST_PER_SECOND;
+            let unserved = need.gain * (1.0 - self.served_share_with(index, need.model));
+            let cost = loss + unserved + (load_ms + busy_ms) as f64 / 1000.0 * COST_PER_SECOND;
             if best.is_some_and(|(least, _, _)| cost > least) {
                 continue;
             }
@@ -346,6 +358,23 @@
         })
     }
 
+    /// Returns the part of the requests that an engine would serve by its rate limit if it held the
+    /// model, too.
+    fn served_share_with(&self, engine: usize, model: &ModelName) -> f64 {
+        let view = &self.engines[engine];
+        if view.rate_limit_per_second.is_none() {
+            return 1.0;
+        }
+        let added = self
+            .models
+            .get(model)
+            .map_or(0.0, |m| m.requests_per_second);
+        served_share(
+            view,
+            requests_per_second(self.models, self.engines, view) + added,
+        )
+    }
+
     /// Whether a load would be done well before a slow load of the model that is already in
     /// progress.
     fn is_sooner(&self, model: &ModelName, load_ms: u64) -> bool {
@@ -359,7 +388,7 @@
     /// in reserve, since its own load can't be cancelled when another model is requested.
     fn may_load_cold(&self, need: &Need<'_>) -> bool {
         if need.gain > 0.0 {
-            let has_replica = self.replicas(need.model) > 0;
+            let has_replica = self.replicas(need.model) >= 1.0;
             let limit = if has_replica {
                 self.cold_limit.confirmed
             } else {
@@ -412,20 +441,21 @@
         None
     }
 
-    /// Returns the loss of evicting one replica of `model`, in requests that would have to wait.
-    fn loss(&self, model: &ModelName) -> f64 {
+    /// Returns the loss of evicting one replica of `model`, which serves this part of the requests
+    /// that it gets, in requests that would have to wait.
+    fn loss(&self, model: &ModelName, served_share: f64) -> f64 {
         let replicas = self.replicas(model);
-        let without = replicas.saturating_sub(1);
+        let without = (replicas - served_share).max(0.0);
         let view = self.models.get(model);
         let rate = view.map_or(0.0, |view| view.requests_per_second);
         let mut shortage = self.shortage(model, without) - self.shortage(model, replicas);
-        if without == 0 && rate < ASSUMED_REQUESTS_PER_SECOND {
+        if without <= 0.0 && rate < ASSUMED_REQUESTS_PER_SECOND {
             shortage =
                 shortage.max(ASSUMED_REQUESTS_PER_SECOND * HORIZON_SECONDS * URGENCY_RANGE.1);
         }
         // An unload waits for the running requests, and delays the engine's next order until then.
         let running = view.map_or(0, |view| view.running);
-        let running_here = f64::from(running) / replicas.max(1) as f64;
+        let running_here = f64::from(running) / replicas.max(1.0);
         shortage + running_here.min(DRAINED_RUNS_MAX) * COST_PER_SECOND
     }
 
@@ -435,6 +465,42 @@
     }
 }
 
+/// Returns, for each engine, the part of the requests for its models that it serves by its rate
+/// limit.
+fn served_shares(models: &HashMap<ModelName, ModelView>, engines: &[EngineView]) -> Vec<f64> {
+    let shares = engines
+        .iter()
+        .map(|engine| match engine.rate_limit_per_second {
+            None => 1.0,
+            Some(_) => served_share(engine, requests_per_second(models, engines, engine)),
+        });
+    shares.collect()
+}
+
+/// Returns the part of `requests_per_second` that an engine serves by its rate limit.
+fn served_share(engine: &EngineView, requests_per_second: f64) -> f64 {
+    match engine.rate_limit_per_second {
+        Some(limit) if limit < requests_per_second => limit / requests_per_second,
+        Some(limit) if limit <= 0.0 => 0.0,
+        _ => 1.0,
+    }
+}
+
+/// Returns the rate at which an engine would get requests without a limit: for each of its models,
+/// an equal part among the engines that hold it.
+fn requests_per_second(
+    models: &HashMap<ModelName, ModelView>,
+    engines: &[EngineView],
+    engine: &EngineView,
+) -> f64 {
+    let rates = engine.loaded.iter().map(|model| {
+        let rate = models.get(model).map_or(0.0, |m| m.requests_per_second);
+        let holders = engines.iter().filter(|e| e.loaded.contains(model)).count();
+        rate / holders.max(1) as f64
+    });
+    rates.sum()
+}
+
 /// Returns the share of requests that are delayed at replicas with this load per slot, which is 1
 /// if all are late. The share of requests that find no slot is added to it, so that further
 /// replicas are worth their memory however overloaded the first one is.
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -441,3 +441,42 @@
         .collect();
     assert_eq!(loads, [(model(0), true)], "after the store is free");
 }
+
+/// An engine that names a rate limit looks idle, because it gets so little.
+#[test]
+fn a_model_whose_only_replica_is_at_a_limited_engine_gets_another() {
+    let config = config(6);
+    let mut models: HashMap<ModelName, ModelView> = HashMap::default();
+    models.insert(model(0), demand(8.0, 0, 4));
+    let mut engines = vec![engine(0, &[0, 1]), engine(1, &[2, 3]), engine(2, &[4, 5])];
+    let orders = run_until_stable(&config, &models, &mut engines.clone());
+    let is_of_busy_model = |order: &&(usize, Order)| order.1.load == model(0);
+    assert_eq!(
+        orders.iter().filter(is_of_busy_model).count(),
+        0,
+        "one replica is enough without a limit: {orders:?}"
+    );
+    engines[0].rate_limit_per_second = Some(3.0);
+    let orders = run_until_stable(&config, &models, &mut engines);
+    assert_eq!(
+        orders.iter().filter(is_of_busy_model).count(),
+        1,
+        "{orders:?}"
+    );
+}
+
+#[test]
+fn a_model_is_loaded_at_an_engine_without_a_rate_limit() {
+    let config = config(3);
+    let mut models: HashMap<ModelName, ModelView> = HashMap::default();
+    models.insert(model(0), demand(8.0, 2, 0));
+    for limited in 0..3 {
+        let mut engines = vec![engine(0, &[1]), engine(1, &[1]), engine(2, &[1])];
+        for (index, engine) in engines.iter_mut().enumerate() {
+            engine.rate_limit_per_second = (index != limited).then_some(1.0);
+        }
+        let orders = run_until_stable(&config, &models, &mut engines);
+        let first = orders.iter().find(|order| order.1.load == model(0));
+        assert_eq!(first.map(|order| order.0), Some(limited), "{orders:?}");
+    }
+}
