Say when a request that crashes upstreams may come again

Its callers got a 503 without Retry-After and came back at once, for two minutes. The refusal now carries the time until the suspicion expires.

--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -128,13 +128,19 @@
     let mut waited: Option<(WaitReason, u64)> = None;
     loop {
         let now = now_unix_ms();
-        if router
-            .suspects
-            .borrow()
-            .is_refused(request.fingerprint, now)
-        {
+        let refused_until_unix_ms = {
+            let suspects = router.suspects.borrow();
+            suspects.refused_until_unix_ms(request.fingerprint, now)
+        };
+        if let Some(until_unix_ms) = refused_until_unix_ms {
             let detail = "upstreams crashed while they ran this request";
-            return Err(refusal(progress, RefusalReason::Suspect, detail, 0));
+            let retry_after_ms = until_unix_ms - now;
+            return Err(refusal(
+                progress,
+                RefusalReason::Suspect,
+                detail,
+                retry_after_ms,
+            ));
         }
         if now + RESPONSE_MARGIN_MS >= request.deadline_unix_ms {
             return last_response_or_refusal(
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -245,8 +245,15 @@
 
     /// Whether the request has caused enough crashes to be refused.
     pub fn is_refused(&self, fingerprint: u64, now_unix_ms: u64) -> bool {
-        let suspect = self.by_fingerprint.get(&fingerprint);
-        suspect.is_some_and(|s| s.is_refused() && s.forget_unix_ms > now_unix_ms)
+        self.refused_until_unix_ms(fingerprint, now_unix_ms)
+            .is_some()
+    }
+
+    /// Returns until when the request is refused, or `None` if it isn't.
+    pub fn refused_until_unix_ms(&self, fingerprint: u64, now_unix_ms: u64) -> Option<u64> {
+        let suspect = self.by_fingerprint.get(&fingerprint)?;
+        let is_refused = suspect.is_refused() && suspect.forget_unix_ms > now_unix_ms;
+        is_refused.then_some(suspect.forget_unix_ms)
     }
 
     /// Whether [`Suspects::take_pending`] would return anything.
