--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -258,8 +258,10 @@
     sent_unix_ms: u64,
 ) {
     let codec = &router.settings.header_codec;
-    if let Some(name) = (codec.unknown_response_header)(&head.headers) {
-        router.log_unknown_header(name);
+    for name in head.headers.keys() {
+        if (codec.is_unknown_response_header)(name) {
+            router.log_unknown_header(name);
+        }
     }
     let response_head = (codec.read_response)(&head.headers);
     let is_own = response_head.request_id == Some(request.head.id.as_str());
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -15,9 +15,9 @@
     pub write_request: fn(&mut HeaderMap, &ForwardedHead<'_>),
     /// Reads the headers of an upstream's response.
     pub read_response: fn(&HeaderMap) -> ResponseHead<'_>,
-    /// Returns a header of an upstream's response that looks like one of the platform's and that
-    /// this version doesn't know.
-    pub unknown_response_header: fn(&HeaderMap) -> Option<&HeaderName>,
+    /// Returns whether a header of an upstream's response looks like one of the platform's that this
+    /// version doesn't know.
+    pub is_unknown_response_header: fn(&HeaderName) -> bool,
     /// Whether a header is forwarded to the upstream even if the caller's `Connection` header
     /// names it.
     pub is_always_forwarded: fn(&HeaderName) -> bool,
