Soak: a request that crashes upstreams while all processes are killed in turn

Real processes, 5 routers and 12 agents. Late are crashes more than 3 s after the third, without those within 3 s of a router's kill; three are allowed.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -32,8 +32,10 @@
 const DRAIN: Duration = Duration::from_millis(2300);
 /// How long a plain upstream stays away.
 const AWAY: Duration = Duration::from_millis(3500);
+/// How long a plain upstream that has crashed takes to start again.
+const RESTART: Duration = Duration::from_millis(700);
 /// Bounds on what routers know hold from so long after a disturbance on.
-const STABLE: Duration = Duration::from_secs(3);
+pub const STABLE: Duration = Duration::from_secs(3);
 /// How soon all is served again once all is mended.
 const RECOVERY: Duration = Duration::from_secs(12);
 const POLL: Duration = Duration::from_millis(10);
@@ -308,6 +310,7 @@
         loop {
             self.undo_due();
             self.watch_processes();
+            self.restart_crashed();
             if Instant::now() >= until {
                 return;
             }
@@ -462,6 +465,34 @@
         self.store.write("servers", &desk.id(), entry);
     }
 
+    /// Starts the plain upstreams that have crashed again, each under another name.
+    fn restart_crashed(&mut self) {
+        for index in 0..self.desks.len() {
+            let desk = &self.desks[index];
+            let is_due = desk
+                .down_since()
+                .is_some_and(|since| since.elapsed() >= RESTART);
+            if is_due {
+                self.lives += 1;
+                self.store.remove("servers", &desk.id());
+                desk.restart(&format!("desk-{index}-{}", self.lives));
+                let entry = desk.entry_at(self.desk_link(index).address);
+                self.store.write("servers", &desk.id(), entry);
+            }
+        }
+    }
+
+    /// When plain upstreams crashed, in order.
+    pub fn crashes(&self) -> Vec<Instant> {
+        let mut crashes: Vec<Instant> = self
+            .desks
+            .iter()
+            .flat_map(UpstreamStandin::crashes)
+            .collect();
+        crashes.sort();
+        crashes
+    }
+
     /// Starts anew what has stopped as planned; what ends otherwise should not have.
     fn watch_processes(&mut self) {
         for process in &mut self.processes {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod checks;
+mod crashing;
 mod fleet;
 mod links;
 mod plan;
@@ -13,7 +14,7 @@
 #[path = "../../platform/tests/support/mod.rs"]
 mod support;
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use callers::{Callers, Calling, HURRIED, Kind};
 use fleet::{Fleet, Size};
@@ -45,6 +46,12 @@
     broken
 }
 
+/// Fleets use the same addresses, and the machine's processors, so one is there at a time.
+fn take_turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Plays a plan; gives what did not hold. The processes' logs are kept if anything did not.
 fn play_plan(
     name: &str,
@@ -52,9 +59,7 @@
     size: Size,
     start_callers: impl Fn(&Fleet) -> Callers,
 ) -> Vec<String> {
-    // Fleets use the same addresses, and the machine's processors.
-    static TURN: Mutex<()> = Mutex::new(());
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let _turn = take_turn();
     let folder =
         std::env::temp_dir().join(format!("celerystair-soak-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder for logs");
@@ -213,3 +218,20 @@
     });
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// The routers that saw the crashes are killed, and so is every agent that heard of them.
+#[test]
+fn a_request_that_crashes_upstreams_stays_refused_while_all_processes_are_killed_in_turn() {
+    let _turn = take_turn();
+    let folder = std::env::temp_dir().join(format!("celerystair-crashing-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for logs");
+    let mut fleet = Fleet::start(DEPLOYED, &folder);
+    let broken = crashing::play(&mut fleet, DEPLOYED.routers, DEPLOYED.engines);
+    fleet.end();
+    assert!(
+        broken.is_empty(),
+        "{broken:#?}; logs in {}",
+        folder.display()
+    );
+    std::fs::remove_dir_all(&folder).expect("the folder goes");
+}
