--- a/crates/celerystair_policy/src/rate_limit.rs
+++ b/crates/celerystair_policy/src/rate_limit.rs
@@ -10,9 +10,10 @@
 
 /// The length of the windows in which the platform counts an upstream's requests.
 pub const WINDOW_SECONDS: f64 = 4.0;
-/// In a window, an upstream gets at most this many times what its limit allows, ...
+/// In a window, an upstream gets at most this many times what its limit allows, and
+/// [`TOLERATED_EXTRA`] requests more.
 pub const TOLERATED_FACTOR: f64 = 1.5;
-/// ... and this many requests more.
+/// See [`TOLERATED_FACTOR`].
 pub const TOLERATED_EXTRA: f64 = 5.0;
 
 /// The share of the tolerance that is used for bursts. The rest covers requests that are delayed on
@@ -41,7 +42,8 @@
 struct Share {
     tokens_per_second: f64,
     tokens_max: f64,
-    /// Whether tokens above the maximum are replaced by new ones, instead of being kept.
+    /// Whether a token that is not used in time is lost, so that the next one comes up at the usual
+    /// time, instead of being kept.
     lapses: bool,
 }
 
