Log streams that end with their connection

A stream that ended left no line, so a stream that was cut off and looked complete could not be told from a whole one, nor an answer without a length or chunks from a framed one, nor an end inside an event from one between two events. No decision changes.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -17,6 +17,7 @@
     connections::{UpstreamConnection, connect},
     dialect::RateLimitHeader,
     elsewhere::SILENCE_RECHECK_MS,
+    framing::{Framing, response_framing},
     front::PlatformRouter,
     request::CallerRequest,
     runs::RunGuard,
@@ -29,6 +30,8 @@
     pub head: http::response::Parts,
     /// The rest of the body.
     pub body: Incoming,
+    /// How the end of the body is marked.
+    pub framing: Framing,
     /// The connection that the response arrives on.
     pub connection: UpstreamConnection,
     /// Keeps the request counted as in flight at the upstream.
@@ -119,6 +122,7 @@
         return Err(failure.into());
     }
     let started = StartedResponse {
+        framing: response_framing(&request.method, &head),
         head,
         body,
         connection,
@@ -335,6 +339,7 @@
     let StartedResponse {
         head,
         mut body,
+        framing: _,
         connection,
         in_flight,
         upstream,
--- a/crates/celerystair_front/src/events.rs
+++ b/crates/celerystair_front/src/events.rs
@@ -36,6 +36,11 @@
         self.last_id
     }
 
+    /// Returns the number of bytes after the last whole event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Removes and returns the bytes after the last whole event.
     pub fn take_rest(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`dialect`] | reading and writing a platform's headers |
 //! | [`elsewhere`] | whether a request to a silent upstream moves to another one |
 //! | [`events`] | splitting a stream into whole server-sent events |
+//! | [`framing`] | how the end of an upstream's response is marked |
 //! | [`front`] | the router's state, start-up and graceful shutdown |
 //! | [`log`] | a log line for each decision about a request |
 //! | [`pick`] | picking the upstream for a request |
@@ -36,6 +37,7 @@
 pub mod dialect;
 pub mod elsewhere;
 pub mod events;
+pub mod framing;
 pub mod front;
 pub mod log;
 pub mod pick;
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -46,6 +46,21 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs that a stream without a length or chunks ended with its connection, and how many bytes
+    /// came after its last whole event.
+    pub fn log_stream_ended_with_connection(
+        &self,
+        request: &CallerRequest,
+        upstream: &UpstreamId,
+        partial_bytes: usize,
+        last_event_id: Option<u64>,
+    ) {
+        info!(self.log, "stream_ended_with_connection"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream,
+            "partial_bytes" => partial_bytes, "last_event_id" => last_event_id,
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a request's upstream was lost while it ran the request.
     pub fn log_request_suspected(
         &self,
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -14,6 +14,7 @@
     attempt::{StartedResponse, response_headers},
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     events::EventSplitter,
+    framing::Framing,
     front::PlatformRouter,
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
 };
@@ -131,6 +132,7 @@
                 return StreamPart::Broken(AttemptFailure::InvalidAnswer);
             }
         }
+        self.log_if_ended_with_connection();
         // A complete response may end without a blank line after its last event.
         let rest = self.events.take_rest();
         if rest.is_empty() {
@@ -140,6 +142,23 @@
         }
     }
 
+    /// Logs the end of a stream that only the end of its connection marks.
+    fn log_if_ended_with_connection(&self) {
+        let Some(started) = &self.started else {
+            return;
+        };
+        if started.framing == Framing::Connection {
+            let partial_bytes = self.events.partial_bytes();
+            let id = started.upstream.id();
+            self.router.log_stream_ended_with_connection(
+                &self.request,
+                &id,
+                partial_bytes,
+                self.events.last_id(),
+            );
+        }
+    }
+
     /// Returns whether the stalled stream should resume at another upstream.
     fn should_switch_upstream(&self) -> bool {
         let Progress {
