--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -8,6 +8,7 @@
     support::{
         Fault,
         system::{ENGINE_SERVICE, PLAIN_SERVICE},
+        upstream::Unframed,
     },
 };
 
@@ -88,7 +89,7 @@
     Fault::Fail,
     Fault::Cut,
     Fault::Extra,
-    Fault::Unframed,
+    Fault::Unframed(Unframed::Whole),
     Fault::Pause,
 ];
 
