Treat a stream that ends inside an event as broken off

Cause: a stream with neither a length nor chunks ends with its connection. When the connection was closed in order, the HTTP library reports a complete body, and the relay passed the bytes after the last whole event on and ended the caller's response. Class: an end that only the transport marks is taken for an end that the sender marked.

Why it works: the scanner knows after each byte whether an event is open, with LF, CR LF and CR, across reads, held back or passed on. An end inside an event takes the way of a lost answer: health, suspicion, retry budget, and the resumed run after the last whole event, or an aborted response. This holds for framed streams too, as clients discard an event without its blank line. A stream that is framed by its connection and has no event at all is broken too. Streams of another content type are passed on as they are and don't resume, as they have no event ids.

--- a/crates/celerystair_front/src/events.rs
+++ b/crates/celerystair_front/src/events.rs
@@ -1,13 +1,87 @@
-//! Splitting a stream of server-sent events into whole events.
+//! Finding where the events of a stream end, and splitting the stream into whole ones.
 
 use bytes::{Bytes, BytesMut};
 
 /// The longest event that is buffered.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
 
+/// Follows the lines of an event stream to tell whether an event has begun and not ended. A line ends
+/// with LF, CR LF or CR, and an event with an empty line.
+#[derive(Clone, Debug, Default)]
+pub struct EventScanner {
+    line: Line,
+    /// Whether a field of the current event has been read.
+    has_field: bool,
+    /// Whether the last byte was a CR: an LF after it belongs to the same line end.
+    is_after_cr: bool,
+    has_event: bool,
+}
+
+/// What the current line has so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+impl EventScanner {
+    /// Reads more of the stream. Returns the number of these bytes after which the stream was last
+    /// between two events.
+    pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (index, byte) in bytes.iter().enumerate() {
+            let is_second_of_cr_lf = *byte == b'\n' && self.is_after_cr;
+            self.is_after_cr = *byte == b'\r';
+            match byte {
+                b'\n' if is_second_of_cr_lf => {}
+                b'\n' | b'\r' => self.end_line(),
+                b':' if self.line == Line::Empty => self.line = Line::Comment,
+                _ if self.line == Line::Empty => self.line = Line::Field,
+                _ => {}
+            }
+            if self.is_between_events() {
+                end = Some(index + 1);
+            }
+        }
+        end
+    }
+
+    fn end_line(&mut self) {
+        match std::mem::take(&mut self.line) {
+            Line::Empty => {
+                self.has_event |= self.has_field;
+                self.has_field = false;
+            }
+            Line::Comment => {}
+            Line::Field => self.has_field = true,
+        }
+    }
+
+    /// Returns whether no event has begun that hasn't ended.
+    pub fn is_between_events(&self) -> bool {
+        self.line == Line::Empty && !self.has_field
+    }
+
+    /// Returns whether an event has ended.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// Forgets the event that has begun.
+    fn drop_partial(&mut self) {
+        *self = Self {
+            has_event: self.has_event,
+            ..Self::default()
+        };
+    }
+}
+
 /// Buffers the bytes of a stream and returns them in whole events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     partial: BytesMut,
     last_id: Option<u64>,
 }
@@ -15,17 +89,26 @@
 impl EventSplitter {
     /// Appends bytes and returns all events that are now complete, as one piece.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        // The blank line that ends an event may begin in the bytes that are already buffered.
-        let search_from = self.partial.len().saturating_sub(3);
+        let buffered_bytes = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let end = last_event_end(&self.partial, search_from)?;
-        let whole = self.partial.split_to(end).freeze();
+        let end = self.scanner.scan(bytes)?;
+        let whole = self.partial.split_to(buffered_bytes + end).freeze();
         if let Some(id) = last_id(&whole) {
             self.last_id = Some(id);
         }
         Some(whole)
     }
 
+    /// Reads bytes that are passed on as they are.
+    pub fn observe(&mut self, bytes: &[u8]) {
+        self.scanner.scan(bytes);
+    }
+
+    /// Returns where in its events the stream is.
+    pub fn scanner(&self) -> &EventScanner {
+        &self.scanner
+    }
+
     /// Returns whether the event that has begun is longer than any that is buffered.
     pub fn is_event_too_long(&self) -> bool {
         self.partial.len() > EVENT_MAX_BYTES
@@ -36,37 +119,21 @@
         self.last_id
     }
 
-    /// Returns the number of bytes after the last whole event.
+    /// Returns the number of buffered bytes after the last whole event.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
     }
 
-    /// Removes and returns the bytes after the last whole event.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
     /// Discards the bytes after the last whole event; the next upstream sends that event again.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
+        self.scanner.drop_partial();
     }
 }
 
-/// Returns the index just after the last whole event.
-fn last_event_end(bytes: &[u8], search_from: usize) -> Option<usize> {
-    let ends_at = |index: usize| {
-        let tail = &bytes[search_from.min(index)..=index];
-        tail.ends_with(b"\n\n") || tail.ends_with(b"\n\r\n")
-    };
-    (search_from..bytes.len())
-        .rev()
-        .find(|index| bytes[*index] == b'\n' && ends_at(*index))
-        .map(|index| index + 1)
-}
-
 /// Returns the id of the last event that has one.
 fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let id = std::str::from_utf8(ids.next()?).ok()?;
     id.trim().parse().ok()
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -11,8 +11,8 @@
 //! | [`demand`] | gossip with agents: demand sent, engine status received |
 //! | [`dialect`] | reading and writing a platform's headers |
 //! | [`elsewhere`] | whether a request to a silent upstream moves to another one |
-//! | [`events`] | splitting a stream into whole server-sent events |
-//! | [`framing`] | how the end of an upstream's response is marked |
+//! | [`events`] | finding where the events of a stream end |
+//! | [`framing`] | how an upstream's response is framed, and what its body consists of |
 //! | [`front`] | the router's state, start-up and graceful shutdown |
 //! | [`log`] | a log line for each decision about a request |
 //! | [`pick`] | picking the upstream for a request |
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -14,7 +14,7 @@
     attempt::{StartedResponse, response_headers},
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     events::EventSplitter,
-    framing::Framing,
+    framing::{Framing, is_event_stream},
     front::PlatformRouter,
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
 };
@@ -31,6 +31,8 @@
     progress: Progress,
     /// The current upstream's response; `None` once the stream has ended.
     started: Option<StartedResponse>,
+    /// Whether the response consists of events. Other responses are passed on as they are.
+    is_event_stream: bool,
     events: EventSplitter,
 }
 
@@ -58,6 +60,7 @@
         request,
         service,
         progress,
+        is_event_stream: is_event_stream(&started.head.headers),
         started: Some(started),
         events: EventSplitter::default(),
     };
@@ -94,7 +97,7 @@
     }
 
     async fn next_part(&mut self) -> StreamPart {
-        let can_resume = self.request.route.can_resume;
+        let can_resume = self.can_resume();
         let mut silence_ms = STALL_MS;
         loop {
             let left_ms = remaining_ms(self.request.deadline_unix_ms);
@@ -123,6 +126,7 @@
                 },
             };
             if !can_resume {
+                self.events.observe(&data);
                 return StreamPart::Bytes(data);
             }
             if let Some(events) = self.events.push(&data) {
@@ -133,13 +137,28 @@
             }
         }
         self.log_if_ended_with_connection();
-        // A complete response may end without a blank line after its last event.
-        let rest = self.events.take_rest();
-        if rest.is_empty() {
-            StreamPart::End
+        if self.is_cut_off() {
+            StreamPart::Broken(AttemptFailure::AnswerLost)
         } else {
-            StreamPart::Bytes(rest)
+            StreamPart::End
+        }
+    }
+
+    fn can_resume(&self) -> bool {
+        self.request.route.can_resume && self.is_event_stream
+    }
+
+    /// Returns whether the response is incomplete although it has ended as HTTP requires. A client
+    /// discards an event without its blank line.
+    fn is_cut_off(&self) -> bool {
+        if !self.is_event_stream {
+            return false;
         }
+        let scanner = self.events.scanner();
+        let is_resumed = self.request.head.last_event_id.is_some();
+        let framing = self.started.as_ref().map(|started| started.framing);
+        let is_empty = !scanner.has_event() && !is_resumed;
+        !scanner.is_between_events() || is_empty && framing == Some(Framing::Connection)
     }
 
     /// Logs the end of a stream that only the end of its connection marks.
@@ -206,7 +225,7 @@
         self.router
             .log_stream_broken(&self.request, &upstream.id(), failure);
         let has_attempts_left = self.progress.reached_upstreams < self.request.route.attempts_max;
-        if !self.request.route.can_resume || !has_time || !has_attempts_left {
+        if !self.can_resume() || !has_time || !has_attempts_left {
             return false;
         }
         self.progress.may_have_run = true;
@@ -221,7 +240,7 @@
         )
         .await;
         match resumed {
-            Ok(UpstreamResponse::Started(started)) => {
+            Ok(UpstreamResponse::Started(started)) if is_event_stream(&started.head.headers) => {
                 self.started = Some(started);
                 true
             }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -81,7 +81,7 @@
 
 /// The shortest and longest pause between two steps.
 const PAUSE_MS: (u64, u64) = (20, 700);
-const UPSTREAM_FAULTS: [Fault; 9] = [
+const UPSTREAM_FAULTS: [Fault; 12] = [
     Fault::Decline,
     Fault::LoseAnswer,
     Fault::CrossAnswer,
@@ -90,6 +90,9 @@
     Fault::Cut,
     Fault::Extra,
     Fault::Unframed(Unframed::Whole),
+    Fault::Unframed(Unframed::Empty),
+    Fault::Unframed(Unframed::InsideEvent),
+    Fault::Unframed(Unframed::Reset),
     Fault::Pause,
 ];
 
