Resume a stream that ends between events together with its engine

What callers would see: a stream without a length or chunks that has fewer events than its answer, and looks complete, because its engine's process ended. An engine writes whole events, so its end most often falls between two.

The kernel closes a dead process's connections in order, and between events the bytes don't show it. Evidence: a_stream_that_ends_between_events_with_its_engine_resumes failed before.

Why it works: the router opens the connection that replaces the closed one. If it is refused, the engine has gone with its stream, which resumes after its last event; if it is accepted, it serves the next request. It is asked only for streams that may resume, at upstreams that aren't draining, so a wrong guess costs one resumed run without events. Not changed: other answers without a length, which are complete by the protocol when their connection is closed in order; and streams of which an engine that lives on broke off a part between events, which nothing shows.

--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -8,10 +8,12 @@
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
 use futures_util::stream;
+use http::HeaderMap;
 use http_body_util::BodyExt;
 
 use crate::{
     attempt::{StartedResponse, response_headers},
+    connections::connect,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     events::EventSplitter,
     framing::{Framing, is_event_stream},
@@ -137,7 +139,7 @@
             }
         }
         self.log_if_ended_with_connection();
-        if self.is_cut_off() {
+        if self.is_cut_off() || self.has_ended_with_upstream().await {
             StreamPart::Broken(AttemptFailure::AnswerLost)
         } else {
             StreamPart::End
@@ -161,6 +163,34 @@
         !scanner.is_between_events() || is_empty && framing == Some(Framing::Connection)
     }
 
+    /// Returns whether the upstream itself has ended with a stream that only its connection frames,
+    /// by opening the connection that replaces the closed one. A draining upstream also refuses
+    /// connections, after its last streams. Asked only where a wrong answer costs no more than a
+    /// resumed run after the last event.
+    async fn has_ended_with_upstream(&self) -> bool {
+        let Some(started) = &self.started else {
+            return false;
+        };
+        let upstream = &started.upstream;
+        let (address, state) = {
+            let entry = upstream.entry.borrow();
+            (entry.address, entry.state)
+        };
+        let is_in_doubt = self.can_resume()
+            && started.framing == Framing::Connection
+            && state == UpstreamState::Ready;
+        if !is_in_doubt {
+            return false;
+        }
+        match connect(address).await {
+            Some(connection) => {
+                upstream.connections.keep(connection, &HeaderMap::new());
+                false
+            }
+            None => true,
+        }
+    }
+
     /// Logs the end of a stream that only the end of its connection marks.
     fn log_if_ended_with_connection(&self) {
         let Some(started) = &self.started else {
