Treat a JSON answer whose end is missing as lost

What callers would see: half a JSON document with 200, as a complete answer, when the upstream broke off an answer without a length or chunks.

Evidence: a_json_answer_without_framing_that_is_cut_is_read_again failed before.

Why it works: of an answer that says it is JSON and ends with its connection, the router checks that the document has its end. Only a missing end counts, not other errors in it: those are the upstream's own answer. A read goes to another upstream, a write that may have run is answered 502. Answers of other types without a length stay complete when their connection is closed in order.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -17,7 +17,7 @@
     connections::{UpstreamConnection, connect},
     dialect::RateLimitHeader,
     elsewhere::SILENCE_RECHECK_MS,
-    framing::{Framing, response_framing},
+    framing::{Framing, is_cut_json, response_framing},
     front::PlatformRouter,
     request::CallerRequest,
     runs::RunGuard,
@@ -339,7 +339,7 @@
     let StartedResponse {
         head,
         mut body,
-        framing: _,
+        framing,
         connection,
         in_flight,
         upstream,
@@ -360,6 +360,9 @@
                 bytes.extend_from_slice(&data);
             }
         }
+        if is_cut_json(framing, &head.headers, &bytes) {
+            return Err(AttemptFailure::AnswerLost);
+        }
         Ok(bytes.freeze())
     };
     let bytes = before_deadline(deadline_unix_ms, reading)
--- a/crates/celerystair_front/src/framing.rs
+++ b/crates/celerystair_front/src/framing.rs
@@ -1,6 +1,7 @@
 //! How an upstream's response is framed, and what its body consists of.
 
-use http::{HeaderMap, Method, StatusCode, header, response::Parts};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header, response::Parts};
+use serde::de::IgnoredAny;
 
 /// How the end of a response's body is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -14,12 +15,22 @@
 
 /// Returns whether a response on a stream route is an event stream, as it is without a content type.
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
-    const EVENT_STREAM: &[u8] = b"text/event-stream";
+    headers
+        .get(header::CONTENT_TYPE)
+        .is_none_or(|content_type| has_media_type(content_type, b"text/event-stream"))
+}
+
+/// Returns whether a response that ends with its connection is a JSON document with its end missing.
+pub fn is_cut_json(framing: Framing, headers: &HeaderMap, body: &[u8]) -> bool {
     let content_type = headers.get(header::CONTENT_TYPE);
-    content_type.is_none_or(|value| {
-        let media_type = value.as_bytes().get(..EVENT_STREAM.len());
-        media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case(EVENT_STREAM))
-    })
+    framing == Framing::Connection
+        && content_type.is_some_and(|value| has_media_type(value, b"application/json"))
+        && serde_json::from_slice::<IgnoredAny>(body).is_err_and(|error| error.is_eof())
+}
+
+fn has_media_type(content_type: &HeaderValue, media_type: &[u8]) -> bool {
+    let start = content_type.as_bytes().get(..media_type.len());
+    start.is_some_and(|start| start.eq_ignore_ascii_case(media_type))
 }
 
 /// Returns how the response to a request with this method is framed.
