Log the prompt's parts and the age of the response of lost answers

Requests that are not alike could not be joined by a part of the prompt that they share, and a request that had been answered for long when its engine ended looked like the one that ended it.

--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -1,6 +1,9 @@
 //! Reading and writing a platform's headers.
 
+use std::rc::Rc;
+
 use celerystair_core::prelude::*;
+use celerystair_policy::prelude::*;
 use http::{HeaderMap, HeaderName};
 use thiserror::Error;
 
@@ -48,10 +51,21 @@
     pub model: Option<ModelRef>,
     /// Number of prompt tokens; 0 if the caller does not state it.
     pub prompt_tokens: u64,
+    /// The parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Rc<[PromptPart]>,
     /// The id of the event after which the stream resumes.
     pub last_event_id: Option<u64>,
 }
 
+/// A part of a prompt, such as a system prompt, that several requests share.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// Identifies the part in reports to other processes.
+    pub id: PromptPartId,
+    /// The identifier that the caller gives it.
+    pub name: String,
+}
+
 /// The headers that a router sets on a forwarded request.
 #[derive(Clone, Copy, Debug)]
 pub struct ForwardedHead<'a> {
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -6,7 +6,8 @@
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    front::PlatformRouter, pick::WaitReason, request::CallerRequest, runs::Run, upstream::Upstream,
+    dialect::PromptPart, front::PlatformRouter, pick::WaitReason, request::CallerRequest,
+    runs::Run, upstream::Upstream,
 };
 
 /// The most unknown headers that are logged: their names are the upstreams' choice.
@@ -61,17 +62,21 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
-    /// Logs that a request's upstream was lost while it ran the request.
+    /// Logs that a request's upstream was lost while it ran the request, and since when the response
+    /// had been coming: a request that crashes its upstream does so when the response begins.
     pub fn log_request_suspected(
         &self,
         run: &Run,
         incarnation: &UpstreamIncarnation,
         crashes: u32,
     ) {
+        let now = now_unix_ms();
         info!(self.log, "request_suspected"; "request" => %run.request,
             "route" => &run.route.name, "fingerprint" => hex(run.fingerprint),
             "upstream" => %incarnation.upstream, "born_unix_ms" => incarnation.started_unix_ms,
-            "crashes" => crashes, "sent_ms_ago" => now_unix_ms().saturating_sub(run.sent_unix_ms));
+            "crashes" => crashes, "sent_ms_ago" => now.saturating_sub(run.sent_unix_ms),
+            "writing_ms" => run.writing_since_unix_ms.map(|since| now.saturating_sub(since)),
+            "parts" => part_names(&run.prompt_parts));
     }
 
     /// Logs that other processes know of crashes of a request that this router didn't know.
@@ -199,6 +204,12 @@
     }
 }
 
+/// Formats the parts of a prompt, by which the lines of unlike requests can be joined.
+fn part_names(parts: &[PromptPart]) -> String {
+    let names: Vec<&str> = parts.iter().map(|part| part.name.as_str()).collect();
+    names.join(",")
+}
+
 /// Formats a fingerprint, by which the lines of a request's retries with other ids can be joined.
 fn hex(fingerprint: u64) -> String {
     format!("{fingerprint:016x}")
--- a/crates/celerystair_front/src/runs.rs
+++ b/crates/celerystair_front/src/runs.rs
@@ -5,7 +5,9 @@
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
 
-use crate::{front::PlatformRouter, request::CallerRequest, upstream::Upstream};
+use crate::{
+    dialect::PromptPart, front::PlatformRouter, request::CallerRequest, upstream::Upstream,
+};
 
 /// How long a run without an answer is remembered: an incarnation that crashes without closing its
 /// connections leaves the list of upstreams within a few seconds.
@@ -24,8 +26,12 @@
     pub fingerprint: u64,
     /// The upstream that the request was sent to.
     pub upstream: Rc<Upstream>,
+    /// The parts of the request's prompt that other requests may share.
+    pub prompt_parts: Rc<[PromptPart]>,
     /// When the request was sent.
     pub sent_unix_ms: u64,
+    /// When the first part of the response had arrived; `None` before that.
+    pub writing_since_unix_ms: Option<u64>,
 }
 
 /// A run in progress. When it is dropped without an outcome, because the router gave up on the
@@ -49,11 +55,20 @@
                 route: request.route.clone(),
                 fingerprint: request.fingerprint,
                 upstream: upstream.clone(),
+                prompt_parts: request.head.prompt_parts.clone(),
                 sent_unix_ms: now_unix_ms(),
+                writing_since_unix_ms: None,
             }),
         }
     }
 
+    /// Records that a part of the response has arrived.
+    pub fn mark_writing(&mut self) {
+        if let Some(run) = &mut self.run {
+            run.writing_since_unix_ms.get_or_insert_with(now_unix_ms);
+        }
+    }
+
     /// Ends the run: the upstream answered, or never received the request.
     pub fn finish(&mut self) {
         self.run = None;
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -129,9 +129,11 @@
             };
             if !can_resume {
                 self.events.observe(&data);
+                self.mark_writing();
                 return StreamPart::Bytes(data);
             }
             if let Some(events) = self.events.push(&data) {
+                self.mark_writing();
                 return StreamPart::Bytes(events);
             }
             if self.events.is_event_too_long() {
@@ -146,6 +148,12 @@
         }
     }
 
+    fn mark_writing(&mut self) {
+        if let Some(started) = &mut self.started {
+            started.run.mark_writing();
+        }
+    }
+
     fn can_resume(&self) -> bool {
         self.request.route.can_resume && self.is_event_stream
     }
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`fleet`] | nothing: types of the configuration and the upstreams |
 //! | [`health`] | which upstreams are avoided for a while after failures |
 //! | [`outcome`] | what happens to a request after a failed attempt |
+//! | [`prompt_parts`] | which parts of prompts are refused because they crash upstreams |
 //! | [`rate_limit`] | a router's share of the rate limit that an upstream names |
 //! | [`replicas`] | which model an engine loads next, and which ones are evicted for it |
 //! | [`routes`] | which route a request takes |
@@ -34,6 +35,7 @@
 pub mod fleet;
 pub mod health;
 pub mod outcome;
+pub mod prompt_parts;
 pub mod rate_limit;
 pub mod replicas;
 pub mod routes;
@@ -57,6 +59,7 @@
         },
         health::UpstreamHealth,
         outcome::{AttemptFailure, NextStep, next_step},
+        prompt_parts::PromptPartId,
         rate_limit::RateLimit,
         replicas::{EngineView, ModelView, Order, next_order},
         routes::{RouteTable, choose_service},
