--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -467,28 +467,34 @@
 
     /// Starts the plain upstreams that have crashed again, each under another name.
     fn restart_crashed(&mut self) {
-        for index in 0..self.desks.len() {
-            let desk = &self.desks[index];
-            let is_due = desk
+        for index in 0..self.size.upstreams() {
+            let upstream = self.upstream(index);
+            let is_due = upstream
                 .down_since()
                 .is_some_and(|since| since.elapsed() >= RESTART);
             if is_due {
                 self.lives += 1;
-                self.store.remove("servers", &desk.id());
-                desk.restart(&format!("desk-{index}-{}", self.lives));
-                let entry = desk.entry_at(self.desk_link(index).address);
-                self.store.write("servers", &desk.id(), entry);
+                let upstream = self.upstream(index);
+                self.store.remove("servers", &upstream.id());
+                upstream.restart(&format!("upstream-{index}-{}", self.lives));
+                let link = &self.links[self.size.processes() + index];
+                let entry = upstream.entry_at(link.address);
+                self.store.write("servers", &upstream.id(), entry);
             }
         }
     }
 
-    /// When plain upstreams crashed, in order.
+    /// Sets the part of prompts at which engines crash.
+    pub fn set_crashing_part(&self, part: &str) {
+        for engine in &self.engines {
+            engine.set_crashing_part(part);
+        }
+    }
+
+    /// When upstreams crashed, in order.
     pub fn crashes(&self) -> Vec<Instant> {
-        let mut crashes: Vec<Instant> = self
-            .desks
-            .iter()
-            .flat_map(UpstreamStandin::crashes)
-            .collect();
+        let upstreams = self.engines.iter().chain(&self.desks);
+        let mut crashes: Vec<Instant> = upstreams.flat_map(UpstreamStandin::crashes).collect();
         crashes.sort();
         crashes
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,6 +17,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use callers::{Callers, Calling, HURRIED, Kind};
+use crashing::Cause;
 use fleet::{Fleet, Size};
 use plan::{Plan, Step};
 use support::{Fault, system::PLAIN_SERVICE};
@@ -222,11 +223,21 @@
 /// The routers that saw the crashes are killed, and so is every agent that heard of them.
 #[test]
 fn a_request_that_crashes_upstreams_stays_refused_while_all_processes_are_killed_in_turn() {
+    play_crashes("crashing-request", Cause::Request);
+}
+
+/// The same with requests that are not alike.
+#[test]
+fn a_prompt_part_that_crashes_engines_stays_refused_while_all_processes_are_killed_in_turn() {
+    play_crashes("crashing-part", Cause::PromptPart);
+}
+
+fn play_crashes(name: &str, cause: Cause) {
     let _turn = take_turn();
-    let folder = std::env::temp_dir().join(format!("celerystair-crashing-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("celerystair-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder for logs");
     let mut fleet = Fleet::start(DEPLOYED, &folder);
-    let broken = crashing::play(&mut fleet, DEPLOYED.routers, DEPLOYED.engines);
+    let broken = crashing::play(&mut fleet, cause, DEPLOYED.routers, DEPLOYED.engines);
     fleet.end();
     assert!(
         broken.is_empty(),
