Send nothing more to an upstream that says it leaves

What callers would see: the users' pages say since today that all answers of a leaving server bear Server-Leaving: 1, and that no request sent DrainMs after a router has passed one on may reach it from that router, in touch or not (DRAIN). Nothing read the header: while the store was away, requests went on to an upstream that had said it leaves.

The adapter decodes it, celerystair_policy makes one state of it and of the list's, and all that asks for the state of an upstream goes by that: first attempts, retries, resumed streams and requests that wait. It ends with the incarnation.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -118,7 +118,7 @@
         upstream.update_health(|health| health.record_failure(is_certain, now_unix_ms()));
     })?;
     let (head, body) = response.into_parts();
-    record_rate_limit(router, request, upstream, &head, sent_unix_ms);
+    record_announcements(router, request, upstream, &head, sent_unix_ms);
     let checked = check_response_head(router, request, &upstream.id(), &head);
     if matches!(
         checked,
@@ -266,9 +266,9 @@
     Ok(())
 }
 
-/// Records the rate limit that the response names, or that it names none any more, if the response
-/// is the upstream's own.
-fn record_rate_limit(
+/// Records what the upstream says of itself in the response, if the response is its own: that it
+/// leaves, and the rate limit that it names, or that it names none any more.
+fn record_announcements(
     router: &PlatformRouter,
     request: &CallerRequest,
     upstream: &Upstream,
@@ -287,6 +287,10 @@
         return;
     }
     let now = now_unix_ms();
+    let is_authentic = response_head.is_sealed || response_head.is_not_run;
+    if response_head.is_leaving && is_authentic && !upstream.has_announced_departure.replace(true) {
+        router.log_departure(upstream);
+    }
     match response_head.rate_limit {
         RateLimitHeader::PerSecond(per_second) => {
             if upstream.set_rate_limit(per_second, now) {
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -93,6 +93,8 @@
     pub upstream: Option<&'a str>,
     /// The rate limit that the upstream names.
     pub rate_limit: RateLimitHeader,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// The rate limit in the headers of an upstream's response.
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -107,6 +107,12 @@
             "crashes" => crashes);
     }
 
+    /// Logs that an upstream has said in a response that it leaves.
+    pub fn log_departure(&self, upstream: &Upstream) {
+        info!(self.log, "upstream_leaves"; "upstream" => %upstream.id(),
+            "in_flight" => upstream.in_flight());
+    }
+
     /// Logs that an upstream has named a rate limit, or names none any more.
     pub fn log_rate_limit(&self, upstream: &Upstream, per_second: Option<f64>) {
         info!(self.log, "upstream_limit"; "upstream" => %upstream.id(),
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -131,8 +131,8 @@
 }
 
 fn is_usable(upstream: &Upstream, tried: &[UpstreamId]) -> bool {
-    let entry = upstream.entry.borrow();
-    entry.state == UpstreamState::Ready && !upstream.is_replaced() && !tried.contains(&entry.id)
+    let is_ready = upstream.state() == UpstreamState::Ready && !upstream.is_replaced();
+    is_ready && !tried.contains(&upstream.entry.borrow().id)
 }
 
 /// Returns the gossiped status of this incarnation of the upstream, and none of an earlier one.
--- a/crates/celerystair_front/src/runs.rs
+++ b/crates/celerystair_front/src/runs.rs
@@ -149,7 +149,7 @@
 /// Records a crash for each run without an answer whose upstream has ended since without notice.
 pub fn record_silent_crashes(router: &PlatformRouter) {
     let has_crashed = |upstream: &Upstream| {
-        let is_leaving = upstream.entry.borrow().state == UpstreamState::Draining;
+        let is_leaving = upstream.state() == UpstreamState::Draining;
         !is_leaving && router.view.has_ended(upstream)
     };
     let mut unanswered = router.unanswered_runs.borrow_mut();
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -195,11 +195,8 @@
             return StreamEnd::Proven;
         }
         let upstream = &started.upstream;
-        let (address, state) = {
-            let entry = upstream.entry.borrow();
-            (entry.address, entry.state)
-        };
-        if state != UpstreamState::Ready {
+        let address = upstream.entry.borrow().address;
+        if upstream.state() != UpstreamState::Ready {
             return StreamEnd::Unproven;
         }
         match connect(address).await {
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -42,6 +42,8 @@
     pub is_misdirected: Cell<bool>,
     /// Whether the store lists a later upstream at the same address.
     pub is_superseded: Cell<bool>,
+    /// Whether the upstream has said in a response that it leaves.
+    pub has_announced_departure: Cell<bool>,
     /// The rate limit that the upstream has named.
     pub rate_limit: Cell<Option<NamedRateLimit>>,
     in_flight: Cell<u32>,
@@ -63,6 +65,7 @@
             health: Cell::default(),
             is_misdirected: Cell::new(false),
             is_superseded: Cell::new(false),
+            has_announced_departure: Cell::new(false),
             rate_limit: Cell::default(),
             in_flight: Cell::new(0),
             in_flight_by_model: RefCell::default(),
@@ -86,6 +89,12 @@
         }
     }
 
+    /// Returns whether the upstream takes new requests, by its entry and its own responses.
+    pub fn state(&self) -> UpstreamState {
+        let listed = self.entry.borrow().state;
+        upstream_state(listed, self.has_announced_departure.get())
+    }
+
     /// Returns whether another upstream now has this one's address.
     pub fn is_replaced(&self) -> bool {
         self.is_misdirected.get() || self.is_superseded.get()
--- a/crates/celerystair_policy/src/departures.rs
+++ b/crates/celerystair_policy/src/departures.rs
@@ -9,7 +9,7 @@
 
 use celerystair_core::prelude::*;
 
-use crate::fleet::UpstreamEntry;
+use crate::fleet::{UpstreamEntry, UpstreamState};
 
 /// An entry that expired in an outage reappears within this time of the store's recovery if its
 /// upstream is alive, as the platform specifies.
@@ -17,6 +17,16 @@
 /// No entry expires in an outage that is shorter than this.
 const OUTAGE_MIN_MS: u64 = 1000;
 
+/// Returns whether an upstream takes new requests, by its entry in the list and by whether it has said
+/// itself that it leaves. What it says holds until its process ends, also while the list can't be read.
+pub fn upstream_state(listed: UpstreamState, has_announced_departure: bool) -> UpstreamState {
+    if has_announced_departure {
+        UpstreamState::Draining
+    } else {
+        listed
+    }
+}
+
 /// Upstreams that are missing from the list, each with a grace period in which it may reappear.
 #[derive(Clone, Debug, Default)]
 pub struct MissingUpstreams {
