Tell routers and agents of an engine that says it leaves

A router that has heard it names the engine's incarnation in its demand; the engine's agent takes no more orders to it, other agents plan without it, and its status tells the routers that have not heard it yet. An agent whose engine's report says that it drains tells the same.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -178,12 +178,25 @@
 
 impl EngineAgent {
     /// Whether the agent can currently send orders: it holds a fencing token, and its engine is
-    /// listed, responds and isn't draining.
+    /// listed, responds and isn't leaving.
     pub fn can_send_orders(&self) -> bool {
         self.fence.get().is_some()
             && self.report_failures.get() == 0
             && self.upstream_id.borrow().is_some()
-            && !self.engine_state.borrow().is_draining
+            && !self.is_engine_leaving()
+    }
+
+    /// Whether the engine has said to this agent or to a router that it leaves.
+    pub fn is_engine_leaving(&self) -> bool {
+        let state = self.engine_state.borrow();
+        let Some(upstream) = self.upstream_id.borrow().clone() else {
+            return state.is_draining;
+        };
+        let incarnation = UpstreamIncarnation {
+            upstream,
+            started_unix_ms: state.started_unix_ms,
+        };
+        state.is_draining || self.router_demand.is_leaving(&incarnation)
     }
 
     /// Records the adapters that a router's requests wait for or have used.
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -176,6 +176,7 @@
         on_disk: state.on_disk.clone(),
         router_count: agent.router_demand.router_count() as u32,
         takes_orders: agent.can_send_orders(),
+        is_leaving: agent.is_engine_leaving(),
         received_unix_ms: now_unix_ms,
         address: match agent.settings.gossip_listen.ip() {
             IpAddr::V4(address) => address,
--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -288,8 +288,8 @@
     }
     let now = now_unix_ms();
     let is_authentic = response_head.is_sealed || response_head.is_not_run;
-    if response_head.is_leaving && is_authentic && !upstream.has_announced_departure.replace(true) {
-        router.log_departure(upstream);
+    if response_head.is_leaving && is_authentic {
+        router.record_departure(upstream);
     }
     match response_head.rate_limit {
         RateLimitHeader::PerSecond(per_second) => {
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -81,6 +81,7 @@
         agents: group_by_domain(&peers),
         failure_domain: router.settings.failure_domain.clone(),
         rate_limits: recent_rate_limits(engines, now),
+        leaving: leaving_upstreams(engines),
         address: router.settings.gossip_listen,
         received_unix_ms: now,
     });
@@ -99,6 +100,14 @@
     limits.collect()
 }
 
+/// Returns the engines that have said that they leave.
+fn leaving_upstreams(engines: &[Rc<Upstream>]) -> Vec<UpstreamIncarnation> {
+    let leaving = engines
+        .iter()
+        .filter(|engine| engine.has_announced_departure.get());
+    leaving.map(|engine| engine.incarnation()).collect()
+}
+
 /// Sends each agent the adapters that requests wait for, or have recently used, at its engine. In a
 /// regular round all agents are sent theirs, at other times only those with an unreported adapter.
 async fn send_wanted_adapters(
@@ -182,6 +191,9 @@
                 ..
             }) => {
                 router.record_router_count(status.router_count, &status.upstream);
+                if status.is_leaving {
+                    record_departure(&router, &status);
+                }
                 let before = router.engines.get(&status.upstream);
                 if router.engines.insert_if_newer(status.clone()) {
                     wake_changed_models(&router, before.as_deref(), &status);
@@ -212,6 +224,16 @@
     }
 }
 
+/// Records that an engine leaves, as its agent has heard from it or from a router.
+fn record_departure(router: &PlatformRouter, status: &EngineStatus) {
+    let upstream = router.view.upstream(&status.upstream);
+    let upstream = upstream
+        .filter(|upstream| upstream.incarnation().started_unix_ms == status.started_unix_ms);
+    if let Some(upstream) = upstream {
+        router.record_departure(&upstream);
+    }
+}
+
 /// Wakes the requests that wait for a model whose replica at the engine has changed.
 fn wake_changed_models(
     router: &PlatformRouter,
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -244,6 +244,14 @@
         }
     }
 
+    /// Records that the upstream leaves, and tells the agents.
+    pub fn record_departure(&self, upstream: &Upstream) {
+        if !upstream.has_announced_departure.replace(true) {
+            self.log_departure(upstream);
+            self.notify_demand_change();
+        }
+    }
+
     /// Records that the upstream of the run has survived the beginning of the answer, at
     /// `began_unix_ms`, so that the parts of the prompt caused no crash before that.
     pub fn record_part_survival(&self, run: &Run, began_unix_ms: u64) {
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -128,6 +128,11 @@
         !is_current || upstream.is_replaced()
     }
 
+    /// Returns the upstream with this id.
+    pub fn upstream(&self, id: &UpstreamId) -> Option<Rc<Upstream>> {
+        self.inner.upstreams.borrow().get(id).cloned()
+    }
+
     /// Returns the upstreams of all services.
     pub fn all_upstreams(&self) -> Vec<Rc<Upstream>> {
         self.inner.upstreams.borrow().values().cloned().collect()
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -7,7 +7,9 @@
 
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_protocol::{AgentGroup, DemandNews, ModelDemand, UpstreamRateLimit};
+use celerystair_protocol::{
+    AgentGroup, DemandNews, LeavingUpstream, ModelDemand, UpstreamRateLimit,
+};
 
 /// A router whose last datagram is this old has stopped or is unreachable; its demand is dropped.
 const ROUTER_TIMEOUT_MS: u64 = 4000;
@@ -31,6 +33,8 @@
     pub failure_domain: FailureDomain,
     /// The rate limits, in requests per second, that upstreams have named to the router lately.
     pub rate_limits: Vec<(UpstreamId, f64)>,
+    /// The upstreams that have said to the router that they leave.
+    pub leaving: Vec<UpstreamIncarnation>,
     /// Where the router receives gossip.
     pub address: SocketAddr,
     /// When the datagram arrived, by the receiver's clock.
@@ -56,6 +60,10 @@
             let per_second = f64::from(limit.requests_per_1000_s) / 1000.0;
             (UpstreamId::from(limit.upstream), per_second)
         });
+        let leaving = news.leaving.into_iter().map(|leaving| UpstreamIncarnation {
+            upstream: leaving.upstream.into(),
+            started_unix_ms: leaving.born_unix_ms,
+        });
         // The sender may be an agent that relays the datagram, so the router gives its own address.
         // Earlier versions leave it at 0.
         let ip = match news.address {
@@ -69,6 +77,7 @@
             agents: agents.collect(),
             failure_domain: news.failure_domain.into(),
             rate_limits: rate_limits.collect(),
+            leaving: leaving.collect(),
             // All processes receive gossip on the same port.
             address: SocketAddr::new(ip, sender.port()),
             received_unix_ms: now_unix_ms,
@@ -97,7 +106,12 @@
                 upstream: upstream.to_string(),
                 requests_per_1000_s: (per_second * 1000.0) as u32,
             });
+        let leaving = self.leaving.iter().map(|leaving| LeavingUpstream {
+            upstream: leaving.upstream.to_string(),
+            born_unix_ms: leaving.started_unix_ms,
+        });
         DemandNews {
+            leaving: leaving.collect(),
             rate_limits: rate_limits.collect(),
             router: self.router.clone(),
             sequence: self.sequence,
@@ -170,6 +184,13 @@
         limits
     }
 
+    /// Returns whether an upstream has said to any router that it leaves.
+    pub fn is_leaving(&self, incarnation: &UpstreamIncarnation) -> bool {
+        let routers = self.routers.borrow();
+        let mut demands = routers.values();
+        demands.any(|demand| demand.leaving.contains(incarnation))
+    }
+
     /// Counts the routers that share the fleet-wide limits, including those that stopped sending
     /// within the last minute.
     pub fn router_count(&self) -> usize {
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -42,6 +42,8 @@
     pub router_count: u32,
     /// Whether the agent can currently order loads and unloads.
     pub takes_orders: bool,
+    /// Whether the engine or a router says that the engine leaves.
+    pub is_leaving: bool,
     /// When the datagram arrived, by the receiver's clock.
     pub received_unix_ms: u64,
     /// The address of the instance that runs the engine and its agent; unspecified for IPv6.
@@ -85,6 +87,7 @@
             on_disk: models(news.on_disk),
             router_count: news.routers,
             takes_orders: news.takes_orders,
+            is_leaving: news.is_leaving,
             received_unix_ms: now_unix_ms,
             address: Ipv4Addr::from(news.address),
         }
@@ -117,6 +120,7 @@
             cold_loads_on_time: self.cold_load_observations.on_time_concurrency,
             cold_loads_served: self.cold_load_observations.full_speed_concurrency,
             takes_orders: self.takes_orders,
+            is_leaving: self.is_leaving,
             address: u32::from(self.address),
         }
     }
@@ -139,6 +143,7 @@
             on_disk: Vec::new(),
             router_count: 0,
             takes_orders: false,
+            is_leaving: false,
             received_unix_ms: 0,
             address: Ipv4Addr::UNSPECIFIED,
         }
--- a/crates/celerystair_news/tests/board.rs
+++ b/crates/celerystair_news/tests/board.rs
@@ -4,6 +4,7 @@
 
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
+use celerystair_policy::prelude::*;
 
 fn demand_received_at(router: &str, received_unix_ms: u64) -> RouterDemand {
     RouterDemand {
@@ -12,6 +13,7 @@
         models: Vec::new(),
         agents: Vec::new(),
         rate_limits: Vec::new(),
+        leaving: Vec::new(),
         failure_domain: FailureDomain::from("a"),
         address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 7000),
         received_unix_ms,
@@ -31,3 +33,19 @@
     table.remove_expired(61_000);
     assert_eq!(table.router_count(), 1);
 }
+
+#[test]
+fn an_upstream_that_leaves_is_known_by_its_incarnation() {
+    let incarnation = |started_unix_ms| UpstreamIncarnation {
+        upstream: UpstreamId::from("e1"),
+        started_unix_ms,
+    };
+    let table = DemandTable::default();
+    table.insert_if_newer(demand_received_at("one", 1000));
+    table.insert_if_newer(RouterDemand {
+        leaving: vec![incarnation(5)],
+        ..demand_received_at("two", 1000)
+    });
+    assert!(table.is_leaving(&incarnation(5)));
+    assert!(!table.is_leaving(&incarnation(6)), "it has started again");
+}
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -24,6 +24,10 @@
         agents: vec![(FailureDomain::from("a"), vec![Ipv4Addr::new(10, 1, 0, 9)])],
         failure_domain: FailureDomain::from("b"),
         rate_limits: vec![(UpstreamId::from("e1"), 3.25)],
+        leaving: vec![UpstreamIncarnation {
+            upstream: UpstreamId::from("e2"),
+            started_unix_ms: 6,
+        }],
         address,
         received_unix_ms: 1000,
     })
@@ -52,6 +56,7 @@
         on_disk: vec![ModelName::from("m3")],
         router_count: 5,
         takes_orders: true,
+        is_leaving: true,
         received_unix_ms: 1000,
         address: Ipv4Addr::new(10, 1, 0, 9),
     })
