Send nothing to an upstream for as long as it asks for a pause

Nothing read the header: requests went on to it, to be declined again.

The adapter decodes it, celerystair_policy decides how long it holds, and the place that answers when a rate limit admits the next request answers for pauses too, so other upstreams serve meanwhile, a request waits if its deadline allows, and is refused at once with a true 'not run' if not. What was declined everywhere is told to come back when an upstream takes requests again. Bad values are ignored and logged; an hour is the longest.

Soak: leaving upstreams say so.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     connections::{UpstreamConnection, connect},
-    dialect::RateLimitHeader,
+    dialect::{PauseHeader, RateLimitHeader},
     elsewhere::SILENCE_RECHECK_MS,
     framing::{Framing, is_cut_json, response_framing},
     front::PlatformRouter,
@@ -267,7 +267,7 @@
 }
 
 /// Records what the upstream says of itself in the response, if the response is its own: that it
-/// leaves, and the rate limit that it names, or that it names none any more.
+/// leaves, that it wants a pause, and the rate limit that it names, or that it names none any more.
 fn record_announcements(
     router: &PlatformRouter,
     request: &CallerRequest,
@@ -291,6 +291,17 @@
     if response_head.is_leaving && is_authentic {
         router.record_departure(upstream);
     }
+    if head.status == http::StatusCode::SERVICE_UNAVAILABLE && is_authentic {
+        match response_head.pause {
+            PauseHeader::Ms(pause_ms) => {
+                if upstream.pause(pause_ms, now) {
+                    router.log_pause(upstream, pause_ms);
+                }
+            }
+            PauseHeader::Absent => {}
+            PauseHeader::Invalid => router.log_invalid_pause(upstream),
+        }
+    }
     match response_head.rate_limit {
         RateLimitHeader::PerSecond(per_second) => {
             if upstream.set_rate_limit(per_second, now) {
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -95,6 +95,19 @@
     pub rate_limit: RateLimitHeader,
     /// Whether the upstream says that it leaves.
     pub is_leaving: bool,
+    /// The pause that the upstream asks for, if it declines the request.
+    pub pause: PauseHeader,
+}
+
+/// The pause in the headers of an upstream's response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PauseHeader {
+    /// The upstream asks for none.
+    Absent,
+    /// Milliseconds in which the upstream wants nothing from this router.
+    Ms(u64),
+    /// The value is not a number of seconds from 0 on.
+    Invalid,
 }
 
 /// The rate limit in the headers of an upstream's response.
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -113,6 +113,17 @@
             "in_flight" => upstream.in_flight());
     }
 
+    /// Logs that an upstream has asked for a pause.
+    pub fn log_pause(&self, upstream: &Upstream, pause_ms: u64) {
+        info!(self.log, "upstream_paused"; "upstream" => %upstream.id(),
+            "pause_ms" => pause_ms, "in_flight" => upstream.in_flight());
+    }
+
+    /// Logs that an upstream has asked for a pause whose length can't be read, which is ignored.
+    pub fn log_invalid_pause(&self, upstream: &Upstream) {
+        warn!(self.log, "upstream_pause_invalid"; "upstream" => %upstream.id());
+    }
+
     /// Logs that an upstream has named a rate limit, or names none any more.
     pub fn log_rate_limit(&self, upstream: &Upstream, per_second: Option<f64>) {
         info!(self.log, "upstream_limit"; "upstream" => %upstream.id(),
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -44,7 +44,7 @@
     Adapter,
     /// Capacity at an upstream that could serve the request.
     Room,
-    /// The next request that the rate limit of an upstream admits.
+    /// The next request that an upstream admits by its rate limit or after a pause.
     RateLimit,
 }
 
@@ -157,6 +157,18 @@
     loaded.find(|loaded| loaded.model == *model).cloned()
 }
 
+/// Returns the time until an upstream of the service admits a request by its rate limit and the pause
+/// that it has asked for; 0 if none is ready.
+pub fn ms_until_admission(router: &PlatformRouter, service: &ServiceName) -> u64 {
+    let now = now_unix_ms();
+    let routers = router.router_count_or_default();
+    let upstreams = router.view.upstreams(service).into_iter();
+    let admits = upstreams
+        .filter(|upstream| is_usable(upstream, &[]))
+        .map(|upstream| upstream.admits_unix_ms(routers, now));
+    admits.min().map_or(0, |admits| admits.saturating_sub(now))
+}
+
 /// Returns when a replica of the model is expected to accept requests.
 fn ready_unix_ms(
     statuses: &[Option<Rc<EngineStatus>>],
@@ -261,8 +273,8 @@
     }
 }
 
-/// Returns when the rate limits of `upstreams` are expected to admit the request, after those that
-/// wait for the same model at this router.
+/// Returns when the rate limits and pauses of `upstreams` are expected to admit the request, after
+/// those that wait for the same model at this router.
 fn rate_limit_ready_unix_ms(
     router: &PlatformRouter,
     request: &CallerRequest,
@@ -276,6 +288,10 @@
     let per_second: f64 = limits
         .map(|limit| 1000.0 / limit.share.interval_ms(routers).max(1) as f64)
         .sum();
+    if per_second == 0.0 {
+        // Upstreams that end a pause take as many requests as they have room for.
+        return first_unix_ms;
+    }
     let ahead = router.waiting.count(&request.queue());
     first_unix_ms + (f64::from(ahead) / per_second * 1000.0) as u64
 }
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -16,7 +16,7 @@
     dialect::RequestHead,
     elsewhere::should_leave_silent_upstream,
     front::PlatformRouter,
-    pick::{Pick, WaitReason, pick_upstream},
+    pick::{Pick, WaitReason, ms_until_admission, pick_upstream},
     stream::stream_response,
     suspicion::{SuspicionRefusal, suspicion_refusal},
     upstream::Upstream,
@@ -193,7 +193,8 @@
             Err(failed) => {
                 router.count_attempt(service, Some(failed.failure));
                 router.log_attempt_failed(request, &upstream, failed.failure, now);
-                let response = handle_failed_attempt(request, &upstream, progress, failed)?;
+                let response =
+                    handle_failed_attempt(router, request, service, &upstream, progress, failed)?;
                 if let Some(response) = response {
                     return Ok(response);
                 }
@@ -242,7 +243,9 @@
 /// # Errors
 /// Returns a refusal if no other attempt may be made and no upstream has sent a response.
 fn handle_failed_attempt(
+    router: &PlatformRouter,
     request: &CallerRequest,
+    service: &ServiceName,
     upstream: &Rc<Upstream>,
     progress: &mut Progress,
     failed: FailedAttempt,
@@ -272,7 +275,7 @@
         (_, Some(response)) => Ok(Some(UpstreamResponse::Buffered(response))),
         (NextStep::RefuseNotRun, None) => {
             let detail = format!("the upstream did not run the request: {}", failure.as_str());
-            let retry_after_ms = DECLINED_RETRY_AFTER_MS;
+            let retry_after_ms = declined_retry_after_ms(router, request, service);
             Err(refusal(
                 progress,
                 RefusalReason::Overloaded,
@@ -295,6 +298,16 @@
 /// `Retry-After` of a request that upstreams at capacity have declined.
 const DECLINED_RETRY_AFTER_MS: u64 = 200;
 
+fn declined_retry_after_ms(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    service: &ServiceName,
+) -> u64 {
+    let wait_ms = ms_until_admission(router, service).max(DECLINED_RETRY_AFTER_MS);
+    let now = now_unix_ms();
+    retry_after_ms(now + wait_ms, request.deadline_unix_ms, now).max(DECLINED_RETRY_AFTER_MS)
+}
+
 /// Returns the last error response of an upstream if there is one, or else a refusal.
 fn last_response_or_refusal(
     progress: &mut Progress,
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -44,6 +44,8 @@
     pub is_superseded: Cell<bool>,
     /// Whether the upstream has said in a response that it leaves.
     pub has_announced_departure: Cell<bool>,
+    /// Until when the upstream wants nothing from this router.
+    pub paused_until_unix_ms: Cell<u64>,
     /// The rate limit that the upstream has named.
     pub rate_limit: Cell<Option<NamedRateLimit>>,
     in_flight: Cell<u32>,
@@ -66,6 +68,7 @@
             is_misdirected: Cell::new(false),
             is_superseded: Cell::new(false),
             has_announced_departure: Cell::new(false),
+            paused_until_unix_ms: Cell::default(),
             rate_limit: Cell::default(),
             in_flight: Cell::new(0),
             in_flight_by_model: RefCell::default(),
@@ -173,15 +176,25 @@
         is_changed
     }
 
-    /// Returns when the upstream's rate limit admits the next request of this router, which is one
-    /// of `routers`: `now_unix_ms` if it admits one now.
+    /// Records that the upstream has asked for a pause of this length; returns whether the pause is
+    /// longer than the one before.
+    pub fn pause(&self, pause_ms: u64, now_unix_ms: u64) -> bool {
+        let before = self.paused_until_unix_ms.get();
+        let until_unix_ms = pause_until_unix_ms(before, pause_ms, now_unix_ms);
+        self.paused_until_unix_ms.set(until_unix_ms);
+        until_unix_ms > before
+    }
+
+    /// Returns when the upstream takes the next request of this router, which is one of `routers`, by
+    /// its rate limit and the pause that it has asked for: `now_unix_ms` if it takes one now.
     pub fn admits_unix_ms(&self, routers: u32, now_unix_ms: u64) -> u64 {
+        let paused_until_unix_ms = self.paused_until_unix_ms.get();
         let Some(mut limit) = self.rate_limit.get() else {
-            return now_unix_ms;
+            return paused_until_unix_ms.max(now_unix_ms);
         };
         let next_unix_ms = limit.share.next_unix_ms(routers, now_unix_ms);
         self.rate_limit.set(Some(limit));
-        next_unix_ms
+        paused_until_unix_ms.max(next_unix_ms)
     }
 
     /// Counts a request that is sent towards the upstream's rate limit.
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -63,7 +63,7 @@
             FRESH_MS, PartCounts, PartCrash, PartCrashReport, PartRefusal, PartReport,
             PromptPartId, SAME_CAUSE_MS, SuspectParts,
         },
-        rate_limit::RateLimit,
+        rate_limit::{RateLimit, pause_until_unix_ms},
         replicas::{EngineView, ModelView, Order, next_order},
         routes::{RouteTable, choose_service},
         spread::{
--- a/crates/celerystair_policy/src/rate_limit.rs
+++ b/crates/celerystair_policy/src/rate_limit.rs
@@ -6,6 +6,8 @@
 //! little saves up a part of its share for a burst, as far as the tolerance of the bound covers the
 //! bursts of all routers at once. In a large fleet that is less than one request for each router;
 //! there the right to send one comes up at regular times, different for each router, and lapses soon.
+//! An upstream may also ask a router for a pause, in which it takes nothing from it.
+//!
 //! See `docs/OVERLOAD.md`.
 
 /// The length of the windows in which the platform counts an upstream's requests.
@@ -28,6 +30,15 @@
 /// whose response it may lift its limit.
 const PER_SECOND_MIN: f64 = 0.25;
 
+/// The longest pause that is kept. An upstream that asks for more has most probably lost its clock.
+pub const PAUSE_MAX_MS: u64 = 3_600_000;
+
+/// Returns until when an upstream wants nothing from this router, if it has asked for a pause of
+/// `pause_ms` now, and before for one until `known_until_unix_ms`.
+pub fn pause_until_unix_ms(known_until_unix_ms: u64, pause_ms: u64, now_unix_ms: u64) -> u64 {
+    known_until_unix_ms.max(now_unix_ms + pause_ms.min(PAUSE_MAX_MS))
+}
+
 /// A router's share of an upstream's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateLimit {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -402,6 +402,7 @@
         }
         let desk = &self.desks[index];
         let entry = desk.draining_entry_at(self.desk_link(index).address);
+        desk.set_leaving(true);
         self.store.write("servers", &desk.id(), entry);
         let now = Instant::now();
         self.undos.push((now + DRAIN, Undo::CheckDrained(index)));
@@ -443,6 +444,7 @@
     /// A plain upstream starts again under another name.
     fn take_back(&mut self, index: usize) {
         let desk = &self.desks[index];
+        desk.set_leaving(false);
         let left_at = self.away.remove(&index);
         let is_excused = |at: Instant| {
             let is_within = |(from, until): &(Instant, Instant)| *from <= at && at < *until;
