--- a/crates/celerystair_engine/src/suspicion.rs
+++ b/crates/celerystair_engine/src/suspicion.rs
@@ -1,5 +1,6 @@
-//! Spreads reports on requests and prompt parts that crash upstreams among the routers, which don't know each other.
-//! An agent outlives a router's process, so that a router that starts later learns of the suspects.
+//! Spreads reports on requests and prompt parts that crash upstreams among the routers, which don't
+//! know each other. An agent outlives a router's process, so that a router that starts later learns of
+//! the suspects.
 
 use std::pin::pin;
 
@@ -94,8 +95,9 @@
     for report in reports {
         is_new |= parts.merge(report, AGENT_CHANGE_SENDS, now);
     }
+    let has_pending = parts.has_pending();
     drop(parts);
-    if is_new {
+    if has_pending {
         agent.suspects_changed.notify(usize::MAX);
     }
     is_new
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -260,6 +260,11 @@
         parts.record_survival(ids, began_unix_ms, ROUTER_CHANGE_SENDS);
     }
 
+    /// Wakes the task that reports suspects.
+    pub fn notify_suspects_change(&self) {
+        self.suspects_changed.notify(usize::MAX);
+    }
+
     /// Returns a listener for the next change of the suspects that other routers are to know of.
     pub fn listen_for_suspects_change(&self) -> EventListener {
         self.suspects_changed.listen()
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -49,6 +49,7 @@
 }
 
 /// What the end of a stream between two events tells.
+#[derive(Clone, Copy, Debug)]
 enum StreamEnd {
     /// The upstream marked it, or still accepts connections: the stream is complete.
     Proven,
@@ -96,7 +97,7 @@
             match self.next_part().await {
                 StreamPart::Bytes(bytes) => return Some(Ok(bytes)),
                 StreamPart::End(end) => {
-                    self.finish(&end);
+                    self.finish(end);
                     return None;
                 }
                 StreamPart::Broken(failure) => {
@@ -243,7 +244,7 @@
 
     /// Clears the request of suspicion if the stream is proven to be complete, and keeps the
     /// connection for reuse.
-    fn finish(&mut self, end: &StreamEnd) {
+    fn finish(&mut self, end: StreamEnd) {
         if let Some(mut started) = self.started.take() {
             if matches!(end, StreamEnd::Proven) {
                 self.router.clear_suspicion(&self.request);
--- a/crates/celerystair_front/src/suspicion.rs
+++ b/crates/celerystair_front/src/suspicion.rs
@@ -146,6 +146,10 @@
         // Agents spread it further.
         parts.merge(report, 0, now);
     }
+    // The sender may not know of answers that clear what it reports.
+    if parts.has_pending() {
+        router.notify_suspects_change();
+    }
 }
 
 /// Why a request is refused because of crashes.
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`routes`] | which route a request takes |
 //! | [`spread`] | which peers get gossip directly, and which relay it |
 //! | [`stall`] | whether a stalled request switches to another upstream |
+//! | [`suspect_part`] | whether the crashes of one part of prompts suffice to refuse it |
 //! | [`suspects`] | which requests are refused because they crash upstreams |
 //! | [`waiting`] | whether a request waits for a replica, and when a refused caller may retry |
 //!
@@ -41,6 +42,7 @@
 pub mod routes;
 pub mod spread;
 pub mod stall;
+pub mod suspect_part;
 pub mod suspects;
 pub mod waiting;
 
@@ -59,10 +61,7 @@
         },
         health::UpstreamHealth,
         outcome::{AttemptFailure, NextStep, next_step},
-        prompt_parts::{
-            FRESH_MS, PartCounts, PartCrash, PartCrashReport, PartRefusal, PartReport,
-            PromptPartId, SAME_CAUSE_MS, SuspectParts,
-        },
+        prompt_parts::{PartCounts, PartRefusal, SuspectParts},
         rate_limit::{RateLimit, pause_until_unix_ms},
         replicas::{EngineView, ModelView, Order, next_order},
         routes::{RouteTable, choose_service},
@@ -71,6 +70,9 @@
             suspect_change_targets, suspect_sample_targets,
         },
         stall::StallInputs,
+        suspect_part::{
+            FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
+        },
         suspects::{
             AGENT_CHANGE_SENDS, CrashId, LostRun, REPORT_ROUND_MS, REPORT_SAMPLE_MS,
             ROUTER_CHANGE_SENDS, SuspectCounts, SuspectReport, Suspects, UNLISTED_AFTER_MS,
