--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -190,8 +190,8 @@
         }
         let late = Process::start("late", &url, vec![processes[3].address]);
         late.reaches(revision).await;
-        let first = late.revisions.borrow().iter().copied().find(|r| *r > 0);
-        assert_eq!(first, Some(revision), "a lower revision was in force first");
+        let first = late.first_revision().await;
+        assert_eq!(first, revision, "a lower revision was in force first");
         processes.iter().for_each(Process::end);
         late.end();
         stop.end();
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -179,6 +179,17 @@
         )
         .await;
     }
+
+    /// Returns the first revision that came in force here, once it has been recorded.
+    pub async fn first_revision(&self) -> u64 {
+        let first = || self.revisions.borrow().iter().copied().find(|r| *r > 0);
+        wait_until(
+            || first().is_some(),
+            &format!("{} has recorded a revision", self.node.name),
+        )
+        .await;
+        first().expect("a revision is recorded")
+    }
 }
 
 /// Waits for a condition, with a deadline that only a real fault exceeds.
