Soak: links reset connections instead of closing them in order

Soak failed: a stream of two events of five reached its caller as complete. The plan had its engine reset the connection (Unframed(Reset)); the loopback proxy before the engine, whose threads close what they forward when a read fails, closed it in order, and the router had no way to tell. So it was with the proxy's own resets (LinkFault::Reset) since the proxy was written. Both ends are reset now, so the checks see more than before.

--- a/tests/soak/links.rs
+++ b/tests/soak/links.rs
@@ -81,6 +81,7 @@
 
     fn join(&self, inbound: &TcpStream, outbound: &TcpStream) {
         let silent = Arc::new(AtomicBool::new(false));
+        let is_reset = Arc::new(AtomicBool::new(false));
         for (from, to, is_back) in [(inbound, outbound, false), (outbound, inbound, true)] {
             from.set_nodelay(true).expect("no delay");
             from.set_read_timeout(Some(POLL)).expect("a timeout");
@@ -90,6 +91,7 @@
                 to: to.try_clone().expect("a socket"),
                 is_back,
                 silent: silent.clone(),
+                is_reset: is_reset.clone(),
             };
             std::thread::spawn(move || pump.run());
         }
@@ -103,12 +105,16 @@
     to: TcpStream,
     is_back: bool,
     silent: Arc<AtomicBool>,
+    /// Whether the connection is reset; both directions then close it without a FIN.
+    is_reset: Arc<AtomicBool>,
 }
 
 impl Pump {
     fn run(mut self) {
         let mut buffer = [0; 16 * 1024];
-        while !self.shared.is_ended.load(Ordering::Relaxed) {
+        while !self.shared.is_ended.load(Ordering::Relaxed)
+            && !self.is_reset.load(Ordering::Relaxed)
+        {
             let read = self.from.read(&mut buffer);
             let fault = *self.shared.fault.lock().expect("the fault");
             if fault == LinkFault::Silence {
@@ -137,8 +143,17 @@
                 break;
             }
         }
-        self.from.shutdown(Shutdown::Both).ok();
-        self.to.shutdown(Shutdown::Both).ok();
+        self.reset();
+    }
+
+    /// Has the last of the sockets' handles reset the connection at both ends when it closes.
+    fn reset(&self) {
+        for socket in [&self.from, &self.to] {
+            socket2::SockRef::from(socket)
+                .set_linger(Some(Duration::ZERO))
+                .ok();
+        }
+        self.is_reset.store(true, Ordering::Relaxed);
     }
 
     fn is(&self, fault: LinkFault) -> bool {
