--- a/crates/celerystair_news/src/suspects.rs
+++ b/crates/celerystair_news/src/suspects.rs
@@ -82,7 +82,7 @@
             })
             .collect(),
         cleared: report.cleared.iter().map(|crash| crash.0).collect(),
-        sound_ms_ago: report.sound_ms_ago.map(to_u32),
+        known_good_ms_ago: report.known_good_ms_ago.map(to_u32),
         is_answered: report.is_answered,
         expires_in_ms: to_u32(report.expires_in_ms),
     });
@@ -108,7 +108,7 @@
             })
             .collect(),
         cleared: report.cleared.into_iter().map(CrashId).collect(),
-        sound_ms_ago: report.sound_ms_ago.map(u64::from),
+        known_good_ms_ago: report.known_good_ms_ago.map(u64::from),
         is_answered: report.is_answered,
         expires_in_ms: report.expires_in_ms.into(),
     });
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -74,7 +74,7 @@
             is_fresh: true,
         }],
         cleared: vec![CrashId(3)],
-        sound_ms_ago: Some(0),
+        known_good_ms_ago: Some(0),
         is_answered: true,
         expires_in_ms: 60_000,
     }
--- a/crates/celerystair_policy/src/prompt_parts.rs
+++ b/crates/celerystair_policy/src/prompt_parts.rs
@@ -4,13 +4,14 @@
 //! A crash cuts off all requests at the upstream, with all of their parts, and only one part of one
 //! of them has caused it. What tells that part from the others, of which some are in most requests:
 //!
-//! * No answer that began after a crash and is complete, or was still coming [`FRESH_MS`] later,
-//!   bears it. One that does shows that its parts caused neither that crash nor earlier ones.
-//! * A part that no complete answer has ever borne needs less evidence than one that was answered
-//!   before. Of such a part only those crashes count that come as it begins to be answered.
+//! * No request with it gets an answer that begins after a crash and is complete, or still coming
+//!   [`FRESH_MS`] later. Such an answer shows that the parts of its prompt caused neither that crash
+//!   nor earlier ones.
+//! * A part whose requests never got a complete answer needs less evidence than one that was
+//!   answered before. Only those of its crashes count that come as an answer begins.
 //! * It crashes one upstream after the other. Crashes within [`SAME_CAUSE_MS`] may have a common
 //!   cause, such as a rack that lost power.
-//! * Several requests bear it. If all crashes are one request's, that request is refused, see
+//! * Several requests contain it. If all crashes are one request's, that request is refused, see
 //!   [`Suspects`](crate::suspects::Suspects).
 //! * It explains crashes: those of a part that is refused count neither for other parts nor for
 //!   single requests.
@@ -58,7 +59,7 @@
     pub refused: u32,
 }
 
-/// Parts that complete answers have borne, and when the latest of these answers began. Of two
+/// Parts whose requests got complete answers, and when the latest of these answers began. Of two
 /// generations, the older is dropped as a whole when the younger is full.
 #[derive(Clone, Debug, Default)]
 struct AnsweredParts {
@@ -92,11 +93,11 @@
 
 /// The parts that are refused, as of the last change.
 #[derive(Clone, Debug, Default)]
-struct Verdict {
+struct Attribution {
     refused: HashMap<PromptPartId, u32>,
     /// The crashes of these parts.
     explained: HashSet<CrashId>,
-    /// When the verdict changes without any change of the evidence.
+    /// When the attribution changes without any change of the evidence.
     valid_until_unix_ms: u64,
 }
 
@@ -105,7 +106,7 @@
 pub struct SuspectParts {
     parts: HashMap<PromptPartId, SuspectPart>,
     answered: AnsweredParts,
-    verdict: Verdict,
+    attribution: Attribution,
 }
 
 impl SuspectParts {
@@ -132,7 +133,7 @@
         if !suspect.own.contains(&crash.id) && suspect.own.len() < CRASHES_REMEMBERED_MAX {
             suspect.own.push(crash.id);
         }
-        self.verdict.valid_until_unix_ms = 0;
+        self.attribution.valid_until_unix_ms = 0;
     }
 
     /// Records a complete answer that began at `began_unix_ms` to a request with these parts, to be
@@ -150,7 +151,7 @@
             };
             if suspect.mark_answered(began_unix_ms) {
                 suspect.pending_sends = sends;
-                self.verdict.valid_until_unix_ms = 0;
+                self.attribution.valid_until_unix_ms = 0;
             }
         }
     }
@@ -167,9 +168,9 @@
             let Some(suspect) = self.parts.get_mut(&part) else {
                 continue;
             };
-            if suspect.mark_sound(began_unix_ms) {
+            if suspect.mark_known_good(began_unix_ms) {
                 suspect.pending_sends = sends;
-                self.verdict.valid_until_unix_ms = 0;
+                self.attribution.valid_until_unix_ms = 0;
             }
         }
     }
@@ -188,8 +189,8 @@
         suspect.position = suspect.position.max(report.position);
         let mut is_new = report.is_answered && !suspect.is_answered;
         suspect.is_answered |= report.is_answered;
-        if let Some(sound_ms_ago) = report.sound_ms_ago {
-            is_new |= suspect.mark_sound(now_unix_ms.saturating_sub(sound_ms_ago));
+        if let Some(known_good_ms_ago) = report.known_good_ms_ago {
+            is_new |= suspect.mark_known_good(now_unix_ms.saturating_sub(known_good_ms_ago));
         }
         suspect.extend_retention(report.expires_in_ms, now_unix_ms);
         let mut is_outdated = suspect.is_answered && !report.is_answered;
@@ -205,7 +206,7 @@
                 is_fresh: crash.is_fresh,
             };
             is_outdated |= suspect
-                .sound_unix_ms
+                .known_good_unix_ms
                 .is_some_and(|t| t >= crash.ended_unix_ms);
             is_new |= suspect.add_crash(&crash);
         }
@@ -214,7 +215,7 @@
         }
         if is_new {
             suspect.pending_sends = suspect.pending_sends.max(sends);
-            self.verdict.valid_until_unix_ms = 0;
+            self.attribution.valid_until_unix_ms = 0;
         }
         is_new
     }
@@ -229,7 +230,7 @@
                 }
             }
         }
-        self.verdict.valid_until_unix_ms = 0;
+        self.attribution.valid_until_unix_ms = 0;
     }
 
     /// Returns the crashes of those incarnations that are still alive when the list of upstreams
@@ -251,8 +252,8 @@
         if self.parts.is_empty() {
             return None;
         }
-        self.update_verdict(now_unix_ms);
-        let refused = &self.verdict.refused;
+        self.update_attribution(now_unix_ms);
+        let refused = &self.attribution.refused;
         let mut parts = parts.into_iter();
         let part = parts.find(|part| refused.contains_key(part))?;
         let suspect = self.parts.get(&part)?;
@@ -269,23 +270,23 @@
     /// Returns whether a part that is refused explains the crash, which then counts for nothing
     /// else.
     pub fn is_explained(&mut self, crash: CrashId, now_unix_ms: u64) -> bool {
-        self.update_verdict(now_unix_ms);
-        self.verdict.explained.contains(&crash)
+        self.update_attribution(now_unix_ms);
+        self.attribution.explained.contains(&crash)
     }
 
     /// Returns the parts that are refused.
     pub fn refused_parts(&mut self, now_unix_ms: u64) -> Vec<PromptPartId> {
-        self.update_verdict(now_unix_ms);
-        self.verdict.refused.keys().copied().collect()
+        self.update_attribution(now_unix_ms);
+        self.attribution.refused.keys().copied().collect()
     }
 
     /// Returns how many parts are remembered, and how many of them are refused.
     pub fn part_counts(&mut self, now_unix_ms: u64) -> PartCounts {
-        self.update_verdict(now_unix_ms);
+        self.update_attribution(now_unix_ms);
         let suspects = self.parts.values();
         PartCounts {
             remembered: suspects.filter(|part| !part.crashes.is_empty()).count() as u32,
-            refused: self.verdict.refused.len() as u32,
+            refused: self.attribution.refused.len() as u32,
         }
     }
 
@@ -318,11 +319,11 @@
     /// Returns reports of up to `count` parts, for a receiver that may have missed them or started
     /// since: first those that are refused, then others, of which `draw` selects.
     pub fn sample(&mut self, count: usize, draw: u64, now_unix_ms: u64) -> Vec<PartReport> {
-        self.update_verdict(now_unix_ms);
+        self.update_attribution(now_unix_ms);
         let mut parts: Vec<(&PromptPartId, &SuspectPart)> = self.parts.iter().collect();
         parts.sort_by_cached_key(|(part, _)| {
             let order = hash_bytes(&(part.0 ^ draw).to_le_bytes());
-            (!self.verdict.refused.contains_key(part), order)
+            (!self.attribution.refused.contains_key(part), order)
         });
         let selected = parts.into_iter().take(count);
         selected
@@ -332,33 +333,33 @@
 
     /// Finds the parts that explain the crashes: those with the most evidence first, each with the
     /// crashes that no other one explains.
-    fn update_verdict(&mut self, now_unix_ms: u64) {
-        if now_unix_ms < self.verdict.valid_until_unix_ms {
+    fn update_attribution(&mut self, now_unix_ms: u64) {
+        if now_unix_ms < self.attribution.valid_until_unix_ms {
             return;
         }
         self.remove_expired(now_unix_ms);
-        let mut verdict = Verdict {
+        let mut attribution = Attribution {
             valid_until_unix_ms: u64::MAX,
-            ..Verdict::default()
+            ..Attribution::default()
         };
         let mut order: Vec<PromptPartId> = Vec::new();
-        while let Some(candidate) = self.strongest_suspect(&mut verdict, now_unix_ms) {
+        while let Some(candidate) = self.strongest_suspect(&mut attribution, now_unix_ms) {
             let part = candidate.part;
             let suspect = &self.parts[&part];
-            verdict
+            attribution
                 .explained
                 .extend(suspect.crashes.iter().map(|crash| crash.id));
-            verdict.refused.insert(part, candidate.crashes as u32);
+            attribution.refused.insert(part, candidate.crashes as u32);
             order.push(part);
         }
         // Of parts that are each explained by the others, the weakest was refused on too little.
         order.sort_by_key(|part| (self.parts[part].crashes.len(), part.0));
         for part in order {
-            let others = verdict.refused.keys().filter(|other| **other != part);
+            let others = attribution.refused.keys().filter(|other| **other != part);
             let explained = others.flat_map(|other| &self.parts[other].crashes);
             let explained: HashSet<CrashId> = explained.map(|crash| crash.id).collect();
             if self.parts[&part].evidence(&explained).crashes == 0 {
-                verdict.refused.remove(&part);
+                attribution.refused.remove(&part);
             }
         }
         let next_expiry = self
@@ -367,23 +368,28 @@
             .map(|suspect| suspect.forget_unix_ms)
             .min();
         let valid_until_unix_ms = next_expiry.unwrap_or(u64::MAX);
-        verdict.valid_until_unix_ms = verdict.valid_until_unix_ms.min(valid_until_unix_ms);
-        self.verdict = verdict;
+        attribution.valid_until_unix_ms = attribution.valid_until_unix_ms.min(valid_until_unix_ms);
+        self.attribution = attribution;
     }
 
     /// Returns the part that most probably caused the crashes that nothing explains yet, if its
     /// evidence suffices.
-    fn strongest_suspect(&self, verdict: &mut Verdict, now_unix_ms: u64) -> Option<Candidate> {
+    fn strongest_suspect(
+        &self,
+        attribution: &mut Attribution,
+        now_unix_ms: u64,
+    ) -> Option<Candidate> {
         let mut candidates = Vec::new();
         for (part, suspect) in &self.parts {
             let has_enough = suspect.crashes.len() >= PART_CRASHES_MAX;
-            if !has_enough || verdict.refused.contains_key(part) {
+            if !has_enough || attribution.refused.contains_key(part) {
                 continue;
             }
-            let evidence = suspect.evidence(&verdict.explained);
+            let evidence = suspect.evidence(&attribution.explained);
             match suspect.refused_from_unix_ms(&evidence) {
                 Some(from_unix_ms) if from_unix_ms > now_unix_ms => {
-                    verdict.valid_until_unix_ms = verdict.valid_until_unix_ms.min(from_unix_ms);
+                    attribution.valid_until_unix_ms =
+                        attribution.valid_until_unix_ms.min(from_unix_ms);
                 }
                 Some(_) => candidates.push(Candidate {
                     part: *part,
@@ -402,7 +408,7 @@
         self.parts
             .retain(|_, suspect| suspect.forget_unix_ms > now_unix_ms);
         if self.parts.len() < count {
-            self.verdict.valid_until_unix_ms = 0;
+            self.attribution.valid_until_unix_ms = 0;
         }
     }
 
--- a/crates/celerystair_policy/src/suspect_part.rs
+++ b/crates/celerystair_policy/src/suspect_part.rs
@@ -9,16 +9,16 @@
 pub const FRESH_MS: u64 = 500;
 /// Crashes within this time may have a common cause.
 pub const SAME_CAUSE_MS: u64 = 50;
-/// Crashes after which a part is refused if no complete answer bears it.
+/// Crashes after which a part is refused if none of its requests ever got a complete answer.
 pub const PART_CRASHES_MAX: usize = 3;
 /// How many of the crashes must have come one after the other.
 const SEQUENCE_MIN: usize = 3;
-/// Crashes after which a part is refused although complete answers that began earlier bear it.
+/// Crashes after which a part is refused although requests with it got complete answers before.
 pub const ANSWERED_PART_CRASHES_MAX: usize = 5;
 /// How long ago the first of them must be. Within this time an answer would clear a part that is in
 /// many requests.
 const ANSWERED_WAIT_MS: u64 = 1000;
-/// How many requests must have borne a part that is refused.
+/// How many different requests must contain a part that is refused.
 const REQUESTS_MIN: usize = 2;
 /// A part that was never answered is forgotten when it has caused no crash for this long.
 pub(crate) const RETENTION_MS: u64 = 3_600_000;
@@ -39,12 +39,12 @@
     }
 }
 
-/// A crash of an upstream while it ran requests that bear a part.
+/// A crash of an upstream while it ran requests that contain a part.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PartCrash {
     /// The crash.
     pub id: CrashId,
-    /// Fingerprint of the request that bore the part; the last one of several.
+    /// Fingerprint of the request that contained the part; the last one of several.
     pub request: u32,
     /// The earliest time of what ended the upstream.
     pub since_unix_ms: u64,
@@ -67,8 +67,8 @@
     /// Crashes that turned out to be none.
     pub cleared: Vec<CrashId>,
     /// Time since the latest of its answers began that shows that the part crashes nothing.
-    pub sound_ms_ago: Option<u64>,
-    /// Whether a complete answer has borne it.
+    pub known_good_ms_ago: Option<u64>,
+    /// Whether a request with it has got a complete answer.
     pub is_answered: bool,
     /// Time until the report expires.
     pub expires_in_ms: u64,
@@ -79,7 +79,7 @@
 pub struct PartCrashReport {
     /// The crash.
     pub id: CrashId,
-    /// Fingerprint of the request that bore the part.
+    /// Fingerprint of the request that contained the part.
     pub request: u32,
     /// Time since the earliest time of what ended the upstream.
     pub since_ms_ago: u64,
@@ -97,8 +97,8 @@
     pub(crate) own: Vec<CrashId>,
     pub(crate) cleared: Vec<CrashId>,
     /// When the latest of its answers began that shows that the part crashes nothing.
-    pub(crate) sound_unix_ms: Option<u64>,
-    /// Whether a complete answer has borne it.
+    pub(crate) known_good_unix_ms: Option<u64>,
+    /// Whether a request with it has got a complete answer.
     pub(crate) is_answered: bool,
     pub(crate) position: u32,
     pub(crate) forget_unix_ms: u64,
@@ -163,8 +163,10 @@
 
     /// Adds a crash, or what another run with the part tells of it; returns whether that is new.
     pub(crate) fn add_crash(&mut self, crash: &PartCrash) -> bool {
-        let is_sound_since = self.sound_unix_ms.is_some_and(|t| t >= crash.ended_unix_ms);
-        if is_sound_since || self.cleared.contains(&crash.id) {
+        let is_known_good_since = self
+            .known_good_unix_ms
+            .is_some_and(|t| t >= crash.ended_unix_ms);
+        if is_known_good_since || self.cleared.contains(&crash.id) {
             return false;
         }
         let Some(known) = self.crashes.iter_mut().find(|known| known.id == crash.id) else {
@@ -203,9 +205,9 @@
 
     /// Records that an answer that shows that the part crashes nothing began at this time; returns
     /// whether a crash no longer counts.
-    pub(crate) fn mark_sound(&mut self, began_unix_ms: u64) -> bool {
-        let known = self.sound_unix_ms.unwrap_or_default();
-        self.sound_unix_ms = Some(known.max(began_unix_ms));
+    pub(crate) fn mark_known_good(&mut self, began_unix_ms: u64) -> bool {
+        let known = self.known_good_unix_ms.unwrap_or_default();
+        self.known_good_unix_ms = Some(known.max(began_unix_ms));
         let crashes_before = self.crashes.len();
         self.crashes
             .retain(|crash| crash.ended_unix_ms > began_unix_ms);
@@ -215,7 +217,7 @@
     /// Records that a complete answer began at this time; returns whether that changes anything.
     pub(crate) fn mark_answered(&mut self, began_unix_ms: u64) -> bool {
         let was_answered = std::mem::replace(&mut self.is_answered, true);
-        self.mark_sound(began_unix_ms) || !was_answered
+        self.mark_known_good(began_unix_ms) || !was_answered
     }
 
     /// Remembers the part for up to this time from now on.
@@ -237,13 +239,15 @@
             ended_ms_ago: now_unix_ms.saturating_sub(crash.ended_unix_ms),
             is_fresh: crash.is_fresh,
         });
-        let sound_ms_ago = self.sound_unix_ms.map(|t| now_unix_ms.saturating_sub(t));
+        let known_good_ms_ago = self
+            .known_good_unix_ms
+            .map(|t| now_unix_ms.saturating_sub(t));
         PartReport {
             part,
             position: self.position,
             crashes: crashes.collect(),
             cleared: self.cleared.clone(),
-            sound_ms_ago,
+            known_good_ms_ago,
             is_answered: self.is_answered,
             expires_in_ms: self.forget_unix_ms.saturating_sub(now_unix_ms),
         }
--- a/crates/celerystair_policy/tests/prompt_parts.rs
+++ b/crates/celerystair_policy/tests/prompt_parts.rs
@@ -23,12 +23,12 @@
 const DOWN_MS: u64 = 3000;
 /// Upstreams that a request may run at.
 const ATTEMPTS: u32 = 2;
-/// Parts that sound requests bear besides the first.
-const SOUND_PARTS: u64 = 40;
+/// Parts that harmless requests contain besides the first.
+const HARMLESS_PARTS: u64 = 40;
 const FIRST_PART: PromptPartId = PromptPartId(1);
 /// The first part of requests on another route.
 const OTHER_FIRST_PART: PromptPartId = PromptPartId(4);
-const GUILTY_PART: PromptPartId = PromptPartId(2);
+const CRASHING_PART: PromptPartId = PromptPartId(2);
 
 /// A load of requests, and what goes wrong.
 #[derive(Clone)]
@@ -36,19 +36,19 @@
     routers: usize,
     upstreams: usize,
     domains: usize,
-    /// Time of sound requests alone, in which parts are answered.
+    /// Time of harmless requests alone, in which parts are answered.
     calm_ms: u64,
-    /// Time between two requests with the guilty part, after the calm time.
-    guilty_interval_ms: u64,
+    /// Time between two requests with the crashing part, after the calm time.
+    crashing_interval_ms: u64,
     /// How long they come.
-    guilty_ms: u64,
-    /// The parts that crash upstreams, of which a guilty request bears one.
-    guilty_parts: Vec<PromptPartId>,
-    /// Whether requests with the guilty part are answered in the calm time.
+    crashing_ms: u64,
+    /// The parts that crash upstreams, of which a crashing request contains one.
+    crashing_parts: Vec<PromptPartId>,
+    /// Whether requests with the crashing part are answered in the calm time.
     is_answered_before: bool,
-    /// Whether a guilty part comes first, and a part of sound requests after it.
-    is_guilty_first: bool,
-    /// One in how many sound requests is on the route of the guilty ones.
+    /// Whether a crashing part comes first, and a part of harmless requests after it.
+    is_crashing_part_first: bool,
+    /// One in how many harmless requests is on the route of the crashing ones.
     route_divisor: u64,
     /// When upstreams lose power, of those with these numbers.
     power_losses: Vec<(u64, std::ops::Range<usize>)>,
@@ -61,11 +61,11 @@
             upstreams: 12,
             domains: 4,
             calm_ms: 3000,
-            guilty_interval_ms: 150,
-            guilty_ms: 15_000,
-            guilty_parts: vec![GUILTY_PART],
+            crashing_interval_ms: 150,
+            crashing_ms: 15_000,
+            crashing_parts: vec![CRASHING_PART],
             is_answered_before: false,
-            is_guilty_first: false,
+            is_crashing_part_first: false,
             route_divisor: 1,
             power_losses: Vec::new(),
         }
@@ -76,13 +76,13 @@
 #[derive(Debug, Default)]
 struct Outcome {
     crashes: usize,
-    /// Requests with a guilty part that were sent later than [`SPREAD_MS`] after the fifth crash.
+    /// Requests with a crashing part that were sent later than [`SPREAD_MS`] after the fifth crash.
     late_sends: usize,
-    /// Sound requests that were refused, and of them those sent later than twice [`SPREAD_MS`] after
+    /// Harmless requests that were refused, and of them those sent later than twice [`SPREAD_MS`] after
     /// the last of the crashes that decide.
-    refused_sound: usize,
-    late_refused_sound: usize,
-    sound: usize,
+    refused_harmless: usize,
+    late_refused_harmless: usize,
+    harmless: usize,
     /// Parts that some router refuses at the end.
     refused_parts: HashSet<PromptPartId>,
 }
@@ -115,38 +115,38 @@
 }
 
 impl Replay {
-    fn guilty_from_unix_ms(&self) -> u64 {
+    fn crashing_from_unix_ms(&self) -> u64 {
         START_UNIX_MS + self.load.calm_ms
     }
 
-    fn is_guilty(&self, parts: &[PromptPartId]) -> bool {
-        self.now_unix_ms >= self.guilty_from_unix_ms()
+    fn is_crashing(&self, parts: &[PromptPartId]) -> bool {
+        self.now_unix_ms >= self.crashing_from_unix_ms()
             && parts
                 .iter()
-                .any(|part| self.load.guilty_parts.contains(part))
+                .any(|part| self.load.crashing_parts.contains(part))
     }
 
-    /// Returns whether the run begins to write on a guilty part.
+    /// Returns whether the run begins to write on a crashing part.
     fn crashes_now(&self, run: &Run) -> bool {
-        run.writes_since_unix_ms() == self.now_unix_ms && self.is_guilty(&run.parts)
+        run.writes_since_unix_ms() == self.now_unix_ms && self.is_crashing(&run.parts)
     }
 
     /// Sends a request to an upstream that is up, unless its router refuses it.
     fn send(&mut self, router: usize, request: u32, parts: Vec<PromptPartId>, attempt: u32) {
         let now = self.now_unix_ms;
-        let is_guilty = self.is_guilty(&parts);
+        let is_crashing = self.is_crashing(&parts);
         let decisive = self.crash_times_unix_ms.get(CRASHES_MAX - 1).copied();
         let refusal = self.fleet.routers[router]
             .parts
             .refusal(parts.iter().copied(), now);
-        if !is_guilty {
-            self.outcome.sound += 1;
+        if !is_crashing {
+            self.outcome.harmless += 1;
         }
         if refusal.is_some() {
-            if !is_guilty {
-                self.outcome.refused_sound += 1;
+            if !is_crashing {
+                self.outcome.refused_harmless += 1;
                 let is_late = decisive.is_some_and(|at| now > at + 2 * SPREAD_MS);
-                self.outcome.late_refused_sound += usize::from(is_late);
+                self.outcome.late_refused_harmless += usize::from(is_late);
             }
             return;
         }
@@ -157,7 +157,7 @@
         let Some(upstream) = candidates.into_iter().find(is_up) else {
             return;
         };
-        if is_guilty && decisive.is_some_and(|at| now > at + SPREAD_MS) {
+        if is_crashing && decisive.is_some_and(|at| now > at + SPREAD_MS) {
             self.outcome.late_sends += 1;
         }
         let write_ms = WRITE_MS.0 + self.fleet.draw(WRITE_MS.1);
@@ -248,7 +248,7 @@
         let per_step = self.upstreams.len() as u64 * 8 * STEP_MS;
         let requests = per_step / 1000 + u64::from(self.fleet.draw(1000) < per_step % 1000);
         for _ in 0..requests {
-            let part = PromptPartId(100 + self.fleet.draw(SOUND_PARTS));
+            let part = PromptPartId(100 + self.fleet.draw(HARMLESS_PARTS));
             let is_same_route = self.fleet.draw(self.load.route_divisor) == 0;
             let first = if is_same_route {
                 FIRST_PART
@@ -257,19 +257,19 @@
             };
             self.send_new(vec![first, part]);
         }
-        let since_guilty_ms = now.checked_sub(self.guilty_from_unix_ms());
-        let is_due = (now - START_UNIX_MS).is_multiple_of(self.load.guilty_interval_ms);
-        let is_sent = match since_guilty_ms {
-            Some(since_ms) => since_ms < self.load.guilty_ms,
+        let since_crashing_ms = now.checked_sub(self.crashing_from_unix_ms());
+        let is_due = (now - START_UNIX_MS).is_multiple_of(self.load.crashing_interval_ms);
+        let is_sent = match since_crashing_ms {
+            Some(since_ms) => since_ms < self.load.crashing_ms,
             None => self.load.is_answered_before,
         };
-        if is_due && is_sent && !self.load.guilty_parts.is_empty() {
-            let index = self.fleet.draw(self.load.guilty_parts.len() as u64);
-            let part = self.load.guilty_parts[index as usize];
+        if is_due && is_sent && !self.load.crashing_parts.is_empty() {
+            let index = self.fleet.draw(self.load.crashing_parts.len() as u64);
+            let part = self.load.crashing_parts[index as usize];
             let parts = if part == FIRST_PART {
                 vec![FIRST_PART]
-            } else if self.load.is_guilty_first {
-                vec![part, PromptPartId(100 + self.fleet.draw(SOUND_PARTS))]
+            } else if self.load.is_crashing_part_first {
+                vec![part, PromptPartId(100 + self.fleet.draw(HARMLESS_PARTS))]
             } else {
                 vec![FIRST_PART, part]
             };
@@ -289,7 +289,7 @@
         outcome: Outcome::default(),
     };
     replay.fleet.random = seed;
-    for step in 0..(load.calm_ms + load.guilty_ms) / STEP_MS {
+    for step in 0..(load.calm_ms + load.crashing_ms) / STEP_MS {
         replay.now_unix_ms = START_UNIX_MS + step * STEP_MS;
         replay.step();
         let elapsed_ms = step * STEP_MS;
@@ -307,7 +307,7 @@
 
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 
-fn assert_only_guilty_are_refused(load: &Load) {
+fn assert_only_crashing_parts_are_refused(load: &Load) {
     for seed in SEEDS {
         let outcome = replay(load, seed);
         println!("seed {seed}: {outcome:?}");
@@ -315,38 +315,38 @@
             outcome.late_sends <= LATE_SENDS_MAX,
             "seed {seed}: {outcome:?}"
         );
-        let guilty: HashSet<PromptPartId> = load.guilty_parts.iter().copied().collect();
-        assert_eq!(outcome.refused_parts, guilty, "seed {seed}: {outcome:?}");
-        assert_eq!(outcome.late_refused_sound, 0, "seed {seed}: {outcome:?}");
+        let crashing: HashSet<PromptPartId> = load.crashing_parts.iter().copied().collect();
+        assert_eq!(outcome.refused_parts, crashing, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.late_refused_harmless, 0, "seed {seed}: {outcome:?}");
     }
 }
 
 #[test]
 fn a_part_that_was_never_answered_is_refused_in_time() {
-    assert_only_guilty_are_refused(&Load::default());
+    assert_only_crashing_parts_are_refused(&Load::default());
 }
 
 #[test]
 fn a_part_that_was_answered_before_is_refused_in_time() {
-    assert_only_guilty_are_refused(&Load {
+    assert_only_crashing_parts_are_refused(&Load {
         is_answered_before: true,
         ..Load::default()
     });
 }
 
 #[test]
-fn a_part_that_is_guilty_from_the_start_of_traffic_is_refused_in_time() {
-    assert_only_guilty_are_refused(&Load {
+fn a_part_that_crashes_upstreams_from_the_start_of_traffic_is_refused_in_time() {
+    assert_only_crashing_parts_are_refused(&Load {
         calm_ms: 0,
         ..Load::default()
     });
 }
 
 #[test]
-fn a_guilty_part_before_a_sound_one_is_refused_in_time() {
+fn a_crashing_part_before_a_harmless_one_is_refused_in_time() {
     for is_answered_before in [false, true] {
-        assert_only_guilty_are_refused(&Load {
-            is_guilty_first: true,
+        assert_only_crashing_parts_are_refused(&Load {
+            is_crashing_part_first: true,
             is_answered_before,
             ..Load::default()
         });
@@ -354,35 +354,35 @@
 }
 
 #[test]
-fn two_guilty_parts_are_refused_in_time() {
-    assert_only_guilty_are_refused(&Load {
-        guilty_parts: vec![GUILTY_PART, PromptPartId(3)],
+fn two_crashing_parts_are_refused_in_time() {
+    assert_only_crashing_parts_are_refused(&Load {
+        crashing_parts: vec![CRASHING_PART, PromptPartId(3)],
         ..Load::default()
     });
 }
 
 #[test]
-fn a_guilty_part_that_comes_seldom_is_refused_in_time() {
-    assert_only_guilty_are_refused(&Load {
-        guilty_interval_ms: 4000,
-        guilty_ms: 40_000,
+fn a_crashing_part_that_comes_seldom_is_refused_in_time() {
+    assert_only_crashing_parts_are_refused(&Load {
+        crashing_interval_ms: 4000,
+        crashing_ms: 40_000,
         ..Load::default()
     });
 }
 
 #[test]
-fn a_first_part_that_all_requests_of_a_route_bear_is_refused_in_time() {
-    assert_only_guilty_are_refused(&Load {
-        guilty_parts: vec![FIRST_PART],
+fn a_first_part_that_all_requests_of_a_route_share_is_refused_in_time() {
+    assert_only_crashing_parts_are_refused(&Load {
+        crashing_parts: vec![FIRST_PART],
         route_divisor: 4,
         ..Load::default()
     });
 }
 
 #[test]
-fn a_guilty_part_is_refused_in_time_in_a_fleet_of_any_size() {
+fn a_crashing_part_is_refused_in_time_in_a_fleet_of_any_size() {
     for (routers, upstreams, domains) in [(24, 44, 5), (100, 300, 10)] {
-        assert_only_guilty_are_refused(&Load {
+        assert_only_crashing_parts_are_refused(&Load {
             routers,
             upstreams,
             domains,
@@ -393,7 +393,7 @@
 
 /// Racks of upstreams lose power again and again, which cuts off whatever runs there.
 #[test]
-fn power_losses_without_a_guilty_part_refuse_nothing() {
+fn power_losses_without_a_crashing_part_refuse_nothing() {
     let power_losses = vec![
         (500, 0..4),
         (4000, 4..8),
@@ -401,8 +401,8 @@
         (9000, 0..6),
         (9500, 6..12),
     ];
-    assert_only_guilty_are_refused(&Load {
-        guilty_parts: Vec::new(),
+    assert_only_crashing_parts_are_refused(&Load {
+        crashing_parts: Vec::new(),
         calm_ms: 0,
         power_losses,
         ..Load::default()
@@ -429,24 +429,24 @@
 fn crashes_of_one_request_alone_refuse_no_part() {
     let mut parts = SuspectParts::default();
     for number in 1..=8 {
-        record(&mut parts, GUILTY_PART, &crash(number, 7));
+        record(&mut parts, CRASHING_PART, &crash(number, 7));
     }
     let now = START_UNIX_MS + 9000;
     assert_eq!(parts.refused_parts(now), []);
-    record(&mut parts, GUILTY_PART, &crash(9, 8));
-    assert_eq!(parts.refused_parts(now), [GUILTY_PART]);
+    record(&mut parts, CRASHING_PART, &crash(9, 8));
+    assert_eq!(parts.refused_parts(now), [CRASHING_PART]);
 }
 
 #[test]
 fn an_answer_that_began_before_the_crashes_clears_none() {
     let mut parts = SuspectParts::default();
     for number in 1..=5 {
-        record(&mut parts, GUILTY_PART, &crash(number, number as u32));
+        record(&mut parts, CRASHING_PART, &crash(number, number as u32));
     }
     let now = START_UNIX_MS + 6000;
-    parts.record_answer([GUILTY_PART], START_UNIX_MS + 500, 0);
-    assert_eq!(parts.refused_parts(now), [GUILTY_PART]);
-    parts.record_answer([GUILTY_PART], START_UNIX_MS + 1500, 0);
+    parts.record_answer([CRASHING_PART], START_UNIX_MS + 500, 0);
+    assert_eq!(parts.refused_parts(now), [CRASHING_PART]);
+    parts.record_answer([CRASHING_PART], START_UNIX_MS + 1500, 0);
     assert_eq!(
         parts.refused_parts(now),
         [],
@@ -458,10 +458,10 @@
 fn crashes_of_upstreams_that_are_alive_refuse_no_part() {
     let mut parts = SuspectParts::default();
     for number in 1..=4 {
-        record(&mut parts, GUILTY_PART, &crash(number, number as u32));
+        record(&mut parts, CRASHING_PART, &crash(number, number as u32));
     }
     let now = START_UNIX_MS + 12_000;
-    assert_eq!(parts.refused_parts(now), [GUILTY_PART]);
+    assert_eq!(parts.refused_parts(now), [CRASHING_PART]);
     let alive = [CrashId(1), CrashId(2), CrashId(4), CrashId(9)];
     let false_crashes = parts.false_crashes(&alive, now);
     assert_eq!(
@@ -471,7 +471,7 @@
     );
     parts.clear_crashes(&false_crashes, 0);
     assert_eq!(parts.refused_parts(now), []);
-    record(&mut parts, GUILTY_PART, &crash(1, 1));
+    record(&mut parts, CRASHING_PART, &crash(1, 1));
     assert_eq!(
         parts.refused_parts(now),
         [],
@@ -479,7 +479,7 @@
     );
 }
 
-/// A request beside guilty ones loses its answer three times in a row.
+/// A request beside crashing ones loses its answer three times in a row.
 #[test]
 fn crashes_that_a_part_explains_refuse_no_request_beside_it() {
     const FINGERPRINT: u64 = 7;
@@ -505,7 +505,7 @@
         let refused = requests
             .refused_until_unix_ms(FINGERPRINT, now, |crash| parts.is_explained(crash, now));
         assert_eq!(refused.is_some(), number == 3);
-        record(&mut parts, GUILTY_PART, &crash);
+        record(&mut parts, CRASHING_PART, &crash);
     }
     let refused =
         requests.refused_until_unix_ms(FINGERPRINT, now, |crash| parts.is_explained(crash, now));
@@ -514,14 +514,14 @@
 
 /// Agents keep what a router knew that ended.
 #[test]
-fn a_router_that_starts_later_refuses_the_guilty_part_alone() {
+fn a_router_that_starts_later_refuses_the_crashing_part_alone() {
     for (routers, upstreams, domains) in [(5, 12, 4), (24, 44, 5)] {
         let mut fleet = Fleet::new(routers, upstreams, domains);
         let first = &mut fleet.routers[0].parts;
         first.record_answer([FIRST_PART], START_UNIX_MS, 0);
         for number in 1..=4 {
             let crash = crash(number, number as u32);
-            for (position, part) in [FIRST_PART, GUILTY_PART].into_iter().enumerate() {
+            for (position, part) in [FIRST_PART, CRASHING_PART].into_iter().enumerate() {
                 let sends = ROUTER_CHANGE_SENDS;
                 first.record_crash(part, position as u32, &crash, sends, crash.ended_unix_ms);
             }
@@ -539,23 +539,23 @@
         fleet.routers[1].parts = SuspectParts::default();
         let now = play(&mut fleet);
         for router in &mut fleet.routers {
-            assert_eq!(router.parts.refused_parts(now), [GUILTY_PART]);
+            assert_eq!(router.parts.refused_parts(now), [CRASHING_PART]);
         }
     }
 }
 
 /// Upstreams that crash make suspects of many parts that are in one request each.
 #[test]
-fn many_parts_with_one_crash_do_not_displace_a_guilty_one() {
+fn many_parts_with_one_crash_do_not_displace_a_crashing_one() {
     let mut parts = SuspectParts::default();
     for number in 1..=3 {
-        record(&mut parts, GUILTY_PART, &crash(number, number as u32));
+        record(&mut parts, CRASHING_PART, &crash(number, number as u32));
         for other in 0..1000 {
             let part = PromptPartId(1_000_000 + number * 1000 + other);
             record(&mut parts, part, &crash(number, other as u32));
         }
     }
     let now = START_UNIX_MS + 4000;
-    assert_eq!(parts.refused_parts(now), [GUILTY_PART]);
+    assert_eq!(parts.refused_parts(now), [CRASHING_PART]);
     assert!(parts.part_counts(now).remembered <= 1024);
 }
