--- a/crates/celerystair_policy/tests/prompt_parts.rs
+++ b/crates/celerystair_policy/tests/prompt_parts.rs
@@ -9,7 +9,7 @@
 
 const START_UNIX_MS: u64 = 1_000_000;
 const STEP_MS: u64 = 10;
-/// Time in which all routers must know what one of them sees: the platform's `StableWindowMs`.
+/// The shortest time that a platform allows for all routers to know what one of them sees.
 const SPREAD_MS: u64 = 3000;
 /// Crashes after which a part must be refused.
 const CRASHES_MAX: usize = 5;
