Log which answer clears a suspicion, and whether a crash counts

A suspicion that is cleared left no trace of the answer that cleared it: an error that an upstream wrote itself, and a success of another caller's request, looked alike. suspicion_cleared names the status and the upstream; request_suspected says whether the crash counts (counted, known, cleared, same_event, surplus). No decision changes.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -47,6 +47,8 @@
 /// A complete response of an upstream.
 #[derive(Clone)]
 pub struct BufferedResponse {
+    /// The upstream that responded.
+    pub upstream: UpstreamId,
     /// The status.
     pub status: http::StatusCode,
     /// The end-to-end headers.
@@ -410,6 +412,7 @@
     drop(in_flight);
     upstream.connections.keep(connection, &head.headers);
     Ok(BufferedResponse {
+        upstream: upstream.id(),
         began_unix_ms,
         is_proven_answer: head.status.is_success() && framing == Framing::Marked,
         status: head.status,
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -181,7 +181,8 @@
         let mut suspects = self.suspects.borrow_mut();
         let fingerprint = run.fingerprint;
         let now = now_unix_ms();
-        let crashes = suspects.record_crash(fingerprint, &lost, ROUTER_CHANGE_SENDS, now);
+        let (crashes, outcome) =
+            suspects.record_crash(fingerprint, &lost, ROUTER_CHANGE_SENDS, now);
         drop(suspects);
         let part_crash = run.part_crash(ended_unix_ms, now);
         let mut parts = self.suspect_parts.borrow_mut();
@@ -195,7 +196,7 @@
         recent.push((part_crash.id, now));
         drop(recent);
         self.suspects_changed.notify(usize::MAX);
-        self.log_request_suspected(run, &lost.incarnation, crashes);
+        self.log_request_suspected(run, &lost.incarnation, crashes, outcome);
     }
 
     /// Clears the crash of an upstream that has answered a request sent at `sent_unix_ms`, if it was
@@ -233,14 +234,20 @@
         parts.record_answer(ids, began_unix_ms, ROUTER_CHANGE_SENDS);
     }
 
-    /// Clears the request of suspicion, because it received a complete response.
-    pub fn clear_suspicion(&self, request: &CallerRequest) {
+    /// Clears the request of suspicion, because it received a complete response with this status from
+    /// `upstream`.
+    pub fn clear_suspicion(
+        &self,
+        request: &CallerRequest,
+        status: http::StatusCode,
+        upstream: &UpstreamId,
+    ) {
         let mut suspects = self.suspects.borrow_mut();
         let crashes = suspects.clear(request.fingerprint, ROUTER_CHANGE_SENDS);
         drop(suspects);
         if crashes > 0 {
             self.suspects_changed.notify(usize::MAX);
-            self.log_suspicion_cleared(request, crashes);
+            self.log_suspicion_cleared(request, crashes, status, upstream);
         }
     }
 
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -69,12 +69,14 @@
         run: &Run,
         incarnation: &UpstreamIncarnation,
         crashes: u32,
+        outcome: CrashOutcome,
     ) {
         let now = now_unix_ms();
         info!(self.log, "request_suspected"; "request" => %run.request,
             "route" => &run.route.name, "fingerprint" => hex(run.fingerprint),
             "upstream" => %incarnation.upstream, "born_unix_ms" => incarnation.started_unix_ms,
-            "crashes" => crashes, "sent_ms_ago" => now.saturating_sub(run.sent_unix_ms),
+            "crashes" => crashes, "crash" => outcome.as_str(),
+            "sent_ms_ago" => now.saturating_sub(run.sent_unix_ms),
             "writing_ms" => run.writing_since_unix_ms.map(|since| now.saturating_sub(since)),
             "parts" => part_names(&run.prompt_parts));
     }
@@ -101,10 +103,16 @@
     }
 
     /// Logs that a complete response cleared the request of suspicion.
-    pub fn log_suspicion_cleared(&self, request: &CallerRequest, crashes: u32) {
+    pub fn log_suspicion_cleared(
+        &self,
+        request: &CallerRequest,
+        crashes: u32,
+        status: http::StatusCode,
+        upstream: &UpstreamId,
+    ) {
         info!(self.log, "suspicion_cleared"; "request" => %request.head.id,
             "route" => &request.route.name, "fingerprint" => hex(request.fingerprint),
-            "crashes" => crashes);
+            "crashes" => crashes, "status" => status.as_u16(), "upstream" => %upstream);
     }
 
     /// Logs that an upstream has said in a response that it leaves.
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -247,7 +247,11 @@
     fn finish(&mut self, end: StreamEnd) {
         if let Some(mut started) = self.started.take() {
             if matches!(end, StreamEnd::Proven) {
-                self.router.clear_suspicion(&self.request);
+                self.router.clear_suspicion(
+                    &self.request,
+                    started.head.status,
+                    &started.upstream.id(),
+                );
                 self.router
                     .record_part_answer(&self.request, started.began_unix_ms);
             }
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -74,7 +74,7 @@
             FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
         },
         suspects::{
-            AGENT_CHANGE_SENDS, CrashId, LostRun, REPORT_ROUND_MS, REPORT_SAMPLE_MS,
+            AGENT_CHANGE_SENDS, CrashId, CrashOutcome, LostRun, REPORT_ROUND_MS, REPORT_SAMPLE_MS,
             ROUTER_CHANGE_SENDS, SuspectCounts, SuspectReport, Suspects, UNLISTED_AFTER_MS,
             UpstreamIncarnation,
         },
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -84,6 +84,34 @@
     pub expires_in_ms: u64,
 }
 
+/// What became of a crash that a process has seen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashOutcome {
+    /// It counts from now on.
+    Counted,
+    /// The crash of this incarnation was known.
+    Known,
+    /// The crash of this incarnation was cleared before, as no crash of the request's making.
+    Cleared,
+    /// The run overlaps another one that counts, so the same event may have ended both.
+    SameEvent,
+    /// As many crashes of the request are known as are remembered.
+    Surplus,
+}
+
+impl CrashOutcome {
+    /// Returns the form that logs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Counted => "counted",
+            Self::Known => "known",
+            Self::Cleared => "cleared",
+            Self::SameEvent => "same_event",
+            Self::Surplus => "surplus",
+        }
+    }
+}
+
 /// The number of requests that a [`Suspects`] holds.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SuspectCounts {
@@ -121,18 +149,22 @@
         self.crashes.len() >= CRASHES_MAX as usize
     }
 
-    /// Adds a crash unless it is known or cleared; returns whether it was added.
-    fn add_crash(&mut self, id: CrashId, now_unix_ms: u64) -> bool {
-        let mut crashes = self.crashes.iter();
-        let is_known = crashes.any(|known| known.id == id) || self.cleared.contains(&id);
-        let is_added = !is_known && self.crashes.len() < CRASHES_REMEMBERED_MAX;
-        if is_added {
-            self.crashes.push(KnownCrash {
-                id,
-                learned_unix_ms: now_unix_ms,
-            });
+    /// Adds a crash unless it is known or cleared.
+    fn add_crash(&mut self, id: CrashId, now_unix_ms: u64) -> CrashOutcome {
+        if self.crashes.iter().any(|known| known.id == id) {
+            return CrashOutcome::Known;
+        }
+        if self.cleared.contains(&id) {
+            return CrashOutcome::Cleared;
+        }
+        if self.crashes.len() >= CRASHES_REMEMBERED_MAX {
+            return CrashOutcome::Surplus;
         }
-        is_added
+        self.crashes.push(KnownCrash {
+            id,
+            learned_unix_ms: now_unix_ms,
+        });
+        CrashOutcome::Counted
     }
 
     /// Marks a crash as one that doesn't count; returns whether that changed anything.
@@ -159,26 +191,31 @@
 
 impl Suspects {
     /// Records that an incarnation may have crashed while it ran the request, to be reported
-    /// `sends` times, and returns the number of crashes so far.
+    /// `sends` times. Returns the number of crashes so far, and whether this one counts.
     pub fn record_crash(
         &mut self,
         fingerprint: u64,
         run: &LostRun,
         sends: u32,
         now_unix_ms: u64,
-    ) -> u32 {
+    ) -> (u32, CrashOutcome) {
         let suspect = self.entry(fingerprint, now_unix_ms);
         suspect.forget_unix_ms = now_unix_ms + RETENTION_MS;
         let overlaps = |(sent_unix_ms, ended_unix_ms): &(u64, u64)| {
             *sent_unix_ms < run.ended_unix_ms && run.sent_unix_ms < *ended_unix_ms
         };
         let is_same_event = suspect.own_run_spans_unix_ms.iter().any(overlaps);
-        if !is_same_event && suspect.add_crash(run.incarnation.crash_id(), now_unix_ms) {
+        let outcome = if is_same_event {
+            CrashOutcome::SameEvent
+        } else {
+            suspect.add_crash(run.incarnation.crash_id(), now_unix_ms)
+        };
+        if outcome == CrashOutcome::Counted {
             let span = (run.sent_unix_ms, run.ended_unix_ms);
             suspect.own_run_spans_unix_ms.push(span);
             suspect.pending_sends = sends;
         }
-        suspect.crashes.len() as u32
+        (suspect.crashes.len() as u32, outcome)
     }
 
     /// Adds what another process reports, to be reported further `sends` times. Returns the number
@@ -195,7 +232,7 @@
             is_new |= suspect.clear_crash(*crash);
         }
         for crash in &report.crashes {
-            is_new |= suspect.add_crash(*crash, now_unix_ms);
+            is_new |= suspect.add_crash(*crash, now_unix_ms) == CrashOutcome::Counted;
         }
         if is_new {
             suspect.pending_sends = sends;
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -176,9 +176,15 @@
     let mut suspects = Suspects::default();
     for crash in 1..=CRASHES_MAX {
         assert!(!suspects.is_refused(7, 1_000));
-        assert_eq!(suspects.record_crash(7, &lost_run(crash), 0, 1_000), crash);
+        assert_eq!(
+            suspects.record_crash(7, &lost_run(crash), 0, 1_000).0,
+            crash
+        );
         // Another answer that is lost at the same incarnation is not a further crash.
-        assert_eq!(suspects.record_crash(7, &lost_run(crash), 0, 1_000), crash);
+        assert_eq!(
+            suspects.record_crash(7, &lost_run(crash), 0, 1_000).0,
+            crash
+        );
     }
     assert!(suspects.is_refused(7, 1_001));
     assert!(!suspects.is_refused(8, 1_001));
