Clear a crashing request only by a complete success

Cause: a router cleared a request of suspicion for every response that it had read whole, whatever its status. An upstream that fails some of its requests wrote a 500 to one of the repeats, and all crashes were forgotten, in the whole fleet. The status was read for the caller and not asked for here; prompt parts did ask for it.

Why it works: is_proven_answer, in the policy, decides for requests and for parts of prompts: a success whose end is marked. Everything else that can be read whole (errors, 504 at the deadline, bodies that end with their connection) leaves the count as it is.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -57,7 +57,7 @@
     pub body: Bytes,
     /// When the head arrived.
     pub began_unix_ms: u64,
-    /// Whether the upstream succeeded and marked the end of the body.
+    /// Whether the response proves that the request crashes no upstream.
     pub is_proven_answer: bool,
 }
 
@@ -414,7 +414,7 @@
     Ok(BufferedResponse {
         upstream: upstream.id(),
         began_unix_ms,
-        is_proven_answer: head.status.is_success() && framing == Framing::Marked,
+        is_proven_answer: is_proven_answer(head.status.is_success(), framing == Framing::Marked),
         status: head.status,
         headers: response_headers(&head.headers),
         body: bytes,
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -170,7 +170,7 @@
     }
 
     /// Records that the run ended at `ended_unix_ms` because its upstream was lost. The record is
-    /// cleared once the same request gets a complete response: most requests that are cut off crash
+    /// cleared once the same request gets a proven answer: most requests that are cut off crash
     /// nothing.
     pub fn record_crash(&self, run: &Run, ended_unix_ms: u64) {
         let lost = LostRun {
@@ -234,7 +234,7 @@
         parts.record_answer(ids, began_unix_ms, ROUTER_CHANGE_SENDS);
     }
 
-    /// Clears the request of suspicion, because it received a complete response with this status from
+    /// Clears the request of suspicion, because it received a proven answer with this status from
     /// `upstream`.
     pub fn clear_suspicion(
         &self,
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -102,7 +102,7 @@
         info!(self.log, "false_crash_cleared"; "fingerprint" => hex(fingerprint));
     }
 
-    /// Logs that a complete response cleared the request of suspicion.
+    /// Logs that a proven answer cleared the request of suspicion.
     pub fn log_suspicion_cleared(
         &self,
         request: &CallerRequest,
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -109,8 +109,8 @@
     let response = try_upstreams(router, &request, &service, &mut progress, None).await?;
     Ok(match response {
         UpstreamResponse::Buffered(response) => {
-            router.clear_suspicion(&request, response.status, &response.upstream);
             if response.is_proven_answer {
+                router.clear_suspicion(&request, response.status, &response.upstream);
                 router.record_part_answer(&request, response.began_unix_ms);
             }
             buffered_response(response)
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -76,7 +76,7 @@
         suspects::{
             AGENT_CHANGE_SENDS, CrashId, CrashOutcome, LostRun, REPORT_ROUND_MS, REPORT_SAMPLE_MS,
             ROUTER_CHANGE_SENDS, SuspectCounts, SuspectReport, Suspects, UNLISTED_AFTER_MS,
-            UpstreamIncarnation,
+            UpstreamIncarnation, is_proven_answer,
         },
         waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
     };
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -11,8 +11,8 @@
 //! agents exchange [`SuspectReport`]s, each of which adds to what its receiver knows. A crash has an
 //! identifier of its own, so a report that arrives twice, late or over other processes counts once.
 //!
-//! A lost answer is no proof of a crash. So a complete answer clears the crashes recorded so far, and
-//! an incarnation that is still listed seconds later counts as alive.
+//! A lost answer is no proof of a crash. So a proven answer clears the crashes recorded so far, see
+//! [`is_proven_answer`], and an incarnation that is still listed seconds later counts as alive.
 
 use celerystair_core::{prelude::*, rendezvous::fingerprint as hash_bytes};
 
@@ -38,6 +38,13 @@
 /// learn of a crash at the same time may exceed [`CRASHES_MAX`].
 const CRASHES_REMEMBERED_MAX: usize = 6;
 
+/// Whether a response proves that its request crashes no upstream. An upstream that fails a part of
+/// its requests may write an error before it begins the work that would crash it, and a response
+/// whose end is not marked may have been cut off by the crash.
+pub fn is_proven_answer(is_success: bool, is_end_marked: bool) -> bool {
+    is_success && is_end_marked
+}
+
 /// One run of an upstream's process.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamIncarnation {
@@ -240,7 +247,7 @@
         is_new.then_some(suspect.crashes.len() as u32)
     }
 
-    /// Clears a request that received a complete answer and so doesn't crash upstreams, to be
+    /// Clears a request that received a proven answer and so doesn't crash upstreams, to be
     /// reported `sends` times. Returns the number of crashes that were recorded for it.
     pub fn clear(&mut self, fingerprint: u64, sends: u32) -> u32 {
         let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
