Tell requests that crash upstreams apart by host and method

Cause: the fingerprint by which repeats are recognised held path, query and body, joined without separators. The host, which names the caller's organisation, and the method were read for the route and left out, so that one request's answer cleared another one's crashes, and one's crashes could refuse the other.

Why it works: a repeat has the same host and method, so its crashes still add up. While routers of both versions run, their fingerprints differ, and each version counts alone.

--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 
-use celerystair_core::{prelude::*, rendezvous::fingerprint};
+use celerystair_core::prelude::*;
 use celerystair_net::{
     json::{ReadBodyError, read_body},
     prelude::*,
 };
+use celerystair_policy::prelude::request_fingerprint;
 use http::{HeaderValue, header};
 
 use crate::{
@@ -79,8 +80,8 @@
     let target = parts.uri.path_and_query().cloned();
     let target = target.ok_or_else(|| bad_request("the request has no path"))?;
     let deadline_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
-    let mut fingerprint_input = target.as_str().as_bytes().to_vec();
-    fingerprint_input.extend_from_slice(&body);
+    let fingerprint =
+        request_fingerprint(parts.method.as_str(), &route.host, target.as_str(), &body);
     Ok(CallerRequest {
         headers: request_headers(
             &parts.headers,
@@ -90,7 +91,7 @@
         target: http::Uri::from(target),
         arrived_unix_ms,
         deadline_unix_ms: arrived_unix_ms + deadline_ms.min(route.timeout_ms),
-        fingerprint: fingerprint(&fingerprint_input),
+        fingerprint,
         head,
         body,
         route,
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -50,7 +50,8 @@
     pub arrived_unix_ms: u64,
     /// When the response is due: after the caller's timeout or the route's, whichever is shorter.
     pub deadline_unix_ms: u64,
-    /// Hash of the path, query and body, by which requests that crash upstreams are recognised.
+    /// Hash of the method, host, path, query and body, by which requests that crash upstreams are
+    /// recognised.
     pub fingerprint: u64,
 }
 
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -76,7 +76,7 @@
         suspects::{
             AGENT_CHANGE_SENDS, CrashId, CrashOutcome, LostRun, REPORT_ROUND_MS, REPORT_SAMPLE_MS,
             ROUTER_CHANGE_SENDS, SuspectCounts, SuspectReport, Suspects, UNLISTED_AFTER_MS,
-            UpstreamIncarnation, is_proven_answer,
+            UpstreamIncarnation, is_proven_answer, request_fingerprint,
         },
         waiting::{KnownCopies, WaitDecision, WaitInputs, decide_wait, shortest_load_ms},
     };
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -38,6 +38,24 @@
 /// learn of a crash at the same time may exceed [`CRASHES_MAX`].
 const CRASHES_REMEMBERED_MAX: usize = 6;
 
+/// Returns the fingerprint by which the repeats of a request are recognised, whatever their ids. The
+/// method and the host are part of it, as other callers' requests may have the same path.
+pub fn request_fingerprint(method: &str, host: &str, target: &str, body: &[u8]) -> u64 {
+    let fields = [
+        method.as_bytes(),
+        &host.to_ascii_lowercase().into_bytes(),
+        target.as_bytes(),
+        body,
+    ];
+    let mut bytes = Vec::with_capacity(fields.iter().map(|field| field.len() + 8).sum());
+    for field in fields {
+        // The length keeps the end of one field apart from the start of the next.
+        bytes.extend_from_slice(&(field.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(field);
+    }
+    hash_bytes(&bytes)
+}
+
 /// Whether a response proves that its request crashes no upstream. An upstream that fails a part of
 /// its requests may write an error before it begins the work that would crash it, and a response
 /// whose end is not marked may have been cut off by the crash.
--- a/crates/celerystair_policy/tests/suspects.rs
+++ b/crates/celerystair_policy/tests/suspects.rs
@@ -22,6 +22,24 @@
     }
 }
 
+/// Otherwise the answer to one request would clear another one, or the crashes of one refuse it.
+#[test]
+fn requests_that_differ_in_any_field_have_different_fingerprints() {
+    let known = request_fingerprint("GET", "a.example", "/x?y=1", b"body");
+    assert_eq!(
+        known,
+        request_fingerprint("GET", "A.Example", "/x?y=1", b"body")
+    );
+    let others = [
+        request_fingerprint("POST", "a.example", "/x?y=1", b"body"),
+        request_fingerprint("GET", "b.example", "/x?y=1", b"body"),
+        request_fingerprint("GET", "a.example", "/x?y=2", b"body"),
+        request_fingerprint("GET", "a.example", "/x?y=1", b"other"),
+        request_fingerprint("GET", "a.example", "/x?y=1b", b"ody"),
+    ];
+    assert!(!others.contains(&known));
+}
+
 fn report_of(suspects: &mut Suspects, now_unix_ms: u64) -> SuspectReport {
     suspects.sample(1, 0, now_unix_ms).remove(0)
 }
