--- a/crates/celerystair_policy/tests/crashing_requests.rs
+++ b/crates/celerystair_policy/tests/crashing_requests.rs
@@ -54,7 +54,7 @@
             agents: 12,
             domains: 4,
             duration_ms: 60_000,
-            crashing_interval_ms: 700,
+            crashing_interval_ms: 2000,
             error_divisor: 0,
             lost_divisor: 0,
             router_restart_interval_ms: 0,
@@ -295,7 +295,7 @@
 #[test]
 fn a_crashing_request_is_refused_while_upstreams_answer_it_with_errors() {
     assert_crashing_request_is_refused_in_time(&Load {
-        error_divisor: 3,
+        error_divisor: 2,
         ..Load::default()
     });
     assert_crashing_request_is_refused_in_time(&Load {
