Remember sixteen cleared crashes of a request, not six

What callers saw: none reported.

Cause: a cleared crash was forgotten after six more, and any process that had not heard of its clearing made it count again.

Evidence: crashes_that_were_cleared_long_ago_do_not_count_again fails with six (three old crashes, reported late, refuse the request) and passes with sixteen.

--- a/crates/celerystair_news/src/suspects.rs
+++ b/crates/celerystair_news/src/suspects.rs
@@ -5,7 +5,7 @@
 
 use crate::socket::GossipMessage;
 
-/// The most reports in one datagram, which stays below 3 kB with them.
+/// The most reports in one datagram, which stays below 4 kB with them.
 pub const REPORTS_PER_DATAGRAM_MAX: usize = 16;
 /// The most reports on parts in one datagram, which stays below 4 kB with them.
 pub const PART_REPORTS_PER_DATAGRAM_MAX: usize = 8;
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -34,9 +34,12 @@
 /// The most requests that are remembered; of those with the fewest crashes, the oldest is dropped
 /// first.
 const SUSPECTS_MAX: usize = 256;
-/// The most crashes, and as many cleared ones, that are remembered of one request. Routers that
-/// learn of a crash at the same time may exceed [`CRASHES_MAX`].
+/// The most crashes that are remembered of one request. Routers that learn of a crash at the same time
+/// may exceed [`CRASHES_MAX`].
 const CRASHES_REMEMBERED_MAX: usize = 6;
+/// The most cleared crashes that are remembered of one request. One that is forgotten counts again if
+/// a process reports it that has not heard of the clearing.
+const CLEARED_MAX: usize = 16;
 
 /// Returns the fingerprint by which the repeats of a request are recognised, whatever their ids. The
 /// method and the host are part of it, as other callers' requests may have the same path.
@@ -197,7 +200,7 @@
         self.crashes.retain(|known| known.id != id);
         let is_new = !self.cleared.contains(&id);
         if is_new {
-            let surplus = (self.cleared.len() + 1).saturating_sub(CRASHES_REMEMBERED_MAX);
+            let surplus = (self.cleared.len() + 1).saturating_sub(CLEARED_MAX);
             self.cleared.drain(..surplus);
             self.cleared.push(id);
         }
@@ -253,7 +256,7 @@
         let forget_unix_ms = now_unix_ms + report.expires_in_ms.min(RETENTION_MS);
         suspect.forget_unix_ms = suspect.forget_unix_ms.max(forget_unix_ms);
         let mut is_new = false;
-        for crash in report.cleared.iter().take(CRASHES_REMEMBERED_MAX) {
+        for crash in report.cleared.iter().take(CLEARED_MAX) {
             is_new |= suspect.clear_crash(*crash);
         }
         for crash in &report.crashes {
--- a/crates/celerystair_policy/tests/suspects.rs
+++ b/crates/celerystair_policy/tests/suspects.rs
@@ -93,6 +93,27 @@
     }
 }
 
+/// A request that is sent often loses answers again and again, and one process hears of no clearing.
+#[test]
+fn crashes_that_were_cleared_long_ago_do_not_count_again() {
+    const LOST_ANSWERS: u64 = 10;
+    let mut router = Suspects::default();
+    for number in 1..=LOST_ANSWERS {
+        router.record_crash(FINGERPRINT, &lost_run(number), 0, START_UNIX_MS);
+        router.clear(FINGERPRINT, 0);
+    }
+    let late = SuspectReport {
+        fingerprint: FINGERPRINT,
+        crashes: (1..=3)
+            .map(|number| lost_run(number).incarnation.crash_id())
+            .collect(),
+        cleared: Vec::new(),
+        expires_in_ms: 1000,
+    };
+    assert_eq!(router.merge(&late, 0, START_UNIX_MS), None);
+    assert!(!router.is_refused(FINGERPRINT, START_UNIX_MS));
+}
+
 /// A router's links fail for a moment under a request that is sent often: it loses answers at three
 /// upstreams, which run on.
 #[test]
