Refuse a harmless request beside a crashing one only on evidence of its own

What callers saw: none reported.

Cause: three lost answers refused any request, also one that had been answered many times before.

Why it works: a request that was answered before needs one crash more, and those crashes don't count for it that a refused request explains which was never answered. Whether a request was answered travels with the reports, as for parts of prompts, whose record of answers now serves both. A request that becomes crashing after it was answered reaches at most one upstream more than the bound's third.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -243,7 +243,7 @@
         upstream: &UpstreamId,
     ) {
         let mut suspects = self.suspects.borrow_mut();
-        let crashes = suspects.clear(request.fingerprint, ROUTER_CHANGE_SENDS);
+        let crashes = suspects.clear(request.fingerprint, ROUTER_CHANGE_SENDS, now_unix_ms());
         drop(suspects);
         if crashes > 0 {
             self.suspects_changed.notify(usize::MAX);
--- a/crates/celerystair_front/src/suspicion.rs
+++ b/crates/celerystair_front/src/suspicion.rs
@@ -136,6 +136,10 @@
             router.log_suspect_learned(report.fingerprint, crashes);
         }
     }
+    // The sender may not know of an answer to what it reports.
+    if router.suspects.borrow().has_pending() {
+        router.notify_suspects_change();
+    }
 }
 
 /// Adds what another process has reported of parts of prompts.
--- a/crates/celerystair_news/src/suspects.rs
+++ b/crates/celerystair_news/src/suspects.rs
@@ -57,6 +57,7 @@
         fingerprint: report.fingerprint,
         crashes: ids(&report.crashes),
         cleared: ids(&report.cleared),
+        is_answered: report.is_answered,
         expires_in_ms: report.expires_in_ms.try_into().unwrap_or(u32::MAX),
     });
     protocol::SuspectReports {
@@ -121,6 +122,7 @@
         fingerprint: report.fingerprint,
         crashes: ids(report.crashes),
         cleared: ids(report.cleared),
+        is_answered: report.is_answered,
         expires_in_ms: report.expires_in_ms.into(),
     });
     reports.collect()
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -97,6 +97,7 @@
             fingerprint: 7,
             crashes: vec![CrashId(1), CrashId(2)],
             cleared: vec![CrashId(3)],
+            is_answered: true,
             expires_in_ms: 60_000,
         };
         for message in [
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`outcome`] | what happens to a request after a failed attempt |
 //! | [`prompt_parts`] | which parts of prompts are refused because they crash upstreams |
 //! | [`rate_limit`] | a router's share of the rate limit that an upstream names |
+//! | [`recent_answers`] | nothing: which requests and prompt parts got answers lately |
 //! | [`replicas`] | which model an engine loads next, and which ones are evicted for it |
 //! | [`routes`] | which route a request takes |
 //! | [`spread`] | which peers get gossip directly, and which relay it |
@@ -38,6 +39,7 @@
 pub mod outcome;
 pub mod prompt_parts;
 pub mod rate_limit;
+pub mod recent_answers;
 pub mod replicas;
 pub mod routes;
 pub mod spread;
--- a/crates/celerystair_policy/src/prompt_parts.rs
+++ b/crates/celerystair_policy/src/prompt_parts.rs
@@ -22,6 +22,7 @@
 use celerystair_core::{prelude::*, rendezvous::fingerprint as hash_bytes};
 
 use crate::{
+    recent_answers::RecentAnswers,
     suspect_part::{
         CRASHES_REMEMBERED_MAX, PART_CRASHES_MAX, PartCrash, PartReport, PromptPartId,
         RETENTION_MS, SuspectPart,
@@ -34,8 +35,6 @@
 /// The most parts that are suspected at a time; of those with the fewest crashes, the oldest is
 /// dropped first.
 const PARTS_MAX: usize = 1024;
-/// The most parts in each of the two generations of answered parts.
-const ANSWERED_MAX: usize = 32 * 1024;
 
 /// Why a part is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -59,29 +58,6 @@
     pub refused: u32,
 }
 
-/// Parts whose requests got complete answers, and when the latest of these answers began. Of two
-/// generations, the older is dropped as a whole when the younger is full.
-#[derive(Clone, Debug, Default)]
-struct AnsweredParts {
-    young: HashMap<PromptPartId, u64>,
-    old: HashMap<PromptPartId, u64>,
-}
-
-impl AnsweredParts {
-    fn insert(&mut self, part: PromptPartId, began_unix_ms: u64) {
-        let known = self.young.entry(part).or_default();
-        *known = began_unix_ms.max(*known);
-        if self.young.len() >= ANSWERED_MAX {
-            self.old = std::mem::take(&mut self.young);
-        }
-    }
-
-    fn get(&self, part: PromptPartId) -> Option<u64> {
-        let times = [self.young.get(&part), self.old.get(&part)];
-        times.into_iter().flatten().max().copied()
-    }
-}
-
 /// A part whose evidence suffices.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -105,7 +81,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspectParts {
     parts: HashMap<PromptPartId, SuspectPart>,
-    answered: AnsweredParts,
+    answered: RecentAnswers<PromptPartId>,
     attribution: Attribution,
 }
 
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -11,19 +11,29 @@
 //! agents exchange [`SuspectReport`]s, each of which adds to what its receiver knows. A crash has an
 //! identifier of its own, so a report that arrives twice, late or over other processes counts once.
 //!
+//! Upstreams that crash lose the answers of harmless requests, too. A request that was answered before
+//! is refused only after one crash more, and of its crashes those don't count that a refused request
+//! explains which was never answered.
+//!
 //! A lost answer is no proof of a crash. So a proven answer clears the crashes recorded so far, see
 //! [`is_proven_answer`], and an incarnation that is still listed seconds later counts as alive.
 
 use celerystair_core::{prelude::*, rendezvous::fingerprint as hash_bytes};
 
-/// Crashes after which a request is refused.
+use crate::recent_answers::RecentAnswers;
+
+/// Crashes after which a request is refused that was never answered.
 pub const CRASHES_MAX: u32 = 3;
+/// Crashes after which a request is refused that was answered before.
+pub const ANSWERED_CRASHES_MAX: u32 = 4;
 /// How often a router reports a change: a datagram may be lost, or its relay be frozen.
 pub const ROUTER_CHANGE_SENDS: u32 = 3;
 /// How often an agent reports a change further; each agent of its failure domain does.
 pub const AGENT_CHANGE_SENDS: u32 = 2;
 /// The shortest time between two rounds of reports of a process.
 pub const REPORT_ROUND_MS: u64 = 150;
+/// How often a process reports back that a request of which it is told was answered.
+const CORRECTION_SENDS: u32 = 1;
 /// How often a process reports suspects that have not changed.
 pub const REPORT_SAMPLE_MS: u64 = 1000;
 /// A request is forgotten when it has caused no crash for this long.
@@ -35,8 +45,8 @@
 /// first.
 const SUSPECTS_MAX: usize = 256;
 /// The most crashes that are remembered of one request. Routers that learn of a crash at the same time
-/// may exceed [`CRASHES_MAX`].
-const CRASHES_REMEMBERED_MAX: usize = 6;
+/// may exceed [`CRASHES_MAX`], and some crashes may be explained by another request.
+const CRASHES_REMEMBERED_MAX: usize = 8;
 /// The most cleared crashes that are remembered of one request. One that is forgotten counts again if
 /// a process reports it that has not heard of the clearing.
 const CLEARED_MAX: usize = 16;
@@ -108,6 +118,8 @@
     pub crashes: Vec<CrashId>,
     /// Crashes that were recorded of it and don't count any more.
     pub cleared: Vec<CrashId>,
+    /// Whether it has got a proven answer.
+    pub is_answered: bool,
     /// Time until the report expires. A duration, because clocks differ between processes.
     pub expires_in_ms: u64,
 }
@@ -153,6 +165,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     by_fingerprint: HashMap<u64, Suspect>,
+    answered: RecentAnswers<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -168,13 +181,24 @@
     /// When this process's own runs that count as crashes were sent, and when they ended.
     own_run_spans_unix_ms: Vec<(u64, u64)>,
     forget_unix_ms: u64,
+    is_answered: bool,
     /// How often the request is still to be reported since it last changed.
     pending_sends: u32,
 }
 
 impl Suspect {
-    fn is_refused(&self) -> bool {
-        self.crashes.len() >= CRASHES_MAX as usize
+    fn crashes_max(&self) -> usize {
+        let crashes_max = if self.is_answered {
+            ANSWERED_CRASHES_MAX
+        } else {
+            CRASHES_MAX
+        };
+        crashes_max as usize
+    }
+
+    /// Whether it is refused if nothing else explains its crashes.
+    fn has_enough_crashes(&self) -> bool {
+        self.crashes.len() >= self.crashes_max()
     }
 
     /// Adds a crash unless it is known or cleared.
@@ -212,6 +236,7 @@
             fingerprint,
             crashes: self.crashes.iter().map(|crash| crash.id).collect(),
             cleared: self.cleared.clone(),
+            is_answered: self.is_answered,
             expires_in_ms: self.forget_unix_ms.saturating_sub(now_unix_ms),
         }
     }
@@ -255,7 +280,12 @@
         let suspect = self.entry(report.fingerprint, now_unix_ms);
         let forget_unix_ms = now_unix_ms + report.expires_in_ms.min(RETENTION_MS);
         suspect.forget_unix_ms = suspect.forget_unix_ms.max(forget_unix_ms);
-        let mut is_new = false;
+        let mut is_new = report.is_answered && !suspect.is_answered;
+        suspect.is_answered |= report.is_answered;
+        // The sender may not know of an answer that this process has seen.
+        if suspect.is_answered && !report.is_answered {
+            suspect.pending_sends = suspect.pending_sends.max(CORRECTION_SENDS);
+        }
         for crash in report.cleared.iter().take(CLEARED_MAX) {
             is_new |= suspect.clear_crash(*crash);
         }
@@ -263,17 +293,19 @@
             is_new |= suspect.add_crash(*crash, now_unix_ms) == CrashOutcome::Counted;
         }
         if is_new {
-            suspect.pending_sends = sends;
+            suspect.pending_sends = suspect.pending_sends.max(sends);
         }
         is_new.then_some(suspect.crashes.len() as u32)
     }
 
     /// Clears a request that received a proven answer and so doesn't crash upstreams, to be
     /// reported `sends` times. Returns the number of crashes that were recorded for it.
-    pub fn clear(&mut self, fingerprint: u64, sends: u32) -> u32 {
+    pub fn clear(&mut self, fingerprint: u64, sends: u32, now_unix_ms: u64) -> u32 {
+        self.answered.insert(fingerprint, now_unix_ms);
         let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
             return 0;
         };
+        suspect.is_answered = true;
         let crashes = std::mem::take(&mut suspect.crashes);
         for crash in &crashes {
             suspect.clear_crash(crash.id);
@@ -334,12 +366,31 @@
         mut is_explained: impl FnMut(CrashId) -> bool,
     ) -> Option<u64> {
         let suspect = self.by_fingerprint.get(&fingerprint)?;
-        if !suspect.is_refused() || suspect.forget_unix_ms <= now_unix_ms {
+        if !suspect.has_enough_crashes() || suspect.forget_unix_ms <= now_unix_ms {
             return None;
         }
+        let explained = if suspect.is_answered {
+            self.crashes_of_unanswered(now_unix_ms)
+        } else {
+            HashSet::default()
+        };
         let crashes = suspect.crashes.iter();
-        let unexplained = crashes.filter(|crash| !is_explained(crash.id)).count();
-        (unexplained >= CRASHES_MAX as usize).then_some(suspect.forget_unix_ms)
+        let unexplained = crashes
+            .filter(|crash| !explained.contains(&crash.id) && !is_explained(crash.id))
+            .count();
+        (unexplained >= suspect.crashes_max()).then_some(suspect.forget_unix_ms)
+    }
+
+    /// Returns the crashes of the requests that were never answered and are refused.
+    fn crashes_of_unanswered(&self, now_unix_ms: u64) -> HashSet<CrashId> {
+        let suspects = self.by_fingerprint.values();
+        let unanswered = suspects.filter(|suspect| {
+            !suspect.is_answered
+                && suspect.has_enough_crashes()
+                && suspect.forget_unix_ms > now_unix_ms
+        });
+        let crashes = unanswered.flat_map(|suspect| &suspect.crashes);
+        crashes.map(|crash| crash.id).collect()
     }
 
     /// Whether [`Suspects::take_pending`] would return anything.
@@ -372,7 +423,7 @@
         let mut suspects: Vec<(&u64, &Suspect)> = self.by_fingerprint.iter().collect();
         suspects.sort_by_key(|(fingerprint, suspect)| {
             let order = hash_bytes(&(*fingerprint ^ draw).to_le_bytes());
-            (!suspect.is_refused(), order)
+            (!suspect.has_enough_crashes(), order)
         });
         let selected = suspects.into_iter().take(count);
         selected
@@ -388,7 +439,7 @@
         let mut counts = SuspectCounts::default();
         for suspect in remembered {
             counts.remembered += 1;
-            counts.refused += u32::from(suspect.is_refused());
+            counts.refused += u32::from(suspect.has_enough_crashes());
         }
         counts
     }
@@ -412,6 +463,9 @@
                 self.by_fingerprint.remove(&dropped);
             }
         }
-        self.by_fingerprint.entry(fingerprint).or_default()
+        let is_answered = self.answered.get(fingerprint).is_some();
+        let suspect = self.by_fingerprint.entry(fingerprint).or_default();
+        suspect.is_answered |= is_answered;
+        suspect
     }
 }
--- a/crates/celerystair_policy/tests/crashing_requests.rs
+++ b/crates/celerystair_policy/tests/crashing_requests.rs
@@ -207,7 +207,7 @@
     fn receive(&mut self, run: &Run, is_success: bool) {
         let suspects = &mut self.fleet.routers[run.router].suspects;
         if is_proven_answer(is_success, true) {
-            suspects.clear(run.request, ROUTER_CHANGE_SENDS);
+            suspects.clear(run.request, ROUTER_CHANGE_SENDS, self.now_unix_ms);
         }
     }
 
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -195,7 +195,7 @@
     for other in 100..1_000 {
         suspects.record_crash(other, &lost_run(1), 0, 2_000);
     }
-    suspects.clear(999, 0);
+    suspects.clear(999, 0, 2_000);
     assert!(!suspects.is_refused(999, 2_001));
 }
 
--- a/crates/celerystair_policy/tests/suspects.rs
+++ b/crates/celerystair_policy/tests/suspects.rs
@@ -87,7 +87,7 @@
     for number in 1..=6 {
         first.record_crash(FINGERPRINT, &lost_run(number), 0, START_UNIX_MS);
         second.merge(&report_of(&mut first, START_UNIX_MS), 0, START_UNIX_MS);
-        assert_eq!(second.clear(FINGERPRINT, 0), 1);
+        assert_eq!(second.clear(FINGERPRINT, 0, START_UNIX_MS), 1);
         first.merge(&report_of(&mut second, START_UNIX_MS), 0, START_UNIX_MS);
         assert!(!first.is_refused(FINGERPRINT, START_UNIX_MS));
     }
@@ -100,7 +100,7 @@
     let mut router = Suspects::default();
     for number in 1..=LOST_ANSWERS {
         router.record_crash(FINGERPRINT, &lost_run(number), 0, START_UNIX_MS);
-        router.clear(FINGERPRINT, 0);
+        router.clear(FINGERPRINT, 0, START_UNIX_MS);
     }
     let late = SuspectReport {
         fingerprint: FINGERPRINT,
@@ -108,12 +108,43 @@
             .map(|number| lost_run(number).incarnation.crash_id())
             .collect(),
         cleared: Vec::new(),
+        is_answered: false,
         expires_in_ms: 1000,
     };
     assert_eq!(router.merge(&late, 0, START_UNIX_MS), None);
     assert!(!router.is_refused(FINGERPRINT, START_UNIX_MS));
 }
 
+/// A harmless request that is sent often is in flight whenever the crashing one ends an upstream.
+#[test]
+fn an_answered_request_beside_one_that_crashes_upstreams_is_served() {
+    const HARMLESS: u64 = 8;
+    let (mut first, mut second) = (Suspects::default(), Suspects::default());
+    second.clear(HARMLESS, 0, START_UNIX_MS);
+    for number in 1..=4 {
+        first.record_crash(FINGERPRINT, &lost_run(number), 0, START_UNIX_MS);
+        first.record_crash(HARMLESS, &lost_run(number), 0, START_UNIX_MS);
+    }
+    // Only the other router knows of the answer.
+    for report in first.sample(2, 0, START_UNIX_MS) {
+        second.merge(&report, 0, START_UNIX_MS);
+    }
+    for report in second.take_pending(2, START_UNIX_MS) {
+        first.merge(&report, 0, START_UNIX_MS);
+    }
+    for suspects in [&first, &second] {
+        assert!(suspects.is_refused(FINGERPRINT, START_UNIX_MS));
+        assert!(!suspects.is_refused(HARMLESS, START_UNIX_MS));
+    }
+    for number in 11..=14 {
+        first.record_crash(HARMLESS, &lost_run(number), 0, START_UNIX_MS);
+    }
+    assert!(
+        first.is_refused(HARMLESS, START_UNIX_MS),
+        "four crashes that nothing else explains suffice"
+    );
+}
+
 /// A router's links fail for a moment under a request that is sent often: it loses answers at three
 /// upstreams, which run on.
 #[test]
