Let no harmless part of prompts explain the crashes of a single request

Cause: parts of prompts and single requests were judged one after the other, parts first, and a refused part took away the crashes of every request. Harmless requests that share a part are in flight beside a crashing request, follow it from replica to replica, and if the part has not been answered yet, it is refused after three crashes. The crashing request then has no crash to its name and runs on; the part stays refused, and its requests with it.

Why it works: a request that ran at every crash of a part is the narrower cause, so it is refused first and the part is not. The next crash decides: with the part and without the request, the part is refused and the request served again.

--- a/crates/celerystair_front/src/suspicion.rs
+++ b/crates/celerystair_front/src/suspicion.rs
@@ -42,8 +42,18 @@
     }
 }
 
+/// Tells the suspected parts of prompts which requests explain crashes.
+fn update_crashing_requests(router: &PlatformRouter, now_unix_ms: u64) {
+    let mut parts = router.suspect_parts.borrow_mut();
+    if !parts.is_empty() {
+        let requests = router.suspects.borrow().crashing_requests(now_unix_ms);
+        parts.set_crashing_requests(requests);
+    }
+}
+
 /// Logs the parts of prompts that are refused or accepted since the last call.
 fn log_refused_parts(router: &PlatformRouter, known: &mut Vec<PromptPartId>) {
+    update_crashing_requests(router, now_unix_ms());
     let refused = router
         .suspect_parts
         .borrow_mut()
@@ -172,6 +182,7 @@
     now_unix_ms: u64,
 ) -> Option<SuspicionRefusal> {
     let prompt_parts = &request.head.prompt_parts;
+    update_crashing_requests(router, now_unix_ms);
     let mut parts = router.suspect_parts.borrow_mut();
     if let Some(refusal) = parts.refusal(prompt_parts.iter().map(|part| part.id), now_unix_ms) {
         let part = prompt_parts.iter().find(|part| part.id == refusal.part)?;
--- a/crates/celerystair_policy/src/prompt_parts.rs
+++ b/crates/celerystair_policy/src/prompt_parts.rs
@@ -13,8 +13,10 @@
 //!   cause, such as a rack that lost power.
 //! * Several requests contain it. If all crashes are one request's, that request is refused, see
 //!   [`Suspects`](crate::suspects::Suspects).
-//! * It explains crashes: those of a part that is refused count neither for other parts nor for
-//!   single requests.
+//! * It explains crashes: those of a part that is refused count neither for other parts nor for a
+//!   request that ran at no other crash.
+//! * No single request explains all of them. A request that ran at each crash of a part is the
+//!   narrower cause, and refusing it shows which one it is: the next crash has the part or has not.
 //!
 //! The crashes are added up over all routers by [`PartReport`]s, as for single requests.
 //! `docs/PLATFORM.md` tells what else was weighed.
@@ -82,6 +84,9 @@
 pub struct SuspectParts {
     parts: HashMap<PromptPartId, SuspectPart>,
     answered: RecentAnswers<PromptPartId>,
+    /// The crashes of each request that has caused enough of them, see
+    /// [`SuspectParts::set_crashing_requests`].
+    crashing_requests: Vec<Vec<CrashId>>,
     attribution: Attribution,
 }
 
@@ -219,6 +224,20 @@
         alive.filter(|id| known.contains(id)).collect()
     }
 
+    /// Sets the crashes of single requests that have caused enough of them to be refused, as
+    /// [`Suspects::crashing_requests`](crate::suspects::Suspects::crashing_requests) returns them.
+    pub fn set_crashing_requests(&mut self, crashes_by_request: Vec<Vec<CrashId>>) {
+        if self.crashing_requests != crashes_by_request {
+            self.crashing_requests = crashes_by_request;
+            self.attribution.valid_until_unix_ms = 0;
+        }
+    }
+
+    /// Whether no part is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
     /// Returns why a request with these parts is refused, or `None` if it isn't.
     pub fn refusal(
         &mut self,
@@ -361,6 +380,9 @@
             if !has_enough || attribution.refused.contains_key(part) {
                 continue;
             }
+            if self.is_explained_by_request(suspect, &attribution.explained) {
+                continue;
+            }
             let evidence = suspect.evidence(&attribution.explained);
             match suspect.refused_from_unix_ms(&evidence) {
                 Some(from_unix_ms) if from_unix_ms > now_unix_ms => {
@@ -379,6 +401,14 @@
         choose_candidate(candidates)
     }
 
+    /// Returns whether one request ran at each crash that counts for the part.
+    fn is_explained_by_request(&self, suspect: &SuspectPart, explained: &HashSet<CrashId>) -> bool {
+        self.crashing_requests.iter().any(|crashes| {
+            let mut counted = suspect.counted(explained);
+            counted.all(|crash| crashes.contains(&crash.id))
+        })
+    }
+
     fn remove_expired(&mut self, now_unix_ms: u64) {
         let count = self.parts.len();
         self.parts
--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -357,8 +357,24 @@
             .is_some()
     }
 
-    /// Returns until when the request is refused, or `None` if it isn't. Crashes that something else
-    /// explains don't count.
+    /// Returns the crashes, in order, of each request that was never answered and has caused enough of
+    /// them to be refused.
+    pub fn crashing_requests(&self, now_unix_ms: u64) -> Vec<Vec<CrashId>> {
+        let mut requests: Vec<Vec<CrashId>> = self
+            .crashing_unanswered(now_unix_ms)
+            .map(|suspect| {
+                let mut ids: Vec<CrashId> = suspect.crashes.iter().map(|crash| crash.id).collect();
+                ids.sort_unstable_by_key(|id| id.0);
+                ids
+            })
+            .collect();
+        requests.sort_unstable_by_key(|ids| ids.first().map(|id| id.0));
+        requests
+    }
+
+    /// Returns until when the request is refused, or `None` if it isn't. A request that was never
+    /// answered is not refused if something else explains all of its crashes; for one that was answered,
+    /// each explained crash counts for nothing.
     pub fn refused_until_unix_ms(
         &self,
         fingerprint: u64,
@@ -369,28 +385,29 @@
         if !suspect.has_enough_crashes() || suspect.forget_unix_ms <= now_unix_ms {
             return None;
         }
-        let explained = if suspect.is_answered {
-            self.crashes_of_unanswered(now_unix_ms)
+        let (explained, unexplained_min) = if suspect.is_answered {
+            let others = self.crashing_unanswered(now_unix_ms);
+            let crashes = others.flat_map(|other| &other.crashes);
+            let explained: HashSet<CrashId> = crashes.map(|crash| crash.id).collect();
+            (explained, suspect.crashes_max())
         } else {
-            HashSet::default()
+            (HashSet::default(), 1)
         };
         let crashes = suspect.crashes.iter();
         let unexplained = crashes
             .filter(|crash| !explained.contains(&crash.id) && !is_explained(crash.id))
             .count();
-        (unexplained >= suspect.crashes_max()).then_some(suspect.forget_unix_ms)
+        (unexplained >= unexplained_min).then_some(suspect.forget_unix_ms)
     }
 
-    /// Returns the crashes of the requests that were never answered and are refused.
-    fn crashes_of_unanswered(&self, now_unix_ms: u64) -> HashSet<CrashId> {
+    /// Returns the requests that were never answered and have caused enough crashes to be refused.
+    fn crashing_unanswered(&self, now_unix_ms: u64) -> impl Iterator<Item = &Suspect> {
         let suspects = self.by_fingerprint.values();
-        let unanswered = suspects.filter(|suspect| {
+        suspects.filter(move |suspect| {
             !suspect.is_answered
                 && suspect.has_enough_crashes()
                 && suspect.forget_unix_ms > now_unix_ms
-        });
-        let crashes = unanswered.flat_map(|suspect| &suspect.crashes);
-        crashes.map(|crash| crash.id).collect()
+        })
     }
 
     /// Whether [`Suspects::take_pending`] would return anything.
