Count the crash of an upstream that only seemed to have crashed before

Cause: an upstream that resets a connection under a request and answers others has not crashed, so that crash is cleared; its identifier stayed cleared for good, and the crash that the same request really caused there later did not count.

Evidence: a_crash_of_an_upstream_counts_although_an_earlier_one_was_false fails before (three resets and three crashes refuse nothing) and passes.

Why it works: each clearing of an incarnation's crash gives its next crash an identifier of its own, up to four; what shows that the incarnation is alive clears all of them.

--- a/crates/celerystair_policy/src/suspects.rs
+++ b/crates/celerystair_policy/src/suspects.rs
@@ -98,6 +98,18 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct CrashId(pub u64);
 
+/// How many crashes of one incarnation are told apart: all but the last were false.
+const CRASHES_PER_INCARNATION_MAX: usize = 4;
+
+impl CrashId {
+    /// Returns the identifiers of the crashes of the incarnation with this first one, of which each
+    /// stands for a crash after the one before was cleared.
+    fn of_incarnation(self) -> impl Iterator<Item = CrashId> {
+        let next = |id: &CrashId| Some(CrashId(hash_bytes(&id.0.to_le_bytes())));
+        std::iter::successors(Some(self), next).take(CRASHES_PER_INCARNATION_MAX)
+    }
+}
+
 /// A run of a request that ended without a complete answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LostRun {
@@ -201,6 +213,15 @@
         self.crashes.len() >= self.crashes_max()
     }
 
+    /// Returns the identifier of the incarnation's next crash. An upstream that was alive after all may
+    /// still crash, but one that loses answers of a request that was answered before rather does not.
+    fn next_crash_id(&self, incarnation: &UpstreamIncarnation) -> CrashId {
+        let first = incarnation.crash_id();
+        let mut ids = first.of_incarnation();
+        let next = ids.find(|id| !self.cleared.contains(id) && !self.is_answered);
+        next.unwrap_or(first)
+    }
+
     /// Adds a crash unless it is known or cleared.
     fn add_crash(&mut self, id: CrashId, now_unix_ms: u64) -> CrashOutcome {
         if self.crashes.iter().any(|known| known.id == id) {
@@ -261,7 +282,8 @@
         let outcome = if is_same_event {
             CrashOutcome::SameEvent
         } else {
-            suspect.add_crash(run.incarnation.crash_id(), now_unix_ms)
+            let id = suspect.next_crash_id(&run.incarnation);
+            suspect.add_crash(id, now_unix_ms)
         };
         if outcome == CrashOutcome::Counted {
             let span = (run.sent_unix_ms, run.ended_unix_ms);
@@ -322,14 +344,16 @@
     /// any.
     pub fn clear_alive(&mut self, alive: &[CrashId], sends: u32, now_unix_ms: u64) -> Vec<u64> {
         self.clear_crashes(sends, |crash| {
-            now_unix_ms >= crash.learned_unix_ms + UNLISTED_AFTER_MS && alive.contains(&crash.id)
+            let mut ids = alive.iter().flat_map(|alive| alive.of_incarnation());
+            now_unix_ms >= crash.learned_unix_ms + UNLISTED_AFTER_MS && ids.any(|id| id == crash.id)
         })
     }
 
     /// Clears the crash of an incarnation that has answered since, to be reported `sends` times.
     /// Returns the fingerprints of the requests that had it.
     pub fn clear_false_crash(&mut self, id: CrashId, sends: u32) -> Vec<u64> {
-        self.clear_crashes(sends, |crash| crash.id == id)
+        let ids: Vec<CrashId> = id.of_incarnation().collect();
+        self.clear_crashes(sends, |crash| ids.contains(&crash.id))
     }
 
     fn clear_crashes(&mut self, sends: u32, is_false: impl Fn(&KnownCrash) -> bool) -> Vec<u64> {
--- a/crates/celerystair_policy/tests/suspects.rs
+++ b/crates/celerystair_policy/tests/suspects.rs
@@ -145,6 +145,30 @@
     );
 }
 
+/// An upstream resets a connection under the request, answers others, and then crashes under it.
+#[test]
+fn a_crash_of_an_upstream_counts_although_an_earlier_one_was_false() {
+    let mut suspects = Suspects::default();
+    for number in 1..=3 {
+        let reset = LostRun {
+            sent_unix_ms: START_UNIX_MS + number * 1000,
+            ended_unix_ms: START_UNIX_MS + number * 1000 + 5,
+            ..lost_run(number)
+        };
+        suspects.record_crash(FINGERPRINT, &reset, 0, reset.ended_unix_ms);
+        let cleared = suspects.clear_false_crash(reset.incarnation.crash_id(), 0);
+        assert_eq!(cleared, [FINGERPRINT]);
+        assert!(!suspects.is_refused(FINGERPRINT, reset.ended_unix_ms));
+        let crash = LostRun {
+            sent_unix_ms: reset.sent_unix_ms + 500,
+            ended_unix_ms: reset.ended_unix_ms + 500,
+            ..reset
+        };
+        suspects.record_crash(FINGERPRINT, &crash, 0, crash.ended_unix_ms);
+    }
+    assert!(suspects.is_refused(FINGERPRINT, START_UNIX_MS + 4000));
+}
+
 /// A router's links fail for a moment under a request that is sent often: it loses answers at three
 /// upstreams, which run on.
 #[test]
