Log the software version at which streams begin and go on

Nothing told at which version a stream began, that a caller takes one up again, or which request began it. The entry's version and the header that names that request are decoded now; stream_broken, stream_resumed and stream_taken_up name the version. No decision changes.

--- a/crates/celerystair_core/src/ids.rs
+++ b/crates/celerystair_core/src/ids.rs
@@ -58,6 +58,10 @@
     };
 }
 
+name_type!(
+    /// The version of an upstream's software. Versions are compared for equality alone.
+    SoftwareVersion
+);
 name_type!(
     /// Identifies one attempt of a request at one upstream; unique across all processes.
     AttemptId
--- a/crates/celerystair_core/src/lib.rs
+++ b/crates/celerystair_core/src/lib.rs
@@ -26,7 +26,7 @@
         hybrid::HybridClock,
         ids::{
             AttemptId, FailureDomain, InstanceId, KindName, ModelName, ModelRef, OrganisationName,
-            RequestId, ServiceName, UpstreamId,
+            RequestId, ServiceName, SoftwareVersion, UpstreamId,
         },
         refusal::{Refusal, RefusalReason, RunState},
         stop::Stop,
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -55,6 +55,8 @@
     pub prompt_parts: Rc<[PromptPart]>,
     /// The id of the event after which the stream resumes.
     pub last_event_id: Option<u64>,
+    /// The id of the caller's request that brought the first event of the stream that it takes up.
+    pub resumes: Option<RequestId>,
 }
 
 /// A part of a prompt, such as a system prompt, that several requests share.
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -34,17 +34,40 @@
             "config_version" => self.view.config_version(), "age_ms" => request.age_ms(now));
     }
 
+    /// Logs that a caller takes up a stream that began as an earlier request, and where it goes on.
+    pub fn log_stream_taken_up(&self, request: &CallerRequest, upstream: &Upstream) {
+        let resumes = request.head.resumes.as_ref().map(ToString::to_string);
+        info!(self.log, "stream_taken_up"; "request" => %request.head.id,
+            "route" => &request.route.name, "resumes" => resumes,
+            "last_event_id" => request.head.last_event_id, "upstream" => %upstream.id(),
+            "software_version" => %upstream.software_version(),
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
+    /// Logs that a stream that broke off goes on at another upstream within the same response.
+    pub fn log_stream_resumed(
+        &self,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        last_event_id: Option<u64>,
+    ) {
+        info!(self.log, "stream_resumed"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream.id(),
+            "software_version" => %upstream.software_version(),
+            "last_event_id" => last_event_id, "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a stream broke off or stalled.
     pub fn log_stream_broken(
         &self,
         request: &CallerRequest,
-        upstream: &UpstreamId,
+        upstream: &Upstream,
         how: AttemptFailure,
     ) {
         info!(self.log, "stream_broken"; "request" => %request.head.id,
             "route" => &request.route.name, "fingerprint" => hex(request.fingerprint),
-            "upstream" => %upstream, "how" => how.as_str(),
-            "age_ms" => request.age_ms(now_unix_ms()));
+            "upstream" => %upstream.id(), "software_version" => %upstream.software_version(),
+            "how" => how.as_str(), "age_ms" => request.age_ms(now_unix_ms()));
     }
 
     /// Logs that a stream without a length or chunks ended with its connection, and how many bytes
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -117,6 +117,9 @@
             buffered_response(response)
         }
         UpstreamResponse::Started(started) => {
+            if request.head.last_event_id.is_some() {
+                router.log_stream_taken_up(&request, &started.upstream);
+            }
             stream_response(router, request, service, progress, started)
         }
     })
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -280,7 +280,7 @@
         drop(started);
         let has_time = now < self.request.deadline_unix_ms;
         self.router
-            .log_stream_broken(&self.request, &upstream.id(), failure);
+            .log_stream_broken(&self.request, &upstream, failure);
         let has_attempts_left = self.progress.reached_upstreams < self.request.route.attempts_max;
         if !self.can_resume() || !has_time || !has_attempts_left {
             return false;
@@ -298,6 +298,8 @@
         .await;
         match resumed {
             Ok(UpstreamResponse::Started(started)) if is_event_stream(&started.head.headers) => {
+                self.router
+                    .log_stream_resumed(&self.request, &started.upstream, last_event_id);
                 self.started = Some(started);
                 true
             }
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -83,6 +83,11 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Returns the version of the upstream's software.
+    pub fn software_version(&self) -> SoftwareVersion {
+        self.entry.borrow().software_version.clone()
+    }
+
     /// Returns which incarnation of the upstream this is.
     pub fn incarnation(&self) -> UpstreamIncarnation {
         let entry = self.entry.borrow();
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -277,6 +277,7 @@
         }
         info!(self.inner.log, "upstream_found"; "upstream" => %entry.id,
             "service" => %entry.service, "address" => %entry.address,
+            "software_version" => %entry.software_version,
             "state" => ?entry.state, "models" => entry.loaded.len());
         upstreams.insert(entry.id.clone(), Rc::new(Upstream::new(entry)));
     }
--- a/crates/celerystair_policy/src/fleet.rs
+++ b/crates/celerystair_policy/src/fleet.rs
@@ -158,6 +158,8 @@
     pub address: SocketAddr,
     /// The failure domain that it runs in.
     pub failure_domain: FailureDomain,
+    /// The version of its software. What upstreams of two versions write doesn't fit together.
+    pub software_version: SoftwareVersion,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts requests.
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -336,6 +336,7 @@
 #[test]
 fn an_entry_with_a_later_start_supersedes_others_at_its_address() {
     let entry = |id: &str, port: u16, started_unix_ms| UpstreamEntry {
+        software_version: SoftwareVersion::from("v1"),
         id: UpstreamId::from(id),
         service: ServiceName::from("engines"),
         address: ([127, 0, 0, 1], port).into(),
