Go on with a stream only at the software version that began it

Cause: the version in an upstream's entry was decoded to validate the entry and dropped, and the header with which a caller names the stream that it takes up was not read.

Why it works: from its first event on a stream is bound to a version, and only upstreams of that version are picked. The origin is told to three agents before the first event is passed on, so it outlives the router and is found by any other. A router that can't find out refuses instead of guessing, unless no other version was listed while the stream can have begun.

--- a/crates/celerystair_core/src/refusal.rs
+++ b/crates/celerystair_core/src/refusal.rs
@@ -99,6 +99,10 @@
     OrganisationLimit => "organisation_limit", 429;
     /// No upstream can serve the request now.
     NoUpstream => "no_upstream", 503;
+    /// No upstream of the software version that began the stream is ready.
+    SoftwareVersionGone => "software_version_gone", 503;
+    /// It is not known which software version began the stream that the caller takes up.
+    StreamOriginUnknown => "stream_origin_unknown", 503;
     /// The agent holds no slot for the model.
     NotHere => "not_here", 503;
     /// The upstream or router is draining.
--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -66,6 +66,8 @@
     pub suspect_parts: RefCell<SuspectParts>,
     /// Notified when a report of suspects held anything new.
     pub(crate) suspects_changed: Event,
+    /// Where streams began, as routers have told.
+    pub stream_origins: RefCell<StreamOrigins>,
     /// The socket on which gossip is sent and received.
     pub gossip_socket: GossipSocket,
     /// The engine's upstream id; `None` until the engine is found in the list of upstreams.
@@ -150,6 +152,7 @@
             suspects: RefCell::default(),
             suspect_parts: RefCell::default(),
             suspects_changed: Event::new(),
+            stream_origins: RefCell::default(),
             gossip_socket,
             upstream_id: RefCell::default(),
             engine_state: RefCell::default(),
--- a/crates/celerystair_engine/src/lib.rs
+++ b/crates/celerystair_engine/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`dialect`] | the HTTP interface of a platform's engines |
 //! | [`fence`] | the fencing token of the agent's orders |
 //! | [`orders`] | sending orders, and advancing a load step by step |
+//! | [`origins`] | where streams began, for routers that are asked to take them up |
 //! | [`plan`] | a load in progress, with the unloads that free memory for it |
 //! | [`settings`] | the settings of an agent |
 //! | [`suspicion`] | spreading reports on requests that crash upstreams |
@@ -26,6 +27,7 @@
 pub mod dialect;
 pub mod fence;
 pub mod orders;
+pub mod origins;
 pub mod plan;
 pub mod settings;
 pub mod suspicion;
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     agent::EngineAgent,
+    origins::{record_origins, send_origins},
     suspicion::{merge_part_reports, merge_suspect_reports},
 };
 
@@ -129,7 +130,9 @@
         // Agents spread the changes of suspects by themselves.
         GossipMessage::AdaptersWanted(_)
         | GossipMessage::Suspects(_)
-        | GossipMessage::SuspectParts(_) => return,
+        | GossipMessage::SuspectParts(_)
+        | GossipMessage::StreamOrigins(_)
+        | GossipMessage::StreamOriginsWanted(_) => return,
     };
     let domain = &agent.settings.failure_domain;
     let addresses = relay_targets(domain, &peers, agent.settings.gossip_listen);
@@ -195,6 +198,10 @@
         };
         match received {
             Ok(received) => {
+                if let GossipMessage::StreamOriginsWanted(streams) = &received.message {
+                    send_origins(&agent, streams, received.sender).await;
+                    continue;
+                }
                 let is_new = apply_message(&agent, &received.message);
                 if is_new && received.should_relay {
                     relay(&agent, &received.message).await;
@@ -227,5 +234,11 @@
         }
         GossipMessage::Suspects(reports) => merge_suspect_reports(agent, reports),
         GossipMessage::SuspectParts(reports) => merge_part_reports(agent, reports),
+        GossipMessage::StreamOrigins(origins) => {
+            record_origins(agent, origins);
+            true
+        }
+        // Answered where it is received.
+        GossipMessage::StreamOriginsWanted(_) => false,
     }
 }
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     front::PlatformRouter,
+    origins::record_origins,
     suspicion::{merge_part_reports, merge_suspect_reports},
     upstream::Upstream,
 };
@@ -207,6 +208,11 @@
                 message: GossipMessage::SuspectParts(reports),
                 ..
             }) => merge_part_reports(&router, &reports),
+            Ok(ReceivedGossip {
+                message: GossipMessage::StreamOrigins(answers),
+                sender,
+                ..
+            }) => record_origins(&router, answers, sender),
             // Messages that are meant for agents.
             Ok(_) => {}
             Err(error) => {
--- a/crates/celerystair_front/src/elsewhere.rs
+++ b/crates/celerystair_front/src/elsewhere.rs
@@ -14,12 +14,13 @@
 /// capacity with each request that starts or ends there.
 pub const SILENCE_RECHECK_MS: u64 = 250;
 
-/// Returns whether a request whose upstream is silent should move to another upstream now. `tried`
-/// are the upstreams already attempted, and `reached_upstreams` the number of them that it reached.
+/// Returns whether a request whose upstream is silent should move to another upstream now. It moves to one
+/// of the given software version if there is one. `tried` are the upstreams already attempted, and `reached_upstreams` the number of them that it reached.
 pub fn should_leave_silent_upstream(
     router: &PlatformRouter,
     request: &CallerRequest,
     service: &ServiceName,
+    version: Option<&SoftwareVersion>,
     tried: &[UpstreamId],
     reached_upstreams: u32,
 ) -> bool {
@@ -29,7 +30,7 @@
         attempts_max: request.route.attempts_max,
         has_retry_budget: router.has_retry_budget(service),
         has_ready_alternative: matches!(
-            pick_upstream(router, request, service, tried),
+            pick_upstream(router, request, service, version, tried),
             Pick::Now(_)
         ),
     };
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -67,6 +67,14 @@
     recent_crashes: RefCell<Vec<(CrashId, u64)>>,
     /// Runs that ended without an answer at upstreams that may have crashed.
     pub unanswered_runs: RefCell<UnansweredRuns>,
+    /// Where streams began that this router has passed on or has asked for.
+    pub stream_origins: RefCell<StreamOrigins>,
+    /// The agents that have answered that they don't know a stream which this router asks for.
+    pub origin_denials: RefCell<HashMap<StreamId, HashSet<SocketAddr>>>,
+    /// Notified when an agent has told where a stream began, or that it doesn't know.
+    pub origin_answered: Event,
+    /// The socket for gossip.
+    pub gossip_socket: Rc<GossipSocket>,
     /// Bytes of incomplete responses that are buffered.
     pub buffered_bytes: Cell<usize>,
     /// Requests that wait for a replica.
@@ -331,6 +339,10 @@
             suspect_parts: RefCell::default(),
             recent_crashes: RefCell::default(),
             unanswered_runs: RefCell::default(),
+            stream_origins: RefCell::default(),
+            origin_denials: RefCell::default(),
+            origin_answered: Event::new(),
+            gossip_socket: gossip_socket.clone(),
             buffered_bytes: Cell::default(),
             waiting: WaitingRequests::default(),
             closing: Stop::new(),
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`framing`] | how an upstream's response is framed, and what its body consists of |
 //! | [`front`] | the router's state, start-up and graceful shutdown |
 //! | [`log`] | a log line for each decision about a request |
+//! | [`origins`] | where streams began that callers take up again |
 //! | [`pick`] | picking the upstream for a request |
 //! | [`probes`] | the readiness and metrics endpoints |
 //! | [`request`] | one request over all its attempts |
@@ -40,6 +41,7 @@
 pub mod framing;
 pub mod front;
 pub mod log;
+pub mod origins;
 pub mod pick;
 pub mod probes;
 pub mod request;
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -6,8 +6,8 @@
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    dialect::PromptPart, front::PlatformRouter, pick::WaitReason, request::CallerRequest,
-    runs::Run, upstream::Upstream,
+    dialect::PromptPart, front::PlatformRouter, origins::OriginSource, pick::WaitReason,
+    request::CallerRequest, runs::Run, upstream::Upstream,
 };
 
 /// The most unknown headers that are logged: their names are the upstreams' choice.
@@ -34,13 +34,19 @@
             "config_version" => self.view.config_version(), "age_ms" => request.age_ms(now));
     }
 
-    /// Logs that a caller takes up a stream that began as an earlier request, and where it goes on.
-    pub fn log_stream_taken_up(&self, request: &CallerRequest, upstream: &Upstream) {
+    /// Logs that a caller takes up a stream that began as an earlier request, at which version it goes
+    /// on, and how that is known.
+    pub fn log_stream_taken_up(
+        &self,
+        request: &CallerRequest,
+        origin: &StreamOrigin,
+        source: OriginSource,
+    ) {
         let resumes = request.head.resumes.as_ref().map(ToString::to_string);
         info!(self.log, "stream_taken_up"; "request" => %request.head.id,
             "route" => &request.route.name, "resumes" => resumes,
-            "last_event_id" => request.head.last_event_id, "upstream" => %upstream.id(),
-            "software_version" => %upstream.software_version(),
+            "last_event_id" => request.head.last_event_id, "service" => %origin.service,
+            "software_version" => %origin.version, "known_by" => ?source,
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
--- /dev/null
+++ b/crates/celerystair_front/src/origins.rs
@@ -0,0 +1,152 @@
+//! Finding out at which software version a stream goes on that a caller takes up again, and telling
+//! other processes where streams began. `celerystair_policy::stream_versions` decides.
+
+use std::{net::SocketAddr, pin::pin};
+
+use celerystair_core::prelude::*;
+use celerystair_news::prelude::*;
+use celerystair_policy::prelude::*;
+use futures_util::future::select;
+
+use crate::{
+    demand::{gossip_peers, log_unsent},
+    front::PlatformRouter,
+    request::CallerRequest,
+};
+
+/// How a router knows where a stream began. The `Debug` form is logged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OriginSource {
+    /// It passed the stream on itself, or has asked before.
+    Own,
+    /// Agents told it.
+    Agents,
+    /// No other version was listed while the stream may have begun.
+    List,
+}
+
+/// Tells the agents that hold it where a stream began. Returns once the datagrams are sent, so that the
+/// origin is on its way before the first event is.
+pub async fn publish_origin(router: &PlatformRouter, stream: StreamId, origin: StreamOrigin) {
+    let mut origins = router.stream_origins.borrow_mut();
+    origins.insert(stream, origin.clone(), now_unix_ms());
+    drop(origins);
+    let message = GossipMessage::StreamOrigins(vec![(stream, Some(origin))]);
+    send_to_holders(router, stream, &message).await;
+}
+
+async fn send_to_holders(
+    router: &PlatformRouter,
+    stream: StreamId,
+    message: &GossipMessage,
+) -> usize {
+    let holders = version_holders(stream, &gossip_peers(router));
+    for address in &holders {
+        if let Err(error) = router.gossip_socket.send_to(message, *address).await {
+            log_unsent(router, vec![(*address, error)]);
+        }
+    }
+    holders.len()
+}
+
+/// Records where streams began, as the agent at `sender` has answered.
+pub fn record_origins(
+    router: &PlatformRouter,
+    answers: Vec<(StreamId, Option<StreamOrigin>)>,
+    sender: SocketAddr,
+) {
+    let now = now_unix_ms();
+    for (stream, origin) in answers {
+        match origin {
+            Some(origin) => {
+                let mut origins = router.stream_origins.borrow_mut();
+                origins.insert(stream, origin, now);
+            }
+            None => {
+                let mut denials = router.origin_denials.borrow_mut();
+                if let Some(senders) = denials.get_mut(&stream) {
+                    senders.insert(sender);
+                }
+            }
+        }
+    }
+    router.origin_answered.notify(usize::MAX);
+}
+
+/// Returns where a stream began, which the agents that hold it are asked if this router doesn't know.
+async fn find_origin(
+    router: &PlatformRouter,
+    stream: StreamId,
+) -> Option<(StreamOrigin, OriginSource)> {
+    let known = || router.stream_origins.borrow().get(stream).cloned();
+    if let Some(origin) = known() {
+        return Some((origin, OriginSource::Own));
+    }
+    let message = GossipMessage::StreamOriginsWanted(vec![stream]);
+    let deadline_unix_ms = now_unix_ms() + ORIGIN_WAIT_MS;
+    let denials = &router.origin_denials;
+    denials.borrow_mut().entry(stream).or_default();
+    let mut ask_unix_ms = 0;
+    let mut holders = 0;
+    let mut found = None;
+    while found.is_none() && now_unix_ms() < deadline_unix_ms {
+        let answered = router.origin_answered.listen();
+        if now_unix_ms() >= ask_unix_ms {
+            holders = send_to_holders(router, stream, &message).await;
+            ask_unix_ms = now_unix_ms() + ORIGIN_RETRY_MS;
+        }
+        let timer = sleep_until_unix_ms(ask_unix_ms.min(deadline_unix_ms));
+        select(answered, pin!(timer)).await;
+        found = known();
+        let denied = denials.borrow().get(&stream).map_or(0, |d| d.len());
+        if denied >= holders {
+            break;
+        }
+    }
+    denials.borrow_mut().remove(&stream);
+    found.map(|origin| (origin, OriginSource::Agents))
+}
+
+/// Returns where the stream began that the request takes up, and how that is known.
+///
+/// # Errors
+/// Returns a refusal if it can't be told: at another version, the stream would mix events that don't
+/// fit together.
+pub async fn stream_origin(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+) -> Result<(StreamOrigin, OriginSource), Refusal> {
+    let begun_by = request.head.resumes.as_ref().map(StreamId::begun_by);
+    let found = match begun_by {
+        Some(stream) => find_origin(router, stream).await,
+        None => None,
+    };
+    let found = found.or_else(|| Some((assumed_origin(router, request)?, OriginSource::List)));
+    let (origin, source) = found.ok_or_else(|| {
+        let detail = "the software version that began the stream is not known";
+        Refusal::not_run(RefusalReason::StreamOriginUnknown, detail)
+    })?;
+    let mut targets = request.route.targets.iter();
+    if targets.all(|target| target.service != origin.service) {
+        let detail = format!("the route no longer leads to {}", origin.service);
+        return Err(Refusal::not_run(RefusalReason::SoftwareVersionGone, detail));
+    }
+    Ok((origin, source))
+}
+
+/// Returns the only origin that is possible by the list of upstreams, if there is only one.
+fn assumed_origin(router: &PlatformRouter, request: &CallerRequest) -> Option<StreamOrigin> {
+    let [target] = request.route.targets.as_slice() else {
+        return None;
+    };
+    let version = assumed_version(
+        &router.view.version_history(&target.service),
+        request.route.timeout_ms,
+        router.view.versions_known_since_unix_ms(),
+        now_unix_ms(),
+    )?;
+    Some(StreamOrigin {
+        service: target.service.clone(),
+        version,
+    })
+}
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -48,11 +48,13 @@
     RateLimit,
 }
 
-/// Picks an upstream of `service` that is not in `tried`.
+/// Picks an upstream of `service` that is not in `tried`, of the given software version if there is
+/// one.
 pub fn pick_upstream(
     router: &PlatformRouter,
     request: &CallerRequest,
     service: &ServiceName,
+    version: Option<&SoftwareVersion>,
     tried: &[UpstreamId],
 ) -> Pick {
     let now = now_unix_ms();
@@ -61,6 +63,7 @@
         .upstreams(service)
         .into_iter()
         .filter(|upstream| is_usable(upstream, tried))
+        .filter(|upstream| version.is_none_or(|v| upstream.entry.borrow().software_version == *v))
         .collect();
     if upstreams.is_empty() {
         return Pick::NoneLeft;
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -16,6 +16,7 @@
     dialect::RequestHead,
     elsewhere::should_leave_silent_upstream,
     front::PlatformRouter,
+    origins::stream_origin,
     pick::{Pick, WaitReason, ms_until_admission, pick_upstream},
     stream::stream_response,
     suspicion::{SuspicionRefusal, suspicion_refusal},
@@ -62,6 +63,13 @@
         model.map_or_else(ModelName::default, |model| model.base.clone())
     }
 
+    /// Whether the caller takes up a stream of which it has got events.
+    pub fn takes_up_stream(&self) -> bool {
+        self.route.kind == RequestKind::Stream
+            && self.route.can_resume
+            && self.head.last_event_id.is_some()
+    }
+
     /// Returns the time since the request arrived.
     pub fn age_ms(&self, now_unix_ms: u64) -> u64 {
         now_unix_ms.saturating_sub(self.arrived_unix_ms)
@@ -81,6 +89,8 @@
     pub may_have_run: bool,
     /// Whether an abandoned attempt may still arrive at its upstream.
     pub has_unresolved_attempt: bool,
+    /// The software version of the stream's events that were passed on; `None` if none was.
+    pub version: Option<SoftwareVersion>,
     /// The last error response of an upstream, returned if no later attempt succeeds.
     pub response: Option<BufferedResponse>,
 }
@@ -98,15 +108,21 @@
     router: &PlatformRouter,
     request: Rc<CallerRequest>,
 ) -> Result<HttpResponse, Refusal> {
-    let draw = rand::random::<f64>();
-    let service = choose_service(&request.route, draw)
-        .ok_or_else(|| Refusal::not_run(RefusalReason::NoUpstream, "the route has no service"))?;
-    let service = service.clone();
+    let mut progress = Progress::default();
+    let service = if request.takes_up_stream() {
+        let (origin, source) = stream_origin(router, &request).await?;
+        router.log_stream_taken_up(&request, &origin, source);
+        progress.version = Some(origin.version);
+        origin.service
+    } else {
+        let service = choose_service(&request.route, rand::random());
+        let no_service = || Refusal::not_run(RefusalReason::NoUpstream, "the route has no service");
+        service.ok_or_else(no_service)?.clone()
+    };
     if let Some(model) = &request.head.model {
         router.count_model_request(&model.base, request.route.target_latency_ms);
     }
     router.count_service_request(&service);
-    let mut progress = Progress::default();
     let response = try_upstreams(router, &request, &service, &mut progress, None).await?;
     Ok(match response {
         UpstreamResponse::Buffered(response) => {
@@ -117,9 +133,6 @@
             buffered_response(response)
         }
         UpstreamResponse::Started(started) => {
-            if request.head.last_event_id.is_some() {
-                router.log_stream_taken_up(&request, &started.upstream);
-            }
             stream_response(router, request, service, progress, started)
         }
     })
@@ -151,7 +164,8 @@
                 "no time is left before the deadline",
             );
         }
-        let upstream = match pick_upstream(router, request, service, &progress.tried) {
+        let version = progress.version.as_ref();
+        let upstream = match pick_upstream(router, request, service, version, &progress.tried) {
             Pick::Now(upstream) => upstream,
             Pick::Later {
                 ready_unix_ms,
@@ -164,6 +178,9 @@
                 wait_for_change(router, request, service, progress, ready_unix_ms).await?;
                 continue;
             }
+            Pick::NoneLeft if progress.tried.is_empty() && version.is_some() => {
+                return Err(version_gone(router, service, progress, now));
+            }
             Pick::NoneLeft if progress.tried.is_empty() => {
                 let retry_after_ms = NO_UPSTREAM_RETRY_AFTER_MS;
                 let detail = "no upstream of the service is ready";
@@ -207,6 +224,21 @@
     }
 }
 
+/// Refuses to go on with a stream whose software version has no ready upstream.
+fn version_gone(
+    router: &PlatformRouter,
+    service: &ServiceName,
+    progress: &Progress,
+    now_unix_ms: u64,
+) -> Refusal {
+    let version = progress.version.clone().unwrap_or_default();
+    let history = router.view.version_history(service);
+    let retry_after_ms = history.retry_after_ms(&version, now_unix_ms);
+    let detail = format!("no upstream of {service} at software version {version} is ready");
+    let reason = RefusalReason::SoftwareVersionGone;
+    refusal(progress, reason, &detail, retry_after_ms)
+}
+
 /// `Retry-After` when no upstream is ready: an upstream that has started is listed in the store
 /// within one or two seconds.
 const NO_UPSTREAM_RETRY_AFTER_MS: u64 = 500;
@@ -229,7 +261,15 @@
         end_unix_ms,
         silence_until_unix_ms: now_unix_ms() + silence_ms,
         should_switch: &|| {
-            should_leave_silent_upstream(router, request, service, &tried, reached_upstreams)
+            let version = progress.version.as_ref();
+            should_leave_silent_upstream(
+                router,
+                request,
+                service,
+                version,
+                &tried,
+                reached_upstreams,
+            )
         },
     };
     let started = send_attempt(router, request, upstream, last_event_id, &wait).await?;
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -18,6 +18,7 @@
     events::EventSplitter,
     framing::{Framing, is_event_stream},
     front::PlatformRouter,
+    origins::publish_origin,
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
 };
 
@@ -95,7 +96,10 @@
         loop {
             self.started.as_ref()?;
             match self.next_part().await {
-                StreamPart::Bytes(bytes) => return Some(Ok(bytes)),
+                StreamPart::Bytes(bytes) => {
+                    self.bind_version().await;
+                    return Some(Ok(bytes));
+                }
                 StreamPart::End(end) => {
                     self.finish(end);
                     return None;
@@ -110,6 +114,25 @@
         }
     }
 
+    /// Binds the stream to the software version that has written its first event, which is about to be
+    /// passed on, for this router and for those at which its caller may take it up.
+    async fn bind_version(&mut self) {
+        let Some(started) = &self.started else {
+            return;
+        };
+        if self.progress.version.is_some() || !self.can_resume() {
+            return;
+        }
+        let version = started.upstream.software_version();
+        self.progress.version = Some(version.clone());
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            version,
+        };
+        let stream = StreamId::begun_by(&self.request.head.id);
+        publish_origin(&self.router, stream, origin).await;
+    }
+
     async fn next_part(&mut self) -> StreamPart {
         let can_resume = self.can_resume();
         let mut silence_ms = STALL_MS;
@@ -231,12 +254,14 @@
         let Progress {
             tried,
             reached_upstreams,
+            version,
             ..
         } = &self.progress;
         should_leave_silent_upstream(
             &self.router,
             &self.request,
             &self.service,
+            version.as_ref(),
             tried,
             *reached_upstreams,
         )
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -1,6 +1,10 @@
 //! The active configuration and the known upstreams, kept current from the store.
 
-use std::{cell::RefCell, pin::pin, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    pin::pin,
+    rc::Rc,
+};
 
 use celerystair_core::prelude::*;
 use celerystair_platform::prelude::*;
@@ -41,6 +45,9 @@
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     missing: RefCell<MissingUpstreams>,
+    version_histories: RefCell<HashMap<ServiceName, VersionHistory>>,
+    /// When the list of upstreams was first read.
+    first_listed_unix_ms: Cell<Option<u64>>,
 }
 
 impl FleetView {
@@ -54,6 +61,8 @@
                 upstreams: RefCell::default(),
                 by_service: RefCell::default(),
                 missing: RefCell::default(),
+                version_histories: RefCell::default(),
+                first_listed_unix_ms: Cell::default(),
             }),
         };
         let configs =
@@ -109,6 +118,20 @@
         is_available.then_some(availability.recovered_unix_ms)
     }
 
+    /// Returns the software versions of a service that were listed.
+    pub fn version_history(&self, service: &ServiceName) -> VersionHistory {
+        let histories = self.inner.version_histories.borrow();
+        histories.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns since when every version of upstreams that was listed is known, or `None` if the list
+    /// can't be read.
+    pub fn versions_known_since_unix_ms(&self) -> Option<u64> {
+        let listed_since_unix_ms = self.listed_since_unix_ms()?;
+        let first_unix_ms = self.inner.first_listed_unix_ms.get()?;
+        Some(first_unix_ms.max(listed_since_unix_ms))
+    }
+
     /// Returns the incarnations of all listed upstreams, except those whose address another one has
     /// taken over.
     pub fn incarnations(&self) -> Vec<UpstreamIncarnation> {
@@ -236,10 +259,27 @@
                 .or_default()
                 .push(upstream.clone());
         }
+        self.record_versions(&by_service, now);
         *self.inner.by_service.borrow_mut() = by_service;
         drop((upstreams, missing));
     }
 
+    fn record_versions(
+        &self,
+        by_service: &HashMap<ServiceName, Vec<Rc<Upstream>>>,
+        now_unix_ms: u64,
+    ) {
+        let mut histories = self.inner.version_histories.borrow_mut();
+        for (service, upstreams) in by_service {
+            let versions = upstreams.iter().map(|upstream| upstream.software_version());
+            let history = histories.entry(service.clone()).or_default();
+            history.record(versions, now_unix_ms);
+        }
+        if !by_service.is_empty() && self.inner.first_listed_unix_ms.get().is_none() {
+            self.inner.first_listed_unix_ms.set(Some(now_unix_ms));
+        }
+    }
+
     /// Marks the upstreams whose address a later upstream has taken over. Misdirected upstreams are
     /// not compared: they are already unused, and since clocks differ, the entry of one may claim
     /// the later start although the other upstream replaced it.
--- a/crates/celerystair_news/src/lib.rs
+++ b/crates/celerystair_news/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`demand`] | the demand that routers report, and its sum at an agent |
 //! | [`engines`] | the engine statuses that agents report |
+//! | [`stream_origins`] | where streams began, as it is sent |
 //! | [`suspects`] | reports on requests and prompt parts that may crash upstreams, as they are sent |
 //! | [`socket`] | the gossip messages and the socket that carries them |
 //!
@@ -16,6 +17,7 @@
 pub mod demand;
 pub mod engines;
 pub mod socket;
+pub mod stream_origins;
 pub mod suspects;
 
 /// The types that routers and agents use.
--- a/crates/celerystair_news/src/socket.rs
+++ b/crates/celerystair_news/src/socket.rs
@@ -5,11 +5,13 @@
 use bytes::Bytes;
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_protocol::{AdapterName, AdaptersWanted, NewsDatagram, news_datagram};
+use celerystair_protocol::{
+    AdapterName, AdaptersWanted, NewsDatagram, StreamOriginsWanted, news_datagram,
+};
 use compio::net::UdpSocket;
 use prost::Message;
 
-use crate::{demand::RouterDemand, engines::EngineStatus, suspects};
+use crate::{demand::RouterDemand, engines::EngineStatus, stream_origins, suspects};
 
 /// The largest datagram that is received whole; senders stay far below it.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -28,6 +30,10 @@
     Suspects(Vec<SuspectReport>),
     /// Parts of prompts that may crash the upstreams that answer on them.
     SuspectParts(Vec<PartReport>),
+    /// Where streams began; `None` if the sender, which was asked, doesn't know.
+    StreamOrigins(Vec<(StreamId, Option<StreamOrigin>)>),
+    /// The streams whose origins the sender asks for.
+    StreamOriginsWanted(Vec<StreamId>),
 }
 
 /// A received message, with what its sender asks of the receiver.
@@ -37,6 +43,8 @@
     pub message: GossipMessage,
     /// Whether the receiver is to relay the message within its failure domain.
     pub should_relay: bool,
+    /// The process that sent it.
+    pub sender: SocketAddr,
 }
 
 impl GossipMessage {
@@ -58,6 +66,13 @@
             Self::SuspectParts(reports) => {
                 news_datagram::News::Suspects(suspects::parts_to_wire(reports))
             }
+            Self::StreamOrigins(origins) => {
+                news_datagram::News::StreamOrigins(stream_origins::to_wire(origins))
+            }
+            Self::StreamOriginsWanted(streams) => {
+                let streams = streams.iter().map(|stream| stream.0).collect();
+                news_datagram::News::StreamOriginsWanted(StreamOriginsWanted { streams })
+            }
         };
         let datagram = NewsDatagram {
             news: Some(news),
@@ -87,11 +102,18 @@
             news_datagram::News::Suspects(reports) => {
                 Self::SuspectParts(suspects::parts_from_wire(reports.parts))
             }
+            news_datagram::News::StreamOrigins(origins) => {
+                Self::StreamOrigins(stream_origins::from_wire(origins))
+            }
+            news_datagram::News::StreamOriginsWanted(wanted) => {
+                Self::StreamOriginsWanted(wanted.streams.into_iter().map(StreamId).collect())
+            }
         };
         let should_relay = datagram.tells_on;
         Some(ReceivedGossip {
             message,
             should_relay,
+            sender,
         })
     }
 }
@@ -137,6 +159,15 @@
         failed
     }
 
+    /// Sends `message` to one process, which is not to relay it.
+    ///
+    /// # Errors
+    /// The datagram could not be sent.
+    pub async fn send_to(&self, message: &GossipMessage, address: SocketAddr) -> io::Result<()> {
+        let sent = self.socket.send_to(message.encode(false), address).await;
+        sent.0.map(|_| ())
+    }
+
     /// Waits for the next datagram that can be decoded; others are ignored.
     ///
     /// # Errors
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -100,12 +100,18 @@
             is_answered: true,
             expires_in_ms: 60_000,
         };
+        let origin = StreamOrigin {
+            service: ServiceName::from("s1"),
+            version: SoftwareVersion::from("v1"),
+        };
         for message in [
             demand_message(port),
             engine_message(),
             GossipMessage::AdaptersWanted(adapters),
             GossipMessage::Suspects(vec![report]),
             GossipMessage::SuspectParts(vec![part_report()]),
+            GossipMessage::StreamOrigins(vec![(StreamId(1), Some(origin)), (StreamId(2), None)]),
+            GossipMessage::StreamOriginsWanted(vec![StreamId(3)]),
         ] {
             for should_relay in [false, true] {
                 let target = GossipTarget {
@@ -122,6 +128,9 @@
                 let sent = ReceivedGossip {
                     message: message.clone(),
                     should_relay,
+                    sender: sender
+                        .local_address()
+                        .expect("a bound socket has an address"),
                 };
                 assert_eq!(delivered, sent);
             }
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`routes`] | which route a request takes |
 //! | [`spread`] | which peers get gossip directly, and which relay it |
 //! | [`stall`] | whether a stalled request switches to another upstream |
+//! | [`stream_versions`] | at which software version a stream goes on |
 //! | [`suspect_part`] | whether the crashes of one part of prompts suffice to refuse it |
 //! | [`suspects`] | which requests are refused because they crash upstreams |
 //! | [`waiting`] | whether a request waits for a replica, and when a refused caller may retry |
@@ -44,6 +45,7 @@
 pub mod routes;
 pub mod spread;
 pub mod stall;
+pub mod stream_versions;
 pub mod suspect_part;
 pub mod suspects;
 pub mod waiting;
@@ -72,6 +74,10 @@
             suspect_change_targets, suspect_sample_targets,
         },
         stall::StallInputs,
+        stream_versions::{
+            ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, StreamId, StreamOrigin, StreamOrigins, VersionHistory,
+            assumed_version, version_holders,
+        },
         suspect_part::{
             FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
         },
--- /dev/null
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -0,0 +1,158 @@
+//! At which software version a stream goes on. What upstreams of two versions write doesn't fit
+//! together, and upstreams don't check it, so a stream of which an event was passed on goes on only
+//! at the version that began it: after its upstream was lost, and when its caller takes it up again
+//! at any router, often because the router that knew the version was killed.
+//!
+//! So a router tells [`version_holders`] the origin of a stream before it passes the first event on:
+//! agents that rendezvous hashing selects for the stream, in different failure domains. A
+//! router that is asked to take a stream up and doesn't know its origin asks the same agents. One
+//! that can't find out refuses, unless no other version has been listed while the stream may have
+//! begun.
+//!
+//! The load of the records, and what else was weighed: `docs/PLATFORM.md`.
+
+use std::net::SocketAddr;
+
+use celerystair_core::{prelude::*, rendezvous};
+
+use crate::spread::Peer;
+
+/// The agents that hold the origin of each stream: a datagram may be lost, and one of them end.
+pub const VERSION_HOLDERS: usize = 3;
+/// How long a router waits for the first answer of the holders before it asks again.
+pub const ORIGIN_RETRY_MS: u64 = 60;
+/// How long a router waits for the answers of the holders altogether.
+pub const ORIGIN_WAIT_MS: u64 = 250;
+/// An origin is held for at least this long, and for twice as long at most.
+const GENERATION_MS: u64 = 60_000;
+/// The most origins that a process holds in each of two generations.
+const GENERATION_MAX: usize = 32 * 1024;
+/// A version that has left the list for less than this time may come back: an upstream that has
+/// crashed starts again within seconds.
+const VERSION_RETURN_MS: u64 = 10_000;
+/// `Retry-After` of a stream whose version may come back.
+const VERSION_RETRY_AFTER_MS: u64 = 500;
+/// A caller may take a stream up this many times its route's timeout after it began.
+const STREAM_LIFE_TIMEOUTS: u64 = 2;
+
+/// Identifies a stream: a hash of the id of the request that brought its first event.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Returns the identifier of the stream that began as this request.
+    pub fn begun_by(request: &RequestId) -> Self {
+        Self(rendezvous::fingerprint(request.as_bytes()))
+    }
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct StreamOrigin {
+    /// The service.
+    pub service: ServiceName,
+    /// The version of the upstream's software.
+    pub version: SoftwareVersion,
+}
+
+/// The origins of streams. Of two generations, the
+/// older is dropped as a whole when the younger is full or old enough.
+#[derive(Clone, Debug, Default)]
+pub struct StreamOrigins {
+    young: HashMap<StreamId, StreamOrigin>,
+    old: HashMap<StreamId, StreamOrigin>,
+    young_since_unix_ms: u64,
+}
+
+impl StreamOrigins {
+    /// Records the origin of a stream.
+    pub fn insert(&mut self, stream: StreamId, origin: StreamOrigin, now_unix_ms: u64) {
+        let is_old = now_unix_ms >= self.young_since_unix_ms + GENERATION_MS;
+        if is_old || self.young.len() >= GENERATION_MAX {
+            self.old = std::mem::take(&mut self.young);
+            self.young_since_unix_ms = now_unix_ms;
+        }
+        self.young.insert(stream, origin);
+    }
+
+    /// Returns the origin of a stream, if it is known.
+    pub fn get(&self, stream: StreamId) -> Option<&StreamOrigin> {
+        self.young.get(&stream).or_else(|| self.old.get(&stream))
+    }
+}
+
+/// Returns the agents that hold the origin of a stream: those that come first by rendezvous hashing, one of each failure domain before a second one of any. Processes
+/// whose lists of agents differ in one of them agree on all others.
+pub fn version_holders(stream: StreamId, agents: &[Peer]) -> Vec<SocketAddr> {
+    let named: Vec<(String, &Peer)> = agents
+        .iter()
+        .map(|agent| (agent.address.to_string(), agent))
+        .collect();
+    let ranked = rendezvous::order(&stream.0.to_string(), &named, |(name, _)| name);
+    let mut domains: HashSet<&FailureDomain> = HashSet::default();
+    let (mut first, mut further) = (Vec::new(), Vec::new());
+    for (_, agent) in ranked {
+        let is_first = domains.insert(&agent.domain);
+        let list = if is_first { &mut first } else { &mut further };
+        list.push(agent.address);
+    }
+    first.extend(further);
+    first.truncate(VERSION_HOLDERS);
+    first
+}
+
+/// The versions of a service's upstreams that were listed, and when each was listed last.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    last_listed_unix_ms: HashMap<SoftwareVersion, u64>,
+}
+
+impl VersionHistory {
+    /// Records the versions that are listed now.
+    pub fn record(
+        &mut self,
+        versions: impl IntoIterator<Item = SoftwareVersion>,
+        now_unix_ms: u64,
+    ) {
+        for version in versions {
+            self.last_listed_unix_ms.insert(version, now_unix_ms);
+        }
+    }
+
+    /// Returns the only version that has been listed since `since_unix_ms`, if there is only one.
+    pub fn sole_version_since(&self, since_unix_ms: u64) -> Option<SoftwareVersion> {
+        let listed = self.last_listed_unix_ms.iter();
+        let mut recent = listed.filter(|(_, last_unix_ms)| **last_unix_ms >= since_unix_ms);
+        let (version, _) = recent.next()?;
+        recent.next().is_none().then(|| version.clone())
+    }
+
+    /// Returns `Retry-After` for a stream of a version without a ready upstream: 0 if it won't come
+    /// back.
+    pub fn retry_after_ms(&self, version: &SoftwareVersion, now_unix_ms: u64) -> u64 {
+        let last_unix_ms = self.last_listed_unix_ms.get(version);
+        let may_return = last_unix_ms.is_some_and(|last| now_unix_ms < last + VERSION_RETURN_MS);
+        if may_return {
+            VERSION_RETRY_AFTER_MS
+        } else {
+            0
+        }
+    }
+}
+
+/// Returns the version of a stream whose origin no process knows: the only one that was listed while
+/// it may have begun, if the list was current all the while. `None` if that can't be told.
+///
+/// `listed_since_unix_ms` is since when the list has been read without an outage, if it can be read.
+pub fn assumed_version(
+    history: &VersionHistory,
+    route_timeout_ms: u64,
+    listed_since_unix_ms: Option<u64>,
+    now_unix_ms: u64,
+) -> Option<SoftwareVersion> {
+    let began_unix_ms = now_unix_ms.saturating_sub(STREAM_LIFE_TIMEOUTS * route_timeout_ms);
+    let is_covered = listed_since_unix_ms.is_some_and(|since| since <= began_unix_ms);
+    is_covered
+        .then(|| history.sole_version_since(began_unix_ms))
+        .flatten()
+}
