--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -28,9 +28,10 @@
 /// Tells the agents that hold it where a stream began. Returns once the datagrams are sent, so that the
 /// origin is on its way before the first event is.
 pub async fn publish_origin(router: &PlatformRouter, stream: StreamId, origin: StreamOrigin) {
-    let mut origins = router.stream_origins.borrow_mut();
-    origins.insert(stream, origin.clone(), now_unix_ms());
-    drop(origins);
+    router
+        .stream_origins
+        .borrow_mut()
+        .insert(stream, origin.clone(), now_unix_ms());
     let message = GossipMessage::StreamOrigins(vec![(stream, Some(origin))]);
     send_to_holders(router, stream, &message).await;
 }
@@ -57,17 +58,11 @@
 ) {
     let now = now_unix_ms();
     for (stream, origin) in answers {
-        match origin {
-            Some(origin) => {
-                let mut origins = router.stream_origins.borrow_mut();
-                origins.insert(stream, origin, now);
-            }
-            None => {
-                let mut denials = router.origin_denials.borrow_mut();
-                if let Some(senders) = denials.get_mut(&stream) {
-                    senders.insert(sender);
-                }
-            }
+        if let Some(origin) = origin {
+            let mut origins = router.stream_origins.borrow_mut();
+            origins.insert(stream, origin, now);
+        } else if let Some(deniers) = router.origin_denials.borrow_mut().get_mut(&stream) {
+            deniers.insert(sender);
         }
     }
     router.origin_answered.notify(usize::MAX);
