--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -93,7 +93,7 @@
         let timer = sleep_until_unix_ms(ask_unix_ms.min(deadline_unix_ms));
         select(answered, pin!(timer)).await;
         found = known();
-        let denied = denials.borrow().get(&stream).map_or(0, |d| d.len());
+        let denied = denials.borrow().get(&stream).map_or(0, HashSet::len);
         if denied >= holders {
             break;
         }
