--- a/crates/celerystair_policy/src/spread.rs
+++ b/crates/celerystair_policy/src/spread.rs
@@ -114,15 +114,18 @@
             is_relay: false,
         })
         .collect();
-    targets.sort_by_cached_key(|target| {
-        let mut bytes = draw.to_le_bytes().to_vec();
-        match target.address.ip() {
-            IpAddr::V4(ip) => bytes.extend(ip.octets()),
-            IpAddr::V6(ip) => bytes.extend(ip.octets()),
-        }
-        bytes.extend(target.address.port().to_le_bytes());
-        fingerprint(&bytes)
-    });
+    targets.sort_by_cached_key(|target| address_weight(draw, target.address));
     targets.truncate(count);
     targets
 }
+
+/// Returns a hash of `key` and an address, by which processes rank addresses in the same order.
+pub(crate) fn address_weight(key: u64, address: SocketAddr) -> u64 {
+    let mut bytes = key.to_le_bytes().to_vec();
+    match address.ip() {
+        IpAddr::V4(ip) => bytes.extend(ip.octets()),
+        IpAddr::V6(ip) => bytes.extend(ip.octets()),
+    }
+    bytes.extend(address.port().to_le_bytes());
+    fingerprint(&bytes)
+}
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -15,7 +15,7 @@
 
 use celerystair_core::{prelude::*, rendezvous};
 
-use crate::spread::Peer;
+use crate::spread::{Peer, address_weight};
 
 /// The agents that hold the origin of each stream: a datagram may be lost, and one of them end.
 pub const VERSION_HOLDERS: usize = 3;
@@ -84,11 +84,11 @@
 /// Returns the agents that hold the origin of a stream: those that come first by rendezvous hashing, one of each failure domain before a second one of any. Processes
 /// whose lists of agents differ in one of them agree on all others.
 pub fn version_holders(stream: StreamId, agents: &[Peer]) -> Vec<SocketAddr> {
-    let named: Vec<(String, &Peer)> = agents
+    let mut ranked: Vec<(u64, &Peer)> = agents
         .iter()
-        .map(|agent| (agent.address.to_string(), agent))
+        .map(|agent| (address_weight(stream.0, agent.address), agent))
         .collect();
-    let ranked = rendezvous::order(&stream.0.to_string(), &named, |(name, _)| name);
+    ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
     let mut domains: HashSet<&FailureDomain> = HashSet::default();
     let (mut first, mut further) = (Vec::new(), Vec::new());
     for (_, agent) in ranked {
--- /dev/null
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -0,0 +1,191 @@
+//! Streams that their callers take up at other routers: replays of the records that agents hold, with
+//! lost datagrams, agents that restart, and routers whose lists of agents differ.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use celerystair_core::prelude::*;
+use celerystair_policy::{
+    prelude::*,
+    stream_versions::{VERSION_HOLDERS, VersionHistory, assumed_version},
+};
+
+const START_UNIX_MS: u64 = 1_000_000;
+const TIMEOUT_MS: u64 = 12_000;
+
+fn agents(count: usize, domains: usize) -> Vec<Peer> {
+    let agent = |number: usize| Peer {
+        address: SocketAddr::new(Ipv4Addr::from(number as u32).into(), 1),
+        domain: FailureDomain::from(format!("domain-{}", number % domains)),
+        can_relay: true,
+    };
+    (0..count).map(agent).collect()
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: ServiceName::from("engines"),
+        version: SoftwareVersion::from(version),
+    }
+}
+
+/// The loads that the replay is played with: routers matter only by their lists of agents.
+const FLEETS: [(usize, usize); 3] = [(12, 4), (44, 5), (1000, 10)];
+const STREAMS: u64 = 400;
+/// How often a router asks the holders within the time that it waits.
+const ASKS: u64 = ORIGIN_WAIT_MS / ORIGIN_RETRY_MS;
+
+struct Replay {
+    random: u64,
+}
+
+impl Replay {
+    fn draw(&mut self, bound: u64) -> u64 {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.random >> 33) % bound
+    }
+
+    /// A tenth of the datagrams is lost.
+    fn is_delivered(&mut self) -> bool {
+        self.draw(10) > 0
+    }
+
+    /// Returns how many of the streams are found by routers that list `asked` agents, after routers that
+    /// list `told` have told of them and one in `restart_divisor` agents has restarted.
+    fn found(&mut self, told: &[Peer], asked: &[Peer], restart_divisor: u64) -> u64 {
+        let mut held: HashMap<SocketAddr, StreamOrigins> = HashMap::default();
+        let streams: Vec<(StreamId, StreamOrigin)> = (0..STREAMS)
+            .map(|number| {
+                let request = RequestId::from(format!("request-{number}"));
+                let version = if number % 3 == 0 { "v2" } else { "v1" };
+                (StreamId::begun_by(&request), origin(version))
+            })
+            .collect();
+        for (stream, origin) in &streams {
+            for holder in version_holders(*stream, told) {
+                if self.is_delivered() {
+                    let origins = held.entry(holder).or_default();
+                    origins.insert(*stream, origin.clone(), START_UNIX_MS);
+                }
+            }
+        }
+        for agent in told {
+            if restart_divisor > 0 && self.draw(restart_divisor) == 0 {
+                held.remove(&agent.address);
+            }
+        }
+        let mut found = 0;
+        for (stream, origin) in &streams {
+            let holders = version_holders(*stream, asked);
+            let mut answer = None;
+            for _ in 0..ASKS {
+                for holder in &holders {
+                    let known = held.get(holder).and_then(|origins| origins.get(*stream));
+                    let is_answered = self.is_delivered() && self.is_delivered();
+                    answer = answer.or(known.filter(|_| is_answered).cloned());
+                }
+            }
+            assert!(answer.as_ref().is_none_or(|answer| answer == origin));
+            found += u64::from(answer.is_some());
+        }
+        found
+    }
+}
+
+/// At least half of the streams that callers take up must go on, as the platform's rule says.
+#[test]
+fn streams_are_found_although_datagrams_are_lost_and_agents_restart() {
+    for (count, domains) in FLEETS {
+        let all = agents(count, domains);
+        // One agent is new to one router, and another one is gone for the other.
+        let (told, asked) = (&all[1..], &all[..count - 1]);
+        for restart_divisor in [0, 10, 3] {
+            let found = Replay { random: 1 }.found(told, asked, restart_divisor);
+            println!("{count} agents, one in {restart_divisor} restarts: {found} of {STREAMS}");
+            assert!(found >= STREAMS / 2, "{count} agents: {found} of {STREAMS}");
+        }
+    }
+}
+
+/// The loss of a failure domain must not lose the records of a stream.
+#[test]
+fn holders_stand_in_different_failure_domains() {
+    for (count, domains) in FLEETS {
+        let all = agents(count, domains);
+        for number in 0..100 {
+            let stream = StreamId(number);
+            let holders = version_holders(stream, &all);
+            let domain_of = |address: &SocketAddr| {
+                let agent = all.iter().find(|agent| agent.address == *address);
+                agent.expect("a holder is an agent").domain.clone()
+            };
+            let distinct: HashSet<FailureDomain> = holders.iter().map(domain_of).collect();
+            assert_eq!(distinct.len(), VERSION_HOLDERS);
+        }
+    }
+    let one_domain = agents(5, 1);
+    assert_eq!(
+        version_holders(StreamId(1), &one_domain).len(),
+        VERSION_HOLDERS
+    );
+    assert!(version_holders(StreamId(1), &[]).is_empty());
+}
+
+#[test]
+fn a_version_is_assumed_only_if_no_other_one_can_have_begun_the_stream() {
+    let (v1, v2) = (SoftwareVersion::from("v1"), SoftwareVersion::from("v2"));
+    let mut history = VersionHistory::default();
+    history.record([v1.clone()], START_UNIX_MS);
+    let now = START_UNIX_MS + 100_000;
+    history.record([v1.clone()], now);
+    let assumed = |history: &VersionHistory, since: Option<u64>, now: u64| {
+        assumed_version(history, TIMEOUT_MS, since, now)
+    };
+    assert_eq!(
+        assumed(&history, Some(START_UNIX_MS), now),
+        Some(v1.clone())
+    );
+    assert_eq!(assumed(&history, None, now), None, "the list can't be read");
+    assert_eq!(
+        assumed(&history, Some(now - TIMEOUT_MS), now),
+        None,
+        "another version may have been listed before this router's list was current"
+    );
+    history.record([v1.clone(), v2.clone()], now);
+    assert_eq!(assumed(&history, Some(START_UNIX_MS), now), None);
+    let later = now + TIMEOUT_MS;
+    history.record([v2.clone()], later);
+    assert_eq!(
+        assumed(&history, Some(START_UNIX_MS), later),
+        None,
+        "callers still take up streams of the version that has left"
+    );
+    let much_later = now + 10 * TIMEOUT_MS;
+    history.record([v2.clone()], much_later);
+    assert_eq!(assumed(&history, Some(START_UNIX_MS), much_later), Some(v2));
+    assert_eq!(history.retry_after_ms(&v1, much_later), 0);
+    assert!(history.retry_after_ms(&v1, now + 1000) > 0);
+}
+
+/// A router passes on streams for as long as it runs.
+#[test]
+fn origins_are_held_for_a_minute_and_not_for_ever() {
+    let mut origins = StreamOrigins::default();
+    let mut now = START_UNIX_MS;
+    origins.insert(StreamId(0), origin("v1"), now);
+    now += 59_000;
+    origins.insert(StreamId(1), origin("v1"), now);
+    assert_eq!(origins.get(StreamId(0)), Some(&origin("v1")));
+    for number in 2..6 {
+        now += 60_000;
+        origins.insert(StreamId(number), origin("v1"), now);
+    }
+    assert_eq!(origins.get(StreamId(0)), None);
+    for number in 100..200_000 {
+        origins.insert(StreamId(number), origin("v1"), now);
+    }
+    assert_eq!(origins.get(StreamId(100)), None);
+    assert_eq!(origins.get(StreamId(199_999)), Some(&origin("v1")));
+}
