Find a stream's version also if its caller doesn't name the request that began it

Cause: the origin was recorded under the request's id alone, which only the header names that not every caller sends.

Evidence: a_stream_that_is_taken_up_without_its_first_request_goes_on_at_its_own_software_version failed before (503) and passes now.

Why it works: a caller that takes a stream up sends the same request again, so its fingerprint is the same. The origin is recorded under both, with the agents that the fingerprint selects; a named request goes first.

--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -25,15 +25,23 @@
     List,
 }
 
-/// Tells the agents that hold it where a stream began. Returns once the datagrams are sent, so that the
-/// origin is on its way before the first event is.
-pub async fn publish_origin(router: &PlatformRouter, stream: StreamId, origin: StreamOrigin) {
-    router
-        .stream_origins
-        .borrow_mut()
-        .insert(stream, origin.clone(), now_unix_ms());
-    let message = GossipMessage::StreamOrigins(vec![(stream, Some(origin))]);
-    send_to_holders(router, stream, &message).await;
+/// Tells the agents that hold it where the stream of the request began. Returns once the datagrams are
+/// sent, so that the origin is on its way before the first event is.
+pub async fn publish_origin(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    origin: StreamOrigin,
+) {
+    let by_fingerprint = StreamId::with_fingerprint(request.fingerprint);
+    let streams = [StreamId::begun_by(&request.head.id), by_fingerprint];
+    let now = now_unix_ms();
+    for stream in streams {
+        let mut origins = router.stream_origins.borrow_mut();
+        origins.insert(stream, origin.clone(), now);
+    }
+    let records = streams.map(|stream| (stream, Some(origin.clone())));
+    let message = GossipMessage::StreamOrigins(records.to_vec());
+    send_to_holders(router, by_fingerprint, &message).await;
 }
 
 async fn send_to_holders(
@@ -68,37 +76,48 @@
     router.origin_answered.notify(usize::MAX);
 }
 
-/// Returns where a stream began, which the agents that hold it are asked if this router doesn't know.
+/// Returns where the stream began that the request takes up, which the agents that hold it are asked if
+/// this router doesn't know.
 async fn find_origin(
     router: &PlatformRouter,
-    stream: StreamId,
+    request: &CallerRequest,
 ) -> Option<(StreamOrigin, OriginSource)> {
-    let known = || router.stream_origins.borrow().get(stream).cloned();
+    let by_fingerprint = StreamId::with_fingerprint(request.fingerprint);
+    let named = request.head.resumes.as_ref().map(StreamId::begun_by);
+    let streams: Vec<StreamId> = named.into_iter().chain([by_fingerprint]).collect();
+    let known = || {
+        let origins = router.stream_origins.borrow();
+        let mut known = streams.iter().filter_map(|stream| origins.get(*stream));
+        known.next().cloned()
+    };
     if let Some(origin) = known() {
         return Some((origin, OriginSource::Own));
     }
-    let message = GossipMessage::StreamOriginsWanted(vec![stream]);
+    let message = GossipMessage::StreamOriginsWanted(streams.clone());
     let deadline_unix_ms = now_unix_ms() + ORIGIN_WAIT_MS;
     let denials = &router.origin_denials;
-    denials.borrow_mut().entry(stream).or_default();
+    denials.borrow_mut().entry(by_fingerprint).or_default();
     let mut ask_unix_ms = 0;
     let mut holders = 0;
     let mut found = None;
     while found.is_none() && now_unix_ms() < deadline_unix_ms {
         let answered = router.origin_answered.listen();
         if now_unix_ms() >= ask_unix_ms {
-            holders = send_to_holders(router, stream, &message).await;
+            holders = send_to_holders(router, by_fingerprint, &message).await;
             ask_unix_ms = now_unix_ms() + ORIGIN_RETRY_MS;
         }
         let timer = sleep_until_unix_ms(ask_unix_ms.min(deadline_unix_ms));
         select(answered, pin!(timer)).await;
         found = known();
-        let denied = denials.borrow().get(&stream).map_or(0, HashSet::len);
+        let denied = denials
+            .borrow()
+            .get(&by_fingerprint)
+            .map_or(0, HashSet::len);
         if denied >= holders {
             break;
         }
     }
-    denials.borrow_mut().remove(&stream);
+    denials.borrow_mut().remove(&by_fingerprint);
     found.map(|origin| (origin, OriginSource::Agents))
 }
 
@@ -111,14 +130,13 @@
     router: &PlatformRouter,
     request: &CallerRequest,
 ) -> Result<(StreamOrigin, OriginSource), Refusal> {
-    let begun_by = request.head.resumes.as_ref().map(StreamId::begun_by);
-    let found = match begun_by {
-        Some(stream) => find_origin(router, stream).await,
-        None => None,
-    };
+    let found = find_origin(router, request).await;
     let found = found.or_else(|| Some((assumed_origin(router, request)?, OriginSource::List)));
     let (origin, source) = found.ok_or_else(|| {
-        let detail = "the software version that began the stream is not known";
+        let begun_by = request.head.resumes.as_ref().map_or("none", RequestId::as_str);
+        let detail = format!(
+            "the software version that began the stream is not known; earlier request named: {begun_by}"
+        );
         Refusal::not_run(RefusalReason::StreamOriginUnknown, detail)
     })?;
     let mut targets = request.route.targets.iter();
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -129,8 +129,7 @@
             service: self.service.clone(),
             version,
         };
-        let stream = StreamId::begun_by(&self.request.head.id);
-        publish_origin(&self.router, stream, origin).await;
+        publish_origin(&self.router, &self.request, origin).await;
     }
 
     async fn next_part(&mut self) -> StreamPart {
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -35,15 +35,22 @@
 /// A caller may take a stream up this many times its route's timeout after it began.
 const STREAM_LIFE_TIMEOUTS: u64 = 2;
 
-/// Identifies a stream: a hash of the id of the request that brought its first event.
+/// Identifies a stream, by the request that brought its first event. A stream has two identifiers, as
+/// some callers that take it up don't name that request.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct StreamId(pub u64);
 
 impl StreamId {
-    /// Returns the identifier of the stream that began as this request.
+    /// Returns the identifier by the request's id.
     pub fn begun_by(request: &RequestId) -> Self {
         Self(rendezvous::fingerprint(request.as_bytes()))
     }
+
+    /// Returns the identifier by the request's fingerprint, which the request that takes the stream up
+    /// shares. It selects the agents that hold the origin.
+    pub fn with_fingerprint(fingerprint: u64) -> Self {
+        Self(fingerprint)
+    }
 }
 
 /// Where a stream began.
