--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -28,6 +28,7 @@
         broken.extend(check_request(plan, told, ran));
     }
     broken.extend(check_unasked(&runs, told));
+    broken.extend(check_versions(fleet));
     broken.extend(retries::check(fleet, told));
     broken.extend(fleet.orders().into_iter().flat_map(check_orders));
     broken
@@ -74,6 +75,17 @@
         .collect()
 }
 
+/// A stream goes on at one software version, at which it has run before.
+fn check_versions(fleet: &Fleet) -> Vec<String> {
+    let versions = fleet.versions_by_id().into_iter();
+    let mixed = versions.filter(|(_, [began, went_on])| {
+        went_on.len() > 1 || !went_on.iter().all(|version| began.contains(version))
+    });
+    mixed
+        .map(|(id, [began, went_on])| format!("{id} began at {began:?} and went on at {went_on:?}"))
+        .collect()
+}
+
 /// Replays an engine's orders: fences never fall, and what is loaded always fits.
 fn check_orders(orders: Vec<AcceptedOrder>) -> Vec<String> {
     let mut broken = Vec::new();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,7 +1,7 @@
 //! The system under test: its processes, what they stand on, and what is done to them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs::File,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
@@ -165,6 +165,7 @@
             .collect();
         for (index, engine) in engines.iter().enumerate() {
             engine.set_failure_domain(&size.listed_domain(size.routers + index));
+            engine.set_software_version(["v1", "v2"][index % 2]);
         }
         for (index, desk) in desks.iter().enumerate() {
             desk.set_failure_domain(&size.listed_domain(index));
@@ -267,6 +268,21 @@
         runs
     }
 
+    /// The software versions of the engines that ran each request from its start, and of those that went
+    /// on with it after an event, by the request's id.
+    pub fn versions_by_id(&self) -> BTreeMap<String, [BTreeSet<String>; 2]> {
+        let mut versions: BTreeMap<String, [BTreeSet<String>; 2]> = BTreeMap::new();
+        for engine in &self.engines {
+            for request in engine.executed_requests() {
+                let id = request.header("celerystair-request-id");
+                let goes_on = request.header("last-event-id").is_some();
+                let versions = versions.entry(id.unwrap_or_default().to_owned());
+                versions.or_default()[usize::from(goes_on)].insert(engine.software_version());
+            }
+        }
+        versions
+    }
+
     /// What the upstreams of a service have received.
     pub fn arrivals(&self, service: &str) -> Vec<Arrival> {
         let upstreams = self.upstreams_of(service).into_iter();
