Prefer the named request's origin to that of an identical request

What callers would see: a stream mixes two versions if its caller first was refused, sent its request anew, which began at another version, and takes that stream up at the router that passed on the first one. Found by reading the change.

Cause: a router looked a stream up by its fingerprint before it asked the agents for the request that the caller named.

Evidence: a_stream_that_was_begun_anew_goes_on_at_the_software_version_of_the_named_request failed before (v1 for v2) and passes now.

Why it works: the named request's origin decides, here or at the agents; the fingerprint is asked last.

--- a/crates/celerystair_front/src/elsewhere.rs
+++ b/crates/celerystair_front/src/elsewhere.rs
@@ -14,8 +14,9 @@
 /// capacity with each request that starts or ends there.
 pub const SILENCE_RECHECK_MS: u64 = 250;
 
-/// Returns whether a request whose upstream is silent should move to another upstream now. It moves to one
-/// of the given software version if there is one. `tried` are the upstreams already attempted, and `reached_upstreams` the number of them that it reached.
+/// Returns whether a request whose upstream is silent should move to another upstream now, of the
+/// given software version if there is one. `tried` are the upstreams already attempted, and
+/// `reached_upstreams` the number of them that it reached.
 pub fn should_leave_silent_upstream(
     router: &PlatformRouter,
     request: &CallerRequest,
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -84,19 +84,16 @@
 ) -> Option<(StreamOrigin, OriginSource)> {
     let by_fingerprint = StreamId::with_fingerprint(request.fingerprint);
     let named = request.head.resumes.as_ref().map(StreamId::begun_by);
-    let streams: Vec<StreamId> = named.into_iter().chain([by_fingerprint]).collect();
-    let known = || {
-        let origins = router.stream_origins.borrow();
-        let mut known = streams.iter().filter_map(|stream| origins.get(*stream));
-        known.next().cloned()
-    };
-    if let Some(origin) = known() {
+    let wanted = named.unwrap_or(by_fingerprint);
+    let known = |stream| router.stream_origins.borrow().get(stream).cloned();
+    if let Some(origin) = known(wanted) {
         return Some((origin, OriginSource::Own));
     }
-    let message = GossipMessage::StreamOriginsWanted(streams.clone());
+    let streams: Vec<StreamId> = named.into_iter().chain([by_fingerprint]).collect();
+    let message = GossipMessage::StreamOriginsWanted(streams);
     let deadline_unix_ms = now_unix_ms() + ORIGIN_WAIT_MS;
     let denials = &router.origin_denials;
-    denials.borrow_mut().entry(by_fingerprint).or_default();
+    denials.borrow_mut().entry(wanted).or_default();
     let mut ask_unix_ms = 0;
     let mut holders = 0;
     let mut found = None;
@@ -108,16 +105,15 @@
         }
         let timer = sleep_until_unix_ms(ask_unix_ms.min(deadline_unix_ms));
         select(answered, pin!(timer)).await;
-        found = known();
-        let denied = denials
-            .borrow()
-            .get(&by_fingerprint)
-            .map_or(0, HashSet::len);
+        found = known(wanted);
+        let denied = denials.borrow().get(&wanted).map_or(0, HashSet::len);
         if denied >= holders {
             break;
         }
     }
-    denials.borrow_mut().remove(&by_fingerprint);
+    denials.borrow_mut().remove(&wanted);
+    // The same request may have begun several streams, so its fingerprint comes last.
+    let found = found.or_else(|| known(by_fingerprint));
     found.map(|origin| (origin, OriginSource::Agents))
 }
 
