Log why a stream can't go on at another upstream

A stream that is cut after its upstream fell silent left the same line as one that is resumed (stream_broken). The new line names the refusal: no budget, a suspicion, no other upstream, or a declined request. No decision changes.

--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -63,6 +63,13 @@
             "last_event_id" => last_event_id, "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs why a stream could not go on at another upstream.
+    pub fn log_stream_not_resumed(&self, request: &CallerRequest, detail: &str) {
+        info!(self.log, "stream_not_resumed"; "request" => %request.head.id,
+            "route" => &request.route.name, "detail" => detail,
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a stream broke off or stalled.
     pub fn log_stream_broken(
         &self,
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -327,7 +327,16 @@
                 self.started = Some(started);
                 true
             }
-            _ => false,
+            Ok(_) => {
+                let reason = "the response is no event stream";
+                self.router.log_stream_not_resumed(&self.request, reason);
+                false
+            }
+            Err(refusal) => {
+                self.router
+                    .log_stream_not_resumed(&self.request, &refusal.detail);
+                false
+            }
         }
     }
 }
