Keep a silent stream until another engine has had the time to decline it

Cause: the router closed the silent response first and sent the stream elsewhere then. If the other engine declined (503, not run), could not be reached, or the request was suspected or out of budget, nothing was left to return to.

Now the silent response stays open while another engine is picked and connected to, and until that engine has had 200 ms to decline. Two attempts beyond the route's are not made: one that was declined counts as before.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -1,13 +1,17 @@
 //! One attempt to send a request to one upstream.
 
-use std::{cell::Cell, pin::pin, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    pin::pin,
+    rc::Rc,
+};
 
 use bytes::{Bytes, BytesMut};
 use celerystair_core::{
     prelude::*,
     time::{before_deadline, remaining_ms},
 };
-use celerystair_policy::prelude::*;
+use celerystair_policy::{prelude::*, stall::KEEP_SILENT_RESPONSE_MS};
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use http_body_util::{BodyExt, Full};
@@ -88,12 +92,64 @@
     pub should_switch: &'a dyn Fn() -> bool,
 }
 
+/// Where a stream that is sent to another upstream goes on, and what is kept meanwhile.
+#[derive(Clone, Copy, Default)]
+pub struct Resumption<'a> {
+    /// The last event that was passed on; `None` if the request begins anew.
+    pub last_event_id: Option<u64>,
+    /// The response of the silent upstream that the stream leaves.
+    pub kept: Option<&'a KeptResponse>,
+}
+
+/// The response of a silent upstream, kept while the request is sent to another one, which may
+/// decline it.
+pub struct KeptResponse(RefCell<Option<StartedResponse>>);
+
+impl KeptResponse {
+    /// Keeps `response`.
+    pub fn new(response: StartedResponse) -> Self {
+        Self(RefCell::new(Some(response)))
+    }
+
+    /// Closes the response's connection, because another upstream may be running the request.
+    pub fn close(&self) {
+        self.0.take();
+    }
+
+    /// Whether the response is still open.
+    pub fn is_open(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
+    /// Returns the response, unless it was closed.
+    pub fn into_open(self) -> Option<StartedResponse> {
+        self.0.into_inner()
+    }
+}
+
 /// Sends the request to `upstream` and returns when the head of a successful response has arrived.
 pub async fn send_attempt(
     router: &PlatformRouter,
     request: &CallerRequest,
     upstream: &Rc<Upstream>,
-    last_event_id: Option<u64>,
+    resumption: Resumption<'_>,
+    wait: &ResponseWait<'_>,
+) -> Result<StartedResponse, FailedAttempt> {
+    let result = send_and_check(router, request, upstream, resumption, wait).await;
+    let may_have_run = result
+        .as_ref()
+        .map_or_else(|failed| !failed.failure.has_not_run(), |_| true);
+    if let Some(kept) = resumption.kept.filter(|_| may_have_run) {
+        kept.close();
+    }
+    result
+}
+
+async fn send_and_check(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    upstream: &Rc<Upstream>,
+    resumption: Resumption<'_>,
     wait: &ResponseWait<'_>,
 ) -> Result<StartedResponse, FailedAttempt> {
     let mut run = RunGuard::start(router, request, upstream);
@@ -101,7 +157,7 @@
     upstream.count_towards_rate_limit(router.router_count_or_default(), sent_unix_ms);
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.track_request(model, request.head.prompt_tokens);
-    let work = exchange(router, request, upstream, last_event_id);
+    let work = exchange(router, request, upstream, resumption);
     let work = with_silence_timeout(work, wait);
     let exchanged = match select(pin!(work), pin!(router.closing.draining())).await {
         Either::Left((Some(exchanged), _)) => exchanged,
@@ -182,9 +238,9 @@
     router: &PlatformRouter,
     request: &CallerRequest,
     upstream: &Rc<Upstream>,
-    last_event_id: Option<u64>,
+    resumption: Resumption<'_>,
 ) -> Result<(http::Response<Incoming>, UpstreamConnection), AttemptFailure> {
-    let mut outgoing = outgoing_request(router, request, upstream, last_event_id);
+    let mut outgoing = outgoing_request(router, request, upstream, resumption.last_event_id);
     let connections = &upstream.connections;
     connections.set_max_idle(router.max_idle_connections(&upstream.entry.borrow().service));
     let mut idle_connection = connections.take_idle(request.route.is_repeatable());
@@ -194,7 +250,8 @@
             Some(connection) => connection,
             None => connect(address).await.ok_or(AttemptFailure::Unreachable)?,
         };
-        match connection.sender.try_send_request(outgoing).await {
+        let sending = connection.sender.try_send_request(outgoing);
+        match close_unless_declined(resumption.kept, sending).await {
             Ok(response) => return Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 // The idle connection closed before the request was sent; try a new connection.
@@ -206,6 +263,24 @@
     }
 }
 
+/// Returns the result of `sending`, and closes the kept response if the upstream has not declined
+/// the request shortly after it was sent.
+async fn close_unless_declined<T>(
+    kept: Option<&KeptResponse>,
+    sending: impl Future<Output = T>,
+) -> T {
+    let Some(kept) = kept else {
+        return sending.await;
+    };
+    let mut sending = pin!(sending);
+    let declined_by_unix_ms = now_unix_ms() + KEEP_SILENT_RESPONSE_MS;
+    if let Some(result) = before_deadline(declined_by_unix_ms, sending.as_mut()).await {
+        return result;
+    }
+    kept.close();
+    sending.await
+}
+
 fn outgoing_request(
     router: &PlatformRouter,
     request: &CallerRequest,
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     attempt::{
-        BufferedResponse, FailedAttempt, ResponseWait, StartedResponse, buffer_response,
-        send_attempt,
+        BufferedResponse, FailedAttempt, KeptResponse, ResponseWait, Resumption, StartedResponse,
+        buffer_response, send_attempt,
     },
     dialect::RequestHead,
     elsewhere::should_leave_silent_upstream,
@@ -123,7 +123,14 @@
         router.count_model_request(&model.base, request.route.target_latency_ms);
     }
     router.count_service_request(&service);
-    let response = try_upstreams(router, &request, &service, &mut progress, None).await?;
+    let response = try_upstreams(
+        router,
+        &request,
+        &service,
+        &mut progress,
+        Resumption::default(),
+    )
+    .await?;
     Ok(match response {
         UpstreamResponse::Buffered(response) => {
             if response.is_proven_answer {
@@ -138,13 +145,14 @@
     })
 }
 
-/// Tries upstreams of `service` until one responds. A stream resumes after `last_event_id`.
+/// Tries upstreams of `service` until one responds. With a kept response, tries only those that accept
+/// the request now; if the response is still open when an error is returned, none has run the request.
 pub async fn try_upstreams(
     router: &PlatformRouter,
     request: &CallerRequest,
     service: &ServiceName,
     progress: &mut Progress,
-    last_event_id: Option<u64>,
+    resumption: Resumption<'_>,
 ) -> Result<UpstreamResponse, Refusal> {
     let mut waited: Option<(WaitReason, u64)> = None;
     loop {
@@ -171,6 +179,10 @@
                 ready_unix_ms,
                 reason,
             } => {
+                if resumption.kept.is_some_and(KeptResponse::is_open) {
+                    let detail = "no other upstream accepts the request now";
+                    return Err(refusal(progress, RefusalReason::Overloaded, detail, 0));
+                }
                 if waited.is_none() {
                     router.log_request_waits(request, reason, ready_unix_ms);
                 }
@@ -202,7 +214,7 @@
                 "the retry budget is exhausted",
             );
         }
-        match send_to_upstream(router, request, service, progress, &upstream, last_event_id).await {
+        match send_to_upstream(router, request, service, progress, &upstream, resumption).await {
             Ok(response) => {
                 router.count_attempt(service, None);
                 router.log_late_response(request, &upstream, waited, now);
@@ -249,7 +261,7 @@
     service: &ServiceName,
     progress: &Progress,
     upstream: &Rc<Upstream>,
-    last_event_id: Option<u64>,
+    resumption: Resumption<'_>,
 ) -> Result<UpstreamResponse, FailedAttempt> {
     let mut tried = progress.tried.clone();
     tried.push(upstream.id());
@@ -272,7 +284,7 @@
             )
         },
     };
-    let started = send_attempt(router, request, upstream, last_event_id, &wait).await?;
+    let started = send_attempt(router, request, upstream, resumption, &wait).await?;
     if request.route.kind == RequestKind::Stream {
         return Ok(UpstreamResponse::Started(started));
     }
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 
 use crate::{
-    attempt::{StartedResponse, response_headers},
+    attempt::{KeptResponse, Resumption, StartedResponse, response_headers},
     connections::connect,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     events::EventSplitter,
@@ -43,9 +43,11 @@
 enum StreamPart {
     /// Whole events if the stream can resume, or else any bytes.
     Bytes(Bytes),
+    /// The upstream is silent, and another one seems to accept the stream.
+    Silent,
     /// The response is complete as far as HTTP and its events tell.
     End(StreamEnd),
-    /// The response broke off or stalled.
+    /// The response broke off, or the deadline has passed.
     Broken(AttemptFailure),
 }
 
@@ -104,9 +106,13 @@
                     self.finish(end);
                     return None;
                 }
+                StreamPart::Silent => {
+                    if !self.leave_silent_upstream().await {
+                        return Some(Err(BodyError));
+                    }
+                }
                 StreamPart::Broken(failure) => {
                     if !self.resume(failure).await {
-                        self.started = None;
                         return Some(Err(BodyError));
                     }
                 }
@@ -147,9 +153,10 @@
             };
             let timer = compio::time::timeout(Duration::from_millis(wait_ms), started.body.frame());
             let data = match timer.await {
-                Err(_) if wait_ms == left_ms || self.should_switch_upstream() => {
+                Err(_) if wait_ms == left_ms => {
                     return StreamPart::Broken(AttemptFailure::Silent);
                 }
+                Err(_) if self.should_switch_upstream() => return StreamPart::Silent,
                 Err(_) => {
                     silence_ms = SILENCE_RECHECK_MS;
                     continue;
@@ -309,21 +316,45 @@
         if !self.can_resume() || !has_time || !has_attempts_left {
             return false;
         }
-        self.progress.may_have_run = true;
-        self.events.drop_partial();
+        self.resume_elsewhere(None).await
+    }
+
+    /// Moves the stream to another upstream, or lets it stay at the silent one if none accepts it; returns
+    /// false if the stream can't go on.
+    async fn leave_silent_upstream(&mut self) -> bool {
+        let Some(silent) = self.started.take() else {
+            return false;
+        };
+        let upstream = silent.upstream.clone();
+        let kept = KeptResponse::new(silent);
+        if self.resume_elsewhere(Some(&kept)).await {
+            upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
+            return true;
+        }
+        self.started = kept.into_open();
+        self.started.is_some()
+    }
+
+    /// Resumes at another upstream after the last whole event; returns false if it can't.
+    async fn resume_elsewhere(&mut self, kept: Option<&KeptResponse>) -> bool {
         let last_event_id = self.events.last_id().or(self.request.head.last_event_id);
+        self.progress.may_have_run = true;
         let resumed = try_upstreams(
             &self.router,
             &self.request,
             &self.service,
             &mut self.progress,
-            last_event_id,
+            Resumption {
+                last_event_id,
+                kept,
+            },
         )
         .await;
         match resumed {
             Ok(UpstreamResponse::Started(started)) if is_event_stream(&started.head.headers) => {
                 self.router
                     .log_stream_resumed(&self.request, &started.upstream, last_event_id);
+                self.events.drop_partial();
                 self.started = Some(started);
                 true
             }
--- a/crates/celerystair_policy/src/stall.rs
+++ b/crates/celerystair_policy/src/stall.rs
@@ -2,7 +2,13 @@
 //!
 //! An engine whose memory is full under a burst preempts a run or starts it late, and resumes it
 //! after a second or two. A request that is aborted then, with no other upstream to go to, is lost
-//! although its answer was on the way; so silence alone aborts none.
+//! although its answer was on the way; so silence alone aborts none, and the silent response is kept
+//! until another upstream has had the time to decline the request.
+
+/// How long the response of a silent upstream is kept after the request was sent to another one. An
+/// upstream without room declines within a few milliseconds; one that hasn't declined by then may be
+/// running the request, which must not run at two upstreams.
+pub const KEEP_SILENT_RESPONSE_MS: u64 = 200;
 
 /// What is known of a request that has received nothing for a while.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
