Keep an attempt without a response until another upstream has had the time to decline the request

Cause: as with streams under way, the attempt was dropped, which closes its connection, before another upstream had accepted the request. The class is the same: what looked able to take the request was believed to have taken it.

Now the attempt is a future that stays pinned while the other upstreams are tried; it is dropped when one may be running the request, as with streams. If none does, the request goes back to waiting for it, with the counts of attempts as before.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -1,10 +1,6 @@
 //! One attempt to send a request to one upstream.
 
-use std::{
-    cell::{Cell, RefCell},
-    pin::pin,
-    rc::Rc,
-};
+use std::{cell::Cell, pin::pin, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use celerystair_core::{
@@ -20,7 +16,6 @@
 use crate::{
     connections::{UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader},
-    elsewhere::SILENCE_RECHECK_MS,
     framing::{Framing, is_cut_json, response_framing},
     front::PlatformRouter,
     request::CallerRequest,
@@ -82,65 +77,46 @@
     }
 }
 
-/// How long an attempt waits for the head of the response.
-pub struct ResponseWait<'a> {
-    /// The attempt ends at this time at the latest.
-    pub end_unix_ms: u64,
-    /// From this time on, the attempt ends as soon as `should_switch` returns true.
-    pub silence_until_unix_ms: u64,
-    /// Returns whether the request should move to another upstream.
-    pub should_switch: &'a dyn Fn() -> bool,
-}
-
-/// Where a stream that is sent to another upstream goes on, and what is kept meanwhile.
+/// Where a request that is sent to another upstream goes on, and what is kept meanwhile.
 #[derive(Clone, Copy, Default)]
 pub struct Resumption<'a> {
-    /// The last event that was passed on; `None` if the request begins anew.
+    /// The last event of a stream that was passed on; `None` if the request begins anew.
     pub last_event_id: Option<u64>,
-    /// The response of the silent upstream that the stream leaves.
-    pub kept: Option<&'a KeptResponse>,
+    /// The attempt at the silent upstream that the request leaves.
+    pub kept: Option<&'a KeptAttempt<'a>>,
 }
 
-/// The response of a silent upstream, kept while the request is sent to another one, which may
-/// decline it.
-pub struct KeptResponse(RefCell<Option<StartedResponse>>);
-
-impl KeptResponse {
-    /// Keeps `response`.
-    pub fn new(response: StartedResponse) -> Self {
-        Self(RefCell::new(Some(response)))
-    }
-
-    /// Closes the response's connection, because another upstream may be running the request.
-    pub fn close(&self) {
-        self.0.take();
-    }
-
-    /// Whether the response is still open.
-    pub fn is_open(&self) -> bool {
-        self.0.borrow().is_some()
+impl Resumption<'_> {
+    /// Whether the attempt at a silent upstream is still open.
+    pub fn keeps_attempt(&self) -> bool {
+        self.kept.is_some_and(|kept| (kept.is_open)())
     }
+}
 
-    /// Returns the response, unless it was closed.
-    pub fn into_open(self) -> Option<StartedResponse> {
-        self.0.into_inner()
-    }
+/// An attempt at a silent upstream, which stays open while the request is sent to another one that may
+/// decline it.
+pub struct KeptAttempt<'a> {
+    /// Returns whether the attempt is still open.
+    pub is_open: &'a dyn Fn() -> bool,
+    /// Ends the attempt, because another upstream may be running the request.
+    pub close: &'a dyn Fn(),
 }
 
-/// Sends the request to `upstream` and returns when the head of a successful response has arrived.
+/// Sends the request to `upstream` and returns when the head of a successful response has arrived, or at
+/// `end_unix_ms`.
 pub async fn send_attempt(
     router: &PlatformRouter,
     request: &CallerRequest,
     upstream: &Rc<Upstream>,
     resumption: Resumption<'_>,
-    wait: &ResponseWait<'_>,
+    end_unix_ms: u64,
 ) -> Result<StartedResponse, FailedAttempt> {
-    let result = send_and_check(router, request, upstream, resumption, wait).await;
+    let result = send_and_check(router, request, upstream, resumption, end_unix_ms).await;
     let may_have_run = result
         .as_ref()
         .map_or_else(|failed| !failed.failure.has_not_run(), |_| true);
     if let Some(kept) = resumption.kept.filter(|_| may_have_run) {
-        kept.close();
+        (kept.close)();
     }
     result
 }
@@ -150,7 +126,7 @@
     request: &CallerRequest,
     upstream: &Rc<Upstream>,
     resumption: Resumption<'_>,
-    wait: &ResponseWait<'_>,
+    end_unix_ms: u64,
 ) -> Result<StartedResponse, FailedAttempt> {
     let mut run = RunGuard::start(router, request, upstream);
     let sent_unix_ms = now_unix_ms();
@@ -158,7 +134,7 @@
     let model = request.head.model.as_ref().map(|model| &model.base);
     let in_flight = upstream.track_request(model, request.head.prompt_tokens);
     let work = exchange(router, request, upstream, resumption);
-    let work = with_silence_timeout(work, wait);
+    let work = before_deadline(end_unix_ms, work);
     let exchanged = match select(pin!(work), pin!(router.closing.draining())).await {
         Either::Left((Some(exchanged), _)) => exchanged,
         Either::Left((None, _)) => {
@@ -209,31 +185,10 @@
     upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
     Err(FailedAttempt {
         failure: AttemptFailure::Failed,
-        response: buffer_response(router, started, wait.end_unix_ms)
-            .await
-            .ok(),
+        response: buffer_response(router, started, end_unix_ms).await.ok(),
     })
 }
 
-/// Returns the result of `work`, or `None` if `wait` ends first.
-async fn with_silence_timeout<T>(
-    work: impl Future<Output = T>,
-    wait: &ResponseWait<'_>,
-) -> Option<T> {
-    let mut work = pin!(work);
-    let mut until_unix_ms = wait.silence_until_unix_ms.min(wait.end_unix_ms);
-    loop {
-        if let Some(result) = before_deadline(until_unix_ms, work.as_mut()).await {
-            return Some(result);
-        }
-        let now = now_unix_ms();
-        if now >= wait.end_unix_ms || (wait.should_switch)() {
-            return None;
-        }
-        until_unix_ms = (now + SILENCE_RECHECK_MS).min(wait.end_unix_ms);
-    }
-}
-
 async fn exchange(
     router: &PlatformRouter,
     request: &CallerRequest,
@@ -263,10 +218,10 @@
     }
 }
 
-/// Returns the result of `sending`, and closes the kept response if the upstream has not declined
+/// Returns the result of `sending`, and ends the kept attempt if the upstream has not declined
 /// the request shortly after it was sent.
 async fn close_unless_declined<T>(
-    kept: Option<&KeptResponse>,
+    kept: Option<&KeptAttempt<'_>>,
     sending: impl Future<Output = T>,
 ) -> T {
     let Some(kept) = kept else {
@@ -277,7 +232,7 @@
     if let Some(result) = before_deadline(declined_by_unix_ms, sending.as_mut()).await {
         return result;
     }
-    kept.close();
+    (kept.close)();
     sending.await
 }
 
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -63,6 +63,13 @@
             "last_event_id" => last_event_id, "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs that a request stays at its silent upstream, because no other one accepted it.
+    pub fn log_request_stays(&self, request: &CallerRequest, upstream: &Upstream) {
+        info!(self.log, "request_stays"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream.id(),
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs why a stream could not go on at another upstream.
     pub fn log_stream_not_resumed(&self, request: &CallerRequest, detail: &str) {
         info!(self.log, "stream_not_resumed"; "request" => %request.head.id,
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -1,20 +1,20 @@
 //! One request over all its attempts at upstreams.
 
-use std::{pin::pin, rc::Rc};
+use std::{cell::RefCell, pin::pin, rc::Rc};
 
 use bytes::Bytes;
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_net::prelude::*;
 use celerystair_policy::{prelude::*, waiting::retry_after_ms};
 use futures_util::future::select;
 
 use crate::{
     attempt::{
-        BufferedResponse, FailedAttempt, KeptResponse, ResponseWait, Resumption, StartedResponse,
-        buffer_response, send_attempt,
+        BufferedResponse, FailedAttempt, KeptAttempt, Resumption, StartedResponse, buffer_response,
+        send_attempt,
     },
     dialect::RequestHead,
-    elsewhere::should_leave_silent_upstream,
+    elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     front::PlatformRouter,
     origins::stream_origin,
     pick::{Pick, WaitReason, ms_until_admission, pick_upstream},
@@ -95,6 +95,36 @@
     pub response: Option<BufferedResponse>,
 }
 
+/// Whether a request may have run, and whether an attempt is in doubt, before a silent upstream counts.
+#[derive(Clone, Copy)]
+struct BeforeSilence {
+    may_have_run: bool,
+    has_unresolved_attempt: bool,
+}
+
+impl Progress {
+    /// Counts the attempt at a silent upstream while another one is tried.
+    fn add_silent(&mut self, upstream: &Upstream) -> BeforeSilence {
+        self.tried.push(upstream.id());
+        self.reached_upstreams += 1;
+        self.delivered_attempts += 1;
+        BeforeSilence {
+            may_have_run: std::mem::replace(&mut self.may_have_run, true),
+            has_unresolved_attempt: std::mem::replace(&mut self.has_unresolved_attempt, true),
+        }
+    }
+
+    /// Takes the attempt off again, because no other upstream runs the request.
+    fn remove_silent(&mut self, upstream: &Upstream, before: BeforeSilence) {
+        let id = upstream.id();
+        self.tried.retain(|tried| *tried != id);
+        self.reached_upstreams -= 1;
+        self.delivered_attempts -= 1;
+        self.may_have_run = before.may_have_run;
+        self.has_unresolved_attempt = before.has_unresolved_attempt;
+    }
+}
+
 /// A response of an upstream.
 pub enum UpstreamResponse {
     /// The complete response.
@@ -145,8 +175,8 @@
     })
 }
 
-/// Tries upstreams of `service` until one responds. With a kept response, tries only those that accept
-/// the request now; if the response is still open when an error is returned, none has run the request.
+/// Tries upstreams of `service` until one responds. While an attempt at a silent upstream is kept, tries
+/// only those that accept the request now; if it is still open afterwards, no other one runs the request.
 pub async fn try_upstreams(
     router: &PlatformRouter,
     request: &CallerRequest,
@@ -179,7 +209,7 @@
                 ready_unix_ms,
                 reason,
             } => {
-                if resumption.kept.is_some_and(KeptResponse::is_open) {
+                if resumption.keeps_attempt() {
                     let detail = "no other upstream accepts the request now";
                     return Err(refusal(progress, RefusalReason::Overloaded, detail, 0));
                 }
@@ -214,7 +244,12 @@
                 "the retry budget is exhausted",
             );
         }
-        match send_to_upstream(router, request, service, progress, &upstream, resumption).await {
+        let attempt =
+            match send_or_move(router, request, service, progress, &upstream, resumption).await {
+                Awaited::Elsewhere(result) => return result,
+                Awaited::Attempt(attempt) => attempt,
+            };
+        match read_response(router, request, attempt).await {
             Ok(response) => {
                 router.count_attempt(service, None);
                 router.log_late_response(request, &upstream, waited, now);
@@ -255,42 +290,109 @@
 /// within one or two seconds.
 const NO_UPSTREAM_RETRY_AFTER_MS: u64 = 500;
 
-async fn send_to_upstream(
+/// Reads the body of a response that isn't a stream.
+async fn read_response(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    attempt: Result<StartedResponse, FailedAttempt>,
+) -> Result<UpstreamResponse, FailedAttempt> {
+    let started = attempt?;
+    if request.route.kind == RequestKind::Stream {
+        return Ok(UpstreamResponse::Started(started));
+    }
+    let response = buffer_response(router, started, attempt_end_unix_ms(request)).await?;
+    Ok(UpstreamResponse::Buffered(response))
+}
+
+/// How the wait for an upstream's response ended.
+enum Awaited {
+    /// The upstream responded, or the attempt failed.
+    Attempt(Result<StartedResponse, FailedAttempt>),
+    /// The upstream was silent, and the request went on at another one.
+    Elsewhere(Result<UpstreamResponse, Refusal>),
+}
+
+/// Sends the request to `upstream` and waits for the head of its response. While the upstream is silent,
+/// tries others, and stays if none accepts the request.
+async fn send_or_move(
     router: &PlatformRouter,
     request: &CallerRequest,
     service: &ServiceName,
-    progress: &Progress,
+    progress: &mut Progress,
     upstream: &Rc<Upstream>,
     resumption: Resumption<'_>,
-) -> Result<UpstreamResponse, FailedAttempt> {
-    let mut tried = progress.tried.clone();
-    tried.push(upstream.id());
-    let reached_upstreams = progress.reached_upstreams + 1;
+) -> Awaited {
     let silence_ms =
         (request.route.target_latency_ms * SILENCE_TARGET_MULTIPLE).max(SILENCE_MIN_MS);
-    let end_unix_ms = request.deadline_unix_ms - RESPONSE_MARGIN_MS;
-    let wait = ResponseWait {
+    let sent_unix_ms = now_unix_ms();
+    let mut silence_until_unix_ms = sent_unix_ms + silence_ms;
+    let end_unix_ms = attempt_end_unix_ms(request);
+    let mut attempt = Box::pin(send_attempt(
+        router,
+        request,
+        upstream,
+        resumption,
         end_unix_ms,
-        silence_until_unix_ms: now_unix_ms() + silence_ms,
-        should_switch: &|| {
-            let version = progress.version.as_ref();
-            should_leave_silent_upstream(
-                router,
-                request,
-                service,
-                version,
-                &tried,
-                reached_upstreams,
-            )
-        },
-    };
-    let started = send_attempt(router, request, upstream, resumption, &wait).await?;
-    if request.route.kind == RequestKind::Stream {
-        return Ok(UpstreamResponse::Started(started));
+    ));
+    loop {
+        let head = before_deadline(silence_until_unix_ms, attempt.as_mut()).await;
+        if let Some(result) = head {
+            return Awaited::Attempt(result);
+        }
+        silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
+        if resumption.keeps_attempt() || !should_leave(router, request, service, progress, upstream)
+        {
+            continue;
+        }
+        let silent = RefCell::new(Some(attempt));
+        let kept = KeptAttempt {
+            is_open: &|| silent.borrow().is_some(),
+            close: &|| drop(silent.take()),
+        };
+        let next = Resumption {
+            last_event_id: resumption.last_event_id,
+            kept: Some(&kept),
+        };
+        let before = progress.add_silent(upstream);
+        let moved = Box::pin(try_upstreams(router, request, service, progress, next)).await;
+        let Some(still_open) = silent.take() else {
+            upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
+            router.count_attempt(service, Some(AttemptFailure::Silent));
+            router.log_attempt_failed(request, upstream, AttemptFailure::Silent, sent_unix_ms);
+            return Awaited::Elsewhere(moved);
+        };
+        router.log_request_stays(request, upstream);
+        progress.remove_silent(upstream, before);
+        if let Ok(UpstreamResponse::Buffered(response)) = moved {
+            progress.response = Some(response);
+        }
+        attempt = still_open;
     }
-    Ok(UpstreamResponse::Buffered(
-        buffer_response(router, started, end_unix_ms).await?,
-    ))
+}
+
+/// Returns whether a request whose attempt at `upstream` is silent should be sent to another one now.
+fn should_leave(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    service: &ServiceName,
+    progress: &Progress,
+    upstream: &Upstream,
+) -> bool {
+    let mut tried = progress.tried.clone();
+    tried.push(upstream.id());
+    should_leave_silent_upstream(
+        router,
+        request,
+        service,
+        progress.version.as_ref(),
+        &tried,
+        progress.reached_upstreams + 1,
+    )
+}
+
+/// When an attempt ends at the latest.
+fn attempt_end_unix_ms(request: &CallerRequest) -> u64 {
+    request.deadline_unix_ms - RESPONSE_MARGIN_MS
 }
 
 /// Records a failed attempt. Returns `None` if another attempt may be made, or else the last error
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -1,7 +1,7 @@
 //! Relaying a stream to its caller, event by event. If the route allows it, a stream that breaks
 //! off or stalls resumes at another upstream within the same response.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::remaining_ms};
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 
 use crate::{
-    attempt::{KeptResponse, Resumption, StartedResponse, response_headers},
+    attempt::{KeptAttempt, Resumption, StartedResponse, response_headers},
     connections::connect,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     events::EventSplitter,
@@ -326,17 +326,21 @@
             return false;
         };
         let upstream = silent.upstream.clone();
-        let kept = KeptResponse::new(silent);
-        if self.resume_elsewhere(Some(&kept)).await {
+        let silent = RefCell::new(Some(silent));
+        let kept = KeptAttempt {
+            is_open: &|| silent.borrow().is_some(),
+            close: &|| drop(silent.take()),
+        };
+        let has_moved = self.resume_elsewhere(Some(&kept)).await;
+        self.started = self.started.take().or_else(|| silent.take());
+        if has_moved {
             upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
-            return true;
         }
-        self.started = kept.into_open();
         self.started.is_some()
     }
 
     /// Resumes at another upstream after the last whole event; returns false if it can't.
-    async fn resume_elsewhere(&mut self, kept: Option<&KeptResponse>) -> bool {
+    async fn resume_elsewhere(&mut self, kept: Option<&KeptAttempt<'_>>) -> bool {
         let last_event_id = self.events.last_id().or(self.request.head.last_event_id);
         self.progress.may_have_run = true;
         let resumed = try_upstreams(
