Send streams whole to callers of HTTP/1.0

A caller of HTTP/1.0 that gets a stream which breaks off can't tell it from a complete one: the version knows no chunks, so the router's response had neither a length nor chunks and ended with its connection, in order.

Evidence, on the code before: platform/tests/unframed.rs, a_broken_stream_to_a_caller_of_http_1_0_never_looks_complete: FAILED, "HTTP/1.0 200 OK" with events 1 and 2 of 5 and the end of the connection.

Such a caller now gets the stream when it is complete, with its length, or 502 if it breaks off or is longer than a buffered response may be. Callers of HTTP/1.1 get events as they come, as before.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -362,7 +362,7 @@
 }
 
 /// The longest response that is buffered. An upstream in trouble may send bytes without end.
-const RESPONSE_MAX_BYTES: usize = 8 * 1024 * 1024;
+pub const RESPONSE_MAX_BYTES: usize = 8 * 1024 * 1024;
 /// The most bytes of incomplete responses that a router buffers at a time: a fifth of the memory of
 /// the smallest instances that run one.
 const INCOMPLETE_RESPONSES_MAX_BYTES: usize = 32 * 1024 * 1024;
--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -9,10 +9,11 @@
 };
 use celerystair_policy::prelude::request_fingerprint;
 use http::{HeaderValue, header};
+use http_body_util::{BodyExt, Limited};
 
 use crate::{
     answers::refusal_response,
-    attempt::request_headers,
+    attempt::{RESPONSE_MAX_BYTES, request_headers},
     dialect::InvalidHead,
     front::PlatformRouter,
     request::{CallerRequest, serve_request},
@@ -28,10 +29,17 @@
     // Guards against request smuggling: a reader that takes the body's length from elsewhere may
     // see another request after a chunked body, so the connection is closed after the response.
     let must_close = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let caller_version = request.version();
     let mut response = match read_request(&router, request, arrived_unix_ms).await {
         Ok(request) => {
             let request = Rc::new(request);
-            match serve_request(&router, request.clone()).await {
+            let served = match serve_request(&router, request.clone()).await {
+                Ok(response) if caller_version < http::Version::HTTP_11 => {
+                    whole_response(response).await
+                }
+                served => served,
+            };
+            match served {
                 Ok(response) => {
                     router.record_outcome("answered", arrived_unix_ms);
                     response
@@ -56,6 +64,22 @@
     response
 }
 
+/// Reads a stream to its end, because a caller of HTTP/1.0 knows no chunks: without a length it takes a
+/// stream that breaks off for a complete one.
+///
+/// # Errors
+/// A refusal if the stream breaks off or is longer than [`RESPONSE_MAX_BYTES`].
+async fn whole_response(response: HttpResponse) -> Result<HttpResponse, Refusal> {
+    let (head, body) = response.into_parts();
+    let whole = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
+    let whole = whole.map_err(|error| {
+        let detail = format!("the stream can't be sent whole: {error}");
+        Refusal::unknown(RefusalReason::UpstreamFailed, detail)
+    })?;
+    let body = HttpBody::full(whole.to_bytes());
+    Ok(HttpResponse::from_parts(head, body))
+}
+
 async fn read_request(
     router: &PlatformRouter,
     request: HttpRequest,
