Don't take a stream that ends inside an event for a complete one at the agent

Callers of the product's own deployments could get a stream that had broken off as a complete one: with neither a length nor chunks it ends with its connection, and the agent sent the router the event that ends a whole response.

The agent follows the lines of event streams and reports one that ends inside an event as interrupted, so that the router breaks its own response off. The scanner that routers on the users' platform use for this moves to celerystair_net; there is one copy.

--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -4,6 +4,7 @@
 use std::pin::pin;
 
 use celerystair_core::{prelude::*, time::now_unix_us};
+use celerystair_net::events::EventScanner;
 use celerystair_protocol::{
     End, Head, Queued, Refused, Started, SubmitEvent, SubmitRequest, submit_event::Event as Step,
 };
@@ -228,6 +229,9 @@
     })
 }
 
+/// Media type of an event stream, which parameters may follow.
+const EVENT_STREAM: &str = "text/event-stream";
+
 async fn forward(
     agent: &Agent,
     request: &SubmitRequest,
@@ -240,6 +244,8 @@
     if !request.model.is_empty() {
         check_engine_status(response.status)?;
     }
+    let is_event_stream = response.content_type.starts_with(EVENT_STREAM);
+    let mut scanner = EventScanner::default();
     let head = Head {
         status: response.status.into(),
         content_type: response.content_type,
@@ -257,9 +263,15 @@
             metrics.between_tokens_seconds.record(between_seconds, &[]);
         }
         last_chunk_us = now_us;
+        scanner.scan(&chunk);
         body_bytes += chunk.len() as u64;
         send_event(agent, request, events, Step::Chunk(chunk)).await;
     }
+    // A response without a length or chunks ends with its connection, also in the middle of an event.
+    if is_event_stream && !scanner.is_between_events() {
+        let detail = "the stream ended inside an event".to_owned();
+        return Err(upstream_refusal(&UpstreamError::Interrupted { detail }));
+    }
     record_attempt_event(
         agent,
         request,
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`demand`] | gossip with agents: demand sent, engine status received |
 //! | [`dialect`] | reading and writing a platform's headers |
 //! | [`elsewhere`] | whether a request to a silent upstream moves to another one |
-//! | [`events`] | finding where the events of a stream end |
+//! | [`events`] | splitting a stream into whole events |
 //! | [`framing`] | how an upstream's response is framed, and what its body consists of |
 //! | [`front`] | the router's state, start-up and graceful shutdown |
 //! | [`log`] | a log line for each decision about a request |
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`body`] | response bodies, complete or streamed |
 //! | [`dial`] | how a thread opens connections to peers |
+//! | [`events`] | where the events of an event stream end |
 //! | [`grpc`] | a gRPC server, and a client connection that reopens itself |
 //! | [`http_server`] | an HTTP/1.1 server with one task per connection |
 //! | [`json`] | reading of request bodies, and complete responses |
@@ -12,6 +13,7 @@
 
 pub mod body;
 pub mod dial;
+pub mod events;
 pub mod grpc;
 pub mod http_server;
 pub mod json;
