--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -91,6 +91,13 @@
     pub fn keeps_attempt(&self) -> bool {
         self.kept.is_some_and(|kept| (kept.is_open)())
     }
+
+    /// Ends the attempt at the silent upstream, because another one may be running the request.
+    fn close_kept(&self) {
+        if let Some(kept) = self.kept {
+            (kept.close)();
+        }
+    }
 }
 
 /// An attempt at a silent upstream, which stays open while the request is sent to another one that may
@@ -112,11 +119,11 @@
     end_unix_ms: u64,
 ) -> Result<StartedResponse, FailedAttempt> {
     let result = send_and_check(router, request, upstream, resumption, end_unix_ms).await;
-    let may_have_run = result
+    if result
         .as_ref()
-        .map_or_else(|failed| !failed.failure.has_not_run(), |_| true);
-    if let Some(kept) = resumption.kept.filter(|_| may_have_run) {
-        (kept.close)();
+        .is_err_and(|failed| !failed.failure.has_not_run())
+    {
+        resumption.close_kept();
     }
     result
 }
@@ -168,6 +175,7 @@
         }
         return Err(failure.into());
     }
+    resumption.close_kept();
     let started = StartedResponse {
         framing: response_framing(&request.method, &head),
         began_unix_ms: now_unix_ms(),
