Don't leave a silent upstream while the request is suspected or the router ends

Two cases in which no other upstream can accept the request were found out only by offering it. A suspected request was refused by the router itself at each check, with a log line every 250 ms. In the last 800 ms of the grace period each attempt ends at once as silent, which may have run the request, so that a stream whose upstream was sound was cut (found by review; by reading).

Both are inputs of the decision now; the policy's test replays them.

--- a/crates/celerystair_front/src/elsewhere.rs
+++ b/crates/celerystair_front/src/elsewhere.rs
@@ -8,6 +8,7 @@
     front::PlatformRouter,
     pick::{Pick, pick_upstream},
     request::CallerRequest,
+    suspicion::suspicion_refusal,
 };
 
 /// How often the decision is repeated while the silence lasts: another upstream gains or loses
@@ -25,7 +26,10 @@
     tried: &[UpstreamId],
     reached_upstreams: u32,
 ) -> bool {
+    let now = now_unix_ms();
     let inputs = StallInputs {
+        is_suspected: suspicion_refusal(router, request, now).is_some(),
+        is_stopping: router.closing.is_draining(),
         is_repeatable: request.route.is_repeatable(),
         attempts: reached_upstreams,
         attempts_max: request.route.attempts_max,
--- a/crates/celerystair_policy/src/stall.rs
+++ b/crates/celerystair_policy/src/stall.rs
@@ -21,6 +21,10 @@
     pub attempts_max: u32,
     /// Whether the retry budget allows one more attempt.
     pub has_retry_budget: bool,
+    /// Whether it is suspected of crashing upstreams, so that no other one gets it.
+    pub is_suspected: bool,
+    /// Whether the router ends before another upstream could answer.
+    pub is_stopping: bool,
     /// Whether another upstream can take it now.
     pub has_ready_alternative: bool,
 }
@@ -29,6 +33,8 @@
 pub fn should_switch_upstream(inputs: &StallInputs) -> bool {
     inputs.is_repeatable
         && inputs.attempts < inputs.attempts_max
+        && !inputs.is_suspected
+        && !inputs.is_stopping
         && inputs.has_retry_budget
         && inputs.has_ready_alternative
 }
--- a/crates/celerystair_policy/tests/stall.rs
+++ b/crates/celerystair_policy/tests/stall.rs
@@ -6,6 +6,8 @@
     is_repeatable: true,
     attempts: 1,
     attempts_max: 2,
+    is_suspected: false,
+    is_stopping: false,
     has_retry_budget: true,
     has_ready_alternative: true,
 };
@@ -26,6 +28,14 @@
             attempts: 2,
             ..STALLED
         },
+        StallInputs {
+            is_suspected: true,
+            ..STALLED
+        },
+        StallInputs {
+            is_stopping: true,
+            ..STALLED
+        },
         StallInputs {
             has_retry_budget: false,
             ..STALLED
