Record that a silent upstream was left when it is left

After an offer of more than 250 ms the silent attempt was polled with no time left, so that an answer that was there could be passed over.

Health, count and log line now belong to the closing of the attempt, request_stays is logged for streams as well, and the time until the next check begins after the offer.

--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -339,15 +339,22 @@
         if let Some(result) = head {
             return Awaited::Attempt(result);
         }
-        silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
         if resumption.keeps_attempt() || !should_leave(router, request, service, progress, upstream)
         {
+            silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
             continue;
         }
         let silent = RefCell::new(Some(attempt));
         let kept = KeptAttempt {
             is_open: &|| silent.borrow().is_some(),
-            close: &|| drop(silent.take()),
+            close: &|| {
+                if silent.take().is_some() {
+                    let failure = AttemptFailure::Silent;
+                    upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
+                    router.count_attempt(service, Some(failure));
+                    router.log_attempt_failed(request, upstream, failure, sent_unix_ms);
+                }
+            },
         };
         let next = Resumption {
             last_event_id: resumption.last_event_id,
@@ -356,11 +363,9 @@
         let before = progress.add_silent(upstream);
         let moved = Box::pin(try_upstreams(router, request, service, progress, next)).await;
         let Some(still_open) = silent.take() else {
-            upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
-            router.count_attempt(service, Some(AttemptFailure::Silent));
-            router.log_attempt_failed(request, upstream, AttemptFailure::Silent, sent_unix_ms);
             return Awaited::Elsewhere(moved);
         };
+        silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
         router.log_request_stays(request, upstream);
         progress.remove_silent(upstream, before);
         if let Ok(UpstreamResponse::Buffered(response)) = moved {
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -325,16 +325,22 @@
         let Some(silent) = self.started.take() else {
             return false;
         };
+        let (router, request) = (self.router.clone(), self.request.clone());
         let upstream = silent.upstream.clone();
         let silent = RefCell::new(Some(silent));
         let kept = KeptAttempt {
             is_open: &|| silent.borrow().is_some(),
-            close: &|| drop(silent.take()),
+            close: &|| {
+                if silent.take().is_some() {
+                    upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
+                    router.log_stream_broken(&request, &upstream, AttemptFailure::Silent);
+                }
+            },
         };
-        let has_moved = self.resume_elsewhere(Some(&kept)).await;
-        self.started = self.started.take().or_else(|| silent.take());
-        if has_moved {
-            upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
+        self.resume_elsewhere(Some(&kept)).await;
+        if let Some(still_open) = silent.take() {
+            router.log_request_stays(&request, &upstream);
+            self.started = Some(still_open);
         }
         self.started.is_some()
     }
