--- a/crates/celerystair_front/src/elsewhere.rs
+++ b/crates/celerystair_front/src/elsewhere.rs
@@ -2,7 +2,10 @@
 //! This module gathers the inputs; `celerystair_policy` decides.
 
 use celerystair_core::prelude::*;
-use celerystair_policy::{prelude::*, stall::should_switch_upstream};
+use celerystair_policy::{
+    prelude::*,
+    stall::{MoveObstacle, should_switch_upstream},
+};
 
 use crate::{
     front::PlatformRouter,
@@ -26,10 +29,13 @@
     tried: &[UpstreamId],
     reached_upstreams: u32,
 ) -> bool {
-    let now = now_unix_ms();
+    let obstacle = if router.closing.is_draining() {
+        Some(MoveObstacle::Stopping)
+    } else {
+        suspicion_refusal(router, request, now_unix_ms()).map(|_| MoveObstacle::Suspected)
+    };
     let inputs = StallInputs {
-        is_suspected: suspicion_refusal(router, request, now).is_some(),
-        is_stopping: router.closing.is_draining(),
+        obstacle,
         is_repeatable: request.route.is_repeatable(),
         attempts: reached_upstreams,
         attempts_max: request.route.attempts_max,
--- a/crates/celerystair_policy/src/stall.rs
+++ b/crates/celerystair_policy/src/stall.rs
@@ -21,20 +21,26 @@
     pub attempts_max: u32,
     /// Whether the retry budget allows one more attempt.
     pub has_retry_budget: bool,
-    /// Whether it is suspected of crashing upstreams, so that no other one gets it.
-    pub is_suspected: bool,
-    /// Whether the router ends before another upstream could answer.
-    pub is_stopping: bool,
+    /// Why the router itself would send it to no other upstream.
+    pub obstacle: Option<MoveObstacle>,
     /// Whether another upstream can take it now.
     pub has_ready_alternative: bool,
 }
 
+/// Why a router sends a request to no other upstream, however many are ready.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MoveObstacle {
+    /// The request is suspected of crashing upstreams.
+    Suspected,
+    /// The router ends before another upstream could answer.
+    Stopping,
+}
+
 /// Whether the request switches to another upstream; otherwise it keeps waiting for its own.
 pub fn should_switch_upstream(inputs: &StallInputs) -> bool {
     inputs.is_repeatable
         && inputs.attempts < inputs.attempts_max
-        && !inputs.is_suspected
-        && !inputs.is_stopping
+        && inputs.obstacle.is_none()
         && inputs.has_retry_budget
         && inputs.has_ready_alternative
 }
--- a/crates/celerystair_policy/tests/stall.rs
+++ b/crates/celerystair_policy/tests/stall.rs
@@ -1,13 +1,15 @@
 //! Simulates a burst that fills the engines' memory: they preempt runs, and requests stall.
 
-use celerystair_policy::{prelude::*, stall::should_switch_upstream};
+use celerystair_policy::{
+    prelude::*,
+    stall::{MoveObstacle, should_switch_upstream},
+};
 
 const STALLED: StallInputs = StallInputs {
     is_repeatable: true,
     attempts: 1,
     attempts_max: 2,
-    is_suspected: false,
-    is_stopping: false,
+    obstacle: None,
     has_retry_budget: true,
     has_ready_alternative: true,
 };
@@ -29,11 +31,11 @@
             ..STALLED
         },
         StallInputs {
-            is_suspected: true,
+            obstacle: Some(MoveObstacle::Suspected),
             ..STALLED
         },
         StallInputs {
-            is_stopping: true,
+            obstacle: Some(MoveObstacle::Stopping),
             ..STALLED
         },
         StallInputs {
