Let a router that has just started ask agents for suspects

A router that had just started ran requests that crash upstreams until one of the agents, which sample a router each second, happened to tell it. While routers restart in series, each of them crashed upstreams anew, and harmless requests that shared a part of their prompts with so many crashes were refused.

The router now asks three agents as soon as it knows any, three times within 0.2 s as datagrams are lost, and gets what they know, refused suspects first.

--- a/crates/celerystair_engine/src/suspicion.rs
+++ b/crates/celerystair_engine/src/suspicion.rs
@@ -2,7 +2,7 @@
 //! know each other. An agent outlives a router's process, so that a router that starts later learns of
 //! the suspects.
 
-use std::pin::pin;
+use std::{net::SocketAddr, pin::pin};
 
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
@@ -56,6 +56,24 @@
     send_messages(agent, &messages, suspect_sample_targets, draw).await;
 }
 
+/// Sends a router that has just started the suspects, those first that are refused.
+pub async fn send_suspects(agent: &EngineAgent, router: SocketAddr) {
+    let now = now_unix_ms();
+    let messages = sample_of_suspects(
+        &mut agent.suspects.borrow_mut(),
+        &mut agent.suspect_parts.borrow_mut(),
+        now,
+        now,
+    );
+    let target = GossipTarget {
+        address: router,
+        is_relay: false,
+    };
+    for message in &messages {
+        log_send_failures(agent, agent.gossip_socket.send(message, &[target]).await);
+    }
+}
+
 async fn send_messages(
     agent: &EngineAgent,
     messages: &[GossipMessage],
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -14,7 +14,7 @@
 use crate::{
     agent::EngineAgent,
     origins::{record_origins, send_origins},
-    suspicion::{merge_part_reports, merge_suspect_reports},
+    suspicion::{merge_part_reports, merge_suspect_reports, send_suspects},
 };
 
 /// The shortest interval at which the agent sends an unchanged status.
@@ -131,6 +131,7 @@
         GossipMessage::AdaptersWanted(_)
         | GossipMessage::Suspects(_)
         | GossipMessage::SuspectParts(_)
+        | GossipMessage::SuspectsWanted
         | GossipMessage::StreamOrigins(_)
         | GossipMessage::StreamOriginsWanted(_) => return,
     };
@@ -202,6 +203,10 @@
                     send_origins(&agent, streams, received.sender).await;
                     continue;
                 }
+                if received.message == GossipMessage::SuspectsWanted {
+                    send_suspects(&agent, received.sender).await;
+                    continue;
+                }
                 let is_new = apply_message(&agent, &received.message);
                 if is_new && received.should_relay {
                     relay(&agent, &received.message).await;
@@ -239,6 +244,6 @@
             true
         }
         // Answered where it is received.
-        GossipMessage::StreamOriginsWanted(_) => false,
+        GossipMessage::StreamOriginsWanted(_) | GossipMessage::SuspectsWanted => false,
     }
 }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -24,7 +24,7 @@
     retries::{Retries, log_attempts_per_window},
     runs::{Run, UnansweredRuns},
     settings::PlatformRouterSettings,
-    suspicion::send_suspects_to_agents,
+    suspicion::{ask_for_suspects, send_suspects_to_agents},
     upstream::Upstream,
     view::FleetView,
     waiting::WaitingRequests,
@@ -366,6 +366,12 @@
         stop.clone(),
     ))
     .detach();
+    compio::runtime::spawn(ask_for_suspects(
+        router.clone(),
+        gossip_socket.clone(),
+        stop.clone(),
+    ))
+    .detach();
     compio::runtime::spawn(receive_from_agents(
         router.clone(),
         gossip_socket,
--- a/crates/celerystair_front/src/suspicion.rs
+++ b/crates/celerystair_front/src/suspicion.rs
@@ -42,6 +42,31 @@
     }
 }
 
+/// How often a router that has just started asks for suspects, as datagrams are lost.
+const SUSPECT_QUERIES: u64 = 3;
+/// Time between two of these queries.
+const SUSPECT_QUERY_INTERVAL_MS: u64 = 100;
+/// How often a router that knows no agent yet checks for one.
+const AGENTS_POLL_MS: u64 = 20;
+
+/// Asks agents for the suspects that they know, as soon as the router knows any agent: until then it
+/// runs requests that crash upstreams.
+pub async fn ask_for_suspects(router: PlatformRouter, socket: Rc<GossipSocket>, stop: Stop) {
+    let mut asked = 0;
+    while asked < SUSPECT_QUERIES && !stop.is_ended() {
+        let agents = gossip_peers(&router);
+        if agents.is_empty() {
+            sleep_ms(AGENTS_POLL_MS).await;
+            continue;
+        }
+        asked += 1;
+        let targets = suspect_query_targets(&agents, now_unix_ms());
+        let unsent = socket.send(&GossipMessage::SuspectsWanted, &targets).await;
+        log_unsent(&router, unsent);
+        sleep_ms(SUSPECT_QUERY_INTERVAL_MS).await;
+    }
+}
+
 /// Tells the suspected parts of prompts which requests explain crashes.
 fn update_crashing_requests(router: &PlatformRouter, now_unix_ms: u64) {
     let mut parts = router.suspect_parts.borrow_mut();
--- a/crates/celerystair_news/src/socket.rs
+++ b/crates/celerystair_news/src/socket.rs
@@ -6,7 +6,7 @@
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
 use celerystair_protocol::{
-    AdapterName, AdaptersWanted, NewsDatagram, StreamOriginsWanted, news_datagram,
+    AdapterName, AdaptersWanted, NewsDatagram, StreamOriginsWanted, SuspectsWanted, news_datagram,
 };
 use compio::net::UdpSocket;
 use prost::Message;
@@ -30,6 +30,8 @@
     Suspects(Vec<SuspectReport>),
     /// Parts of prompts that may crash the upstreams that answer on them.
     SuspectParts(Vec<PartReport>),
+    /// Asks the receiver for the suspects that it knows.
+    SuspectsWanted,
     /// Where streams began; `None` if the sender, which was asked, doesn't know.
     StreamOrigins(Vec<(StreamId, Option<StreamOrigin>)>),
     /// The streams whose origins the sender asks for.
@@ -66,6 +68,7 @@
             Self::SuspectParts(reports) => {
                 news_datagram::News::Suspects(suspects::parts_to_wire(reports))
             }
+            Self::SuspectsWanted => news_datagram::News::SuspectsWanted(SuspectsWanted {}),
             Self::StreamOrigins(origins) => {
                 news_datagram::News::StreamOrigins(stream_origins::to_wire(origins))
             }
@@ -102,6 +105,7 @@
             news_datagram::News::Suspects(reports) => {
                 Self::SuspectParts(suspects::parts_from_wire(reports.parts))
             }
+            news_datagram::News::SuspectsWanted(SuspectsWanted {}) => Self::SuspectsWanted,
             news_datagram::News::StreamOrigins(origins) => {
                 Self::StreamOrigins(stream_origins::from_wire(origins))
             }
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -71,7 +71,7 @@
         routes::{RouteTable, choose_service},
         spread::{
             GossipTarget, Peer, gossip_targets, random_targets, relay_targets,
-            suspect_change_targets, suspect_sample_targets,
+            suspect_change_targets, suspect_query_targets, suspect_sample_targets,
         },
         stall::StallInputs,
         stream_versions::{
--- a/crates/celerystair_policy/src/spread.rs
+++ b/crates/celerystair_policy/src/spread.rs
@@ -102,6 +102,16 @@
     targets
 }
 
+/// How many agents a router that has just started asks for suspects.
+const SUSPECT_QUERY_FANOUT: usize = 3;
+
+/// Returns whom a router that has just started asks for suspects: a few agents, as one of them may have
+/// just started, too, and datagrams are lost. Until it knows the suspects it runs requests that crash
+/// upstreams.
+pub fn suspect_query_targets(agents: &[Peer], draw: u64) -> Vec<GossipTarget> {
+    random_targets(agents.iter(), SUSPECT_QUERY_FANOUT, draw)
+}
+
 /// Returns up to `count` of the peers, which `draw` selects, as direct receivers.
 pub fn random_targets<'a>(
     peers: impl Iterator<Item = &'a Peer>,
--- a/crates/celerystair_policy/tests/crashing_requests.rs
+++ b/crates/celerystair_policy/tests/crashing_requests.rs
@@ -334,8 +334,7 @@
     }
 
     fn restart(&mut self, router: usize) {
-        self.fleet.routers[router].suspects = Suspects::default();
-        self.fleet.routers[router].parts = SuspectParts::default();
+        self.fleet.restart_router(router);
         self.router_started_unix_ms[router] = self.now_unix_ms;
     }
 
--- a/crates/celerystair_policy/tests/gossip/mod.rs
+++ b/crates/celerystair_policy/tests/gossip/mod.rs
@@ -16,6 +16,8 @@
     /// The routers.
     pub routers: Vec<Process>,
     agents: Vec<Process>,
+    /// Routers that have started since the last round.
+    started: Vec<usize>,
     /// State of the generator of random numbers.
     pub random: u64,
 }
@@ -46,6 +48,7 @@
             agents: (0..agents)
                 .map(|number| process(routers + number, true))
                 .collect(),
+            started: Vec::new(),
             random: 1,
         }
     }
@@ -55,6 +58,34 @@
         self.routers.iter_mut().chain(&mut self.agents)
     }
 
+    /// Restarts a router, which asks agents for suspects.
+    pub fn restart_router(&mut self, router: usize) {
+        self.routers[router].suspects = Suspects::default();
+        self.routers[router].parts = SuspectParts::default();
+        self.started.push(router);
+    }
+
+    /// Lets a router ask agents for suspects, with a tenth of the questions and answers lost.
+    fn query_suspects(&mut self, router: usize, draw: u64, now_unix_ms: u64) {
+        let agents: Vec<Peer> = self.agents.iter().map(|p| p.peer.clone()).collect();
+        let answer_to = GossipTarget {
+            address: self.routers[router].peer.address,
+            is_relay: false,
+        };
+        for target in suspect_query_targets(&agents, draw) {
+            if self.draw(10) == 0 {
+                continue;
+            }
+            let mut asked = self.agents.iter_mut();
+            let Some(agent) = asked.find(|agent| agent.peer.address == target.address) else {
+                continue;
+            };
+            let requests = agent.suspects.sample(REPORTS_MAX, draw, now_unix_ms);
+            let parts = agent.parts.sample(REPORTS_MAX, draw, now_unix_ms);
+            self.deliver(&requests, &parts, &[answer_to], now_unix_ms);
+        }
+    }
+
     /// Returns the next random number below `bound`.
     pub fn draw(&mut self, bound: u64) -> u64 {
         self.random = self
@@ -99,6 +130,9 @@
         let agents: Vec<Peer> = self.agents.iter().map(|p| p.peer.clone()).collect();
         let mut all = agents.clone();
         all.extend(self.routers.iter().map(|p| p.peer.clone()));
+        for router in std::mem::take(&mut self.started) {
+            self.query_suspects(router, round, now_unix_ms);
+        }
         let is_sample_round = round.is_multiple_of(REPORT_SAMPLE_MS / REPORT_ROUND_MS);
         for number in 0..self.routers.len() {
             let router = &mut self.routers[number];
