Log responses that do not name their request

Callers were told that requests had not run which had. A response without an id and one with another's left the same line as a true refusal, attempt_failed. response_unnamed says what the response names, what it says of the run, and whether its connection had carried requests before. No decision changes.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     connections::{UpstreamConnection, connect},
-    dialect::{PauseHeader, RateLimitHeader},
+    dialect::{PauseHeader, RateLimitHeader, ResponseHead},
     elsewhere::SILENCE_RECHECK_MS,
     framing::{Framing, is_cut_json, response_framing},
     front::PlatformRouter,
@@ -120,6 +120,7 @@
         upstream.update_health(|health| health.record_failure(is_certain, now_unix_ms()));
     })?;
     let (head, body) = response.into_parts();
+    log_if_unnamed(router, request, upstream, &head, &connection);
     record_announcements(router, request, upstream, &head, sent_unix_ms);
     let checked = check_response_head(router, request, &upstream.id(), &head);
     if matches!(
@@ -228,6 +229,32 @@
     outgoing
 }
 
+/// Returns which request the response names.
+fn named_request(request: &CallerRequest, response_head: &ResponseHead<'_>) -> NamedRequest {
+    match response_head.request_id {
+        Some(id) if id == request.head.id.as_str() => NamedRequest::Own,
+        Some(_) => NamedRequest::Other,
+        None => NamedRequest::Nobody,
+    }
+}
+
+/// Logs a response that doesn't name the request.
+fn log_if_unnamed(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    upstream: &Upstream,
+    head: &http::response::Parts,
+    connection: &UpstreamConnection,
+) {
+    let response_head = (router.settings.header_codec.read_response)(&head.headers);
+    let named = named_request(request, &response_head);
+    if named != NamedRequest::Own {
+        let is_not_run = response_head.is_not_run;
+        let is_reused = connection.is_reused;
+        router.log_unnamed_response(request, upstream, head.status, named, is_not_run, is_reused);
+    }
+}
+
 fn check_response_head(
     router: &PlatformRouter,
     request: &CallerRequest,
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -34,6 +34,23 @@
             "config_version" => self.view.config_version(), "age_ms" => request.age_ms(now));
     }
 
+    /// Logs a response that doesn't name the request after which it arrived, what it says of it, and
+    /// whether its connection had carried requests before.
+    pub fn log_unnamed_response(
+        &self,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        status: http::StatusCode,
+        named: NamedRequest,
+        is_not_run: bool,
+        is_reused: bool,
+    ) {
+        info!(self.log, "response_unnamed"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream.id(),
+            "status" => status.as_u16(), "names" => named.as_str(), "not_run" => is_not_run,
+            "reused" => is_reused, "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a caller takes up a stream that began as an earlier request, at which version it goes
     /// on, and how that is known.
     pub fn log_stream_taken_up(
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`fleet`] | nothing: types of the configuration and the upstreams |
 //! | [`health`] | which upstreams are avoided for a while after failures |
 //! | [`outcome`] | what happens to a request after a failed attempt |
+//! | [`own_response`] | whether a response answers the request that it arrived after |
 //! | [`prompt_parts`] | which parts of prompts are refused because they crash upstreams |
 //! | [`rate_limit`] | a router's share of the rate limit that an upstream names |
 //! | [`recent_answers`] | nothing: which requests and prompt parts got answers lately |
@@ -38,6 +39,7 @@
 pub mod fleet;
 pub mod health;
 pub mod outcome;
+pub mod own_response;
 pub mod prompt_parts;
 pub mod rate_limit;
 pub mod recent_answers;
@@ -65,6 +67,7 @@
         },
         health::UpstreamHealth,
         outcome::{AttemptFailure, NextStep, next_step},
+        own_response::NamedRequest,
         prompt_parts::{PartCounts, PartRefusal, SuspectParts},
         rate_limit::{RateLimit, pause_until_unix_ms},
         replicas::{EngineView, ModelView, Order, next_order},
