Believe a response without an id on a new connection only

What callers saw: 503 for a request that its upstream had run (REFUSED), or the request ran at a second upstream as well (TWICE).

Cause: a response that bears no request id was taken for the request's own. Celerystair-Not-Run and 421 were believed without one, so a refusal of an earlier request that a faulty upstream wrote once more on a kept connection counted for the request sent last. An engine's 421 after a request without a model also took the engine out of use for good.

Why it works: upstreams echo the id in all responses. One without it is known by its connection alone, so it is believed only if the connection has carried no earlier request. Everything that goes by a response asks this first: retries, may_have_run, pauses, rate limits, leaving, misdirection and suspects.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -121,8 +121,11 @@
     })?;
     let (head, body) = response.into_parts();
     log_if_unnamed(router, request, upstream, &head, &connection);
-    record_announcements(router, request, upstream, &head, sent_unix_ms);
-    let checked = check_response_head(router, request, &upstream.id(), &head);
+    let is_own = is_own(router, request, &head, &connection);
+    if is_own {
+        record_announcements(router, upstream, &head, sent_unix_ms);
+    }
+    let checked = check_response_head(router, request, &upstream.id(), &head, is_own);
     if matches!(
         checked,
         Ok(()) | Err(AttemptFailure::Declined | AttemptFailure::NotLoaded)
@@ -255,19 +258,28 @@
     }
 }
 
+/// Returns whether the response is proven to be the request's own.
+fn is_own(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    head: &http::response::Parts,
+    connection: &UpstreamConnection,
+) -> bool {
+    let response_head = (router.settings.header_codec.read_response)(&head.headers);
+    is_own_response(named_request(request, &response_head), connection.is_reused)
+}
+
 fn check_response_head(
     router: &PlatformRouter,
     request: &CallerRequest,
     expected: &UpstreamId,
     head: &http::response::Parts,
+    is_own: bool,
 ) -> Result<(), AttemptFailure> {
     let response_head = (router.settings.header_codec.read_response)(&head.headers);
-    // The response belongs to another request. This request's own response may still arrive on the
-    // connection, which must therefore not be reused for another caller.
-    if response_head
-        .request_id
-        .is_some_and(|id| id != request.head.id.as_str())
-    {
+    // The response may belong to another request. This request's own response may still arrive on
+    // the connection, which must therefore not be reused for another caller.
+    if !is_own {
         return Err(AttemptFailure::InvalidAnswer);
     }
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
@@ -295,11 +307,10 @@
     Ok(())
 }
 
-/// Records what the upstream says of itself in the response, if the response is its own: that it
-/// leaves, that it wants a pause, and the rate limit that it names, or that it names none any more.
+/// Records what the upstream says of itself in the request's own response: that it leaves, that it
+/// wants a pause, and the rate limit that it names, or that it names none any more.
 fn record_announcements(
     router: &PlatformRouter,
-    request: &CallerRequest,
     upstream: &Upstream,
     head: &http::response::Parts,
     sent_unix_ms: u64,
@@ -311,8 +322,7 @@
         }
     }
     let response_head = (codec.read_response)(&head.headers);
-    let is_own = response_head.request_id == Some(request.head.id.as_str());
-    if !is_own || head.status == http::StatusCode::MISDIRECTED_REQUEST {
+    if response_head.request_id.is_none() || head.status == http::StatusCode::MISDIRECTED_REQUEST {
         return;
     }
     let now = now_unix_ms();
--- a/crates/celerystair_policy/src/own_response.rs
+++ b/crates/celerystair_policy/src/own_response.rs
@@ -23,3 +23,14 @@
         }
     }
 }
+
+/// Returns whether a response can only be about the request after which it arrived. Upstreams name
+/// the request in their responses. One that names none is known by its connection alone, which must
+/// not have carried an earlier request: the response could be about that one.
+pub fn is_own_response(named: NamedRequest, is_connection_reused: bool) -> bool {
+    match named {
+        NamedRequest::Own => true,
+        NamedRequest::Other => false,
+        NamedRequest::Nobody => !is_connection_reused,
+    }
+}
