Pass no status on that promises more than its upstream said

What callers saw: 503, 429 or 408, by which they take a request as not run, for one that its upstream had run (REFUSED).

Cause: an error response was passed on with its status whatever it was. One without Celerystair-Not-Run counted as may have run at the router, but the status told its caller the opposite.

Why it works: a status of those four that does not come with the header is an answer that can't be forwarded. The request may have run: it is repeated where that is allowed, or its caller gets 502, which promises nothing. Other error responses are passed on unchanged as before.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -258,6 +258,15 @@
     }
 }
 
+/// To a caller, these statuses promise that its request has not run. An upstream that promises this
+/// also says so in a header; its status alone is not passed on.
+const NOT_RUN_STATUSES: [http::StatusCode; 4] = [
+    http::StatusCode::REQUEST_TIMEOUT,
+    http::StatusCode::MISDIRECTED_REQUEST,
+    http::StatusCode::TOO_MANY_REQUESTS,
+    http::StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Returns whether the response is proven to be the request's own.
 fn is_own(
     router: &PlatformRouter,
@@ -296,6 +305,9 @@
     if response_head.is_not_run {
         return Err(AttemptFailure::Declined);
     }
+    if NOT_RUN_STATUSES.contains(&head.status) {
+        return Err(AttemptFailure::InvalidAnswer);
+    }
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     let is_authentic = response_head.is_sealed && response_head.request_id.is_some() && !is_encoded;
     if head.status.is_success() && !is_authentic {
