Send no request again on a connection on which it was refused

What callers saw: 503 for a request that its upstream had run (REFUSED), where a request that had been refused came once more under its id.

Cause: a connection is kept after a refusal, and carried the same id again. The first refusal, written once more, then bears the right id, so the id proves nothing. A router itself sends a request to an upstream once only; its callers, or another router in front, may send one again.

A refusal that bears the id of a request can then only have been written after that request was sent on this connection.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -136,7 +136,7 @@
         run.finish();
         record_rejected_response(upstream, failure);
         if failure.has_not_run() {
-            reuse_if_complete(upstream, connection, &head.headers, &body);
+            reuse_if_complete(request, upstream, connection, &head.headers, &body);
         }
         return Err(failure.into());
     }
@@ -191,7 +191,8 @@
     let mut outgoing = outgoing_request(router, request, upstream, last_event_id);
     let connections = &upstream.connections;
     connections.set_max_idle(router.max_idle_connections(&upstream.entry.borrow().service));
-    let mut idle_connection = connections.take_idle(request.route.is_repeatable());
+    let mut idle_connection =
+        connections.take_idle(&request.head.id, request.route.is_repeatable());
     loop {
         let address = upstream.entry.borrow().address;
         let mut connection = match idle_connection.take() {
@@ -470,14 +471,16 @@
     })
 }
 
-/// Keeps the connection of a rejected response for reuse, provided that its body has ended.
+/// Keeps the connection of a refusal for reuse by other requests, provided that its body has ended.
 fn reuse_if_complete(
+    request: &CallerRequest,
     upstream: &Upstream,
-    connection: UpstreamConnection,
+    mut connection: UpstreamConnection,
     headers: &HeaderMap,
     body: &Incoming,
 ) {
-    if http_body::Body::is_end_stream(body) {
+    connection.refused.record(&request.head.id);
+    if http_body::Body::is_end_stream(body) && connection.refused.is_connection_kept() {
         upstream.connections.keep(connection, headers);
     }
 }
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_policy::prelude::*;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
@@ -49,6 +50,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has served a request before.
     pub is_reused: bool,
+    /// The requests that were refused on the connection.
+    pub refused: RefusedRequests,
     // The task that drives the connection; dropping the handle cancels it.
     _task: JoinHandle<()>,
 }
@@ -72,18 +75,22 @@
         self.max_idle.set(max_idle);
     }
 
-    /// Takes the most recently used idle connection that is still open. For a request that can't be
-    /// repeated, takes it only if it was in use a moment ago.
-    pub fn take_idle(&self, is_repeatable: bool) -> Option<UpstreamConnection> {
+    /// Takes the most recently used idle connection that is still open and may carry the request. For
+    /// a request that can't be repeated, takes it only if it was in use a moment ago.
+    pub fn take_idle(
+        &self,
+        request: &RequestId,
+        is_repeatable: bool,
+    ) -> Option<UpstreamConnection> {
         let now = now_unix_ms();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|idle| idle.use_until_unix_ms > now && !idle.connection.sender.is_closed());
         let is_recent = |idle: &IdleConnection| now < idle.since_unix_ms + RECENT_USE_MS;
-        if !is_repeatable && !idle.last().is_some_and(is_recent) {
-            return None;
-        }
-        let taken = idle.pop()?;
-        Some(taken.connection)
+        let may_carry = |idle: &IdleConnection| {
+            idle.connection.refused.allows(request) && (is_repeatable || is_recent(idle))
+        };
+        let index = idle.iter().rposition(may_carry)?;
+        Some(idle.remove(index).connection)
     }
 
     /// Keeps the connection for reuse once it is free. `headers` are those of the response that has
@@ -152,6 +159,7 @@
         Some(UpstreamConnection {
             sender,
             is_reused: false,
+            refused: RefusedRequests::default(),
             _task: task,
         })
     };
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -67,7 +67,7 @@
         },
         health::UpstreamHealth,
         outcome::{AttemptFailure, NextStep, next_step},
-        own_response::{NamedRequest, is_own_response},
+        own_response::{NamedRequest, RefusedRequests, is_own_response},
         prompt_parts::{PartCounts, PartRefusal, SuspectParts},
         rate_limit::{RateLimit, pause_until_unix_ms},
         replicas::{EngineView, ModelView, Order, next_order},
--- a/crates/celerystair_policy/tests/own_response.rs
+++ b/crates/celerystair_policy/tests/own_response.rs
@@ -1,5 +1,6 @@
 //! Replays connections whose upstream writes earlier responses once more.
 
+use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
 
 /// A response that arrives, and whether the upstream wrote it about the request sent last.
@@ -48,3 +49,29 @@
 fn a_response_without_a_name_is_believed_on_a_new_connection() {
     assert!(is_own_response(NamedRequest::Nobody, false));
 }
+
+#[test]
+fn a_connection_never_carries_a_request_again_that_was_refused_on_it() {
+    let ids: Vec<RequestId> = (0..20)
+        .map(|number| RequestId::from(format!("r{number}").as_str()))
+        .collect();
+    let mut refused = RefusedRequests::default();
+    for (number, id) in ids.iter().enumerate() {
+        assert!(refused.allows(id));
+        refused.record(id);
+        assert!(ids[..=number].iter().all(|id| !refused.allows(id)));
+    }
+}
+
+/// The memory of a connection does not grow with its age.
+#[test]
+fn a_connection_on_which_many_requests_were_refused_is_not_kept() {
+    let mut refused = RefusedRequests::default();
+    let mut recorded = 0;
+    while refused.is_connection_kept() {
+        refused.record(&RequestId::from(format!("r{recorded}").as_str()));
+        recorded += 1;
+        assert!(recorded <= 100);
+    }
+    assert!(recorded > 5, "a new connection for each few refusals");
+}
