Don't believe half of a refusal that runs into the answer after it

What callers saw: 503 for a request that its upstream had run (REFUSED). Where a route allows a second attempt the request would have been sent once more; that was not run.

Cause: an upstream wrote an earlier refusal once more, broke off inside the value of a header or the reason phrase, and went on with its answer. That is one valid head: the status and Celerystair-Not-Run of the refusal, and the id of the answer.

Evidence: half_of_a_refusal_before_an_answer_promises_nothing without the check: 503 though it ran: HTTP/1.1 503 x Celerystair-Not-Run: 1 Retry-After: 0.2 and with its cases in reverse order, a 421 that breaks off in the reason phrase: 503 though it ran: HTTP/1.1 421 Misdirected Request

Why it works: the status line of the answer stands in that value or phrase and nowhere else. A response that promises and has one there is no response to the request. Cuts at other places don't parse, so the connection ends. Answers that promise nothing are not looked at.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::{body::Incoming, ext::ReasonPhrase};
 
 use crate::{
     connections::{UpstreamConnection, connect},
@@ -276,7 +276,25 @@
     connection: &UpstreamConnection,
 ) -> bool {
     let response_head = (router.settings.header_codec.read_response)(&head.headers);
+    let promises = response_head.is_not_run || NOT_RUN_STATUSES.contains(&head.status);
     is_own_response(named_request(request, &response_head), connection.is_reused)
+        && !(promises && is_joined_head(head))
+}
+
+/// Whether the head begins as one response and ends as another. If an upstream breaks off inside a
+/// header or the reason phrase, the status line of its next response becomes a part of that.
+fn is_joined_head(head: &http::response::Parts) -> bool {
+    const STATUS_LINE: &[u8] = b"HTTP/1.";
+    let has_status_line = |text: &[u8]| {
+        text.windows(STATUS_LINE.len())
+            .any(|part| part == STATUS_LINE)
+    };
+    let reason = head.extensions.get::<ReasonPhrase>();
+    reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
+        || head
+            .headers
+            .values()
+            .any(|value| has_status_line(value.as_bytes()))
 }
 
 fn check_response_head(
