--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -11,11 +11,11 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::{body::Incoming, ext::ReasonPhrase};
 
 use crate::{
     connections::{UpstreamConnection, connect},
-    dialect::{PauseHeader, RateLimitHeader},
+    dialect::{PauseHeader, RateLimitHeader, ResponseHead},
     framing::{Framing, is_cut_json, response_framing},
     front::PlatformRouter,
     request::CallerRequest,
@@ -159,8 +159,12 @@
         upstream.update_health(|health| health.record_failure(is_certain, now_unix_ms()));
     })?;
     let (head, body) = response.into_parts();
-    record_announcements(router, request, upstream, &head, sent_unix_ms);
-    let checked = check_response_head(router, request, &upstream.id(), &head);
+    log_if_unnamed(router, request, upstream, &head, &connection);
+    let is_own = is_own(router, request, &head, &connection);
+    if is_own {
+        record_announcements(router, upstream, &head, sent_unix_ms);
+    }
+    let checked = check_response_head(router, request, &upstream.id(), &head, is_own);
     if matches!(
         checked,
         Ok(()) | Err(AttemptFailure::Declined | AttemptFailure::NotLoaded)
@@ -171,7 +175,7 @@
         run.finish();
         record_rejected_response(upstream, failure);
         if failure.has_not_run() {
-            reuse_if_complete(upstream, connection, &head.headers, &body);
+            reuse_if_complete(request, upstream, connection, &head.headers, &body);
         }
         return Err(failure.into());
     }
@@ -206,7 +210,8 @@
     let mut outgoing = outgoing_request(router, request, upstream, resumption.last_event_id);
     let connections = &upstream.connections;
     connections.set_max_idle(router.max_idle_connections(&upstream.entry.borrow().service));
-    let mut idle_connection = connections.take_idle(request.route.is_repeatable());
+    let mut idle_connection =
+        connections.take_idle(&request.head.id, request.route.is_repeatable());
     loop {
         let address = upstream.entry.borrow().address;
         let mut connection = match idle_connection.take() {
@@ -266,19 +271,81 @@
     outgoing
 }
 
+/// Returns which request the response names.
+fn named_request(request: &CallerRequest, response_head: &ResponseHead<'_>) -> NamedRequest {
+    match response_head.request_id {
+        Some(id) if id == request.head.id.as_str() => NamedRequest::Own,
+        Some(_) => NamedRequest::Other,
+        None => NamedRequest::Nobody,
+    }
+}
+
+/// Logs a response that doesn't name the request.
+fn log_if_unnamed(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    upstream: &Upstream,
+    head: &http::response::Parts,
+    connection: &UpstreamConnection,
+) {
+    let response_head = (router.settings.header_codec.read_response)(&head.headers);
+    let named = named_request(request, &response_head);
+    if named != NamedRequest::Own {
+        let is_not_run = response_head.is_not_run;
+        let is_reused = connection.is_reused;
+        router.log_unnamed_response(request, upstream, head.status, named, is_not_run, is_reused);
+    }
+}
+
+/// To a caller, these statuses promise that its request has not run. An upstream that promises this
+/// also says so in a header; its status alone is not passed on.
+const NOT_RUN_STATUSES: [http::StatusCode; 4] = [
+    http::StatusCode::REQUEST_TIMEOUT,
+    http::StatusCode::MISDIRECTED_REQUEST,
+    http::StatusCode::TOO_MANY_REQUESTS,
+    http::StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Returns whether the response is proven to be the request's own.
+fn is_own(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    head: &http::response::Parts,
+    connection: &UpstreamConnection,
+) -> bool {
+    let response_head = (router.settings.header_codec.read_response)(&head.headers);
+    let promises = response_head.is_not_run || NOT_RUN_STATUSES.contains(&head.status);
+    is_own_response(named_request(request, &response_head), connection.is_reused)
+        && !(promises && is_joined_head(head))
+}
+
+/// Whether the head begins as one response and ends as another. If an upstream breaks off inside a
+/// header or the reason phrase, the status line of its next response becomes a part of that.
+fn is_joined_head(head: &http::response::Parts) -> bool {
+    const STATUS_LINE: &[u8] = b"HTTP/1.";
+    let has_status_line = |text: &[u8]| {
+        text.windows(STATUS_LINE.len())
+            .any(|part| part == STATUS_LINE)
+    };
+    let reason = head.extensions.get::<ReasonPhrase>();
+    reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
+        || head
+            .headers
+            .values()
+            .any(|value| has_status_line(value.as_bytes()))
+}
+
 fn check_response_head(
     router: &PlatformRouter,
     request: &CallerRequest,
     expected: &UpstreamId,
     head: &http::response::Parts,
+    is_own: bool,
 ) -> Result<(), AttemptFailure> {
     let response_head = (router.settings.header_codec.read_response)(&head.headers);
-    // The response belongs to another request. This request's own response may still arrive on the
-    // connection, which must therefore not be reused for another caller.
-    if response_head
-        .request_id
-        .is_some_and(|id| id != request.head.id.as_str())
-    {
+    // The response may belong to another request. This request's own response may still arrive on
+    // the connection, which must therefore not be reused for another caller.
+    if !is_own {
         return Err(AttemptFailure::InvalidAnswer);
     }
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
@@ -295,6 +362,9 @@
     if response_head.is_not_run {
         return Err(AttemptFailure::Declined);
     }
+    if NOT_RUN_STATUSES.contains(&head.status) {
+        return Err(AttemptFailure::InvalidAnswer);
+    }
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     let is_authentic = response_head.is_sealed && response_head.request_id.is_some() && !is_encoded;
     if head.status.is_success() && !is_authentic {
@@ -306,11 +376,10 @@
     Ok(())
 }
 
-/// Records what the upstream says of itself in the response, if the response is its own: that it
-/// leaves, that it wants a pause, and the rate limit that it names, or that it names none any more.
+/// Records what the upstream says of itself in the request's own response: that it leaves, that it
+/// wants a pause, and the rate limit that it names, or that it names none any more.
 fn record_announcements(
     router: &PlatformRouter,
-    request: &CallerRequest,
     upstream: &Upstream,
     head: &http::response::Parts,
     sent_unix_ms: u64,
@@ -322,8 +391,7 @@
         }
     }
     let response_head = (codec.read_response)(&head.headers);
-    let is_own = response_head.request_id == Some(request.head.id.as_str());
-    if !is_own || head.status == http::StatusCode::MISDIRECTED_REQUEST {
+    if response_head.request_id.is_none() || head.status == http::StatusCode::MISDIRECTED_REQUEST {
         return;
     }
     let now = now_unix_ms();
@@ -459,14 +527,16 @@
     })
 }
 
-/// Keeps the connection of a rejected response for reuse, provided that its body has ended.
+/// Keeps the connection of a refusal for reuse by other requests, provided that its body has ended.
 fn reuse_if_complete(
+    request: &CallerRequest,
     upstream: &Upstream,
-    connection: UpstreamConnection,
+    mut connection: UpstreamConnection,
     headers: &HeaderMap,
     body: &Incoming,
 ) {
-    if http_body::Body::is_end_stream(body) {
+    connection.refused.record(&request.head.id);
+    if http_body::Body::is_end_stream(body) && connection.refused.is_connection_kept() {
         upstream.connections.keep(connection, headers);
     }
 }
