Log lists that aren't followed and entries that name no upstream

A failed list or watch was dropped without a line, and an entry that describes no upstream looked like none, so the hypotheses on the odd entry couldn't be told apart. Mirrors log the first failure of several in a row and the success after them; routers log each version of an entry that they don't use, with the reason, once: a version that is known is no longer decoded again. No change of decisions.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -138,6 +138,7 @@
     let address = settings.gossip_listen;
     let gossip_socket = GossipSocket::bind(address).map_err(ListenError::at(address))?;
     let store = settings.source.open()?;
+    store.set_log(&log);
     let source = &settings.source;
     let configs =
         Mirror::start_with_decoder(&store, source.config_key_prefix, source.read_config, stop);
@@ -308,7 +309,7 @@
         };
         let entries = list.objects.iter();
         let mut entries =
-            entries.filter_map(|object| (self.settings.source.read_upstream)(object).ok()?);
+            entries.filter_map(|object| (self.settings.source.read_upstream)(object).ok());
         let own = entries.find(|entry| {
             entry.address == self.settings.engine_address
                 && entry.started_unix_ms == state.started_unix_ms
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -7,7 +7,7 @@
 };
 
 use celerystair_core::prelude::*;
-use celerystair_platform::prelude::*;
+use celerystair_platform::{prelude::*, store::shortened};
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
 use futures_util::future::select;
@@ -17,6 +17,9 @@
 /// How often the list of upstreams is refreshed without a change in the store.
 const REFRESH_INTERVAL_MS: u64 = 1000;
 
+/// What an entry of the list describes; an error if it describes no usable upstream.
+type ListedEntry = Result<UpstreamEntry, StoreError>;
+
 /// A configuration, with its routes indexed for lookup.
 pub struct ActiveConfig {
     /// The configuration as read.
@@ -53,6 +56,7 @@
 impl FleetView {
     /// Starts tasks that keep the view current from the store until `stop` ends.
     pub fn start(source: &FleetSource, store: &Store, log: &Logger, stop: &Stop) -> Self {
+        store.set_log(log);
         let view = Self {
             inner: Rc::new(Inner {
                 log: log.clone(),
@@ -73,12 +77,19 @@
             watcher.follow_config(&configs, name, &task_stop).await;
         })
         .detach();
-        let entries = Mirror::start_with_decoder(
-            store,
-            source.upstream_key_prefix,
-            source.read_upstream,
-            stop,
-        );
+        let (read_upstream, entry_log) = (source.read_upstream, log.clone());
+        // An entry that describes no upstream replaces the one before it, so its error is a value.
+        // Each version is decoded once, and so logged once.
+        let read_entry = move |object: &Object| {
+            let entry = read_upstream(object);
+            if let Err(error) = &entry {
+                warn!(entry_log, "entry_unused"; "entry" => shortened(&object.key),
+                    "version" => object.version, "error" => shortened(error));
+            }
+            Ok(entry)
+        };
+        let entries =
+            Mirror::start_with_decoder(store, source.upstream_key_prefix, read_entry, stop);
         let (watcher, store, task_stop) = (view.clone(), store.clone(), stop.clone());
         compio::runtime::spawn(async move {
             watcher.follow_upstreams(&entries, &store, &task_stop).await;
@@ -200,12 +211,7 @@
         *self.inner.config.borrow_mut() = Some(Rc::new(active));
     }
 
-    async fn follow_upstreams(
-        &self,
-        entries: &Mirror<Option<UpstreamEntry>>,
-        store: &Store,
-        stop: &Stop,
-    ) {
+    async fn follow_upstreams(&self, entries: &Mirror<ListedEntry>, store: &Store, stop: &Stop) {
         let mut recovered_unix_ms = 0;
         while !stop.is_ended() {
             let changed = entries.listen();
@@ -227,10 +233,10 @@
         }
     }
 
-    fn apply_upstreams(&self, entries: &Mirror<Option<UpstreamEntry>>) {
+    fn apply_upstreams(&self, entries: &Mirror<ListedEntry>) {
         let mut listed: HashMap<UpstreamId, Rc<UpstreamEntry>> = HashMap::default();
         for (_, entry) in entries.all() {
-            if let Some(entry) = &*entry {
+            if let Ok(entry) = &*entry {
                 listed.insert(entry.id.clone(), Rc::new(entry.clone()));
             }
         }
--- a/crates/celerystair_platform/src/fleet_source.rs
+++ b/crates/celerystair_platform/src/fleet_source.rs
@@ -19,8 +19,8 @@
     pub dialect: StoreDialect,
     /// Prefix of the keys of upstreams.
     pub upstream_key_prefix: &'static str,
-    /// Decodes an upstream's entry; `None` if the entry describes no usable upstream.
-    pub read_upstream: fn(&Object) -> Result<Option<UpstreamEntry>, StoreError>,
+    /// Decodes an upstream's entry; fails if the entry describes no usable upstream.
+    pub read_upstream: fn(&Object) -> Result<UpstreamEntry, StoreError>,
     /// Prefix of the configuration's key.
     pub config_key_prefix: &'static str,
     /// The rest of the configuration's key after the prefix.
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -8,12 +8,13 @@
 use celerystair_core::prelude::*;
 use event_listener::{Event, EventListener};
 use serde::de::DeserializeOwned;
+use slog::{info, warn};
 
 use crate::{
     backoff::Backoff,
     error::StoreError,
     shared::{SharedItem, SharedItems},
-    store::{Object, Store, WatchReply},
+    store::{Object, Store, WatchReply, shortened},
 };
 
 /// Delay before a watch is renewed, in which changes accumulate. It doubles while changes arrive
@@ -54,6 +55,8 @@
     changed: Event,
     shared: Option<SharedItems>,
     decode_value: ValueDecoder<T>,
+    /// The logged version of each object that can't be decoded.
+    undecodable: RefCell<HashMap<String, u64>>,
 }
 
 /// Decodes an object's value.
@@ -111,6 +114,7 @@
                 changed: Event::new(),
                 shared,
                 decode_value,
+                undecodable: RefCell::default(),
             }),
         };
         let (task, store, stop) = (mirror.clone(), store.clone(), stop.clone());
@@ -179,6 +183,9 @@
         let Some(name) = object.key.strip_prefix(&self.inner.prefix) else {
             return Ok(());
         };
+        if !self.is_newer(name, object.version) {
+            return Ok(());
+        }
         let value = Rc::new((self.inner.decode_value)(object)?);
         if self.insert_if_newer(name, object.version, value) {
             self.share(&object.key, object.version, &object.value);
@@ -186,20 +193,25 @@
         Ok(())
     }
 
-    /// Stores a value if it is newer than the object in the mirror and than any shared version of
-    /// it, which may be a deletion. Returns whether it was stored.
-    fn insert_if_newer(&self, name: &str, version: u64, value: Rc<T>) -> bool {
+    /// Returns whether `version` is newer than the object in the mirror and than any shared version of
+    /// it, which may be a deletion.
+    fn is_newer(&self, name: &str, version: u64) -> bool {
         let key = format!("{}{name}", self.inner.prefix);
         let shared = self.inner.shared.as_ref();
         let shared_version = shared.and_then(|shared| shared.version(&key));
-        let mut objects = self.inner.objects.borrow_mut();
+        let objects = self.inner.objects.borrow();
         let known = objects.get(name).map(|entry| entry.version);
-        if known
+        known
             .max(shared_version)
-            .is_some_and(|known| known >= version)
-        {
+            .is_none_or(|known| known < version)
+    }
+
+    /// Stores a value if it [is newer](Self::is_newer). Returns whether it was stored.
+    fn insert_if_newer(&self, name: &str, version: u64, value: Rc<T>) -> bool {
+        if !self.is_newer(name, version) {
             return false;
         }
+        let mut objects = self.inner.objects.borrow_mut();
         objects.insert(name.to_owned(), Entry { version, value });
         drop(objects);
         self.inner.changed.notify(usize::MAX);
@@ -216,6 +228,7 @@
         objects.remove(name);
         drop(objects);
         let key = format!("{}{name}", self.inner.prefix);
+        self.inner.undecodable.borrow_mut().remove(&key);
         self.share(&key, revision, &serde_json::Value::Null);
         self.inner.changed.notify(usize::MAX);
     }
@@ -276,6 +289,7 @@
         let mut backoff = Backoff::default();
         let mut batch_delay_ms = MIN_BATCH_DELAY_MS;
         let mut last_read_unix_ms = 0;
+        let mut failing_since_unix_ms = None;
         while !stop.is_ended() {
             let started_unix_ms = now_unix_ms();
             let interval_ms = if self.reads_platform() {
@@ -300,6 +314,12 @@
                 // Jitter, so that processes that started together don't read at the same time.
                 last_read_unix_ms = started_unix_ms - rand::random_range(0..=interval_ms / 2);
             }
+            self.log_outcome(
+                store,
+                is_due,
+                result.as_ref().err(),
+                &mut failing_since_unix_ms,
+            );
             if result.is_ok() {
                 backoff.reset();
                 batch_delay_ms = if now_unix_ms() < started_unix_ms + 4 * batch_delay_ms {
@@ -319,6 +339,42 @@
         }
     }
 
+    /// Logs the first failure of several in a row, and the success after them.
+    fn log_outcome(
+        &self,
+        store: &Store,
+        is_list: bool,
+        error: Option<&StoreError>,
+        failing_since_unix_ms: &mut Option<u64>,
+    ) {
+        let (prefix, now) = (&self.inner.prefix, now_unix_ms());
+        match (error, *failing_since_unix_ms) {
+            (Some(error), None) => {
+                warn!(store.log(), "objects_not_followed"; "prefix" => prefix,
+                    "call" => if is_list { "list" } else { "watch" },
+                    "revision" => self.inner.revision.get(), "error" => shortened(error));
+                *failing_since_unix_ms = Some(now);
+            }
+            (None, Some(since_unix_ms)) => {
+                info!(store.log(), "objects_followed_again"; "prefix" => prefix,
+                    "revision" => self.inner.revision.get(),
+                    "failing_ms" => now.saturating_sub(since_unix_ms));
+                *failing_since_unix_ms = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// Logs an object that can't be decoded, once for each version.
+    fn log_undecodable(&self, store: &Store, object: &Object, error: &StoreError) {
+        let mut undecodable = self.inner.undecodable.borrow_mut();
+        let logged = undecodable.insert(object.key.clone(), object.version);
+        if logged != Some(object.version) {
+            warn!(store.log(), "object_unreadable"; "key" => shortened(&object.key),
+                "version" => object.version, "error" => shortened(error));
+        }
+    }
+
     async fn reread(&self, store: &Store) -> Result<(), StoreError> {
         let list = store.list(&self.inner.prefix).await?;
         let deleted: Vec<String> = {
@@ -331,12 +387,13 @@
                 .filter(|key| !listed.contains(key.as_str()))
                 .collect()
         };
-        self.apply_reply(&WatchReply {
+        let reply = WatchReply {
             revision: list.revision,
             objects: list.objects,
             deleted,
             too_old: false,
-        });
+        };
+        self.apply_reply(store, &reply);
         self.inner.has_read_store.set(true);
         self.mark_complete();
         Ok(())
@@ -349,14 +406,16 @@
         if reply.too_old {
             return self.reread(store).await;
         }
-        self.apply_reply(&reply);
+        self.apply_reply(store, &reply);
         Ok(())
     }
 
-    fn apply_reply(&self, reply: &WatchReply) {
+    fn apply_reply(&self, store: &Store, reply: &WatchReply) {
         for object in &reply.objects {
             // If this version can't decode the object, the last decodable value stays.
-            self.apply(object).ok();
+            if let Err(error) = self.apply(object) {
+                self.log_undecodable(store, object, &error);
+            }
         }
         for key in &reply.deleted {
             let Some(name) = key.strip_prefix(&self.inner.prefix) else {
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -8,6 +8,7 @@
 use celerystair_core::{prelude::*, time::before_deadline};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
+use slog::{Discard, Logger, o};
 
 use crate::{
     dialect::{StoreDialect, WireCall, get_call, native_dialect},
@@ -117,6 +118,7 @@
     dialect: StoreDialect,
     rate_limiter: RateLimiter,
     availability: Cell<StoreAvailability>,
+    log: RefCell<Logger>,
     /// The last list of instances with its `ETag`, so that the platform need not send an unchanged
     /// list again.
     instances: RefCell<(String, Rc<Vec<InstanceEntry>>)>,
@@ -168,6 +170,7 @@
                 client,
                 dialect,
                 availability: Cell::default(),
+                log: RefCell::new(Logger::root(Discard, o!())),
                 rate_limiter: RateLimiter::new(settings.calls_per_second),
                 instances: RefCell::default(),
                 settings,
@@ -180,6 +183,15 @@
         &self.inner.settings
     }
 
+    /// Sets the logger of this client and of the mirrors that use it; without one, nothing is logged.
+    pub fn set_log(&self, log: &Logger) {
+        *self.inner.log.borrow_mut() = log.clone();
+    }
+
+    pub(crate) fn log(&self) -> Logger {
+        self.inner.log.borrow().clone()
+    }
+
     /// Returns the number of calls made so far.
     pub fn calls(&self) -> u64 {
         let counts = self.counts();
@@ -459,3 +471,9 @@
         detail: error.to_string(),
     }
 }
+
+/// Formats what another writer may have named or written at any length, for a log line.
+pub fn shortened(text: &impl std::fmt::Display) -> String {
+    const LOGGED_CHARS_MAX: usize = 200;
+    text.to_string().chars().take(LOGGED_CHARS_MAX).collect()
+}
