Read each item of a list and each event of a watch by itself

What callers saw: an entry that another writer left with 200 nested arrays, a number beyond a double or a lone surrogate stopped every reader of the list. Routers went on by the list of before: they sent to upstreams that had left and used none that came. A router or an agent that started meanwhile was never ready.

Cause: a reply was parsed as a whole before one item was looked at, and the parser refuses a text for one such value.

Now a scan finds the items by quotes, brackets, commas and colons alone, and each is parsed by itself. An item whose name can be read and whose value can't replaces the one before it under that name, with no value and the reason, and so names no upstream. A watch's event that names no object makes the list be read again, since the object that it is about may be in use. The product's own dialect reads its lists the same way.

--- a/crates/celerystair_node/tests/watchers.rs
+++ b/crates/celerystair_node/tests/watchers.rs
@@ -23,6 +23,7 @@
             key: format!("{AGENT_KEY_PREFIX}{name}"),
             version: index as u64 + 1,
             value,
+            ..Object::default()
         };
         mirror
             .apply(&object)
--- a/crates/celerystair_placement/src/propose.rs
+++ b/crates/celerystair_placement/src/propose.rs
@@ -295,6 +295,7 @@
                     key,
                     version,
                     value,
+                    ..Object::default()
                 })?;
                 return Ok(Some(next.generation));
             }
--- a/crates/celerystair_platform/src/dialect.rs
+++ b/crates/celerystair_platform/src/dialect.rs
@@ -5,7 +5,10 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::store::{Expected, Object, ObjectList, WatchReply, WriteReply};
+use crate::{
+    raw_json::{RawObject, read_value, split_list, split_object, string_bytes},
+    store::{Expected, Object, ObjectList, WatchReply, WriteReply},
+};
 
 /// An HTTP request to the object API.
 #[derive(Clone, Debug, PartialEq)]
@@ -86,20 +89,88 @@
         conflict_status: 412,
         compacted_status: None,
         is_success: |status| status == 200,
-        read_object: |_, body| serde_json::from_slice(body),
-        read_list: |_, body| {
-            Ok(ListPage {
-                list: serde_json::from_slice(body)?,
-                after: None,
-            })
+        read_object: |_, body| {
+            read_native_object(body).ok_or_else(|| serde::de::Error::custom("no key or version"))
         },
-        read_watch: |_, body| serde_json::from_slice(body),
+        read_list,
+        read_watch,
         read_version: |body| {
             Ok(WriteReply::deserialize(&serde_json::from_slice::<Value>(body)?)?.version)
         },
     }
 }
 
+fn read_list(_: &str, body: &[u8]) -> Result<ListPage, serde_json::Error> {
+    let list = split_list(body, "objects", |item| read_native_object(item).is_some())?;
+    let items = required(list.elements.as_ref(), "objects")?;
+    let objects: Vec<Object> = items.iter().filter_map(|i| read_native_object(i)).collect();
+    Ok(ListPage {
+        list: ObjectList {
+            revision: required(list.read("revision")?, "revision")?,
+            unnamed: items.len() - objects.len(),
+            objects,
+        },
+        after: None,
+    })
+}
+
+fn read_watch(_: &str, body: &[u8]) -> Result<WatchReply, serde_json::Error> {
+    let reply = split_list(body, "objects", |item| read_native_object(item).is_some())?;
+    let items = required(reply.elements.as_ref(), "objects")?;
+    let objects: Vec<Object> = items.iter().filter_map(|i| read_native_object(i)).collect();
+    Ok(WatchReply {
+        revision: required(reply.read("revision")?, "revision")?,
+        unnamed: items.len() - objects.len(),
+        objects,
+        deleted: required(reply.read("deleted")?, "deleted")?,
+        too_old: reply.read("too_old")?.unwrap_or_default(),
+    })
+}
+
+/// Reads an object of the project's own API; `None` if its key or version can't be read.
+fn read_native_object(text: &[u8]) -> Option<Object> {
+    let object = split_object(text);
+    let key = String::from_utf8(string_bytes(object.member("key")?)?).ok()?;
+    let version = serde_json::from_slice(object.member("version")?).ok()?;
+    Some(with_value(key, version, &object, object.member("value")))
+}
+
+/// Why the value of an object that is malformed can't be read.
+pub const NOT_JSON: &str = "it is no JSON";
+
+/// Creates an object whose value is read from `value`; the value of an object that isn't whole can't be
+/// read.
+pub fn with_value(
+    key: String,
+    version: u64,
+    object: &RawObject<'_>,
+    value: Option<&[u8]>,
+) -> Object {
+    let value = match value {
+        _ if !object.is_whole => Err(NOT_JSON.to_owned()),
+        Some(value) => read_value(value).map_err(|error| error.to_string()),
+        None => Ok(Value::Null),
+    };
+    let (value, fault) = match value {
+        Ok(value) => (value, None),
+        Err(fault) => (Value::Null, Some(fault)),
+    };
+    Object {
+        key,
+        version,
+        value,
+        fault,
+    }
+}
+
+/// Returns the member of a reply.
+///
+/// # Errors
+/// The reply doesn't have it.
+pub fn required<T>(member: Option<T>, name: &str) -> Result<T, serde_json::Error> {
+    member.ok_or_else(|| serde::de::Error::custom(format!("no {name}")))
+}
+
 /// Returns a GET request for `path`.
 pub fn get_call(path: String) -> WireCall {
     WireCall {
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`mirror`] | a local copy of the objects below a key prefix, kept current by a watch |
 //! | [`objects`] | the kinds of objects that the system stores |
 //! | [`pacer`] | rate limiter of the calls of a process, by priority |
+//! | [`raw_json`] | the parts of a JSON text, found without reading what is in them |
 //! | [`shared`] | objects and instance states that processes pass on to one another |
 //! | [`store`] | the client through which all calls to the object API go |
 //!
@@ -24,6 +25,7 @@
 pub mod mirror;
 pub mod objects;
 pub mod pacer;
+pub mod raw_json;
 pub mod shared;
 pub mod store;
 
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -57,6 +57,8 @@
     decode_value: ValueDecoder<T>,
     /// The logged version of each object that can't be decoded.
     undecodable: RefCell<HashMap<String, u64>>,
+    /// The number of nameless items in the list that was read last.
+    unnamed: Cell<usize>,
 }
 
 /// Decodes an object's value.
@@ -115,6 +117,7 @@
                 shared,
                 decode_value,
                 undecodable: RefCell::default(),
+                unnamed: Cell::new(0),
             }),
         };
         let (task, store, stop) = (mirror.clone(), store.clone(), stop.clone());
@@ -228,7 +231,6 @@
         objects.remove(name);
         drop(objects);
         let key = format!("{}{name}", self.inner.prefix);
-        self.inner.undecodable.borrow_mut().remove(&key);
         self.share(&key, revision, &serde_json::Value::Null);
         self.inner.changed.notify(usize::MAX);
     }
@@ -262,6 +264,7 @@
                 key: item.key.clone(),
                 version: item.version,
                 value,
+                ..Object::default()
             };
             if let Ok(value) = (self.inner.decode_value)(&object) {
                 self.insert_if_newer(name, item.version, Rc::new(value));
@@ -377,6 +380,10 @@
 
     async fn reread(&self, store: &Store) -> Result<(), StoreError> {
         let list = store.list(&self.inner.prefix).await?;
+        if self.inner.unnamed.replace(list.unnamed) != list.unnamed {
+            warn!(store.log(), "objects_unnamed"; "prefix" => &self.inner.prefix,
+                "revision" => list.revision, "unnamed" => list.unnamed);
+        }
         let deleted: Vec<String> = {
             let objects = self.inner.objects.borrow();
             let listed: HashSet<&str> = list.objects.iter().map(|o| o.key.as_str()).collect();
@@ -391,7 +398,7 @@
             revision: list.revision,
             objects: list.objects,
             deleted,
-            too_old: false,
+            ..WatchReply::default()
         };
         self.apply_reply(store, &reply);
         self.inner.has_read_store.set(true);
@@ -407,6 +414,10 @@
             return self.reread(store).await;
         }
         self.apply_reply(store, &reply);
+        // Whichever object such an event is about, the one before it may be in use.
+        if reply.unnamed > 0 {
+            return self.reread(store).await;
+        }
         Ok(())
     }
 
@@ -418,6 +429,7 @@
             }
         }
         for key in &reply.deleted {
+            self.inner.undecodable.borrow_mut().remove(key);
             let Some(name) = key.strip_prefix(&self.inner.prefix) else {
                 continue;
             };
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -56,7 +56,7 @@
 }
 
 /// An object in the store.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Object {
     /// Key of the object.
     pub key: String,
@@ -64,15 +64,22 @@
     pub version: u64,
     /// Value of the object.
     pub value: Value,
+    /// Why the value can't be read; the value is null then.
+    #[serde(skip)]
+    pub fault: Option<String>,
 }
 
 impl Object {
     /// Deserialises the value.
     pub fn read<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
-        T::deserialize(&self.value).map_err(|error| StoreError::BadObject {
+        let bad_object = |detail: String| StoreError::BadObject {
             key: self.key.clone(),
-            detail: error.to_string(),
-        })
+            detail,
+        };
+        if let Some(fault) = &self.fault {
+            return Err(bad_object(fault.clone()));
+        }
+        T::deserialize(&self.value).map_err(|error| bad_object(error.to_string()))
     }
 }
 
@@ -83,6 +90,9 @@
     pub revision: u64,
     /// The objects.
     pub objects: Vec<Object>,
+    /// The number of items in which no object's key could be read.
+    #[serde(skip)]
+    pub unnamed: usize,
 }
 
 /// Result of a watch.
@@ -97,6 +107,9 @@
     /// Whether the store has compacted that revision, so that the prefix must be read again.
     #[serde(default)]
     pub too_old: bool,
+    /// The number of events in which no object's key could be read.
+    #[serde(skip)]
+    pub unnamed: usize,
 }
 
 /// Response of the store to a write.
@@ -246,6 +259,7 @@
                 list.revision = page.list.revision;
             }
             list.objects.extend(page.list.objects);
+            list.unnamed = list.unnamed.saturating_add(page.list.unnamed);
             after = page.after;
             if after.is_none() {
                 return Ok(list);
--- a/crates/celerystair_standin/src/platform.rs
+++ b/crates/celerystair_standin/src/platform.rs
@@ -267,6 +267,7 @@
         ObjectList {
             revision: self.revision.get(),
             objects: matching.map(|(_, object)| object.clone()).collect(),
+            ..ObjectList::default()
         }
     }
 
@@ -352,6 +353,7 @@
             key: key.to_owned(),
             version,
             value,
+            ..Object::default()
         };
         if let Some(replaced) = self.objects.borrow_mut().insert(key.to_owned(), object) {
             self.previous.borrow_mut().insert(key.to_owned(), replaced);
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -236,6 +236,7 @@
             key: format!("{PLACEMENT_KEY_PREFIX}m"),
             version: 1_000_000,
             value: serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] }),
+            ..Object::default()
         };
         left[1].node.placements.apply(&moved).expect("a placement");
         all_have(&left, "m", moved.version).await;
@@ -294,6 +295,7 @@
             key: format!("{PLACEMENT_KEY_PREFIX}m"),
             version: 7,
             value: serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] }),
+            ..Object::default()
         };
         first.node.placements.apply(&moved).expect("a placement");
         all_have(&[&second], "m", moved.version).await;
--- a/tests/mixed_versions.rs
+++ b/tests/mixed_versions.rs
@@ -103,6 +103,7 @@
         key: "k".to_owned(),
         version: 1,
         value,
+        ..Object::default()
     }
 }
 
