--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -8,6 +8,7 @@
 use celerystair_core::{prelude::*, time::before_deadline};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
+use slog::{Discard, Logger, o};
 
 use crate::{
     dialect::{StoreDialect, WireCall, get_call, native_dialect},
@@ -55,7 +56,7 @@
 }
 
 /// An object in the store.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Object {
     /// Key of the object.
     pub key: String,
@@ -63,15 +64,22 @@
     pub version: u64,
     /// Value of the object.
     pub value: Value,
+    /// Why the value can't be read; the value is null then.
+    #[serde(skip)]
+    pub fault: Option<String>,
 }
 
 impl Object {
     /// Deserialises the value.
     pub fn read<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
-        T::deserialize(&self.value).map_err(|error| StoreError::BadObject {
+        let bad_object = |detail: String| StoreError::BadObject {
             key: self.key.clone(),
-            detail: error.to_string(),
-        })
+            detail,
+        };
+        if let Some(fault) = &self.fault {
+            return Err(bad_object(fault.clone()));
+        }
+        T::deserialize(&self.value).map_err(|error| bad_object(error.to_string()))
     }
 }
 
@@ -82,6 +90,9 @@
     pub revision: u64,
     /// The objects.
     pub objects: Vec<Object>,
+    /// The number of items in which no object's key could be read.
+    #[serde(skip)]
+    pub unnamed: usize,
 }
 
 /// Result of a watch.
@@ -96,6 +107,9 @@
     /// Whether the store has compacted that revision, so that the prefix must be read again.
     #[serde(default)]
     pub too_old: bool,
+    /// The number of events in which no object's key could be read.
+    #[serde(skip)]
+    pub unnamed: usize,
 }
 
 /// Response of the store to a write.
@@ -117,6 +131,7 @@
     dialect: StoreDialect,
     rate_limiter: RateLimiter,
     availability: Cell<StoreAvailability>,
+    log: RefCell<Logger>,
     /// The last list of instances with its `ETag`, so that the platform need not send an unchanged
     /// list again.
     instances: RefCell<(String, Rc<Vec<InstanceEntry>>)>,
@@ -168,6 +183,7 @@
                 client,
                 dialect,
                 availability: Cell::default(),
+                log: RefCell::new(Logger::root(Discard, o!())),
                 rate_limiter: RateLimiter::new(settings.calls_per_second),
                 instances: RefCell::default(),
                 settings,
@@ -180,6 +196,15 @@
         &self.inner.settings
     }
 
+    /// Sets the logger of this client and of the mirrors that use it; without one, nothing is logged.
+    pub fn set_log(&self, log: &Logger) {
+        *self.inner.log.borrow_mut() = log.clone();
+    }
+
+    pub(crate) fn log(&self) -> Logger {
+        self.inner.log.borrow().clone()
+    }
+
     /// Returns the number of calls made so far.
     pub fn calls(&self) -> u64 {
         let counts = self.counts();
@@ -234,6 +259,7 @@
                 list.revision = page.list.revision;
             }
             list.objects.extend(page.list.objects);
+            list.unnamed = list.unnamed.saturating_add(page.list.unnamed);
             after = page.after;
             if after.is_none() {
                 return Ok(list);
@@ -459,3 +485,9 @@
         detail: error.to_string(),
     }
 }
+
+/// Formats what another writer may have named or written at any length, for a log line.
+pub fn shortened(text: &impl std::fmt::Display) -> String {
+    const LOGGED_CHARS_MAX: usize = 200;
+    text.to_string().chars().take(LOGGED_CHARS_MAX).collect()
+}
