Log how the origin of a taken-up stream was searched and found

No decision changes. A take-up that is known only by an identical request is told apart from one that agents know by the named request, and a search says how many agents were asked and denied it, and for how long every listed version is known.

--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -6,8 +6,13 @@
 use celerystair_telemetry::prelude::*;
 
 use crate::{
-    dialect::PromptPart, front::PlatformRouter, origins::OriginSource, pick::WaitReason,
-    request::CallerRequest, runs::Run, upstream::Upstream,
+    dialect::PromptPart,
+    front::PlatformRouter,
+    origins::{OriginSearch, OriginSource},
+    pick::WaitReason,
+    request::CallerRequest,
+    runs::Run,
+    upstream::Upstream,
 };
 
 /// The most unknown headers that are logged: their names are the upstreams' choice.
@@ -50,6 +55,17 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs how agents were asked where a stream began that its caller takes up, and since when every
+    /// version that was listed is known.
+    pub fn log_origin_search(&self, request: &CallerRequest, search: OriginSearch) {
+        let now = now_unix_ms();
+        let known_since_unix_ms = self.view.versions_known_since_unix_ms();
+        info!(self.log, "stream_origin_search"; "request" => %request.head.id,
+            "asked" => search.asked, "denied" => search.denied,
+            "versions_known_ms" => known_since_unix_ms.map(|since| now.saturating_sub(since)),
+            "age_ms" => request.age_ms(now));
+    }
+
     /// Logs that a stream that broke off goes on at another upstream within the same response.
     pub fn log_stream_resumed(
         &self,
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -21,10 +21,23 @@
     Own,
     /// Agents told it.
     Agents,
+    /// Only the origin of a stream that an identical request began is known, to this router or to
+    /// agents.
+    SameBytes,
     /// No other version was listed while the stream may have begun.
     List,
 }
 
+/// What the agents were asked about a stream, and how many of them answered that they don't know it.
+/// The `Debug` form is logged.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OriginSearch {
+    /// How many agents were asked; 0 if this router knows the origin.
+    pub asked: usize,
+    /// How many of them denied it.
+    pub denied: usize,
+}
+
 /// Tells the agents that hold it where the stream of the request began. Returns once the datagrams are
 /// sent, so that the origin is on its way before the first event is.
 pub async fn publish_origin(
@@ -81,13 +94,15 @@
 async fn find_origin(
     router: &PlatformRouter,
     request: &CallerRequest,
+    search: &mut OriginSearch,
 ) -> Option<(StreamOrigin, OriginSource)> {
     let by_fingerprint = StreamId::with_fingerprint(request.fingerprint);
     let named = request.head.resumes.as_ref().map(StreamId::begun_by);
     let wanted = named.unwrap_or(by_fingerprint);
     let known = |stream| router.stream_origins.borrow().get(stream).cloned();
     if let Some(origin) = known(wanted) {
-        return Some((origin, OriginSource::Own));
+        let source = named.map_or(OriginSource::SameBytes, |_| OriginSource::Own);
+        return Some((origin, source));
     }
     let streams: Vec<StreamId> = named.into_iter().chain([by_fingerprint]).collect();
     let message = GossipMessage::StreamOriginsWanted(streams);
@@ -95,26 +110,29 @@
     let denials = &router.origin_denials;
     denials.borrow_mut().entry(wanted).or_default();
     let mut ask_unix_ms = 0;
-    let mut holders = 0;
     let mut found = None;
     while found.is_none() && now_unix_ms() < deadline_unix_ms {
         let answered = router.origin_answered.listen();
         if now_unix_ms() >= ask_unix_ms {
-            holders = send_to_holders(router, by_fingerprint, &message).await;
+            search.asked = send_to_holders(router, by_fingerprint, &message).await;
             ask_unix_ms = now_unix_ms() + ORIGIN_RETRY_MS;
         }
         let timer = sleep_until_unix_ms(ask_unix_ms.min(deadline_unix_ms));
         select(answered, pin!(timer)).await;
         found = known(wanted);
-        let denied = denials.borrow().get(&wanted).map_or(0, HashSet::len);
-        if denied >= holders {
+        search.denied = denials.borrow().get(&wanted).map_or(0, HashSet::len);
+        if search.denied >= search.asked {
             break;
         }
     }
     denials.borrow_mut().remove(&wanted);
+    if named.is_some()
+        && let Some(origin) = found
+    {
+        return Some((origin, OriginSource::Agents));
+    }
     // The same request may have begun several streams, so its fingerprint comes last.
-    let found = found.or_else(|| known(by_fingerprint));
-    found.map(|origin| (origin, OriginSource::Agents))
+    known(by_fingerprint).map(|origin| (origin, OriginSource::SameBytes))
 }
 
 /// Returns where the stream began that the request takes up, and how that is known.
@@ -126,7 +144,9 @@
     router: &PlatformRouter,
     request: &CallerRequest,
 ) -> Result<(StreamOrigin, OriginSource), Refusal> {
-    let found = find_origin(router, request).await;
+    let mut search = OriginSearch::default();
+    let found = find_origin(router, request, &mut search).await;
+    router.log_origin_search(request, search);
     let found = found.or_else(|| Some((assumed_origin(router, request)?, OriginSource::List)));
     let (origin, source) = found.ok_or_else(|| {
         let begun_by = request.head.resumes.as_ref().map_or("none", RequestId::as_str);
