Believe only the named request's record of a taken-up stream

Callers saw: after all routers were killed at once, streams that were taken up with the name of their first request were answered 200 and ran to the end, joined from two software versions. Without the kill it held, as the router itself knew the named request.

Cause: find_origin fell back to the request's fingerprint also if the caller named the request that began the stream. The agents that held the named record had left with the old version's servers, or had started again, and those of today held a later stream of the same bytes at the other version.

The replay a_named_stream_is_never_taken_for_an_identical_one fails if taken_up() returns the fingerprint.

Why it works: the id names one stream; a router asks for and believes nothing else. No stream whose own record is held is refused by this: both records of a stream are told in one datagram, to the same agents.

--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -21,8 +21,8 @@
     Own,
     /// Agents told it.
     Agents,
-    /// Only the origin of a stream that an identical request began is known, to this router or to
-    /// agents.
+    /// The caller doesn't name the request that began the stream; this router or agents know a stream
+    /// that an identical request began.
     SameBytes,
     /// No other version was listed while the stream may have begun.
     List,
@@ -90,22 +90,22 @@
 }
 
 /// Returns where the stream began that the request takes up, which the agents that hold it are asked if
-/// this router doesn't know.
+/// this router doesn't know. If the request names the one that began the stream, only that one's record
+/// counts: an identical request may have begun another stream at another version.
 async fn find_origin(
     router: &PlatformRouter,
     request: &CallerRequest,
     search: &mut OriginSearch,
 ) -> Option<(StreamOrigin, OriginSource)> {
     let by_fingerprint = StreamId::with_fingerprint(request.fingerprint);
-    let named = request.head.resumes.as_ref().map(StreamId::begun_by);
-    let wanted = named.unwrap_or(by_fingerprint);
+    let named = request.head.resumes.as_ref();
+    let wanted = StreamId::taken_up(named, request.fingerprint);
     let known = |stream| router.stream_origins.borrow().get(stream).cloned();
     if let Some(origin) = known(wanted) {
         let source = named.map_or(OriginSource::SameBytes, |_| OriginSource::Own);
         return Some((origin, source));
     }
-    let streams: Vec<StreamId> = named.into_iter().chain([by_fingerprint]).collect();
-    let message = GossipMessage::StreamOriginsWanted(streams);
+    let message = GossipMessage::StreamOriginsWanted(vec![wanted]);
     let deadline_unix_ms = now_unix_ms() + ORIGIN_WAIT_MS;
     let denials = &router.origin_denials;
     denials.borrow_mut().entry(wanted).or_default();
@@ -126,13 +126,8 @@
         }
     }
     denials.borrow_mut().remove(&wanted);
-    if named.is_some()
-        && let Some(origin) = found
-    {
-        return Some((origin, OriginSource::Agents));
-    }
-    // The same request may have begun several streams, so its fingerprint comes last.
-    known(by_fingerprint).map(|origin| (origin, OriginSource::SameBytes))
+    let source = named.map_or(OriginSource::SameBytes, |_| OriginSource::Agents);
+    found.map(|origin| (origin, source))
 }
 
 /// Returns where the stream began that the request takes up, and how that is known.
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -46,6 +46,13 @@
         Self(rendezvous::fingerprint(request.as_bytes()))
     }
 
+    /// Returns the identifier by which the stream is looked up that a request takes up. The record of
+    /// the request that it names proves the origin; that of an identical request doesn't, as
+    /// it may have begun another stream.
+    pub fn taken_up(resumes: Option<&RequestId>, fingerprint: u64) -> Self {
+        resumes.map_or(Self::with_fingerprint(fingerprint), Self::begun_by)
+    }
+
     /// Returns the identifier by the request's fingerprint, which the request that takes the stream up
     /// shares. It selects the agents that hold the origin.
     pub fn with_fingerprint(fingerprint: u64) -> Self {
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -109,6 +109,46 @@
     }
 }
 
+/// Identical requests begin two streams at two versions, and agents restart in between, so that many know
+/// only the second one.
+#[test]
+fn a_named_stream_is_never_taken_for_an_identical_one() {
+    for (count, domains) in FLEETS {
+        let all = agents(count, domains);
+        let mut replay = Replay { random: 1 };
+        let mut held: HashMap<SocketAddr, StreamOrigins> = HashMap::default();
+        let mut tell = |replay: &mut Replay, stream: u64, begun: &RequestId, version: &str| {
+            let by_fingerprint = StreamId::with_fingerprint(stream);
+            for holder in version_holders(by_fingerprint, &all) {
+                if replay.is_delivered() {
+                    let origins = held.entry(holder).or_default();
+                    origins.insert(StreamId::begun_by(begun), origin(version), START_UNIX_MS);
+                    origins.insert(by_fingerprint, origin(version), START_UNIX_MS);
+                }
+            }
+            if replay.draw(2) == 0 {
+                held.retain(|_, _| replay.draw(3) > 0);
+            }
+            held.clone()
+        };
+        let mut found = 0;
+        for stream in 0..STREAMS {
+            let first = RequestId::from(format!("first-{stream}"));
+            let second = RequestId::from(format!("second-{stream}"));
+            tell(&mut replay, stream, &first, "v1");
+            let held = tell(&mut replay, stream, &second, "v2");
+            let wanted = StreamId::taken_up(Some(&first), stream);
+            let holders = version_holders(StreamId::with_fingerprint(stream), &all);
+            for holder in holders {
+                let known = held.get(&holder).and_then(|origins| origins.get(wanted));
+                assert!(known.is_none_or(|known| *known == origin("v1")));
+                found += u64::from(known.is_some());
+            }
+        }
+        assert!(found > 0, "{count} agents know some of them");
+    }
+}
+
 /// The loss of a failure domain must not lose the records of a stream.
 #[test]
 fn holders_stand_in_different_failure_domains() {
