Assume a stream's version by the list only if the list covers its life

Callers saw: streams that were taken up after all routers had been killed were answered 200 at the only version that was listed since then, although they had begun at the one that had left before.

Cause: the list was believed for twice the timeout that the route has now. A stream lives longer: the timeout may have been shortened since it began, and its caller may take it up several times. A router that was frozen counted that time as covered.

The replay beside releases, kills, freezes and changed timeouts fails with the earlier length of life, and the one of a freeze fails without the check of the gap, and without the check before the next look.

Why it works: the list must cover as long as records are held, or twice the longest timeout known if that is more, without a gap of 3 s. Streams that began after the router's start have records, so only those whose records were lost wait longer for the list to count.

--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -165,7 +165,7 @@
     };
     let version = assumed_version(
         &router.view.version_history(&target.service),
-        request.route.timeout_ms,
+        router.view.longest_timeout_ms(),
         router.view.versions_known_since_unix_ms(),
         now_unix_ms(),
     )?;
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -46,8 +46,10 @@
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     missing: RefCell<MissingUpstreams>,
     version_histories: RefCell<HashMap<ServiceName, VersionHistory>>,
-    /// When the list of upstreams was first read.
-    first_listed_unix_ms: Cell<Option<u64>>,
+    /// Since when every change of the list of upstreams was seen.
+    list_coverage: Cell<ListCoverage>,
+    /// The longest timeout that a route has had since this router started.
+    longest_timeout_ms: Cell<u64>,
 }
 
 impl FleetView {
@@ -62,7 +64,8 @@
                 by_service: RefCell::default(),
                 missing: RefCell::default(),
                 version_histories: RefCell::default(),
-                first_listed_unix_ms: Cell::default(),
+                list_coverage: Cell::default(),
+                longest_timeout_ms: Cell::default(),
             }),
         };
         let configs =
@@ -128,8 +131,14 @@
     /// can't be read.
     pub fn versions_known_since_unix_ms(&self) -> Option<u64> {
         let listed_since_unix_ms = self.listed_since_unix_ms()?;
-        let first_unix_ms = self.inner.first_listed_unix_ms.get()?;
-        Some(first_unix_ms.max(listed_since_unix_ms))
+        let coverage = self.inner.list_coverage.get();
+        let covered_since_unix_ms = coverage.since_unix_ms(now_unix_ms())?;
+        Some(covered_since_unix_ms.max(listed_since_unix_ms))
+    }
+
+    /// Returns the longest timeout that a route has had since this router started.
+    pub fn longest_timeout_ms(&self) -> u64 {
+        self.inner.longest_timeout_ms.get()
     }
 
     /// Returns the incarnations of all listed upstreams, except those whose address another one has
@@ -193,6 +202,10 @@
         }
         info!(self.inner.log, "config_in_force";
             "version" => config.version, "before" => known, "routes" => config.routes.len());
+        let timeouts_ms = config.routes.iter().map(|route| route.timeout_ms);
+        let longest_timeout_ms = timeouts_ms.max().unwrap_or_default();
+        let longest_timeout_ms = self.longest_timeout_ms().max(longest_timeout_ms);
+        self.inner.longest_timeout_ms.set(longest_timeout_ms);
         let active = ActiveConfig {
             routes: RouteTable::new(config),
             config: config.clone(),
@@ -275,8 +288,10 @@
             let history = histories.entry(service.clone()).or_default();
             history.record(versions, now_unix_ms);
         }
-        if !by_service.is_empty() && self.inner.first_listed_unix_ms.get().is_none() {
-            self.inner.first_listed_unix_ms.set(Some(now_unix_ms));
+        if !by_service.is_empty() {
+            let mut coverage = self.inner.list_coverage.get();
+            coverage.record_look(now_unix_ms);
+            self.inner.list_coverage.set(coverage);
         }
     }
 
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -75,8 +75,8 @@
         },
         stall::StallInputs,
         stream_versions::{
-            ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, StreamId, StreamOrigin, StreamOrigins, VersionHistory,
-            assumed_version, version_holders,
+            ListCoverage, ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, StreamId, StreamOrigin, StreamOrigins,
+            VersionHistory, assumed_version, version_holders,
         },
         suspect_part::{
             FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -32,8 +32,16 @@
 const VERSION_RETURN_MS: u64 = 10_000;
 /// `Retry-After` of a stream whose version may come back.
 const VERSION_RETRY_AFTER_MS: u64 = 500;
-/// A caller may take a stream up this many times its route's timeout after it began.
+/// A caller may take a stream up this many times its route's timeout after it began, or after it was
+/// taken up last.
 const STREAM_LIFE_TIMEOUTS: u64 = 2;
+/// A stream is taken to live for at least this long. Its caller may take it up several times, and its
+/// route's timeout may have been longer when it began, before this process started. As long as
+/// a record is held at most.
+const STREAM_LIFE_MIN_MS: u64 = 2 * GENERATION_MS;
+/// A process that has not looked at its list for this long was frozen or starved, and versions may have
+/// come and gone meanwhile. It looks every second at least.
+const LIST_GAP_MAX_MS: u64 = 3000;
 
 /// Identifies a stream, by the request that brought its first event. A stream has two identifiers, as
 /// some callers that take it up don't name that request.
@@ -154,17 +162,43 @@
     }
 }
 
+/// Since when a process has seen every change of the list of upstreams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ListCoverage {
+    since_unix_ms: Option<u64>,
+    looked_unix_ms: u64,
+}
+
+impl ListCoverage {
+    /// Records that the process has looked at the list, which has been read.
+    pub fn record_look(&mut self, now_unix_ms: u64) {
+        let is_interrupted = now_unix_ms > self.looked_unix_ms.saturating_add(LIST_GAP_MAX_MS);
+        if is_interrupted || self.since_unix_ms.is_none() {
+            self.since_unix_ms = Some(now_unix_ms);
+        }
+        self.looked_unix_ms = now_unix_ms;
+    }
+
+    /// Returns since when every change was seen; `None` if some may have been missed just now.
+    pub fn since_unix_ms(&self, now_unix_ms: u64) -> Option<u64> {
+        let is_current = now_unix_ms <= self.looked_unix_ms.saturating_add(LIST_GAP_MAX_MS);
+        self.since_unix_ms.filter(|_| is_current)
+    }
+}
+
 /// Returns the version of a stream whose origin no process knows: the only one that was listed while
 /// it may have begun, if the list was current all the while. `None` if that can't be told.
 ///
-/// `listed_since_unix_ms` is since when the list has been read without an outage, if it can be read.
+/// `longest_timeout_ms` is the longest timeout that any route has had. `listed_since_unix_ms` is since
+/// when every change of the list was seen, without an outage, if the list can be read.
 pub fn assumed_version(
     history: &VersionHistory,
-    route_timeout_ms: u64,
+    longest_timeout_ms: u64,
     listed_since_unix_ms: Option<u64>,
     now_unix_ms: u64,
 ) -> Option<SoftwareVersion> {
-    let began_unix_ms = now_unix_ms.saturating_sub(STREAM_LIFE_TIMEOUTS * route_timeout_ms);
+    let life_ms = longest_timeout_ms.saturating_mul(STREAM_LIFE_TIMEOUTS);
+    let began_unix_ms = now_unix_ms.saturating_sub(life_ms.max(STREAM_LIFE_MIN_MS));
     let is_covered = listed_since_unix_ms.is_some_and(|since| since <= began_unix_ms);
     is_covered
         .then(|| history.sole_version_since(began_unix_ms))
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -6,11 +6,13 @@
 use celerystair_core::prelude::*;
 use celerystair_policy::{
     prelude::*,
-    stream_versions::{VERSION_HOLDERS, VersionHistory, assumed_version},
+    stream_versions::{ListCoverage, VERSION_HOLDERS, VersionHistory, assumed_version},
 };
 
 const START_UNIX_MS: u64 = 1_000_000;
 const TIMEOUT_MS: u64 = 12_000;
+/// A stream may be taken up for this long, as two minutes are longer than twice the timeout.
+const STREAM_LIFE_MS: u64 = 120_000;
 
 fn agents(count: usize, domains: usize) -> Vec<Peer> {
     let agent = |number: usize| Peer {
@@ -178,7 +180,7 @@
     let (v1, v2) = (SoftwareVersion::from("v1"), SoftwareVersion::from("v2"));
     let mut history = VersionHistory::default();
     history.record([v1.clone()], START_UNIX_MS);
-    let now = START_UNIX_MS + 100_000;
+    let now = START_UNIX_MS + STREAM_LIFE_MS;
     history.record([v1.clone()], now);
     let assumed = |history: &VersionHistory, since: Option<u64>, now: u64| {
         assumed_version(history, TIMEOUT_MS, since, now)
@@ -193,6 +195,16 @@
         None,
         "another version may have been listed before this router's list was current"
     );
+    assert_eq!(
+        assumed(&history, Some(START_UNIX_MS + 1), now),
+        None,
+        "the route's timeout may have been longer when the stream began"
+    );
+    assert_eq!(
+        assumed_version(&history, STREAM_LIFE_MS, Some(START_UNIX_MS), now),
+        None,
+        "streams with a longer timeout live longer"
+    );
     history.record([v1.clone(), v2.clone()], now);
     assert_eq!(assumed(&history, Some(START_UNIX_MS), now), None);
     let later = now + TIMEOUT_MS;
@@ -202,13 +214,102 @@
         None,
         "callers still take up streams of the version that has left"
     );
-    let much_later = now + 10 * TIMEOUT_MS;
+    let much_later = now + STREAM_LIFE_MS + 1;
     history.record([v2.clone()], much_later);
     assert_eq!(assumed(&history, Some(START_UNIX_MS), much_later), Some(v2));
     assert_eq!(history.retry_after_ms(&v1, much_later), 0);
     assert!(history.retry_after_ms(&v1, now + 1000) > 0);
 }
 
+/// Replays releases from one version to the next beside routers that are killed, frozen, or see the
+/// routes' timeout change: a router that assumes the version of a stream which no process knows must not
+/// be wrong, and must assume one once it can be told.
+#[test]
+fn a_version_is_never_assumed_wrongly_beside_releases_kills_freezes_and_changed_timeouts() {
+    const STEP_MS: u64 = 500;
+    let mut replay = Replay { random: 7 };
+    let mut assumed_count = 0;
+    for _ in 0..100 {
+        let (mut serving, mut next_version) = (vec![1], 2);
+        let (mut history, mut coverage) = (VersionHistory::default(), ListCoverage::default());
+        let (mut timeout_ms, mut longest_timeout_ms) = (TIMEOUT_MS, 0);
+        let mut frozen_until_unix_ms = 0;
+        // Version and last event of the streams that callers may still take up.
+        let mut streams: Vec<(u64, u64)> = Vec::new();
+        for step in 0..1200 {
+            let now = START_UNIX_MS + step * STEP_MS;
+            // Begun or taken up a last time at another router, at a version that was listed half a
+            // second ago; a caller takes its stream up four times at most, each within a timeout.
+            streams.push((serving[replay.draw(serving.len() as u64) as usize], now));
+            streams.retain(|(_, last_unix_ms)| now <= last_unix_ms + 4 * TIMEOUT_MS);
+            match replay.draw(300) {
+                0 if serving.len() == 1 => {
+                    serving.push(next_version);
+                    next_version += 1;
+                }
+                1 | 2 if serving.len() > 1 => {
+                    serving.remove(0);
+                }
+                3 => (history, coverage, longest_timeout_ms) = Default::default(),
+                4 => frozen_until_unix_ms = now + 4000 + replay.draw(30_000),
+                5 => timeout_ms = [1000, 4000, TIMEOUT_MS][replay.draw(3) as usize],
+                _ => {}
+            }
+            if now < frozen_until_unix_ms {
+                continue;
+            }
+            let listed = serving
+                .iter()
+                .map(|v| SoftwareVersion::from(format!("v{v}")));
+            let taken_up = streams[replay.draw(streams.len() as u64) as usize].0;
+            longest_timeout_ms = timeout_ms.max(longest_timeout_ms);
+            // A request may come before the router looks at its list.
+            for has_looked in [false, true] {
+                if has_looked {
+                    history.record(listed.clone(), now);
+                    coverage.record_look(now);
+                }
+                let since = coverage.since_unix_ms(now);
+                let assumed = assumed_version(&history, longest_timeout_ms, since, now);
+                let expected = SoftwareVersion::from(format!("v{taken_up}"));
+                assert!(assumed.is_none_or(|assumed| {
+                    assumed_count += 1;
+                    assumed == expected
+                }));
+            }
+        }
+    }
+    assert!(assumed_count > 0, "a version is assumed if it can be told");
+}
+
+/// While a router is frozen, a version may come, begin streams and leave.
+#[test]
+fn a_version_is_not_assumed_for_streams_that_may_have_begun_while_the_router_was_frozen() {
+    let v1 = SoftwareVersion::from("v1");
+    let (mut history, mut coverage) = (VersionHistory::default(), ListCoverage::default());
+    let mut now = START_UNIX_MS;
+    let mut look_for = |duration_ms: u64, now: &mut u64, coverage: &mut ListCoverage| {
+        for _ in 0..duration_ms / 1000 {
+            *now += 1000;
+            history.record([v1.clone()], *now);
+            coverage.record_look(*now);
+        }
+        history.clone()
+    };
+    let assumed = |history: &VersionHistory, coverage: &ListCoverage, now: u64| {
+        assumed_version(history, TIMEOUT_MS, coverage.since_unix_ms(now), now)
+    };
+    let history = look_for(2 * STREAM_LIFE_MS, &mut now, &mut coverage);
+    assert_eq!(assumed(&history, &coverage, now), Some(v1.clone()));
+    now += 30_000;
+    let before_look = assumed(&history, &coverage, now);
+    assert_eq!(before_look, None, "it has not looked at its list yet");
+    let history = look_for(STREAM_LIFE_MS, &mut now, &mut coverage);
+    assert_eq!(assumed(&history, &coverage, now), None);
+    let history = look_for(1000, &mut now, &mut coverage);
+    assert_eq!(assumed(&history, &coverage, now), Some(v1.clone()));
+}
+
 /// A router passes on streams for as long as it runs.
 #[test]
 fn origins_are_held_for_a_minute_and_not_for_ever() {
