Refuse an unnamed stream if identical requests began at two versions

Callers saw: a stream that was taken up without the name of its first request went on, answered 200, at the version of the last stream that the same bytes had begun, joined from two software versions.

Cause: one origin was held for all streams of the same bytes, and a later one replaced it. Model and prompt are headers and were not among the bytes. A router that had itself passed on the later stream asked no agent.

Why it works: an identifier keeps up to two origins and is known only while it has one; agents answer with all of them, and the router waits for all the agents that it asked, even if it knows one itself. The list is not asked against two known origins. Streams of another model or prompt aren't identical.

Named ones are as before. What an agent that left had known alone is still missing, so an unnamed stream stays a guess then.

--- a/crates/celerystair_engine/src/origins.rs
+++ b/crates/celerystair_engine/src/origins.rs
@@ -25,8 +25,16 @@
 pub async fn send_origins(agent: &EngineAgent, streams: &[StreamId], router: SocketAddr) {
     let answers: Vec<(StreamId, Option<StreamOrigin>)> = {
         let known = agent.stream_origins.borrow();
-        let answer = |stream: &StreamId| (*stream, known.get(*stream).cloned());
-        streams.iter().map(answer).collect()
+        let answers = streams.iter().flat_map(|stream| {
+            let origins = known.all(*stream).cloned().map(Some);
+            let mut answers: Vec<(StreamId, Option<StreamOrigin>)> =
+                origins.map(|origin| (*stream, origin)).collect();
+            if answers.is_empty() {
+                answers.push((*stream, None));
+            }
+            answers
+        });
+        answers.collect()
     };
     let message = GossipMessage::StreamOrigins(answers);
     if let Err(error) = agent.gossip_socket.send_to(&message, router).await {
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -69,8 +69,8 @@
     pub unanswered_runs: RefCell<UnansweredRuns>,
     /// Where streams began that this router has passed on or has asked for.
     pub stream_origins: RefCell<StreamOrigins>,
-    /// The agents that have answered that they don't know a stream which this router asks for.
-    pub origin_denials: RefCell<HashMap<StreamId, HashSet<SocketAddr>>>,
+    /// The agents that have answered about a stream which this router asks for.
+    pub origin_answers: RefCell<HashMap<StreamId, HashSet<SocketAddr>>>,
     /// Notified when an agent has told where a stream began, or that it doesn't know.
     pub origin_answered: Event,
     /// The socket for gossip.
@@ -340,7 +340,7 @@
             recent_crashes: RefCell::default(),
             unanswered_runs: RefCell::default(),
             stream_origins: RefCell::default(),
-            origin_denials: RefCell::default(),
+            origin_answers: RefCell::default(),
             origin_answered: Event::new(),
             gossip_socket: gossip_socket.clone(),
             buffered_bytes: Cell::default(),
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -61,7 +61,7 @@
         let now = now_unix_ms();
         let known_since_unix_ms = self.view.versions_known_since_unix_ms();
         info!(self.log, "stream_origin_search"; "request" => %request.head.id,
-            "asked" => search.asked, "denied" => search.denied,
+            "asked" => search.asked, "answered" => search.answered,
             "versions_known_ms" => known_since_unix_ms.map(|since| now.saturating_sub(since)),
             "age_ms" => request.age_ms(now));
     }
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -28,14 +28,34 @@
     List,
 }
 
-/// What the agents were asked about a stream, and how many of them answered that they don't know it.
-/// The `Debug` form is logged.
+/// How many agents were asked where a stream began.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct OriginSearch {
     /// How many agents were asked; 0 if this router knows the origin.
     pub asked: usize,
-    /// How many of them denied it.
-    pub denied: usize,
+    /// How many of them have answered.
+    pub answered: usize,
+}
+
+/// Collects the agents that answer about a stream while a request waits for them.
+struct AnswersWanted<'a> {
+    router: &'a PlatformRouter,
+    stream: StreamId,
+}
+
+impl AnswersWanted<'_> {
+    /// Returns how many agents have answered.
+    fn count(&self) -> usize {
+        let mut answers = self.router.origin_answers.borrow_mut();
+        // Another request that waited for the same stream may have ended first.
+        answers.entry(self.stream).or_default().len()
+    }
+}
+
+impl Drop for AnswersWanted<'_> {
+    fn drop(&mut self) {
+        self.router.origin_answers.borrow_mut().remove(&self.stream);
+    }
 }
 
 /// Tells the agents that hold it where the stream of the request began. Returns once the datagrams are
@@ -45,8 +65,8 @@
     request: &CallerRequest,
     origin: StreamOrigin,
 ) {
-    let by_fingerprint = StreamId::with_fingerprint(request.fingerprint);
-    let streams = [StreamId::begun_by(&request.head.id), by_fingerprint];
+    let identical = identical_stream(request);
+    let streams = [StreamId::begun_by(&request.head.id), identical];
     let now = now_unix_ms();
     for stream in streams {
         let mut origins = router.stream_origins.borrow_mut();
@@ -54,7 +74,17 @@
     }
     let records = streams.map(|stream| (stream, Some(origin.clone())));
     let message = GossipMessage::StreamOrigins(records.to_vec());
-    send_to_holders(router, by_fingerprint, &message).await;
+    send_to_holders(router, identical, &message).await;
+}
+
+fn identical_stream(request: &CallerRequest) -> StreamId {
+    let parts: Vec<PromptPartId> = request.head.prompt_parts.iter().map(|p| p.id).collect();
+    StreamId::of_identical(request.fingerprint, request.head.model.as_ref(), &parts)
+}
+
+/// Returns the identifier by which the stream is looked up that the request takes up.
+fn wanted_stream(request: &CallerRequest) -> StreamId {
+    StreamId::taken_up(request.head.resumes.as_ref(), identical_stream(request))
 }
 
 async fn send_to_holders(
@@ -82,8 +112,9 @@
         if let Some(origin) = origin {
             let mut origins = router.stream_origins.borrow_mut();
             origins.insert(stream, origin, now);
-        } else if let Some(deniers) = router.origin_denials.borrow_mut().get_mut(&stream) {
-            deniers.insert(sender);
+        }
+        if let Some(answers) = router.origin_answers.borrow_mut().get_mut(&stream) {
+            answers.insert(sender);
         }
     }
     router.origin_answered.notify(usize::MAX);
@@ -91,43 +122,46 @@
 
 /// Returns where the stream began that the request takes up, which the agents that hold it are asked if
 /// this router doesn't know. If the request names the one that began the stream, only that one's record
-/// counts: an identical request may have begun another stream at another version.
+/// counts: an identical request may have begun another stream at another version. If it names none, all
+/// agents that hold the record of identical requests must agree.
 async fn find_origin(
     router: &PlatformRouter,
     request: &CallerRequest,
     search: &mut OriginSearch,
 ) -> Option<(StreamOrigin, OriginSource)> {
-    let by_fingerprint = StreamId::with_fingerprint(request.fingerprint);
+    let identical = identical_stream(request);
     let named = request.head.resumes.as_ref();
-    let wanted = StreamId::taken_up(named, request.fingerprint);
-    let known = |stream| router.stream_origins.borrow().get(stream).cloned();
-    if let Some(origin) = known(wanted) {
-        let source = named.map_or(OriginSource::SameBytes, |_| OriginSource::Own);
-        return Some((origin, source));
+    let wanted = wanted_stream(request);
+    let known = || router.stream_origins.borrow().get(wanted).cloned();
+    let find_named = || named.and_then(|_| known());
+    if let Some(origin) = find_named() {
+        return Some((origin, OriginSource::Own));
     }
     let message = GossipMessage::StreamOriginsWanted(vec![wanted]);
     let deadline_unix_ms = now_unix_ms() + ORIGIN_WAIT_MS;
-    let denials = &router.origin_denials;
-    denials.borrow_mut().entry(wanted).or_default();
+    let answers = AnswersWanted {
+        router,
+        stream: wanted,
+    };
     let mut ask_unix_ms = 0;
-    let mut found = None;
-    while found.is_none() && now_unix_ms() < deadline_unix_ms {
+    while find_named().is_none() && now_unix_ms() < deadline_unix_ms {
         let answered = router.origin_answered.listen();
+        answers.count();
         if now_unix_ms() >= ask_unix_ms {
-            search.asked = send_to_holders(router, by_fingerprint, &message).await;
+            search.asked = send_to_holders(router, identical, &message).await;
             ask_unix_ms = now_unix_ms() + ORIGIN_RETRY_MS;
         }
-        let timer = sleep_until_unix_ms(ask_unix_ms.min(deadline_unix_ms));
-        select(answered, pin!(timer)).await;
-        found = known(wanted);
-        search.denied = denials.borrow().get(&wanted).map_or(0, HashSet::len);
-        if search.denied >= search.asked {
+        if answers.count() < search.asked {
+            let timer = sleep_until_unix_ms(ask_unix_ms.min(deadline_unix_ms));
+            select(answered, pin!(timer)).await;
+        }
+        search.answered = answers.count();
+        if search.answered >= search.asked {
             break;
         }
     }
-    denials.borrow_mut().remove(&wanted);
     let source = named.map_or(OriginSource::SameBytes, |_| OriginSource::Agents);
-    found.map(|origin| (origin, source))
+    known().map(|origin| (origin, source))
 }
 
 /// Returns where the stream began that the request takes up, and how that is known.
@@ -160,6 +194,11 @@
 
 /// Returns the only origin that is possible by the list of upstreams, if there is only one.
 fn assumed_origin(router: &PlatformRouter, request: &CallerRequest) -> Option<StreamOrigin> {
+    let wanted = wanted_stream(request);
+    if router.stream_origins.borrow().all(wanted).next().is_some() {
+        // Several are known, more than the list may tell.
+        return None;
+    }
     let [target] = request.route.targets.as_slice() else {
         return None;
     };
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -15,7 +15,10 @@
 
 use celerystair_core::{prelude::*, rendezvous};
 
-use crate::spread::{Peer, address_weight};
+use crate::{
+    spread::{Peer, address_weight},
+    suspect_part::PromptPartId,
+};
 
 /// The agents that hold the origin of each stream: a datagram may be lost, and one of them end.
 pub const VERSION_HOLDERS: usize = 3;
@@ -27,6 +30,8 @@
 const GENERATION_MS: u64 = 60_000;
 /// The most origins that a process holds in each of two generations.
 const GENERATION_MAX: usize = 32 * 1024;
+/// The most origins that are held for one identifier: two show that it isn't unique.
+const ORIGINS_PER_STREAM_MAX: usize = 2;
 /// A version that has left the list for less than this time may come back: an upstream that has
 /// crashed starts again within seconds.
 const VERSION_RETURN_MS: u64 = 10_000;
@@ -54,17 +59,27 @@
         Self(rendezvous::fingerprint(request.as_bytes()))
     }
 
+    /// Returns the identifier that identical requests share: those of one fingerprint that ask the same
+    /// model to answer the same prompt.
+    pub fn of_identical(
+        fingerprint: u64,
+        model: Option<&ModelRef>,
+        prompt: &[PromptPartId],
+    ) -> Self {
+        let model = model.map(ToString::to_string).unwrap_or_default();
+        let mut bytes = fingerprint.to_le_bytes().to_vec();
+        for part in prompt {
+            bytes.extend_from_slice(&part.0.to_le_bytes());
+        }
+        bytes.extend_from_slice(model.as_bytes());
+        Self(rendezvous::fingerprint(&bytes))
+    }
+
     /// Returns the identifier by which the stream is looked up that a request takes up. The record of
     /// the request that it names proves the origin; that of an identical request doesn't, as
     /// it may have begun another stream.
-    pub fn taken_up(resumes: Option<&RequestId>, fingerprint: u64) -> Self {
-        resumes.map_or(Self::with_fingerprint(fingerprint), Self::begun_by)
-    }
-
-    /// Returns the identifier by the request's fingerprint, which the request that takes the stream up
-    /// shares. It selects the agents that hold the origin.
-    pub fn with_fingerprint(fingerprint: u64) -> Self {
-        Self(fingerprint)
+    pub fn taken_up(resumes: Option<&RequestId>, identical: Self) -> Self {
+        resumes.map_or(identical, Self::begun_by)
     }
 }
 
@@ -77,29 +92,60 @@
     pub version: SoftwareVersion,
 }
 
-/// The origins of streams. Of two generations, the
-/// older is dropped as a whole when the younger is full or old enough.
+/// The origins of streams. Of two generations, the older is dropped as a whole when the younger is full
+/// or old enough. Identical requests may begin streams at different origins, so that an identifier can
+/// have several.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
-    young: HashMap<StreamId, StreamOrigin>,
-    old: HashMap<StreamId, StreamOrigin>,
+    young: HashMap<StreamId, Vec<RecordedOrigin>>,
+    old: HashMap<StreamId, Vec<RecordedOrigin>>,
     young_since_unix_ms: u64,
 }
 
+#[derive(Clone, Debug)]
+struct RecordedOrigin {
+    origin: StreamOrigin,
+    recorded_unix_ms: u64,
+}
+
 impl StreamOrigins {
-    /// Records the origin of a stream.
+    /// Records an origin of a stream, beside others that were recorded for it before.
     pub fn insert(&mut self, stream: StreamId, origin: StreamOrigin, now_unix_ms: u64) {
-        let is_old = now_unix_ms >= self.young_since_unix_ms + GENERATION_MS;
+        let is_old = now_unix_ms >= self.young_since_unix_ms.saturating_add(GENERATION_MS);
         if is_old || self.young.len() >= GENERATION_MAX {
             self.old = std::mem::take(&mut self.young);
             self.young_since_unix_ms = now_unix_ms;
         }
-        self.young.insert(stream, origin);
+        let known = self.young.remove(&stream);
+        let mut recorded = known.unwrap_or_else(|| self.recorded(stream).to_vec());
+        recorded.retain(|known| {
+            let end_unix_ms = known.recorded_unix_ms.saturating_add(2 * GENERATION_MS);
+            known.origin != origin && now_unix_ms < end_unix_ms
+        });
+        recorded.truncate(ORIGINS_PER_STREAM_MAX - 1);
+        recorded.push(RecordedOrigin {
+            origin,
+            recorded_unix_ms: now_unix_ms,
+        });
+        self.young.insert(stream, recorded);
     }
 
-    /// Returns the origin of a stream, if it is known.
+    /// Returns the origin of a stream, if one is known and no other one.
     pub fn get(&self, stream: StreamId) -> Option<&StreamOrigin> {
-        self.young.get(&stream).or_else(|| self.old.get(&stream))
+        match self.recorded(stream) {
+            [only] => Some(&only.origin),
+            _ => None,
+        }
+    }
+
+    /// Returns all origins that are known of a stream.
+    pub fn all(&self, stream: StreamId) -> impl Iterator<Item = &StreamOrigin> {
+        self.recorded(stream).iter().map(|known| &known.origin)
+    }
+
+    fn recorded(&self, stream: StreamId) -> &[RecordedOrigin] {
+        let recorded = self.young.get(&stream).or_else(|| self.old.get(&stream));
+        recorded.map_or(&[], Vec::as_slice)
     }
 }
 
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -120,12 +120,12 @@
         let mut replay = Replay { random: 1 };
         let mut held: HashMap<SocketAddr, StreamOrigins> = HashMap::default();
         let mut tell = |replay: &mut Replay, stream: u64, begun: &RequestId, version: &str| {
-            let by_fingerprint = StreamId::with_fingerprint(stream);
-            for holder in version_holders(by_fingerprint, &all) {
+            let identical = StreamId::of_identical(stream, None, &[]);
+            for holder in version_holders(identical, &all) {
                 if replay.is_delivered() {
                     let origins = held.entry(holder).or_default();
                     origins.insert(StreamId::begun_by(begun), origin(version), START_UNIX_MS);
-                    origins.insert(by_fingerprint, origin(version), START_UNIX_MS);
+                    origins.insert(identical, origin(version), START_UNIX_MS);
                 }
             }
             if replay.draw(2) == 0 {
@@ -139,8 +139,9 @@
             let second = RequestId::from(format!("second-{stream}"));
             tell(&mut replay, stream, &first, "v1");
             let held = tell(&mut replay, stream, &second, "v2");
-            let wanted = StreamId::taken_up(Some(&first), stream);
-            let holders = version_holders(StreamId::with_fingerprint(stream), &all);
+            let identical = StreamId::of_identical(stream, None, &[]);
+            let wanted = StreamId::taken_up(Some(&first), identical);
+            let holders = version_holders(identical, &all);
             for holder in holders {
                 let known = held.get(&holder).and_then(|origins| origins.get(wanted));
                 assert!(known.is_none_or(|known| *known == origin("v1")));
@@ -151,6 +152,48 @@
     }
 }
 
+/// Identical requests begin streams at two versions, and their callers name none of them.
+#[test]
+fn an_unnamed_stream_is_known_only_while_identical_ones_began_at_one_version() {
+    let (first, second) = (origin("v1"), origin("v2"));
+    let stream = StreamId(1);
+    let mut origins = StreamOrigins::default();
+    let mut now = START_UNIX_MS;
+    origins.insert(stream, first.clone(), now);
+    origins.insert(stream, first.clone(), now);
+    assert_eq!(origins.get(stream), Some(&first));
+    now += 59_000;
+    origins.insert(stream, second.clone(), now);
+    assert_eq!(origins.get(stream), None);
+    assert_eq!(origins.all(stream).count(), 2);
+    // The first one is held until no caller takes such a stream up.
+    now += 60_000;
+    origins.insert(stream, second.clone(), now);
+    assert_eq!(origins.get(stream), None);
+    now += 2000;
+    origins.insert(stream, second.clone(), now);
+    assert_eq!(origins.get(stream), Some(&second));
+}
+
+/// Streams of different prompts aren't taken for one, although their requests have the same bytes.
+#[test]
+fn streams_of_another_model_or_prompt_are_not_identical() {
+    let model = |name: &str| ModelRef::parse(name);
+    let (m1, m2) = (model("m1"), model("m2"));
+    let (a, b) = (PromptPartId(1), PromptPartId(2));
+    let ids = [
+        StreamId::of_identical(1, Some(&m1), &[a]),
+        StreamId::of_identical(2, Some(&m1), &[a]),
+        StreamId::of_identical(1, Some(&m2), &[a]),
+        StreamId::of_identical(1, None, &[a]),
+        StreamId::of_identical(1, Some(&m1), &[b]),
+        StreamId::of_identical(1, Some(&m1), &[a, b]),
+    ];
+    let distinct: HashSet<StreamId> = ids.iter().copied().collect();
+    assert_eq!(distinct.len(), ids.len());
+    assert_eq!(StreamId::of_identical(1, Some(&m1), &[a]), ids[0]);
+}
+
 /// The loss of a failure domain must not lose the records of a stream.
 #[test]
 fn holders_stand_in_different_failure_domains() {
