--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -15,7 +15,10 @@
 
 use celerystair_core::{prelude::*, rendezvous};
 
-use crate::spread::{Peer, address_weight};
+use crate::{
+    spread::{Peer, address_weight},
+    suspect_part::PromptPartId,
+};
 
 /// The agents that hold the origin of each stream: a datagram may be lost, and one of them end.
 pub const VERSION_HOLDERS: usize = 3;
@@ -27,13 +30,23 @@
 const GENERATION_MS: u64 = 60_000;
 /// The most origins that a process holds in each of two generations.
 const GENERATION_MAX: usize = 32 * 1024;
+/// The most origins that are held for one identifier: two show that it isn't unique.
+const ORIGINS_PER_STREAM_MAX: usize = 2;
 /// A version that has left the list for less than this time may come back: an upstream that has
 /// crashed starts again within seconds.
 const VERSION_RETURN_MS: u64 = 10_000;
 /// `Retry-After` of a stream whose version may come back.
 const VERSION_RETRY_AFTER_MS: u64 = 500;
-/// A caller may take a stream up this many times its route's timeout after it began.
+/// A caller may take a stream up this many times its route's timeout after it began, or after it was
+/// taken up last.
 const STREAM_LIFE_TIMEOUTS: u64 = 2;
+/// A stream is taken to live for at least this long. Its caller may take it up several times, and its
+/// route's timeout may have been longer when it began, before this process started. As long as
+/// a record is held at most.
+const STREAM_LIFE_MIN_MS: u64 = 2 * GENERATION_MS;
+/// A process that has not looked at its list for this long was frozen or starved, and versions may have
+/// come and gone meanwhile. It looks every second at least.
+const LIST_GAP_MAX_MS: u64 = 3000;
 
 /// Identifies a stream, by the request that brought its first event. A stream has two identifiers, as
 /// some callers that take it up don't name that request.
@@ -46,10 +59,27 @@
         Self(rendezvous::fingerprint(request.as_bytes()))
     }
 
-    /// Returns the identifier by the request's fingerprint, which the request that takes the stream up
-    /// shares. It selects the agents that hold the origin.
-    pub fn with_fingerprint(fingerprint: u64) -> Self {
-        Self(fingerprint)
+    /// Returns the identifier that identical requests share: those of one fingerprint that ask the same
+    /// model to answer the same prompt.
+    pub fn of_identical(
+        fingerprint: u64,
+        model: Option<&ModelRef>,
+        prompt: &[PromptPartId],
+    ) -> Self {
+        let model = model.map(ToString::to_string).unwrap_or_default();
+        let mut bytes = fingerprint.to_le_bytes().to_vec();
+        for part in prompt {
+            bytes.extend_from_slice(&part.0.to_le_bytes());
+        }
+        bytes.extend_from_slice(model.as_bytes());
+        Self(rendezvous::fingerprint(&bytes))
+    }
+
+    /// Returns the identifier by which the stream is looked up that a request takes up. The record of
+    /// the request that it names proves the origin; that of an identical request doesn't, as
+    /// it may have begun another stream.
+    pub fn taken_up(resumes: Option<&RequestId>, identical: Self) -> Self {
+        resumes.map_or(identical, Self::begun_by)
     }
 }
 
@@ -62,29 +92,60 @@
     pub version: SoftwareVersion,
 }
 
-/// The origins of streams. Of two generations, the
-/// older is dropped as a whole when the younger is full or old enough.
+/// The origins of streams. Of two generations, the older is dropped as a whole when the younger is full
+/// or old enough. Identical requests may begin streams at different origins, so that an identifier can
+/// have several.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
-    young: HashMap<StreamId, StreamOrigin>,
-    old: HashMap<StreamId, StreamOrigin>,
+    young: HashMap<StreamId, Vec<RecordedOrigin>>,
+    old: HashMap<StreamId, Vec<RecordedOrigin>>,
     young_since_unix_ms: u64,
 }
 
+#[derive(Clone, Debug)]
+struct RecordedOrigin {
+    origin: StreamOrigin,
+    recorded_unix_ms: u64,
+}
+
 impl StreamOrigins {
-    /// Records the origin of a stream.
+    /// Records an origin of a stream, beside others that were recorded for it before.
     pub fn insert(&mut self, stream: StreamId, origin: StreamOrigin, now_unix_ms: u64) {
-        let is_old = now_unix_ms >= self.young_since_unix_ms + GENERATION_MS;
+        let is_old = now_unix_ms >= self.young_since_unix_ms.saturating_add(GENERATION_MS);
         if is_old || self.young.len() >= GENERATION_MAX {
             self.old = std::mem::take(&mut self.young);
             self.young_since_unix_ms = now_unix_ms;
         }
-        self.young.insert(stream, origin);
+        let known = self.young.remove(&stream);
+        let mut recorded = known.unwrap_or_else(|| self.recorded(stream).to_vec());
+        recorded.retain(|known| {
+            let end_unix_ms = known.recorded_unix_ms.saturating_add(2 * GENERATION_MS);
+            known.origin != origin && now_unix_ms < end_unix_ms
+        });
+        recorded.truncate(ORIGINS_PER_STREAM_MAX - 1);
+        recorded.push(RecordedOrigin {
+            origin,
+            recorded_unix_ms: now_unix_ms,
+        });
+        self.young.insert(stream, recorded);
     }
 
-    /// Returns the origin of a stream, if it is known.
+    /// Returns the origin of a stream, if one is known and no other one.
     pub fn get(&self, stream: StreamId) -> Option<&StreamOrigin> {
-        self.young.get(&stream).or_else(|| self.old.get(&stream))
+        match self.recorded(stream) {
+            [only] => Some(&only.origin),
+            _ => None,
+        }
+    }
+
+    /// Returns all origins that are known of a stream.
+    pub fn all(&self, stream: StreamId) -> impl Iterator<Item = &StreamOrigin> {
+        self.recorded(stream).iter().map(|known| &known.origin)
+    }
+
+    fn recorded(&self, stream: StreamId) -> &[RecordedOrigin] {
+        let recorded = self.young.get(&stream).or_else(|| self.old.get(&stream));
+        recorded.map_or(&[], Vec::as_slice)
     }
 }
 
@@ -147,17 +208,43 @@
     }
 }
 
+/// Since when a process has seen every change of the list of upstreams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ListCoverage {
+    since_unix_ms: Option<u64>,
+    looked_unix_ms: u64,
+}
+
+impl ListCoverage {
+    /// Records that the process has looked at the list, which has been read.
+    pub fn record_look(&mut self, now_unix_ms: u64) {
+        let is_interrupted = now_unix_ms > self.looked_unix_ms.saturating_add(LIST_GAP_MAX_MS);
+        if is_interrupted || self.since_unix_ms.is_none() {
+            self.since_unix_ms = Some(now_unix_ms);
+        }
+        self.looked_unix_ms = now_unix_ms;
+    }
+
+    /// Returns since when every change was seen; `None` if some may have been missed just now.
+    pub fn since_unix_ms(&self, now_unix_ms: u64) -> Option<u64> {
+        let is_current = now_unix_ms <= self.looked_unix_ms.saturating_add(LIST_GAP_MAX_MS);
+        self.since_unix_ms.filter(|_| is_current)
+    }
+}
+
 /// Returns the version of a stream whose origin no process knows: the only one that was listed while
 /// it may have begun, if the list was current all the while. `None` if that can't be told.
 ///
-/// `listed_since_unix_ms` is since when the list has been read without an outage, if it can be read.
+/// `longest_timeout_ms` is the longest timeout that any route has had. `listed_since_unix_ms` is since
+/// when every change of the list was seen, without an outage, if the list can be read.
 pub fn assumed_version(
     history: &VersionHistory,
-    route_timeout_ms: u64,
+    longest_timeout_ms: u64,
     listed_since_unix_ms: Option<u64>,
     now_unix_ms: u64,
 ) -> Option<SoftwareVersion> {
-    let began_unix_ms = now_unix_ms.saturating_sub(STREAM_LIFE_TIMEOUTS * route_timeout_ms);
+    let life_ms = longest_timeout_ms.saturating_mul(STREAM_LIFE_TIMEOUTS);
+    let began_unix_ms = now_unix_ms.saturating_sub(life_ms.max(STREAM_LIFE_MIN_MS));
     let is_covered = listed_since_unix_ms.is_some_and(|since| since <= began_unix_ms);
     is_covered
         .then(|| history.sole_version_since(began_unix_ms))
