Report requests whose connection ends without a complete response

A router logged and counted nothing when a caller's connection ended with a request read and not answered, so the ways to lose one looked alike. request_unanswered and celerystair_unanswered_total name the end: the caller, idleness, a head that did not arrive in time, a stop, a panic, or a response that was broken off. request_dropped names the request. No change of decisions.

--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -31,7 +31,15 @@
     let mut response = match read_request(&router, request, arrived_unix_ms).await {
         Ok(request) => {
             let request = Rc::new(request);
-            match serve_request(&router, request.clone()).await {
+            let mut unanswered = DropWatch {
+                router: &router,
+                request: &request,
+                is_answered: false,
+            };
+            let served = serve_request(&router, request.clone()).await;
+            unanswered.is_answered = true;
+            drop(unanswered);
+            match served {
                 Ok(response) => {
                     router.record_outcome("answered", arrived_unix_ms);
                     response
@@ -56,6 +64,21 @@
     response
 }
 
+/// Logs a request that is dropped before it is answered.
+struct DropWatch<'a> {
+    router: &'a PlatformRouter,
+    request: &'a CallerRequest,
+    is_answered: bool,
+}
+
+impl Drop for DropWatch<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.router.log_request_dropped(self.request);
+        }
+    }
+}
+
 async fn read_request(
     router: &PlatformRouter,
     request: HttpRequest,
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -295,6 +295,14 @@
         self.router_count_estimate.borrow().routers(now_unix_ms())
     }
 
+    /// Records a request that was read, at least in part, and whose connection ended without a complete
+    /// response.
+    fn record_unanswered(&self, request: &UnansweredRequest) {
+        let end = label("end", request.end.as_str());
+        self.metrics.unanswered.add(1, &[end]);
+        self.log_unanswered(request);
+    }
+
     /// Records how a request ended and the time from its arrival to the start of its response.
     pub fn record_outcome(&self, outcome: &str, arrived_unix_ms: u64) {
         let seconds = now_unix_ms().saturating_sub(arrived_unix_ms) as f64 / 1000.0;
@@ -376,12 +384,13 @@
     serve_metrics(&router, stop);
     compio::runtime::spawn(log_attempts_per_window(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(refuse_waiting_before_kill(router.clone(), stop.clone())).detach();
-    let (limits_router, handler_router, server_stop) =
-        (router.clone(), router.clone(), stop.clone());
+    let (limits_router, report_router) = (router.clone(), router.clone());
+    let (handler_router, server_stop) = (router.clone(), stop.clone());
     let server_task = compio::runtime::spawn(async move {
         let limits = move || connection_limits(&limits_router);
         let handle = move |request| handle_caller_request(handler_router.clone(), request);
-        serve_http_limited(callers, server_stop, STOP_NOTICE_MS, limits, handle)
+        let report = move |request: &UnansweredRequest| report_router.record_unanswered(request);
+        serve_http_limited(callers, server_stop, STOP_NOTICE_MS, limits, report, handle)
             .await
             .ok();
     });
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -2,6 +2,7 @@
 //! listed in `docs/OPERATIONS.md`.
 
 use celerystair_core::prelude::*;
+use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
 
@@ -34,6 +35,26 @@
             "config_version" => self.view.config_version(), "age_ms" => request.age_ms(now));
     }
 
+    /// Logs that a request was read, at least in part, and that its connection ended without a complete
+    /// response.
+    pub fn log_unanswered(&self, request: &UnansweredRequest) {
+        info!(self.log, "request_unanswered"; "end" => request.end.as_str(),
+            "caller" => request.caller.map(|address| address.to_string()),
+            "head_bytes" => request.head_bytes, "requests_before" => request.requests_before,
+            "connection_age_ms" => request.connection_age_ms,
+            "since_response_ms" => request.since_response_ms, "detail" => &request.detail,
+            "config_version" => self.view.config_version());
+    }
+
+    /// Logs that a request is dropped before it is answered, since its caller's connection has ended or
+    /// serving it has panicked.
+    pub fn log_request_dropped(&self, request: &CallerRequest) {
+        info!(self.log, "request_dropped"; "request" => %request.head.id,
+            "route" => &request.route.name, "is_panic" => std::thread::panicking(),
+            "config_version" => self.view.config_version(),
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a caller takes up a stream that began as an earlier request, at which version it goes
     /// on, and how that is known.
     pub fn log_stream_taken_up(
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -1,15 +1,25 @@
 //! An HTTP/1.1 server with one task per connection, whose graceful shutdown resets no connection.
 
-use std::{cell::Cell, convert::Infallible, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, pin::pin,
+    rc::Rc, time::Duration,
+};
 
 use celerystair_core::prelude::*;
-use compio::net::TcpListener;
-use cyper_core::HyperStream;
-use futures_util::future::{Either, select};
+use compio::net::{TcpListener, TcpStream};
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use thiserror::Error;
 
-use crate::{body::HttpBody, json::typed_response, timer::ConnectionTimer};
+use crate::{
+    body::HttpBody,
+    connection_watch::{ConnectionEnd, ConnectionWatch, UnansweredRequest, WatchedStream},
+    json::typed_response,
+    timer::ConnectionTimer,
+};
 
 /// A request whose body has not been read yet.
 pub type HttpRequest = http::Request<Incoming>;
@@ -77,7 +87,7 @@
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    serve_connections(listener, stop, default_limits, handle).await
+    serve_connections(listener, stop, default_limits, |_| {}, handle).await
 }
 
 /// hyper's default limits.
@@ -126,10 +136,11 @@
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    serve_http_limited(listener, stop, notice_ms, default_limits, handle).await
+    serve_http_limited(listener, stop, notice_ms, default_limits, |_| {}, handle).await
 }
 
-/// Serves as [`serve_http_with_notice`], with limits that are read anew for each connection.
+/// Serves as [`serve_http_with_notice`], with limits that are read anew for each connection, and
+/// reports each request that is left unanswered.
 ///
 /// # Errors
 /// As [`serve_http`].
@@ -138,6 +149,7 @@
     stop: Stop,
     notice_ms: u64,
     limits: impl Fn() -> ConnectionLimits,
+    report: impl Fn(&UnansweredRequest) + 'static,
     handle: F,
 ) -> io::Result<()>
 where
@@ -145,7 +157,7 @@
     R: Future<Output = HttpResponse> + 'static,
 {
     let delayed_stop = delayed_stop(&stop, notice_ms);
-    serve_connections(listener, delayed_stop, limits, move |request| {
+    serve_connections(listener, delayed_stop, limits, report, move |request| {
         let response = handle(request);
         let stop = stop.clone();
         async move {
@@ -182,6 +194,7 @@
     listener: TcpListener,
     stop: Stop,
     limits: impl Fn() -> ConnectionLimits,
+    report: impl Fn(&UnansweredRequest) + 'static,
     handle: F,
 ) -> io::Result<()>
 where
@@ -189,6 +202,7 @@
     R: Future<Output = HttpResponse> + 'static,
 {
     let handle = Rc::new(handle);
+    let report = Rc::new(report);
     let connections = OpenConnections::default();
     accept_until(&listener, &stop, async |stream| {
         stream.set_nodelay(true).ok();
@@ -196,17 +210,20 @@
         let stop = stop.clone();
         let guard = connections.track();
         let builder = limits().to_builder();
+        let report = report.clone();
         compio::runtime::spawn(async move {
-            let service = service_fn(move |request| {
-                let response = handle(request);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
-            let mut connection = pin!(connection);
-            let draining = pin!(stop.draining());
-            if let Either::Right(((), _)) = select(connection.as_mut(), draining).await {
-                connection.as_mut().graceful_shutdown();
-                let _ = select(connection, pin!(stop.ended())).await;
+            let watch = ConnectionWatch::new(&stream);
+            let driven = drive_connection(&builder, stream, &watch, &*handle, &stop);
+            let (end, detail) = match AssertUnwindSafe(driven).catch_unwind().await {
+                Ok(Ok(end)) => (end, String::new()),
+                Ok(Err(error)) if error.is_timeout() => {
+                    (ConnectionEnd::HeadTimeout, error.to_string())
+                }
+                Ok(Err(error)) => (ConnectionEnd::Caller, error.to_string()),
+                Err(panic) => (ConnectionEnd::Panic, panic_message(&*panic)),
+            };
+            if let Some(unanswered) = watch.unanswered(end, detail) {
+                report(&unanswered);
             }
             drop(guard);
         })
@@ -218,6 +235,43 @@
     Ok(())
 }
 
+/// Serves the requests of one connection until it ends, and returns why it ended.
+async fn drive_connection<F, R>(
+    builder: &http1::Builder,
+    stream: TcpStream,
+    watch: &Rc<ConnectionWatch>,
+    handle: &F,
+    stop: &Stop,
+) -> hyper::Result<ConnectionEnd>
+where
+    F: Fn(HttpRequest) -> R,
+    R: Future<Output = HttpResponse>,
+{
+    let service = service_fn(|request: HttpRequest| {
+        let running = watch.start_request(request.method() == http::Method::HEAD);
+        let response = handle(request);
+        async move { Ok::<_, Infallible>(running.watch_response(response.await)) }
+    });
+    let stream = WatchedStream::new(stream, watch.clone());
+    let mut connection = pin!(builder.serve_connection(stream, service));
+    let draining = pin!(stop.draining());
+    match select(connection.as_mut(), draining).await {
+        Either::Left((result, _)) => return result.map(|()| ConnectionEnd::Caller),
+        Either::Right(_) => connection.as_mut().graceful_shutdown(),
+    }
+    match select(connection, pin!(stop.ended())).await {
+        Either::Left((result, _)) => result.map(|()| ConnectionEnd::Stop),
+        Either::Right(_) => Ok(ConnectionEnd::Stop),
+    }
+}
+
+/// Returns what a task said when it panicked.
+fn panic_message(panic: &(dyn std::any::Any + Send)) -> String {
+    let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+    text.or_else(|| panic.downcast_ref::<String>().cloned())
+        .unwrap_or_default()
+}
+
 /// How long the kernel's accept queue must stay empty before the listener is closed, because
 /// closing it resets the connections in the queue.
 const BACKLOG_IDLE_MS: u64 = 20;
@@ -226,7 +280,7 @@
 pub(crate) async fn accept_until(
     listener: &TcpListener,
     stop: &Stop,
-    serve: impl AsyncFn(compio::net::TcpStream),
+    serve: impl AsyncFn(TcpStream),
 ) -> io::Result<()> {
     while !stop.is_draining() {
         match select(pin!(listener.accept()), pin!(stop.draining())).await {
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | contents |
 //! |---|---|
 //! | [`body`] | response bodies, complete or streamed |
+//! | [`connection_watch`] | what a server knows of a connection, and of requests left unanswered |
 //! | [`dial`] | how a thread opens connections to peers |
 //! | [`grpc`] | a gRPC server, and a client connection that reopens itself |
 //! | [`http_server`] | an HTTP/1.1 server with one task per connection |
@@ -11,6 +12,7 @@
 //! | [`tls`] | mutual TLS between the system's own processes |
 
 pub mod body;
+pub mod connection_watch;
 pub mod dial;
 pub mod grpc;
 pub mod http_server;
@@ -22,6 +24,7 @@
 pub mod prelude {
     pub use crate::{
         body::{BodyError, HttpBody},
+        connection_watch::{ConnectionEnd, UnansweredRequest},
         dial::{Dialer, set_dialer},
         grpc::{Connection, ConnectionError, serve_grpc},
         http_server::{
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -41,6 +41,9 @@
     pub attempts: Counter<u64>,
     /// Retries that the retry budget allowed or denied, by `service` and `outcome`.
     pub retries: Counter<u64>,
+    /// Requests that were read, at least in part, and whose connection ended without a complete
+    /// response, by `end`.
+    pub unanswered: Counter<u64>,
     /// Gauges of the process's state, set when the metrics are scraped.
     pub gauges: Gauges,
 }
@@ -140,6 +143,7 @@
             loads: meter.u64_counter("celerystair_loads").build(),
             attempts: meter.u64_counter("celerystair_attempts").build(),
             retries: meter.u64_counter("celerystair_retries").build(),
+            unanswered: meter.u64_counter("celerystair_unanswered").build(),
             gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
