Keep a caller's connection for the longest idle limit it may rely on

Callers saw: a request on a kept connection got neither an answer nor a refusal. After IdleTimeoutMs had risen, an open connection was closed by the limit at its accept, which for one from before the first configuration was a guess of the router's. A head that had begun to arrive was dropped as the timer ended, and with a limit of 0 each new connection was closed before its first request.

Cause: the HTTP library's header_read_timeout was set once at the accept. It bounds idleness and the time of a head alike, and ends the connection whatever has been read.

Fix: the server drives the limit itself. When it is over, it asks again until when the connection may wait, which may be later by then, and closes only if no byte has been read and the kernel holds none. The policy keeps the limits that callers may still rely on, so a fall, or a change and back, cuts nobody either. A head has its own time from its first byte, and is refused with 408 after it. An idle connection is still closed.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -387,7 +387,7 @@
     let (limits_router, report_router) = (router.clone(), router.clone());
     let (handler_router, server_stop) = (router.clone(), stop.clone());
     let server_task = compio::runtime::spawn(async move {
-        let limits = move || connection_limits(&limits_router);
+        let limits = move |awaited| connection_limits(&limits_router, awaited);
         let handle = move |request| handle_caller_request(handler_router.clone(), request);
         let report = move |request: &UnansweredRequest| report_router.record_unanswered(request);
         serve_http_limited(callers, server_stop, STOP_NOTICE_MS, limits, report, handle)
@@ -420,13 +420,21 @@
     router.closing.drain();
 }
 
-fn connection_limits(router: &PlatformRouter) -> ConnectionLimits {
+fn connection_limits(router: &PlatformRouter, awaited: Awaited) -> ConnectionLimits {
     let active = router.view.config();
     let limits = active
         .map(|active| active.config.caller_limits)
         .unwrap_or_default();
+    let history = router.view.caller_limits();
+    let until_unix_ms = match awaited {
+        Awaited::FirstRequest { since_unix_ms } => {
+            history.first_request_until_unix_ms(since_unix_ms)
+        }
+        Awaited::NextRequest { since_unix_ms } => history.idle_until_unix_ms(since_unix_ms),
+        Awaited::RestOfHead { since_unix_ms } => history.head_until_unix_ms(since_unix_ms),
+    };
     ConnectionLimits {
         head_max_bytes: Some(limits.head_max_bytes),
-        idle_timeout_ms: Some(limits.idle_timeout_ms),
+        until_unix_ms,
     }
 }
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -1,7 +1,7 @@
 //! The active configuration and the known upstreams, kept current from the store.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, Ref, RefCell},
     pin::pin,
     rc::Rc,
 };
@@ -42,6 +42,7 @@
     log: Logger,
     store: Store,
     config: RefCell<Option<Rc<ActiveConfig>>>,
+    caller_limits: RefCell<CallerLimitHistory>,
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     missing: RefCell<MissingUpstreams>,
@@ -58,6 +59,7 @@
                 log: log.clone(),
                 store: store.clone(),
                 config: RefCell::default(),
+                caller_limits: RefCell::default(),
                 upstreams: RefCell::default(),
                 by_service: RefCell::default(),
                 missing: RefCell::default(),
@@ -92,6 +94,11 @@
         self.inner.config.borrow().clone()
     }
 
+    /// Returns the limits on callers' connections that are and were in force.
+    pub fn caller_limits(&self) -> Ref<'_, CallerLimitHistory> {
+        self.inner.caller_limits.borrow()
+    }
+
     /// Returns the version of the active configuration, or 0 if none was read.
     pub fn config_version(&self) -> u64 {
         let config = self.inner.config.borrow();
@@ -191,8 +198,13 @@
         if known.is_some_and(|known| known >= config.version) {
             return;
         }
+        let limits = &config.caller_limits;
         info!(self.inner.log, "config_in_force";
-            "version" => config.version, "before" => known, "routes" => config.routes.len());
+            "version" => config.version, "before" => known, "routes" => config.routes.len(),
+            "idle_timeout_ms" => limits.idle_timeout_ms);
+        let mut history = self.inner.caller_limits.borrow_mut();
+        history.record(limits, now_unix_ms());
+        drop(history);
         let active = ActiveConfig {
             routes: RouteTable::new(config),
             config: config.clone(),
--- a/crates/celerystair_net/src/connection_watch.rs
+++ b/crates/celerystair_net/src/connection_watch.rs
@@ -18,7 +18,10 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
-use crate::body::{BodyError, HttpBody};
+use crate::{
+    body::{BodyError, HttpBody},
+    http_server::Awaited,
+};
 
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -106,6 +109,29 @@
         })
     }
 
+    /// Returns what the connection waits for if it is idle now, whether or not a head has begun to
+    /// arrive. While a request runs, that is the one after it, from now.
+    pub(crate) fn awaited_if_idle(&self, now_unix_ms: u64) -> Awaited {
+        let is_busy = self.running.get() > 0 || !self.is_flushed.get();
+        if is_busy {
+            let since_unix_ms = now_unix_ms;
+            return Awaited::NextRequest { since_unix_ms };
+        }
+        let since_unix_ms = self.idle_since_unix_ms.get();
+        if self.requests.get() == 0 {
+            Awaited::FirstRequest { since_unix_ms }
+        } else {
+            Awaited::NextRequest { since_unix_ms }
+        }
+    }
+
+    /// Returns when the first byte was read of a head that is not whole, or possibly of the rest of a
+    /// body that its handler did not want.
+    pub(crate) fn head_begun_unix_ms(&self) -> Option<u64> {
+        let has_begun = self.running.get() == 0 && self.head_bytes.get() > 0;
+        has_begun.then(|| self.head_since_unix_ms.get())
+    }
+
     /// Counts a request as running until the guard is dropped.
     pub(crate) fn start_request(self: &Rc<Self>, is_head: bool) -> RequestGuard {
         self.head_bytes.set(0);
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -1,17 +1,26 @@
 //! An HTTP/1.1 server with one task per connection, whose graceful shutdown resets no connection.
 
 use std::{
-    cell::Cell, convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, pin::pin,
-    rc::Rc, time::Duration,
+    cell::Cell,
+    convert::Infallible,
+    future::poll_fn,
+    io,
+    net::SocketAddr,
+    panic::AssertUnwindSafe,
+    pin::{Pin, pin},
+    rc::Rc,
 };
 
-use celerystair_core::prelude::*;
+use celerystair_core::{
+    prelude::*,
+    time::{before_deadline, clock_scale},
+};
 use compio::net::{TcpListener, TcpStream};
 use futures_util::{
     FutureExt,
     future::{Either, select},
 };
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{body::Incoming, rt::Write, server::conn::http1, service::service_fn};
 use thiserror::Error;
 
 use crate::{
@@ -27,14 +36,34 @@
 /// The response to an [`HttpRequest`].
 pub type HttpResponse = http::Response<HttpBody>;
 
-/// Limits on the request head and the idle time of each connection.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Awaited {
+    /// Its first request.
+    FirstRequest {
+        /// When it was accepted.
+        since_unix_ms: u64,
+    },
+    /// The next request.
+    NextRequest {
+        /// When the response before it had been sent.
+        since_unix_ms: u64,
+    },
+    /// The rest of a request's head.
+    RestOfHead {
+        /// When its first byte was read.
+        since_unix_ms: u64,
+    },
+}
+
+/// Limits of one connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionLimits {
-    /// The largest request head in bytes, at least 8 KiB; `None` for hyper's default.
+    /// The largest request head in bytes, at least 8 KiB; `None` for hyper's default. Holds for the
+    /// connection's life.
     pub head_max_bytes: Option<usize>,
-    /// The time within which the next request's head must be complete, from the end of the previous
-    /// request; `None` for no limit.
-    pub idle_timeout_ms: Option<u64>,
+    /// Until when it waits. Asked anew when that time is over, so that it may have become later.
+    pub until_unix_ms: u64,
 }
 
 impl ConnectionLimits {
@@ -46,7 +75,9 @@
         if let Some(bytes) = self.head_max_bytes {
             builder.max_buf_size(bytes.max(HEAD_MIN_BYTES));
         }
-        builder.header_read_timeout(self.idle_timeout_ms.map(Duration::from_millis));
+        // hyper's own limit is fixed at the accept, and ends a connection whether or not a part of a
+        // request has been read.
+        builder.header_read_timeout(None);
         builder
     }
 }
@@ -90,12 +121,17 @@
     serve_connections(listener, stop, default_limits, |_| {}, handle).await
 }
 
-/// hyper's default limits.
-fn default_limits() -> ConnectionLimits {
-    const IDLE_TIMEOUT_MS: u64 = 30_000;
+/// Limits of servers whose callers are told none.
+pub fn default_limits(awaited: Awaited) -> ConnectionLimits {
+    const WAIT_MAX_MS: u64 = 30_000;
+    let (Awaited::FirstRequest { since_unix_ms }
+    | Awaited::NextRequest { since_unix_ms }
+    | Awaited::RestOfHead { since_unix_ms }) = awaited;
+    // In real time, as the network between the processes is no faster in a test.
+    let wait_max_ms = WAIT_MAX_MS.saturating_mul(clock_scale());
     ConnectionLimits {
         head_max_bytes: None,
-        idle_timeout_ms: Some(IDLE_TIMEOUT_MS),
+        until_unix_ms: since_unix_ms.saturating_add(wait_max_ms),
     }
 }
 
@@ -139,7 +175,7 @@
     serve_http_limited(listener, stop, notice_ms, default_limits, |_| {}, handle).await
 }
 
-/// Serves as [`serve_http_with_notice`], with limits that are read anew for each connection, and
+/// Serves as [`serve_http_with_notice`], with limits that are read anew whenever they matter, and
 /// reports each request that is left unanswered.
 ///
 /// # Errors
@@ -148,7 +184,7 @@
     listener: TcpListener,
     stop: Stop,
     notice_ms: u64,
-    limits: impl Fn() -> ConnectionLimits,
+    limits: impl Fn(Awaited) -> ConnectionLimits + 'static,
     report: impl Fn(&UnansweredRequest) + 'static,
     handle: F,
 ) -> io::Result<()>
@@ -193,7 +229,7 @@
 async fn serve_connections<F, R>(
     listener: TcpListener,
     stop: Stop,
-    limits: impl Fn() -> ConnectionLimits,
+    limits: impl Fn(Awaited) -> ConnectionLimits + 'static,
     report: impl Fn(&UnansweredRequest) + 'static,
     handle: F,
 ) -> io::Result<()>
@@ -202,6 +238,7 @@
     R: Future<Output = HttpResponse> + 'static,
 {
     let handle = Rc::new(handle);
+    let limits = Rc::new(limits);
     let report = Rc::new(report);
     let connections = OpenConnections::default();
     accept_until(&listener, &stop, async |stream| {
@@ -209,16 +246,12 @@
         let handle = handle.clone();
         let stop = stop.clone();
         let guard = connections.track();
-        let builder = limits().to_builder();
-        let report = report.clone();
+        let (limits, report) = (limits.clone(), report.clone());
         compio::runtime::spawn(async move {
             let watch = ConnectionWatch::new(&stream);
-            let driven = drive_connection(&builder, stream, &watch, &*handle, &stop);
+            let driven = drive_connection(stream, &watch, &*limits, &*handle, &stop);
             let (end, detail) = match AssertUnwindSafe(driven).catch_unwind().await {
                 Ok(Ok(end)) => (end, String::new()),
-                Ok(Err(error)) if error.is_timeout() => {
-                    (ConnectionEnd::HeadTimeout, error.to_string())
-                }
                 Ok(Err(error)) => (ConnectionEnd::Caller, error.to_string()),
                 Err(panic) => (ConnectionEnd::Panic, panic_message(&*panic)),
             };
@@ -235,11 +268,14 @@
     Ok(())
 }
 
+/// How long a connection on which something has come waits for it to be read.
+const RECHECK_MS: u64 = 20;
+
 /// Serves the requests of one connection until it ends, and returns why it ended.
 async fn drive_connection<F, R>(
-    builder: &http1::Builder,
     stream: TcpStream,
     watch: &Rc<ConnectionWatch>,
+    limits: &impl Fn(Awaited) -> ConnectionLimits,
     handle: &F,
     stop: &Stop,
 ) -> hyper::Result<ConnectionEnd>
@@ -252,19 +288,84 @@
         let response = handle(request);
         async move { Ok::<_, Infallible>(running.watch_response(response.await)) }
     });
+    let socket = stream.clone();
     let stream = WatchedStream::new(stream, watch.clone());
-    let mut connection = pin!(builder.serve_connection(stream, service));
-    let draining = pin!(stop.draining());
-    match select(connection.as_mut(), draining).await {
-        Either::Left((result, _)) => return result.map(|()| ConnectionEnd::Caller),
-        Either::Right(_) => connection.as_mut().graceful_shutdown(),
+    let accept_limits = limits(watch.awaited_if_idle(now_unix_ms()));
+    let mut connection = accept_limits.to_builder().serve_connection(stream, service);
+    let mut draining = pin!(stop.draining());
+    let mut check_unix_ms = accept_limits.until_unix_ms;
+    loop {
+        let timer = pin!(sleep_until_unix_ms(check_unix_ms));
+        match select(&mut connection, select(draining.as_mut(), timer)).await {
+            Either::Left((result, _)) => return result.map(|()| ConnectionEnd::Caller),
+            Either::Right((Either::Left(_), _)) => break,
+            Either::Right((Either::Right(_), _)) => {}
+        }
+        let now = now_unix_ms();
+        check_unix_ms = until_unix_ms(watch, limits, now);
+        if now < check_unix_ms {
+            continue;
+        }
+        if watch.head_begun_unix_ms().is_some() {
+            refuse_late_head(connection.into_parts()).await;
+            return Ok(ConnectionEnd::HeadTimeout);
+        }
+        if !has_unread_bytes(&socket) {
+            return Ok(ConnectionEnd::Idle);
+        }
+        check_unix_ms = now + RECHECK_MS;
     }
+    Pin::new(&mut connection).graceful_shutdown();
     match select(connection, pin!(stop.ended())).await {
         Either::Left((result, _)) => result.map(|()| ConnectionEnd::Stop),
         Either::Right(_) => Ok(ConnectionEnd::Stop),
     }
 }
 
+/// Returns until when a connection may wait as it does now. A head that has begun to arrive has its own
+/// time, and at least that in which it might have begun.
+fn until_unix_ms(
+    watch: &ConnectionWatch,
+    limits: &impl Fn(Awaited) -> ConnectionLimits,
+    now_unix_ms: u64,
+) -> u64 {
+    let idle_until_unix_ms = limits(watch.awaited_if_idle(now_unix_ms)).until_unix_ms;
+    let head_until_unix_ms = watch.head_begun_unix_ms().map(|since_unix_ms| {
+        let awaited = Awaited::RestOfHead { since_unix_ms };
+        limits(awaited).until_unix_ms
+    });
+    idle_until_unix_ms.max(head_until_unix_ms.unwrap_or(0))
+}
+
+/// Returns whether the kernel has bytes of a connection that have not been read.
+fn has_unread_bytes(socket: &TcpStream) -> bool {
+    rustix::io::ioctl_fionread(socket).is_ok_and(|count| count > 0)
+}
+
+/// Tells a caller that the head of its request did not arrive in time, unless what was read was the
+/// rest of a body.
+async fn refuse_late_head<S>(parts: http1::Parts<WatchedStream, S>) {
+    const RESPONSE: &[u8] =
+        b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    const SEND_MAX_MS: u64 = 1000;
+    if parts.read_buf.is_empty() {
+        return;
+    }
+    let mut stream = parts.io;
+    let sending = async {
+        let mut rest = RESPONSE;
+        while !rest.is_empty() {
+            let count = poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, rest)).await?;
+            rest = &rest[count..];
+        }
+        poll_fn(|cx| Pin::new(&mut stream).poll_flush(cx)).await?;
+        poll_fn(|cx| Pin::new(&mut stream).poll_shutdown(cx)).await
+    };
+    // A caller that does not take it has left.
+    let sending = before_deadline(now_unix_ms() + SEND_MAX_MS, sending);
+    let _: Option<io::Result<()>> = sending.await;
+}
+
 /// Returns what a task said when it panicked.
 fn panic_message(panic: &(dyn std::any::Any + Send)) -> String {
     let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
--- a/crates/celerystair_policy/src/fleet.rs
+++ b/crates/celerystair_policy/src/fleet.rs
@@ -132,6 +132,8 @@
     pub head_max_bytes: usize,
     /// The largest request body that is accepted.
     pub body_max_bytes: usize,
+    /// How long the head of a request may take.
+    pub head_timeout_ms: u64,
     /// How long a connection may stay idle.
     pub idle_timeout_ms: u64,
 }
@@ -142,6 +144,7 @@
         Self {
             head_max_bytes: 16 * 1024,
             body_max_bytes: 4 * 1024 * 1024,
+            head_timeout_ms: 5000,
             idle_timeout_ms: 15_000,
         }
     }
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`adapters`] | which adapter an engine loads next, and which one is evicted for it |
 //! | [`budget`] | whether one more retry fits the fleet-wide retry budget |
+//! | [`caller_limits`] | until when a caller's connection may be idle |
 //! | [`census`] | how many routers divide the fleet-wide limits |
 //! | [`choose`] | which upstream gets an attempt |
 //! | [`cold_loads`] | how many loads from the weight store run concurrently |
@@ -30,6 +31,7 @@
 
 pub mod adapters;
 pub mod budget;
+pub mod caller_limits;
 pub mod census;
 pub mod choose;
 pub mod cold_loads;
@@ -54,6 +56,7 @@
 pub mod prelude {
     pub use crate::{
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
+        caller_limits::CallerLimitHistory,
         census::RouterCountEstimate,
         choose::{Candidate, choose_upstream, has_capacity},
         cold_loads::{ColdLoadObservations, ColdLoadRun},
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -83,8 +83,7 @@
         let (reports, stop) = (Reports::default(), Stop::new());
         let kept = reports.clone();
         let report = move |request: &UnansweredRequest| kept.borrow_mut().push(request.clone());
-        let limits = ConnectionLimits::default;
-        let serving = serve_http_limited(listener, stop.clone(), 0, limits, report, answer);
+        let serving = serve_http_limited(listener, stop.clone(), 0, default_limits, report, answer);
         compio::runtime::spawn(async move { serving.await.ok() }).detach();
         let calling = std::thread::spawn(move || call(address));
         while !calling.is_finished() {
