Answer requests that have begun to arrive when a stop closes idle connections

Callers saw: beside a planned stop, a request got no byte. On a kept connection the head had been read in part, on a new one it was still in the kernel.

Cause: graceful_shutdown of the HTTP library closes a connection that waits for a request, whether or not a part of one has been read. A connection accepted while the server drains was closed before its first read.

Fix: a draining server closes a connection only between two requests with nothing read and nothing in the kernel. A head that has begun has its time, and a new connection has a second for its first request, if none has come. Each response of a draining server asks to close. Servers of all crates share the code.

--- a/crates/celerystair_net/src/connection_watch.rs
+++ b/crates/celerystair_net/src/connection_watch.rs
@@ -109,20 +109,25 @@
         })
     }
 
-    /// Returns what the connection waits for if it is idle now, whether or not a head has begun to
-    /// arrive. While a request runs, that is the one after it, from now.
-    pub(crate) fn awaited_if_idle(&self, now_unix_ms: u64) -> Awaited {
-        let is_busy = self.running.get() > 0 || !self.is_flushed.get();
-        if is_busy {
-            let since_unix_ms = now_unix_ms;
-            return Awaited::NextRequest { since_unix_ms };
-        }
+    /// Returns what the connection waits for, whether or not a head has begun to arrive; `None` while a
+    /// request runs or its response is being sent.
+    pub(crate) fn awaited(&self) -> Option<Awaited> {
         let since_unix_ms = self.idle_since_unix_ms.get();
-        if self.requests.get() == 0 {
+        let awaited = if self.requests.get() == 0 {
             Awaited::FirstRequest { since_unix_ms }
         } else {
             Awaited::NextRequest { since_unix_ms }
-        }
+        };
+        (!self.is_busy()).then_some(awaited)
+    }
+
+    /// Returns whether a request was answered and nothing of the next has been read.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        self.requests.get() > 0 && self.head_bytes.get() == 0 && !self.is_busy()
+    }
+
+    fn is_busy(&self) -> bool {
+        self.running.get() > 0 || !self.is_flushed.get()
     }
 
     /// Returns when the first byte was read of a head that is not whole, or possibly of the rest of a
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -9,6 +9,7 @@
     panic::AssertUnwindSafe,
     pin::{Pin, pin},
     rc::Rc,
+    task::Poll,
 };
 
 use celerystair_core::{
@@ -199,10 +200,7 @@
         async move {
             let mut response = response.await;
             if stop.is_draining() {
-                let close = http::HeaderValue::from_static("close");
-                response
-                    .headers_mut()
-                    .insert(http::header::CONNECTION, close);
+                ask_to_close(&mut response);
             }
             response
         }
@@ -210,6 +208,13 @@
     .await
 }
 
+fn ask_to_close(response: &mut HttpResponse) {
+    let close = http::HeaderValue::from_static("close");
+    response
+        .headers_mut()
+        .insert(http::header::CONNECTION, close);
+}
+
 /// Returns a shutdown signal that begins to drain `notice_ms` after `stop` does, and ends when
 /// `stop` ends.
 pub fn delayed_stop(stop: &Stop, notice_ms: u64) -> Stop {
@@ -286,23 +291,53 @@
     let service = service_fn(|request: HttpRequest| {
         let running = watch.start_request(request.method() == http::Method::HEAD);
         let response = handle(request);
-        async move { Ok::<_, Infallible>(running.watch_response(response.await)) }
+        async move {
+            let mut response = response.await;
+            if stop.is_draining() {
+                ask_to_close(&mut response);
+            }
+            Ok::<_, Infallible>(running.watch_response(response))
+        }
     });
     let socket = stream.clone();
     let stream = WatchedStream::new(stream, watch.clone());
-    let accept_limits = limits(watch.awaited_if_idle(now_unix_ms()));
+    let accept_limits = limits(Awaited::FirstRequest {
+        since_unix_ms: now_unix_ms(),
+    });
     let mut connection = accept_limits.to_builder().serve_connection(stream, service);
-    let mut draining = pin!(stop.draining());
     let mut check_unix_ms = accept_limits.until_unix_ms;
     loop {
+        let is_draining = stop.is_draining();
+        // Ends with `None` once a draining connection has nothing to do. If the kernel has bytes of it,
+        // reading them wakes this task.
+        let served = poll_fn(|cx| match Pin::new(&mut connection).poll(cx) {
+            Poll::Ready(result) => Poll::Ready(Some(result)),
+            Poll::Pending => {
+                let is_over =
+                    is_draining && watch.is_between_requests() && !has_unread_bytes(&socket);
+                if is_over {
+                    Poll::Ready(None)
+                } else {
+                    Poll::Pending
+                }
+            }
+        });
+        let next_phase = async {
+            if is_draining {
+                stop.ended().await;
+            } else {
+                stop.draining().await;
+            }
+        };
         let timer = pin!(sleep_until_unix_ms(check_unix_ms));
-        match select(&mut connection, select(draining.as_mut(), timer)).await {
-            Either::Left((result, _)) => return result.map(|()| ConnectionEnd::Caller),
-            Either::Right((Either::Left(_), _)) => break,
-            Either::Right((Either::Right(_), _)) => {}
+        match select(served, select(pin!(next_phase), timer)).await {
+            Either::Left((Some(result), _)) => return result.map(|()| ConnectionEnd::Caller),
+            Either::Left((None, _)) => return Ok(ConnectionEnd::Stop),
+            Either::Right(_) if stop.is_ended() => return Ok(ConnectionEnd::Stop),
+            Either::Right(_) => {}
         }
         let now = now_unix_ms();
-        check_unix_ms = until_unix_ms(watch, limits, now);
+        check_unix_ms = until_unix_ms(watch, limits, stop, now);
         if now < check_unix_ms {
             continue;
         }
@@ -311,25 +346,42 @@
             return Ok(ConnectionEnd::HeadTimeout);
         }
         if !has_unread_bytes(&socket) {
-            return Ok(ConnectionEnd::Idle);
+            let is_draining = stop.is_draining();
+            return Ok(if is_draining {
+                ConnectionEnd::Stop
+            } else {
+                ConnectionEnd::Idle
+            });
         }
         check_unix_ms = now + RECHECK_MS;
     }
-    Pin::new(&mut connection).graceful_shutdown();
-    match select(connection, pin!(stop.ended())).await {
-        Either::Left((result, _)) => result.map(|()| ConnectionEnd::Stop),
-        Either::Right(_) => Ok(ConnectionEnd::Stop),
-    }
 }
 
+/// How long a new connection of a draining server waits for its first request, which is on its way.
+const FIRST_REQUEST_MS: u64 = 1000;
+
 /// Returns until when a connection may wait as it does now. A head that has begun to arrive has its own
 /// time, and at least that in which it might have begun.
 fn until_unix_ms(
     watch: &ConnectionWatch,
     limits: &impl Fn(Awaited) -> ConnectionLimits,
+    stop: &Stop,
     now_unix_ms: u64,
 ) -> u64 {
-    let idle_until_unix_ms = limits(watch.awaited_if_idle(now_unix_ms)).until_unix_ms;
+    let Some(awaited) = watch.awaited() else {
+        // The next request can't be late before that.
+        let since_unix_ms = now_unix_ms;
+        return limits(Awaited::NextRequest { since_unix_ms })
+            .until_unix_ms
+            .max(now_unix_ms + RECHECK_MS);
+    };
+    let idle_until_unix_ms = match awaited {
+        Awaited::FirstRequest { since_unix_ms } if stop.is_draining() => {
+            since_unix_ms + FIRST_REQUEST_MS
+        }
+        Awaited::NextRequest { since_unix_ms } if stop.is_draining() => since_unix_ms,
+        _ => limits(awaited).until_unix_ms,
+    };
     let head_until_unix_ms = watch.head_begun_unix_ms().map(|since_unix_ms| {
         let awaited = Awaited::RestOfHead { since_unix_ms };
         limits(awaited).until_unix_ms
