--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -113,7 +113,7 @@
         method: parts.method,
         target: http::Uri::from(target),
         arrived_unix_ms,
-        deadline_unix_ms: arrived_unix_ms + deadline_ms.min(route.timeout_ms),
+        deadline_unix_ms: arrived_unix_ms.saturating_add(deadline_ms.min(route.timeout_ms)),
         fingerprint,
         head,
         body,
