--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -33,12 +33,19 @@
     let mut response = match read_request(&router, request, arrived_unix_ms).await {
         Ok(request) => {
             let request = Rc::new(request);
+            let mut unanswered = DropWatch {
+                router: &router,
+                request: &request,
+                is_answered: false,
+            };
             let served = match serve_request(&router, request.clone()).await {
                 Ok(response) if caller_version < http::Version::HTTP_11 => {
                     whole_response(response).await
                 }
                 served => served,
             };
+            unanswered.is_answered = true;
+            drop(unanswered);
             match served {
                 Ok(response) => {
                     router.record_outcome("answered", arrived_unix_ms);
@@ -80,6 +87,21 @@
     Ok(HttpResponse::from_parts(head, body))
 }
 
+/// Logs a request that is dropped before it is answered.
+struct DropWatch<'a> {
+    router: &'a PlatformRouter,
+    request: &'a CallerRequest,
+    is_answered: bool,
+}
+
+impl Drop for DropWatch<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.router.log_request_dropped(self.request);
+        }
+    }
+}
+
 async fn read_request(
     router: &PlatformRouter,
     request: HttpRequest,
@@ -114,7 +136,7 @@
         method: parts.method,
         target: http::Uri::from(target),
         arrived_unix_ms,
-        deadline_unix_ms: arrived_unix_ms + deadline_ms.min(route.timeout_ms),
+        deadline_unix_ms: arrived_unix_ms.saturating_add(deadline_ms.min(route.timeout_ms)),
         fingerprint,
         head,
         body,
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | contents |
 //! |---|---|
 //! | [`body`] | response bodies, complete or streamed |
+//! | [`connection_watch`] | what a server knows of a connection, and of requests left unanswered |
 //! | [`dial`] | how a thread opens connections to peers |
 //! | [`events`] | where the events of an event stream end |
 //! | [`grpc`] | a gRPC server, and a client connection that reopens itself |
@@ -12,6 +13,7 @@
 //! | [`tls`] | mutual TLS between the system's own processes |
 
 pub mod body;
+pub mod connection_watch;
 pub mod dial;
 pub mod events;
 pub mod grpc;
@@ -24,11 +26,13 @@
 pub mod prelude {
     pub use crate::{
         body::{BodyError, HttpBody},
+        connection_watch::{ConnectionEnd, UnansweredRequest},
         dial::{Dialer, set_dialer},
         grpc::{Connection, ConnectionError, serve_grpc},
         http_server::{
-            ConnectionLimits, HttpRequest, HttpResponse, ListenError, bind, delayed_stop,
-            serve_http, serve_http_limited, serve_http_with_notice, serve_text,
+            Awaited, ConnectionLimits, HttpRequest, HttpResponse, ListenError, bind,
+            default_limits, delayed_stop, serve_http, serve_http_limited, serve_http_with_notice,
+            serve_text,
         },
         tls::{PeerTls, TlsError, TlsSettings},
     };
