Tell an entry that looks like the list's end from the end

Cause: the first place where the array could end was taken for its end, and the first member of a name for the reply's.

Now an entry after the odd one goes before an end of the array, the last end before the others, a member with an object in it is taken for one only if the array has no other end, and the last member of a name counts.

--- a/crates/celerystair_platform/src/raw_json.rs
+++ b/crates/celerystair_platform/src/raw_json.rs
@@ -40,13 +40,16 @@
 }
 
 impl RawList<'_> {
-    /// Reads a member; `None` if it isn't there.
+    /// Reads the last member with this name, as an element that is no JSON may look like members before
+    /// it; `None` if there is none.
     ///
     /// # Errors
     /// The member isn't of this type.
     pub fn read<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, serde_json::Error> {
-        find(&self.members, name)
-            .map(serde_json::from_slice)
+        let mut named = self.members.iter().rev();
+        let member = named.find(|(known, _)| *known == name.as_bytes());
+        member
+            .map(|(_, value)| serde_json::from_slice(value))
             .transpose()
     }
 }
@@ -65,7 +68,9 @@
 impl<'a> RawObject<'a> {
     /// Returns the value of the first member with this name.
     pub fn member(&self, name: &str) -> Option<&'a [u8]> {
-        find(&self.members, name)
+        let mut named = self.members.iter();
+        let member = named.find(|(known, _)| *known == name.as_bytes());
+        member.map(|(_, value)| *value)
     }
 
     /// Returns the value of the first member with this name, or the text from it on if it is malformed.
@@ -84,6 +89,9 @@
 /// Splits an object whose member `array_name` is an array. `is_element` tells an element of it by its
 /// text; it is asked only about what follows an element that is no JSON.
 ///
+/// An object in a member after the array may be an element that one before it makes look so: such a
+/// member is taken for one only if the array has no other end.
+///
 /// # Errors
 /// [`BrokenJson`] if the object, or the array but for its elements, is malformed.
 pub fn split_list<'a>(
@@ -91,135 +99,193 @@
     array_name: &str,
     is_element: impl Fn(&[u8]) -> bool,
 ) -> Result<RawList<'a>, BrokenJson> {
-    let mut list = RawList::default();
-    let mut at = expect(text, skip_space(text, 0), b'{')?;
-    at = skip_space(text, at);
-    if text.get(at) == Some(&b'}') {
-        return end_of_text(text, at + 1).map(|()| list);
-    }
-    loop {
-        let (name, value_at) = read_name(text, at)?;
-        let value_at = skip_space(text, value_at);
-        if name == array_name.as_bytes() {
-            let start = expect(text, value_at, b'[')?;
-            let (elements, end, rest) = split_array(text, start, &is_element)?;
-            list.elements = Some(elements);
-            list.members.extend(rest);
-            return end_of_text(text, end).map(|()| list);
-        }
-        let end = skip_value(text, value_at)?;
-        list.members.push((name, &text[value_at..end]));
-        at = skip_space(text, end);
-        match text.get(at) {
-            Some(b',') => at += 1,
-            Some(b'}') => return end_of_text(text, at + 1).map(|()| list),
-            _ => return Err(BrokenJson { at }),
-        }
+    let budget_bytes = text.len().saturating_mul(SCANNED_BYTES_PER_BYTE);
+    let mut scan = Scan {
+        text,
+        budget_bytes: budget_bytes.saturating_add(SCANNED_BYTES_MIN),
+        takes_objects_after_array: false,
+    };
+    let split = scan.split_list(array_name, &is_element);
+    if split.is_ok() {
+        return split;
     }
+    scan.takes_objects_after_array = true;
+    scan.split_list(array_name, &is_element)
 }
 
-/// The elements of an array, the end of the object that it is in, and the members after it.
-type ArrayAndRest<'a> = (Vec<&'a [u8]>, usize, Vec<RawMember<'a>>);
-
-fn split_array<'a>(
+/// A search for the elements of an array.
+struct Scan<'a> {
     text: &'a [u8],
-    start: usize,
-    is_element: &impl Fn(&[u8]) -> bool,
-) -> Result<ArrayAndRest<'a>, BrokenJson> {
-    let mut elements = Vec::new();
-    let budget_bytes = text.len().saturating_mul(SCANNED_BYTES_PER_BYTE);
-    let mut budget_bytes = budget_bytes.saturating_add(SCANNED_BYTES_MIN);
-    let mut at = skip_space(text, start);
-    loop {
-        if let Some((end, rest)) = array_end(text, at, &mut budget_bytes) {
-            return Ok((elements, end, rest));
+    /// The number of bytes that may still be looked at.
+    budget_bytes: usize,
+    /// Whether the members after the array may have objects in them.
+    takes_objects_after_array: bool,
+}
+
+/// The elements of an array, and the members after it up to the end of the text.
+type ArrayAndRest<'a> = (Vec<&'a [u8]>, Vec<RawMember<'a>>);
+
+impl<'a> Scan<'a> {
+    fn split_list(
+        &mut self,
+        array_name: &str,
+        is_element: &impl Fn(&[u8]) -> bool,
+    ) -> Result<RawList<'a>, BrokenJson> {
+        let text = self.text;
+        let mut list = RawList::default();
+        let mut at = expect(text, skip_space(text, 0), b'{')?;
+        at = skip_space(text, at);
+        if text.get(at) == Some(&b'}') {
+            return end_of_text(text, at + 1).map(|()| list);
         }
-        let next = match element_end(text, at, &mut budget_bytes) {
-            Some(end) => {
-                elements.push(&text[at..end]);
-                skip_space(text, end)
+        loop {
+            let (name, value_at) = read_name(text, at)?;
+            let value_at = skip_space(text, value_at);
+            if name == array_name.as_bytes() {
+                let start = expect(text, value_at, b'[')?;
+                let (elements, rest) = self.split_array(start, is_element)?;
+                list.elements = Some(elements);
+                list.members.extend(rest);
+                return Ok(list);
             }
-            None => {
-                let next = recover(text, at, is_element, &mut budget_bytes)?;
-                elements.push(&text[at..next]);
-                next
+            let end = skip_value(text, value_at)?;
+            list.members.push((name, &text[value_at..end]));
+            at = skip_space(text, end);
+            match text.get(at) {
+                Some(b',') => at += 1,
+                Some(b'}') => return end_of_text(text, at + 1).map(|()| list),
+                _ => return Err(BrokenJson { at }),
             }
-        };
-        at = match text.get(next) {
-            Some(b',') => skip_space(text, next + 1),
-            _ => next,
-        };
+        }
     }
-}
 
-/// Returns the end of the element at `at`: an object that a comma or the array's end follows.
-fn element_end(text: &[u8], at: usize, budget_bytes: &mut usize) -> Option<usize> {
-    if text.get(at) != Some(&b'{') {
-        return None;
+    fn split_array(
+        &mut self,
+        start: usize,
+        is_element: &impl Fn(&[u8]) -> bool,
+    ) -> Result<ArrayAndRest<'a>, BrokenJson> {
+        let text = self.text;
+        let mut elements = Vec::new();
+        let mut at = skip_space(text, start);
+        loop {
+            if let Some(rest) = self.after_array(at) {
+                return Ok((elements, rest));
+            }
+            let next = match self.element_end(at) {
+                Some(end) => {
+                    elements.push(&text[at..end]);
+                    skip_space(text, end)
+                }
+                None => {
+                    let next = self.next_after_broken(at, is_element)?;
+                    elements.push(&text[at..next]);
+                    next
+                }
+            };
+            at = match text.get(next) {
+                Some(b',') => skip_space(text, next + 1),
+                _ => next,
+            };
+        }
     }
-    let end = skip_value_within(text, at, budget_bytes).ok()?;
-    let next = skip_space(text, end);
-    let is_followed = match text.get(next) {
-        Some(b',') => true,
-        Some(b']') => array_end(text, next, budget_bytes).is_some(),
-        _ => false,
-    };
-    is_followed.then_some(end)
-}
 
-/// Reads the end of the array at `at` and the members after it, up to the end of the text; `None` if
-/// anything else is there.
-fn array_end<'a>(
-    text: &'a [u8],
-    at: usize,
-    budget_bytes: &mut usize,
-) -> Option<(usize, Vec<RawMember<'a>>)> {
-    if text.len().saturating_sub(at) > TAIL_MAX_BYTES {
-        return None;
+    /// Returns the end of the element at `at`: an object that a comma or the array's end follows.
+    fn element_end(&mut self, at: usize) -> Option<usize> {
+        if self.text.get(at) != Some(&b'{') {
+            return None;
+        }
+        let end = self.skip_value(at)?;
+        let next = skip_space(self.text, end);
+        let is_followed = match self.text.get(next) {
+            Some(b',') => true,
+            Some(b']') => self.after_array(next).is_some(),
+            _ => false,
+        };
+        is_followed.then_some(end)
     }
-    let mut at = skip_space(text, expect(text, at, b']').ok()?);
-    let mut members = Vec::new();
-    while text.get(at) == Some(&b',') {
-        let named = read_name(text, at + 1);
-        let looked_at = named.map_or_else(|error| error.at, |(_, value_at)| value_at);
-        spend(budget_bytes, at, looked_at);
-        let (name, value_at) = named.ok()?;
-        let value_at = skip_space(text, value_at);
-        let end = skip_value_within(text, value_at, budget_bytes).ok()?;
-        members.push((name, &text[value_at..end]));
-        at = skip_space(text, end);
+
+    /// Reads the end of the array at `at` and the members after it, up to the end of the text; `None`
+    /// if anything else is there.
+    fn after_array(&mut self, at: usize) -> Option<Vec<RawMember<'a>>> {
+        let text = self.text;
+        if text.len().saturating_sub(at) > TAIL_MAX_BYTES {
+            return None;
+        }
+        let mut at = skip_space(text, expect(text, at, b']').ok()?);
+        let mut members = Vec::new();
+        while text.get(at) == Some(&b',') {
+            let named = read_name(text, at + 1);
+            let looked_at = named.map_or_else(|error| error.at, |(_, value_at)| value_at);
+            self.spend(at, looked_at);
+            let (name, value_at) = named.ok()?;
+            let value_at = skip_space(text, value_at);
+            let value = &text[value_at..self.skip_value(value_at)?];
+            if !self.takes_objects_after_array && has_object(value) {
+                return None;
+            }
+            members.push((name, value));
+            at = skip_space(text, value_at + value.len());
+        }
+        let end = expect(text, at, b'}').ok()?;
+        end_of_text(text, end).ok()?;
+        Some(members)
     }
-    let end = expect(text, at, b'}').ok()?;
-    end_of_text(text, end).ok()?;
-    Some((end, members))
-}
 
-/// Returns where the array goes on after an element at `at` that is no JSON: the comma before the next
-/// element, or the array's end.
-fn recover(
-    text: &[u8],
-    at: usize,
-    is_element: &impl Fn(&[u8]) -> bool,
-    budget_bytes: &mut usize,
-) -> Result<usize, BrokenJson> {
-    for next in at..text.len() {
-        let goes_on = match text[next] {
-            b',' => {
-                let element_at = skip_space(text, next + 1);
-                let end = element_end(text, element_at, budget_bytes);
-                end.is_some_and(|end| is_element(&text[element_at..end]))
+    /// Returns where the array goes on after an element at `at` that is no JSON: the comma before the
+    /// next element, or the array's end if no element follows.
+    fn next_after_broken(
+        &mut self,
+        at: usize,
+        is_element: &impl Fn(&[u8]) -> bool,
+    ) -> Result<usize, BrokenJson> {
+        let text = self.text;
+        let mut array_end = None;
+        for next in at..text.len() {
+            if self.budget_bytes == 0 {
+                return Err(BrokenJson { at });
+            }
+            match text[next] {
+                b',' => {
+                    let element_at = skip_space(text, next + 1);
+                    let end = self.element_end(element_at);
+                    if end.is_some_and(|end| is_element(&text[element_at..end])) {
+                        return Ok(next);
+                    }
+                }
+                b']' if self.after_array(next).is_some() => array_end = Some(next),
+                _ => {}
             }
-            b']' => array_end(text, next, budget_bytes).is_some(),
-            _ => false,
-        };
-        if goes_on {
-            return Ok(next);
         }
-        if *budget_bytes == 0 {
-            break;
+        array_end.ok_or(BrokenJson { at })
+    }
+
+    /// Skips a value; returns where it ends. `None` if it is malformed or nothing is left to look at.
+    fn skip_value(&mut self, start: usize) -> Option<usize> {
+        if self.budget_bytes == 0 {
+            return None;
+        }
+        let skipped = skip_value(self.text, start);
+        self.spend(start, skipped.unwrap_or_else(|error| error.at));
+        skipped.ok()
+    }
+
+    fn spend(&mut self, from: usize, to: usize) {
+        let looked_at_bytes = to.saturating_sub(from).saturating_add(1);
+        self.budget_bytes = self.budget_bytes.saturating_sub(looked_at_bytes);
+    }
+}
+
+/// Returns whether a value has an object in it.
+fn has_object(value: &[u8]) -> bool {
+    let mut at = 0;
+    while let Some(byte) = value.get(at) {
+        match byte {
+            b'{' => return true,
+            b'"' => at = skip_string(value, at).unwrap_or(value.len()),
+            _ => at += 1,
         }
     }
-    Err(BrokenJson { at })
+    false
 }
 
 /// Splits an object into its members, up to the first that is malformed.
@@ -250,14 +316,6 @@
     object
 }
 
-/// Returns the value of the first member with this name.
-fn find<'a>(members: &[RawMember<'a>], name: &str) -> Option<&'a [u8]> {
-    let mut named = members
-        .iter()
-        .filter(|(known, _)| *known == name.as_bytes());
-    named.next().map(|(_, value)| *value)
-}
-
 /// Returns the bytes that a JSON string stands for; `None` if the text is no string. A lone surrogate
 /// and bytes that aren't UTF-8 stay in them, so that two different strings never become one.
 pub fn string_bytes(text: &[u8]) -> Option<Vec<u8>> {
@@ -375,28 +433,6 @@
     }
 }
 
-/// Skips a value, unless nothing is left of `budget_bytes`, which falls by what it looks at.
-fn skip_value_within(
-    text: &[u8],
-    start: usize,
-    budget_bytes: &mut usize,
-) -> Result<usize, BrokenJson> {
-    if *budget_bytes == 0 {
-        return Err(BrokenJson { at: start });
-    }
-    let skipped = skip_value(text, start);
-    spend(
-        budget_bytes,
-        start,
-        skipped.unwrap_or_else(|error| error.at),
-    );
-    skipped
-}
-
-fn spend(budget_bytes: &mut usize, from: usize, to: usize) {
-    *budget_bytes = budget_bytes.saturating_sub(to.saturating_sub(from).saturating_add(1));
-}
-
 /// Skips a value; returns where it ends.
 fn skip_value(text: &[u8], start: usize) -> Result<usize, BrokenJson> {
     let mut open = Vec::new();
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -107,7 +107,7 @@
     /// Whether the store has compacted that revision, so that the prefix must be read again.
     #[serde(default)]
     pub too_old: bool,
-    /// The number of events in which no object's key could be read.
+    /// The number of events in which no object's key could be read, or in which others may be hidden.
     #[serde(skip)]
     pub unnamed: usize,
 }
