--- a/crates/celerystair_platform/src/dialect.rs
+++ b/crates/celerystair_platform/src/dialect.rs
@@ -35,7 +35,8 @@
 pub struct StoreDialect {
     /// Encodes a read of one object.
     pub get: fn(key: &str) -> WireCall,
-    /// Encodes a listing of the objects below a prefix; `after` is the cursor of a later page.
+    /// Encodes a listing of the objects below a prefix; `after` is the cursor of a later page, as the
+    /// page before gave it.
     pub list: fn(prefix: &str, after: Option<&str>) -> WireCall,
     /// Encodes a watch, which waits up to `wait_ms` for a change below a prefix after a revision.
     pub watch: fn(prefix: &str, revision: u64, wait_ms: u64) -> WireCall,
@@ -109,6 +110,7 @@
             revision: required(list.read("revision")?, "revision")?,
             unnamed: items.len() - objects.len(),
             objects,
+            is_partial: false,
         },
         after: None,
     })
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -384,7 +384,14 @@
             warn!(store.log(), "objects_unnamed"; "prefix" => &self.inner.prefix,
                 "revision" => list.revision, "unnamed" => list.unnamed);
         }
-        let deleted: Vec<String> = {
+        if list.is_partial {
+            warn!(store.log(), "list_partial"; "prefix" => &self.inner.prefix,
+                "revision" => list.revision, "objects" => list.objects.len());
+        }
+        // What a partial list lacks may be on a page that wasn't read.
+        let deleted: Vec<String> = if list.is_partial {
+            Vec::new()
+        } else {
             let objects = self.inner.objects.borrow();
             let listed: HashSet<&str> = list.objects.iter().map(|o| o.key.as_str()).collect();
             objects
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -93,6 +93,9 @@
     /// The number of items in which no object's key could be read.
     #[serde(skip)]
     pub unnamed: usize,
+    /// Whether later pages couldn't be asked for, so that objects may be missing.
+    #[serde(skip)]
+    pub is_partial: bool,
 }
 
 /// Result of a watch.
@@ -242,12 +245,12 @@
         Ok(Some(object))
     }
 
-    /// Reads all objects below `prefix`, page by page.
+    /// Reads all objects below `prefix`, page by page. Ends early, and says so, if a page leads no further.
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, StoreError> {
         let dialect = &self.inner.dialect;
         let mut list = ObjectList::default();
         let mut after: Option<String> = None;
-        loop {
+        for _ in 0..PAGES_MAX {
             let call = (dialect.list)(prefix, after.as_deref());
             let response = self.call(call, CallPriority::Normal).await?;
             let body = self.success_body(&response)?;
@@ -260,11 +263,17 @@
             }
             list.objects.extend(page.list.objects);
             list.unnamed = list.unnamed.saturating_add(page.list.unnamed);
-            after = page.after;
-            if after.is_none() {
+            list.is_partial |= page.list.is_partial;
+            if page.after.is_none() {
                 return Ok(list);
             }
+            if page.after == after {
+                break;
+            }
+            after = page.after;
         }
+        list.is_partial = true;
+        Ok(list)
     }
 
     /// Writes `value` if the object is as `expected`, and returns the new version.
@@ -453,6 +462,10 @@
     }
 }
 
+/// The most pages of one list. The platform's have about 500 objects each, so this is far above any
+/// fleet; a store whose pages lead in a circle ends here.
+const PAGES_MAX: usize = 1000;
+
 /// The representation still has the `ETag` that the client sent.
 const STATUS_NOT_MODIFIED: u16 = 304;
 
