Let no entry take an upstream out of use that no answer can refute

What callers saw: an entry of another writer with an upstream's address and a later start took that upstream out of use, and requests were refused for as long as the entry stood.

Cause: of two entries with one address the later start counted, whoever wrote it. It is put right by the answer of the upstream that is really there (421), but an entry that drains or is of a service that the configuration doesn't name gets no request; with one start for both, the order of a map decided. After a 421 the upstream stayed out of use until the list was next applied, up to a second.

Now an entry may take over an address only if it takes requests, its service is known, and it starts strictly later and no more than a minute from now (clocks of instances differ by seconds). An upstream that it takes out of use is back as soon as an answer shows that the other isn't there. Restarts at an old address are as before (decisions.rs); where the successor drains at once, the old entry costs one 421.

--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -40,8 +40,8 @@
     pub health: Cell<UpstreamHealth>,
     /// Whether another upstream has responded at the upstream's address.
     pub is_misdirected: Cell<bool>,
-    /// Whether the store lists a later upstream at the same address.
-    pub is_superseded: Cell<bool>,
+    /// A later upstream that the store lists at the same address.
+    pub superseded_by: RefCell<Option<Rc<Upstream>>>,
     /// Whether the upstream has said in a response that it leaves.
     pub has_announced_departure: Cell<bool>,
     /// Until when the upstream wants nothing from this router.
@@ -66,7 +66,7 @@
             connections: Connections::default(),
             health: Cell::default(),
             is_misdirected: Cell::new(false),
-            is_superseded: Cell::new(false),
+            superseded_by: RefCell::default(),
             has_announced_departure: Cell::new(false),
             paused_until_unix_ms: Cell::default(),
             rate_limit: Cell::default(),
@@ -103,9 +103,14 @@
         upstream_state(listed, self.has_announced_departure.get())
     }
 
-    /// Returns whether another upstream now has this one's address.
+    /// Returns whether another upstream now has this one's address. A later entry at the address says
+    /// so until an answer shows that its upstream isn't there.
     pub fn is_replaced(&self) -> bool {
-        self.is_misdirected.get() || self.is_superseded.get()
+        let later = self.superseded_by.borrow();
+        let is_superseded = later
+            .as_ref()
+            .is_some_and(|later| !later.is_misdirected.get());
+        self.is_misdirected.get() || is_superseded
     }
 
     /// Returns the number of this router's requests in flight at the upstream.
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -293,14 +293,21 @@
         let candidates = upstreams.values().filter(|u| !u.is_misdirected.get());
         let entries: Vec<Rc<UpstreamEntry>> =
             candidates.map(|u| u.entry.borrow().clone()).collect();
-        let replaced = replaced_entries(entries.iter().map(|entry| &**entry));
+        let (config, now) = (self.config(), now_unix_ms());
+        let may_take_over = |entry: &UpstreamEntry| {
+            let config = config.as_ref().map(|active| &active.config);
+            let is_service_known = config.is_none_or(|c| c.services.contains_key(&entry.service));
+            may_take_over(entry, is_service_known, now)
+        };
+        let listed: Vec<&UpstreamEntry> = entries.iter().map(|entry| &**entry).collect();
+        let replaced = replaced_entries(&listed, may_take_over);
         for (id, upstream) in upstreams {
-            let is_superseded = replaced.contains(id);
-            if is_superseded && !upstream.is_superseded.get() {
+            let later = replaced.get(id).and_then(|later| upstreams.get(*later));
+            let before = upstream.superseded_by.replace(later.cloned());
+            if let (Some(later), None) = (later, before) {
                 info!(self.inner.log, "upstream_superseded"; "upstream" => %id,
-                    "in_flight" => upstream.in_flight());
+                    "by" => %later.id(), "in_flight" => upstream.in_flight());
             }
-            upstream.is_superseded.set(is_superseded);
         }
     }
 
--- a/crates/celerystair_policy/src/departures.rs
+++ b/crates/celerystair_policy/src/departures.rs
@@ -65,20 +65,37 @@
     }
 }
 
-/// Returns the superseded entries: of those with the same address, all but the one that started
-/// last. A crashed upstream leaves its entry behind until it expires, and requests to that address
-/// reach its successor.
+/// Clocks of instances differ by a few seconds. A start that is further ahead than this is none that an
+/// upstream has had.
+const START_AHEAD_MAX_MS: u64 = 60_000;
+
+/// Returns whether an entry tells of an upstream that may have taken over its address from another.
+/// One that takes no requests, or that belongs to no service, never shows by its answers that it isn't
+/// there, so it may take no other out of use.
+pub fn may_take_over(entry: &UpstreamEntry, is_service_known: bool, now_unix_ms: u64) -> bool {
+    is_service_known
+        && entry.state == UpstreamState::Ready
+        && entry.started_unix_ms <= now_unix_ms.saturating_add(START_AHEAD_MAX_MS)
+}
+
+/// Returns the superseded entries, each with the one that supersedes it: of those at its address that
+/// [may take over](may_take_over), the one that started last, if that is later. A crashed upstream
+/// leaves its entry behind until it expires, and requests to that address reach its successor.
 pub fn replaced_entries<'a>(
-    entries: impl IntoIterator<Item = &'a UpstreamEntry>,
-) -> HashSet<UpstreamId> {
+    entries: &[&'a UpstreamEntry],
+    may_take_over: impl Fn(&UpstreamEntry) -> bool,
+) -> HashMap<&'a UpstreamId, &'a UpstreamId> {
     let mut latest: HashMap<SocketAddr, &UpstreamEntry> = HashMap::default();
-    let mut replaced = HashSet::default();
-    for entry in entries {
-        let earlier = match latest.get(&entry.address) {
-            Some(known) if known.started_unix_ms >= entry.started_unix_ms => Some(entry),
-            _ => latest.insert(entry.address, entry),
-        };
-        replaced.extend(earlier.map(|entry| entry.id.clone()));
+    for entry in entries.iter().filter(|entry| may_take_over(entry)) {
+        let known = latest.entry(entry.address).or_insert(entry);
+        if known.started_unix_ms < entry.started_unix_ms {
+            *known = entry;
+        }
     }
-    replaced
+    let replaced = entries.iter().filter_map(|entry| {
+        let later = latest.get(&entry.address)?;
+        let is_later = later.started_unix_ms > entry.started_unix_ms;
+        is_later.then_some((&entry.id, &later.id))
+    });
+    replaced.collect()
 }
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -58,7 +58,7 @@
         choose::{Candidate, choose_upstream, has_capacity},
         cold_loads::{ColdLoadObservations, ColdLoadRun},
         demand::DemandMeter,
-        departures::{MissingUpstreams, replaced_entries, upstream_state},
+        departures::{MissingUpstreams, may_take_over, replaced_entries, upstream_state},
         fleet::{
             CallerLimits, EngineConfig, EngineState, LoadedModel, ModelConfig, RequestKind, Route,
             RouteTarget, ServiceConfig, ServingConfig, UpstreamEntry, UpstreamState,
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -354,8 +354,56 @@
         entry("c", 3, 50),
         entry("a-older", 1, 50),
     ];
-    let replaced = replaced_entries(&entries);
-    let mut names: Vec<&str> = replaced.iter().map(UpstreamId::as_str).collect();
+    let listed: Vec<&UpstreamEntry> = entries.iter().collect();
+    let replaced = replaced_entries(&listed, |entry| may_take_over(entry, true, 1000));
+    let mut names: Vec<(&str, &str)> = replaced
+        .iter()
+        .map(|(old, new)| (old.as_str(), new.as_str()))
+        .collect();
     names.sort_unstable();
-    assert_eq!(names, ["a-old", "a-older", "b-old"]);
+    assert_eq!(
+        names,
+        [("a-old", "a-new"), ("a-older", "a-new"), ("b-old", "b-new")]
+    );
+}
+
+/// Another writer left an entry with an upstream's address.
+#[test]
+fn an_entry_that_no_answer_can_refute_supersedes_none() {
+    const NOW_UNIX_MS: u64 = 1_700_000_000_000;
+    let sound = UpstreamEntry {
+        software_version: SoftwareVersion::from("v1"),
+        id: UpstreamId::from("sound"),
+        service: ServiceName::from("engines"),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: FailureDomain::default(),
+        slots: 8,
+        state: UpstreamState::Ready,
+        started_unix_ms: NOW_UNIX_MS - 5000,
+        loaded: Vec::new(),
+    };
+    let other = |change: fn(&mut UpstreamEntry)| {
+        let mut entry = sound.clone();
+        entry.id = UpstreamId::from("other");
+        entry.started_unix_ms = NOW_UNIX_MS;
+        change(&mut entry);
+        entry
+    };
+    let is_superseded_by = |other: &UpstreamEntry| {
+        let may_take_over = |entry: &UpstreamEntry| {
+            may_take_over(entry, entry.service.as_str() == "engines", NOW_UNIX_MS)
+        };
+        let one_way = replaced_entries(&[&sound, other], may_take_over);
+        let other_way = replaced_entries(&[other, &sound], may_take_over);
+        assert_eq!(one_way, other_way);
+        one_way.contains_key(&sound.id)
+    };
+    assert!(is_superseded_by(&other(|_| {})));
+    assert!(is_superseded_by(&other(|e| e.started_unix_ms += 6000)));
+    assert!(!is_superseded_by(&other(|e| e.started_unix_ms = u64::MAX)));
+    assert!(!is_superseded_by(&other(|e| e.started_unix_ms -= 5000)));
+    assert!(!is_superseded_by(&other(
+        |e| e.state = UpstreamState::Draining
+    )));
+    assert!(!is_superseded_by(&other(|e| e.service = "nothing".into())));
 }
