Hold the records of streams beside servers that stay

Callers saw: nothing by itself, but it is what the joined streams needed, and with them refused it would break the rule that half of the taken-up streams go on (LOST). After most servers had been replaced, their streams were unknown to routers that had just started, although servers of their version served.

Cause: three agents hold a record, and leave with the servers beside them. Nobody told others, and routers asked the three that came first in a list that had changed. Records were told to agents that were known to leave. All streams of the same bytes had the same three agents, as the fingerprint selected them.

Why it works: a router remembers for a minute whom it told, and tells others once one of these leaves the list or drains, while it still serves on. Each record is placed by its own hash, so those of named streams don't hang on the bytes of their request. Six agents are asked, and the first three that leave. A take-up tells anew. Up to six datagrams a stream where there were three (PLATFORM.md).

--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -157,6 +157,23 @@
         .collect()
 }
 
+/// Returns the agents of the engines that this router knows and that don't leave, or of all if none stays.
+pub(crate) fn staying_agents(router: &PlatformRouter) -> Vec<Peer> {
+    let now = now_unix_ms();
+    let engines = router.view.engines();
+    let staying = engines
+        .iter()
+        .filter(|engine| engine.state() == UpstreamState::Ready && !engine.is_replaced());
+    let staying: Vec<Peer> = staying
+        .map(|engine| gossip_peer(router, engine, now))
+        .collect();
+    if staying.is_empty() {
+        gossip_peers(router)
+    } else {
+        staying
+    }
+}
+
 fn gossip_peer(router: &PlatformRouter, engine: &Upstream, now_unix_ms: u64) -> Peer {
     let status = router.engines.get(&engine.id());
     Peer {
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -19,6 +19,7 @@
     callers::handle_caller_request,
     connections::max_idle_connections,
     demand::{receive_from_agents, send_demand_to_agents},
+    origins::keep_origins_held,
     probes::{serve_metrics, serve_ready},
     request::CallerRequest,
     retries::{Retries, log_attempts_per_window},
@@ -69,6 +70,8 @@
     pub unanswered_runs: RefCell<UnansweredRuns>,
     /// Where streams began that this router has passed on or has asked for.
     pub stream_origins: RefCell<StreamOrigins>,
+    /// The streams that agents were told of lately.
+    pub told_streams: RefCell<ToldStreams>,
     /// The agents that have answered about a stream which this router asks for.
     pub origin_answers: RefCell<HashMap<StreamId, HashSet<SocketAddr>>>,
     /// Notified when an agent has told where a stream began, or that it doesn't know.
@@ -340,6 +343,7 @@
             recent_crashes: RefCell::default(),
             unanswered_runs: RefCell::default(),
             stream_origins: RefCell::default(),
+            told_streams: RefCell::default(),
             origin_answers: RefCell::default(),
             origin_answered: Event::new(),
             gossip_socket: gossip_socket.clone(),
@@ -374,6 +378,7 @@
     .detach();
     serve_ready(&router, ready, stop);
     serve_metrics(&router, stop);
+    compio::runtime::spawn(keep_origins_held(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(log_attempts_per_window(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(refuse_waiting_before_kill(router.clone(), stop.clone())).detach();
     let (limits_router, handler_router, server_stop) =
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -66,6 +66,11 @@
             "age_ms" => request.age_ms(now));
     }
 
+    /// Logs that other agents are told where streams began, as some that held it leave.
+    pub fn log_origins_retold(&self, records: usize, agents: usize) {
+        info!(self.log, "stream_origins_retold"; "records" => records, "agents" => agents);
+    }
+
     /// Logs that a stream that broke off goes on at another upstream within the same response.
     pub fn log_stream_resumed(
         &self,
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -9,11 +9,16 @@
 use futures_util::future::select;
 
 use crate::{
-    demand::{gossip_peers, log_unsent},
+    demand::{gossip_peers, log_unsent, staying_agents},
     front::PlatformRouter,
     request::CallerRequest,
 };
 
+/// How often a router checks whether agents that hold streams leave: they serve on for seconds.
+const HOLDERS_CHECK_INTERVAL_MS: u64 = 250;
+/// The most records in a datagram, which stays below the 16 KiB that receivers take.
+const RECORDS_PER_DATAGRAM_MAX: usize = 64;
+
 /// How a router knows where a stream began. The `Debug` form is logged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OriginSource {
@@ -65,16 +70,84 @@
     request: &CallerRequest,
     origin: StreamOrigin,
 ) {
-    let identical = identical_stream(request);
-    let streams = [StreamId::begun_by(&request.head.id), identical];
+    let streams = [
+        StreamId::begun_by(&request.head.id),
+        identical_stream(request),
+    ];
+    tell_holders(router, &streams, &origin).await;
+}
+
+async fn tell_holders(router: &PlatformRouter, streams: &[StreamId], origin: &StreamOrigin) {
     let now = now_unix_ms();
+    let staying = staying_agents(router);
+    let mut messages: HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> = HashMap::default();
     for stream in streams {
+        let holders = version_holders(*stream, &staying);
+        for holder in &holders {
+            let records = messages.entry(*holder).or_default();
+            records.push((*stream, origin.clone()));
+        }
         let mut origins = router.stream_origins.borrow_mut();
-        origins.insert(stream, origin.clone(), now);
+        origins.insert(*stream, origin.clone(), now);
+        let mut told = router.told_streams.borrow_mut();
+        told.record(*stream, origin.clone(), holders, now);
+    }
+    send_records(router, messages).await;
+}
+
+async fn send_records(
+    router: &PlatformRouter,
+    messages: HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>>,
+) {
+    for (address, records) in messages {
+        for records in records.chunks(RECORDS_PER_DATAGRAM_MAX) {
+            let records = records.iter().cloned();
+            let records = records.map(|(stream, origin)| (stream, Some(origin)));
+            send_to(
+                router,
+                &[address],
+                &GossipMessage::StreamOrigins(records.collect()),
+            )
+            .await;
+        }
+    }
+}
+
+async fn send_to(router: &PlatformRouter, addresses: &[SocketAddr], message: &GossipMessage) {
+    for address in addresses {
+        if let Err(error) = router.gossip_socket.send_to(message, *address).await {
+            log_unsent(router, vec![(*address, error)]);
+        }
+    }
+}
+
+/// Tells other agents of streams once some that hold them leave, until `stop` ends. What an agent knows
+/// ends with it, and it ends with its engine.
+pub async fn keep_origins_held(router: PlatformRouter, stop: Stop) {
+    let mut known: HashSet<SocketAddr> = HashSet::default();
+    while !stop.is_ended() {
+        let staying = staying_agents(&router);
+        let addresses: HashSet<SocketAddr> = staying.iter().map(|agent| agent.address).collect();
+        if !staying.is_empty() && !known.is_subset(&addresses) {
+            let messages = router
+                .told_streams
+                .borrow_mut()
+                .retell(&staying, now_unix_ms());
+            let records: usize = messages.values().map(Vec::len).sum();
+            if records > 0 {
+                router.log_origins_retold(records, messages.len());
+            }
+            send_records(&router, messages).await;
+        }
+        if !staying.is_empty() {
+            known = addresses;
+        }
+        select(
+            pin!(sleep_ms(HOLDERS_CHECK_INTERVAL_MS)),
+            pin!(stop.ended()),
+        )
+        .await;
     }
-    let records = streams.map(|stream| (stream, Some(origin.clone())));
-    let message = GossipMessage::StreamOrigins(records.to_vec());
-    send_to_holders(router, identical, &message).await;
 }
 
 fn identical_stream(request: &CallerRequest) -> StreamId {
@@ -87,20 +160,6 @@
     StreamId::taken_up(request.head.resumes.as_ref(), identical_stream(request))
 }
 
-async fn send_to_holders(
-    router: &PlatformRouter,
-    stream: StreamId,
-    message: &GossipMessage,
-) -> usize {
-    let holders = version_holders(stream, &gossip_peers(router));
-    for address in &holders {
-        if let Err(error) = router.gossip_socket.send_to(message, *address).await {
-            log_unsent(router, vec![(*address, error)]);
-        }
-    }
-    holders.len()
-}
-
 /// Records where streams began, as the agent at `sender` has answered.
 pub fn record_origins(
     router: &PlatformRouter,
@@ -129,7 +188,6 @@
     request: &CallerRequest,
     search: &mut OriginSearch,
 ) -> Option<(StreamOrigin, OriginSource)> {
-    let identical = identical_stream(request);
     let named = request.head.resumes.as_ref();
     let wanted = wanted_stream(request);
     let known = || router.stream_origins.borrow().get(wanted).cloned();
@@ -148,7 +206,9 @@
         let answered = router.origin_answered.listen();
         answers.count();
         if now_unix_ms() >= ask_unix_ms {
-            search.asked = send_to_holders(router, identical, &message).await;
+            let holders = holders_asked(wanted, &staying_agents(router), &gossip_peers(router));
+            send_to(router, &holders, &message).await;
+            search.asked = holders.len();
             ask_unix_ms = now_unix_ms() + ORIGIN_RETRY_MS;
         }
         if answers.count() < search.asked {
@@ -184,6 +244,10 @@
         );
         Refusal::not_run(RefusalReason::StreamOriginUnknown, detail)
     })?;
+    if matches!(source, OriginSource::Own | OriginSource::Agents) {
+        // Its caller may take it up again after this router and agents that hold it have ended.
+        tell_holders(router, &[wanted_stream(request)], &origin).await;
+    }
     let mut targets = request.route.targets.iter();
     if targets.all(|target| target.service != origin.service) {
         let detail = format!("the route no longer leads to {}", origin.service);
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -4,14 +4,14 @@
 //! at any router, often because the router that knew the version was killed.
 //!
 //! So a router tells [`version_holders`] the origin of a stream before it passes the first event on:
-//! agents that rendezvous hashing selects for the stream, in different failure domains. A
-//! router that is asked to take a stream up and doesn't know its origin asks the same agents. One
-//! that can't find out refuses, unless no other version has been listed while the stream may have
+//! agents that rendezvous hashing selects for the stream, in different failure domains. It tells others
+//! once some of them leave. A router that is asked to take a stream up and doesn't know its origin asks
+//! the same agents, and those that come next. One that can't find out refuses, unless no other version has been listed while the stream may have
 //! begun.
 //!
 //! The load of the records, and what else was weighed: `docs/PLATFORM.md`.
 
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr};
 
 use celerystair_core::{prelude::*, rendezvous};
 
@@ -22,6 +22,11 @@
 
 /// The agents that hold the origin of each stream: a datagram may be lost, and one of them end.
 pub const VERSION_HOLDERS: usize = 3;
+/// The agents that are asked for an origin at least: agents that came since may rank before those that
+/// hold it.
+pub const HOLDERS_ASKED: usize = 2 * VERSION_HOLDERS;
+/// The most identifiers for which a router remembers which agents it has told: about a megabyte.
+const TOLD_MAX: usize = 8 * 1024;
 /// How long a router waits for the first answer of the holders before it asks again.
 pub const ORIGIN_RETRY_MS: u64 = 60;
 /// How long a router waits for the answers of the holders altogether.
@@ -149,14 +154,33 @@
     }
 }
 
-/// Returns the agents that hold the origin of a stream: those that come first by rendezvous hashing, one of each failure domain before a second one of any. Processes
-/// whose lists of agents differ in one of them agree on all others.
+/// Returns the agents that hold the origin of a stream: those that come first by rendezvous hashing, one
+/// of each failure domain before a second one of any. Processes whose lists of agents differ in one of
+/// them agree on all others.
 pub fn version_holders(stream: StreamId, agents: &[Peer]) -> Vec<SocketAddr> {
+    first_agents(stream, agents, VERSION_HOLDERS)
+}
+
+/// Returns the agents that are asked for the origin of a stream: those that hold it now, those that held
+/// it before as many others came or before some of `all` began to leave.
+pub fn holders_asked(stream: StreamId, staying: &[Peer], all: &[Peer]) -> Vec<SocketAddr> {
+    let mut holders = first_agents(stream, staying, HOLDERS_ASKED);
+    for holder in version_holders(stream, all) {
+        if !holders.contains(&holder) {
+            holders.push(holder);
+        }
+    }
+    holders
+}
+
+fn first_agents(stream: StreamId, agents: &[Peer], count: usize) -> Vec<SocketAddr> {
     let mut ranked: Vec<(u64, &Peer)> = agents
         .iter()
         .map(|agent| (address_weight(stream.0, agent.address), agent))
         .collect();
     ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    // Two engines may be listed on one instance, which has one agent.
+    ranked.dedup_by_key(|(_, agent)| agent.address);
     let mut domains: HashSet<&FailureDomain> = HashSet::default();
     let (mut first, mut further) = (Vec::new(), Vec::new());
     for (_, agent) in ranked {
@@ -165,10 +189,76 @@
         list.push(agent.address);
     }
     first.extend(further);
-    first.truncate(VERSION_HOLDERS);
+    first.truncate(count);
     first
 }
 
+/// The streams that a router has told agents of lately, so that others hold them once some of these leave.
+#[derive(Clone, Debug, Default)]
+pub struct ToldStreams {
+    told: VecDeque<ToldStream>,
+}
+
+#[derive(Clone, Debug)]
+struct ToldStream {
+    stream: StreamId,
+    origin: StreamOrigin,
+    holders: Vec<SocketAddr>,
+    end_unix_ms: u64,
+}
+
+impl ToldStreams {
+    /// Records that `holders` were told of a stream.
+    pub fn record(
+        &mut self,
+        stream: StreamId,
+        origin: StreamOrigin,
+        holders: Vec<SocketAddr>,
+        now_unix_ms: u64,
+    ) {
+        let is_past = |told: &ToldStream| now_unix_ms >= told.end_unix_ms;
+        while self.told.len() >= TOLD_MAX || self.told.front().is_some_and(is_past) {
+            self.told.pop_front();
+        }
+        self.told.push_back(ToldStream {
+            stream,
+            origin,
+            holders,
+            end_unix_ms: now_unix_ms.saturating_add(GENERATION_MS),
+        });
+    }
+
+    /// Returns what other agents are to be told, because agents that hold a stream are no longer among
+    /// those that stay.
+    pub fn retell(
+        &mut self,
+        staying: &[Peer],
+        now_unix_ms: u64,
+    ) -> HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> {
+        let addresses: HashSet<SocketAddr> = staying.iter().map(|agent| agent.address).collect();
+        let mut messages: HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> = HashMap::default();
+        for told in &mut self.told {
+            let has_left = told
+                .holders
+                .iter()
+                .any(|holder| !addresses.contains(holder));
+            if !has_left || now_unix_ms >= told.end_unix_ms {
+                continue;
+            }
+            let holders = version_holders(told.stream, staying);
+            for holder in holders
+                .iter()
+                .filter(|holder| !told.holders.contains(holder))
+            {
+                let records = messages.entry(*holder).or_default();
+                records.push((told.stream, told.origin.clone()));
+            }
+            told.holders = holders;
+        }
+        messages
+    }
+}
+
 /// The versions of a service's upstreams that were listed, and when each was listed last.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -96,6 +96,138 @@
     }
 }
 
+/// Routers tell of streams, a share of the servers is replaced one after the other, with the agents beside
+/// them, and then all routers are killed.
+struct Release {
+    fleet: (usize, usize),
+    /// Of so many servers, one stays.
+    one_stays_in: usize,
+    /// Whether routers tell others once an agent leaves.
+    are_retold: bool,
+    /// Whether routers that take a stream up ask more agents than were told.
+    are_more_asked: bool,
+}
+
+impl Release {
+    fn found(&self) -> u64 {
+        let (count, domains) = self.fleet;
+        let mut replay = Replay { random: 3 };
+        let all = agents(2 * count, domains);
+        let mut listed = all[..count].to_vec();
+        let mut held: HashMap<SocketAddr, StreamOrigins> = HashMap::default();
+        let mut told = ToldStreams::default();
+        let streams: Vec<StreamId> = (0..STREAMS)
+            .map(|number| StreamId::begun_by(&RequestId::from(format!("request-{number}"))))
+            .collect();
+        let tell = |held: &mut HashMap<SocketAddr, StreamOrigins>, to, stream| {
+            let origins: &mut StreamOrigins = held.entry(to).or_default();
+            origins.insert(stream, origin("v1"), START_UNIX_MS);
+        };
+        for stream in &streams {
+            let holders = version_holders(*stream, &listed);
+            for holder in &holders {
+                if replay.is_delivered() {
+                    tell(&mut held, *holder, *stream);
+                }
+            }
+            told.record(*stream, origin("v1"), holders, START_UNIX_MS);
+        }
+        for number in 0..count {
+            if number % self.one_stays_in == 0 {
+                continue;
+            }
+            listed.push(all[count + number].clone());
+            listed.retain(|agent| agent.address != all[number].address);
+            held.remove(&all[number].address);
+            if !self.are_retold {
+                continue;
+            }
+            for (to, records) in told.retell(&listed, START_UNIX_MS) {
+                for (stream, _) in records {
+                    if replay.is_delivered() {
+                        tell(&mut held, to, stream);
+                    }
+                }
+            }
+        }
+        let is_found = |stream: &&StreamId| {
+            let holders = if self.are_more_asked {
+                holders_asked(**stream, &listed, &listed)
+            } else {
+                version_holders(**stream, &listed)
+            };
+            let known = |holder: &SocketAddr| {
+                let origins = held.get(holder);
+                origins.is_some_and(|origins| origins.get(**stream).is_some())
+            };
+            holders.iter().any(known)
+        };
+        streams.iter().filter(is_found).count() as u64
+    }
+}
+
+/// The records must not leave with the servers: while two servers of a version are left, at least half of
+/// its streams must go on, as the platform's rule says.
+#[test]
+fn streams_are_found_after_a_release_of_most_servers() {
+    for fleet in FLEETS {
+        for one_stays_in in [2, 6] {
+            let found = |are_retold, are_more_asked| {
+                let release = Release {
+                    fleet,
+                    one_stays_in,
+                    are_retold,
+                    are_more_asked,
+                };
+                release.found()
+            };
+            let retold = found(true, true);
+            println!(
+                "{} agents, one in {one_stays_in} stays: {} of {STREAMS}; more asked: {}; retold: {retold}",
+                fleet.0,
+                found(false, false),
+                found(false, true),
+            );
+            assert!(retold >= STREAMS * 95 / 100, "{fleet:?}: {retold}");
+        }
+    }
+}
+
+/// Nobody is told again while all holders stay, and a router remembers a bounded number of streams.
+#[test]
+fn only_streams_whose_holders_left_are_told_again() {
+    let all = agents(12, 4);
+    let mut told = ToldStreams::default();
+    for number in 0..20_000 {
+        let stream = StreamId(number);
+        let holders = version_holders(stream, &all);
+        told.record(stream, origin("v1"), holders, START_UNIX_MS);
+    }
+    assert!(told.retell(&all, START_UNIX_MS).is_empty());
+    let mut late = told.clone();
+    assert!(late.retell(&all[1..], START_UNIX_MS + 60_000).is_empty());
+    let messages = told.retell(&all[1..], START_UNIX_MS);
+    let records: usize = messages.values().map(Vec::len).sum();
+    assert!((1..8192).contains(&records), "{records}");
+    assert!(told.retell(&all[1..], START_UNIX_MS).is_empty());
+}
+
+/// Agents that have said that they leave are told nothing more, and are still asked.
+#[test]
+fn agents_that_leave_are_still_asked() {
+    let all = agents(12, 4);
+    for number in 0..100 {
+        let stream = StreamId(number);
+        let holders = version_holders(stream, &all);
+        let stays = |agent: &&Peer| !holders.contains(&agent.address);
+        let staying: Vec<Peer> = all.iter().filter(stays).cloned().collect();
+        let asked = holders_asked(stream, &staying, &all);
+        let is_asked = |holder: &SocketAddr| asked.contains(holder);
+        assert!(holders.iter().all(is_asked));
+        assert!(version_holders(stream, &staying).iter().all(is_asked));
+    }
+}
+
 /// At least half of the streams that callers take up must go on, as the platform's rule says.
 #[test]
 fn streams_are_found_although_datagrams_are_lost_and_agents_restart() {
