--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -65,7 +65,7 @@
     }
 
     /// Returns the identifier that identical requests share: those of one fingerprint that ask the same
-    /// model to answer the same prompt.
+    /// model to answer a prompt of the same shared parts.
     pub fn of_identical(
         fingerprint: u64,
         model: Option<&ModelRef>,
