Take an entry with another software version for another run

Callers saw: nothing yet; a stream that is recorded at a version which its engine hasn't written is joined when its caller takes it up.

Cause: an entry that named another version for the same id, address and start was put in the place of the one before, so streams under way took the new version for theirs. An entry may lack the time of its start, and others write entries, too.

Evidence, on the code before: a_stream_is_bound_to_the_software_version_that_its_engine_had_when_it_was_sent: left: "200", right: "503": its version is gone

Why it works: a process keeps its version from start to end, so another one is another run, and a request in flight keeps the run that it was sent to. A restart that names its start was told apart before, and still is; what such a server is sent before the list tells of its restart may still be recorded at the version before.

--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -313,7 +313,8 @@
         }
     }
 
-    /// Applies an entry; a restart or a new address under the same id makes it another upstream.
+    /// Applies an entry; a restart, a new address or another software version under the same id makes it
+    /// another upstream.
     fn apply_entry(
         &self,
         upstreams: &mut HashMap<UpstreamId, Rc<Upstream>>,
@@ -321,7 +322,7 @@
     ) {
         if let Some(known) = upstreams.get(&entry.id) {
             let before = known.entry.borrow().clone();
-            if before.started_unix_ms == entry.started_unix_ms && before.address == entry.address {
+            if before.is_same_run(&entry) {
                 if before.state != entry.state {
                     info!(self.inner.log, "upstream_state"; "upstream" => %entry.id,
                         "state" => ?entry.state, "in_flight" => known.in_flight());
--- a/crates/celerystair_policy/src/fleet.rs
+++ b/crates/celerystair_policy/src/fleet.rs
@@ -170,6 +170,16 @@
     pub loaded: Vec<LoadedModel>,
 }
 
+impl UpstreamEntry {
+    /// Returns whether another entry of the same id tells of the same run of its process, which keeps its
+    /// address and its software version from its start to its end.
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.started_unix_ms == other.started_unix_ms
+            && self.address == other.address
+            && self.software_version == other.software_version
+    }
+}
+
 /// Whether an upstream accepts requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpstreamState {
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -505,3 +505,28 @@
     assert_eq!(origins.get(StreamId(100)), None);
     assert_eq!(origins.get(StreamId(199_999)), Some(&origin("v1")));
 }
+
+/// An upstream starts again under its id, with or without the time of its start in its entry, and at
+/// another address or version or not; its entry is renewed in between.
+#[test]
+fn an_entry_with_another_version_tells_of_another_run() {
+    let entry = |started_unix_ms: u64, port: u16, version: &str, slots: u32| UpstreamEntry {
+        id: UpstreamId::from("engine-1"),
+        service: ServiceName::from("engines"),
+        address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), port),
+        failure_domain: FailureDomain::from("domain-1"),
+        software_version: SoftwareVersion::from(version),
+        slots,
+        state: UpstreamState::Ready,
+        started_unix_ms,
+        loaded: Vec::new(),
+    };
+    let first = entry(0, 1, "v1", 8);
+    assert!(first.is_same_run(&entry(0, 1, "v1", 4)), "it is renewed");
+    assert!(
+        !first.is_same_run(&entry(0, 1, "v2", 8)),
+        "its start isn't told"
+    );
+    assert!(!first.is_same_run(&entry(1, 1, "v1", 8)));
+    assert!(!first.is_same_run(&entry(0, 2, "v1", 8)));
+}
