Take a stream up as one also if its last event's id can't be read

Callers saw: a stream that was taken up after an event whose id isn't a number that the router reads was begun as a new one at any software version, while the header went on to the upstream, which may go on after that event.

Cause: an id that couldn't be read counted as none, and was passed on all the same.

Evidence, on the code before: a_stream_that_is_taken_up_after_an_unreadable_event_is_not_begun_at_any_software_version: none, left: "200", right: "503"

Why it works: any id that isn't empty makes the request a take-up, which needs a known version or is refused as not run. An empty one names no event, and is served as before. Callers of the platform send numbers, so their requests are handled as they were.

--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -25,6 +25,8 @@
 
 /// Maximum number of requests that may wait at one router for a replica.
 const WAITING_MAX: usize = 400;
+/// The header of event streams after which event one goes on.
+const LAST_EVENT_ID: &str = "last-event-id";
 /// Part of a caller's time that is reserved for returning the response.
 const RESPONSE_MARGIN_MS: u64 = 20;
 /// A request whose upstream is silent for this many times the route's target latency moves to
@@ -65,9 +67,17 @@
 
     /// Whether the caller takes up a stream of which it has got events.
     pub fn takes_up_stream(&self) -> bool {
-        self.route.kind == RequestKind::Stream
-            && self.route.can_resume
-            && self.head.last_event_id.is_some()
+        self.route.kind == RequestKind::Stream && self.route.can_resume && self.names_last_event()
+    }
+
+    /// Whether it has the id of an event, perhaps one that this router can't read: the upstream gets it
+    /// and may go on after it.
+    fn names_last_event(&self) -> bool {
+        let ids = self.headers.get_all(LAST_EVENT_ID).iter();
+        self.head.last_event_id.is_some()
+            || ids
+                .into_iter()
+                .any(|id| !id.as_bytes().trim_ascii().is_empty())
     }
 
     /// Returns the time since the request arrived.
