Give calls that may run once a connection of their own at agents

What callers saw, in deployments of the product itself: not reported.

Cause: an engine's responses don't name their request, and the agent's calls share kept connections. This is the cause of the routers' fault on the users' platform (an earlier refusal believed for a later request).

Evidence: a_call_that_may_run_once_meets_no_earlier_response on the code before: left: (404, "") right: (200, "ok")

Why it works: what arrives on a connection that has carried nothing else can't be about another call. The connection leads to the agent's own instance. Calls that may be repeated share connections as before.

--- a/crates/celerystair_agent/src/upstream.rs
+++ b/crates/celerystair_agent/src/upstream.rs
@@ -33,28 +33,35 @@
 }
 
 /// Forwards the request to the upstream at `url`. Dropping the response cancels the call.
+///
+/// Responses don't name their request. A call that may run once gets a connection of its own, on
+/// which no earlier response can arrive; other calls share those of `client`.
 pub async fn call_upstream(
     client: &cyper::Client,
     url: &str,
     request: &SubmitRequest,
 ) -> Result<UpstreamResponse<impl Stream<Item = Result<Bytes, UpstreamError>>>, UpstreamError> {
     let method = http::Method::from_bytes(request.method.as_bytes()).unwrap_or(http::Method::POST);
-    let mut call = client
+    let unsent = |error: cyper::Error| UpstreamError::Unreachable {
+        detail: error.to_string(),
+    };
+    let own_client = if request.idempotent {
+        None
+    } else {
+        Some(cyper::Client::new().map_err(unsent)?)
+    };
+    let mut call = own_client
+        .as_ref()
+        .unwrap_or(client)
         .request(method, format!("{url}{}", request.path))
-        .map_err(|error| UpstreamError::Unreachable {
-            detail: error.to_string(),
-        })?;
+        .map_err(unsent)?;
     for (name, value) in [
         ("content-type", &request.content_type),
         ("idempotency-key", &request.idempotency_key),
         ("celerystair-organisation", &request.organisation),
     ] {
         if !value.is_empty() {
-            call =
-                call.header(name, value.as_str())
-                    .map_err(|error| UpstreamError::Unreachable {
-                        detail: error.to_string(),
-                    })?;
+            call = call.header(name, value.as_str()).map_err(unsent)?;
         }
     }
     let response = call
