Answer a request whose handler panics, and log panics

Callers saw: a request that had been read got an end without a byte, which does not tell whether it was read. The log had no line, as the message went to standard error alone.

Cause: a handler runs in its connection's task, whose panic drops the connection.

Fix: a panic of a handler is caught, reported, and answered with 500, which promises nothing about the run; the connection closes. Routers and agents on the users' platform log each panic, also of tasks that serve no request.

--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -109,7 +109,7 @@
 
 /// Serves HTTP/1.1 until `stop` drains, then waits for the open connections and returns.
 ///
-/// Each connection runs in a task of its own. While draining, a connection finishes its current
+/// Each connection runs in a task of its own. A handler that panics is answered with 500. While draining, a connection finishes its current
 /// request and closes. When `stop` ends, the remaining connections are cut off.
 ///
 /// # Errors
@@ -254,7 +254,7 @@
         let (limits, report) = (limits.clone(), report.clone());
         compio::runtime::spawn(async move {
             let watch = ConnectionWatch::new(&stream);
-            let driven = drive_connection(stream, &watch, &*limits, &*handle, &stop);
+            let driven = drive_connection(stream, &watch, &*limits, &*handle, &*report, &stop);
             let (end, detail) = match AssertUnwindSafe(driven).catch_unwind().await {
                 Ok(Ok(end)) => (end, String::new()),
                 Ok(Err(error)) => (ConnectionEnd::Caller, error.to_string()),
@@ -282,6 +282,7 @@
     watch: &Rc<ConnectionWatch>,
     limits: &impl Fn(Awaited) -> ConnectionLimits,
     handle: &F,
+    report: &impl Fn(&UnansweredRequest),
     stop: &Stop,
 ) -> hyper::Result<ConnectionEnd>
 where
@@ -290,9 +291,15 @@
 {
     let service = service_fn(|request: HttpRequest| {
         let running = watch.start_request(request.method() == http::Method::HEAD);
-        let response = handle(request);
+        let handled = AssertUnwindSafe(async move { handle(request).await }).catch_unwind();
         async move {
-            let mut response = response.await;
+            let mut response = handled.await.unwrap_or_else(|panic| {
+                let panicked = watch.unanswered(ConnectionEnd::Panic, panic_message(&*panic));
+                panicked.iter().for_each(report);
+                let mut response = typed_response(500, "text/plain", "internal error\n");
+                ask_to_close(&mut response);
+                response
+            });
             if stop.is_draining() {
                 ask_to_close(&mut response);
             }
--- a/crates/celerystair_telemetry/src/logs.rs
+++ b/crates/celerystair_telemetry/src/logs.rs
@@ -38,6 +38,16 @@
     Logger::root(RateLimitedDrain::new(drain, now_ms).fuse(), values)
 }
 
+/// Logs each panic as `panicked`, with its place and message. A task that panics ends alone, and
+/// whatever it should have done stays undone.
+pub fn log_panics(log: &Logger) {
+    let (log, print) = (log.clone(), std::panic::take_hook());
+    std::panic::set_hook(Box::new(move |panic| {
+        slog::error!(log, "panicked"; "detail" => %panic);
+        print(panic);
+    }));
+}
+
 fn on_writer_thread<D>(drain: D) -> slog::Fuse<slog_async::Async>
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -7,7 +7,10 @@
     core::prelude::*,
     engine::prelude::*,
     front::prelude::*,
-    telemetry::{logs::logger_to_stdout, prelude::*},
+    telemetry::{
+        logs::{log_panics, logger_to_stdout},
+        prelude::*,
+    },
 };
 use eyre::WrapErr;
 use signal_hook::{consts::SIGHUP, iterator::Signals};
@@ -25,6 +28,7 @@
     let path = settings_path();
     let settings = read_router_settings(&read(&path)?)?;
     let log = logger_to_stdout("router", &settings.router);
+    log_panics(&log);
     let stop_timeout_ms = settings.stop_grace_ms.saturating_sub(STOP_MARGIN_MS);
     block_on(async {
         let stop = Stop::new();
@@ -42,6 +46,7 @@
     let path = settings_path();
     let settings = read_agent_settings(&read(&path)?)?;
     let log = logger_to_stdout("agent", &settings.agent_name);
+    log_panics(&log);
     block_on(async {
         let stop = Stop::new();
         run_engine_agent(settings, log.clone(), &stop).await?;
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -35,10 +35,13 @@
     assert_eq!(ends(&reports), [ConnectionEnd::ResponseBroken]);
 }
 
+/// Its caller would otherwise see an end without a byte, and not whether its request was read.
 #[test]
-fn a_handler_that_panics_is_reported() {
+fn a_handler_that_panics_is_answered_and_reported() {
     let reports = reports_after(|address| {
-        exchange(address, b"GET /panic HTTP/1.1\r\nHost: x\r\n\r\n");
+        let received = exchange(address, b"GET /panic HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert!(received.starts_with("HTTP/1.1 500 "), "{received:?}");
+        assert!(received.contains("connection: close"), "{received:?}");
     });
     assert_eq!(ends(&reports), [ConnectionEnd::Panic]);
     assert!(reports[0].detail.contains("of this test"));
