--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -11,7 +11,7 @@
 use celerystair_placement::prelude::*;
 use celerystair_platform::prelude::{AgentObject, Mirror};
 use celerystair_protocol::peer_server::PeerServer;
-use celerystair_telemetry::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
 
 use crate::{
     admission::Admission, callers::answer_caller, lost::LostUpstreams, peers::Peers,
@@ -112,11 +112,13 @@
     let (answering_router, serving_stop) = (router.clone(), stop.clone());
     let notice_ms = router.settings.process.stop_notice_ms;
     let served = compio::runtime::spawn(async move {
-        serve_http_with_notice(listener, serving_stop, notice_ms, move |request| {
-            answer_caller(answering_router.clone(), request)
-        })
-        .await
-        .ok();
+        let report_router = answering_router.clone();
+        let report = move |request: &UnansweredRequest| record_unanswered(&report_router, request);
+        let handle = move |request| answer_caller(answering_router.clone(), request);
+        let limits = default_limits;
+        serve_http_limited(listener, serving_stop, notice_ms, limits, report, handle)
+            .await
+            .ok();
     });
     Ok(RunningRouter {
         router,
@@ -126,3 +128,15 @@
         served,
     })
 }
+
+/// Records a request that was read, at least in part, and whose connection ended without a complete
+/// response.
+fn record_unanswered(router: &Router, request: &UnansweredRequest) {
+    let end = request.end.as_str();
+    router.node.metrics.unanswered.add(1, &[label("end", end)]);
+    info!(router.node.log, "request_unanswered"; "end" => end,
+        "caller" => request.caller.map(|address| address.to_string()),
+        "head_bytes" => request.head_bytes, "requests_before" => request.requests_before,
+        "connection_age_ms" => request.connection_age_ms,
+        "since_response_ms" => request.since_response_ms, "detail" => &request.detail);
+}
