Read the body of a request that is refused before it has arrived

Callers saw: a request whose body was still being sent, to a router without a configuration or a route that had gone, got a reset in place of its 503 or 404, if it reads only once all is sent.

Cause: the refusal went out at once and the connection was closed with unread bytes, which resets it.

Fix: the router reads the body first, up to 4 MiB and 2 s, and then refuses on a connection that is kept. A caller that sent Expect is refused at once.

Evidence: a_refusal_before_the_body_has_arrived_reaches_its_caller on the code before: 2 parts, left: (Some("503"), 1), right: (Some("503"), 0): the second part was not sent. The response itself could be read after that error, as loopback keeps the order; a caller that stops at the error has none.

--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -2,18 +2,19 @@
 
 use std::rc::Rc;
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_net::{
     json::{ReadBodyError, read_body},
     prelude::*,
 };
-use celerystair_policy::prelude::request_fingerprint;
+use celerystair_policy::prelude::{Route, request_fingerprint};
 use http::{HeaderValue, header};
+use http_body_util::BodyExt;
 
 use crate::{
     answers::refusal_response,
     attempt::request_headers,
-    dialect::InvalidHead,
+    dialect::{InvalidHead, RequestHead},
     front::PlatformRouter,
     request::{CallerRequest, serve_request},
     view::ActiveConfig,
@@ -84,14 +85,14 @@
     request: HttpRequest,
     arrived_unix_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
-    let Some(active) = router.view.config() else {
-        let detail = "this router has just started and has no configuration yet";
-        return Err(Refusal::not_run(RefusalReason::NoUpstream, detail)
-            .retry_after(NO_CONFIG_RETRY_AFTER_MS));
+    let read = read_head(router, &request);
+    let (active, route, head) = match read {
+        Ok(read) => read,
+        Err(refusal) => {
+            discard_body(request).await;
+            return Err(refusal);
+        }
     };
-    let route = find_route(&active, &request)?;
-    let head = (router.settings.header_codec.read_request)(request.headers())
-        .map_err(|error: InvalidHead| bad_request(error.to_string()))?;
     let body_max_bytes = active.config.caller_limits.body_max_bytes;
     let (parts, body) = read_body(request, body_max_bytes).await.map_err(|error| {
         let reason = match error {
@@ -121,10 +122,45 @@
     })
 }
 
-fn find_route(
-    active: &ActiveConfig,
+/// Reads all of a request but its body.
+fn read_head(
+    router: &PlatformRouter,
     request: &HttpRequest,
-) -> Result<Rc<celerystair_policy::fleet::Route>, Refusal> {
+) -> Result<(Rc<ActiveConfig>, Rc<Route>, RequestHead), Refusal> {
+    let Some(active) = router.view.config() else {
+        let detail = "this router has just started and has no configuration yet";
+        return Err(Refusal::not_run(RefusalReason::NoUpstream, detail)
+            .retry_after(NO_CONFIG_RETRY_AFTER_MS));
+    };
+    let route = find_route(&active, request)?;
+    let head = (router.settings.header_codec.read_request)(request.headers())
+        .map_err(|error: InvalidHead| bad_request(error.to_string()))?;
+    Ok((active, route, head))
+}
+
+/// Reads the body of a request that is refused. A close with unread bytes resets the connection, and
+/// the refusal may be lost with it. A caller that asks before it sends a body is spared the sending.
+async fn discard_body(request: HttpRequest) {
+    const DISCARD_MAX_BYTES: usize = 4 * 1024 * 1024;
+    const DISCARD_MAX_MS: u64 = 2000;
+    if request.headers().contains_key(header::EXPECT) {
+        return;
+    }
+    let mut body = request.into_body();
+    let reading = async {
+        let mut read_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read_bytes += frame.data_ref().map_or(0, |data| data.len());
+            if read_bytes > DISCARD_MAX_BYTES {
+                return;
+            }
+        }
+    };
+    // The refusal goes out all the same.
+    before_deadline(now_unix_ms() + DISCARD_MAX_MS, reading).await;
+}
+
+fn find_route(active: &ActiveConfig, request: &HttpRequest) -> Result<Rc<Route>, Refusal> {
     let mut hosts = request.headers().get_all(header::HOST).iter();
     let host = hosts.next().and_then(|host| host.to_str().ok());
     let host = host.ok_or_else(|| bad_request("the request has no readable Host header"))?;
