Ask callers for new connections once larger heads are allowed

The HTTP library's buffer for heads is fixed at the accept, so a connection that was open as HeaderBytes rose would refuse a proper request with 431 for life. Its next response now asks to close.

Evidence: a_caller_is_asked_for_a_new_connection_once_larger_heads_are_allowed on the code before: left: None, right: Some("close").

--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -289,6 +289,9 @@
     F: Fn(HttpRequest) -> R,
     R: Future<Output = HttpResponse>,
 {
+    let accept_limits = limits(Awaited::FirstRequest {
+        since_unix_ms: now_unix_ms(),
+    });
     let service = service_fn(|request: HttpRequest| {
         let running = watch.start_request(request.method() == http::Method::HEAD);
         let handled = AssertUnwindSafe(async move { handle(request).await }).catch_unwind();
@@ -300,7 +303,11 @@
                 ask_to_close(&mut response);
                 response
             });
-            if stop.is_draining() {
+            let since_unix_ms = now_unix_ms();
+            let head_max_bytes = limits(Awaited::NextRequest { since_unix_ms }).head_max_bytes;
+            // The connection can't take the larger heads that are allowed now; a new one can.
+            let is_outdated = head_max_bytes > accept_limits.head_max_bytes;
+            if stop.is_draining() || is_outdated {
                 ask_to_close(&mut response);
             }
             Ok::<_, Infallible>(running.watch_response(response))
@@ -308,9 +315,6 @@
     });
     let socket = stream.clone();
     let stream = WatchedStream::new(stream, watch.clone());
-    let accept_limits = limits(Awaited::FirstRequest {
-        since_unix_ms: now_unix_ms(),
-    });
     let mut connection = accept_limits.to_builder().serve_connection(stream, service);
     let mut check_unix_ms = accept_limits.until_unix_ms;
     loop {
