--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -109,7 +109,7 @@
 
 /// Serves HTTP/1.1 until `stop` drains, then waits for the open connections and returns.
 ///
-/// Each connection runs in a task of its own. While draining, a connection finishes its current
+/// Each connection runs in a task of its own. A handler that panics is answered with 500. While draining, a connection finishes its current
 /// request and closes. When `stop` ends, the remaining connections are cut off.
 ///
 /// # Errors
@@ -254,7 +254,7 @@
         let (limits, report) = (limits.clone(), report.clone());
         compio::runtime::spawn(async move {
             let watch = ConnectionWatch::new(&stream);
-            let driven = drive_connection(stream, &watch, &*limits, &*handle, &stop);
+            let driven = drive_connection(stream, &watch, &*limits, &*handle, &*report, &stop);
             let (end, detail) = match AssertUnwindSafe(driven).catch_unwind().await {
                 Ok(Ok(end)) => (end, String::new()),
                 Ok(Err(error)) => (ConnectionEnd::Caller, error.to_string()),
@@ -282,18 +282,32 @@
     watch: &Rc<ConnectionWatch>,
     limits: &impl Fn(Awaited) -> ConnectionLimits,
     handle: &F,
+    report: &impl Fn(&UnansweredRequest),
     stop: &Stop,
 ) -> hyper::Result<ConnectionEnd>
 where
     F: Fn(HttpRequest) -> R,
     R: Future<Output = HttpResponse>,
 {
+    let accept_limits = limits(Awaited::FirstRequest {
+        since_unix_ms: now_unix_ms(),
+    });
     let service = service_fn(|request: HttpRequest| {
         let running = watch.start_request(request.method() == http::Method::HEAD);
-        let response = handle(request);
+        let handled = AssertUnwindSafe(async move { handle(request).await }).catch_unwind();
         async move {
-            let mut response = response.await;
-            if stop.is_draining() {
+            let mut response = handled.await.unwrap_or_else(|panic| {
+                let panicked = watch.unanswered(ConnectionEnd::Panic, panic_message(&*panic));
+                panicked.iter().for_each(report);
+                let mut response = typed_response(500, "text/plain", "internal error\n");
+                ask_to_close(&mut response);
+                response
+            });
+            let since_unix_ms = now_unix_ms();
+            let head_max_bytes = limits(Awaited::NextRequest { since_unix_ms }).head_max_bytes;
+            // The connection can't take the larger heads that are allowed now; a new one can.
+            let is_outdated = head_max_bytes > accept_limits.head_max_bytes;
+            if stop.is_draining() || is_outdated {
                 ask_to_close(&mut response);
             }
             Ok::<_, Infallible>(running.watch_response(response))
@@ -301,9 +315,6 @@
     });
     let socket = stream.clone();
     let stream = WatchedStream::new(stream, watch.clone());
-    let accept_limits = limits(Awaited::FirstRequest {
-        since_unix_ms: now_unix_ms(),
-    });
     let mut connection = accept_limits.to_builder().serve_connection(stream, service);
     let mut check_unix_ms = accept_limits.until_unix_ms;
     loop {
