Soak: callers hold connections idle while the idle limit changes

In a scenario of its own, 24 callers hold connections idle for up to 4 s, and give one up once it has been idle for four fifths of the limit in force at any time.

--- a/crates/celerystair_policy/tests/caller_limits.rs
+++ b/crates/celerystair_policy/tests/caller_limits.rs
@@ -80,17 +80,17 @@
 #[test]
 fn no_connection_is_closed_that_its_caller_may_still_reuse_in_a_storm_of_changes() {
     arbtest::arbtest(|random| {
-        const LEARN_MAX_MS: i64 = 20_000;
-        const ROUTER_STEP_MS: i64 = 500;
-        let mut at_ms = 1_000_000_i64;
+        const LEARN_MAX_MS: u64 = 20_000;
+        const ROUTER_STEP_MS: u64 = 500;
+        let mut at_ms = 1_000_000_u64;
         let mut versions = vec![(at_ms, random.int_in_range(500..=60_000)?)];
         for _ in 0..random.int_in_range(0..=90)? {
             at_ms += random.int_in_range(200..=40_000)?;
             versions.push((at_ms, random.int_in_range(500..=60_000)?));
         }
         let idle_since_ms = random.int_in_range(1_000_000..=at_ms + 60_000)?;
-        let lag_ms: i64 = random.int_in_range(0..=LEARN_MAX_MS)?;
-        let known_by_caller = |now_ms: i64| {
+        let lag_ms = random.int_in_range(0..=LEARN_MAX_MS)?;
+        let known_by_caller = |now_ms: u64| {
             let known = versions.iter().rev().find(|(at, _)| at + lag_ms <= now_ms);
             known.unwrap_or(&versions[0]).1
         };
@@ -101,12 +101,12 @@
         loop {
             while recorded < versions.len() && versions[recorded].0 <= now_ms {
                 let (at, limit_ms) = versions[recorded];
-                history.record(&limits(limit_ms as u64), at as u64);
+                history.record(&limits(limit_ms), at);
                 recorded += 1;
             }
             if now_ms >= idle_since_ms {
-                let until = history.idle_until_unix_ms(idle_since_ms as u64) as i64;
-                if until <= now_ms {
+                let until_ms = history.idle_until_unix_ms(idle_since_ms);
+                if until_ms <= now_ms {
                     break;
                 }
             }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::JoinHandle,
     time::{Duration, Instant},
@@ -42,6 +42,14 @@
     kinds: &KINDS,
     pause_ms: (1, 25),
 };
+/// Callers that hold their connections idle, for as long as they may.
+pub const PATIENT: Calling = Calling {
+    callers: 24,
+    kinds: &KINDS,
+    pause_ms: (1, 4000),
+};
+/// How often a caller looks whether it may still use a connection that is idle.
+const LOOK_MS: u64 = 20;
 /// Longer than any request may take.
 const TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -137,6 +145,7 @@
             rng: StdRng::seed_from_u64(seed * 1000 + number as u64),
             calling,
             connection: None,
+            idle_limit_ms: fleet.idle_limit_ms(),
             told: Arc::clone(&told),
         };
         let stop = Arc::clone(&stop);
@@ -173,6 +182,7 @@
     rng: StdRng,
     calling: Calling,
     connection: Option<(usize, BufReader<TcpStream>)>,
+    idle_limit_ms: Arc<AtomicU64>,
     told: Arc<Mutex<Vec<Told>>>,
 }
 
@@ -182,7 +192,7 @@
             kinds, pause_ms, ..
         } = self.calling;
         let pause_ms = self.rng.random_range(pause_ms.0..=pause_ms.1);
-        std::thread::sleep(Duration::from_millis(pause_ms));
+        self.pause(pause_ms);
         let kind = kinds[self.rng.random_range(0..kinds.len())];
         let id = format!("c{}-{count}", self.number);
         let Some((router, mut connection)) = self.connection.take().or_else(|| self.connect())
@@ -202,6 +212,21 @@
         });
     }
 
+    /// Waits, and gives the connection up once it has been idle for four fifths of the limit in force.
+    fn pause(&mut self, pause_ms: u64) {
+        let since = Instant::now();
+        loop {
+            let idle_ms = since.elapsed().as_millis() as u64;
+            if idle_ms > self.idle_limit_ms.load(Ordering::Relaxed) * 4 / 5 {
+                self.connection = None;
+            }
+            if idle_ms >= pause_ms {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(LOOK_MS.min(pause_ms - idle_ms)));
+        }
+    }
+
     /// A connection to any router that takes one.
     fn connect(&mut self) -> Option<(usize, BufReader<TcpStream>)> {
         let router = self.rng.random_range(0..self.routers.len());
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -34,6 +34,14 @@
     broken
 }
 
+/// No connection ended with a request on it, also not one that crossed its end.
+pub fn check_none_lost(told: &[Told]) -> Vec<String> {
+    let lost = told
+        .iter()
+        .filter(|told| matches!(told.outcome, Outcome::Lost(_) | Outcome::Cut));
+    lost.map(|told| format!("{told:?}: lost")).collect()
+}
+
 fn check_request(plan: &Plan, told: &Told, ran: u32) -> Option<String> {
     let Told {
         id, kind, outcome, ..
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -6,6 +6,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -133,6 +137,7 @@
     processes: Vec<Process>,
     routers: Vec<(SocketAddr, SocketAddr)>,
     version: u64,
+    idle_limit_ms: Arc<AtomicU64>,
     undos: Vec<(Instant, Undo)>,
     /// Of each plain upstream that is away, from when on it was to get no more.
     away: BTreeMap<usize, Instant>,
@@ -181,6 +186,7 @@
             processes: Vec::new(),
             routers: Vec::new(),
             version: 1,
+            idle_limit_ms: Arc::default(),
             undos: Vec::new(),
             away: BTreeMap::new(),
             out_of_touch: Vec::new(),
@@ -201,8 +207,7 @@
     }
 
     fn list_all(&self) {
-        let config = config_with_version_route(self.version);
-        self.store.write("config", "main", config);
+        self.write_config();
         for (index, upstream) in self.engines.iter().chain(&self.desks).enumerate() {
             let link = &self.links[self.size.processes() + index];
             let entry = upstream.entry_at(link.address);
@@ -210,6 +215,21 @@
         }
     }
 
+    /// The idle limit of callers' connections in the configuration that was written last.
+    pub fn idle_limit_ms(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.idle_limit_ms)
+    }
+
+    /// Writes the configuration, of which callers know at once. Each version has another idle limit.
+    fn write_config(&self) {
+        const IDLE_LIMITS_MS: [u64; 4] = [15_000, 500, 60_000, 2000];
+        let idle_limit_ms = IDLE_LIMITS_MS[self.version as usize % IDLE_LIMITS_MS.len()];
+        let mut config = config_with_version_route(self.version);
+        config["Limits"]["IdleTimeoutMs"] = idle_limit_ms.into();
+        self.store.write("config", "main", config);
+        self.idle_limit_ms.store(idle_limit_ms, Ordering::Relaxed);
+    }
+
     fn add_process(&mut self, index: usize, ip: std::net::IpAddr, gossip_port: u16, folder: &Path) {
         let engine = index.checked_sub(self.size.routers);
         let role = if engine.is_some() { "agent" } else { "router" };
@@ -362,8 +382,7 @@
             }
             Step::Configure => {
                 self.version += 1 + self.version % 3;
-                let config = config_with_version_route(self.version);
-                self.store.write("config", "main", config);
+                self.write_config();
             }
             Step::StoreDown(for_ms) => {
                 self.store.set_faults(|faults| faults.is_down = true);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -122,6 +122,36 @@
     );
 }
 
+/// Callers hold connections idle beyond limits that were in force before, and never beyond the one that
+/// is. Nothing else happens, so none may end with a request.
+#[test]
+fn connections_that_callers_may_use_are_kept_while_the_idle_limit_changes() {
+    let steps = (0..16).map(|number| (400 + number % 4 * 500, Step::Configure));
+    let broken = play_idle("idle-limits", &Plan::of(steps));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+fn play_idle(name: &str, plan: &Plan) -> Vec<String> {
+    let _turn = take_turn();
+    let folder = std::env::temp_dir().join(format!("celerystair-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for logs");
+    let size = Size::of(4);
+    let mut fleet = Fleet::start(size, &folder);
+    let callers = callers::start(&fleet, 1, callers::PATIENT);
+    let mut broken = fleet.carry_out(plan);
+    let told = callers.stop();
+    broken.extend(checks::check(&fleet, plan, &told));
+    broken.extend(checks::check_none_lost(&told));
+    fleet.end();
+    println!("{name}: {} requests", told.len());
+    if broken.is_empty() {
+        std::fs::remove_dir_all(&folder).expect("the folder goes");
+    } else {
+        println!("{name} failed; logs in {}", folder.display());
+    }
+    broken
+}
+
 /// A fleet of the size of the users' deployments.
 const DEPLOYED: Size = Size {
     routers: 5,
