--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -150,7 +150,7 @@
     let reading = async {
         let mut read_bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
-            read_bytes += frame.data_ref().map_or(0, |data| data.len());
+            read_bytes += frame.data_ref().map_or(0, bytes::Bytes::len);
             if read_bytes > DISCARD_MAX_BYTES {
                 return;
             }
