Let no absurd number of the store or an engine end a process

What callers saw: numbers that can be read and that no engine, store or operator means ended a task in a debug build, where sums check for overflow. A release build wraps by the language's rules; that was not run.

Cause: numbers from outside were added and multiplied as they came.

Evidence, on the code before: panicked at crates/celerystair_engine/src/tell.rs:92: attempt to add with overflow (a report with QueueLen and BatchLen of 2^32-1; the agent ordered nothing after it) panicked at crates/celerystair_engine/src/fence.rs:40: attempt to add with overflow (a stored fencing token of 2^64-1) panicked at crates/celerystair_front/src/request.rs:258: attempt to multiply with overflow (durations of 1e300 in the configuration; the caller got no answer)

Sums and counters beside them saturate. A fencing token without a next one is an error that is logged: a lower one would be refused, and none can be higher.

--- a/crates/celerystair_engine/src/fence.rs
+++ b/crates/celerystair_engine/src/fence.rs
@@ -37,7 +37,12 @@
     let (fence, expected) = match found {
         Some(object) => {
             let current: FenceObject = object.read()?;
-            (current.fence + 1, Expected::Version(object.version))
+            let next = current.fence.checked_add(1);
+            let next = next.ok_or_else(|| StoreError::BadObject {
+                key: key.clone(),
+                detail: "the fencing token has no next one".to_owned(),
+            })?;
+            (next, Expected::Version(object.version))
         }
         None => (1, Expected::Absent),
     };
--- a/crates/celerystair_engine/src/orders.rs
+++ b/crates/celerystair_engine/src/orders.rs
@@ -86,7 +86,10 @@
                 self.fence.set(Some(fence));
             }
             OrderResponse::Misdirected => *self.upstream_id.borrow_mut() = None,
-            OrderResponse::Accepted => self.engine_state.borrow_mut().order_sequence += 1,
+            OrderResponse::Accepted => {
+                let mut state = self.engine_state.borrow_mut();
+                state.order_sequence = state.order_sequence.saturating_add(1);
+            }
             OrderResponse::Conflict | OrderResponse::Holds | OrderResponse::Refused => {}
         }
         Some(response)
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -64,7 +64,7 @@
         loaded: status.loaded.clone(),
         loading: status.loading.clone(),
         takes_orders: status.takes_orders,
-        request_count: status.running + status.waiting,
+        request_count: status.running.saturating_add(status.waiting),
         sent_unix_ms: now,
     };
     let targets = gossip_targets(
@@ -89,7 +89,8 @@
     status: &EngineStatus,
     now_unix_ms: u64,
 ) -> bool {
-    let change = (status.running + status.waiting).abs_diff(sent.request_count);
+    let request_count = status.running.saturating_add(status.waiting);
+    let change = request_count.abs_diff(sent.request_count);
     let min_change = f64::from(agent.engine_slots.get()) * REQUEST_COUNT_CHANGE_SHARE;
     now_unix_ms >= sent.sent_unix_ms + MIN_REQUEST_COUNT_INTERVAL_MS
         && f64::from(change) >= min_change.max(1.0)
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -309,7 +309,7 @@
     let entry = upstream.entry.borrow();
     let (reported_load, sent_since_report) = status.map_or((0, 0), |status| {
         let sent = upstream.sent_since(status.received_unix_ms);
-        (status.waiting + status.running, sent)
+        (status.waiting.saturating_add(status.running), sent)
     });
     Candidate {
         upstream: id,
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -10,6 +10,9 @@
 /// in a row were lost, or the agent is paused.
 pub const STATUS_FRESHNESS_MS: u64 = 4000;
 
+/// No engine has more requests; receivers add the numbers of a whole fleet up.
+const REQUESTS_MAX: u32 = 1 << 20;
+
 /// The state of an engine, as its agent last reported it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineStatus {
@@ -73,7 +76,7 @@
             sequence: news.sequence,
             loaded: loaded.collect(),
             loading: (!news.loading.is_empty()).then(|| news.loading.into()),
-            ready_unix_ms: now_unix_ms + u64::from(news.ready_in_ms),
+            ready_unix_ms: now_unix_ms.saturating_add(news.ready_in_ms.into()),
             is_loading_cold: news.loading_is_cold,
             cold_load_observations: ColdLoadObservations {
                 on_time_concurrency: news.cold_loads_on_time,
@@ -81,8 +84,8 @@
                 // The agent expires its measurements; this copy is replaced by its next status.
                 forget_unix_ms: u64::MAX,
             },
-            waiting: news.waiting,
-            running: news.running,
+            waiting: news.waiting.min(REQUESTS_MAX),
+            running: news.running.min(REQUESTS_MAX),
             in_memory: models(news.in_memory),
             on_disk: models(news.on_disk),
             router_count: news.routers,
--- a/crates/celerystair_policy/src/choose.rs
+++ b/crates/celerystair_policy/src/choose.rs
@@ -65,7 +65,8 @@
     let key = |candidate: &Candidate<'_>| {
         let slots = f64::from(candidate.slots.max(1));
         let load = f64::from(load(candidate)) / slots;
-        let step = (load / LOAD_STEP_SHARE) as u64 + candidate.prefill_tokens / PREFILL_STEP_TOKENS;
+        let step = ((load / LOAD_STEP_SHARE) as u64)
+            .saturating_add(candidate.prefill_tokens / PREFILL_STEP_TOKENS);
         let rank = u64::MAX - weight(request, candidate.upstream);
         (
             candidate.is_in_backoff,
@@ -78,6 +79,7 @@
 }
 
 fn load(candidate: &Candidate<'_>) -> u32 {
-    let estimated = candidate.reported_load + candidate.sent_since_report;
+    let reported_load = candidate.reported_load;
+    let estimated = reported_load.saturating_add(candidate.sent_since_report);
     estimated.max(candidate.own_load)
 }
--- a/crates/celerystair_policy/src/fleet.rs
+++ b/crates/celerystair_policy/src/fleet.rs
@@ -60,8 +60,8 @@
     pub fn patience_ms(&self) -> u64 {
         const PATIENCE_MIN_MS: u64 = 2000;
         PATIENCE_MIN_MS
-            .max(4 * self.target_latency_ms)
-            .max(8 * self.pause_max_ms)
+            .max(self.target_latency_ms.saturating_mul(4))
+            .max(self.pause_max_ms.saturating_mul(8))
     }
 }
 
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -37,8 +37,8 @@
             self.target_latency_ms = (own + others) / sum;
         }
         self.requests_per_second = sum;
-        self.waiting += other.waiting;
-        self.running += other.running;
+        self.waiting = self.waiting.saturating_add(other.waiting);
+        self.running = self.running.saturating_add(other.running);
     }
 }
 
@@ -284,7 +284,7 @@
         if unserved >= 1.0 {
             return waiting;
         }
-        let load = f64::from(view.running + view.waiting);
+        let load = f64::from(view.running.saturating_add(view.waiting));
         let slots = replicas.max(1.0) * f64::from(self.config.slots.max(1));
         waiting + (1.0 - unserved) * expected * delayed_share(load / slots)
     }
