Read each instance of the product's own list by itself

What callers saw: one entry of the list of instances that can't be read, or whose state isn't known, stopped every process of the product's own deployments from following the list.

Cause: as for the lists of objects, the whole list was parsed before one entry was looked at.

Now each entry is read by itself. An instance that is named by an entry whose state can't be read is listed, and keeps its last state; beside an entry that names none, no instance counts as gone, since it may be that one.

--- a/crates/celerystair_node/src/node.rs
+++ b/crates/celerystair_node/src/node.rs
@@ -117,6 +117,7 @@
             start_tls(settings, &log, stop)?;
         }
         let store = Store::new(settings.platform.clone())?;
+        store.set_log(&log);
         let shared_items = SharedItems::default();
         let agents: Mirror<AgentObject> =
             Mirror::start_shared(&store, AGENT_KEY_PREFIX, &shared_items, stop);
--- a/crates/celerystair_platform/src/instances.rs
+++ b/crates/celerystair_platform/src/instances.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    raw_json::{split_array, split_object, string_bytes},
     shared::{SharedItem, SharedItems},
     store::Store,
 };
@@ -30,6 +31,41 @@
     pub state: InstanceState,
 }
 
+/// The platform's list, as one process read it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InstanceList {
+    /// The entries that can be read.
+    pub entries: Vec<InstanceEntry>,
+    /// The instances of entries whose state can't be read.
+    pub unread: Vec<InstanceId>,
+    /// Whether there are entries whose instance can't be read either, so that any may be listed.
+    pub is_partial: bool,
+}
+
+impl InstanceList {
+    /// Reads each entry by itself, so that an odd one takes no other with it.
+    ///
+    /// # Errors
+    /// The text is no array.
+    pub fn parse(text: &[u8]) -> Result<Self, serde_json::Error> {
+        let mut list = Self::default();
+        for text in split_array(text)? {
+            let instance = || {
+                let bytes = string_bytes(split_object(text).member("instance")?)?;
+                String::from_utf8(bytes).ok()
+            };
+            match serde_json::from_slice(text) {
+                Ok(entry) => list.entries.push(entry),
+                Err(_) => match instance() {
+                    Some(instance) => list.unread.push(instance.as_str().into()),
+                    None => list.is_partial = true,
+                },
+            }
+        }
+        Ok(list)
+    }
+}
+
 /// Prefix of the keys of instances in [`SharedItems`].
 const INSTANCE_KEY_PREFIX: &str = "instances/";
 /// A list that was requested this long after a peer's state of an instance arrived is newer than
@@ -141,34 +177,45 @@
 
     /// Applies a list that was requested just now.
     pub fn apply_list(&self, list: &[InstanceEntry]) {
-        self.apply_list_requested_at(list, now_unix_ms());
+        let list = InstanceList {
+            entries: list.to_vec(),
+            ..InstanceList::default()
+        };
+        self.apply_list_requested_at(&list, now_unix_ms());
     }
 
     /// Applies a list that this process requested from the platform at `requested_unix_ms`.
     ///
     /// A peer's state is overridden only by a list that is certainly newer: one that follows a list
     /// of this process with the same state, or that was requested well after the state arrived.
-    fn apply_list_requested_at(&self, list: &[InstanceEntry], requested_unix_ms: u64) {
+    fn apply_list_requested_at(&self, list: &InstanceList, requested_unix_ms: u64) {
         let listed: HashMap<&InstanceId, KnownState> = list
+            .entries
             .iter()
             .map(|entry| (&entry.instance, KnownState::from(entry.state)))
             .collect();
         let mut absent: Vec<InstanceId> = {
             let known = self.known.borrow();
-            let unlisted = known
-                .keys()
-                .filter(|instance| !listed.contains_key(instance));
+            let unlisted = known.keys().filter(|instance| {
+                !list.is_partial
+                    && !listed.contains_key(instance)
+                    && !list.unread.contains(instance)
+            });
             unlisted.cloned().collect()
         };
         // Sorted, so that the order of recording does not depend on the hasher.
         absent.sort_unstable();
-        for entry in list {
+        for entry in &list.entries {
             self.observe(&entry.instance, entry.state.into(), requested_unix_ms);
         }
         for instance in &absent {
             self.observe(instance, KnownState::Gone, requested_unix_ms);
         }
-        *self.listed.borrow_mut() = listed.into_keys().cloned().collect();
+        let mut known_listed = self.listed.borrow_mut();
+        if !list.is_partial {
+            known_listed.clear();
+        }
+        known_listed.extend(listed.into_keys().chain(&list.unread).cloned());
     }
 
     fn observe(&self, instance: &InstanceId, state: KnownState, requested_unix_ms: u64) {
--- a/crates/celerystair_platform/src/raw_json.rs
+++ b/crates/celerystair_platform/src/raw_json.rs
@@ -113,6 +113,29 @@
     scan.split_list(array_name, &is_element)
 }
 
+/// Splits an array into its elements.
+///
+/// # Errors
+/// [`BrokenJson`] if the text is no array or one of its elements is malformed.
+pub fn split_array(text: &[u8]) -> Result<Vec<&[u8]>, BrokenJson> {
+    let mut elements = Vec::new();
+    let mut at = skip_space(text, expect(text, skip_space(text, 0), b'[')?);
+    if text.get(at) == Some(&b']') {
+        return end_of_text(text, at + 1).map(|()| elements);
+    }
+    loop {
+        at = skip_space(text, at);
+        let end = skip_value(text, at)?;
+        elements.push(&text[at..end]);
+        at = skip_space(text, end);
+        match text.get(at) {
+            Some(b',') => at += 1,
+            Some(b']') => return end_of_text(text, at + 1).map(|()| elements),
+            _ => return Err(BrokenJson { at }),
+        }
+    }
+}
+
 /// A search for the elements of an array.
 struct Scan<'a> {
     text: &'a [u8],
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -8,12 +8,12 @@
 use celerystair_core::{prelude::*, time::before_deadline};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
-use slog::{Discard, Logger, o};
+use slog::{Discard, Logger, o, warn};
 
 use crate::{
     dialect::{StoreDialect, WireCall, get_call, native_dialect},
     error::StoreError,
-    instances::InstanceEntry,
+    instances::InstanceList,
     pacer::{CallCounts, CallPriority, RateLimiter},
 };
 
@@ -137,7 +137,7 @@
     log: RefCell<Logger>,
     /// The last list of instances with its `ETag`, so that the platform need not send an unchanged
     /// list again.
-    instances: RefCell<(String, Rc<Vec<InstanceEntry>>)>,
+    instances: RefCell<(String, Rc<InstanceList>)>,
 }
 
 /// The current and the last outage of the store, as this process observed them. Calls rejected with
@@ -351,7 +351,7 @@
     }
 
     /// Reads the platform's list of instances.
-    pub(crate) async fn instance_list(&self) -> Result<Rc<Vec<InstanceEntry>>, StoreError> {
+    pub(crate) async fn instance_list(&self) -> Result<Rc<InstanceList>, StoreError> {
         let (known_etag, known) = self.inner.instances.borrow().clone();
         let response = self
             .send(StoreCall {
@@ -365,9 +365,13 @@
             return Ok(known);
         }
         let body = self.success_body(&response)?;
-        let list: Rc<Vec<InstanceEntry>> = serde_json::from_slice(body)
+        let list = InstanceList::parse(body)
             .map(Rc::new)
             .map_err(|error| bad_object("instances", &error))?;
+        let unread = (list.unread.len(), list.is_partial);
+        if unread != (known.unread.len(), known.is_partial) {
+            warn!(self.log(), "instances_unread"; "named" => unread.0, "unnamed" => unread.1);
+        }
         *self.inner.instances.borrow_mut() = (response.etag, list.clone());
         Ok(list)
     }
