--- a/crates/celerystair_platform/src/raw_json.rs
+++ b/crates/celerystair_platform/src/raw_json.rs
@@ -194,17 +194,12 @@
             if let Some(rest) = self.after_array(at) {
                 return Ok((elements, rest));
             }
-            let next = match self.element_end(at) {
-                Some(end) => {
-                    elements.push(&text[at..end]);
-                    skip_space(text, end)
-                }
-                None => {
-                    let next = self.next_after_broken(at, is_element)?;
-                    elements.push(&text[at..next]);
-                    next
-                }
+            let end = match self.element_end(at) {
+                Some(end) => end,
+                None => self.next_after_broken(at, is_element)?,
             };
+            elements.push(&text[at..end]);
+            let next = skip_space(text, end);
             at = match text.get(next) {
                 Some(b',') => skip_space(text, next + 1),
                 _ => next,
--- a/crates/celerystair_platform/tests/odd_objects.rs
+++ b/crates/celerystair_platform/tests/odd_objects.rs
@@ -1,8 +1,10 @@
 //! Objects and instances of the product's own API beside ones that another writer left.
 
 use std::{
+    cell::RefCell,
     io::{BufRead, BufReader, Write},
     net::TcpListener,
+    rc::Rc,
     sync::{Arc, Mutex},
 };
 
@@ -113,3 +115,39 @@
         stop.end();
     });
 }
+
+/// Routers log an entry that names no upstream where it is decoded.
+#[test]
+fn each_version_of_an_object_is_decoded_once() {
+    let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.block_on(async {
+        let settings = serde_json::from_value(json!({"url": "http://127.0.0.1:9"}));
+        let store = Store::new(settings.expect("the settings are valid")).expect("a client");
+        let stop = Stop::new();
+        let decoded = Rc::new(RefCell::new(Vec::new()));
+        let record = decoded.clone();
+        let decode = move |object: &Object| {
+            record.borrow_mut().push(object.version);
+            Ok(object.read::<u64>())
+        };
+        let mirror = Mirror::start_with_decoder(&store, "k/", decode, &stop);
+        for (version, value) in [
+            (3, json!("odd")),
+            (3, json!("odd")),
+            (5, json!(7)),
+            (4, json!(1)),
+        ] {
+            let object = Object {
+                key: "k/a".to_owned(),
+                version,
+                value,
+                ..Object::default()
+            };
+            mirror.apply(&object).expect("an error is a value here");
+            let (_, value) = mirror.get("a").expect("the object is known");
+            assert_eq!(value.is_ok(), version > 3);
+        }
+        assert_eq!(*decoded.borrow(), [3, 5]);
+        stop.end();
+    });
+}
