Let the soak draw refusals that are written once more

The soak's upstreams refused each request once, so it could not see that an earlier refusal was believed for a later request. They now refuse without an id, write a refusal twice, or once more before a later answer; in storms, too.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -8,7 +8,7 @@
     support::{
         Fault,
         system::{ENGINE_SERVICE, PLAIN_SERVICE},
-        upstream::Unframed,
+        upstream::{REFUSAL, Repeat, UNNAMED_REFUSAL, Unframed},
     },
 };
 
@@ -81,8 +81,12 @@
 
 /// The shortest and longest pause between two steps.
 const PAUSE_MS: (u64, u64) = (20, 700);
-const UPSTREAM_FAULTS: [Fault; 12] = [
+const UPSTREAM_FAULTS: [Fault; 16] = [
     Fault::Decline,
+    Fault::Refuse(UNNAMED_REFUSAL),
+    Fault::RefuseTwice(REFUSAL, 1),
+    Fault::RefuseTwice(UNNAMED_REFUSAL, 1),
+    Fault::Repeat(Repeat::Whole),
     Fault::LoseAnswer,
     Fault::CrossAnswer,
     Fault::Unsealed,
@@ -101,7 +105,13 @@
 const STORM_SEEDS: (u64, u64) = (10, 5);
 /// The shortest and longest pause between two such steps.
 const STORM_PAUSE_MS: (u64, u64) = (50, 900);
-const STORM_FAULTS: [Fault; 3] = [Fault::Decline, Fault::Fail, Fault::Unsealed];
+const STORM_FAULTS: [Fault; 5] = [
+    Fault::Decline,
+    Fault::Fail,
+    Fault::Unsealed,
+    Fault::RefuseTwice(REFUSAL, 1),
+    Fault::RefuseTwice(UNNAMED_REFUSAL, 1),
+];
 
 impl Plan {
     /// These steps, each with the pause before it.
