Take a line end after a request for no head

Some callers send one after a body. Since heads have a time of their own, such a connection got a 408 that it had not asked for as it ended.

Evidence: a_line_end_after_a_request_is_no_head failed before, as bytes came in place of the end.

--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -406,12 +406,13 @@
 }
 
 /// Tells a caller that the head of its request did not arrive in time, unless what was read was the
-/// rest of a body.
+/// rest of a body, or the line end that some callers send after one.
 async fn refuse_late_head<S>(parts: http1::Parts<WatchedStream, S>) {
     const RESPONSE: &[u8] =
         b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     const SEND_MAX_MS: u64 = 1000;
-    if parts.read_buf.is_empty() {
+    let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    if parts.read_buf.iter().all(is_line_end) {
         return;
     }
     let mut stream = parts.io;
