--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -208,6 +208,39 @@
             let entry = upstream.entry_at(link.address);
             self.store.write("servers", &upstream.id(), entry);
         }
+        self.list_odd();
+    }
+
+    /// Leaves entries of another writer in the list, before, between and after those of upstreams.
+    fn list_odd(&self) {
+        let deep = "[".repeat(200) + &"]".repeat(200);
+        let (Some(desk), Some(link)) = (
+            self.desks.first(),
+            self.links.get(self.size.processes() + self.engines.len()),
+        ) else {
+            return;
+        };
+        let mut port = desk.entry_at(link.address);
+        port["Address"] = "127.0.0.1:99999".into();
+        // The address of an upstream that is in use, which this entry must not take over.
+        let mut address = desk.entry_at(link.address);
+        address["Service"] = "nothing".into();
+        address["born"] = u64::MAX.into();
+        let (port, address) = (port.to_string(), address.to_string());
+        let values: [&[u8]; 6] = [
+            deep.as_bytes(),
+            b"1e999",
+            b"\"\xff\xfe\"",
+            b"[[[",
+            port.as_bytes(),
+            address.as_bytes(),
+        ];
+        for (number, value) in values.iter().enumerate() {
+            for prefix in ["a", "desk-0", "z"] {
+                let name = format!("{prefix}-odd-{number}");
+                self.store.write_raw("servers", &name, value);
+            }
+        }
     }
 
     fn add_process(&mut self, index: usize, ip: std::net::IpAddr, gossip_port: u16, folder: &Path) {
