Don't take half of an earlier error and the answer after it for one response

Heads that begin as one response and end as another were rejected only where they promised that the request had not run. Found by review.

Every such head is rejected now. What counts as a status line inside a header is narrower (version and three digits), and the request's own id is left out, so that a caller can't make its own refusals look like this.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -314,25 +314,25 @@
     connection: &UpstreamConnection,
 ) -> bool {
     let response_head = (router.settings.header_codec.read_response)(&head.headers);
-    let promises = response_head.is_not_run || NOT_RUN_STATUSES.contains(&head.status);
     is_own_response(named_request(request, &response_head), connection.is_reused)
-        && !(promises && is_joined_head(head))
+        && !is_joined_head(request, head)
 }
 
 /// Whether the head begins as one response and ends as another. If an upstream breaks off inside a
 /// header or the reason phrase, the status line of its next response becomes a part of that.
-fn is_joined_head(head: &http::response::Parts) -> bool {
-    const STATUS_LINE: &[u8] = b"HTTP/1.";
-    let has_status_line = |text: &[u8]| {
-        text.windows(STATUS_LINE.len())
-            .any(|part| part == STATUS_LINE)
-    };
+fn is_joined_head(request: &CallerRequest, head: &http::response::Parts) -> bool {
     let reason = head.extensions.get::<ReasonPhrase>();
-    reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
-        || head
-            .headers
-            .values()
-            .any(|value| has_status_line(value.as_bytes()))
+    let values = head.headers.values().map(HeaderValue::as_bytes);
+    let mut values = values.filter(|value| *value != request.head.id.as_str().as_bytes());
+    reason.is_some_and(|reason| has_status_line(reason.as_bytes())) || values.any(has_status_line)
+}
+
+/// Whether the text contains the beginning of a status line, such as `HTTP/1.1 200`.
+fn has_status_line(text: &[u8]) -> bool {
+    text.windows(12).any(|part| {
+        matches!(part, [b'H', b'T', b'T', b'P', b'/', b'1', b'.', minor, b' ', status @ ..]
+            if minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit))
+    })
 }
 
 fn check_response_head(
