Read a watch reply with many deletions

A process of the product's own deployments stopped following a prefix when one reply deleted some hundred objects: what follows the array of objects was expected within 4 KiB, a limit that is meant for the search behind an element that is no JSON (a regression, found by review).

Evidence: celerystair_platform, a_watch_reply_with_many_deletions_is_read: FAILED on the code before, "no deleted". The limit holds for that search alone now.

--- a/crates/celerystair_platform/src/raw_json.rs
+++ b/crates/celerystair_platform/src/raw_json.rs
@@ -14,8 +14,9 @@
 const SCANNED_BYTES_PER_BYTE: usize = 16;
 /// The same for a text of any length, so that a short one with much to try is read as well.
 const SCANNED_BYTES_MIN: usize = 4 << 20;
-/// The longest text from the end of the array on: a few short members. Brackets inside an element that is
-/// no JSON are many, and each may look like the array's end for as long as this.
+/// The longest text from the end of the array on that is looked for behind an element that is no JSON: a few
+/// short members. Brackets inside such an element are many, and each may look like the array's end for as
+/// long as this.
 const TAIL_MAX_BYTES: usize = 4 << 10;
 
 /// The text's outer form isn't JSON.
@@ -191,10 +192,10 @@
         let mut elements = Vec::new();
         let mut at = skip_space(text, start);
         loop {
-            if let Some(rest) = self.after_array(at) {
+            if let Some(rest) = self.after_array(at, usize::MAX) {
                 return Ok((elements, rest));
             }
-            let end = match self.element_end(at) {
+            let end = match self.element_end(at, usize::MAX) {
                 Some(end) => end,
                 None => self.next_after_broken(at, is_element)?,
             };
@@ -208,7 +209,7 @@
     }
 
     /// Returns the end of the element at `at`: an object that a comma or the array's end follows.
-    fn element_end(&mut self, at: usize) -> Option<usize> {
+    fn element_end(&mut self, at: usize, tail_max_bytes: usize) -> Option<usize> {
         if self.text.get(at) != Some(&b'{') {
             return None;
         }
@@ -216,17 +217,17 @@
         let next = skip_space(self.text, end);
         let is_followed = match self.text.get(next) {
             Some(b',') => true,
-            Some(b']') => self.after_array(next).is_some(),
+            Some(b']') => self.after_array(next, tail_max_bytes).is_some(),
             _ => false,
         };
         is_followed.then_some(end)
     }
 
     /// Reads the end of the array at `at` and the members after it, up to the end of the text; `None`
-    /// if anything else is there.
-    fn after_array(&mut self, at: usize) -> Option<Vec<RawMember<'a>>> {
+    /// if anything else is there, or more than `tail_max_bytes`.
+    fn after_array(&mut self, at: usize, tail_max_bytes: usize) -> Option<Vec<RawMember<'a>>> {
         let text = self.text;
-        if text.len().saturating_sub(at) > TAIL_MAX_BYTES {
+        if text.len().saturating_sub(at) > tail_max_bytes {
             return None;
         }
         let mut at = skip_space(text, expect(text, at, b']').ok()?);
@@ -265,12 +266,12 @@
             match text[next] {
                 b',' => {
                     let element_at = skip_space(text, next + 1);
-                    let end = self.element_end(element_at);
+                    let end = self.element_end(element_at, TAIL_MAX_BYTES);
                     if end.is_some_and(|end| is_element(&text[element_at..end])) {
                         return Ok(next);
                     }
                 }
-                b']' if self.after_array(next).is_some() => array_end = Some(next),
+                b']' if self.after_array(next, TAIL_MAX_BYTES).is_some() => array_end = Some(next),
                 _ => {}
             }
         }
--- a/crates/celerystair_platform/tests/odd_objects.rs
+++ b/crates/celerystair_platform/tests/odd_objects.rs
@@ -21,6 +21,19 @@
     ]
 }
 
+// A reply whose keys after the array of objects took more than 4 KiB was read as one without an end.
+#[test]
+fn a_watch_reply_with_many_deletions_is_read() {
+    let keys: Vec<String> = (0..1000).map(|number| format!("\"k/{number}\"")).collect();
+    let keys = keys.join(",");
+    for objects in ["", r#"{"key":"k/a","version":3,"value":1}"#] {
+        let reply =
+            format!(r#"{{"revision":9,"objects":[{objects}],"deleted":[{keys}],"too_old":false}}"#);
+        let reply = (native_dialect().read_watch)("k/", reply.as_bytes());
+        assert_eq!(reply.expect("the reply is read").deleted.len(), 1000);
+    }
+}
+
 #[test]
 fn an_odd_object_stops_no_reader_of_a_list_or_a_watch() {
     let dialect = native_dialect();
