Look into an event without a name also if the list fails at first

An upstream that an event without a name was about stayed in use for up to two minutes if the list could not be read just then: the revision had moved past the event before the list was read (found by review).

Evidence: platform/tests/odd_entries.rs, an_event_without_a_name_is_looked_into_also_if_the_list_fails_at_first: FAILED on the code before, "still not true after 10 s: the hidden entry is no upstream". The revision stays until the list has been read, so that the event comes again.

--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -407,7 +407,8 @@
             deleted,
             ..WatchReply::default()
         };
-        self.apply_reply(store, &reply);
+        self.apply_changes(store, &reply);
+        self.advance_revision(reply.revision);
         self.inner.has_read_store.set(true);
         self.mark_complete();
         Ok(())
@@ -420,15 +421,17 @@
         if reply.too_old {
             return self.reread(store).await;
         }
-        self.apply_reply(store, &reply);
-        // Whichever object such an event is about, the one before it may be in use.
+        self.apply_changes(store, &reply);
+        // Whichever object such an event is about, the one before it may be in use. Until the list has
+        // been read, the revision stays, so that the event comes again.
         if reply.unnamed > 0 {
-            return self.reread(store).await;
+            self.reread(store).await?;
         }
+        self.advance_revision(reply.revision);
         Ok(())
     }
 
-    fn apply_reply(&self, store: &Store, reply: &WatchReply) {
+    fn apply_changes(&self, store: &Store, reply: &WatchReply) {
         for object in &reply.objects {
             // If this version can't decode the object, the last decodable value stays.
             if let Err(error) = self.apply(object) {
@@ -442,8 +445,10 @@
             };
             self.remove(name, reply.revision);
         }
-        self.inner
-            .revision
-            .set(self.inner.revision.get().max(reply.revision));
+    }
+
+    fn advance_revision(&self, revision: u64) {
+        let known = self.inner.revision.get();
+        self.inner.revision.set(known.max(revision));
     }
 }
