Look for an engine's entry among those of its service

An agent took the first entry with its engine's address and start time for the engine's own. A copy by another writer, at a service that isn't the engine's, came first: the engine declined the orders, which bore the copy's name, and got no loads (found by review).

Evidence: platform/tests/odd_entries.rs, an_agent_takes_no_entry_of_another_service_for_its_engine: FAILED on the code before, "still not true after 10 s: a model that was not loaded is served".

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -292,7 +292,7 @@
         }
     }
 
-    /// Looks up the engine's id in the list of upstreams, by its address and start time.
+    /// Looks up the engine's id in the list of upstreams, by its service, address and start time.
     async fn look_up_upstream(&self, store: &Store, state: &EngineState) {
         let now = now_unix_ms();
         if now < self.last_lookup_unix_ms.get() + LOOKUP_INTERVAL_MS {
@@ -311,7 +311,8 @@
         let mut entries =
             entries.filter_map(|object| (self.settings.source.read_upstream)(object).ok());
         let own = entries.find(|entry| {
-            entry.address == self.settings.engine_address
+            entry.service == self.settings.service
+                && entry.address == self.settings.engine_address
                 && entry.started_unix_ms == state.started_unix_ms
         });
         if let Some(own) = &own {
