Assume a stream's version by the list only if its route led there all the while

A stream that began at one service, and whose record is lost, could go on at another one after the operator had moved its route: the list was asked about the route's present service. Joined pieces of two services break ORDER; a known record is refused for the same reason. Found by review, by reading.

Routers keep since when each route has led to its present services, and assume a version only if that covers the stream's life. The policy's test replays moves, splits, and a route that goes and comes back. An end-to-end test would need the two minutes for which the list must have been read, and there is none.

--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -266,10 +266,13 @@
     let [target] = request.route.targets.as_slice() else {
         return None;
     };
+    // A stream that began before the route led here began at another service.
+    let routed_since_unix_ms = router.view.route_targets_since_unix_ms(&request.route)?;
+    let known_since_unix_ms = router.view.versions_known_since_unix_ms();
     let version = assumed_version(
         &router.view.version_history(&target.service),
         router.view.longest_timeout_ms(),
-        router.view.versions_known_since_unix_ms(),
+        known_since_unix_ms.map(|since| since.max(routed_since_unix_ms)),
         now_unix_ms(),
     )?;
     Some(StreamOrigin {
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -54,6 +54,7 @@
     list_coverage: Cell<ListCoverage>,
     /// The longest timeout that a route has had since this router started.
     longest_timeout_ms: Cell<u64>,
+    route_targets: RefCell<RouteTargets>,
 }
 
 impl FleetView {
@@ -72,6 +73,7 @@
                 version_histories: RefCell::default(),
                 list_coverage: Cell::default(),
                 longest_timeout_ms: Cell::default(),
+                route_targets: RefCell::default(),
             }),
         };
         let configs =
@@ -154,6 +156,12 @@
         Some(covered_since_unix_ms.max(listed_since_unix_ms))
     }
 
+    /// Returns since when streams of this route can only have begun at its present services, as far as
+    /// this router knows.
+    pub fn route_targets_since_unix_ms(&self, route: &Route) -> Option<u64> {
+        self.inner.route_targets.borrow().since_unix_ms(route)
+    }
+
     /// Returns the longest timeout that a route has had since this router started.
     pub fn longest_timeout_ms(&self) -> u64 {
         self.inner.longest_timeout_ms.get()
@@ -226,6 +234,9 @@
         let longest_timeout_ms = timeouts_ms.max().unwrap_or_default();
         let longest_timeout_ms = self.longest_timeout_ms().max(longest_timeout_ms);
         self.inner.longest_timeout_ms.set(longest_timeout_ms);
+        let mut route_targets = self.inner.route_targets.borrow_mut();
+        route_targets.record(&config.routes, now_unix_ms());
+        drop(route_targets);
         let mut history = self.inner.caller_limits.borrow_mut();
         history.record(limits, now_unix_ms());
         drop(history);
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -81,8 +81,9 @@
         },
         stall::StallInputs,
         stream_versions::{
-            ListCoverage, ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, StreamId, StreamOrigin, StreamOrigins,
-            ToldStreams, VersionHistory, assumed_version, holders_asked, version_holders,
+            ListCoverage, ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, RouteTargets, StreamId, StreamOrigin,
+            StreamOrigins, ToldStreams, VersionHistory, assumed_version, holders_asked,
+            version_holders,
         },
         suspect_part::{
             FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -16,6 +16,7 @@
 use celerystair_core::{prelude::*, rendezvous};
 
 use crate::{
+    fleet::Route,
     spread::{Peer, address_weight},
     suspect_part::PromptPartId,
 };
@@ -322,6 +323,36 @@
     }
 }
 
+/// Since when each route, by host and path prefix, has led to its present services.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTargets(HashMap<(String, String), (Vec<ServiceName>, u64)>);
+
+impl RouteTargets {
+    /// Records the routes that are in force from now on.
+    pub fn record(&mut self, routes: &[Route], now_unix_ms: u64) {
+        let mut before = std::mem::take(&mut self.0);
+        self.0.extend(routes.iter().map(|route| {
+            let targets = route.targets.iter();
+            let services: Vec<ServiceName> = targets.map(|t| t.service.clone()).collect();
+            let key = route_key(route);
+            let known = before.remove(&key).filter(|(known, _)| *known == services);
+            (key, known.unwrap_or((services, now_unix_ms)))
+        }));
+    }
+
+    /// Returns since when a stream of this route can only have begun at the services that the route has
+    /// now; `None` if other ones are in force.
+    pub fn since_unix_ms(&self, route: &Route) -> Option<u64> {
+        let (services, since_unix_ms) = self.0.get(&route_key(route))?;
+        let targets = route.targets.iter().map(|target| &target.service);
+        targets.eq(services).then_some(*since_unix_ms)
+    }
+}
+
+fn route_key(route: &Route) -> (String, String) {
+    (route.host.to_ascii_lowercase(), route.path_prefix.clone())
+}
+
 /// Returns the version of a stream whose origin no process knows: the only one that was listed while
 /// it may have begun, if the list was current all the while. `None` if that can't be told.
 ///
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -530,3 +530,40 @@
     assert!(!first.is_same_run(&entry(1, 1, "v1", 8)));
     assert!(!first.is_same_run(&entry(0, 2, "v1", 8)));
 }
+
+fn route_to(services: &[&str]) -> Route {
+    let target = |service: &&str| RouteTarget {
+        service: ServiceName::from(*service),
+        weight: 1.0,
+    };
+    Route {
+        name: "a".to_owned(),
+        host: "desk.example".to_owned(),
+        path_prefix: "/a/".to_owned(),
+        kind: RequestKind::Stream,
+        timeout_ms: 12_000,
+        target_latency_ms: 500,
+        urgency_rank: 1,
+        targets: services.iter().map(target).collect(),
+        attempts_max: 2,
+        can_resume: true,
+        pause_max_ms: 150,
+    }
+}
+
+// A stream that began at the service to which its route led before was taken for one of the present service.
+#[test]
+fn a_route_that_has_moved_tells_nothing_of_streams_that_began_before() {
+    let mut targets = RouteTargets::default();
+    assert_eq!(targets.since_unix_ms(&route_to(&["a"])), None);
+    targets.record(&[route_to(&["a"])], 1000);
+    targets.record(&[route_to(&["a"])], 2000);
+    assert_eq!(targets.since_unix_ms(&route_to(&["a"])), Some(1000));
+    targets.record(&[route_to(&["b"])], 3000);
+    assert_eq!(targets.since_unix_ms(&route_to(&["a"])), None);
+    assert_eq!(targets.since_unix_ms(&route_to(&["b"])), Some(3000));
+    targets.record(&[route_to(&["b", "a"])], 4000);
+    targets.record(&[], 5000);
+    targets.record(&[route_to(&["b"])], 6000);
+    assert_eq!(targets.since_unix_ms(&route_to(&["b"])), Some(6000));
+}
