Keep the last replica of a model at a software version while other versions are in service

Cause, from the logs: an agent of the old version unloaded that version's last copy of a model for another model, while 67 streams waited for it. Replicas were counted over all versions, so one of several looked expendable; a stream goes on only at the version that began it.

Agents now learn their engine's version with its entry and tell it, and the only replica at a version counts as the only one in the loss of its eviction, while engines of another version are in service. With one version, or none known, orders are as before (test). The test of the eviction failed before: "unload: [m1]" at the only v2 engine. Agents of an earlier version tell none, which protects nothing and harms nothing.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -72,6 +72,8 @@
     pub gossip_socket: GossipSocket,
     /// The engine's upstream id; `None` until the engine is found in the list of upstreams.
     pub upstream_id: RefCell<Option<UpstreamId>>,
+    /// The version of the engine's software, as its entry names it.
+    pub software_version: RefCell<Option<SoftwareVersion>>,
     /// The engine's last report.
     pub engine_state: RefCell<EngineState>,
     /// The load in progress.
@@ -156,6 +158,7 @@
             stream_origins: RefCell::default(),
             gossip_socket,
             upstream_id: RefCell::default(),
+            software_version: RefCell::default(),
             engine_state: RefCell::default(),
             plan: RefCell::default(),
             cold_load_observations: Cell::default(),
@@ -319,6 +322,7 @@
             info!(self.log, "engine_found"; "upstream" => %own.id,
                 "born_unix_ms" => own.started_unix_ms, "models" => own.loaded.len());
         }
+        *self.software_version.borrow_mut() = own.as_ref().map(|own| own.software_version.clone());
         *self.upstream_id.borrow_mut() = own.map(|entry| entry.id);
     }
 
--- a/crates/celerystair_engine/src/decide.rs
+++ b/crates/celerystair_engine/src/decide.rs
@@ -76,6 +76,7 @@
             on_disk: state.on_disk.clone(),
             cold_load_observations: self.current_cold_load_observations(now_unix_ms),
             rate_limit_per_second: None,
+            software_version: self.software_version.borrow().clone(),
         }
     }
 }
@@ -99,5 +100,6 @@
         protected: Vec::new(),
         cold_load_observations: status.cold_load_observations,
         rate_limit_per_second: None,
+        software_version: status.software_version.clone(),
     }
 }
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -187,6 +187,7 @@
             IpAddr::V4(address) => address,
             IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
         },
+        software_version: agent.software_version.borrow().clone(),
     })
 }
 
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -51,6 +51,8 @@
     pub received_unix_ms: u64,
     /// The address of the instance that runs the engine and its agent; unspecified for IPv6.
     pub address: Ipv4Addr,
+    /// The version of the engine's software, if its agent knows it.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl EngineStatus {
@@ -93,6 +95,8 @@
             is_leaving: news.is_leaving,
             received_unix_ms: now_unix_ms,
             address: Ipv4Addr::from(news.address),
+            software_version: (!news.software_version.is_empty())
+                .then(|| news.software_version.into()),
         }
     }
 
@@ -125,6 +129,11 @@
             takes_orders: self.takes_orders,
             is_leaving: self.is_leaving,
             address: u32::from(self.address),
+            software_version: self
+                .software_version
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
         }
     }
 }
@@ -149,6 +158,7 @@
             is_leaving: false,
             received_unix_ms: 0,
             address: Ipv4Addr::UNSPECIFIED,
+            software_version: None,
         }
     }
 }
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -59,6 +59,7 @@
         is_leaving: true,
         received_unix_ms: 1000,
         address: Ipv4Addr::new(10, 1, 0, 9),
+        software_version: Some("v1.1".into()),
     })
 }
 
--- a/crates/celerystair_policy/src/replicas.rs
+++ b/crates/celerystair_policy/src/replicas.rs
@@ -63,6 +63,8 @@
     pub cold_load_observations: ColdLoadObservations,
     /// The rate limit that it names, if any.
     pub rate_limit_per_second: Option<f64>,
+    /// The version of its software; `None` if it is unknown.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// A load that an engine is carrying out.
@@ -247,7 +249,13 @@
             .iter()
             .filter(|model| !engine.protected.contains(model));
         let mut victims: Vec<(f64, f64, &ModelName)> = evictable
-            .map(|model| (self.loss(model, served_share), self.size_mb(model), model))
+            .map(|model| {
+                (
+                    self.loss(engine, model, served_share),
+                    self.size_mb(model),
+                    model,
+                )
+            })
             .collect();
         victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(b.2)));
         EngineMemory {
@@ -441,10 +449,28 @@
         None
     }
 
-    /// Returns the loss of evicting one replica of `model`, which serves this part of the requests
-    /// that it gets, in requests that would have to wait.
-    fn loss(&self, model: &ModelName, served_share: f64) -> f64 {
-        let replicas = self.replicas(model);
+    /// Whether the engine holds the only replica of `model` at its software version, while engines of
+    /// another version are in service.
+    fn is_last_of_version(&self, engine: &EngineView, model: &ModelName) -> bool {
+        let Some(version) = &engine.software_version else {
+            return false;
+        };
+        let is_same = |other: &&EngineView| other.software_version.as_ref() == Some(version);
+        let known = || self.engines.iter().filter(|e| e.software_version.is_some());
+        let has_other = known().any(|other| !is_same(&other));
+        let mut others = known().filter(is_same);
+        has_other && !others.any(|e| e.upstream != engine.upstream && e.loaded.contains(model))
+    }
+
+    /// Returns the loss of evicting the replica of `model` at `engine`, which serves this part of the
+    /// requests that it gets, in requests that would have to wait. Streams go on only at the version
+    /// that began them, so the only replica at a version counts as the only one.
+    fn loss(&self, engine: &EngineView, model: &ModelName, served_share: f64) -> f64 {
+        let replicas = if self.is_last_of_version(engine, model) {
+            served_share
+        } else {
+            self.replicas(model)
+        };
         let without = (replicas - served_share).max(0.0);
         let view = self.models.get(model);
         let rate = view.map_or(0.0, |view| view.requests_per_second);
--- a/crates/celerystair_policy/tests/replicas.rs
+++ b/crates/celerystair_policy/tests/replicas.rs
@@ -480,3 +480,73 @@
         assert_eq!(first.map(|order| order.0), Some(limited), "{orders:?}");
     }
 }
+
+/// Three full engines of an old version and one of a new one, which hold four models; a fifth model is wanted.
+fn engines_of_two_versions() -> Vec<EngineView> {
+    let at = |version: &str, engine: EngineView| EngineView {
+        software_version: Some(version.into()),
+        ..engine
+    };
+    vec![
+        at("v1", engine(1, &[1, 2])),
+        at("v1", engine(2, &[2, 3])),
+        at("v1", engine(3, &[3, 4])),
+        at("v2", engine(4, &[1, 4])),
+    ]
+}
+
+// The last replica of a model at the old version was evicted while streams that only it can go on with waited.
+#[test]
+fn the_last_replica_at_a_version_is_not_evicted_as_one_of_several() {
+    let config = EngineConfig {
+        weights_mb: 140_000.0,
+        ..config(6)
+    };
+    let mut models: HashMap<ModelName, ModelView> = (1..=4)
+        .map(|number| (model(number), demand(4.0, 0, 2)))
+        .collect();
+    models.insert(model(5), demand(4.0, 2, 0));
+    let engines = engines_of_two_versions();
+    let orders: Vec<(usize, Order)> = (0..engines.len())
+        .filter_map(|own| Some((own, next_order(&config, &models, &engines, own)?)))
+        .collect();
+    for (own, order) in &orders {
+        for unloaded in &order.unload {
+            let version = &engines[*own].software_version;
+            let others = engines.iter().enumerate();
+            let is_left = others
+                .filter(|(other, e)| other != own && e.software_version == *version)
+                .any(|(_, e)| e.loaded.contains(unloaded));
+            assert!(is_left, "{own}: {order:?}");
+        }
+    }
+    assert!(!orders.is_empty(), "the model that is wanted is loaded");
+}
+
+// With one version, or none that is known, placement is as before.
+#[test]
+fn versions_do_not_matter_while_all_engines_have_the_same() {
+    let config = EngineConfig {
+        weights_mb: 140_000.0,
+        ..config(6)
+    };
+    let mut models: HashMap<ModelName, ModelView> = (1..=4)
+        .map(|number| (model(number), demand(4.0, 0, 2)))
+        .collect();
+    models.insert(model(5), demand(4.0, 2, 0));
+    let with = |version: Option<&str>| -> Vec<EngineView> {
+        let engines = engines_of_two_versions().into_iter();
+        let engines = engines.map(|engine| EngineView {
+            software_version: version.map(SoftwareVersion::from),
+            ..engine
+        });
+        engines.collect()
+    };
+    for own in 0..4 {
+        let unknown = next_order(&config, &models, &with(None), own);
+        assert_eq!(
+            next_order(&config, &models, &with(Some("v1")), own),
+            unknown
+        );
+    }
+}
