--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -256,8 +256,8 @@
         }
         let attempt =
             match send_or_move(router, request, service, progress, &upstream, resumption).await {
-                Awaited::Elsewhere(result) => return result,
-                Awaited::Attempt(attempt) => attempt,
+                SendOutcome::Elsewhere(result) => return result,
+                SendOutcome::Attempt(attempt) => attempt,
             };
         match read_response(router, request, attempt).await {
             Ok(response) => {
@@ -315,7 +315,7 @@
 }
 
 /// How the wait for an upstream's response ended.
-enum Awaited {
+enum SendOutcome {
     /// The upstream responded, or the attempt failed.
     Attempt(Result<StartedResponse, FailedAttempt>),
     /// The upstream was silent, and the request went on at another one.
@@ -331,7 +331,7 @@
     progress: &mut Progress,
     upstream: &Rc<Upstream>,
     resumption: Resumption<'_>,
-) -> Awaited {
+) -> SendOutcome {
     let silence_ms =
         (request.route.target_latency_ms * SILENCE_TARGET_MULTIPLE).max(SILENCE_MIN_MS);
     let sent_unix_ms = now_unix_ms();
@@ -347,7 +347,7 @@
     loop {
         let head = before_deadline(silence_until_unix_ms, attempt.as_mut()).await;
         if let Some(result) = head {
-            return Awaited::Attempt(result);
+            return SendOutcome::Attempt(result);
         }
         if resumption.keeps_attempt() || !should_leave(router, request, service, progress, upstream)
         {
@@ -373,7 +373,7 @@
         let before = progress.add_silent(upstream);
         let moved = Box::pin(try_upstreams(router, request, service, progress, next)).await;
         let Some(still_open) = silent.take() else {
-            return Awaited::Elsewhere(moved);
+            return SendOutcome::Elsewhere(moved);
         };
         silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
         router.log_request_stays(request, upstream);
