Add the stand-ins of the review's scripts

A store that can come back from an older copy of itself, plain servers, model servers as processes of their own, callers, and the start and end of routers and agents on loopback addresses.

--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,32 @@
+//! Stand-ins of the users' platform, and the scripts of the review that run on them.
+
+mod caller;
+mod engine;
+mod fleet;
+mod http;
+mod killed_server;
+mod record;
+mod restored_store;
+mod retaken;
+mod server;
+mod stopped_twice;
+mod store;
+mod wire;
+
+use engine::Content;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    // A panic is a case that could not run.
+    let run = std::panic::catch_unwind(|| match words.as_slice() {
+        ["engine", settings] => engine::serve(settings),
+        ["removed-engine", folder] => killed_server::run(folder, Content::Events),
+        ["killed-server", folder] => killed_server::run(folder, Content::Text),
+        ["retaken", folder] => retaken::run(folder),
+        ["stopped-twice", folder] => stopped_twice::run(folder),
+        ["restored-store", folder] => restored_store::run(folder),
+        _ => panic!("unknown case: {words:?}"),
+    });
+    std::process::exit(run.unwrap_or(2));
+}
