Review, case 5: show it by planned stops in turn

Tried: a router and then the agents get SIGTERM in turn and start again, with two software versions in service. None of 45 streams that the router breaks off goes on at the others, all 45 new ones begin.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -14,6 +14,7 @@
 mod wire;
 
 use engine::Content;
+use retaken::Trouble;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -23,7 +24,8 @@
         ["engine", settings] => engine::serve(settings),
         ["removed-engine", folder] => killed_server::run(folder, Content::Events),
         ["killed-server", folder] => killed_server::run(folder, Content::Text),
-        ["retaken", folder] => retaken::run(folder),
+        ["retaken-after-stops", folder] => retaken::run(folder, Trouble::Stops),
+        ["retaken-after-kills", folder] => retaken::run(folder, Trouble::Kills),
         ["stopped-twice", folder] => stopped_twice::run(folder),
         ["restored-store", folder] => restored_store::run(folder),
         _ => panic!("unknown case: {words:?}"),
--- a/review/standin/src/retaken.rs
+++ b/review/standin/src/retaken.rs
@@ -1,5 +1,5 @@
-//! One router of four and the agents of all engines are killed at the same moment, while engines of two
-//! software versions serve. Callers take their streams up at the routers that stand.
+//! A router and the agents of all engines end, while engines of two software versions serve. Callers
+//! take the router's streams up at the routers that stand.
 
 use std::{
     net::SocketAddr,
@@ -16,18 +16,23 @@
 use crate::{
     caller::{StreamPart, call_stream, stream_request},
     engine::{Content, Engine},
-    fleet::{Fleet, has_trouble, record_path},
+    fleet::{Fleet, Process, has_trouble, record_path},
     record::Record,
     server::unix_ms,
     store::Store,
     wire,
 };
 
-const EVENTS: u64 = 80;
+const EVENTS: u64 = 110;
 const GAP_MS: u64 = 100;
 const STREAMS: usize = 45;
 /// How long the streams have been running.
-const RUNNING: Duration = Duration::from_millis(2500);
+const RUNNING: Duration = Duration::from_millis(800);
+/// When the callers close their connections where no process ends: about when they break off otherwise.
+const CLOSE_AFTER: Duration = Duration::from_millis(6000);
+/// The time between two planned stops, and the most that one may take.
+const STOPS_GAP: Duration = Duration::from_millis(1200);
+const GRACE: Duration = Duration::from_millis(8000);
 /// How long the platform takes to start a process again.
 const RESTART: Duration = Duration::from_millis(300);
 /// Callers take a stream up within this time, up to three times.
@@ -99,7 +104,23 @@
     story
 }
 
-pub fn run(folder: &str) -> i32 {
+/// Which processes end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trouble {
+    /// The first router and then each agent gets SIGTERM in turn, and starts again.
+    Stops,
+    /// The first router and all agents are killed at the same moment.
+    Kills,
+}
+
+fn host(engine: &Engine) -> u8 {
+    match engine.address.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets()[3],
+        std::net::IpAddr::V6(_) => 0,
+    }
+}
+
+pub fn run(folder: &str, trouble: Trouble) -> i32 {
     let record = Record::create(&record_path(folder));
     let fleet = Fleet::new(record.clone());
     let store = Store::start(fleet.store_address());
@@ -149,33 +170,59 @@
             std::thread::spawn(move || call_and_take_up(first, &others, number, closes))
         })
         .collect();
+    let began = Instant::now();
     sleep(RUNNING);
-    let killed_at = Instant::now();
-    if has_trouble() {
-        let mut killed = vec![routers.remove(0).process];
-        killed.append(&mut agents);
-        // All first get the signal, and are then waited for.
-        killed
-            .iter_mut()
-            .for_each(|process| process.child.kill().expect("kill works"));
-        let names: Vec<String> = killed.iter().map(|process| process.name.clone()).collect();
-        record.write(format!("killed at the same moment: {}", names.join(", ")));
-        drop(killed);
-        sleep(RESTART);
-        for (engine, _) in &engines {
-            let std::net::IpAddr::V4(ip) = engine.address.ip() else {
-                continue;
-            };
-            agents.push(fleet.start_agent(ip.octets()[3], engine.address, "engines"));
+    match (has_trouble(), trouble) {
+        (false, _) => {
+            sleep(CLOSE_AFTER);
+            closes.store(1, Ordering::Relaxed);
+            record.write("no process ends; the callers close their connections");
+        }
+        (true, Trouble::Stops) => {
+            let router = routers.remove(0);
+            router.process.signal("TERM");
+            record.write(format!("{} gets SIGTERM", router.process.name));
+            for (engine, _) in &engines {
+                sleep(STOPS_GAP);
+                let mut agent = agents.remove(0);
+                agent.signal("TERM");
+                agent.child.wait().expect("the agent ends");
+                record.write(format!("{} got SIGTERM and has ended", agent.name));
+                sleep(RESTART);
+                agents.push(fleet.start_agent(host(engine), engine.address, "engines"));
+            }
+            let mut process = router.process;
+            let until = Instant::now() + GRACE;
+            while !process.has_ended() && Instant::now() < until {
+                sleep(Duration::from_millis(10));
+            }
+            record.write(format!(
+                "{} has ended: {:?}",
+                process.name,
+                process.child.try_wait()
+            ));
+            drop(process);
+            routers.push(fleet.start_router(2));
+        }
+        (true, Trouble::Kills) => {
+            let mut killed = vec![routers.remove(0).process];
+            killed.append(&mut agents);
+            // All first get the signal, and are then waited for.
+            let mut kill = |process: &mut Process| process.child.kill().expect("kill works");
+            killed.iter_mut().for_each(&mut kill);
+            let names: Vec<String> = killed.iter().map(|process| process.name.clone()).collect();
+            record.write(format!("killed at the same moment: {}", names.join(", ")));
+            drop(killed);
+            sleep(RESTART);
+            for (engine, _) in &engines {
+                agents.push(fleet.start_agent(host(engine), engine.address, "engines"));
+            }
+            routers.push(fleet.start_router(2));
         }
-        routers.push(fleet.start_router(2));
-    } else {
-        closes.store(1, Ordering::Relaxed);
-        record.write("nothing is killed; the callers' connections end by themselves");
     }
     record.write(format!(
-        "started again after {} ms",
-        killed_at.elapsed().as_millis()
+        "all processes run, {} ms after the streams were sent",
+        began.elapsed().as_millis()
     ));
     // New streams at the same routers, for comparison.
     let fresh: Vec<_> = (0..STREAMS)
