Review, case 5: large bodies at once take routers over their memory

Tried: 80 callers at two routers send bodies of 4 MB, below the limit of the configuration, three times; 40 are usual. Each time both routers exceed their 260 MB and are ended.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod killed_server;
+mod large_bodies;
 mod record;
 mod restored_store;
 mod retaken;
@@ -26,6 +27,7 @@
         ["killed-server", folder] => killed_server::run(folder, Content::Text),
         ["retaken-after-stops", folder] => retaken::run(folder, Trouble::Stops),
         ["retaken-after-kills", folder] => retaken::run(folder, Trouble::Kills),
+        ["large-bodies", folder] => large_bodies::run(folder),
         ["stopped-twice", folder] => stopped_twice::run(folder),
         ["restored-store", folder] => restored_store::run(folder),
         _ => panic!("unknown case: {words:?}"),
