Review, case 3: streams joined from two versions at a reborn engine

Tried, from an entry of KNOWN-RED that was read and not run: an engine crashes and starts again under its id at another software version while the store turns one router away. All 16 streams taken up there go on at the other version, with 200. It takes the place of the bodies that take routers over their memory, which stay in the stand-ins' program and in the report; the other cases move down.

--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -9,7 +9,7 @@
         atomic::{AtomicU64, Ordering},
     },
     thread::sleep,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::{Value, json};
@@ -43,10 +43,17 @@
     /// The events or parts of an answer, and the time between two of them.
     pub events: u64,
     pub gap_ms: u64,
+    /// Whether it holds its model from the start, or has it on its disk alone.
+    pub is_loaded: bool,
     /// The answers that it has begun.
     pub answers: Arc<AtomicU64>,
+    /// When an order to load its model was accepted, and how many orders were.
+    pub loading: Arc<Mutex<(Option<Instant>, u64)>>,
 }
 
+/// How long a load from the disk takes.
+const LOAD_TIME: Duration = Duration::from_millis(680);
+
 const MODEL: &str = "m1";
 
 impl Engine {
@@ -54,7 +61,7 @@
     pub fn arguments(&self, runs: &str) -> Vec<String> {
         let settings = json!({"address": self.address.to_string(), "id": self.id,
             "service": self.service, "version": self.version, "born": self.born_unix_ms,
-            "unframed_one_in": self.unframed_one_in, "text": self.content == Content::Text,
+            "unframed_one_in": self.unframed_one_in, "text": self.content == Content::Text, "is_loaded": self.is_loaded,
             "events": self.events, "gap_ms": self.gap_ms, "runs": runs});
         vec!["engine".to_owned(), settings.to_string()]
     }
@@ -77,7 +84,9 @@
             unframed_one_in: number("unframed_one_in"),
             events: number("events"),
             gap_ms: number("gap_ms"),
+            is_loaded: is("is_loaded"),
             answers: Arc::default(),
+            loading: Arc::default(),
         }
     }
 
@@ -88,14 +97,50 @@
             "Seq": 0, "born": self.born_unix_ms});
         if self.content == Content::Events {
             entry["Stage"] = "colocated".into();
-            entry["Models"] = models();
+            entry["Models"] = self.models();
         }
         entry
     }
 
+    fn has_model(&self) -> bool {
+        let (since, _) = *self.loading.lock().expect("not poisoned");
+        self.is_loaded || since.is_some_and(|since| since.elapsed() >= LOAD_TIME)
+    }
+
+    fn models(&self) -> Value {
+        if self.has_model() {
+            json!([{"Name": MODEL, "Version": 1, "Adapters": []}])
+        } else {
+            json!([])
+        }
+    }
+
     fn report(&self) -> Value {
-        json!({"Stage": "colocated", "Models": models(), "Busy": false, "Seq": 0, "QueueLen": 0,
-            "BatchLen": 0, "KvUsed": 0, "KvTotal": 122_202, "Handles": 0, "born": self.born_unix_ms})
+        let (since, orders) = *self.loading.lock().expect("not poisoned");
+        json!({"Stage": "colocated", "Models": self.models(), "Busy": since.is_some() && !self.has_model(),
+            "Seq": orders, "QueueLen": 0, "BatchLen": 0, "KvUsed": 0, "KvTotal": 122_202, "Handles": 0,
+            "AtHand": {"InMemory": [], "OnDisk": [MODEL]}, "born": self.born_unix_ms})
+    }
+
+    /// Carries out an order to load its only model; returns the status.
+    fn order(&self, request: &Message) -> u16 {
+        let expected = request.header(&wire::header("Expect-Instance"));
+        if expected.is_some_and(|id| id != self.id) {
+            return 421;
+        }
+        let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let mut loading = self.loading.lock().expect("not poisoned");
+        match *loading {
+            _ if order["Operation"] != "load" || order["Model"] != MODEL => 400,
+            _ if self.is_loaded => 200,
+            (Some(since), _) if since.elapsed() >= LOAD_TIME => 200,
+            (Some(_), _) => 409,
+            (None, orders) if order["Expected"].as_u64().is_some_and(|e| e != orders) => 409,
+            (None, orders) => {
+                *loading = (Some(Instant::now()), orders + 1);
+                202
+            }
+        }
     }
 
     fn part(&self, number: u64) -> String {
@@ -115,8 +160,7 @@
                     let report = self.report().to_string();
                     write_response(stream, 200, &json, report.as_bytes())
                 }
-                // It holds its only model from the start.
-                "/v1/order" => write_response(stream, 200, &json, b"{}"),
+                "/v1/order" => write_response(stream, self.order(&request), &json, b"{}"),
                 "/health" => {
                     let headers = [(wire::header("Instance-Id"), self.id.clone())];
                     write_response(stream, 200, &headers, b"")
@@ -136,6 +180,13 @@
             return write_response(stream, 421, &headers, b"");
         }
         let id = request_id(request);
+        if self.content == Content::Events && !self.has_model() {
+            let headers = [
+                (wire::header("Instance-Id"), self.id.clone()),
+                (wire::header("Request-Id"), id),
+            ];
+            return write_response(stream, 421, &headers, b"");
+        }
         let note = |text: String| {
             let mut runs = runs.lock().expect("not poisoned");
             let line = format!("{} {text}\n", self.id);
@@ -191,10 +242,6 @@
     }
 }
 
-fn models() -> Value {
-    json!([{"Name": MODEL, "Version": 1, "Adapters": []}])
-}
-
 /// The bytes of an event, which names the software version that wrote it.
 pub fn event(id: u64, version: &str) -> String {
     format!("id: {id}\ndata: part {id} of {version}\n\n")
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -61,6 +61,7 @@
 const READY_PORT: u16 = 8141;
 pub const SERVER_PORT: u16 = 8145;
 const STORE_PORT: u16 = 8142;
+const SECOND_STORE_PORT: u16 = 8143;
 const METRICS_PORT: u16 = 9464;
 
 impl Fleet {
@@ -78,6 +79,8 @@
             let is_free = (1..30).all(|host| {
                 let ip = Ipv4Addr::new(127, network.0, network.1, host);
                 let ports = [
+                    SECOND_STORE_PORT,
+                    SECOND_STORE_PORT,
                     CALLERS_PORT,
                     READY_PORT,
                     SERVER_PORT,
@@ -107,6 +110,11 @@
         self.store
     }
 
+    /// The store's address for a process that it may turn away alone.
+    pub fn second_store_address(&self) -> SocketAddr {
+        (self.ip(1), SECOND_STORE_PORT).into()
+    }
+
     pub fn ip(&self, host: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.network.0, self.network.1, host)
     }
@@ -117,8 +125,13 @@
 
     /// Starts a router and waits until it says that it is ready.
     pub fn start_router(&self, host: u8) -> Router {
+        self.start_router_at(host, self.store)
+    }
+
+    /// Starts a router that reaches the store at this address.
+    pub fn start_router_at(&self, host: u8, store: SocketAddr) -> Router {
         let name = format!("front-{host}");
-        let process = self.start_own(host, &name, "router", "");
+        let process = self.start_own(host, &name, "router", "", store);
         let router = Router {
             process,
             callers: (self.ip(host), CALLERS_PORT).into(),
@@ -137,14 +150,21 @@
         let values = [("app", server.to_string()), ("service", service.to_owned())];
         let values = values.each_ref().map(|(key, value)| (*key, value.as_str()));
         let more = wire::settings("side_settings", &values);
-        self.start_own(host, &format!("side-{host}"), "agent", &more)
+        self.start_own(host, &format!("side-{host}"), "agent", &more, self.store)
     }
 
-    fn start_own(&self, host: u8, name: &str, role: &str, more: &str) -> Process {
+    fn start_own(
+        &self,
+        host: u8,
+        name: &str,
+        role: &str,
+        more: &str,
+        store: SocketAddr,
+    ) -> Process {
         let class = if role == "router" { "front" } else { "side" };
         let (ip, gossip) = (self.ip(host).to_string(), self.gossip_port.to_string());
         let (callers, ready) = (CALLERS_PORT.to_string(), READY_PORT.to_string());
-        let store = self.store.to_string();
+        let store = store.to_string();
         let values = [
             ("name", name),
             ("role", role),
--- a/review/standin/src/killed_server.rs
+++ b/review/standin/src/killed_server.rs
@@ -35,7 +35,7 @@
 pub fn run(folder: &str, content: Content) -> i32 {
     let record = Record::create(&record_path(folder));
     let fleet = Fleet::new(record.clone());
-    let store = Store::start(fleet.store_address());
+    let store = Store::start(fleet.store_address(), fleet.second_store_address());
     let (kind, rule) = match content {
         Content::Events => ("stream", "ORDER"),
         Content::Text => ("idempotent", "MIXED"),
@@ -66,7 +66,9 @@
             version: "v1".to_owned(),
             born_unix_ms: unix_ms(),
             unframed_one_in: if host == 10 { UNFRAMED_ONE_IN } else { 0 },
+            is_loaded: true,
             answers: Arc::default(),
+            loading: Arc::default(),
             content,
             events: PARTS,
             gap_ms: GAP_MS,
--- a/review/standin/src/large_bodies.rs
+++ b/review/standin/src/large_bodies.rs
@@ -55,7 +55,7 @@
     };
     let record = Record::create(&record_path(folder));
     let fleet = Arc::new(Fleet::new(record.clone()));
-    let store = Store::start(fleet.store_address());
+    let store = Store::start(fleet.store_address(), fleet.second_store_address());
     let values = [
         ("name", "upload"),
         ("path", "/upload/"),
@@ -79,7 +79,9 @@
             unframed_one_in: 0,
             events: 5,
             gap_ms: 100,
+            is_loaded: true,
             answers: Arc::default(),
+            loading: Arc::default(),
         };
         let arguments = engine.arguments(&runs.to_string_lossy());
         servers.push(fleet.start_standin(&engine.id, &arguments));
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod killed_server;
 mod large_bodies;
+mod reborn;
 mod record;
 mod restored_store;
 mod retaken;
@@ -28,6 +29,7 @@
         ["retaken-after-stops", folder] => retaken::run(folder, Trouble::Stops),
         ["retaken-after-kills", folder] => retaken::run(folder, Trouble::Kills),
         ["large-bodies", folder] => large_bodies::run(folder),
+        ["reborn", folder] => reborn::run(folder),
         ["stopped-twice", folder] => stopped_twice::run(folder),
         ["restored-store", folder] => restored_store::run(folder),
         _ => panic!("unknown case: {words:?}"),
--- a/review/standin/src/restored_store.rs
+++ b/review/standin/src/restored_store.rs
@@ -116,7 +116,7 @@
 pub fn run(folder: &str) -> i32 {
     let record = Record::create(&record_path(folder));
     let fleet = Fleet::new(record.clone());
-    let store = Store::start(fleet.store_address());
+    let store = Store::start(fleet.store_address(), fleet.second_store_address());
     let stop: Arc<AtomicBool> = Arc::default();
     let is_leaving: Arc<AtomicBool> = Arc::default();
     let before = [
--- a/review/standin/src/retaken.rs
+++ b/review/standin/src/retaken.rs
@@ -123,7 +123,7 @@
 pub fn run(folder: &str, trouble: Trouble) -> i32 {
     let record = Record::create(&record_path(folder));
     let fleet = Fleet::new(record.clone());
-    let store = Store::start(fleet.store_address());
+    let store = Store::start(fleet.store_address(), fleet.second_store_address());
     let values = [
         ("name", "draft"),
         ("path", "/draft/"),
@@ -148,7 +148,9 @@
             version: version.to_owned(),
             born_unix_ms: unix_ms(),
             unframed_one_in: 0,
+            is_loaded: true,
             answers: Arc::default(),
+            loading: Arc::default(),
             content: Content::Events,
             events: EVENTS,
             gap_ms: GAP_MS,
--- a/review/standin/src/stopped_twice.rs
+++ b/review/standin/src/stopped_twice.rs
@@ -28,7 +28,7 @@
 pub fn run(folder: &str) -> i32 {
     let record = Record::create(&record_path(folder));
     let fleet = Fleet::new(record.clone());
-    let store = Store::start(fleet.store_address());
+    let store = Store::start(fleet.store_address(), fleet.second_store_address());
     let route = |name: &str, path: &str, kind: &str| {
         let values = [
             ("name", name),
@@ -52,7 +52,9 @@
             version: "v1".to_owned(),
             born_unix_ms: unix_ms(),
             unframed_one_in: 0,
+            is_loaded: true,
             answers: Arc::default(),
+            loading: Arc::default(),
             content: Content::Text,
             events: PARTS,
             gap_ms: GAP_MS,
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -34,6 +34,8 @@
     copy: Option<Contents>,
     era: u64,
     is_away: bool,
+    /// Whether the callers of the second address are turned away.
+    is_second_closed: bool,
 }
 
 #[derive(Clone)]
@@ -42,8 +44,8 @@
 }
 
 impl Store {
-    pub fn start(address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).expect("the store's address is free");
+    /// Starts at an address, and at a second one for some of its callers.
+    pub fn start(address: SocketAddr, second: SocketAddr) -> Self {
         let store = Self {
             shared: Arc::default(),
         };
@@ -52,13 +54,16 @@
             state.contents.revision = 100;
             state.era = 1;
         }
-        let serving = store.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                std::thread::spawn(move || store.serve(&stream));
-            }
-        });
+        for (address, is_second) in [(address, false), (second, true)] {
+            let listener = TcpListener::bind(address).expect("the store's address is free");
+            let serving = store.clone();
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let store = serving.clone();
+                    std::thread::spawn(move || store.serve(&stream, is_second));
+                }
+            });
+        }
         store
     }
 
@@ -75,6 +80,12 @@
         Some(revision)
     }
 
+    /// Turns the callers of the second address away with 503, or serves them again; cuts off what waits.
+    pub fn close_second(&self, is_closed: bool) {
+        self.shared.0.lock().expect("not poisoned").is_second_closed = is_closed;
+        self.shared.1.notify_all();
+    }
+
     /// Copies the store as it is.
     pub fn copy(&self) -> u64 {
         let mut state = self.shared.0.lock().expect("not poisoned");
@@ -110,12 +121,12 @@
             .revision
     }
 
-    fn serve(&self, stream: &TcpStream) {
+    fn serve(&self, stream: &TcpStream, is_second: bool) {
         stream.set_nodelay(true).ok();
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader) {
             std::thread::sleep(ANSWER_TIME);
-            let Some((status, body, era)) = self.handle(&request) else {
+            let Some((status, body, era)) = self.handle(&request, is_second) else {
                 return;
             };
             let headers = [
@@ -129,12 +140,16 @@
     }
 
     /// Carries out a call. `None`: the store is away.
-    fn handle(&self, request: &Message) -> Option<(u16, Value, u64)> {
+    fn handle(&self, request: &Message, is_second: bool) -> Option<(u16, Value, u64)> {
         let mut state = self.shared.0.lock().expect("not poisoned");
         if state.is_away {
             return None;
         }
         let era = state.era;
+        let is_turned_away = |state: &State| is_second && state.is_second_closed;
+        if is_turned_away(&state) {
+            return Some((503, json!({}), era));
+        }
         let path = request.path().to_owned();
         let path = path.strip_prefix(wire::text("objects"))?.trim_matches('/');
         let (kind, name) = match path.split_once('/') {
@@ -149,7 +164,7 @@
                 let wait_ms = request.parameter("WaitMs").and_then(|w| w.parse().ok());
                 let until = Instant::now() + Duration::from_millis(wait_ms.unwrap_or(0));
                 loop {
-                    if state.is_away || state.era != era {
+                    if state.is_away || state.era != era || is_turned_away(&state) {
                         return None;
                     }
                     if since > state.contents.revision {
