--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -25,8 +25,8 @@
 
     /// Sends the signal with this name.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        let order = format!("kill -s {name} {}", self.child.id());
+        let sent = Command::new("sh").args(["-c", &order]).status();
         assert!(sent.is_ok_and(|status| status.success()), "kill works");
     }
 
