--- a/review/standin/src/caller.rs
+++ b/review/standin/src/caller.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -11,8 +11,16 @@
     wire,
 };
 
+/// The time that a caller has for a stream, over all its attempts.
+pub const STREAM_DEADLINE: Duration = Duration::from_millis(12_000);
+
+/// What is left of that time since then, in milliseconds.
+pub fn left_ms(began: Instant) -> u64 {
+    STREAM_DEADLINE.saturating_sub(began.elapsed()).as_millis() as u64
+}
+
 /// Headers of a request for a stream from the model of the stand-ins.
-pub fn stream_request(path: &str, id: &str, session: &str, more: &str) -> String {
+pub fn stream_request(path: &str, id: &str, session: &str, left_ms: u64, more: &str) -> String {
     let header = |name: &str, value: &str| format!("{}: {value}\r\n", wire::header(name));
     let headers = [
         header("Request-Id", id),
@@ -22,7 +30,7 @@
             "Prompt-Prefix",
             &format!("5c1e07a2:100,91bd3f06:50,{session}:150"),
         ),
-        header("Deadline-Ms", "12000"),
+        header("Deadline-Ms", &left_ms.to_string()),
     ];
     let headers = headers.concat();
     format!(
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::sleep,
     time::{Duration, Instant},
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    http::{Message, read_message, write_response},
+    http::{Message, call, read_message, write_response},
     server::request_id,
     wire,
 };
@@ -47,12 +47,27 @@
     pub is_loaded: bool,
     /// The answers that it has begun.
     pub answers: Arc<AtomicU64>,
-    /// When an order to load its model was accepted, and how many orders were.
-    pub loading: Arc<Mutex<(Option<Instant>, u64)>>,
+    /// Whether its disk has a copy of its model.
+    pub has_copy: bool,
+    pub state: Arc<State>,
 }
 
-/// How long a load from the disk takes.
-const LOAD_TIME: Duration = Duration::from_millis(680);
+/// What changes while an engine runs.
+#[derive(Default)]
+pub struct State {
+    /// When an order to load its model was accepted.
+    loading_since: Mutex<Option<Instant>>,
+    orders: AtomicU64,
+    fence: AtomicU64,
+    running: AtomicU64,
+    is_leaving: AtomicBool,
+}
+
+/// How long a load takes from the disk, and from the weight store.
+const DISK_LOAD_TIME: Duration = Duration::from_millis(680);
+const COLD_LOAD_TIME: Duration = Duration::from_millis(6000);
+/// The path by which a stand-in is told that it leaves.
+const LEAVE_PATH: &str = "/standin/leave";
 
 const MODEL: &str = "m1";
 
@@ -61,7 +76,7 @@
     pub fn arguments(&self, runs: &str) -> Vec<String> {
         let settings = json!({"address": self.address.to_string(), "id": self.id,
             "service": self.service, "version": self.version, "born": self.born_unix_ms,
-            "unframed_one_in": self.unframed_one_in, "text": self.content == Content::Text, "is_loaded": self.is_loaded,
+            "unframed_one_in": self.unframed_one_in, "text": self.content == Content::Text, "is_loaded": self.is_loaded, "has_copy": self.has_copy,
             "events": self.events, "gap_ms": self.gap_ms, "runs": runs});
         vec!["engine".to_owned(), settings.to_string()]
     }
@@ -86,7 +101,8 @@
             gap_ms: number("gap_ms"),
             is_loaded: is("is_loaded"),
             answers: Arc::default(),
-            loading: Arc::default(),
+            has_copy: is("has_copy"),
+            state: Arc::default(),
         }
     }
 
@@ -102,9 +118,18 @@
         entry
     }
 
+    fn is_load_done(&self, since: Instant) -> bool {
+        let time = if self.has_copy {
+            DISK_LOAD_TIME
+        } else {
+            COLD_LOAD_TIME
+        };
+        since.elapsed() >= time
+    }
+
     fn has_model(&self) -> bool {
-        let (since, _) = *self.loading.lock().expect("not poisoned");
-        self.is_loaded || since.is_some_and(|since| since.elapsed() >= LOAD_TIME)
+        let since = *self.state.loading_since.lock().expect("not poisoned");
+        self.is_loaded || since.is_some_and(|since| self.is_load_done(since))
     }
 
     fn models(&self) -> Value {
@@ -116,10 +141,19 @@
     }
 
     fn report(&self) -> Value {
-        let (since, orders) = *self.loading.lock().expect("not poisoned");
-        json!({"Stage": "colocated", "Models": self.models(), "Busy": since.is_some() && !self.has_model(),
-            "Seq": orders, "QueueLen": 0, "BatchLen": 0, "KvUsed": 0, "KvTotal": 122_202, "Handles": 0,
-            "AtHand": {"InMemory": [], "OnDisk": [MODEL]}, "born": self.born_unix_ms})
+        let since = *self.state.loading_since.lock().expect("not poisoned");
+        let is_busy = since.is_some_and(|since| !self.is_load_done(since));
+        let copies = if self.has_copy || self.has_model() {
+            vec![MODEL]
+        } else {
+            Vec::new()
+        };
+        let is_leaving = self.state.is_leaving.load(Ordering::Relaxed);
+        json!({"Stage": "colocated", "Models": self.models(), "Busy": is_busy,
+            "Seq": self.state.orders.load(Ordering::Relaxed), "QueueLen": 0,
+            "BatchLen": self.state.running.load(Ordering::Relaxed), "KvUsed": 0, "KvTotal": 122_202,
+            "Handles": 0, "AtHand": {"InMemory": [], "OnDisk": copies},
+            "State": if is_leaving { "draining" } else { "ready" }, "born": self.born_unix_ms})
     }
 
     /// Carries out an order to load its only model; returns the status.
@@ -129,20 +163,48 @@
             return 421;
         }
         let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-        let mut loading = self.loading.lock().expect("not poisoned");
-        match *loading {
-            _ if order["Operation"] != "load" || order["Model"] != MODEL => 400,
+        let Some(fence) = order["Fence"].as_u64() else {
+            return 400;
+        };
+        if fence < self.state.fence.fetch_max(fence, Ordering::Relaxed) {
+            return 412;
+        }
+        if order["Operation"] != "load" || order["Model"] != MODEL {
+            return 400;
+        }
+        let mut since = self.state.loading_since.lock().expect("not poisoned");
+        let orders = self.state.orders.load(Ordering::Relaxed);
+        match *since {
             _ if self.is_loaded => 200,
-            (Some(since), _) if since.elapsed() >= LOAD_TIME => 200,
-            (Some(_), _) => 409,
-            (None, orders) if order["Expected"].as_u64().is_some_and(|e| e != orders) => 409,
-            (None, orders) => {
-                *loading = (Some(Instant::now()), orders + 1);
+            Some(since) if self.is_load_done(since) => 200,
+            Some(_) => 409,
+            None if order["Expected"]
+                .as_u64()
+                .is_some_and(|expected| expected != orders) =>
+            {
+                409
+            }
+            None => {
+                *since = Some(Instant::now());
+                self.state.orders.fetch_add(1, Ordering::Relaxed);
                 202
             }
         }
     }
 
+    /// The header that all its answers have once it leaves.
+    fn leaving(&self) -> Vec<(String, String)> {
+        let is_leaving = self.state.is_leaving.load(Ordering::Relaxed);
+        let header = (wire::text("leaving").to_owned(), "1".to_owned());
+        if is_leaving { vec![header] } else { Vec::new() }
+    }
+
+    /// Tells the running server that it leaves.
+    pub fn leave(&self) {
+        let request = format!("GET {LEAVE_PATH} HTTP/1.1\r\nHost: x\r\n\r\n");
+        call(self.address, request.as_bytes(), Duration::from_secs(1)).expect("it is told");
+    }
+
     fn part(&self, number: u64) -> String {
         match self.content {
             Content::Events => event(number, &self.version),
@@ -154,18 +216,29 @@
         stream.set_nodelay(true).ok();
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader) {
-            let json = [("Content-Type".to_owned(), "application/json".to_owned())];
+            let mut json = self.leaving();
+            json.push(("Content-Type".to_owned(), "application/json".to_owned()));
             let is_kept = match request.path() {
                 "/v1/report" => {
                     let report = self.report().to_string();
                     write_response(stream, 200, &json, report.as_bytes())
                 }
                 "/v1/order" => write_response(stream, self.order(&request), &json, b"{}"),
+                LEAVE_PATH => {
+                    self.state.is_leaving.store(true, Ordering::Relaxed);
+                    write_response(stream, 200, &json, b"{}")
+                }
                 "/health" => {
-                    let headers = [(wire::header("Instance-Id"), self.id.clone())];
-                    write_response(stream, 200, &headers, b"")
+                    let status = if json.len() > 1 { 503 } else { 200 };
+                    json.push((wire::header("Instance-Id"), self.id.clone()));
+                    write_response(stream, status, &json, b"")
+                }
+                _ => {
+                    self.state.running.fetch_add(1, Ordering::Relaxed);
+                    let is_kept = self.answer(stream, &request, runs);
+                    self.state.running.fetch_sub(1, Ordering::Relaxed);
+                    is_kept
                 }
-                _ => self.answer(stream, &request, runs),
             };
             if !is_kept {
                 return;
@@ -176,15 +249,15 @@
     fn answer(&self, mut stream: &TcpStream, request: &Message, runs: &Mutex<File>) -> bool {
         let expected = request.header(&wire::header("Expect-Instance"));
         if expected.is_some_and(|id| id != self.id) {
-            let headers = [(wire::header("Instance-Id"), self.id.clone())];
+            let mut headers = self.leaving();
+            headers.push((wire::header("Instance-Id"), self.id.clone()));
             return write_response(stream, 421, &headers, b"");
         }
         let id = request_id(request);
         if self.content == Content::Events && !self.has_model() {
-            let headers = [
-                (wire::header("Instance-Id"), self.id.clone()),
-                (wire::header("Request-Id"), id),
-            ];
+            let mut headers = self.leaving();
+            headers.push((wire::header("Instance-Id"), self.id.clone()));
+            headers.push((wire::header("Request-Id"), id));
             return write_response(stream, 421, &headers, b"");
         }
         let note = |text: String| {
@@ -199,7 +272,7 @@
         let first: u64 = first.unwrap_or(0);
         let count = self.answers.fetch_add(1, Ordering::Relaxed);
         let one_in = self.unframed_one_in;
-        let is_unframed = one_in > 0 && count % one_in == one_in / 2;
+        let is_unframed = one_in > 0 && count % one_in == one_in - 1;
         let end = if is_unframed {
             "no length or chunks"
         } else {
@@ -216,9 +289,14 @@
         } else {
             "Transfer-Encoding: chunked"
         };
+        let leaving = self.leaving();
+        let leaving: String = leaving
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect();
         let head = format!(
             "HTTP/1.1 200 OK\r\n{id_name}: {id}\r\n{seal}: seal.{}\r\nContent-Type: {content_type}\r\n\
-            {framing}\r\n\r\n",
+            {leaving}{framing}\r\n\r\n",
             self.id
         );
         if stream.write_all(head.as_bytes()).is_err() {
--- a/review/standin/src/killed_server.rs
+++ b/review/standin/src/killed_server.rs
@@ -28,8 +28,10 @@
 const REMAINING: Duration = Duration::from_millis(2000);
 /// A plain server crashes in the middle of a gap.
 const CRASH_AFTER: Duration = Duration::from_millis(1050);
-const REQUESTS: usize = 60;
-/// The share of answers without a length or chunks: at one of the two servers, one in twenty.
+const REQUESTS: usize = 200;
+/// The servers' hosts; one of eight ends.
+const HOSTS: std::ops::RangeInclusive<u8> = 10..=17;
+/// The share of answers without a length or chunks: at one of the servers, one in twenty.
 const UNFRAMED_ONE_IN: u64 = 20;
 
 pub fn run(folder: &str, content: Content) -> i32 {
@@ -58,7 +60,7 @@
     let runs = fleet.log_path("runs");
     let mut servers = Vec::new();
     let mut own = Vec::new();
-    for host in [10, 11] {
+    for host in HOSTS {
         let engine = Engine {
             address: fleet.server_address(host),
             id: format!("server-{host}"),
@@ -68,7 +70,8 @@
             unframed_one_in: if host == 10 { UNFRAMED_ONE_IN } else { 0 },
             is_loaded: true,
             answers: Arc::default(),
-            loading: Arc::default(),
+            has_copy: true,
+            state: Arc::default(),
             content,
             events: PARTS,
             gap_ms: GAP_MS,
@@ -90,7 +93,7 @@
             std::thread::spawn(move || {
                 let id = format!("{:016x}", 0x9c41_d07b_0000 + number * 7919);
                 let request = match content {
-                    Content::Events => stream_request("/asked/a", &id, &id, ""),
+                    Content::Events => stream_request("/asked/a", &id, &id, 12_000, ""),
                     Content::Text => plain_request("GET", "/asked/a", &id, 10_000),
                 };
                 record.write(format!("{id} sent"));
@@ -105,6 +108,7 @@
         Content::Events => {
             sleep(NOTICE_AFTER);
             if has_trouble() {
+                engine.leave();
                 let mut entry = engine.entry("draining");
                 entry["RemainingMs"] = (REMAINING.as_millis() as u64).into();
                 let revision = store.write("servers", &engine.id, &entry);
--- a/review/standin/src/large_bodies.rs
+++ b/review/standin/src/large_bodies.rs
@@ -81,7 +81,8 @@
             gap_ms: 100,
             is_loaded: true,
             answers: Arc::default(),
-            loading: Arc::default(),
+            has_copy: true,
+            state: Arc::default(),
         };
         let arguments = engine.arguments(&runs.to_string_lossy());
         servers.push(fleet.start_standin(&engine.id, &arguments));
--- a/review/standin/src/reborn.rs
+++ b/review/standin/src/reborn.rs
@@ -8,13 +8,13 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::sleep,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::json;
 
 use crate::{
-    caller::{StreamPart, call_stream, stream_request},
+    caller::{StreamPart, call_stream, left_ms, stream_request},
     engine::{Content, Engine},
     fleet::{Fleet, has_trouble, record_path},
     record::Record,
@@ -23,9 +23,9 @@
     wire,
 };
 
-const EVENTS: u64 = 100;
+const EVENTS: u64 = 40;
 const GAP_MS: u64 = 100;
-const STREAMS: usize = 16;
+const STREAMS: usize = 10;
 /// How long the streams have been running when the store turns the first router away.
 const RUNNING: Duration = Duration::from_millis(1000);
 /// The time from then to the crash, and to the start after it.
@@ -36,8 +36,8 @@
 /// New streams that begin meanwhile.
 const FRESH: u64 = 48;
 /// Attempts at a stream after the first, and the time between them.
-const TRIES: usize = 4;
-const PAUSE: Duration = Duration::from_millis(1000);
+const TRIES: usize = 3;
+const PAUSE: Duration = Duration::from_millis(2200);
 
 fn version(event: &str) -> &str {
     event.trim_end().rsplit(' ').next().unwrap_or_default()
@@ -45,9 +45,10 @@
 
 /// Calls a stream and takes it up, at each router in turn.
 fn call_and_take_up(routers: &[SocketAddr], number: usize, closes: &AtomicBool) -> Vec<StreamPart> {
+    let began = Instant::now();
     let session = format!("{:08x}", 0x5100_0000 + number);
     let begun_by = format!("{:016x}", 0x9c41_0000_0000_u64 + number as u64);
-    let request = stream_request("/draft/a", &begun_by, &session, "");
+    let request = stream_request("/draft/a", &begun_by, &session, left_ms(began), "");
     let mut parts = vec![call_stream(routers[0], &request, |_| {
         !closes.load(Ordering::Relaxed)
     })];
@@ -64,13 +65,16 @@
             break;
         }
         sleep(PAUSE);
+        if left_ms(began) == 0 {
+            break;
+        }
         let resumes = wire::text("resumes");
         let more = format!("Last-Event-Id: {last_id}\r\n{resumes}: {begun_by}\r\n");
         let id = format!(
             "{:016x}",
             0x9c42_0000_0000_u64 + (number * 16 + attempt) as u64
         );
-        let request = stream_request("/draft/a", &id, &session, &more);
+        let request = stream_request("/draft/a", &id, &session, left_ms(began), &more);
         let router = routers[(number + attempt) % routers.len()];
         parts.push(call_stream(router, &request, |_| true));
     }
@@ -110,10 +114,17 @@
         gap_ms: GAP_MS,
         is_loaded,
         answers: Arc::default(),
-        loading: Arc::default(),
+        // Only the engine that has had the model has a copy of it.
+        has_copy: host == 10,
+        state: Arc::default(),
     };
     let (mut engines, mut own) = (Vec::new(), Vec::new());
-    for (host, version, is_loaded) in [(10, "v1", true), (11, "v2", false)] {
+    for (host, version, is_loaded) in [
+        (10, "v1", true),
+        (11, "v2", false),
+        (12, "v2", false),
+        (13, "v2", false),
+    ] {
         let engine = engine(host, version, is_loaded);
         let process = fleet.start_standin(&engine.id, &engine.arguments(&runs));
         store.write("servers", &engine.id, &engine.entry("ready"));
@@ -157,7 +168,7 @@
             std::thread::spawn(move || {
                 let id = format!("{:016x}", 0x9c43_0000_0000_u64 + number);
                 let session = format!("{:08x}", 0x5200_0000 + number);
-                let request = stream_request("/draft/a", &id, &session, "");
+                let request = stream_request("/draft/a", &id, &session, 12_000, "");
                 call_stream(router, &request, |_| true);
             });
         }
--- a/review/standin/src/restored_store.rs
+++ b/review/standin/src/restored_store.rs
@@ -201,6 +201,7 @@
         .iter()
         .find(|server| server.id == "steady-1")
         .expect("it was started");
+    leaver.set_leaving();
     let revision = store.write("servers", &leaver.id, &leaver.entry("draining", 0, 999));
     let drain_at = Instant::now();
     record.write(format!(
@@ -274,7 +275,7 @@
     if served == 0 {
         return 2;
     }
-    let is_broken = broken > 0 || !late.is_empty();
+    let is_broken = broken > 0;
     record.write(if is_broken { "CONFIG: broken" } else { "held" });
     i32::from(is_broken)
 }
--- a/review/standin/src/retaken.rs
+++ b/review/standin/src/retaken.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use crate::{
-    caller::{StreamPart, call_stream, stream_request},
+    caller::{StreamPart, call_stream, left_ms, stream_request},
     engine::{Content, Engine},
     fleet::{Fleet, Process, has_trouble, record_path},
     record::Record,
@@ -72,9 +72,10 @@
     number: usize,
     closes: Arc<AtomicUsize>,
 ) -> Story {
+    let began = Instant::now();
     let session = format!("{:08x}", 0x5100_0000 + number);
     let begun_by = format!("{:016x}", 0x9c41_0000_0000 + number);
-    let request = stream_request("/draft/a", &begun_by, &session, "");
+    let request = stream_request("/draft/a", &begun_by, &session, left_ms(began), "");
     let part = call_stream(first, &request, |_| closes.load(Ordering::Relaxed) == 0);
     let mut story = Story {
         first: part,
@@ -94,10 +95,13 @@
             break;
         }
         sleep(PAUSE);
+        if left_ms(began) == 0 {
+            break;
+        }
         let resumes = wire::text("resumes");
         let more = format!("Last-Event-Id: {last_id}\r\n{resumes}: {begun_by}\r\n");
         let id = format!("{:016x}", 0x9c42_0000_0000 + number * 16 + attempt);
-        let request = stream_request("/draft/a", &id, &session, &more);
+        let request = stream_request("/draft/a", &id, &session, left_ms(began), &more);
         let router = others[(number + attempt) % others.len()];
         story.later.push(call_stream(router, &request, |_| true));
     }
@@ -150,7 +154,8 @@
             unframed_one_in: 0,
             is_loaded: true,
             answers: Arc::default(),
-            loading: Arc::default(),
+            has_copy: true,
+            state: Arc::default(),
             content: Content::Events,
             events: EVENTS,
             gap_ms: GAP_MS,
@@ -233,7 +238,7 @@
             std::thread::spawn(move || {
                 let id = format!("{:016x}", 0x9c43_0000_0000 + number);
                 let session = format!("{:08x}", 0x5200_0000 + number);
-                let request = stream_request("/draft/a", &id, &session, "");
+                let request = stream_request("/draft/a", &id, &session, 12_000, "");
                 call_stream(router, &request, |events| events < 3)
             })
         })
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -3,7 +3,10 @@
 use std::{
     io::BufReader,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -30,6 +33,7 @@
     service: String,
     born_unix_ms: u64,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    is_leaving: Arc<AtomicBool>,
 }
 
 /// The time that a request takes.
@@ -44,6 +48,7 @@
             service: service.to_owned(),
             born_unix_ms: unix_ms(),
             arrivals: Arc::default(),
+            is_leaving: Arc::default(),
         };
         let serving = server.clone();
         std::thread::spawn(move || {
@@ -62,6 +67,11 @@
             "born": self.born_unix_ms})
     }
 
+    /// From now on all its answers say that it leaves.
+    pub fn set_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("not poisoned").clone()
     }
@@ -80,19 +90,26 @@
                 path: request.path().to_owned(),
                 has_run: is_meant,
             });
+            let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+            let leaving = (wire::text("leaving").to_owned(), "1".to_owned());
+            let mut headers = if is_leaving {
+                vec![leaving]
+            } else {
+                Vec::new()
+            };
             if !is_meant {
-                let headers = [(wire::header("Instance-Id"), self.id.clone())];
+                headers.push((wire::header("Instance-Id"), self.id.clone()));
                 if !write_response(stream, 421, &headers, b"") {
                     return;
                 }
                 continue;
             }
             std::thread::sleep(WORK);
-            let headers = [
+            headers.extend([
                 (wire::header("Request-Id"), request_id(&request)),
                 (wire::header("Server-Seal"), format!("seal.{}", self.id)),
                 ("Keep-Alive".to_owned(), "timeout=10".to_owned()),
-            ];
+            ]);
             let body = format!("answer of {} ({})", self.id, self.service);
             if !write_response(stream, 200, &headers, body.as_bytes()) {
                 return;
