Tell the end of an answer by the length that it declares

Cause: the watch of a connection took a response for complete once its body was read to its end. The HTTP library reads no further than a declared length, and doesn't read a body of length 0 at all. A body that ended short of its length counted as complete.

Evidence: on the code before, answers_that_end_by_their_length_are_not_reported_as_unanswered failed with [Caller] for [], and a_response_that_is_shorter_than_its_length_is_reported with no report. A declared length now decides; a response without a body has none.

--- a/crates/celerystair_net/src/connection_watch.rs
+++ b/crates/celerystair_net/src/connection_watch.rs
@@ -15,6 +15,7 @@
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use futures_util::AsyncRead;
+use http::{StatusCode, header::CONTENT_LENGTH};
 use http_body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 
@@ -144,7 +145,8 @@
         self.running.set(self.running.get() + 1);
         RequestGuard {
             watch: self.clone(),
-            is_head,
+            is_bodiless: is_head,
+            left_bytes: None,
             is_answered: false,
         }
     }
@@ -199,7 +201,10 @@
 #[derive(Debug)]
 pub(crate) struct RequestGuard {
     watch: Rc<ConnectionWatch>,
-    is_head: bool,
+    /// Whether the response has no body, whatever length it declares.
+    is_bodiless: bool,
+    /// How many bytes the response lacks of the length that it declares, if it declares one.
+    left_bytes: Option<u64>,
     is_answered: bool,
 }
 
@@ -209,11 +214,24 @@
         mut self,
         response: http::Response<HttpBody>,
     ) -> http::Response<WatchedBody> {
-        self.is_answered = self.is_head || response.body().is_end_stream();
+        let length = response.headers().get(CONTENT_LENGTH);
+        self.left_bytes = length.and_then(|length| length.to_str().ok()?.parse().ok());
+        let status = response.status();
+        self.is_bodiless |= matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        self.is_answered = self.has_ended(response.body().is_end_stream());
         response.map(|inner| WatchedBody { inner, guard: self })
     }
 }
 
+impl RequestGuard {
+    /// Returns whether the response is complete. One that declares a length ends with it: its body may
+    /// not be read any further, or may end sooner.
+    fn has_ended(&self, has_body_ended: bool) -> bool {
+        let has_all_bytes = self.left_bytes.map_or(has_body_ended, |left| left == 0);
+        self.is_bodiless || has_all_bytes
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let watch = &self.watch;
@@ -241,11 +259,20 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
-        match &frame {
-            Some(Err(_)) => self.guard.watch.is_broken.set(true),
-            Some(Ok(_)) if !self.inner.is_end_stream() => {}
-            _ => self.guard.is_answered = true,
-        }
+        let has_body_ended = match &frame {
+            Some(Err(_)) => {
+                self.guard.watch.is_broken.set(true);
+                return Poll::Ready(frame);
+            }
+            Some(Ok(frame)) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+                let left_bytes = &mut self.guard.left_bytes;
+                *left_bytes = left_bytes.map(|left| left.saturating_sub(bytes));
+                self.inner.is_end_stream()
+            }
+            None => true,
+        };
+        self.guard.is_answered = self.guard.has_ended(has_body_ended);
         Poll::Ready(frame)
     }
 
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -65,6 +65,33 @@
     assert_eq!(ends(&reports), []);
 }
 
+/// A length that was reached ends a response: the server reads its body no further.
+#[test]
+fn answers_that_end_by_their_length_are_not_reported_as_unanswered() {
+    let reports = reports_after(|address| {
+        let mut caller = TcpStream::connect(address).expect("a connection");
+        for path in ["/empty", "/known-length"] {
+            let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+            caller
+                .write_all(request.as_bytes())
+                .expect("the request is sent");
+            let mut received = [0; 4096];
+            let count = caller.read(&mut received).expect("a response");
+            assert!(received[..count].starts_with(b"HTTP/1.1 200 "), "{path}");
+            std::thread::sleep(std::time::Duration::from_millis(50));
+        }
+    });
+    assert_eq!(ends(&reports), []);
+}
+
+#[test]
+fn a_response_that_is_shorter_than_its_length_is_reported() {
+    let reports = reports_after(|address| {
+        exchange(address, b"GET /short HTTP/1.1\r\nHost: x\r\n\r\n");
+    });
+    assert_eq!(ends(&reports).len(), 1);
+}
+
 fn ends(reports: &[UnansweredRequest]) -> Vec<ConnectionEnd> {
     reports.iter().map(|report| report.end).collect()
 }
@@ -108,8 +135,26 @@
         }
         "/broken" => HttpBody::chunks(futures_util::stream::iter([chunk(), Err(BodyError)])),
         "/chunks" => HttpBody::chunks(futures_util::stream::iter([chunk()])),
+        "/empty" => return with_length(0, HttpBody::full("")),
+        "/known-length" => {
+            let body = HttpBody::chunks(futures_util::stream::iter([chunk(), chunk()]));
+            return with_length(8, body);
+        }
+        "/short" => {
+            let body = HttpBody::chunks(futures_util::stream::iter([chunk()]));
+            return with_length(8, body);
+        }
         "/panic" => panic!("a panic of this test"),
         _ => HttpBody::full("answer"),
     };
     http::Response::new(body)
 }
+
+fn with_length(length_bytes: u64, body: HttpBody) -> HttpResponse {
+    let mut response = http::Response::new(body);
+    let length = http::HeaderValue::from(length_bytes);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_LENGTH, length);
+    response
+}
