Relay streams without the length of their first part

What callers saw: a stream that was resumed at another upstream ended as complete before its last event, at the length that its first upstream had declared for its own answer.

Cause: the head of the first upstream's response, with its Content-Length, goes out before the stream breaks off; the HTTP library ends the response there and drops the rest.

Evidence: on the code before, a_resumed_stream_does_not_end_at_the_length_of_its_first_part got events 1 to 3 of 5, complete. A relayed stream is sent in chunks now, so that it ends with its last part; a response to HEAD keeps the length.

--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -8,7 +8,7 @@
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
 use futures_util::stream;
-use http::HeaderMap;
+use http::{HeaderMap, header};
 use http_body_util::BodyExt;
 
 use crate::{
@@ -71,7 +71,11 @@
     progress: Progress,
     started: StartedResponse,
 ) -> HttpResponse {
-    let (status, headers) = (started.head.status, response_headers(&started.head.headers));
+    let (status, mut headers) = (started.head.status, response_headers(&started.head.headers));
+    if request.method != http::Method::HEAD {
+        // The length of the first part; another upstream may write a longer rest.
+        headers.remove(header::CONTENT_LENGTH);
+    }
     let relay = StreamRelay {
         router: router.clone(),
         request,
