Log the end of a stream that went on at another upstream

A stream that is ended after its next upstream wrote no event left no line, so it looked like one that went on soundly: resumed_stream_ended names the event after which the stream last went on and its last event. No decision changes.

--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -164,6 +164,21 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs that a stream ended which had gone on at other upstreams, lastly after the event
+    /// `resumed_after`: if that is its last event, the last upstream wrote none.
+    pub fn log_resumed_stream_ended(
+        &self,
+        request: &CallerRequest,
+        upstream: &UpstreamId,
+        resumed_after: Option<u64>,
+        last_event_id: Option<u64>,
+    ) {
+        info!(self.log, "resumed_stream_ended"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream,
+            "resumed_after" => resumed_after, "last_event_id" => last_event_id,
+            "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a request's upstream was lost while it ran the request, and since when the response
     /// had been coming: a request that crashes its upstream does so when the response begins.
     pub fn log_request_suspected(
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -37,6 +37,15 @@
     /// Whether the response consists of events. Other responses are passed on as they are.
     is_event_stream: bool,
     events: EventSplitter,
+    /// Where the stream last went on at another upstream; `None` if it hasn't.
+    resumed: Option<ResumePoint>,
+}
+
+/// The event after which a stream went on at another upstream.
+#[derive(Clone, Copy, Debug)]
+struct ResumePoint {
+    /// `None` if no event with an id was passed on.
+    last_event_id: Option<u64>,
 }
 
 /// The next part of an upstream's response.
@@ -80,6 +89,7 @@
         is_event_stream: is_event_stream(&started.head.headers),
         started: Some(started),
         events: EventSplitter::default(),
+        resumed: None,
     };
     let body = stream::unfold(relay, |mut relay| async move {
         let item = relay.next_chunk().await?;
@@ -277,6 +287,14 @@
     /// connection for reuse.
     fn finish(&mut self, end: StreamEnd) {
         if let Some(mut started) = self.started.take() {
+            if let Some(point) = self.resumed {
+                self.router.log_resumed_stream_ended(
+                    &self.request,
+                    &started.upstream.id(),
+                    point.last_event_id,
+                    self.events.last_id(),
+                );
+            }
             if matches!(end, StreamEnd::Proven) {
                 self.router.clear_suspicion(
                     &self.request,
@@ -365,6 +383,7 @@
                 self.router
                     .log_stream_resumed(&self.request, &started.upstream, last_event_id);
                 self.events.drop_partial();
+                self.resumed = Some(ResumePoint { last_event_id });
                 self.started = Some(started);
                 true
             }
