End a stream only by the part of the upstream that wrote its end

Cause: whether an event was seen was kept for the caller's response, not for the part of one upstream, so an event of the engine that had broken off spoke for the next one's answer; and a take-up needed no event at all.

Now what is known of events begins anew with each part. A resumed part without an event has failed: it goes on elsewhere or breaks off at the caller. A taken-up stream of which nothing is left is whole if its length or last chunk says so, as then its own server has marked the end; the end of a connection is no mark. A stream that breaks off after its last event thus looks broken once, and its caller learns the end by its take-up; a test holds that.

--- a/crates/celerystair_front/src/events.rs
+++ b/crates/celerystair_front/src/events.rs
@@ -32,7 +32,7 @@
         self.scanner.scan(bytes);
     }
 
-    /// Returns where in its events the stream is.
+    /// Returns where in its events the current upstream's part of the stream is.
     pub fn scanner(&self) -> &EventScanner {
         &self.scanner
     }
@@ -52,10 +52,10 @@
         self.partial.len()
     }
 
-    /// Discards the bytes after the last whole event; the next upstream sends that event again.
-    pub fn drop_partial(&mut self) {
+    /// Discards the bytes after the last whole event, before another upstream goes on after it.
+    pub fn begin_part(&mut self) {
         self.partial.clear();
-        self.scanner.drop_partial();
+        self.scanner = EventScanner::default();
     }
 }
 
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -192,8 +192,8 @@
             }
         }
         self.log_if_ended_with_connection();
-        if self.is_cut_off() {
-            return StreamPart::Broken(AttemptFailure::AnswerLost);
+        if let Some(failure) = self.failure_at_end() {
+            return StreamPart::Broken(failure);
         }
         match self.find_end().await {
             StreamEnd::WithUpstream if can_resume => StreamPart::Broken(AttemptFailure::AnswerLost),
@@ -211,17 +211,23 @@
         self.request.route.can_resume && self.is_event_stream
     }
 
-    /// Returns whether the response is incomplete although it has ended as HTTP requires. A client
-    /// discards an event without its blank line.
-    fn is_cut_off(&self) -> bool {
+    /// Returns how the current upstream's part of the stream failed although it has ended as HTTP requires.
+    /// A client discards an event without its blank line. A part that wrote no event proves nothing about
+    /// the stream that it should have gone on with.
+    fn failure_at_end(&self) -> Option<AttemptFailure> {
         if !self.is_event_stream {
-            return false;
+            return None;
         }
         let scanner = self.events.scanner();
-        let is_resumed = self.request.head.last_event_id.is_some();
+        if !scanner.is_between_events() {
+            return Some(AttemptFailure::AnswerLost);
+        }
         let framing = self.started.as_ref().map(|started| started.framing);
-        let is_empty = !scanner.has_event() && !is_resumed;
-        !scanner.is_between_events() || is_empty && framing == Some(Framing::Connection)
+        match framing {
+            _ if scanner.has_event() => None,
+            Some(Framing::Connection) => Some(AttemptFailure::AnswerLost),
+            _ => self.resumed.map(|_| AttemptFailure::InvalidAnswer),
+        }
     }
 
     /// Finds out whether the upstream itself has ended with a stream that only its connection frames,
@@ -382,7 +388,7 @@
             Ok(UpstreamResponse::Started(started)) if is_event_stream(&started.head.headers) => {
                 self.router
                     .log_stream_resumed(&self.request, &started.upstream, last_event_id);
-                self.events.drop_partial();
+                self.events.begin_part();
                 self.resumed = Some(ResumePoint { last_event_id });
                 self.started = Some(started);
                 true
--- a/crates/celerystair_net/src/events.rs
+++ b/crates/celerystair_net/src/events.rs
@@ -63,12 +63,4 @@
     pub fn has_event(&self) -> bool {
         self.has_event
     }
-
-    /// Forgets the event that has begun.
-    pub fn drop_partial(&mut self) {
-        *self = Self {
-            has_event: self.has_event,
-            ..Self::default()
-        };
-    }
 }
