Refuse responses with a transfer coding other than chunked

Cause: the HTTP library ends such a body with its connection, and `response_framing` took any `Transfer-Encoding` for one whose last chunk marks the end. So neither the form of a stream nor a JSON document's end was checked. `gzip, chunked` has an end, but its body reached callers coded, without the header that says so.

`response_framing` is the one place that decides how a response is framed. A transfer coding other than `chunked` alone gives no framing, and the attempt fails with an invalid answer: it is repeated where that is allowed and answered 502 where not. Requests ask for no such coding, so no server may send one. Logged as `response_coded`.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -167,21 +167,24 @@
     let checked = check_response_head(router, request, &upstream.id(), &head, is_own);
     if matches!(
         checked,
-        Ok(()) | Err(AttemptFailure::Declined | AttemptFailure::NotLoaded)
+        Ok(_) | Err(AttemptFailure::Declined | AttemptFailure::NotLoaded)
     ) {
         router.clear_false_crash(upstream, sent_unix_ms);
     }
-    if let Err(failure) = checked {
-        run.finish();
-        record_rejected_response(upstream, failure);
-        if failure.has_not_run() {
-            reuse_if_complete(request, upstream, connection, &head.headers, &body);
+    let framing = match checked {
+        Ok(framing) => framing,
+        Err(failure) => {
+            run.finish();
+            record_rejected_response(upstream, failure);
+            if failure.has_not_run() {
+                reuse_if_complete(request, upstream, connection, &head.headers, &body);
+            }
+            return Err(failure.into());
         }
-        return Err(failure.into());
-    }
+    };
     resumption.close_kept();
     let started = StartedResponse {
-        framing: response_framing(&request.method, &head),
+        framing,
         began_unix_ms: now_unix_ms(),
         head,
         body,
@@ -335,13 +338,14 @@
     })
 }
 
+/// Returns how the response is framed if its body may be passed on.
 fn check_response_head(
     router: &PlatformRouter,
     request: &CallerRequest,
     expected: &UpstreamId,
     head: &http::response::Parts,
     is_own: bool,
-) -> Result<(), AttemptFailure> {
+) -> Result<Framing, AttemptFailure> {
     let response_head = (router.settings.header_codec.read_response)(&head.headers);
     // The response may belong to another request. This request's own response may still arrive on
     // the connection, which must therefore not be reused for another caller.
@@ -373,7 +377,11 @@
     if head.status.is_informational() || head.status.is_redirection() {
         return Err(AttemptFailure::InvalidAnswer);
     }
-    Ok(())
+    response_framing(&request.method, head).ok_or_else(|| {
+        let codings = head.headers.get_all(header::TRANSFER_ENCODING);
+        router.log_transfer_coding(request, expected, &codings);
+        AttemptFailure::InvalidAnswer
+    })
 }
 
 /// Records what the upstream says of itself in the request's own response: that it leaves, that it
--- a/crates/celerystair_front/src/framing.rs
+++ b/crates/celerystair_front/src/framing.rs
@@ -33,18 +33,24 @@
     start.is_some_and(|start| start.eq_ignore_ascii_case(media_type))
 }
 
-/// Returns how the response to a request with this method is framed.
-pub fn response_framing(method: &Method, head: &Parts) -> Framing {
+/// Returns how the response to a request with this method is framed; `None` if its body has a transfer
+/// coding other than `chunked`, which no request asks for. The HTTP library decodes no such coding, and
+/// where `chunked` isn't the last one, it ends the body with its connection.
+pub fn response_framing(method: &Method, head: &Parts) -> Option<Framing> {
     let has_no_body = method == Method::HEAD
         || matches!(
             head.status,
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
         );
-    let is_marked = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
-    if has_no_body || is_marked {
-        Framing::Marked
-    } else {
-        Framing::Connection
-    }
+    let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    let framing = match (codings.next(), codings.next()) {
+        _ if has_no_body => Framing::Marked,
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Framing::Marked
+        }
+        (Some(_), _) => return None,
+        (None, _) if head.headers.contains_key(header::CONTENT_LENGTH) => Framing::Marked,
+        (None, _) => Framing::Connection,
+    };
+    Some(framing)
 }
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -149,6 +149,23 @@
             "how" => how.as_str(), "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs that a response has a transfer coding other than `chunked`, which no request asks for.
+    pub fn log_transfer_coding(
+        &self,
+        request: &CallerRequest,
+        upstream: &UpstreamId,
+        codings: &http::header::GetAll<'_, http::HeaderValue>,
+    ) {
+        let codings: Vec<_> = codings
+            .iter()
+            .take(LOGGED_HEADERS_MAX)
+            .map(|coding| String::from_utf8_lossy(coding.as_bytes()))
+            .collect();
+        info!(self.log, "response_coded"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream,
+            "codings" => codings.join(", "), "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a stream without a length or chunks ended with its connection, and how many bytes
     /// came after its last whole event.
     pub fn log_stream_ended_with_connection(
