Take all stop signals for the life of the process

Callers of a router that was stopping lost their connections without an answer when SIGTERM came once more, writes among them. A signal during a start ended the process by its default action.

Cause: the handler belonged to one wait. The runtime's listener gives the signal its default action back when it is dropped, after the first signal, and none existed before the start was over.

The handler is installed first thing and stays. It writes to a socket that the runtime reads, so signals that come early are kept, and no other thread wakes a task. The first one starts the planned stop; further ones are counted and logged.

--- a/src/commands/agent.rs
+++ b/src/commands/agent.rs
@@ -13,7 +13,7 @@
 
 use super::{
     platform,
-    process::{block_on, serve_until_signal},
+    process::{StopSignals, block_on, serve_until_signal},
 };
 
 /// Manages the memory, model loads and requests of one upstream.
@@ -37,13 +37,13 @@
     let Some(path) = &command.settings else {
         bail!("give --settings FILE, or --platform");
     };
+    let signals = StopSignals::catch()?;
     let settings: AgentSettings = read_settings_file(path)?;
     set_clock_scale(settings.process.clock_scale);
     let stop_timeout_ms = settings.process.stop_timeout_ms;
     block_on(async {
         let stop = Stop::new();
         let running = run_agent(settings, &stop).await?;
-        serve_until_signal(&stop, stop_timeout_ms, running.served).await;
-        Ok(())
+        serve_until_signal(signals, &stop, stop_timeout_ms, running.served, |_| {}).await
     })?
 }
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -15,7 +15,7 @@
 use eyre::WrapErr;
 use signal_hook::{consts::SIGHUP, iterator::Signals};
 
-use super::process::{block_on, serve_until_signal};
+use super::process::{StopSignals, block_on, serve_until_signal};
 
 /// Part of the time allowed for a stop that is reserved for the exit of the process itself.
 const STOP_MARGIN_MS: u64 = 300;
@@ -24,6 +24,7 @@
 
 /// Runs a router until SIGTERM or Ctrl-C.
 pub fn run_router() -> eyre::Result<()> {
+    let signals = StopSignals::catch()?;
     let reloads = Signals::new([SIGHUP])?;
     let path = settings_path();
     let settings = read_router_settings(&read(&path)?)?;
@@ -34,7 +35,9 @@
         let stop = Stop::new();
         let running = run_platform_router(settings, log.clone(), &stop).await?;
         log_reloads(reloads, &log);
-        serve_until_signal(&stop, stop_timeout_ms, running.server_task).await;
+        let report = |count| info!(log, "stop_signal"; "count" => count);
+        let server_task = running.server_task;
+        serve_until_signal(signals, &stop, stop_timeout_ms, server_task, report).await?;
         info!(log, "stopped");
         Ok(())
     })?
@@ -42,6 +45,7 @@
 
 /// Runs an engine's agent until SIGTERM or Ctrl-C.
 pub fn run_agent() -> eyre::Result<()> {
+    let signals = StopSignals::catch()?;
     let reloads = Signals::new([SIGHUP])?;
     let path = settings_path();
     let settings = read_agent_settings(&read(&path)?)?;
@@ -51,7 +55,9 @@
         let stop = Stop::new();
         run_engine_agent(settings, log.clone(), &stop).await?;
         log_reloads(reloads, &log);
-        serve_until_signal(&stop, AGENT_STOP_MS, std::future::ready(())).await;
+        let report = |count| info!(log, "stop_signal"; "count" => count);
+        let no_work = std::future::ready(());
+        serve_until_signal(signals, &stop, AGENT_STOP_MS, no_work, report).await?;
         info!(log, "stopped");
         Ok(())
     })?
--- a/src/commands/process.rs
+++ b/src/commands/process.rs
@@ -1,24 +1,88 @@
 //! The runtime and the planned stop on a signal, shared by the long-running commands.
 
-use std::pin::pin;
+use std::{
+    future::poll_fn,
+    io::{self, Read},
+    os::unix::net::UnixStream,
+    pin::pin,
+};
 
 use celerystair::core::{prelude::*, time::before_deadline};
-use futures_util::future::select;
-
-const SIGTERM: i32 = 15;
+use compio::runtime::fd::PollFd;
+use futures_util::future::{Either, select};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    low_level::pipe,
+};
 
 /// Runs `future` to completion on a new runtime on this thread.
 pub fn block_on<T>(future: impl Future<Output = T>) -> eyre::Result<T> {
     Ok(compio::runtime::Runtime::new()?.block_on(future))
 }
 
-/// Waits for SIGTERM or Ctrl-C, then drains, and ends `stop` when `server_task` has finished or
-/// `stop_timeout_ms` have passed.
-pub async fn serve_until_signal(stop: &Stop, stop_timeout_ms: u64, server_task: impl Future) {
-    let terminate = pin!(compio::signal::unix::signal(SIGTERM));
-    let interrupt = pin!(compio::signal::ctrl_c());
-    select(terminate, interrupt).await;
+/// SIGTERM and SIGINT, which never have their default action again once this exists.
+///
+/// The handler writes a byte to a socket that the runtime reads. The runtime's own listeners don't
+/// suit: each is for one signal, and the signal has its default action whenever no listener exists.
+pub struct StopSignals {
+    received: UnixStream,
+}
+
+impl StopSignals {
+    /// Installs the handler for the rest of the process's life. Call it first: signals before the
+    /// runtime starts are kept.
+    pub fn catch() -> io::Result<Self> {
+        let (received, sender) = UnixStream::pair()?;
+        received.set_nonblocking(true)?;
+        for signal in [SIGTERM, SIGINT] {
+            pipe::register(signal, sender.try_clone()?)?;
+        }
+        Ok(Self { received })
+    }
+}
+
+/// Waits for signals that have not been read; returns their number.
+async fn read_signals(received: &PollFd<UnixStream>) -> io::Result<usize> {
+    let mut bytes = [0; 16];
+    let mut read = |mut stream: &UnixStream| stream.read(&mut bytes);
+    let count = poll_fn(|context| received.poll_read_with(context, &mut read)).await?;
+    if count == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(count)
+}
+
+/// Waits for a stop signal, then drains, and ends `stop` when `server_task` has finished or
+/// `stop_timeout_ms` have passed since the signal. `report` is called with the number of signals so
+/// far, the first included; further ones change nothing.
+pub async fn serve_until_signal(
+    signals: StopSignals,
+    stop: &Stop,
+    stop_timeout_ms: u64,
+    server_task: impl Future,
+    report: impl Fn(usize),
+) -> eyre::Result<()> {
+    let received = PollFd::new(signals.received)?;
+    let mut count = read_signals(&received).await?;
+    let end_unix_ms = now_unix_ms() + stop_timeout_ms;
     stop.drain();
-    before_deadline(now_unix_ms() + stop_timeout_ms, server_task).await;
+    report(count);
+    let mut server_task = pin!(before_deadline(end_unix_ms, server_task));
+    loop {
+        let signal = pin!(read_signals(&received));
+        match select(server_task.as_mut(), signal).await {
+            Either::Left(_) => break,
+            Either::Right((Ok(more), _)) => {
+                count += more;
+                report(count);
+            }
+            Either::Right((Err(error), _)) => {
+                server_task.await;
+                stop.end();
+                return Err(error.into());
+            }
+        }
+    }
     stop.end();
+    Ok(())
 }
--- a/src/commands/router.rs
+++ b/src/commands/router.rs
@@ -13,7 +13,7 @@
 
 use super::{
     platform,
-    process::{block_on, serve_until_signal},
+    process::{StopSignals, block_on, serve_until_signal},
 };
 
 /// Accepts callers' requests and forwards them to upstreams.
@@ -37,13 +37,13 @@
     let Some(path) = &command.settings else {
         bail!("give --settings FILE, or --platform");
     };
+    let signals = StopSignals::catch()?;
     let settings: RouterSettings = read_settings_file(path)?;
     set_clock_scale(settings.process.clock_scale);
     let stop_timeout_ms = settings.process.stop_timeout_ms;
     block_on(async {
         let stop = Stop::new();
         let running = run_router(settings, &stop).await?;
-        serve_until_signal(&stop, stop_timeout_ms, running.served).await;
-        Ok(())
+        serve_until_signal(signals, &stop, stop_timeout_ms, running.served, |_| {}).await
     })?
 }
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -13,7 +13,7 @@
 };
 use serde::Deserialize;
 
-use super::process::{block_on, serve_until_signal};
+use super::process::{StopSignals, block_on, serve_until_signal};
 
 /// Runs a stand-in for the platform, a model engine, the weight store or a plain service.
 #[derive(FromArgs)]
@@ -46,6 +46,7 @@
 
 /// Runs the stand-in until SIGTERM or Ctrl-C.
 pub fn run(command: &StandinCommand) -> eyre::Result<()> {
+    let signals = StopSignals::catch()?;
     let settings: StandinSettings = read_settings_file(&command.settings)?;
     block_on(async {
         let stop = Stop::new();
@@ -57,7 +58,6 @@
             StandinSettings::Weights(weights) => run_weights(weights, &stop)?,
         };
         println!("listens on {address}");
-        serve_until_signal(&stop, 0, std::future::ready(())).await;
-        Ok(())
+        serve_until_signal(signals, &stop, 0, std::future::ready(()), |_| {}).await
     })?
 }
--- /dev/null
+++ b/tests/platform_processes.rs
@@ -0,0 +1,252 @@
+//! Routers and agents of the users' platform as processes, and what signals do to them. However many
+//! stop signals come, and whenever, they are one planned stop, which ends as soon as its work does.
+
+#[path = "../platform/tests/support/mod.rs"]
+mod platform;
+mod support;
+
+use std::{
+    fs::File,
+    io::Write,
+    net::{IpAddr, SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+};
+
+use platform::{
+    Caller, Fault, Request, System, UpstreamStandin, eventually,
+    system::{Instance, SETTINGS_PATH_VARIABLE, ready_status},
+    upstream::EVENTS_PER_STREAM,
+};
+use serde_json::json;
+use support::processes::Process;
+
+/// Grace period of a planned stop: much longer than the work of these tests.
+const STOP_GRACE_SECONDS: u64 = 30;
+/// Time between two signals.
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(200);
+
+/// A router or an agent of the users' platform, ended when dropped.
+struct PlatformProcess {
+    child: Child,
+    settings: PathBuf,
+}
+
+impl PlatformProcess {
+    /// Starts `celerystair <role> --platform` with these settings.
+    fn start(role: &str, settings: &str) -> Self {
+        let path = new_settings_path();
+        std::fs::write(&path, settings).expect("the settings are written");
+        Self::start_with_file(role, path)
+    }
+
+    fn start_with_file(role: &str, settings: PathBuf) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_celerystair"))
+            .args([role, "--platform"])
+            .env(SETTINGS_PATH_VARIABLE, &settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the process starts");
+        Self { child, settings }
+    }
+
+    fn signal(&self, name: &str) {
+        send_signal(self.child.id(), name);
+    }
+
+    fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process ends")
+    }
+}
+
+impl Drop for PlatformProcess {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+        std::fs::remove_file(&self.settings).ok();
+    }
+}
+
+fn send_signal(process_id: u32, name: &str) {
+    let status = Command::new("kill")
+        .args([format!("-{name}"), process_id.to_string()])
+        .status()
+        .expect("kill runs");
+    assert!(status.success(), "the process was there");
+}
+
+fn new_settings_path() -> PathBuf {
+    let name = format!("celerystair-signals-{:016x}", rand::random::<u64>());
+    std::env::temp_dir().join(name)
+}
+
+fn free_port(ip: IpAddr) -> u16 {
+    let probe = TcpListener::bind((ip, 0)).expect("a port is free");
+    let address = probe.local_addr().expect("the listener has an address");
+    address.port()
+}
+
+/// Returns the settings of a process, and its addresses for callers and for readiness probes.
+fn instance_settings(system: &System, number: u8) -> (String, SocketAddr, SocketAddr) {
+    let ip = System::ip(number);
+    let (callers_port, ready_port) = (free_port(ip), free_port(ip));
+    let instance = Instance {
+        name: "instance-1",
+        ip,
+        failure_domain: "zone-a",
+        callers_port,
+        ready_port,
+        gossip_port: system.gossip_port,
+        store: system.store.address,
+        stop_grace_seconds: STOP_GRACE_SECONDS,
+    };
+    let addresses = [callers_port, ready_port].map(|port| SocketAddr::new(ip, port));
+    (instance.settings(), addresses[0], addresses[1])
+}
+
+/// A router with an engine, and a plain upstream that answers late.
+struct Running {
+    system: System,
+    engine: UpstreamStandin,
+    upstream: UpstreamStandin,
+    router: PlatformProcess,
+    callers: SocketAddr,
+}
+
+fn start_router(number: u8) -> Running {
+    let system = System::start();
+    let engine = system.start_engine(number + 1, &["m1"]);
+    engine.set_event_gap_ms(300);
+    let upstream = system.start_plain_upstream(number + 2);
+    let (settings, callers, ready) = instance_settings(&system, number);
+    let router = PlatformProcess::start("router", &settings);
+    eventually("the router is ready", || {
+        std::net::TcpStream::connect(ready).is_ok() && ready_status(ready) == 200
+    });
+    Running {
+        system,
+        engine,
+        upstream,
+        router,
+        callers,
+    }
+}
+
+/// Sends the signals to a router with a stream and a write in flight, and checks that both are
+/// answered and that the process ends by itself, well before its grace period is over.
+fn assert_one_planned_stop(number: u8, signals: &[&str]) {
+    let mut running = start_router(number);
+    let mut streaming = Caller::connect(running.callers);
+    streaming.send(&Request::stream("POST /streamed/a", "s1", "m1").bytes());
+    running.upstream.queue_fault(Fault::Late);
+    let mut writing = Caller::connect(running.callers);
+    writing.send(&Request::new("POST /write/a", "w1").body("x").bytes());
+    eventually("upstreams run both requests", || {
+        let runs = |upstream: &UpstreamStandin| upstream.executed_requests().len();
+        runs(&running.engine) == 1 && runs(&running.upstream) == 1
+    });
+    let stopped_at = Instant::now();
+    for signal in signals {
+        running.router.signal(signal);
+        std::thread::sleep(BETWEEN_SIGNALS);
+    }
+    let stream = streaming.read_response().expect("the stream is answered");
+    assert!(stream.is_complete, "{stream:?}");
+    let text = String::from_utf8_lossy(&stream.body);
+    assert!(
+        text.contains(&format!("id: {EVENTS_PER_STREAM}\n")),
+        "{text}"
+    );
+    let written = writing.read_response().expect("the write is answered");
+    assert_eq!(written.start_line_word(1), "200", "{written:?}");
+    let status = running.router.wait();
+    assert!(status.success(), "{status}");
+    assert!(stopped_at.elapsed() < Duration::from_secs(STOP_GRACE_SECONDS / 2));
+    drop(running.system);
+}
+
+// A router that was stopping ended at the second SIGTERM, without an answer to what it had accepted.
+#[test]
+fn a_second_sigterm_cuts_no_request() {
+    assert_one_planned_stop(1, &["TERM", "TERM"]);
+}
+
+#[test]
+fn sigint_after_sigterm_cuts_no_request() {
+    assert_one_planned_stop(5, &["TERM", "INT"]);
+}
+
+#[test]
+fn sigterm_after_sigint_cuts_no_request() {
+    assert_one_planned_stop(9, &["INT", "TERM"]);
+}
+
+#[test]
+fn many_stop_signals_cut_no_request() {
+    assert_one_planned_stop(13, &["TERM", "INT", "TERM", "TERM", "INT"]);
+}
+
+/// Sends a signal to a process that is reading its settings, gives it these, and returns how it ends.
+/// Its settings come from a pipe, which opens once the process has come so far.
+fn stop_during_start(role: &str, settings: &str, signals: &[&str]) -> ExitStatus {
+    let path = new_settings_path();
+    let status = Command::new("mkfifo").arg(&path).status();
+    assert!(status.expect("mkfifo runs").success());
+    let mut process = PlatformProcess::start_with_file(role, path.clone());
+    let mut pipe = File::options()
+        .write(true)
+        .open(path)
+        .expect("the pipe opens");
+    for signal in signals {
+        process.signal(signal);
+        std::thread::sleep(BETWEEN_SIGNALS);
+    }
+    pipe.write_all(settings.as_bytes()).ok();
+    drop(pipe);
+    process.wait()
+}
+
+// A stop signal during a start ended the process by the signal's default action.
+#[test]
+fn stop_signals_during_the_start_of_a_router_are_a_planned_stop() {
+    let system = System::start();
+    for signals in [&["TERM"][..], &["TERM", "INT", "TERM"]] {
+        let (settings, ..) = instance_settings(&system, 17);
+        let status = stop_during_start("router", &settings, signals);
+        assert!(status.success(), "{signals:?}: {status}");
+    }
+}
+
+#[test]
+fn stop_signals_during_the_start_of_an_agent_are_a_planned_stop() {
+    let system = System::start();
+    let engine = system.start_engine(21, &["m1"]);
+    for signals in [&["TERM"][..], &["INT", "TERM"]] {
+        let (settings, ..) = instance_settings(&system, 20);
+        let settings = format!("{settings}app={}\nService=engines\n", engine.address);
+        let status = stop_during_start("agent", &settings, signals);
+        assert!(status.success(), "{signals:?}: {status}");
+    }
+}
+
+// The product's own processes stop in the same way.
+#[test]
+fn signals_after_sigterm_do_not_end_a_router_of_the_product_at_once() {
+    let loopback = "127.0.0.1:0";
+    let mut store = Process::start("standin", &json!({ "platform": { "listen": loopback } }));
+    let platform_url = format!("http://{}", store.standin_address());
+    let settings = json!({
+        "router": "router-1", "listen": loopback, "peer_listen": loopback,
+        "process": { "failure_domain": "a", "platform": { "url": platform_url },
+            "log_format": "json", "stop_notice_ms": 1500 },
+    });
+    let mut router = Process::start("router", &settings);
+    router.logged("callers");
+    for signal in ["TERM", "TERM", "INT"] {
+        send_signal(router.id(), signal);
+        std::thread::sleep(BETWEEN_SIGNALS);
+    }
+    let status = router.wait();
+    assert!(status.success(), "{status}");
+}
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks for a planned stop.
     pub fn terminate(&self) {
         let pid = self.child.id().to_string();
