Add a read of what has changed that proves a mirror to be current

A mirror follows the store by a watch that waits, so it can't tell that nothing was missed up to a moment. Mirror::catch_up asks for the changes since the revision that it knows, in a call that doesn't wait; when it returns, the mirror holds all that the store had acknowledged when the call was made. A list that lacks pages proves nothing. Store::changes_since is a watch with the shortest wait. No caller yet.

--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -59,6 +59,8 @@
     undecodable: RefCell<HashMap<String, u64>>,
     /// The number of nameless items in the list that was read last.
     unnamed: Cell<usize>,
+    /// Whether the list that was read last lacks pages.
+    is_partial: Cell<bool>,
 }
 
 /// Decodes an object's value.
@@ -118,6 +120,7 @@
                 decode_value,
                 undecodable: RefCell::default(),
                 unnamed: Cell::new(0),
+                is_partial: Cell::new(false),
             }),
         };
         let (task, store, stop) = (mirror.clone(), store.clone(), stop.clone());
@@ -181,6 +184,26 @@
         }
     }
 
+    /// Reads what has changed until the call, without waiting for a change. Once it returns, the mirror
+    /// holds everything that the store had acknowledged when the call was made.
+    ///
+    /// # Errors
+    /// The store doesn't answer, or its list has a page that can't be asked for.
+    pub async fn catch_up(&self, store: &Store) -> Result<(), StoreError> {
+        if self.has_read_store() {
+            let (prefix, revision) = (&self.inner.prefix, self.inner.revision.get());
+            let reply = store.changes_since(prefix, revision).await?;
+            self.apply_reply(store, reply).await?;
+        } else {
+            self.reread(store).await?;
+        }
+        if self.inner.is_partial.get() {
+            let detail = "the list that was read last lacks pages".to_owned();
+            return Err(StoreError::Failed { detail });
+        }
+        Ok(())
+    }
+
     /// Applies an object that was read or written outside this mirror, if it is newer.
     pub fn apply(&self, object: &Object) -> Result<(), StoreError> {
         let Some(name) = object.key.strip_prefix(&self.inner.prefix) else {
@@ -384,6 +407,7 @@
             warn!(store.log(), "objects_unnamed"; "prefix" => &self.inner.prefix,
                 "revision" => list.revision, "unnamed" => list.unnamed);
         }
+        self.inner.is_partial.set(list.is_partial);
         if list.is_partial {
             warn!(store.log(), "list_partial"; "prefix" => &self.inner.prefix,
                 "revision" => list.revision, "objects" => list.objects.len());
@@ -418,6 +442,10 @@
         let reply = store
             .watch(&self.inner.prefix, self.inner.revision.get())
             .await?;
+        self.apply_reply(store, reply).await
+    }
+
+    async fn apply_reply(&self, store: &Store, reply: WatchReply) -> Result<(), StoreError> {
         if reply.too_old {
             return self.reread(store).await;
         }
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -328,10 +328,29 @@
         Err(status_error(response.status, &response.body))
     }
 
+    /// Returns what has changed below `prefix` after `revision` and until the call, without waiting for
+    /// a change.
+    pub async fn changes_since(
+        &self,
+        prefix: &str,
+        revision: u64,
+    ) -> Result<WatchReply, StoreError> {
+        self.watch_for(prefix, revision, CHANGES_WAIT_MS).await
+    }
+
     /// Waits until something below `prefix` changes after `revision`.
     pub async fn watch(&self, prefix: &str, revision: u64) -> Result<WatchReply, StoreError> {
-        let dialect = &self.inner.dialect;
         let wait_ms = self.inner.settings.watch_timeout_ms;
+        self.watch_for(prefix, revision, wait_ms).await
+    }
+
+    async fn watch_for(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait_ms: u64,
+    ) -> Result<WatchReply, StoreError> {
+        let dialect = &self.inner.dialect;
         let response = self
             .send(StoreCall {
                 wire: (dialect.watch)(prefix, revision, wait_ms),
@@ -466,6 +485,9 @@
     }
 }
 
+/// The shortest wait of a watch: a platform may take 0 for its own default.
+const CHANGES_WAIT_MS: u64 = 1;
+
 /// The most pages of one list. The platform's have about 500 objects each, so this is far above any
 /// fleet; a store whose pages lead in a circle ends here.
 const PAGES_MAX: usize = 1000;
