Prove the list of upstreams before a version is assumed from it

Cause: without a record of the stream, the only version that was listed for two minutes is assumed. The list counted as current by when the process had looked at its copy and by whether a call had failed. Neither says when the store last answered: a watch waits, and a cut that loses packets in silence fails no call for 2.2 s. The class: a fact is taken for current by what it lacks (a failure), not by what proves it.

Fix: before a version is assumed, the router asks the store for what has changed, in a call that is made after the take-up came, takes the answer in, and decides then. A stream that is taken up began before that, so its version is listed by then. Requests that wait share a call, and all routers together make 500 a second at most. No answer within 0.8 s: refused, "not run", Retry-After.

--- a/crates/celerystair_core/src/refusal.rs
+++ b/crates/celerystair_core/src/refusal.rs
@@ -103,6 +103,8 @@
     SoftwareVersionGone => "software_version_gone", 503;
     /// It is not known which software version began the stream that the caller takes up.
     StreamOriginUnknown => "stream_origin_unknown", 503;
+    /// The store doesn't tell in time which software versions the upstreams run now.
+    SoftwareVersionUnproven => "software_version_unproven", 503;
     /// The agent holds no slot for the model.
     NotHere => "not_here", 503;
     /// The upstream or router is draining.
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -104,6 +104,12 @@
             "age_ms" => request.age_ms(now));
     }
 
+    /// Logs that a stream can't go on, as the list of upstreams was not proven to be current.
+    pub fn log_list_unproven(&self, request: &CallerRequest) {
+        info!(self.log, "stream_version_unproven"; "request" => %request.head.id,
+            "route" => &request.route.name, "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that other agents are told where streams began, as some that held it leave.
     pub fn log_origins_retold(&self, records: usize, agents: usize) {
         info!(self.log, "stream_origins_retold"; "records" => records, "agents" => agents);
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -236,7 +236,19 @@
     let mut search = OriginSearch::default();
     let found = find_origin(router, request, &mut search).await;
     router.log_origin_search(request, search);
-    let found = found.or_else(|| Some((assumed_origin(router, request)?, OriginSource::List)));
+    let found = match found {
+        None if assumed_origin(router, request).is_some() => {
+            // The stream may have begun at a version that came until its caller took it up.
+            if !prove_list(router, request, request.arrived_unix_ms).await {
+                router.log_list_unproven(request);
+                let detail = "the store doesn't tell which software versions were in service";
+                let reason = RefusalReason::SoftwareVersionUnproven;
+                return Err(Refusal::not_run(reason, detail).retry_after(LIST_PROOF_RETRY_AFTER_MS));
+            }
+            assumed_origin(router, request).map(|origin| (origin, OriginSource::List))
+        }
+        found => found,
+    };
     let (origin, source) = found.ok_or_else(|| {
         let begun_by = request.head.resumes.as_ref().map_or("none", RequestId::as_str);
         let detail = format!(
@@ -256,6 +268,16 @@
     Ok((origin, source))
 }
 
+/// Returns whether the list of upstreams is known to hold all that it held at `at_unix_ms`, for which the
+/// store is asked if need be.
+pub async fn prove_list(router: &PlatformRouter, request: &CallerRequest, at_unix_ms: u64) -> bool {
+    let routers = router.router_count_or_default();
+    let proven = router
+        .view
+        .prove_list(at_unix_ms, request.deadline_unix_ms, routers);
+    proven.await
+}
+
 /// Returns the only origin that is possible by the list of upstreams, if there is only one.
 fn assumed_origin(router: &PlatformRouter, request: &CallerRequest) -> Option<StreamOrigin> {
     let wanted = wanted_stream(request);
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -10,6 +10,7 @@
 use celerystair_platform::{prelude::*, store::shortened};
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
+use event_listener::Event;
 use futures_util::future::select;
 
 use crate::upstream::Upstream;
@@ -52,6 +53,13 @@
     version_histories: RefCell<HashMap<ServiceName, VersionHistory>>,
     /// Since when every change of the list of upstreams was seen.
     list_coverage: Cell<ListCoverage>,
+    /// The entries of upstreams in the store.
+    entries: Mirror<ListedEntry>,
+    list_proof: Cell<ListProof>,
+    /// Whether a call that proves the list is under way.
+    is_proving_list: Cell<bool>,
+    /// Notified when such a call has ended.
+    list_proof_ended: Event,
     /// The longest timeout that a route has had since this router started.
     longest_timeout_ms: Cell<u64>,
     route_targets: RefCell<RouteTargets>,
@@ -61,6 +69,19 @@
     /// Starts tasks that keep the view current from the store until `stop` ends.
     pub fn start(source: &FleetSource, store: &Store, log: &Logger, stop: &Stop) -> Self {
         store.set_log(log);
+        let (read_upstream, entry_log) = (source.read_upstream, log.clone());
+        // An entry that describes no upstream replaces the one before it, so its error is a value.
+        // Each version is decoded once, and so logged once.
+        let read_entry = move |object: &Object| {
+            let entry = read_upstream(object);
+            if let Err(error) = &entry {
+                warn!(entry_log, "entry_unused"; "entry" => shortened(&object.key),
+                    "version" => object.version, "error" => shortened(error));
+            }
+            Ok(entry)
+        };
+        let entries =
+            Mirror::start_with_decoder(store, source.upstream_key_prefix, read_entry, stop);
         let view = Self {
             inner: Rc::new(Inner {
                 log: log.clone(),
@@ -72,6 +93,10 @@
                 missing: RefCell::default(),
                 version_histories: RefCell::default(),
                 list_coverage: Cell::default(),
+                entries,
+                list_proof: Cell::default(),
+                is_proving_list: Cell::default(),
+                list_proof_ended: Event::new(),
                 longest_timeout_ms: Cell::default(),
                 route_targets: RefCell::default(),
             }),
@@ -84,22 +109,10 @@
             watcher.follow_config(&configs, name, &task_stop).await;
         })
         .detach();
-        let (read_upstream, entry_log) = (source.read_upstream, log.clone());
-        // An entry that describes no upstream replaces the one before it, so its error is a value.
-        // Each version is decoded once, and so logged once.
-        let read_entry = move |object: &Object| {
-            let entry = read_upstream(object);
-            if let Err(error) = &entry {
-                warn!(entry_log, "entry_unused"; "entry" => shortened(&object.key),
-                    "version" => object.version, "error" => shortened(error));
-            }
-            Ok(entry)
-        };
-        let entries =
-            Mirror::start_with_decoder(store, source.upstream_key_prefix, read_entry, stop);
         let (watcher, store, task_stop) = (view.clone(), store.clone(), stop.clone());
         compio::runtime::spawn(async move {
-            watcher.follow_upstreams(&entries, &store, &task_stop).await;
+            let entries = &watcher.inner.entries;
+            watcher.follow_upstreams(entries, &store, &task_stop).await;
         })
         .detach();
         view
@@ -156,6 +169,52 @@
         Some(covered_since_unix_ms.max(listed_since_unix_ms))
     }
 
+    /// Whether the list of upstreams is known to hold all that it held at `at_unix_ms`.
+    pub fn is_list_proven(&self, at_unix_ms: u64) -> bool {
+        self.inner.list_proof.get().covers(at_unix_ms)
+    }
+
+    /// Asks the store for what has changed until now, unless the list [is proven](Self::is_list_proven)
+    /// for `at_unix_ms`, and returns whether it is then. Requests that wait at the same time share one
+    /// call, which `routers` routers make in turn.
+    pub async fn prove_list(&self, at_unix_ms: u64, deadline_unix_ms: u64, routers: u32) -> bool {
+        let asked_unix_ms = now_unix_ms();
+        let deadline_unix_ms = deadline_unix_ms.min(asked_unix_ms + LIST_PROOF_WAIT_MS);
+        loop {
+            let ended = self.inner.list_proof_ended.listen();
+            let proof = self.inner.list_proof.get();
+            if proof.covers(at_unix_ms) {
+                return true;
+            }
+            if proof.has_failed_since(asked_unix_ms) || now_unix_ms() >= deadline_unix_ms {
+                return false;
+            }
+            if !self.inner.is_proving_list.replace(true) {
+                // Requests that wait may leave, so the call is a task of its own.
+                compio::runtime::spawn(self.clone().call_for_proof(routers)).detach();
+            }
+            select(ended, pin!(sleep_until_unix_ms(deadline_unix_ms))).await;
+        }
+    }
+
+    async fn call_for_proof(self, routers: u32) {
+        let inner = &self.inner;
+        sleep_until_unix_ms(inner.list_proof.get().next_call_unix_ms(routers)).await;
+        let called_unix_ms = now_unix_ms();
+        let outcome = inner.entries.catch_up(&inner.store).await;
+        match &outcome {
+            Ok(()) => self.apply_upstreams(&inner.entries),
+            Err(error) => {
+                warn!(inner.log, "list_not_proven"; "error" => shortened(error));
+            }
+        }
+        let mut proof = inner.list_proof.get();
+        proof.record(called_unix_ms, outcome.is_ok());
+        inner.list_proof.set(proof);
+        inner.is_proving_list.set(false);
+        inner.list_proof_ended.notify(usize::MAX);
+    }
+
     /// Returns since when streams of this route can only have begun at its present services, as far as
     /// this router knows.
     pub fn route_targets_since_unix_ms(&self, route: &Route) -> Option<u64> {
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -81,9 +81,9 @@
         },
         stall::StallInputs,
         stream_versions::{
-            ListCoverage, ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, RouteTargets, StreamId, StreamOrigin,
-            StreamOrigins, ToldStreams, VersionHistory, assumed_version, holders_asked,
-            version_holders,
+            LIST_PROOF_RETRY_AFTER_MS, LIST_PROOF_WAIT_MS, ListCoverage, ListProof,
+            ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, RouteTargets, StreamId, StreamOrigin, StreamOrigins,
+            ToldStreams, VersionHistory, assumed_version, holders_asked, version_holders,
         },
         suspect_part::{
             FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -53,6 +53,14 @@
 /// A process that has not looked at its list for this long was frozen or starved, and versions may have
 /// come and gone meanwhile. It looks every second at least.
 const LIST_GAP_MAX_MS: u64 = 3000;
+/// How long a request waits for the proof of the list: longer than a call to the store takes.
+pub const LIST_PROOF_WAIT_MS: u64 = 800;
+/// `Retry-After` of a stream for which the list could not be proven.
+pub const LIST_PROOF_RETRY_AFTER_MS: u64 = 500;
+/// The shortest interval between two calls that prove the list.
+const LIST_PROOF_INTERVAL_MS: u64 = 100;
+/// The interval for each router: 500 calls a second of all together.
+const LIST_PROOF_INTERVAL_PER_ROUTER_MS: u64 = 2;
 
 /// Identifies a stream, by the request that brought its first event. A stream has two identifiers, as
 /// some callers that take it up don't name that request.
@@ -323,6 +331,50 @@
     }
 }
 
+/// When the list of upstreams was last proven to be current: by an answer of the store to a call that
+/// was made for it. That the process looks at its copy, or that no call has failed, proves nothing: a
+/// watch waits, and a link may lose everything in silence.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ListProof {
+    /// When the last call was made that was answered.
+    proven_unix_ms: Option<u64>,
+    /// When the last call was made that was not answered.
+    failed_unix_ms: Option<u64>,
+}
+
+impl ListProof {
+    /// Records whether the call that was made at `called_unix_ms` was answered.
+    pub fn record(&mut self, called_unix_ms: u64, is_answered: bool) {
+        let last_unix_ms = if is_answered {
+            &mut self.proven_unix_ms
+        } else {
+            &mut self.failed_unix_ms
+        };
+        *last_unix_ms = Some(called_unix_ms);
+    }
+
+    /// Whether the list is known to hold all that it held at `at_unix_ms`.
+    pub fn covers(&self, at_unix_ms: u64) -> bool {
+        self.proven_unix_ms
+            .is_some_and(|proven| proven >= at_unix_ms)
+    }
+
+    /// Whether a call failed that was made at `since_unix_ms` or later.
+    pub fn has_failed_since(&self, since_unix_ms: u64) -> bool {
+        self.failed_unix_ms
+            .is_some_and(|failed| failed >= since_unix_ms)
+    }
+
+    /// Returns when the next call may be made. All routers together make as many calls, however many
+    /// they are, as the store's rate is shared.
+    pub fn next_call_unix_ms(&self, routers: u32) -> u64 {
+        let shared_ms = LIST_PROOF_INTERVAL_PER_ROUTER_MS * u64::from(routers);
+        let interval_ms = LIST_PROOF_INTERVAL_MS.max(shared_ms);
+        let called_unix_ms = self.proven_unix_ms.max(self.failed_unix_ms);
+        called_unix_ms.map_or(0, |called| called.saturating_add(interval_ms))
+    }
+}
+
 /// Since when each route, by host and path prefix, has led to its present services.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTargets(HashMap<(String, String), (Vec<ServiceName>, u64)>);
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -567,3 +567,34 @@
     targets.record(&[route_to(&["b"])], 6000);
     assert_eq!(targets.since_unix_ms(&route_to(&["b"])), Some(6000));
 }
+
+/// A watch that waits is answered late, and says nothing of what came since.
+#[test]
+fn a_list_is_proven_only_by_a_call_that_was_made_since() {
+    let mut proof = ListProof::default();
+    assert!(!proof.covers(0));
+    proof.record(1000, true);
+    assert!(proof.covers(1000));
+    assert!(!proof.covers(1001));
+    proof.record(2000, false);
+    assert!(proof.covers(1000));
+    assert!(!proof.covers(2000), "not answered");
+    assert!(proof.has_failed_since(2000));
+    assert!(!proof.has_failed_since(2001));
+}
+
+/// 340 routers that all prove their lists without a pause make fewer calls than the store allows.
+#[test]
+fn the_calls_that_prove_lists_do_not_grow_with_the_routers() {
+    let mut proof = ListProof::default();
+    assert_eq!(proof.next_call_unix_ms(340), 0);
+    proof.record(START_UNIX_MS, true);
+    for routers in [1, 4, 50, 340, 1000] {
+        let interval_ms = proof.next_call_unix_ms(routers) - START_UNIX_MS;
+        let calls_per_second = u64::from(routers) * 1000 / interval_ms;
+        assert!(
+            calls_per_second <= 500,
+            "{calls_per_second} by {routers} routers"
+        );
+    }
+}
