Pass nothing on as an event that is none

On routes that can't resume, the error reached its caller and the stream ended as if it were complete if the text ended in an empty line.

Cause: the relay looked for empty lines alone, so whatever stood between two of them was an event.

A line of an event is now a comment or one of the fields that the format has (data, event, id, retry) or that the platform names (the weight version, given by the adapter's codec). The first byte that can't be a part of such a line ends the upstream's part of the stream: nothing from its event on is passed on, and the stream goes on elsewhere after its last whole event or breaks off visibly. Readers of events ignore unknown fields, so this is stricter than the format; a looser rule, that an event needs one known field, lets the head of an error that begins inside an event through.

A break may now follow events in the same read, and a connection drops what it has buffered when it aborts: a body's chunks are sent before its error.

stream_part_invalid in the logs says why a part is refused, with the request, the upstream and the last event.

--- a/crates/celerystair_front/src/events.rs
+++ b/crates/celerystair_front/src/events.rs
@@ -10,11 +10,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     scanner: EventScanner,
+    more_fields: &'static [&'static str],
     partial: BytesMut,
     last_id: Option<u64>,
 }
 
 impl EventSplitter {
+    /// Creates a splitter of streams whose events may have these fields beside those of the format.
+    pub fn new(more_fields: &'static [&'static str]) -> Self {
+        Self {
+            scanner: EventScanner::new(more_fields),
+            more_fields,
+            ..Self::default()
+        }
+    }
+
     /// Appends bytes and returns all events that are now complete, as one piece.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let buffered_bytes = self.partial.len();
@@ -27,9 +37,15 @@
         Some(whole)
     }
 
-    /// Reads bytes that are passed on as they are.
-    pub fn observe(&mut self, bytes: &[u8]) {
-        self.scanner.scan(bytes);
+    /// Reads bytes that are passed on also inside an event. Returns those that may be: of bytes that are no
+    /// part of an event, only what whole events come before.
+    pub fn observe(&mut self, bytes: &Bytes) -> Bytes {
+        let end = self.scanner.scan(bytes);
+        if self.scanner.is_invalid() {
+            bytes.slice(..end.unwrap_or(0))
+        } else {
+            bytes.clone()
+        }
     }
 
     /// Returns where in its events the current upstream's part of the stream is.
@@ -55,7 +71,7 @@
     /// Discards the bytes after the last whole event, before another upstream goes on after it.
     pub fn begin_part(&mut self) {
         self.partial.clear();
-        self.scanner = EventScanner::default();
+        self.scanner = EventScanner::new(self.more_fields);
     }
 }
 
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -149,6 +149,19 @@
             "how" => how.as_str(), "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs why what an upstream wrote is not taken for a part of the stream.
+    pub fn log_stream_part_invalid(
+        &self,
+        request: &CallerRequest,
+        upstream: &UpstreamId,
+        reason: &str,
+        last_event_id: Option<u64>,
+    ) {
+        info!(self.log, "stream_part_invalid"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream, "reason" => reason,
+            "last_event_id" => last_event_id, "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a stream without a length or chunks ended with its connection, and how many bytes
     /// came after its last whole event.
     pub fn log_stream_ended_with_connection(
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -88,7 +88,7 @@
         progress,
         is_event_stream: is_event_stream(&started.head.headers),
         started: Some(started),
-        events: EventSplitter::default(),
+        events: EventSplitter::new(router.settings.header_codec.event_fields),
         resumed: None,
     };
     let body = stream::unfold(relay, |mut relay| async move {
@@ -152,6 +152,9 @@
         let can_resume = self.can_resume();
         let mut silence_ms = STALL_MS;
         loop {
+            if self.events.scanner().is_invalid() {
+                return self.invalid_part("a line is no part of an event");
+            }
             let left_ms = remaining_ms(self.request.deadline_unix_ms);
             let wait_ms = if can_resume {
                 left_ms.min(silence_ms)
@@ -178,22 +181,32 @@
                     Err(_) => continue,
                 },
             };
-            if !can_resume {
-                self.events.observe(&data);
+            if !self.is_event_stream {
                 self.mark_writing();
                 return StreamPart::Bytes(data);
             }
+            if !can_resume {
+                let passed_on = self.events.observe(&data);
+                if passed_on.is_empty() {
+                    continue;
+                }
+                self.mark_writing();
+                return StreamPart::Bytes(passed_on);
+            }
             if let Some(events) = self.events.push(&data) {
                 self.mark_writing();
                 return StreamPart::Bytes(events);
             }
             if self.events.is_event_too_long() {
-                return StreamPart::Broken(AttemptFailure::InvalidAnswer);
+                return self.invalid_part("an event is too long");
             }
         }
         self.log_if_ended_with_connection();
-        if let Some(failure) = self.failure_at_end() {
-            return StreamPart::Broken(failure);
+        if self.is_cut_off() {
+            return StreamPart::Broken(AttemptFailure::AnswerLost);
+        }
+        if self.is_resumed_without_event() {
+            return self.invalid_part("it has no event");
         }
         match self.find_end().await {
             StreamEnd::WithUpstream if can_resume => StreamPart::Broken(AttemptFailure::AnswerLost),
@@ -211,23 +224,31 @@
         self.request.route.can_resume && self.is_event_stream
     }
 
-    /// Returns how the current upstream's part of the stream failed although it has ended as HTTP requires.
-    /// A client discards an event without its blank line. A part that wrote no event proves nothing about
-    /// the stream that it should have gone on with.
-    fn failure_at_end(&self) -> Option<AttemptFailure> {
+    /// Returns whether the current upstream's part of the stream is incomplete although it has ended as HTTP
+    /// requires. A client discards an event without its blank line.
+    fn is_cut_off(&self) -> bool {
         if !self.is_event_stream {
-            return None;
+            return false;
         }
         let scanner = self.events.scanner();
-        if !scanner.is_between_events() {
-            return Some(AttemptFailure::AnswerLost);
-        }
         let framing = self.started.as_ref().map(|started| started.framing);
-        match framing {
-            _ if scanner.has_event() => None,
-            Some(Framing::Connection) => Some(AttemptFailure::AnswerLost),
-            _ => self.resumed.map(|_| AttemptFailure::InvalidAnswer),
+        !scanner.is_between_events() || !scanner.has_event() && framing == Some(Framing::Connection)
+    }
+
+    /// Returns whether the current upstream wrote no event of the stream that it should have gone on with,
+    /// which proves nothing about that stream.
+    fn is_resumed_without_event(&self) -> bool {
+        self.resumed.is_some() && !self.events.scanner().has_event()
+    }
+
+    /// Logs why what the current upstream wrote is not taken for a part of the stream.
+    fn invalid_part(&self, reason: &str) -> StreamPart {
+        if let Some(started) = &self.started {
+            let id = started.upstream.id();
+            self.router
+                .log_stream_part_invalid(&self.request, &id, reason, self.events.last_id());
         }
+        StreamPart::Broken(AttemptFailure::InvalidAnswer)
     }
 
     /// Finds out whether the upstream itself has ended with a stream that only its connection frames,
--- a/crates/celerystair_front/tests/events.rs
+++ b/crates/celerystair_front/tests/events.rs
@@ -85,3 +85,48 @@
         assert_eq!(splitter.last_id(), Some(5), "{text:?}");
     }
 }
+
+#[test]
+fn a_line_that_is_no_part_of_an_event_ends_a_stream_before_it_wherever_reads_end() {
+    let invalid_lines = [
+        "HTTP/1.1 500 x",
+        "Content-Length: 9",
+        "error",
+        "dat",
+        "datas: a",
+        "Data: a",
+        " data: a",
+        "{\"error\": 1}",
+        "celerystair-weight-versions",
+        "celerystair-weight-version: 1",
+    ];
+    arbtest(|source| {
+        let before = [
+            "",
+            "id: 1\ndata: a\n\n",
+            "celerystair-weight-versions: 2\ndata\n\n",
+        ];
+        let before = *source.choose(&before)?;
+        let begun = *source.choose(&["", "id: 2\n", ": c\n"])?;
+        let invalid = *source.choose(&invalid_lines[..8])?;
+        let text = format!("{before}{begun}{invalid}\n\ndata: later\n\n");
+        let mut splitter = EventSplitter::new(&["celerystair-weight-versions"]);
+        let mut whole = Vec::new();
+        let mut rest = text.as_bytes();
+        while !rest.is_empty() {
+            let (read, later) = rest.split_at(source.int_in_range(1..=rest.len())?);
+            whole.extend(splitter.push(read).unwrap_or_default());
+            rest = later;
+        }
+        assert!(splitter.scanner().is_invalid(), "{text:?}");
+        let comment = if begun.starts_with(':') { begun } else { "" };
+        let expected = format!("{before}{comment}");
+        assert_eq!(String::from_utf8_lossy(&whole), expected, "{text:?}");
+        Ok(())
+    });
+    for line in &invalid_lines[8..] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(format!("{line}\n\n").as_bytes());
+        assert!(splitter.scanner().is_invalid(), "{line}");
+    }
+}
--- a/crates/celerystair_net/src/body.rs
+++ b/crates/celerystair_net/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    future::poll_fn,
     pin::Pin,
     task::{Context, Poll},
 };
@@ -44,12 +45,31 @@
         Self::Full(None)
     }
 
-    /// Creates a body from a stream of chunks.
+    /// Creates a body from a stream of chunks. Those before an error are sent first: a connection drops
+    /// what it has buffered when it aborts.
     pub fn chunks(chunks: impl Stream<Item = Result<Bytes, BodyError>> + 'static) -> Self {
-        Self::Chunks(Box::pin(chunks))
+        Self::Chunks(Box::pin(chunks.then(|chunk| async {
+            if chunk.is_err() {
+                yield_once().await;
+            }
+            chunk
+        })))
     }
 }
 
+/// Returns when the task that waits for this is polled again, as it is at once.
+async fn yield_once() {
+    let mut has_yielded = false;
+    poll_fn(|cx| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 impl http_body::Body for HttpBody {
     type Data = Bytes;
     type Error = BodyError;
