Let an event follow only the last one that was passed on

The engine at which a broken stream went on began anew, and its caller got the first events twice, in a response that ended as complete; so did a caller that took a stream up. An engine that wrote an event twice was passed on as it was (ORDER: a piece comes twice, or pieces of two runs joined).

Cause: the relay named the last event to the next engine and then took whatever came for what follows it.

Ids may skip, as an event may hold several tokens; other ids can't be compared. Skipping the events that are known already would join what two runs wrote, so that was not chosen.

--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use celerystair_core::prelude::*;
+pub use celerystair_net::events::EventRules;
 use celerystair_policy::prelude::*;
 use http::{HeaderMap, HeaderName};
 use thiserror::Error;
@@ -21,8 +22,8 @@
     /// Returns whether a header of an upstream's response looks like one of the platform's that this
     /// version doesn't know.
     pub is_unknown_response_header: fn(&HeaderName) -> bool,
-    /// Names of the fields that events of streams may have beside those of the format.
-    pub event_fields: &'static [&'static str],
+    /// What the events of streams have, beyond what their format says.
+    pub event_rules: EventRules,
     /// Whether a header is forwarded to the upstream even if the caller's `Connection` header
     /// names it.
     pub is_always_forwarded: fn(&HeaderName) -> bool,
--- a/crates/celerystair_front/src/events.rs
+++ b/crates/celerystair_front/src/events.rs
@@ -1,7 +1,7 @@
 //! Splitting a stream into whole events.
 
 use bytes::{Bytes, BytesMut};
-use celerystair_net::events::EventScanner;
+use celerystair_net::events::{EventRules, EventScanner};
 
 /// The longest event that is buffered.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
@@ -9,19 +9,18 @@
 /// Buffers the bytes of a stream and returns them in whole events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
+    rules: EventRules,
     scanner: EventScanner,
-    more_fields: &'static [&'static str],
     partial: BytesMut,
-    last_id: Option<u64>,
 }
 
 impl EventSplitter {
-    /// Creates a splitter of streams whose events may have these fields beside those of the format.
-    pub fn new(more_fields: &'static [&'static str]) -> Self {
+    /// Creates a splitter of a stream that goes on after the event `last_id`, if that is known.
+    pub fn new(rules: EventRules, last_id: Option<u64>) -> Self {
         Self {
-            scanner: EventScanner::new(more_fields),
-            more_fields,
-            ..Self::default()
+            rules,
+            scanner: EventScanner::new(rules, last_id),
+            partial: BytesMut::new(),
         }
     }
 
@@ -30,18 +29,14 @@
         let buffered_bytes = self.partial.len();
         self.partial.extend_from_slice(bytes);
         let end = self.scanner.scan(bytes)?;
-        let whole = self.partial.split_to(buffered_bytes + end).freeze();
-        if let Some(id) = last_id(&whole) {
-            self.last_id = Some(id);
-        }
-        Some(whole)
+        Some(self.partial.split_to(buffered_bytes + end).freeze())
     }
 
     /// Reads bytes that are passed on also inside an event. Returns those that may be: of bytes that are no
     /// part of an event, only what whole events come before.
     pub fn observe(&mut self, bytes: &Bytes) -> Bytes {
         let end = self.scanner.scan(bytes);
-        if self.scanner.is_invalid() {
+        if self.scanner.invalid_event().is_some() {
             bytes.slice(..end.unwrap_or(0))
         } else {
             bytes.clone()
@@ -58,9 +53,9 @@
         self.partial.len() > EVENT_MAX_BYTES
     }
 
-    /// Returns the id of the last whole event that had one.
+    /// Returns the id of the last whole event that had one, or after which the stream goes on.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        self.scanner.last_id()
     }
 
     /// Returns the number of buffered bytes after the last whole event.
@@ -71,14 +66,6 @@
     /// Discards the bytes after the last whole event, before another upstream goes on after it.
     pub fn begin_part(&mut self) {
         self.partial.clear();
-        self.scanner = EventScanner::new(self.more_fields);
+        self.scanner = EventScanner::new(self.rules, self.scanner.last_id());
     }
 }
-
-/// Returns the id of the last event that has one.
-fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = std::str::from_utf8(ids.next()?).ok()?;
-    id.trim().parse().ok()
-}
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -80,6 +80,11 @@
     progress: Progress,
     started: StartedResponse,
 ) -> HttpResponse {
+    // Elsewhere the upstream may take no notice of the id.
+    let taken_up_after = request
+        .head
+        .last_event_id
+        .filter(|_| request.takes_up_stream());
     let (status, headers) = (started.head.status, response_headers(&started.head.headers));
     let relay = StreamRelay {
         router: router.clone(),
@@ -88,7 +93,7 @@
         progress,
         is_event_stream: is_event_stream(&started.head.headers),
         started: Some(started),
-        events: EventSplitter::new(router.settings.header_codec.event_fields),
+        events: EventSplitter::new(router.settings.header_codec.event_rules, taken_up_after),
         resumed: None,
     };
     let body = stream::unfold(relay, |mut relay| async move {
@@ -152,8 +157,8 @@
         let can_resume = self.can_resume();
         let mut silence_ms = STALL_MS;
         loop {
-            if self.events.scanner().is_invalid() {
-                return self.invalid_part("a line is no part of an event");
+            if let Some(reason) = self.events.scanner().invalid_event() {
+                return self.invalid_part(reason.as_str());
             }
             let left_ms = remaining_ms(self.request.deadline_unix_ms);
             let wait_ms = if can_resume {
@@ -392,7 +397,7 @@
 
     /// Resumes at another upstream after the last whole event; returns false if it can't.
     async fn resume_elsewhere(&mut self, kept: Option<&KeptAttempt<'_>>) -> bool {
-        let last_event_id = self.events.last_id().or(self.request.head.last_event_id);
+        let last_event_id = self.events.last_id();
         self.progress.may_have_run = true;
         let resumed = try_upstreams(
             &self.router,
--- a/crates/celerystair_front/tests/events.rs
+++ b/crates/celerystair_front/tests/events.rs
@@ -2,6 +2,7 @@
 
 use arbtest::{arbitrary::Unstructured, arbtest};
 use celerystair_front::events::EventSplitter;
+use celerystair_net::events::EventRules;
 
 const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
 
@@ -88,6 +89,10 @@
 
 #[test]
 fn a_line_that_is_no_part_of_an_event_ends_a_stream_before_it_wherever_reads_end() {
+    let rules = EventRules {
+        more_fields: &["celerystair-weight-versions"],
+        has_increasing_ids: false,
+    };
     let invalid_lines = [
         "HTTP/1.1 500 x",
         "Content-Length: 9",
@@ -110,7 +115,7 @@
         let begun = *source.choose(&["", "id: 2\n", ": c\n"])?;
         let invalid = *source.choose(&invalid_lines[..8])?;
         let text = format!("{before}{begun}{invalid}\n\ndata: later\n\n");
-        let mut splitter = EventSplitter::new(&["celerystair-weight-versions"]);
+        let mut splitter = EventSplitter::new(rules, None);
         let mut whole = Vec::new();
         let mut rest = text.as_bytes();
         while !rest.is_empty() {
@@ -118,7 +123,7 @@
             whole.extend(splitter.push(read).unwrap_or_default());
             rest = later;
         }
-        assert!(splitter.scanner().is_invalid(), "{text:?}");
+        assert!(splitter.scanner().invalid_event().is_some(), "{text:?}");
         let comment = if begun.starts_with(':') { begun } else { "" };
         let expected = format!("{before}{comment}");
         assert_eq!(String::from_utf8_lossy(&whole), expected, "{text:?}");
@@ -127,6 +132,36 @@
     for line in &invalid_lines[8..] {
         let mut splitter = EventSplitter::default();
         splitter.push(format!("{line}\n\n").as_bytes());
-        assert!(splitter.scanner().is_invalid(), "{line}");
+        assert!(splitter.scanner().invalid_event().is_some(), "{line}");
+    }
+}
+
+#[test]
+fn an_event_whose_id_is_not_greater_than_all_before_it_ends_a_stream() {
+    let rules = EventRules {
+        has_increasing_ids: true,
+        ..EventRules::default()
+    };
+    let text_of = |id: &str| format!("id: {id}\ndata: a\n\n");
+    for (ids, accepted) in [
+        (&["4", "6", "7"][..], 3),
+        (&["4", "4"], 1),
+        (&["4", "3"], 1),
+        (&["4", "x", "4"], 2),
+        (&["3"], 0),
+        (&["0", "1"], 0),
+    ] {
+        let text: String = ids.iter().map(|id| text_of(id)).collect();
+        let expected: String = ids[..accepted].iter().map(|id| text_of(id)).collect();
+        for length in 1..=text.len() {
+            let mut splitter = EventSplitter::new(rules, Some(3));
+            let pieces = text.as_bytes().chunks(length);
+            let whole: Vec<u8> = pieces
+                .flat_map(|piece| splitter.push(piece).unwrap_or_default())
+                .collect();
+            assert_eq!(String::from_utf8_lossy(&whole), expected, "{ids:?}");
+            let is_invalid = splitter.scanner().invalid_event().is_some();
+            assert_eq!(is_invalid, accepted < ids.len(), "{ids:?}");
+        }
     }
 }
