Take an empty body without a length or chunks for a lost answer

Cause: the end of the connection was taken for the end of the body, and the router then computed a length of 0. Nothing proves such a body: a server that has none to send says so by a length. A buffered response of this kind is lost now; it is read again where that is allowed and answered 502 where not. Streams without an event were lost already.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::{
     connections::{UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
-    framing::{Framing, is_cut_json, response_framing},
+    framing::{Framing, is_cut_off, response_framing},
     front::PlatformRouter,
     request::CallerRequest,
     runs::RunGuard,
@@ -506,7 +506,7 @@
                 bytes.extend_from_slice(&data);
             }
         }
-        if is_cut_json(framing, &head.headers, &bytes) {
+        if is_cut_off(framing, &head.headers, &bytes) {
             return Err(AttemptFailure::AnswerLost);
         }
         Ok(bytes.freeze())
--- a/crates/celerystair_front/src/framing.rs
+++ b/crates/celerystair_front/src/framing.rs
@@ -20,12 +20,15 @@
         .is_none_or(|content_type| has_media_type(content_type, b"text/event-stream"))
 }
 
-/// Returns whether a response that ends with its connection is a JSON document with its end missing.
-pub fn is_cut_json(framing: Framing, headers: &HeaderMap, body: &[u8]) -> bool {
+/// Returns whether a buffered response that ends with its connection lacks its end: it is a JSON
+/// document that breaks off, or has no body at all, as after an upstream that stops behind the head.
+pub fn is_cut_off(framing: Framing, headers: &HeaderMap, body: &[u8]) -> bool {
     let content_type = headers.get(header::CONTENT_TYPE);
-    framing == Framing::Connection
-        && content_type.is_some_and(|value| has_media_type(value, b"application/json"))
-        && serde_json::from_slice::<IgnoredAny>(body).is_err_and(|error| error.is_eof())
+    let is_cut_json = || {
+        content_type.is_some_and(|value| has_media_type(value, b"application/json"))
+            && serde_json::from_slice::<IgnoredAny>(body).is_err_and(|error| error.is_eof())
+    };
+    framing == Framing::Connection && (body.is_empty() || is_cut_json())
 }
 
 fn has_media_type(content_type: &HeaderValue, media_type: &[u8]) -> bool {
