Count an upstream's silence only while this router runs

A router that had stood still for a second or more, stopped or without a processor, left the sound upstreams of its streams and reads right after: a run given up, a retry spent and, at times, a stream cut.

Cause: the stall timer ran out during the standstill, while the upstream's bytes lay unread in the socket, and its end was taken for the upstream's silence.

Evidence, tests/platform_processes.rs (a router process stopped by SIGSTOP for 1.5 s) on the code before:

a_router_that_stood_still_leaves_no_sound_upstream ... FAILED (a stream cut after event 4 of 5, is_complete: false) a_router_that_stood_still_leaves_a_silent_engine ... ok

After: both ok; each stream and read has arrived at one upstream, once, and no stream was closed.

A clock that notices late ticks counts the time in which the process ran. The wait for another upstream to decline still counts a standstill, as that one may run the request, but reads first.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -20,6 +20,7 @@
     front::PlatformRouter,
     request::CallerRequest,
     runs::RunGuard,
+    standstill::before_bound,
     upstream::{InFlightGuard, Upstream},
 };
 
@@ -219,7 +220,7 @@
             None => connect(address).await.ok_or(AttemptFailure::Unreachable)?,
         };
         let sending = connection.sender.try_send_request(outgoing);
-        match close_unless_declined(resumption.kept, sending).await {
+        match close_unless_declined(router, resumption.kept, sending).await {
             Ok(response) => return Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 // The idle connection closed before the request was sent; try a new connection.
@@ -234,6 +235,7 @@
 /// Returns the result of `sending`, and ends the kept attempt if the upstream has not declined
 /// the request shortly after it was sent.
 async fn close_unless_declined<T>(
+    router: &PlatformRouter,
     kept: Option<&KeptAttempt<'_>>,
     sending: impl Future<Output = T>,
 ) -> T {
@@ -241,8 +243,8 @@
         return sending.await;
     };
     let mut sending = pin!(sending);
-    let declined_by_unix_ms = now_unix_ms() + KEEP_SILENT_RESPONSE_MS;
-    if let Some(result) = before_deadline(declined_by_unix_ms, sending.as_mut()).await {
+    let declined = before_bound(router, KEEP_SILENT_RESPONSE_MS, sending.as_mut()).await;
+    if let Some(result) = declined {
         return result;
     }
     (kept.close)();
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -10,7 +10,7 @@
 use celerystair_net::prelude::*;
 use celerystair_news::prelude::*;
 use celerystair_platform::prelude::*;
-use celerystair_policy::prelude::*;
+use celerystair_policy::{prelude::*, standstill::RunningClock};
 use celerystair_telemetry::{metrics::label, prelude::*};
 use event_listener::{Event, EventListener};
 use thiserror::Error;
@@ -25,6 +25,7 @@
     retries::{Retries, log_attempts_per_window},
     runs::{Run, UnansweredRuns},
     settings::PlatformRouterSettings,
+    standstill::keep_running_clock,
     suspicion::{ask_for_suspects, send_suspects_to_agents},
     upstream::Upstream,
     view::FleetView,
@@ -82,6 +83,8 @@
     pub buffered_bytes: Cell<usize>,
     /// Requests that wait for a replica.
     pub waiting: WaitingRequests,
+    /// The time in which this process ran.
+    pub running_clock: Cell<RunningClock>,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
     /// are then refused.
     pub closing: Stop,
@@ -357,6 +360,7 @@
             gossip_socket: gossip_socket.clone(),
             buffered_bytes: Cell::default(),
             waiting: WaitingRequests::default(),
+            running_clock: Cell::new(RunningClock::start(now_unix_ms())),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
             demand: RefCell::default(),
@@ -393,6 +397,7 @@
     serve_ready(&router, ready, stop);
     serve_metrics(&router, stop);
     compio::runtime::spawn(keep_origins_held(router.clone(), stop.clone())).detach();
+    compio::runtime::spawn(keep_running_clock(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(log_attempts_per_window(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(refuse_waiting_before_kill(router.clone(), stop.clone())).detach();
     let (limits_router, report_router) = (router.clone(), router.clone());
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`retries`] | the retry budgets, with their logs and metrics |
 //! | [`runs`] | how runs at upstreams ended, and whether their upstream may have crashed |
 //! | [`settings`] | the settings of a router |
+//! | [`standstill`] | waits for upstreams that a standstill of this process doesn't end |
 //! | [`stream`] | relaying a stream to its caller |
 //! | [`suspicion`] | exchanging reports on requests that crash upstreams |
 //! | [`upstream`] | this router's state about one upstream |
@@ -48,6 +49,7 @@
 pub mod retries;
 pub mod runs;
 pub mod settings;
+pub mod standstill;
 pub mod stream;
 pub mod suspicion;
 pub mod upstream;
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, pin::pin, rc::Rc};
 
 use bytes::Bytes;
-use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_policy::{prelude::*, waiting::retry_after_ms};
 use futures_util::future::select;
@@ -18,6 +18,7 @@
     front::PlatformRouter,
     origins::stream_origin,
     pick::{Pick, WaitReason, ms_until_admission, pick_upstream},
+    standstill::before_silence,
     stream::stream_response,
     suspicion::{SuspicionRefusal, suspicion_refusal},
     upstream::Upstream,
@@ -332,10 +333,9 @@
     upstream: &Rc<Upstream>,
     resumption: Resumption<'_>,
 ) -> SendOutcome {
-    let silence_ms =
+    let mut silence_ms =
         (request.route.target_latency_ms * SILENCE_TARGET_MULTIPLE).max(SILENCE_MIN_MS);
     let sent_unix_ms = now_unix_ms();
-    let mut silence_until_unix_ms = sent_unix_ms + silence_ms;
     let end_unix_ms = attempt_end_unix_ms(request);
     let mut attempt = Box::pin(send_attempt(
         router,
@@ -345,13 +345,12 @@
         end_unix_ms,
     ));
     loop {
-        let head = before_deadline(silence_until_unix_ms, attempt.as_mut()).await;
-        if let Some(result) = head {
+        if let Some(result) = before_silence(router, silence_ms, attempt.as_mut()).await {
             return SendOutcome::Attempt(result);
         }
         if resumption.keeps_attempt() || !should_leave(router, request, service, progress, upstream)
         {
-            silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
+            silence_ms = SILENCE_RECHECK_MS;
             continue;
         }
         let silent = RefCell::new(Some(attempt));
@@ -375,7 +374,7 @@
         let Some(still_open) = silent.take() else {
             return SendOutcome::Elsewhere(moved);
         };
-        silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
+        silence_ms = SILENCE_RECHECK_MS;
         router.log_request_stays(request, upstream);
         progress.remove_silent(upstream, before);
         if let Ok(UpstreamResponse::Buffered(response)) = moved {
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -1,7 +1,7 @@
 //! Relaying a stream to its caller, event by event. If the route allows it, a stream that breaks
 //! off or stalls resumes at another upstream within the same response.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::remaining_ms};
@@ -20,6 +20,7 @@
     front::PlatformRouter,
     origins::publish_origin,
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
+    standstill::before_silence,
 };
 
 /// How long a stream may be silent before the router considers another upstream: an engine produces
@@ -142,28 +143,29 @@
         let can_resume = self.can_resume();
         let mut silence_ms = STALL_MS;
         loop {
-            let left_ms = remaining_ms(self.request.deadline_unix_ms);
-            let wait_ms = if can_resume {
-                left_ms.min(silence_ms)
-            } else {
-                left_ms
-            };
             let Some(started) = &mut self.started else {
                 return StreamPart::End(StreamEnd::Unproven);
             };
-            let timer = compio::time::timeout(Duration::from_millis(wait_ms), started.body.frame());
-            let data = match timer.await {
-                Err(_) if wait_ms == left_ms => {
-                    return StreamPart::Broken(AttemptFailure::Silent);
+            let left_ms = remaining_ms(self.request.deadline_unix_ms);
+            let left = Duration::from_millis(left_ms);
+            let read = {
+                let frame = pin!(compio::time::timeout(left, started.body.frame()));
+                if can_resume {
+                    before_silence(&self.router, silence_ms, frame).await
+                } else {
+                    Some(frame.await)
                 }
-                Err(_) if self.should_switch_upstream() => return StreamPart::Silent,
-                Err(_) => {
+            };
+            let data = match read {
+                None if self.should_switch_upstream() => return StreamPart::Silent,
+                None => {
                     silence_ms = SILENCE_RECHECK_MS;
                     continue;
                 }
-                Ok(Some(Err(_))) => return StreamPart::Broken(AttemptFailure::AnswerLost),
-                Ok(None) => break,
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+                Some(Err(_)) => return StreamPart::Broken(AttemptFailure::Silent),
+                Some(Ok(Some(Err(_)))) => return StreamPart::Broken(AttemptFailure::AnswerLost),
+                Some(Ok(None)) => break,
+                Some(Ok(Some(Ok(frame)))) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`routes`] | which route a request takes |
 //! | [`spread`] | which peers get gossip directly, and which relay it |
 //! | [`stall`] | whether a stalled request switches to another upstream |
+//! | [`standstill`] | whether a peer was silent, or this process did not run |
 //! | [`stream_versions`] | at which software version a stream goes on |
 //! | [`suspect_part`] | whether the crashes of one part of prompts suffice to refuse it |
 //! | [`suspects`] | which requests are refused because they crash upstreams |
@@ -49,6 +50,7 @@
 pub mod routes;
 pub mod spread;
 pub mod stall;
+pub mod standstill;
 pub mod stream_versions;
 pub mod suspect_part;
 pub mod suspects;
--- a/tests/platform_processes.rs
+++ b/tests/platform_processes.rs
@@ -24,6 +24,8 @@
 
 /// Grace period of a planned stop: much longer than the work of these tests.
 const STOP_GRACE_SECONDS: u64 = 30;
+/// Time between two events of a stream.
+const EVENT_GAP_MS: u64 = 300;
 /// Time between two signals.
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(200);
 
@@ -105,20 +107,26 @@
     (instance.settings(), addresses[0], addresses[1])
 }
 
-/// A router with an engine, and a plain upstream that answers late.
+/// A router with its engines and its upstreams of the plain service.
 struct Running {
     system: System,
-    engine: UpstreamStandin,
-    upstream: UpstreamStandin,
+    engines: Vec<UpstreamStandin>,
+    upstreams: Vec<UpstreamStandin>,
     router: PlatformProcess,
     callers: SocketAddr,
 }
 
-fn start_router(number: u8) -> Running {
+/// Starts a router, and so many engines and plain upstreams, at addresses from `number` on.
+fn start_router(number: u8, each: u8) -> Running {
     let system = System::start();
-    let engine = system.start_engine(number + 1, &["m1"]);
-    engine.set_event_gap_ms(300);
-    let upstream = system.start_plain_upstream(number + 2);
+    let numbers = number + 1..=number + each;
+    let start_engine = |number| system.start_engine(number, &["m1"]);
+    let engines: Vec<_> = numbers.clone().map(start_engine).collect();
+    for engine in &engines {
+        engine.set_event_gap_ms(EVENT_GAP_MS);
+    }
+    let start_upstream = |number| system.start_plain_upstream(number + each);
+    let upstreams = numbers.map(start_upstream).collect();
     let (settings, callers, ready) = instance_settings(&system, number);
     let router = PlatformProcess::start("router", &settings);
     eventually("the router is ready", || {
@@ -126,25 +134,46 @@
     });
     Running {
         system,
-        engine,
-        upstream,
+        engines,
+        upstreams,
         router,
         callers,
     }
 }
 
+/// Returns how many requests have run.
+fn runs(upstreams: &[UpstreamStandin]) -> usize {
+    let runs = |upstream: &UpstreamStandin| upstream.executed_requests().len();
+    upstreams.iter().map(runs).sum()
+}
+
+/// Returns how many requests have arrived, whether they ran or not.
+fn arrivals(upstreams: &[UpstreamStandin]) -> usize {
+    let arrivals = |upstream: &UpstreamStandin| upstream.arrivals().len();
+    upstreams.iter().map(arrivals).sum()
+}
+
+fn read_whole_stream(caller: &mut Caller) {
+    let stream = caller.read_response().expect("the stream is answered");
+    assert!(stream.is_complete, "{stream:?}");
+    let text = String::from_utf8_lossy(&stream.body);
+    for event in 1..=EVENTS_PER_STREAM {
+        let event = format!("id: {event}\n");
+        assert_eq!(text.matches(&event).count(), 1, "{text}");
+    }
+}
+
 /// Sends the signals to a router with a stream and a write in flight, and checks that both are
 /// answered and that the process ends by itself, well before its grace period is over.
 fn assert_one_planned_stop(number: u8, signals: &[&str]) {
-    let mut running = start_router(number);
+    let mut running = start_router(number, 1);
     let mut streaming = Caller::connect(running.callers);
     streaming.send(&Request::stream("POST /streamed/a", "s1", "m1").bytes());
-    running.upstream.queue_fault(Fault::Late);
+    running.upstreams[0].queue_fault(Fault::Late);
     let mut writing = Caller::connect(running.callers);
     writing.send(&Request::new("POST /write/a", "w1").body("x").bytes());
     eventually("upstreams run both requests", || {
-        let runs = |upstream: &UpstreamStandin| upstream.executed_requests().len();
-        runs(&running.engine) == 1 && runs(&running.upstream) == 1
+        runs(&running.engines) == 1 && runs(&running.upstreams) == 1
     });
     let stopped_at = Instant::now();
     for signal in signals {
@@ -250,3 +279,65 @@
     let status = router.wait();
     assert!(status.success(), "{status}");
 }
+
+/// Sends so many streams, which may resume, and reads, which are answered late.
+fn send_streams_and_reads(running: &Running, each: usize) -> (Vec<Caller>, Vec<Caller>) {
+    let send = |request: Request| {
+        let mut caller = Caller::connect(running.callers);
+        caller.send(&request.bytes());
+        caller
+    };
+    for upstream in &running.upstreams {
+        upstream.set_recurring_fault(Some((Fault::Late, 1)));
+    }
+    let stream = |n| Request::stream("POST /resumed/a", &format!("s{n}"), "m1");
+    let streaming: Vec<_> = (0..each).map(|n| send(stream(n))).collect();
+    let read = |n| Request::new(&format!("GET /read/{n}"), &format!("r{n}"));
+    let reading = (0..each).map(|n| send(read(n))).collect();
+    eventually("upstreams run all requests", || {
+        runs(&running.engines) == each && runs(&running.upstreams) == each
+    });
+    (streaming, reading)
+}
+
+// A router that had been stopped for a second took the time for its upstreams' silence, and left them.
+#[test]
+fn a_router_that_stood_still_leaves_no_sound_upstream() {
+    const REQUESTS: usize = 3;
+    let running = start_router(30, 2);
+    let (streaming, reading) = send_streams_and_reads(&running, REQUESTS);
+    running.router.signal("STOP");
+    std::thread::sleep(Duration::from_millis(1500));
+    running.router.signal("CONT");
+    for mut caller in streaming {
+        read_whole_stream(&mut caller);
+    }
+    for mut caller in reading {
+        let response = caller.read_response().expect("the read is answered");
+        assert_eq!(response.start_line_word(1), "200", "{response:?}");
+    }
+    assert_eq!(arrivals(&running.engines), REQUESTS, "streams");
+    assert_eq!(arrivals(&running.upstreams), REQUESTS, "reads");
+    let cancelled = |engine: &UpstreamStandin| engine.cancelled_streams();
+    assert_eq!(running.engines.iter().map(cancelled).sum::<u32>(), 0);
+}
+
+#[test]
+fn a_router_that_stood_still_leaves_a_silent_engine() {
+    let running = start_router(40, 2);
+    for engine in &running.engines {
+        engine.set_event_gap_ms(5);
+        engine.set_recurring_fault(Some((Fault::Mute, 1)));
+    }
+    let mut caller = Caller::connect(running.callers);
+    caller.send(&Request::stream("POST /resumed/a", "s1", "m1").bytes());
+    eventually("an engine runs the stream", || runs(&running.engines) == 1);
+    for engine in &running.engines {
+        engine.set_recurring_fault(None);
+    }
+    running.router.signal("STOP");
+    std::thread::sleep(Duration::from_millis(500));
+    running.router.signal("CONT");
+    read_whole_stream(&mut caller);
+    assert_eq!(arrivals(&running.engines), 2);
+}
