Send streams on by their version only while the list is proven

Cause: an upstream's version was taken from the entry that was read last, however old, and a request names its upstream by an id that it keeps over a restart. What agents tell of a later start was dropped.

Fix: an attempt of a stream that is bound to a version is made only if the list was proven within 250 ms before, by a call to the store that requests share; one place, for take-ups and resumes. After the proof the upstream is picked anew. A status of a later start wins over the entry. What isn't proven is refused as software_version_unproven, "not run", Retry-After.

--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -11,7 +11,9 @@
 use crate::{
     demand::{gossip_peers, log_unsent, staying_agents},
     front::PlatformRouter,
+    pick::later_start,
     request::CallerRequest,
+    upstream::Upstream,
 };
 
 /// How often a router checks whether agents that hold streams leave: they serve on for seconds.
@@ -278,6 +280,13 @@
     proven.await
 }
 
+/// Returns the software version that the upstream runs, as far as this router knows.
+pub fn version_now(router: &PlatformRouter, upstream: &Upstream) -> SoftwareVersion {
+    let later = later_start(router, upstream);
+    let version = later.and_then(|status| status.software_version.clone());
+    version.unwrap_or_else(|| upstream.software_version())
+}
+
 /// Returns the only origin that is possible by the list of upstreams, if there is only one.
 fn assumed_origin(router: &PlatformRouter, request: &CallerRequest) -> Option<StreamOrigin> {
     let wanted = wanted_stream(request);
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -63,7 +63,7 @@
         .upstreams(service)
         .into_iter()
         .filter(|upstream| is_usable(upstream, tried))
-        .filter(|upstream| version.is_none_or(|v| upstream.entry.borrow().software_version == *v))
+        .filter(|upstream| version.is_none_or(|version| is_of_version(router, upstream, version)))
         .collect();
     if upstreams.is_empty() {
         return Pick::NoneLeft;
@@ -138,6 +138,19 @@
     is_ready && !tried.contains(&upstream.entry.borrow().id)
 }
 
+/// Whether the upstream runs this software version, by its entry. An agent may know before the store's
+/// list that it has started again since.
+fn is_of_version(router: &PlatformRouter, upstream: &Upstream, version: &SoftwareVersion) -> bool {
+    upstream.software_version() == *version && later_start(router, upstream).is_none()
+}
+
+/// Returns the gossiped status of a later start of the upstream than its entry tells of.
+pub fn later_start(router: &PlatformRouter, upstream: &Upstream) -> Option<Rc<EngineStatus>> {
+    let entry = upstream.entry.borrow();
+    let status = router.engines.get(&entry.id)?;
+    (status.started_unix_ms > entry.started_unix_ms).then_some(status)
+}
+
 /// Returns the gossiped status of this incarnation of the upstream, and none of an earlier one.
 fn current_status(router: &PlatformRouter, upstream: &Upstream) -> Option<Rc<EngineStatus>> {
     let entry = upstream.entry.borrow();
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -16,7 +16,7 @@
     dialect::RequestHead,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     front::PlatformRouter,
-    origins::stream_origin,
+    origins::{prove_list, stream_origin},
     pick::{Pick, WaitReason, ms_until_admission, pick_upstream},
     stream::stream_response,
     suspicion::{SuspicionRefusal, suspicion_refusal},
@@ -195,6 +195,7 @@
     resumption: Resumption<'_>,
 ) -> Result<UpstreamResponse, Refusal> {
     let mut waited: Option<(WaitReason, u64)> = None;
+    let mut proven_from_unix_ms = None;
     loop {
         let now = now_unix_ms();
         if let Some(SuspicionRefusal {
@@ -214,7 +215,18 @@
         }
         let version = progress.version.as_ref();
         let upstream = match pick_upstream(router, request, service, version, &progress.tried) {
-            Pick::Now(upstream) => upstream,
+            Pick::Now(upstream) => {
+                let oldest_unix_ms = now.saturating_sub(VERSION_PROOF_AGE_MAX_MS);
+                let from_unix_ms = proven_from_unix_ms.unwrap_or(oldest_unix_ms);
+                if version.is_some() && !router.view.is_list_proven(from_unix_ms) {
+                    proven_from_unix_ms = Some(now);
+                    if !prove_list(router, request, now).await {
+                        return Err(list_unproven(router, request, progress));
+                    }
+                    continue;
+                }
+                upstream
+            }
             Pick::Later {
                 ready_unix_ms,
                 reason,
@@ -227,6 +239,7 @@
                     router.log_request_waits(request, reason, ready_unix_ms);
                 }
                 waited.get_or_insert((reason, now));
+                proven_from_unix_ms = None;
                 wait_for_change(router, request, service, progress, ready_unix_ms).await?;
                 continue;
             }
@@ -281,6 +294,14 @@
     }
 }
 
+/// Refuses to go on with a stream whose software version the list may no longer tell.
+fn list_unproven(router: &PlatformRouter, request: &CallerRequest, progress: &Progress) -> Refusal {
+    router.log_list_unproven(request);
+    let detail = "the store doesn't tell which software versions are in service now";
+    let reason = RefusalReason::SoftwareVersionUnproven;
+    refusal(progress, reason, detail, LIST_PROOF_RETRY_AFTER_MS)
+}
+
 /// Refuses to go on with a stream whose software version has no ready upstream.
 fn version_gone(
     router: &PlatformRouter,
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -18,7 +18,7 @@
     events::EventSplitter,
     framing::{Framing, is_event_stream},
     front::PlatformRouter,
-    origins::publish_origin,
+    origins::{publish_origin, version_now},
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
 };
 
@@ -129,7 +129,7 @@
         if self.progress.version.is_some() || !self.can_resume() {
             return;
         }
-        let version = started.upstream.software_version();
+        let version = version_now(&self.router, &started.upstream);
         self.progress.version = Some(version.clone());
         let origin = StreamOrigin {
             service: self.service.clone(),
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -83,7 +83,8 @@
         stream_versions::{
             LIST_PROOF_RETRY_AFTER_MS, LIST_PROOF_WAIT_MS, ListCoverage, ListProof,
             ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, RouteTargets, StreamId, StreamOrigin, StreamOrigins,
-            ToldStreams, VersionHistory, assumed_version, holders_asked, version_holders,
+            ToldStreams, VERSION_PROOF_AGE_MAX_MS, VersionHistory, assumed_version, holders_asked,
+            version_holders,
         },
         suspect_part::{
             FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -53,6 +53,9 @@
 /// A process that has not looked at its list for this long was frozen or starved, and versions may have
 /// come and gone meanwhile. It looks every second at least.
 const LIST_GAP_MAX_MS: u64 = 3000;
+/// How old the proof of the list may be when a stream goes on at an upstream for its version. An
+/// upstream that crashes takes longer to serve again.
+pub const VERSION_PROOF_AGE_MAX_MS: u64 = 250;
 /// How long a request waits for the proof of the list: longer than a call to the store takes.
 pub const LIST_PROOF_WAIT_MS: u64 = 800;
 /// `Retry-After` of a stream for which the list could not be proven.
