Go on with a broken stream only from a 200 of events

A stream that broke off was taken up from whatever success the next engine sent: the body of a 206 or 202 was joined to the events and ended the caller's response as complete (MIXED, ORDER). The caller has the status and the headers of the first engine alone, so it can't tell.

Cause: of the next response only the content type was looked at, and not its status. A response of another type ended the stream at once, although the route may have attempts left.

A part of a stream that was begun elsewhere counts only from a 200 whose content type, if there is one, is that of events. Any other is an invalid answer like an event that is none: the stream goes on at the next upstream that the route allows, or breaks off. Sealed errors were kept out before and still are.

--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -157,6 +157,9 @@
         let can_resume = self.can_resume();
         let mut silence_ms = STALL_MS;
         loop {
+            if !self.is_rest_of_stream() {
+                return self.invalid_part("the response is no event stream");
+            }
             if let Some(reason) = self.events.scanner().invalid_event() {
                 return self.invalid_part(reason.as_str());
             }
@@ -240,6 +243,15 @@
         !scanner.is_between_events() || !scanner.has_event() && framing == Some(Framing::Connection)
     }
 
+    /// Returns whether the current upstream's response can be what the stream goes on with. Of the first one
+    /// the caller has the status and the headers, of later ones only the events.
+    fn is_rest_of_stream(&self) -> bool {
+        let Some(started) = self.started.as_ref().filter(|_| self.resumed.is_some()) else {
+            return true;
+        };
+        started.head.status == http::StatusCode::OK && is_event_stream(&started.head.headers)
+    }
+
     /// Returns whether the current upstream wrote no event of the stream that it should have gone on with,
     /// which proves nothing about that stream.
     fn is_resumed_without_event(&self) -> bool {
@@ -411,7 +423,7 @@
         )
         .await;
         match resumed {
-            Ok(UpstreamResponse::Started(started)) if is_event_stream(&started.head.headers) => {
+            Ok(UpstreamResponse::Started(started)) => {
                 self.router
                     .log_stream_resumed(&self.request, &started.upstream, last_event_id);
                 self.events.begin_part();
@@ -419,8 +431,8 @@
                 self.started = Some(started);
                 true
             }
-            Ok(_) => {
-                let reason = "the response is no event stream";
+            Ok(UpstreamResponse::Buffered(_)) => {
+                let reason = "every upstream answered with an error";
                 self.router.log_stream_not_resumed(&self.request, reason);
                 false
             }
