Keep an upstream's error out of the events that an agent passes on

An agent passed an error that its upstream wrote after an event on to the router as more events; a stream whose error ended in an empty line reached its caller as complete.

The agent stops at the first byte that can't be a part of an event, passes on the whole events before it, and refuses the rest as interrupted, so the router breaks the caller's response off.

--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -263,7 +263,13 @@
             metrics.between_tokens_seconds.record(between_seconds, &[]);
         }
         last_chunk_us = now_us;
-        scanner.scan(&chunk);
+        let events_end = scanner.scan(&chunk);
+        if is_event_stream && let Some(reason) = scanner.invalid_event() {
+            let whole_events = chunk.slice(..events_end.unwrap_or(0));
+            send_event(agent, request, events, Step::Chunk(whole_events)).await;
+            let detail = reason.as_str().to_owned();
+            return Err(upstream_refusal(&UpstreamError::Interrupted { detail }));
+        }
         body_bytes += chunk.len() as u64;
         send_event(agent, request, events, Step::Chunk(chunk)).await;
     }
--- a/tests/cut_streams.rs
+++ b/tests/cut_streams.rs
@@ -9,7 +9,7 @@
 };
 
 use celerystair::{config::prelude::*, core::prelude::*};
-use rig::{Rig, agent_settings, submit};
+use rig::{Rig, agent_settings, submit_for_body};
 
 /// Starts an upstream that ends each response without a length or chunks; returns its URL.
 fn start_upstream(body: &'static str) -> String {
@@ -29,6 +29,11 @@
 
 /// Submits a request to an agent beside an upstream with this response.
 fn submit_to_upstream(body: &'static str) -> Result<(), RefusalReason> {
+    read_from_upstream(body).1
+}
+
+/// The same, and gives the body that the agent passed on.
+fn read_from_upstream(body: &'static str) -> (String, Result<(), RefusalReason>) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async move {
         let rig = Rig::start();
@@ -37,7 +42,11 @@
             ..agent_settings(&rig, "u-a", &start_upstream(body))
         };
         let agent = rig.agent(settings, &rig.stop).await;
-        submit(agent.address, &agent.agent.incarnation, "").await
+        let life = &agent.agent.incarnation;
+        let mut body = Vec::new();
+        let sent_unix_ms = now_unix_ms();
+        let result = submit_for_body(agent.address, life, "", sent_unix_ms, &mut body).await;
+        (String::from_utf8_lossy(&body).into_owned(), result)
     })
 }
 
@@ -52,3 +61,25 @@
 fn a_whole_stream_without_framing_is_complete_at_the_agent() {
     assert_eq!(submit_to_upstream("data: one\n\ndata: two\n\n"), Ok(()));
 }
+
+// An agent passed an upstream's error in the middle of a stream on as an event.
+#[test]
+fn an_error_after_an_event_never_leaves_the_agent() {
+    const ANSWERS: [&str; 3] = [
+        "data: one\n\nHTTP/1.1 500 x\r\nContent-Length: 9\r\n\r\nbad error",
+        "data: one\n\nbad error\n\ndata: two\n\n",
+        "data: one\n\n{\"error\": \"bad\"}\n\n",
+    ];
+    for answer in ANSWERS {
+        let (body, result) = read_from_upstream(answer);
+        assert_eq!(body, "data: one\n\n", "{answer}");
+        assert_eq!(result, Err(RefusalReason::UpstreamFailed), "{answer}");
+    }
+}
+
+#[test]
+fn events_with_every_field_and_comments_leave_the_agent_as_they_are() {
+    const ANSWER: &str = ": wait\n\nevent: token\nid: 7\nretry: 10\ndata: HTTP/1.1 500 x\n\n\
+        id: 7\ndata: again\r\n\r\ndata: [DONE]\n\n";
+    assert_eq!(read_from_upstream(ANSWER), (ANSWER.to_owned(), Ok(())));
+}
