Write a router's error event only between two events

A stream that broke off inside an event got the router's error event right after the half one, so its caller read both as one event, with the error as its data.

Cause: a body of events was taken to be between two of them when it ended.

The router follows the events that it passes on and writes the error event only between two; inside one, the response breaks off without it. Such responses always broke off visibly: what changes is the text before the break.

--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -8,7 +8,7 @@
     time::{before_deadline, remaining_ms},
 };
 use celerystair_journal::suspects::{CRASHES_MAX, suspect_name};
-use celerystair_net::prelude::*;
+use celerystair_net::{events::EventScanner, prelude::*};
 use celerystair_protocol::Head;
 use celerystair_telemetry::{metrics::label, prelude::*};
 
@@ -323,10 +323,12 @@
     compio::runtime::spawn(async move {
         // The request counts as admitted until its response has ended.
         let _guard = guard;
+        let mut scanner = EventScanner::default();
         let mut next = Ok(first);
         let refusal = loop {
             match next {
                 Ok(Some(chunk)) => {
+                    scanner.scan(&chunk);
                     let until_unix_ms = deadline_unix_ms.min(now_unix_ms() + CALLER_STALL_MAX_MS);
                     match before_deadline(until_unix_ms, chunks.send(Ok(chunk))).await {
                         Some(Ok(())) => {}
@@ -346,7 +348,8 @@
         };
         // Ends the attempt now, because the caller may take long to read the buffered chunks.
         drop(upstream_body);
-        abort_body(&chunks, &refusal, is_event_stream).await;
+        let is_between_events = is_event_stream && scanner.is_between_events();
+        abort_body(&chunks, &refusal, is_between_events).await;
     })
     .detach();
     HttpBody::chunks(body)
@@ -359,13 +362,14 @@
 }
 
 /// Ends an incomplete body so that the caller can detect it: sends an error event if the body is an
-/// event stream, and then aborts the connection.
+/// event stream that ends between two events, and then aborts the connection. Inside an event, the error
+/// would become a part of that.
 async fn abort_body(
     chunks: &async_channel::Sender<Result<Bytes, BodyError>>,
     refusal: &Refusal,
-    is_event_stream: bool,
+    is_between_events: bool,
 ) {
-    if is_event_stream {
+    if is_between_events {
         chunks.send(Ok(error_event(refusal))).await.ok();
     }
     chunks.send(Err(BodyError)).await.ok();
--- a/tests/cut_streams.rs
+++ b/tests/cut_streams.rs
@@ -5,11 +5,18 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpListener,
+    net::{SocketAddr, TcpListener, TcpStream},
 };
 
-use celerystair::{config::prelude::*, core::prelude::*};
-use rig::{Rig, agent_settings, submit_for_body};
+use celerystair::{
+    config::prelude::*,
+    core::prelude::*,
+    platform::{
+        objects::SERVICE_KEY_PREFIX,
+        prelude::{CallPriority, Expected, ServiceObject},
+    },
+};
+use rig::{Rig, agent_settings, submit_for_body, wait_until};
 
 /// Starts an upstream that ends each response without a length or chunks; returns its URL.
 fn start_upstream(body: &'static str) -> String {
@@ -83,3 +90,81 @@
         id: 7\ndata: again\r\n\r\ndata: [DONE]\n\n";
     assert_eq!(read_from_upstream(ANSWER), (ANSWER.to_owned(), Ok(())));
 }
+
+/// Reads a stream from a service through a router and an agent, up to the end of the connection. It is too
+/// long to be buffered, so the router passes it on as it comes.
+fn read_through_router(body: &'static str) -> String {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async move {
+        let rig = Rig::start();
+        rig.configure(FleetDocument {
+            revision: 1,
+            ..FleetDocument::default()
+        })
+        .await;
+        let service = ServiceObject {
+            pool: "feeds".to_owned(),
+            idempotent_methods: vec!["GET".to_owned()],
+        };
+        let key = format!("{SERVICE_KEY_PREFIX}feed");
+        let store = &rig.store;
+        let written = store.put(&key, &service, Expected::Absent, CallPriority::Normal);
+        written.await.expect("the service is written");
+        let settings = AgentSettings {
+            upstream_kind: UpstreamKind::Service,
+            pool: service.pool,
+            ..agent_settings(&rig, "u-a", &start_upstream(body))
+        };
+        let _agent = rig.agent(settings, &rig.stop).await;
+        let router = rig.router(&rig.stop).await;
+        let node = &router.router.node;
+        wait_until("the router knows the service", async || {
+            node.agents.get("u-a").is_some()
+                && node.services.get("feed").is_some()
+                && node.instances.state("u-a.1").is_some()
+        })
+        .await;
+        let address = router.address;
+        let reading = std::thread::spawn(move || read_feed(address));
+        wait_until("the response ends", async || reading.is_finished()).await;
+        reading.join().expect("the response is read")
+    })
+}
+
+fn read_feed(router: SocketAddr) -> String {
+    let mut caller = TcpStream::connect(router).expect("a connection");
+    let request = "GET /services/feed/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
+        Celerystair-Organisation: office\r\nCelerystair-Kind: draft\r\n\
+        Request-Timeout-Ms: 20000\r\n\r\n";
+    caller.write_all(request.as_bytes()).expect("a request");
+    let mut received = Vec::new();
+    caller.read_to_end(&mut received).ok();
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// Whole events of one line, longer than a router buffers.
+fn long_events() -> String {
+    const LONGER_THAN_BUFFERED_BYTES: usize = 4 << 20;
+    let event = format!("data: {}\n\n", "x".repeat(1000));
+    event.repeat(LONGER_THAN_BUFFERED_BYTES / event.len())
+}
+
+// A router wrote its error event after the beginning of another one, which became a part of that.
+#[test]
+fn a_router_never_ends_half_an_event_with_an_error() {
+    let received = read_through_router((long_events() + "data: tw").leak());
+    assert!(received.starts_with("HTTP/1.1 200 "), "{received:.200}");
+    assert!(!received.contains("event: error"), "{:?}", last(&received));
+    assert!(!received.ends_with("0\r\n\r\n"), "{:?}", last(&received));
+}
+
+#[test]
+fn a_router_ends_a_stream_that_breaks_off_between_events_with_an_error() {
+    let received = read_through_router((long_events() + "bad error\n\n").leak());
+    assert!(received.contains("event: error\n"), "{:?}", last(&received));
+    assert!(!received.ends_with("0\r\n\r\n"), "{:?}", last(&received));
+}
+
+fn last(received: &str) -> &str {
+    &received[received.len().saturating_sub(300)..]
+}
