Prove the end of answers that end with their connection

Cause: the end of the connection was taken for the end of the answer. Buffered answers asked nobody, and streams asked only if the upstream was ready and the route could resume.

`find_answer_end` is the one place that decides whether an answer that has ended is whole: by its length or last chunk, or by its upstream's process still being there. A refusal, or a later process that the list names, proves that the upstream has ended. What isn't proven is a lost answer: it is read again or resumed where that is allowed, and otherwise answered 502 or broken off. Counted in `celerystair_unframed_answers_total{end}` and logged as `answer_ended_with_connection`.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -14,6 +14,7 @@
 use hyper::{body::Incoming, ext::ReasonPhrase};
 
 use crate::{
+    answer_end::find_answer_end,
     connections::{UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
     framing::{Framing, is_cut_off, response_framing},
@@ -200,7 +201,9 @@
     upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
     Err(FailedAttempt {
         failure: AttemptFailure::Failed,
-        response: buffer_response(router, started, end_unix_ms).await.ok(),
+        response: buffer_response(router, request, started, end_unix_ms)
+            .await
+            .ok(),
     })
 }
 
@@ -219,7 +222,9 @@
         let address = upstream.entry.borrow().address;
         let mut connection = match idle_connection.take() {
             Some(connection) => connection,
-            None => connect(address).await.ok_or(AttemptFailure::Unreachable)?,
+            None => connect(address)
+                .await
+                .map_err(|_| AttemptFailure::Unreachable)?,
         };
         let sending = connection.sender.try_send_request(outgoing);
         match close_unless_declined(resumption.kept, sending).await {
@@ -478,6 +483,7 @@
 /// connection of a response that is too long is closed.
 pub async fn buffer_response(
     router: &PlatformRouter,
+    request: &CallerRequest,
     started: StartedResponse,
     deadline_unix_ms: u64,
 ) -> Result<BufferedResponse, AttemptFailure> {
@@ -509,6 +515,10 @@
         if is_cut_off(framing, &head.headers, &bytes) {
             return Err(AttemptFailure::AnswerLost);
         }
+        let end = find_answer_end(router, request, &upstream, framing).await;
+        if !end.is_whole() {
+            return Err(AttemptFailure::AnswerLost);
+        }
         Ok(bytes.freeze())
     };
     let bytes = before_deadline(deadline_unix_ms, reading)
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -3,6 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io::ErrorKind,
     net::SocketAddr,
     pin::pin,
     rc::Rc,
@@ -142,21 +143,38 @@
     }))
 }
 
-/// Opens a connection, or returns `None` if the upstream can't be reached in time.
-pub async fn connect(address: SocketAddr) -> Option<UpstreamConnection> {
+/// Why no connection could be opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectError {
+    /// No process listens at the address.
+    Refused,
+    /// The address didn't answer in time, or in another way.
+    NoAnswer,
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// The upstream can't be reached in time.
+pub async fn connect(address: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
     let opening = async {
-        let stream = TcpStream::connect(address).await.ok()?;
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => ConnectError::Refused,
+                _ => ConnectError::NoAnswer,
+            })?;
         stream.set_nodelay(true).ok();
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_MAX_BYTES)
             .handshake(HyperStream::new_plain(stream))
             .await
-            .ok()?;
+            .map_err(|_| ConnectError::NoAnswer)?;
         let task = compio::runtime::spawn(async move {
             // An error is also reported to the request in flight on the connection.
             connection.await.ok();
         });
-        Some(UpstreamConnection {
+        Ok(UpstreamConnection {
             sender,
             is_reused: false,
             refused: RefusedRequests::default(),
@@ -165,6 +183,6 @@
     };
     match select(pin!(opening), pin!(sleep_ms(CONNECT_TIMEOUT_MS))).await {
         Either::Left((connection, _)) => connection,
-        Either::Right(_) => None,
+        Either::Right(_) => Err(ConnectError::NoAnswer),
     }
 }
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`answer_end`] | whether an answer that has ended is whole |
 //! | [`answers`] | HTTP responses for refusals |
 //! | [`attempt`] | one attempt to send a request to one upstream |
 //! | [`callers`] | reading callers' requests and answering them |
@@ -30,6 +31,7 @@
 //!
 //! The design: `docs/PLATFORM.md`.
 
+pub mod answer_end;
 pub mod answers;
 pub mod attempt;
 pub mod callers;
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -4,7 +4,7 @@
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_telemetry::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
 
 use crate::{
     dialect::PromptPart,
@@ -181,6 +181,16 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs and counts the end of an answer that only its connection marked.
+    pub fn count_answer_end(&self, request: &CallerRequest, upstream: &Upstream, end: AnswerEnd) {
+        self.metrics
+            .unframed_answers
+            .add(1, &[label("end", end.as_str())]);
+        info!(self.log, "answer_ended_with_connection"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream.id(), "end" => end.as_str(),
+            "state" => ?upstream.state(), "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a request's upstream was lost while it ran the request, and since when the response
     /// had been coming: a request that crashes its upstream does so when the response begins.
     pub fn log_request_suspected(
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -310,7 +310,7 @@
     if request.route.kind == RequestKind::Stream {
         return Ok(UpstreamResponse::Started(started));
     }
-    let response = buffer_response(router, started, attempt_end_unix_ms(request)).await?;
+    let response = buffer_response(router, request, started, attempt_end_unix_ms(request)).await?;
     Ok(UpstreamResponse::Buffered(response))
 }
 
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -8,12 +8,11 @@
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
 use futures_util::stream;
-use http::HeaderMap;
 use http_body_util::BodyExt;
 
 use crate::{
+    answer_end::find_answer_end,
     attempt::{KeptAttempt, Resumption, StartedResponse, response_headers},
-    connections::connect,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     events::EventSplitter,
     framing::{Framing, is_event_stream},
@@ -46,23 +45,11 @@
     /// The upstream is silent, and another one seems to accept the stream.
     Silent,
     /// The response is complete as far as HTTP and its events tell.
-    End(StreamEnd),
+    End(AnswerEnd),
     /// The response broke off, or the deadline has passed.
     Broken(AttemptFailure),
 }
 
-/// What the end of a stream between two events tells.
-#[derive(Clone, Copy, Debug)]
-enum StreamEnd {
-    /// The upstream marked it, or still accepts connections: the stream is complete.
-    Proven,
-    /// Only the end of the connection marks it, and the upstream is draining.
-    Unproven,
-    /// Only the end of the connection marks it, and the upstream accepts no other connection: its
-    /// process may have ended.
-    WithUpstream,
-}
-
 /// Builds the caller's response, whose body relays the stream.
 pub fn stream_response(
     router: &PlatformRouter,
@@ -149,7 +136,7 @@
                 left_ms
             };
             let Some(started) = &mut self.started else {
-                return StreamPart::End(StreamEnd::Unproven);
+                return StreamPart::End(AnswerEnd::Unknown);
             };
             let timer = compio::time::timeout(Duration::from_millis(wait_ms), started.body.frame());
             let data = match timer.await {
@@ -185,9 +172,11 @@
         if self.is_cut_off() {
             return StreamPart::Broken(AttemptFailure::AnswerLost);
         }
-        match self.find_end().await {
-            StreamEnd::WithUpstream if can_resume => StreamPart::Broken(AttemptFailure::AnswerLost),
-            end => StreamPart::End(end),
+        let end = self.find_end().await;
+        if end.is_whole() {
+            StreamPart::End(end)
+        } else {
+            StreamPart::Broken(AttemptFailure::AnswerLost)
         }
     }
 
@@ -214,28 +203,13 @@
         !scanner.is_between_events() || is_empty && framing == Some(Framing::Connection)
     }
 
-    /// Finds out whether the upstream itself has ended with a stream that only its connection frames,
-    /// by opening the connection that replaces the closed one. A draining upstream also refuses
-    /// connections, after its last streams.
-    async fn find_end(&self) -> StreamEnd {
+    /// Finds out whether a stream that has ended between two events is whole.
+    async fn find_end(&self) -> AnswerEnd {
         let Some(started) = &self.started else {
-            return StreamEnd::Unproven;
+            return AnswerEnd::Unknown;
         };
-        if started.framing == Framing::Marked {
-            return StreamEnd::Proven;
-        }
-        let upstream = &started.upstream;
-        let address = upstream.entry.borrow().address;
-        if upstream.state() != UpstreamState::Ready {
-            return StreamEnd::Unproven;
-        }
-        match connect(address).await {
-            Some(connection) => {
-                upstream.connections.keep(connection, &HeaderMap::new());
-                StreamEnd::Proven
-            }
-            None => StreamEnd::WithUpstream,
-        }
+        let (upstream, framing) = (&started.upstream, started.framing);
+        find_answer_end(&self.router, &self.request, upstream, framing).await
     }
 
     /// Logs the end of a stream that only the end of its connection marks.
@@ -275,9 +249,9 @@
 
     /// Clears the request of suspicion if the stream is proven to be complete, and keeps the
     /// connection for reuse.
-    fn finish(&mut self, end: StreamEnd) {
+    fn finish(&mut self, end: AnswerEnd) {
         if let Some(mut started) = self.started.take() {
-            if matches!(end, StreamEnd::Proven) {
+            if end.is_whole() {
                 self.router.clear_suspicion(
                     &self.request,
                     started.head.status,
