Bound what a router holds of requests' bodies in sum

Callers saw a router end, with all its requests, when large bodies came at once: 40 of 4 MB, each below BodyBytes, took it over its 260 MB (Fault). Each body had a limit and their sum had none; a body also took up to twice its length while it grew, and was copied whole by the stream that sent it.

Bodies may take a quarter of the process's memory, from before the first byte is read until the request has ended. A caller beyond that isn't read from until its turn comes, and is refused as not run, with Retry-After, if it doesn't come in time. Room is taken for the whole length at once, so half-read bodies never wait for each other; a share is kept for small ones, which don't wait behind large ones. A body that has not arrived by its request's deadline is refused and gives its room back. Bodies are sent in frames of 64 KiB.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -7,10 +7,11 @@
     prelude::*,
     time::{before_deadline, remaining_ms},
 };
+use celerystair_net::body::FramedBody;
 use celerystair_policy::{prelude::*, stall::KEEP_SILENT_RESPONSE_MS};
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, ext::ReasonPhrase};
 
 use crate::{
@@ -254,9 +255,9 @@
     request: &CallerRequest,
     upstream: &Upstream,
     last_event_id: Option<u64>,
-) -> http::Request<Full<Bytes>> {
+) -> http::Request<FramedBody> {
     let entry = upstream.entry.borrow();
-    let mut outgoing = http::Request::new(Full::new(request.body.clone()));
+    let mut outgoing = http::Request::new(FramedBody::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.clone();
     *outgoing.headers_mut() = request.headers.clone();
--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -3,10 +3,7 @@
 use std::rc::Rc;
 
 use celerystair_core::{prelude::*, time::before_deadline};
-use celerystair_net::{
-    json::{ReadBodyError, read_body},
-    prelude::*,
-};
+use celerystair_net::prelude::*;
 use celerystair_policy::prelude::{Route, request_fingerprint};
 use http::{HeaderValue, header};
 use http_body_util::{BodyExt, Limited};
@@ -14,6 +11,7 @@
 use crate::{
     answers::refusal_response,
     attempt::{RESPONSE_MAX_BYTES, request_headers},
+    bodies::read_caller_body,
     dialect::{InvalidHead, RequestHead},
     front::PlatformRouter,
     request::{CallerRequest, serve_request},
@@ -104,28 +102,32 @@
 
 async fn read_request(
     router: &PlatformRouter,
-    request: HttpRequest,
+    mut request: HttpRequest,
     arrived_unix_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
     let read = read_head(router, &request);
     let (active, route, head) = match read {
         Ok(read) => read,
         Err(refusal) => {
-            discard_body(request).await;
+            discard_body(request, u64::MAX).await;
             return Err(refusal);
         }
     };
+    let deadline_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
+    let deadline_unix_ms = arrived_unix_ms.saturating_add(deadline_ms.min(route.timeout_ms));
     let body_max_bytes = active.config.caller_limits.body_max_bytes;
-    let (parts, body) = read_body(request, body_max_bytes).await.map_err(|error| {
-        let reason = match error {
-            ReadBodyError::TooLarge { .. } => RefusalReason::BodyTooLarge,
-            ReadBodyError::Cut(_) | ReadBodyError::BadJson(_) => RefusalReason::BadRequest,
-        };
-        Refusal::not_run(reason, error.to_string())
-    })?;
+    let body = request.body_mut();
+    let read = read_caller_body(router, &head.id, body, body_max_bytes, deadline_unix_ms).await;
+    let (body, body_room) = match read {
+        Ok(read) => read,
+        Err(refusal) => {
+            discard_body(request, deadline_unix_ms).await;
+            return Err(refusal);
+        }
+    };
+    let (parts, _) = request.into_parts();
     let target = parts.uri.path_and_query().cloned();
     let target = target.ok_or_else(|| bad_request("the request has no path"))?;
-    let deadline_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
     let fingerprint =
         request_fingerprint(parts.method.as_str(), &route.host, target.as_str(), &body);
     Ok(CallerRequest {
@@ -136,10 +138,11 @@
         method: parts.method,
         target: http::Uri::from(target),
         arrived_unix_ms,
-        deadline_unix_ms: arrived_unix_ms.saturating_add(deadline_ms.min(route.timeout_ms)),
+        deadline_unix_ms,
         fingerprint,
         head,
         body,
+        body_room,
         route,
     })
 }
@@ -162,7 +165,7 @@
 
 /// Reads the body of a request that is refused. A close with unread bytes resets the connection, and
 /// the refusal may be lost with it. A caller that asks before it sends a body is spared the sending.
-async fn discard_body(request: HttpRequest) {
+async fn discard_body(request: HttpRequest, until_unix_ms: u64) {
     const DISCARD_MAX_BYTES: usize = 4 * 1024 * 1024;
     const DISCARD_MAX_MS: u64 = 2000;
     if request.headers().contains_key(header::EXPECT) {
@@ -179,7 +182,7 @@
         }
     };
     // The refusal goes out all the same.
-    before_deadline(now_unix_ms() + DISCARD_MAX_MS, reading).await;
+    before_deadline(until_unix_ms.min(now_unix_ms() + DISCARD_MAX_MS), reading).await;
 }
 
 fn find_route(active: &ActiveConfig, request: &HttpRequest) -> Result<Rc<Route>, Refusal> {
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -8,14 +8,13 @@
     rc::Rc,
 };
 
-use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_net::body::FramedBody;
 use celerystair_policy::prelude::*;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName};
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 
 /// Time limit for opening a connection: upstreams are one or two milliseconds away.
@@ -47,7 +46,7 @@
 /// A connection to an upstream, closed when dropped.
 pub struct UpstreamConnection {
     /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<FramedBody>,
     /// Whether the connection has served a request before.
     pub is_reused: bool,
     /// The requests that were refused on the connection.
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::{
+    bodies::RequestBodies,
     callers::handle_caller_request,
     connections::max_idle_connections,
     demand::{receive_from_agents, send_demand_to_agents},
@@ -78,6 +79,8 @@
     pub origin_answered: Event,
     /// The socket for gossip.
     pub gossip_socket: Rc<GossipSocket>,
+    /// The room for callers' bodies.
+    pub bodies: Rc<RequestBodies>,
     /// Bytes of incomplete responses that are buffered.
     pub buffered_bytes: Cell<usize>,
     /// Requests that wait for a replica.
@@ -341,7 +344,6 @@
     let router = PlatformRouter {
         inner: Rc::new(PlatformRouterInner {
             retries: Retries::new(settings.retry_bound),
-            settings,
             log,
             metrics: Metrics::new("router"),
             view,
@@ -355,6 +357,7 @@
             origin_answers: RefCell::default(),
             origin_answered: Event::new(),
             gossip_socket: gossip_socket.clone(),
+            bodies: RequestBodies::new(settings.memory_bytes),
             buffered_bytes: Cell::default(),
             waiting: WaitingRequests::default(),
             closing: Stop::new(),
@@ -364,6 +367,7 @@
             suspects_changed: Event::new(),
             logged_headers: RefCell::default(),
             has_unreported_waits: Cell::new(false),
+            settings,
         }),
     };
     compio::runtime::spawn(send_demand_to_agents(
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`answers`] | HTTP responses for refusals |
 //! | [`attempt`] | one attempt to send a request to one upstream |
+//! | [`bodies`] | reading callers' bodies while there is room for them |
 //! | [`callers`] | reading callers' requests and answering them |
 //! | [`connections`] | the pool of connections to an upstream |
 //! | [`demand`] | gossip with agents: demand sent, engine status received |
@@ -32,6 +33,7 @@
 
 pub mod answers;
 pub mod attempt;
+pub mod bodies;
 pub mod callers;
 pub mod connections;
 pub mod demand;
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -334,6 +334,19 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs a request whose body waits for room.
+    pub fn log_body_waits(&self, request: &RequestId, bytes: u64) {
+        info!(self.log, "body_waits"; "request" => %request, "bytes" => bytes,
+            "held_bytes" => self.bodies.held_bytes(), "waiting" => self.bodies.waiting());
+    }
+
+    /// Logs a request whose body is not read to its end.
+    pub fn log_body_refused(&self, request: &RequestId, refusal: &Refusal) {
+        info!(self.log, "body_refused"; "request" => %request,
+            "reason" => refusal.reason.as_str(), "detail" => &refusal.detail,
+            "held_bytes" => self.bodies.held_bytes(), "waiting" => self.bodies.waiting());
+    }
+
     /// Logs the refusal of an invalid or unroutable request.
     pub fn log_unreadable_request(&self, refusal: &Refusal) {
         info!(self.log, "request_unread"; "reason" => refusal.reason.as_str(),
--- a/crates/celerystair_front/src/probes.rs
+++ b/crates/celerystair_front/src/probes.rs
@@ -23,6 +23,9 @@
         gauges
             .config_revision
             .record(router.view.config_version(), &[]);
+        gauges
+            .request_bodies_bytes
+            .record(router.bodies.held_bytes(), &[]);
         let suspects = router.suspects.borrow().counts(now_unix_ms());
         gauges.suspects.record(suspects.remembered.into(), &[]);
         gauges.suspects_refused.record(suspects.refused.into(), &[]);
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -13,6 +13,7 @@
         BufferedResponse, FailedAttempt, KeptAttempt, Resumption, StartedResponse, buffer_response,
         send_attempt,
     },
+    bodies::BodyReservation,
     dialect::RequestHead,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     front::PlatformRouter,
@@ -47,6 +48,8 @@
     pub headers: http::HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Keeps the room that the body takes.
+    pub body_room: BodyReservation,
     /// The route that matches the request.
     pub route: Rc<Route>,
     /// When the request arrived.
--- a/crates/celerystair_front/src/settings.rs
+++ b/crates/celerystair_front/src/settings.rs
@@ -29,6 +29,8 @@
     pub header_codec: HeaderCodec,
     /// The bound on retries across the fleet.
     pub retry_bound: RetryBound,
+    /// The memory that the process may use.
+    pub memory_bytes: u64,
     /// Time after which the platform kills the process, counted from the stop signal.
     pub stop_grace_ms: u64,
 }
--- a/crates/celerystair_net/src/body.rs
+++ b/crates/celerystair_net/src/body.rs
@@ -80,3 +80,43 @@
         }
     }
 }
+
+/// A complete body that is sent in frames. A stream copies what it sends, so a long body in one frame
+/// would be held twice.
+#[derive(Clone, Debug)]
+pub struct FramedBody {
+    rest: Bytes,
+}
+
+impl FramedBody {
+    const FRAME_MAX_BYTES: usize = 64 * 1024;
+
+    /// Creates a body of known length.
+    pub fn new(bytes: Bytes) -> Self {
+        Self { rest: bytes }
+    }
+}
+
+impl http_body::Body for FramedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let frame_bytes = self.rest.len().min(Self::FRAME_MAX_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(frame_bytes)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`adapters`] | which adapter an engine loads next, and which one is evicted for it |
+//! | [`bodies`] | whose body a router reads next |
 //! | [`budget`] | whether one more retry fits the fleet-wide retry budget |
 //! | [`caller_limits`] | until when a caller's connection may be idle |
 //! | [`census`] | how many routers divide the fleet-wide limits |
@@ -31,6 +32,7 @@
 //! Why they are separate, and how they fit together: `docs/PLATFORM.md`.
 
 pub mod adapters;
+pub mod bodies;
 pub mod budget;
 pub mod caller_limits;
 pub mod census;
@@ -57,6 +59,7 @@
 /// The items that routers and agents use.
 pub mod prelude {
     pub use crate::{
+        bodies::{BodyRoom, BodyTicket, SMALL_BODY_MAX_BYTES},
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
         caller_limits::CallerLimitHistory,
         census::RouterCountEstimate,
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -68,6 +68,8 @@
     pub free_memory_bytes: Gauge<u64>,
     /// Replicas that occupy accelerator memory.
     pub replicas: Gauge<u64>,
+    /// Bytes that the bodies of requests hold.
+    pub request_bodies_bytes: Gauge<u64>,
     /// Routers among which fleet-wide limits are divided.
     pub routers: Gauge<u64>,
     /// Retries that this router may make per window of the retry budget, by `service`.
@@ -96,6 +98,7 @@
             running: gauge("celerystair_running"),
             free_memory_bytes: bytes("celerystair_free_memory"),
             replicas: gauge("celerystair_replicas"),
+            request_bodies_bytes: bytes("celerystair_request_bodies"),
             routers: gauge("celerystair_routers"),
             suspects: gauge("celerystair_suspects"),
             suspects_refused: gauge("celerystair_suspects_refused"),
