--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`answer_end`] | whether an answer that has ended is whole |
 //! | [`answers`] | HTTP responses for refusals |
 //! | [`attempt`] | one attempt to send a request to one upstream |
+//! | [`bodies`] | reading callers' bodies while there is room for them |
 //! | [`callers`] | reading callers' requests and answering them |
 //! | [`connections`] | the pool of connections to an upstream |
 //! | [`demand`] | gossip with agents: demand sent, engine status received |
@@ -35,6 +36,7 @@
 pub mod answer_end;
 pub mod answers;
 pub mod attempt;
+pub mod bodies;
 pub mod callers;
 pub mod connections;
 pub mod demand;
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -312,7 +312,6 @@
     /// connection for reuse.
     fn finish(&mut self, end: AnswerEnd) {
         if let Some(mut started) = self.started.take() {
-<<<<<<< HEAD
             if let Some(point) = self.resumed {
                 self.router.log_resumed_stream_ended(
                     &self.request,
@@ -321,10 +320,7 @@
                     self.events.last_id(),
                 );
             }
-            if matches!(end, StreamEnd::Proven) {
-=======
             if end.is_whole() {
->>>>>>> h-d
                 self.router.clear_suspicion(
                     &self.request,
                     started.head.status,
