Prove the list anew for each attempt of a stream

By the review, read and not run: the proof of a stream's first attempt also let a later one pass, however long the first had taken, so the bound of 250 ms was not kept. It is now asked for again after each attempt. A stream that can't be proven any more gets the error that an upstream has answered with, if there is one.

--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -225,7 +225,7 @@
                 if version.is_some() && !router.view.is_list_proven(from_unix_ms) {
                     proven_from_unix_ms = Some(now);
                     if !prove_list(router, request, now).await {
-                        return Err(list_unproven(router, request, progress));
+                        return list_unproven(router, request, progress);
                     }
                     continue;
                 }
@@ -276,6 +276,8 @@
                 SendOutcome::Elsewhere(result) => return result,
                 SendOutcome::Attempt(attempt) => attempt,
             };
+        // The attempt may have taken long.
+        proven_from_unix_ms = None;
         match read_response(router, request, attempt).await {
             Ok(response) => {
                 router.count_attempt(service, None);
@@ -298,12 +300,20 @@
     }
 }
 
-/// Refuses to go on with a stream whose software version the list may no longer tell.
-fn list_unproven(router: &PlatformRouter, request: &CallerRequest, progress: &Progress) -> Refusal {
+/// Refuses to go on with a stream whose software version the list may no longer tell, or returns the last
+/// error response of an upstream if there is one.
+fn list_unproven(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    progress: &mut Progress,
+) -> Result<UpstreamResponse, Refusal> {
     router.log_list_unproven(request);
+    if let Some(response) = progress.response.take() {
+        return Ok(UpstreamResponse::Buffered(response));
+    }
     let detail = "the store doesn't tell which software versions are in service now";
     let reason = RefusalReason::SoftwareVersionUnproven;
-    refusal(progress, reason, detail, LIST_PROOF_RETRY_AFTER_MS)
+    Err(refusal(progress, reason, detail, LIST_PROOF_RETRY_AFTER_MS))
 }
 
 /// Refuses to go on with a stream whose software version has no ready upstream.
