Ask the store again where one call that proves the list fails

It is made again within the 0.8 s that a request waits, unless the store has been away for that long already. On the code before, the test's first assertion doesn't hold (a call that failed since was the end).

--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -186,7 +186,10 @@
             if proof.covers(at_unix_ms) {
                 return true;
             }
-            if proof.has_failed_since(asked_unix_ms) || now_unix_ms() >= deadline_unix_ms {
+            let failing_since_unix_ms = self.inner.store.availability().failing_since_unix_ms;
+            if proof.is_hopeless(asked_unix_ms, failing_since_unix_ms)
+                || now_unix_ms() >= deadline_unix_ms
+            {
                 return false;
             }
             if !self.inner.is_proving_list.replace(true) {
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -362,6 +362,15 @@
             .is_some_and(|proven| proven >= at_unix_ms)
     }
 
+    /// Whether no further call is worth a wait for a request that has asked at `asked_unix_ms`: one has
+    /// failed since, in an outage that had lasted for [`LIST_PROOF_WAIT_MS`] by then. A call that fails
+    /// alone is made again. `failing_since_unix_ms` is when the outage began, 0 without one.
+    pub fn is_hopeless(&self, asked_unix_ms: u64, failing_since_unix_ms: u64) -> bool {
+        let is_lasting = failing_since_unix_ms > 0
+            && failing_since_unix_ms.saturating_add(LIST_PROOF_WAIT_MS) <= asked_unix_ms;
+        is_lasting && self.has_failed_since(asked_unix_ms)
+    }
+
     /// Whether a call failed that was made at `since_unix_ms` or later.
     pub fn has_failed_since(&self, since_unix_ms: u64) -> bool {
         self.failed_unix_ms
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -598,3 +598,15 @@
         );
     }
 }
+
+/// A store whose calls fail now and then is asked again; one that is away isn't waited for.
+#[test]
+fn one_failed_call_refuses_no_stream_that_can_wait() {
+    let mut proof = ListProof::default();
+    proof.record(START_UNIX_MS + 10, false);
+    assert!(!proof.is_hopeless(START_UNIX_MS, START_UNIX_MS + 10));
+    assert!(!proof.is_hopeless(START_UNIX_MS, 0), "answered since");
+    let long_ago_unix_ms = START_UNIX_MS - LIST_PROOF_WAIT_MS;
+    assert!(proof.is_hopeless(START_UNIX_MS, long_ago_unix_ms));
+    assert!(!proof.is_hopeless(START_UNIX_MS + 20, long_ago_unix_ms));
+}
