--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -7,19 +7,22 @@
     prelude::*,
     time::{before_deadline, remaining_ms},
 };
+use celerystair_net::body::FramedBody;
 use celerystair_policy::{prelude::*, stall::KEEP_SILENT_RESPONSE_MS};
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, ext::ReasonPhrase};
 
 use crate::{
+    answer_end::find_answer_end,
     connections::{UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
-    framing::{Framing, is_cut_json, response_framing},
+    framing::{Framing, is_cut_off, response_framing},
     front::PlatformRouter,
     request::CallerRequest,
     runs::RunGuard,
+    standstill::before_bound,
     upstream::{InFlightGuard, Upstream},
 };
 
@@ -200,7 +203,9 @@
     upstream.update_health(|health| health.record_failure(false, now_unix_ms()));
     Err(FailedAttempt {
         failure: AttemptFailure::Failed,
-        response: buffer_response(router, started, end_unix_ms).await.ok(),
+        response: buffer_response(router, request, started, end_unix_ms)
+            .await
+            .ok(),
     })
 }
 
@@ -219,10 +224,12 @@
         let address = upstream.entry.borrow().address;
         let mut connection = match idle_connection.take() {
             Some(connection) => connection,
-            None => connect(address).await.ok_or(AttemptFailure::Unreachable)?,
+            None => connect(address)
+                .await
+                .map_err(|_| AttemptFailure::Unreachable)?,
         };
         let sending = connection.sender.try_send_request(outgoing);
-        match close_unless_declined(resumption.kept, sending).await {
+        match close_unless_declined(router, resumption.kept, sending).await {
             Ok(response) => return Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 // The idle connection closed before the request was sent; try a new connection.
@@ -237,6 +244,7 @@
 /// Returns the result of `sending`, and ends the kept attempt if the upstream has not declined
 /// the request shortly after it was sent.
 async fn close_unless_declined<T>(
+    router: &PlatformRouter,
     kept: Option<&KeptAttempt<'_>>,
     sending: impl Future<Output = T>,
 ) -> T {
@@ -244,8 +252,8 @@
         return sending.await;
     };
     let mut sending = pin!(sending);
-    let declined_by_unix_ms = now_unix_ms() + KEEP_SILENT_RESPONSE_MS;
-    if let Some(result) = before_deadline(declined_by_unix_ms, sending.as_mut()).await {
+    let declined = before_bound(router, KEEP_SILENT_RESPONSE_MS, sending.as_mut()).await;
+    if let Some(result) = declined {
         return result;
     }
     (kept.close)();
@@ -257,9 +265,9 @@
     request: &CallerRequest,
     upstream: &Upstream,
     last_event_id: Option<u64>,
-) -> http::Request<Full<Bytes>> {
+) -> http::Request<FramedBody> {
     let entry = upstream.entry.borrow();
-    let mut outgoing = http::Request::new(Full::new(request.body.clone()));
+    let mut outgoing = http::Request::new(FramedBody::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.clone();
     *outgoing.headers_mut() = request.headers.clone();
@@ -478,6 +486,7 @@
 /// connection of a response that is too long is closed.
 pub async fn buffer_response(
     router: &PlatformRouter,
+    request: &CallerRequest,
     started: StartedResponse,
     deadline_unix_ms: u64,
 ) -> Result<BufferedResponse, AttemptFailure> {
@@ -506,7 +515,11 @@
                 bytes.extend_from_slice(&data);
             }
         }
-        if is_cut_json(framing, &head.headers, &bytes) {
+        if is_cut_off(framing, &head.headers, &bytes) {
+            return Err(AttemptFailure::AnswerLost);
+        }
+        let end = find_answer_end(router, request, &upstream, framing).await;
+        if !end.is_whole() {
             return Err(AttemptFailure::AnswerLost);
         }
         Ok(bytes.freeze())
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -3,19 +3,19 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io::ErrorKind,
     net::SocketAddr,
     pin::pin,
     rc::Rc,
 };
 
-use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_net::body::FramedBody;
 use celerystair_policy::prelude::*;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName};
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 
 /// Time limit for opening a connection: upstreams are one or two milliseconds away.
@@ -47,7 +47,7 @@
 /// A connection to an upstream, closed when dropped.
 pub struct UpstreamConnection {
     /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<FramedBody>,
     /// Whether the connection has served a request before.
     pub is_reused: bool,
     /// The requests that were refused on the connection.
@@ -142,21 +142,38 @@
     }))
 }
 
-/// Opens a connection, or returns `None` if the upstream can't be reached in time.
-pub async fn connect(address: SocketAddr) -> Option<UpstreamConnection> {
+/// Why no connection could be opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectError {
+    /// No process listens at the address.
+    Refused,
+    /// The address didn't answer in time, or in another way.
+    NoAnswer,
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// The upstream can't be reached in time.
+pub async fn connect(address: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
     let opening = async {
-        let stream = TcpStream::connect(address).await.ok()?;
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => ConnectError::Refused,
+                _ => ConnectError::NoAnswer,
+            })?;
         stream.set_nodelay(true).ok();
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_MAX_BYTES)
             .handshake(HyperStream::new_plain(stream))
             .await
-            .ok()?;
+            .map_err(|_| ConnectError::NoAnswer)?;
         let task = compio::runtime::spawn(async move {
             // An error is also reported to the request in flight on the connection.
             connection.await.ok();
         });
-        Some(UpstreamConnection {
+        Ok(UpstreamConnection {
             sender,
             is_reused: false,
             refused: RefusedRequests::default(),
@@ -165,6 +182,6 @@
     };
     match select(pin!(opening), pin!(sleep_ms(CONNECT_TIMEOUT_MS))).await {
         Either::Left((connection, _)) => connection,
-        Either::Right(_) => None,
+        Either::Right(_) => Err(ConnectError::NoAnswer),
     }
 }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -10,12 +10,13 @@
 use celerystair_net::prelude::*;
 use celerystair_news::prelude::*;
 use celerystair_platform::prelude::*;
-use celerystair_policy::prelude::*;
+use celerystair_policy::{prelude::*, standstill::RunningClock};
 use celerystair_telemetry::{metrics::label, prelude::*};
 use event_listener::{Event, EventListener};
 use thiserror::Error;
 
 use crate::{
+    bodies::RequestBodies,
     callers::handle_caller_request,
     connections::max_idle_connections,
     demand::{receive_from_agents, send_demand_to_agents},
@@ -25,6 +26,7 @@
     retries::{Retries, log_attempts_per_window},
     runs::{Run, UnansweredRuns},
     settings::PlatformRouterSettings,
+    standstill::keep_running_clock,
     suspicion::{ask_for_suspects, send_suspects_to_agents},
     upstream::Upstream,
     view::FleetView,
@@ -78,10 +80,14 @@
     pub origin_answered: Event,
     /// The socket for gossip.
     pub gossip_socket: Rc<GossipSocket>,
+    /// The room for callers' bodies.
+    pub bodies: Rc<RequestBodies>,
     /// Bytes of incomplete responses that are buffered.
     pub buffered_bytes: Cell<usize>,
     /// Requests that wait for a replica.
     pub waiting: WaitingRequests,
+    /// The time in which this process ran.
+    pub running_clock: Cell<RunningClock>,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
     /// are then refused.
     pub closing: Stop,
@@ -341,7 +347,6 @@
     let router = PlatformRouter {
         inner: Rc::new(PlatformRouterInner {
             retries: Retries::new(settings.retry_bound),
-            settings,
             log,
             metrics: Metrics::new("router"),
             view,
@@ -355,8 +360,10 @@
             origin_answers: RefCell::default(),
             origin_answered: Event::new(),
             gossip_socket: gossip_socket.clone(),
+            bodies: RequestBodies::new(settings.memory_bytes),
             buffered_bytes: Cell::default(),
             waiting: WaitingRequests::default(),
+            running_clock: Cell::new(RunningClock::start(now_unix_ms())),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
             demand: RefCell::default(),
@@ -364,6 +371,7 @@
             suspects_changed: Event::new(),
             logged_headers: RefCell::default(),
             has_unreported_waits: Cell::new(false),
+            settings,
         }),
     };
     compio::runtime::spawn(send_demand_to_agents(
@@ -393,6 +401,7 @@
     serve_ready(&router, ready, stop);
     serve_metrics(&router, stop);
     compio::runtime::spawn(keep_origins_held(router.clone(), stop.clone())).detach();
+    compio::runtime::spawn(keep_running_clock(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(log_attempts_per_window(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(refuse_waiting_before_kill(router.clone(), stop.clone())).detach();
     let (limits_router, report_router) = (router.clone(), router.clone());
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -4,8 +4,10 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`answer_end`] | whether an answer that has ended is whole |
 //! | [`answers`] | HTTP responses for refusals |
 //! | [`attempt`] | one attempt to send a request to one upstream |
+//! | [`bodies`] | reading callers' bodies while there is room for them |
 //! | [`callers`] | reading callers' requests and answering them |
 //! | [`connections`] | the pool of connections to an upstream |
 //! | [`demand`] | gossip with agents: demand sent, engine status received |
@@ -22,6 +24,7 @@
 //! | [`retries`] | the retry budgets, with their logs and metrics |
 //! | [`runs`] | how runs at upstreams ended, and whether their upstream may have crashed |
 //! | [`settings`] | the settings of a router |
+//! | [`standstill`] | waits for upstreams that a standstill of this process doesn't end |
 //! | [`stream`] | relaying a stream to its caller |
 //! | [`suspicion`] | exchanging reports on requests that crash upstreams |
 //! | [`upstream`] | this router's state about one upstream |
@@ -30,8 +33,10 @@
 //!
 //! The design: `docs/PLATFORM.md`.
 
+pub mod answer_end;
 pub mod answers;
 pub mod attempt;
+pub mod bodies;
 pub mod callers;
 pub mod connections;
 pub mod demand;
@@ -48,6 +53,7 @@
 pub mod retries;
 pub mod runs;
 pub mod settings;
+pub mod standstill;
 pub mod stream;
 pub mod suspicion;
 pub mod upstream;
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -4,7 +4,7 @@
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_telemetry::prelude::*;
+use celerystair_telemetry::{metrics::label, prelude::*};
 
 use crate::{
     dialect::PromptPart,
@@ -104,6 +104,12 @@
             "age_ms" => request.age_ms(now));
     }
 
+    /// Logs that a stream can't go on, as the list of upstreams was not proven to be current.
+    pub fn log_list_unproven(&self, request: &CallerRequest) {
+        info!(self.log, "stream_version_unproven"; "request" => %request.head.id,
+            "route" => &request.route.name, "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that other agents are told where streams began, as some that held it leave.
     pub fn log_origins_retold(&self, records: usize, agents: usize) {
         info!(self.log, "stream_origins_retold"; "records" => records, "agents" => agents);
@@ -166,6 +172,19 @@
             "codings" => codings.join(", "), "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs why what an upstream wrote is not taken for a part of the stream.
+    pub fn log_stream_part_invalid(
+        &self,
+        request: &CallerRequest,
+        upstream: &UpstreamId,
+        reason: &str,
+        last_event_id: Option<u64>,
+    ) {
+        info!(self.log, "stream_part_invalid"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream, "reason" => reason,
+            "last_event_id" => last_event_id, "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a stream without a length or chunks ended with its connection, and how many bytes
     /// came after its last whole event.
     pub fn log_stream_ended_with_connection(
@@ -196,6 +215,16 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs and counts the end of an answer that only its connection marked.
+    pub fn count_answer_end(&self, request: &CallerRequest, upstream: &Upstream, end: AnswerEnd) {
+        self.metrics
+            .unframed_answers
+            .add(1, &[label("end", end.as_str())]);
+        info!(self.log, "answer_ended_with_connection"; "request" => %request.head.id,
+            "route" => &request.route.name, "upstream" => %upstream.id(), "end" => end.as_str(),
+            "state" => ?upstream.state(), "age_ms" => request.age_ms(now_unix_ms()));
+    }
+
     /// Logs that a request's upstream was lost while it ran the request, and since when the response
     /// had been coming: a request that crashes its upstream does so when the response begins.
     pub fn log_request_suspected(
@@ -366,6 +395,19 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs a request whose body waits for room.
+    pub fn log_body_waits(&self, request: &RequestId, bytes: u64) {
+        info!(self.log, "body_waits"; "request" => %request, "bytes" => bytes,
+            "held_bytes" => self.bodies.held_bytes(), "waiting" => self.bodies.waiting());
+    }
+
+    /// Logs a request whose body is not read to its end.
+    pub fn log_body_refused(&self, request: &RequestId, refusal: &Refusal) {
+        info!(self.log, "body_refused"; "request" => %request,
+            "reason" => refusal.reason.as_str(), "detail" => &refusal.detail,
+            "held_bytes" => self.bodies.held_bytes(), "waiting" => self.bodies.waiting());
+    }
+
     /// Logs the refusal of an invalid or unroutable request.
     pub fn log_unreadable_request(&self, refusal: &Refusal) {
         info!(self.log, "request_unread"; "reason" => refusal.reason.as_str(),
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, pin::pin, rc::Rc};
 
 use bytes::Bytes;
-use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_policy::{prelude::*, waiting::retry_after_ms};
 use futures_util::future::select;
@@ -13,11 +13,13 @@
         BufferedResponse, FailedAttempt, KeptAttempt, Resumption, StartedResponse, buffer_response,
         send_attempt,
     },
+    bodies::BodyReservation,
     dialect::RequestHead,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     front::PlatformRouter,
-    origins::stream_origin,
+    origins::{prove_list, stream_origin},
     pick::{Pick, WaitReason, ms_until_admission, pick_upstream},
+    standstill::before_silence,
     stream::stream_response,
     suspicion::{SuspicionRefusal, suspicion_refusal},
     upstream::Upstream,
@@ -47,6 +49,8 @@
     pub headers: http::HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Keeps the room that the body takes.
+    pub body_room: BodyReservation,
     /// The route that matches the request.
     pub route: Rc<Route>,
     /// When the request arrived.
@@ -195,6 +199,7 @@
     resumption: Resumption<'_>,
 ) -> Result<UpstreamResponse, Refusal> {
     let mut waited: Option<(WaitReason, u64)> = None;
+    let mut proven_from_unix_ms = None;
     loop {
         let now = now_unix_ms();
         if let Some(SuspicionRefusal {
@@ -214,7 +219,18 @@
         }
         let version = progress.version.as_ref();
         let upstream = match pick_upstream(router, request, service, version, &progress.tried) {
-            Pick::Now(upstream) => upstream,
+            Pick::Now(upstream) => {
+                let oldest_unix_ms = now.saturating_sub(VERSION_PROOF_AGE_MAX_MS);
+                let from_unix_ms = proven_from_unix_ms.unwrap_or(oldest_unix_ms);
+                if version.is_some() && !router.view.is_list_proven(from_unix_ms) {
+                    proven_from_unix_ms = Some(now);
+                    if !prove_list(router, request, now).await {
+                        return list_unproven(router, request, progress);
+                    }
+                    continue;
+                }
+                upstream
+            }
             Pick::Later {
                 ready_unix_ms,
                 reason,
@@ -227,6 +243,7 @@
                     router.log_request_waits(request, reason, ready_unix_ms);
                 }
                 waited.get_or_insert((reason, now));
+                proven_from_unix_ms = None;
                 wait_for_change(router, request, service, progress, ready_unix_ms).await?;
                 continue;
             }
@@ -259,6 +276,8 @@
                 SendOutcome::Elsewhere(result) => return result,
                 SendOutcome::Attempt(attempt) => attempt,
             };
+        // The attempt may have taken long.
+        proven_from_unix_ms = None;
         match read_response(router, request, attempt).await {
             Ok(response) => {
                 router.count_attempt(service, None);
@@ -281,6 +300,22 @@
     }
 }
 
+/// Refuses to go on with a stream whose software version the list may no longer tell, or returns the last
+/// error response of an upstream if there is one.
+fn list_unproven(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+    progress: &mut Progress,
+) -> Result<UpstreamResponse, Refusal> {
+    router.log_list_unproven(request);
+    if let Some(response) = progress.response.take() {
+        return Ok(UpstreamResponse::Buffered(response));
+    }
+    let detail = "the store doesn't tell which software versions are in service now";
+    let reason = RefusalReason::SoftwareVersionUnproven;
+    Err(refusal(progress, reason, detail, LIST_PROOF_RETRY_AFTER_MS))
+}
+
 /// Refuses to go on with a stream whose software version has no ready upstream.
 fn version_gone(
     router: &PlatformRouter,
@@ -310,7 +345,7 @@
     if request.route.kind == RequestKind::Stream {
         return Ok(UpstreamResponse::Started(started));
     }
-    let response = buffer_response(router, started, attempt_end_unix_ms(request)).await?;
+    let response = buffer_response(router, request, started, attempt_end_unix_ms(request)).await?;
     Ok(UpstreamResponse::Buffered(response))
 }
 
@@ -332,10 +367,9 @@
     upstream: &Rc<Upstream>,
     resumption: Resumption<'_>,
 ) -> SendOutcome {
-    let silence_ms =
+    let mut silence_ms =
         (request.route.target_latency_ms * SILENCE_TARGET_MULTIPLE).max(SILENCE_MIN_MS);
     let sent_unix_ms = now_unix_ms();
-    let mut silence_until_unix_ms = sent_unix_ms + silence_ms;
     let end_unix_ms = attempt_end_unix_ms(request);
     let mut attempt = Box::pin(send_attempt(
         router,
@@ -345,13 +379,12 @@
         end_unix_ms,
     ));
     loop {
-        let head = before_deadline(silence_until_unix_ms, attempt.as_mut()).await;
-        if let Some(result) = head {
+        if let Some(result) = before_silence(router, silence_ms, attempt.as_mut()).await {
             return SendOutcome::Attempt(result);
         }
         if resumption.keeps_attempt() || !should_leave(router, request, service, progress, upstream)
         {
-            silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
+            silence_ms = SILENCE_RECHECK_MS;
             continue;
         }
         let silent = RefCell::new(Some(attempt));
@@ -375,7 +408,7 @@
         let Some(still_open) = silent.take() else {
             return SendOutcome::Elsewhere(moved);
         };
-        silence_until_unix_ms = now_unix_ms() + SILENCE_RECHECK_MS;
+        silence_ms = SILENCE_RECHECK_MS;
         router.log_request_stays(request, upstream);
         progress.remove_silent(upstream, before);
         if let Ok(UpstreamResponse::Buffered(response)) = moved {
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -1,25 +1,26 @@
 //! Relaying a stream to its caller, event by event. If the route allows it, a stream that breaks
 //! off or stalls resumes at another upstream within the same response.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use celerystair_core::{prelude::*, time::remaining_ms};
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
 use futures_util::stream;
-use http::{HeaderMap, header};
+use http::header;
 use http_body_util::BodyExt;
 
 use crate::{
+    answer_end::find_answer_end,
     attempt::{KeptAttempt, Resumption, StartedResponse, response_headers},
-    connections::connect,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     events::EventSplitter,
     framing::{Framing, is_event_stream},
     front::PlatformRouter,
-    origins::publish_origin,
+    origins::{publish_origin, version_now},
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
+    standstill::before_silence,
 };
 
 /// How long a stream may be silent before the router considers another upstream: an engine produces
@@ -55,23 +56,11 @@
     /// The upstream is silent, and another one seems to accept the stream.
     Silent,
     /// The response is complete as far as HTTP and its events tell.
-    End(StreamEnd),
+    End(AnswerEnd),
     /// The response broke off, or the deadline has passed.
     Broken(AttemptFailure),
 }
 
-/// What the end of a stream between two events tells.
-#[derive(Clone, Copy, Debug)]
-enum StreamEnd {
-    /// The upstream marked it, or still accepts connections: the stream is complete.
-    Proven,
-    /// Only the end of the connection marks it, and the upstream is draining.
-    Unproven,
-    /// Only the end of the connection marks it, and the upstream accepts no other connection: its
-    /// process may have ended.
-    WithUpstream,
-}
-
 /// Builds the caller's response, whose body relays the stream.
 pub fn stream_response(
     router: &PlatformRouter,
@@ -85,6 +74,11 @@
         // The length of the first part; another upstream may write a longer rest.
         headers.remove(header::CONTENT_LENGTH);
     }
+    // Elsewhere the upstream may take no notice of the id.
+    let taken_up_after = request
+        .head
+        .last_event_id
+        .filter(|_| request.takes_up_stream());
     let relay = StreamRelay {
         router: router.clone(),
         request,
@@ -92,7 +86,7 @@
         progress,
         is_event_stream: is_event_stream(&started.head.headers),
         started: Some(started),
-        events: EventSplitter::default(),
+        events: EventSplitter::new(router.settings.header_codec.event_rules, taken_up_after),
         resumed: None,
     };
     let body = stream::unfold(relay, |mut relay| async move {
@@ -143,7 +137,7 @@
         if self.progress.version.is_some() || !self.can_resume() {
             return;
         }
-        let version = started.upstream.software_version();
+        let version = version_now(&self.router, &started.upstream);
         self.progress.version = Some(version.clone());
         let origin = StreamOrigin {
             service: self.service.clone(),
@@ -156,52 +150,71 @@
         let can_resume = self.can_resume();
         let mut silence_ms = STALL_MS;
         loop {
-            let left_ms = remaining_ms(self.request.deadline_unix_ms);
-            let wait_ms = if can_resume {
-                left_ms.min(silence_ms)
-            } else {
-                left_ms
-            };
+            if !self.is_rest_of_stream() {
+                return self.invalid_part("the response is no event stream");
+            }
+            if let Some(reason) = self.events.scanner().invalid_event() {
+                return self.invalid_part(reason.as_str());
+            }
             let Some(started) = &mut self.started else {
-                return StreamPart::End(StreamEnd::Unproven);
+                return StreamPart::End(AnswerEnd::Unknown);
             };
-            let timer = compio::time::timeout(Duration::from_millis(wait_ms), started.body.frame());
-            let data = match timer.await {
-                Err(_) if wait_ms == left_ms => {
-                    return StreamPart::Broken(AttemptFailure::Silent);
+            let left_ms = remaining_ms(self.request.deadline_unix_ms);
+            let left = Duration::from_millis(left_ms);
+            let read = {
+                let frame = pin!(compio::time::timeout(left, started.body.frame()));
+                if can_resume {
+                    before_silence(&self.router, silence_ms, frame).await
+                } else {
+                    Some(frame.await)
                 }
-                Err(_) if self.should_switch_upstream() => return StreamPart::Silent,
-                Err(_) => {
+            };
+            let data = match read {
+                None if self.should_switch_upstream() => return StreamPart::Silent,
+                None => {
                     silence_ms = SILENCE_RECHECK_MS;
                     continue;
                 }
-                Ok(Some(Err(_))) => return StreamPart::Broken(AttemptFailure::AnswerLost),
-                Ok(None) => break,
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+                Some(Err(_)) => return StreamPart::Broken(AttemptFailure::Silent),
+                Some(Ok(Some(Err(_)))) => return StreamPart::Broken(AttemptFailure::AnswerLost),
+                Some(Ok(None)) => break,
+                Some(Ok(Some(Ok(frame)))) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
             };
-            if !can_resume {
-                self.events.observe(&data);
+            if !self.is_event_stream {
                 self.mark_writing();
                 return StreamPart::Bytes(data);
             }
+            if !can_resume {
+                let passed_on = self.events.observe(&data);
+                if passed_on.is_empty() {
+                    continue;
+                }
+                self.mark_writing();
+                return StreamPart::Bytes(passed_on);
+            }
             if let Some(events) = self.events.push(&data) {
                 self.mark_writing();
                 return StreamPart::Bytes(events);
             }
             if self.events.is_event_too_long() {
-                return StreamPart::Broken(AttemptFailure::InvalidAnswer);
+                return self.invalid_part("an event is too long");
             }
         }
         self.log_if_ended_with_connection();
-        if let Some(failure) = self.failure_at_end() {
-            return StreamPart::Broken(failure);
+        if self.is_cut_off() {
+            return StreamPart::Broken(AttemptFailure::AnswerLost);
         }
-        match self.find_end().await {
-            StreamEnd::WithUpstream if can_resume => StreamPart::Broken(AttemptFailure::AnswerLost),
-            end => StreamPart::End(end),
+        if self.is_resumed_without_event() {
+            return self.invalid_part("it has no event");
+        }
+        let end = self.find_end().await;
+        if end.is_whole() {
+            StreamPart::End(end)
+        } else {
+            StreamPart::Broken(AttemptFailure::AnswerLost)
         }
     }
 
@@ -215,47 +228,49 @@
         self.request.route.can_resume && self.is_event_stream
     }
 
-    /// Returns how the current upstream's part of the stream failed although it has ended as HTTP requires.
-    /// A client discards an event without its blank line. A part that wrote no event proves nothing about
-    /// the stream that it should have gone on with.
-    fn failure_at_end(&self) -> Option<AttemptFailure> {
+    /// Returns whether the current upstream's part of the stream is incomplete although it has ended as HTTP
+    /// requires. A client discards an event without its blank line.
+    fn is_cut_off(&self) -> bool {
         if !self.is_event_stream {
-            return None;
+            return false;
         }
         let scanner = self.events.scanner();
-        if !scanner.is_between_events() {
-            return Some(AttemptFailure::AnswerLost);
-        }
         let framing = self.started.as_ref().map(|started| started.framing);
-        match framing {
-            _ if scanner.has_event() => None,
-            Some(Framing::Connection) => Some(AttemptFailure::AnswerLost),
-            _ => self.resumed.map(|_| AttemptFailure::InvalidAnswer),
+        !scanner.is_between_events() || !scanner.has_event() && framing == Some(Framing::Connection)
+    }
+
+    /// Returns whether the current upstream's response can be what the stream goes on with. Of the first one
+    /// the caller has the status and the headers, of later ones only the events.
+    fn is_rest_of_stream(&self) -> bool {
+        let Some(started) = self.started.as_ref().filter(|_| self.resumed.is_some()) else {
+            return true;
+        };
+        started.head.status == http::StatusCode::OK && is_event_stream(&started.head.headers)
+    }
+
+    /// Returns whether the current upstream wrote no event of the stream that it should have gone on with,
+    /// which proves nothing about that stream.
+    fn is_resumed_without_event(&self) -> bool {
+        self.resumed.is_some() && !self.events.scanner().has_event()
+    }
+
+    /// Logs why what the current upstream wrote is not taken for a part of the stream.
+    fn invalid_part(&self, reason: &str) -> StreamPart {
+        if let Some(started) = &self.started {
+            let id = started.upstream.id();
+            self.router
+                .log_stream_part_invalid(&self.request, &id, reason, self.events.last_id());
         }
+        StreamPart::Broken(AttemptFailure::InvalidAnswer)
     }
 
-    /// Finds out whether the upstream itself has ended with a stream that only its connection frames,
-    /// by opening the connection that replaces the closed one. A draining upstream also refuses
-    /// connections, after its last streams.
-    async fn find_end(&self) -> StreamEnd {
+    /// Finds out whether a stream that has ended between two events is whole.
+    async fn find_end(&self) -> AnswerEnd {
         let Some(started) = &self.started else {
-            return StreamEnd::Unproven;
+            return AnswerEnd::Unknown;
         };
-        if started.framing == Framing::Marked {
-            return StreamEnd::Proven;
-        }
-        let upstream = &started.upstream;
-        let address = upstream.entry.borrow().address;
-        if upstream.state() != UpstreamState::Ready {
-            return StreamEnd::Unproven;
-        }
-        match connect(address).await {
-            Some(connection) => {
-                upstream.connections.keep(connection, &HeaderMap::new());
-                StreamEnd::Proven
-            }
-            None => StreamEnd::WithUpstream,
-        }
+        let (upstream, framing) = (&started.upstream, started.framing);
+        find_answer_end(&self.router, &self.request, upstream, framing).await
     }
 
     /// Logs the end of a stream that only the end of its connection marks.
@@ -295,7 +310,7 @@
 
     /// Clears the request of suspicion if the stream is proven to be complete, and keeps the
     /// connection for reuse.
-    fn finish(&mut self, end: StreamEnd) {
+    fn finish(&mut self, end: AnswerEnd) {
         if let Some(mut started) = self.started.take() {
             if let Some(point) = self.resumed {
                 self.router.log_resumed_stream_ended(
@@ -305,7 +320,7 @@
                     self.events.last_id(),
                 );
             }
-            if matches!(end, StreamEnd::Proven) {
+            if end.is_whole() {
                 self.router.clear_suspicion(
                     &self.request,
                     started.head.status,
@@ -375,7 +390,7 @@
 
     /// Resumes at another upstream after the last whole event; returns false if it can't.
     async fn resume_elsewhere(&mut self, kept: Option<&KeptAttempt<'_>>) -> bool {
-        let last_event_id = self.events.last_id().or(self.request.head.last_event_id);
+        let last_event_id = self.events.last_id();
         self.progress.may_have_run = true;
         let resumed = try_upstreams(
             &self.router,
@@ -389,7 +404,7 @@
         )
         .await;
         match resumed {
-            Ok(UpstreamResponse::Started(started)) if is_event_stream(&started.head.headers) => {
+            Ok(UpstreamResponse::Started(started)) => {
                 self.router
                     .log_stream_resumed(&self.request, &started.upstream, last_event_id);
                 self.events.begin_part();
@@ -397,8 +412,8 @@
                 self.started = Some(started);
                 true
             }
-            Ok(_) => {
-                let reason = "the response is no event stream";
+            Ok(UpstreamResponse::Buffered(_)) => {
+                let reason = "every upstream answered with an error";
                 self.router.log_stream_not_resumed(&self.request, reason);
                 false
             }
--- a/crates/celerystair_net/src/body.rs
+++ b/crates/celerystair_net/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    future::poll_fn,
     pin::Pin,
     task::{Context, Poll},
 };
@@ -44,12 +45,31 @@
         Self::Full(None)
     }
 
-    /// Creates a body from a stream of chunks.
+    /// Creates a body from a stream of chunks. Those before an error are sent first: a connection drops
+    /// what it has buffered when it aborts.
     pub fn chunks(chunks: impl Stream<Item = Result<Bytes, BodyError>> + 'static) -> Self {
-        Self::Chunks(Box::pin(chunks))
+        Self::Chunks(Box::pin(chunks.then(|chunk| async {
+            if chunk.is_err() {
+                yield_once().await;
+            }
+            chunk
+        })))
     }
 }
 
+/// Returns when the task that waits for this is polled again, as it is at once.
+async fn yield_once() {
+    let mut has_yielded = false;
+    poll_fn(|cx| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 impl http_body::Body for HttpBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -80,3 +100,43 @@
         }
     }
 }
+
+/// A complete body that is sent in frames. A stream copies what it sends, so a long body in one frame
+/// would be held twice.
+#[derive(Clone, Debug)]
+pub struct FramedBody {
+    rest: Bytes,
+}
+
+impl FramedBody {
+    const FRAME_MAX_BYTES: usize = 64 * 1024;
+
+    /// Creates a body of known length.
+    pub fn new(bytes: Bytes) -> Self {
+        Self { rest: bytes }
+    }
+}
+
+impl http_body::Body for FramedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let frame_bytes = self.rest.len().min(Self::FRAME_MAX_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(frame_bytes)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! | module | decides |
 //! |---|---|
 //! | [`adapters`] | which adapter an engine loads next, and which one is evicted for it |
+//! | [`answer_end`] | whether an answer that has ended is whole |
+//! | [`bodies`] | whose body a router reads next |
 //! | [`budget`] | whether one more retry fits the fleet-wide retry budget |
 //! | [`caller_limits`] | until when a caller's connection may be idle |
 //! | [`census`] | how many routers divide the fleet-wide limits |
@@ -23,6 +25,7 @@
 //! | [`routes`] | which route a request takes |
 //! | [`spread`] | which peers get gossip directly, and which relay it |
 //! | [`stall`] | whether a stalled request switches to another upstream |
+//! | [`standstill`] | whether a peer was silent, or this process did not run |
 //! | [`stream_versions`] | at which software version a stream goes on |
 //! | [`suspect_part`] | whether the crashes of one part of prompts suffice to refuse it |
 //! | [`suspects`] | which requests are refused because they crash upstreams |
@@ -31,6 +34,8 @@
 //! Why they are separate, and how they fit together: `docs/PLATFORM.md`.
 
 pub mod adapters;
+pub mod answer_end;
+pub mod bodies;
 pub mod budget;
 pub mod caller_limits;
 pub mod census;
@@ -49,6 +54,7 @@
 pub mod routes;
 pub mod spread;
 pub mod stall;
+pub mod standstill;
 pub mod stream_versions;
 pub mod suspect_part;
 pub mod suspects;
@@ -57,6 +63,8 @@
 /// The items that routers and agents use.
 pub mod prelude {
     pub use crate::{
+        answer_end::{AnswerEnd, Listening, PROCESS_END_MS},
+        bodies::{BodyRoom, BodyTicket, SMALL_BODY_MAX_BYTES},
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
         caller_limits::CallerLimitHistory,
         census::RouterCountEstimate,
@@ -81,8 +89,9 @@
         },
         stall::StallInputs,
         stream_versions::{
-            ListCoverage, ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, RouteTargets, StreamId, StreamOrigin,
-            StreamOrigins, ToldStreams, VersionHistory, assumed_version, holders_asked,
+            LIST_PROOF_RETRY_AFTER_MS, LIST_PROOF_WAIT_MS, ListCoverage, ListProof,
+            ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, RouteTargets, StreamId, StreamOrigin, StreamOrigins,
+            ToldStreams, VERSION_PROOF_AGE_MAX_MS, VersionHistory, assumed_version, holders_asked,
             version_holders,
         },
         suspect_part::{
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -44,6 +44,8 @@
     /// Requests that were read, at least in part, and whose connection ended without a complete
     /// response, by `end`.
     pub unanswered: Counter<u64>,
+    /// Answers without a length or chunks, by what is known of their `end`.
+    pub unframed_answers: Counter<u64>,
     /// Gauges of the process's state, set when the metrics are scraped.
     pub gauges: Gauges,
 }
@@ -68,6 +70,8 @@
     pub free_memory_bytes: Gauge<u64>,
     /// Replicas that occupy accelerator memory.
     pub replicas: Gauge<u64>,
+    /// Bytes that the bodies of requests hold.
+    pub request_bodies_bytes: Gauge<u64>,
     /// Routers among which fleet-wide limits are divided.
     pub routers: Gauge<u64>,
     /// Retries that this router may make per window of the retry budget, by `service`.
@@ -96,6 +100,7 @@
             running: gauge("celerystair_running"),
             free_memory_bytes: bytes("celerystair_free_memory"),
             replicas: gauge("celerystair_replicas"),
+            request_bodies_bytes: bytes("celerystair_request_bodies"),
             routers: gauge("celerystair_routers"),
             suspects: gauge("celerystair_suspects"),
             suspects_refused: gauge("celerystair_suspects_refused"),
@@ -144,6 +149,7 @@
             attempts: meter.u64_counter("celerystair_attempts").build(),
             retries: meter.u64_counter("celerystair_retries").build(),
             unanswered: meter.u64_counter("celerystair_unanswered").build(),
+            unframed_answers: meter.u64_counter("celerystair_unframed_answers").build(),
             gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
