Tell agents that have started again where streams began

Cause: a router tells other agents once one that holds a stream leaves the list. A holder was an address, so an agent that had started again, and knew nothing, counted as told. The router that still ran was the last to know the streams.

Fix: a holder is a process.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -50,6 +50,8 @@
 
 /// The state that clones of an [`EngineAgent`] share.
 pub struct EngineAgentInner {
+    /// When this process started.
+    pub started_unix_ms: u64,
     /// The settings of the agent.
     pub settings: EngineAgentSettings,
     /// The logger of the agent.
@@ -147,6 +149,7 @@
     info!(log, "started"; "agent" => &settings.agent_name, "engine" => %settings.engine_address);
     let agent = EngineAgent {
         inner: Rc::new(EngineAgentInner {
+            started_unix_ms: now_unix_ms(),
             settings,
             log,
             metrics: Metrics::new("agent"),
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -188,6 +188,7 @@
             IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
         },
         software_version: agent.software_version.borrow().clone(),
+        agent_started_unix_ms: agent.started_unix_ms,
     })
 }
 
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     front::PlatformRouter,
-    origins::record_origins,
+    origins::{record_agent_start, record_origins},
     suspicion::{merge_part_reports, merge_suspect_reports},
     upstream::Upstream,
 };
@@ -214,6 +214,7 @@
                 }
                 let before = router.engines.get(&status.upstream);
                 if router.engines.insert_if_newer(status.clone()) {
+                    record_agent_start(&router, &status);
                     wake_changed_models(&router, before.as_deref(), &status);
                 }
             }
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -110,7 +110,7 @@
             "route" => &request.route.name, "age_ms" => request.age_ms(now_unix_ms()));
     }
 
-    /// Logs that other agents are told where streams began, as some that held it leave.
+    /// Logs that other agents are told where streams began, as some that held it leave or have started again.
     pub fn log_origins_retold(&self, records: usize, agents: usize) {
         info!(self.log, "stream_origins_retold"; "records" => records, "agents" => agents);
     }
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -123,14 +123,26 @@
     }
 }
 
-/// Tells other agents of streams once some that hold them leave, until `stop` ends. What an agent knows
-/// ends with it, and it ends with its engine.
+/// Records when the agent that sent a status started.
+pub fn record_agent_start(router: &PlatformRouter, status: &EngineStatus) {
+    if status.agent_started_unix_ms == 0 {
+        return;
+    }
+    let port = router.settings.gossip_listen.port();
+    let agent = SocketAddr::new(status.address.into(), port);
+    let mut told = router.told_streams.borrow_mut();
+    told.record_start(agent, status.agent_started_unix_ms);
+}
+
+/// Tells agents of streams once some that hold them leave or start again, until `stop` ends. What an
+/// agent knows ends with its process, and it ends with its engine.
 pub async fn keep_origins_held(router: PlatformRouter, stop: Stop) {
     let mut known: HashSet<SocketAddr> = HashSet::default();
     while !stop.is_ended() {
         let staying = staying_agents(&router);
         let addresses: HashSet<SocketAddr> = staying.iter().map(|agent| agent.address).collect();
-        if !staying.is_empty() && !known.is_subset(&addresses) {
+        let has_lost_holder = router.told_streams.borrow().has_lost_holder();
+        if !staying.is_empty() && (has_lost_holder || !known.is_subset(&addresses)) {
             let messages = router
                 .told_streams
                 .borrow_mut()
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -53,6 +53,8 @@
     pub address: Ipv4Addr,
     /// The version of the engine's software, if its agent knows it.
     pub software_version: Option<SoftwareVersion>,
+    /// When the agent's process started, which tells its starts apart; 0 if its version doesn't tell.
+    pub agent_started_unix_ms: u64,
 }
 
 impl EngineStatus {
@@ -97,6 +99,7 @@
             address: Ipv4Addr::from(news.address),
             software_version: (!news.software_version.is_empty())
                 .then(|| news.software_version.into()),
+            agent_started_unix_ms: news.agent_started_unix_ms,
         }
     }
 
@@ -134,6 +137,7 @@
                 .as_ref()
                 .map(ToString::to_string)
                 .unwrap_or_default(),
+            agent_started_unix_ms: self.agent_started_unix_ms,
         }
     }
 }
@@ -159,6 +163,7 @@
             received_unix_ms: 0,
             address: Ipv4Addr::UNSPECIFIED,
             software_version: None,
+            agent_started_unix_ms: 0,
         }
     }
 }
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -60,6 +60,7 @@
         received_unix_ms: 1000,
         address: Ipv4Addr::new(10, 1, 0, 9),
         software_version: Some("v1.1".into()),
+        agent_started_unix_ms: 1_700_000_000_123,
     })
 }
 
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -205,10 +205,15 @@
     first
 }
 
-/// The streams that a router has told agents of lately, so that others hold them once some of these leave.
+/// The streams that a router has told agents of lately, so that others hold them once some of these leave,
+/// and those that start again hold them anew. A holder is a process, and not an address.
 #[derive(Clone, Debug, Default)]
 pub struct ToldStreams {
     told: VecDeque<ToldStream>,
+    /// When the process at each agent's address started, by the agent's own clock.
+    started_unix_ms: HashMap<SocketAddr, u64>,
+    /// Whether a holder of some stream has started again since.
+    has_lost_holder: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -216,6 +221,8 @@
     stream: StreamId,
     origin: StreamOrigin,
     holders: Vec<SocketAddr>,
+    /// Whether a holder has started again since.
+    has_lost_holder: bool,
     end_unix_ms: u64,
 }
 
@@ -236,12 +243,33 @@
             stream,
             origin,
             holders,
+            has_lost_holder: false,
             end_unix_ms: now_unix_ms.saturating_add(GENERATION_MS),
         });
     }
 
-    /// Returns what other agents are to be told, because agents that hold a stream are no longer among
-    /// those that stay.
+    /// Records when the process of an agent started. What was told to an earlier one at its address is
+    /// lost, as may be what was told before the first start was heard of.
+    pub fn record_start(&mut self, agent: SocketAddr, started_unix_ms: u64) {
+        let known = self.started_unix_ms.insert(agent, started_unix_ms);
+        if known == Some(started_unix_ms) {
+            return;
+        }
+        for told in &mut self.told {
+            let before = told.holders.len();
+            told.holders.retain(|holder| *holder != agent);
+            told.has_lost_holder |= told.holders.len() < before;
+            self.has_lost_holder |= told.has_lost_holder;
+        }
+    }
+
+    /// Whether a holder of some stream has started again and wasn't told of it since.
+    pub fn has_lost_holder(&self) -> bool {
+        self.has_lost_holder
+    }
+
+    /// Returns what agents are to be told, because agents that hold a stream are no longer among those
+    /// that stay, or have started again.
     pub fn retell(
         &mut self,
         staying: &[Peer],
@@ -249,12 +277,16 @@
     ) -> HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> {
         let addresses: HashSet<SocketAddr> = staying.iter().map(|agent| agent.address).collect();
         let mut messages: HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> = HashMap::default();
+        self.has_lost_holder = false;
+        self.started_unix_ms
+            .retain(|agent, _| addresses.contains(agent));
         for told in &mut self.told {
             let has_left = told
                 .holders
                 .iter()
                 .any(|holder| !addresses.contains(holder));
-            if !has_left || now_unix_ms >= told.end_unix_ms {
+            let has_lost = std::mem::take(&mut told.has_lost_holder);
+            if !(has_left || has_lost) || now_unix_ms >= told.end_unix_ms {
                 continue;
             }
             let holders = version_holders(told.stream, staying);
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -598,3 +598,42 @@
         );
     }
 }
+
+/// An agent that starts again is at the address of the one before, and knows nothing.
+#[test]
+fn an_agent_that_has_started_again_is_told_again() {
+    let all = agents(12, 4);
+    let mut told = ToldStreams::default();
+    let streams: Vec<StreamId> = (0..100).map(StreamId).collect();
+    for stream in &streams {
+        let holders = version_holders(*stream, &all);
+        told.record(*stream, origin("v1"), holders, START_UNIX_MS);
+    }
+    for agent in &all {
+        told.record_start(agent.address, 1);
+    }
+    assert!(
+        told.has_lost_holder(),
+        "it may have started before it was heard of"
+    );
+    told.retell(&all, START_UNIX_MS);
+    for agent in &all {
+        told.record_start(agent.address, 1);
+    }
+    assert!(!told.has_lost_holder());
+    assert!(told.retell(&all, START_UNIX_MS).is_empty());
+    for agent in &all {
+        told.record_start(agent.address, 2);
+        let messages = told.retell(&all, START_UNIX_MS);
+        let holds = |stream: &&StreamId| version_holders(**stream, &all).contains(&agent.address);
+        let held: Vec<StreamId> = streams.iter().filter(holds).copied().collect();
+        let retold = messages.get(&agent.address).into_iter().flatten();
+        let retold: Vec<StreamId> = retold.map(|(stream, _)| *stream).collect();
+        assert_eq!(retold, held);
+        assert_eq!(
+            messages.len(),
+            usize::from(!held.is_empty()),
+            "others hold it"
+        );
+    }
+}
