Know a state of the store by its era and revision

A state is (era, revision) now, with the era from the store's header (Store-Era). An answer of a lower era is not used; a higher one ends the watches that wait and has the lists read again. An agent sends no order before it has claimed a token in the new era, above the one it held; each era's tokens begin above those before.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     client::{EngineClient, EngineError},
-    fence::claim_fence,
+    fence::{ClaimedFence, claim_fence, try_claim_fence},
     plan::LoadPlan,
     settings::EngineAgentSettings,
     suspicion::spread_suspects,
@@ -91,6 +91,10 @@
     pub(crate) configs: Mirror<ServingConfig>,
     /// The agent's fencing token; `None` until it is claimed.
     pub(crate) fence: Cell<Option<u64>>,
+    /// The highest token that the agent has held.
+    pub(crate) highest_fence: Cell<Option<u64>>,
+    /// The era of the store in which the token was claimed.
+    fence_era: Cell<u64>,
     /// Polls of the report that failed in a row.
     report_failures: Cell<u32>,
     /// When the engine was last looked up in the list of upstreams.
@@ -168,6 +172,8 @@
             engine_client: EngineClient::new()?,
             configs,
             fence: Cell::default(),
+            highest_fence: Cell::default(),
+            fence_era: Cell::default(),
             report_failures: Cell::default(),
             last_lookup_unix_ms: Cell::default(),
             next_decision_unix_ms: Cell::default(),
@@ -244,11 +250,30 @@
         .detach();
     }
 
+    pub(crate) fn hold_fence(&self, claimed: ClaimedFence) {
+        self.fence.set(Some(claimed.fence));
+        self.highest_fence.set(Some(claimed.fence));
+        self.fence_era.set(claimed.era);
+    }
+
+    /// Claims a token again once, because the store has come back from a copy and may have lost it. Until
+    /// that succeeds, no order is sent.
+    async fn renew_fence(&self, store: &Store) {
+        self.fence.set(None);
+        let held = self.highest_fence.get();
+        if let Some(claimed) = try_claim_fence(&self.settings, store, held, &self.log).await {
+            self.hold_fence(claimed);
+        }
+    }
+
     async fn run(self, store: Store, stop: Stop) {
-        let fence = claim_fence(&self.settings, &store, &self.log).await;
-        self.fence.set(Some(fence));
+        let claimed = claim_fence(&self.settings, &store, None, &self.log).await;
+        self.hold_fence(claimed);
         while !stop.is_draining() {
             let woken = self.wake_event.listen();
+            if store.era() != self.fence_era.get() {
+                self.renew_fence(&store).await;
+            }
             self.poll_report(&store).await;
             if self.can_send_orders() {
                 self.order_loads(&store).await;
--- a/crates/celerystair_engine/src/orders.rs
+++ b/crates/celerystair_engine/src/orders.rs
@@ -82,8 +82,9 @@
         let response = response.ok()?;
         match response {
             OrderResponse::Fenced => {
-                let fence = claim_fence(&self.settings, store, &self.log).await;
-                self.fence.set(Some(fence));
+                let held = self.highest_fence.get();
+                let claimed = claim_fence(&self.settings, store, held, &self.log).await;
+                self.hold_fence(claimed);
             }
             OrderResponse::Misdirected => *self.upstream_id.borrow_mut() = None,
             OrderResponse::Accepted => {
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -249,6 +249,7 @@
 
     async fn follow_upstreams(&self, entries: &Mirror<ListedEntry>, store: &Store, stop: &Stop) {
         let mut recovered_unix_ms = 0;
+        let mut restored_unix_ms = 0;
         while !stop.is_ended() {
             let changed = entries.listen();
             let availability = store.availability();
@@ -260,6 +261,11 @@
                     recovered_unix_ms,
                 );
             }
+            if availability.restored_unix_ms != restored_unix_ms {
+                restored_unix_ms = availability.restored_unix_ms;
+                let mut missing = self.inner.missing.borrow_mut();
+                missing.record_restored_copy(restored_unix_ms);
+            }
             self.apply_upstreams(entries);
             let now = now_unix_ms();
             let next = self.inner.missing.borrow().next_expiry_unix_ms(now);
@@ -359,6 +365,15 @@
         if let Some(known) = upstreams.get(&entry.id) {
             let before = known.entry.borrow().clone();
             if before.is_same_run(&entry) {
+                let state = state_of_run(before.state, entry.state);
+                let entry = if state == entry.state {
+                    entry
+                } else {
+                    Rc::new(UpstreamEntry {
+                        state,
+                        ..(*entry).clone()
+                    })
+                };
                 if before.state != entry.state {
                     info!(self.inner.log, "upstream_state"; "upstream" => %entry.id,
                         "state" => ?entry.state, "in_flight" => known.in_flight());
--- a/crates/celerystair_platform/src/dialect.rs
+++ b/crates/celerystair_platform/src/dialect.rs
@@ -49,6 +49,8 @@
     /// Status of a watch from a revision that the store has compacted; `None` if the API reports
     /// this in the body.
     pub compacted_status: Option<u16>,
+    /// Header in which the store counts how often it has come back from a copy; `None` if it never does.
+    pub era_header: Option<&'static str>,
     /// Whether a status means success.
     pub is_success: fn(status: u16) -> bool,
     /// Decodes the response to a read.
@@ -89,6 +91,7 @@
         },
         conflict_status: 412,
         compacted_status: None,
+        era_header: None,
         is_success: |status| status == 200,
         read_object: |_, body| {
             read_native_object(body).ok_or_else(|| serde::de::Error::custom("no key or version"))
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -2,11 +2,13 @@
 
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
 };
 
 use celerystair_core::prelude::*;
 use event_listener::{Event, EventListener};
+use futures_util::future::{Either, select};
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 
@@ -14,7 +16,7 @@
     backoff::Backoff,
     error::StoreError,
     shared::{SharedItem, SharedItems},
-    store::{Object, Store, WatchReply, shortened},
+    store::{InEra, Object, Store, StoreRevision, WatchReply, shortened},
 };
 
 /// Delay before a watch is renewed, in which changes accumulate. It doubles while changes arrive
@@ -26,6 +28,8 @@
 /// The same for a process that relies on its peers, which watch the store and read the prefix again
 /// themselves.
 const SHARED_REREAD_INTERVAL_MS: u64 = 3_600_000;
+/// How long the first watch after a failed call waits.
+const WATCH_AFTER_FAILURE_MS: u64 = 1;
 /// How often a process that relies on its peers checks whether it must watch the store itself.
 const SHARED_CHECK_INTERVAL_MS: u64 = 500;
 /// A process whose shared items are stale and that can't reach the platform retries after a random
@@ -49,14 +53,15 @@
 struct Inner<T> {
     prefix: String,
     objects: RefCell<HashMap<String, Entry<T>>>,
-    revision: Cell<u64>,
+    /// Up to where the changes are complete.
+    position: Cell<StoreRevision>,
     is_complete: Cell<bool>,
     has_read_store: Cell<bool>,
     changed: Event,
     shared: Option<SharedItems>,
     decode_value: ValueDecoder<T>,
     /// The logged version of each object that can't be decoded.
-    undecodable: RefCell<HashMap<String, u64>>,
+    undecodable: RefCell<HashMap<String, StoreRevision>>,
     /// The number of nameless items in the list that was read last.
     unnamed: Cell<usize>,
 }
@@ -65,7 +70,7 @@
 type ValueDecoder<T> = Box<dyn Fn(&Object) -> Result<T, StoreError>>;
 
 struct Entry<T> {
-    version: u64,
+    version: StoreRevision,
     value: Rc<T>,
 }
 
@@ -110,7 +115,7 @@
             inner: Rc::new(Inner {
                 prefix: prefix.to_owned(),
                 objects: RefCell::default(),
-                revision: Cell::new(0),
+                position: Cell::default(),
                 is_complete: Cell::new(false),
                 has_read_store: Cell::new(false),
                 changed: Event::new(),
@@ -147,7 +152,7 @@
         let objects = self.inner.objects.borrow();
         objects
             .get(name)
-            .map(|entry| (entry.version, entry.value.clone()))
+            .map(|entry| (entry.version.revision, entry.value.clone()))
     }
 
     /// Returns the number of objects.
@@ -183,14 +188,22 @@
 
     /// Applies an object that was read or written outside this mirror, if it is newer.
     pub fn apply(&self, object: &Object) -> Result<(), StoreError> {
+        self.apply_in_era(self.inner.position.get().era, object)
+    }
+
+    fn apply_in_era(&self, era: u64, object: &Object) -> Result<(), StoreError> {
+        let version = StoreRevision {
+            era,
+            revision: object.version,
+        };
         let Some(name) = object.key.strip_prefix(&self.inner.prefix) else {
             return Ok(());
         };
-        if !self.is_newer(name, object.version) {
+        if !self.is_newer(name, version) {
             return Ok(());
         }
         let value = Rc::new((self.inner.decode_value)(object)?);
-        if self.insert_if_newer(name, object.version, value) {
+        if self.insert_if_newer(name, version, value) {
             self.share(&object.key, object.version, &object.value);
         }
         Ok(())
@@ -198,10 +211,12 @@
 
     /// Returns whether `version` is newer than the object in the mirror and than any shared version of
     /// it, which may be a deletion.
-    fn is_newer(&self, name: &str, version: u64) -> bool {
+    fn is_newer(&self, name: &str, version: StoreRevision) -> bool {
         let key = format!("{}{name}", self.inner.prefix);
         let shared = self.inner.shared.as_ref();
+        // Only stores without eras have changes that are shared.
         let shared_version = shared.and_then(|shared| shared.version(&key));
+        let shared_version = shared_version.map(|revision| StoreRevision { era: 0, revision });
         let objects = self.inner.objects.borrow();
         let known = objects.get(name).map(|entry| entry.version);
         known
@@ -210,7 +225,7 @@
     }
 
     /// Stores a value if it [is newer](Self::is_newer). Returns whether it was stored.
-    fn insert_if_newer(&self, name: &str, version: u64, value: Rc<T>) -> bool {
+    fn insert_if_newer(&self, name: &str, version: StoreRevision, value: Rc<T>) -> bool {
         if !self.is_newer(name, version) {
             return false;
         }
@@ -222,16 +237,16 @@
     }
 
     /// Removes an object that was deleted at or before `revision`.
-    fn remove(&self, name: &str, revision: u64) {
+    fn remove(&self, name: &str, deleted_at: StoreRevision) {
         let mut objects = self.inner.objects.borrow_mut();
         let known = objects.get(name).map(|entry| entry.version);
-        if known.is_none_or(|version| version > revision) {
+        if known.is_none_or(|version| version > deleted_at) {
             return;
         }
         objects.remove(name);
         drop(objects);
         let key = format!("{}{name}", self.inner.prefix);
-        self.share(&key, revision, &serde_json::Value::Null);
+        self.share(&key, deleted_at.revision, &serde_json::Value::Null);
         self.inner.changed.notify(usize::MAX);
     }
 
@@ -257,8 +272,12 @@
         let Some(name) = item.key.strip_prefix(&self.inner.prefix) else {
             return;
         };
+        let version = StoreRevision {
+            era: 0,
+            revision: item.version,
+        };
         if item.value.is_empty() {
-            self.remove(name, item.version);
+            self.remove(name, version);
         } else if let Ok(value) = serde_json::from_slice(&item.value) {
             let object = Object {
                 key: item.key.clone(),
@@ -267,7 +286,7 @@
                 ..Object::default()
             };
             if let Ok(value) = (self.inner.decode_value)(&object) {
-                self.insert_if_newer(name, item.version, Rc::new(value));
+                self.insert_if_newer(name, version, Rc::new(value));
             }
         }
         // Items that this version can't decode, and deletions of objects that it did not have, are
@@ -300,7 +319,9 @@
             } else {
                 SHARED_REREAD_INTERVAL_MS
             };
-            let is_due = !self.is_complete() || started_unix_ms >= last_read_unix_ms + interval_ms;
+            let is_due = !self.is_complete()
+                || started_unix_ms >= last_read_unix_ms + interval_ms
+                || store.era() != self.inner.position.get().era;
             if !is_due && !self.should_query_store() {
                 sleep_ms(rand::random_range(
                     SHARED_CHECK_INTERVAL_MS / 2..=SHARED_CHECK_INTERVAL_MS,
@@ -311,7 +332,7 @@
             let result = if is_due {
                 self.reread(store).await
             } else {
-                self.watch(store).await
+                self.watch(store, failing_since_unix_ms.is_some()).await
             };
             if is_due && result.is_ok() {
                 // Jitter, so that processes that started together don't read at the same time.
@@ -355,12 +376,14 @@
             (Some(error), None) => {
                 warn!(store.log(), "objects_not_followed"; "prefix" => prefix,
                     "call" => if is_list { "list" } else { "watch" },
-                    "revision" => self.inner.revision.get(), "error" => shortened(error));
+                    "revision" => self.inner.position.get().revision,
+                    "era" => self.inner.position.get().era, "error" => shortened(error));
                 *failing_since_unix_ms = Some(now);
             }
             (None, Some(since_unix_ms)) => {
                 info!(store.log(), "objects_followed_again"; "prefix" => prefix,
-                    "revision" => self.inner.revision.get(),
+                    "revision" => self.inner.position.get().revision,
+                    "era" => self.inner.position.get().era,
                     "failing_ms" => now.saturating_sub(since_unix_ms));
                 *failing_since_unix_ms = None;
             }
@@ -371,15 +394,19 @@
     /// Logs an object that can't be decoded, once for each version.
     fn log_undecodable(&self, store: &Store, object: &Object, error: &StoreError) {
         let mut undecodable = self.inner.undecodable.borrow_mut();
-        let logged = undecodable.insert(object.key.clone(), object.version);
-        if logged != Some(object.version) {
+        let version = StoreRevision {
+            era: self.inner.position.get().era,
+            revision: object.version,
+        };
+        let logged = undecodable.insert(object.key.clone(), version);
+        if logged != Some(version) {
             warn!(store.log(), "object_unreadable"; "key" => shortened(&object.key),
                 "version" => object.version, "error" => shortened(error));
         }
     }
 
     async fn reread(&self, store: &Store) -> Result<(), StoreError> {
-        let list = store.list(&self.inner.prefix).await?;
+        let InEra { era, value: list } = store.list_in_era(&self.inner.prefix).await?;
         if self.inner.unnamed.replace(list.unnamed) != list.unnamed {
             warn!(store.log(), "objects_unnamed"; "prefix" => &self.inner.prefix,
                 "revision" => list.revision, "unnamed" => list.unnamed);
@@ -388,6 +415,10 @@
             warn!(store.log(), "list_partial"; "prefix" => &self.inner.prefix,
                 "revision" => list.revision, "objects" => list.objects.len());
         }
+        let read_at = StoreRevision {
+            era,
+            revision: list.revision,
+        };
         // What a partial list lacks may be on a page that wasn't read.
         let deleted: Vec<String> = if list.is_partial {
             Vec::new()
@@ -396,7 +427,7 @@
             let listed: HashSet<&str> = list.objects.iter().map(|o| o.key.as_str()).collect();
             objects
                 .iter()
-                .filter(|(_, entry)| entry.version <= list.revision)
+                .filter(|(_, entry)| entry.version <= read_at)
                 .map(|(name, _)| format!("{}{name}", self.inner.prefix))
                 .filter(|key| !listed.contains(key.as_str()))
                 .collect()
@@ -407,34 +438,51 @@
             deleted,
             ..WatchReply::default()
         };
-        self.apply_changes(store, &reply);
-        self.advance_revision(reply.revision);
+        self.apply_changes(store, era, &reply);
+        self.advance_position(read_at);
         self.inner.has_read_store.set(true);
         self.mark_complete();
         Ok(())
     }
 
-    async fn watch(&self, store: &Store) -> Result<(), StoreError> {
-        let reply = store
-            .watch(&self.inner.prefix, self.inner.revision.get())
-            .await?;
-        if reply.too_old {
+    async fn watch(&self, store: &Store, is_after_failure: bool) -> Result<(), StoreError> {
+        // A watch that waits tells only at its end that the store is in a new era.
+        let wait_ms = if is_after_failure {
+            WATCH_AFTER_FAILURE_MS
+        } else {
+            store.settings().watch_timeout_ms
+        };
+        let position = self.inner.position.get();
+        let new_era = store.listen_for_era();
+        if store.era() != position.era {
             return self.reread(store).await;
         }
-        self.apply_changes(store, &reply);
+        let watch = pin!(store.watch_in_era(&self.inner.prefix, position.revision, wait_ms));
+        let InEra { era, value: reply } = match select(watch, new_era).await {
+            Either::Left((reply, _)) => reply?,
+            // Another call has shown a new era, in which this revision is of another state.
+            Either::Right(_) => return self.reread(store).await,
+        };
+        if reply.too_old || era != position.era {
+            return self.reread(store).await;
+        }
+        self.apply_changes(store, era, &reply);
         // Whichever object such an event is about, the one before it may be in use. Until the list has
         // been read, the revision stays, so that the event comes again.
         if reply.unnamed > 0 {
             self.reread(store).await?;
         }
-        self.advance_revision(reply.revision);
+        self.advance_position(StoreRevision {
+            era,
+            revision: reply.revision,
+        });
         Ok(())
     }
 
-    fn apply_changes(&self, store: &Store, reply: &WatchReply) {
+    fn apply_changes(&self, store: &Store, era: u64, reply: &WatchReply) {
         for object in &reply.objects {
             // If this version can't decode the object, the last decodable value stays.
-            if let Err(error) = self.apply(object) {
+            if let Err(error) = self.apply_in_era(era, object) {
                 self.log_undecodable(store, object, &error);
             }
         }
@@ -443,12 +491,16 @@
             let Some(name) = key.strip_prefix(&self.inner.prefix) else {
                 continue;
             };
-            self.remove(name, reply.revision);
+            let deleted_at = StoreRevision {
+                era,
+                revision: reply.revision,
+            };
+            self.remove(name, deleted_at);
         }
     }
 
-    fn advance_revision(&self, revision: u64) {
-        let known = self.inner.revision.get();
-        self.inner.revision.set(known.max(revision));
+    fn advance_position(&self, position: StoreRevision) {
+        let known = self.inner.position.get();
+        self.inner.position.set(known.max(position));
     }
 }
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -6,9 +6,10 @@
 };
 
 use celerystair_core::{prelude::*, time::before_deadline};
+use event_listener::{Event, EventListener};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
-use slog::{Discard, Logger, o, warn};
+use slog::{Discard, Logger, info, o, warn};
 
 use crate::{
     dialect::{StoreDialect, WireCall, get_call, native_dialect},
@@ -46,6 +47,23 @@
     30_000
 }
 
+/// The identity of a state of the store. A store that comes back from an older copy begins a new era, in
+/// which it gives out revisions again.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StoreRevision {
+    /// How often the store has come back from a copy; 0 if it doesn't tell.
+    pub era: u64,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
+/// What was read from the store, and the era that it belongs to.
+#[derive(Clone, Debug)]
+pub(crate) struct InEra<T> {
+    pub(crate) era: u64,
+    pub(crate) value: T,
+}
+
 /// Condition of a write: the version that the object must have.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Expected {
@@ -134,6 +152,10 @@
     dialect: StoreDialect,
     rate_limiter: RateLimiter,
     availability: Cell<StoreAvailability>,
+    era_changed: Event,
+    /// Whether an answer has named its era.
+    is_era_named: Cell<bool>,
+    is_bad_era_logged: Cell<bool>,
     log: RefCell<Logger>,
     /// The last list of instances with its `ETag`, so that the platform need not send an unchanged
     /// list again.
@@ -150,6 +172,10 @@
     pub recovered_unix_ms: u64,
     /// Start of the last outage that has ended.
     pub last_outage_start_unix_ms: u64,
+    /// The highest era that was seen.
+    pub era: u64,
+    /// When it was first seen that the store has come back from a copy; 0 if it never has.
+    pub restored_unix_ms: u64,
 }
 
 /// A call to the object API.
@@ -164,6 +190,8 @@
 /// The response to a call.
 struct StoreResponse {
     status: u16,
+    /// The era that the store names; `None` if it names none that can be read.
+    era: Option<u64>,
     /// `ETag` of the body; empty if the platform sent none.
     etag: String,
     body: Vec<u8>,
@@ -186,6 +214,9 @@
                 client,
                 dialect,
                 availability: Cell::default(),
+                era_changed: Event::new(),
+                is_era_named: Cell::default(),
+                is_bad_era_logged: Cell::default(),
                 log: RefCell::new(Logger::root(Discard, o!())),
                 rate_limiter: RateLimiter::new(settings.calls_per_second),
                 instances: RefCell::default(),
@@ -229,6 +260,16 @@
         self.inner.availability.get()
     }
 
+    /// Returns the highest era of the store that was seen.
+    pub fn era(&self) -> u64 {
+        self.availability().era
+    }
+
+    /// Returns a listener for the next change of the era.
+    pub(crate) fn listen_for_era(&self) -> EventListener {
+        self.inner.era_changed.listen()
+    }
+
     /// Reads one object; `None` if it does not exist.
     pub async fn get_with_priority(
         &self,
@@ -247,12 +288,25 @@
 
     /// Reads all objects below `prefix`, page by page. Ends early, and says so, if a page leads no further.
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, StoreError> {
+        Ok(self.list_in_era(prefix).await?.value)
+    }
+
+    /// Reads as [`Self::list`], and returns the era of the list.
+    ///
+    /// # Errors
+    /// [`StoreError::Failed`] also if a new era began between two pages.
+    pub(crate) async fn list_in_era(&self, prefix: &str) -> Result<InEra<ObjectList>, StoreError> {
         let dialect = &self.inner.dialect;
         let mut list = ObjectList::default();
         let mut after: Option<String> = None;
+        let mut first_era = None;
         for _ in 0..PAGES_MAX {
             let call = (dialect.list)(prefix, after.as_deref());
             let response = self.call(call, CallPriority::Normal).await?;
+            let era = self.era();
+            if *first_era.get_or_insert(era) != era {
+                return Err(failed(&"a new era of the store began between two pages"));
+            }
             let body = self.success_body(&response)?;
             let page =
                 (dialect.read_list)(prefix, body).map_err(|error| bad_object(prefix, &error))?;
@@ -265,7 +319,7 @@
             list.unnamed = list.unnamed.saturating_add(page.list.unnamed);
             list.is_partial |= page.list.is_partial;
             if page.after.is_none() {
-                return Ok(list);
+                return Ok(InEra { era, value: list });
             }
             if page.after == after {
                 break;
@@ -273,7 +327,8 @@
             after = page.after;
         }
         list.is_partial = true;
-        Ok(list)
+        let era = first_era.unwrap_or_default();
+        Ok(InEra { era, value: list })
     }
 
     /// Writes `value` if the object is as `expected`, and returns the new version.
@@ -330,8 +385,18 @@
 
     /// Waits until something below `prefix` changes after `revision`.
     pub async fn watch(&self, prefix: &str, revision: u64) -> Result<WatchReply, StoreError> {
-        let dialect = &self.inner.dialect;
         let wait_ms = self.inner.settings.watch_timeout_ms;
+        Ok(self.watch_in_era(prefix, revision, wait_ms).await?.value)
+    }
+
+    /// Waits up to `wait_ms` as [`Self::watch`], and returns the era of the reply.
+    pub(crate) async fn watch_in_era(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait_ms: u64,
+    ) -> Result<InEra<WatchReply>, StoreError> {
+        let dialect = &self.inner.dialect;
         let response = self
             .send(StoreCall {
                 wire: (dialect.watch)(prefix, revision, wait_ms),
@@ -340,14 +405,17 @@
                 deadline_unix_ms: now_unix_ms() + wait_ms + self.inner.settings.call_timeout_ms,
             })
             .await?;
-        if dialect.compacted_status == Some(response.status) {
-            return Ok(WatchReply {
+        let era = self.era();
+        let value = if dialect.compacted_status == Some(response.status) {
+            WatchReply {
                 too_old: true,
                 ..WatchReply::default()
-            });
-        }
-        let body = self.success_body(&response)?;
-        (dialect.read_watch)(prefix, body).map_err(|error| bad_object(prefix, &error))
+            }
+        } else {
+            let body = self.success_body(&response)?;
+            (dialect.read_watch)(prefix, body).map_err(|error| bad_object(prefix, &error))?
+        };
+        Ok(InEra { era, value })
     }
 
     /// Reads the platform's list of instances.
@@ -417,6 +485,7 @@
         match outcome {
             Some(Ok(response)) => {
                 self.inner.rate_limiter.record_status(response.status);
+                self.record_era(response.era)?;
                 Ok(response)
             }
             Some(Err(cyper::Error::HyperClient(error))) if error.is_connect() => {
@@ -444,6 +513,54 @@
         self.inner.availability.set(availability);
     }
 
+    /// Records the era that an answer names.
+    ///
+    /// # Errors
+    /// The answer is of an earlier era than another one, so what it tells no longer holds.
+    fn record_era(&self, era: Option<u64>) -> Result<(), StoreError> {
+        let mut availability = self.inner.availability.get();
+        let Some(era) = era else {
+            return Ok(());
+        };
+        let known = availability.era;
+        if era == known {
+            self.inner.is_era_named.set(true);
+            return Ok(());
+        }
+        if era < known {
+            let detail =
+                format!("the answer is of era {era} of the store, which is in era {known}");
+            warn!(self.log(), "store_answer_of_earlier_era"; "era" => era, "known" => known);
+            return Err(StoreError::OutcomeUnknown { detail });
+        }
+        info!(self.log(), "store_era"; "era" => era, "before" => known);
+        let now = now_unix_ms();
+        availability.era = era;
+        // The first era that is named is no change. A later one ends an outage, seen or not.
+        if self.inner.is_era_named.replace(true) {
+            availability.restored_unix_ms = now;
+            availability.last_outage_start_unix_ms = match availability.last_outage_start_unix_ms {
+                0 => now,
+                start_unix_ms => start_unix_ms,
+            };
+            availability.recovered_unix_ms = now;
+        }
+        self.inner.availability.set(availability);
+        self.inner.era_changed.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Reads the header that names the store's era.
+    fn named_era(&self, headers: &http::HeaderMap) -> Option<u64> {
+        let header = self.inner.dialect.era_header?;
+        let value = headers.get(header);
+        let era = value.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        if era.is_none() && !self.inner.is_bad_era_logged.replace(true) {
+            warn!(self.log(), "store_era_unread"; "value" => value.map(|value| format!("{value:?}")));
+        }
+        era
+    }
+
     async fn send_request(&self, call: StoreCall<'_>) -> Result<StoreResponse, cyper::Error> {
         let url = format!("{}{}", self.inner.settings.url, call.wire.path);
         let mut request = self.inner.client.request(call.wire.method, url)?;
@@ -457,6 +574,7 @@
         let etag = response.headers().get(http::header::ETAG);
         Ok(StoreResponse {
             status: response.status().as_u16(),
+            era: self.named_era(response.headers()),
             etag: etag
                 .and_then(|tag| tag.to_str().ok())
                 .unwrap_or_default()
--- a/crates/celerystair_policy/src/departures.rs
+++ b/crates/celerystair_policy/src/departures.rs
@@ -27,6 +27,15 @@
     }
 }
 
+/// Returns the state of a run that had the state `before` and is now listed otherwise. One that drains
+/// takes no requests again, though a store that comes back from a copy lists it as it was.
+pub fn state_of_run(before: UpstreamState, listed: UpstreamState) -> UpstreamState {
+    match before {
+        UpstreamState::Draining => UpstreamState::Draining,
+        UpstreamState::Ready => listed,
+    }
+}
+
 /// Upstreams that are missing from the list, each with a grace period in which it may reappear.
 #[derive(Clone, Debug, Default)]
 pub struct MissingUpstreams {
@@ -43,6 +52,11 @@
         }
     }
 
+    /// Records that the store has come back from a copy, which may lack entries; starts the grace period.
+    pub fn record_restored_copy(&mut self, now_unix_ms: u64) {
+        self.grace_until_unix_ms = now_unix_ms + REAPPEARANCE_GRACE_MS;
+    }
+
     /// Records that `upstream` is missing, and returns whether it is still used for now.
     pub fn is_in_grace_period(&mut self, upstream: &UpstreamId, now_unix_ms: u64) -> bool {
         let grace_until_unix_ms = self.grace_until_unix_ms;
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`cold_loads`] | how many loads from the weight store run concurrently |
 //! | [`demand`] | the request rate of each model |
 //! | [`departures`] | when an upstream counts as gone |
+//! | [`fences`] | the next fencing token of an agent's orders |
 //! | [`fleet`] | nothing: types of the configuration and the upstreams |
 //! | [`health`] | which upstreams are avoided for a while after failures |
 //! | [`outcome`] | what happens to a request after a failed attempt |
@@ -40,6 +41,7 @@
 pub mod cold_loads;
 pub mod demand;
 pub mod departures;
+pub mod fences;
 pub mod fleet;
 pub mod health;
 pub mod outcome;
@@ -66,7 +68,10 @@
         choose::{Candidate, choose_upstream, has_capacity},
         cold_loads::{ColdLoadObservations, ColdLoadRun},
         demand::DemandMeter,
-        departures::{MissingUpstreams, may_take_over, replaced_entries, upstream_state},
+        departures::{
+            MissingUpstreams, may_take_over, replaced_entries, state_of_run, upstream_state,
+        },
+        fences::next_fence,
         fleet::{
             CallerLimits, EngineConfig, EngineState, LoadedModel, ModelConfig, RequestKind, Route,
             RouteTarget, ServiceConfig, ServingConfig, UpstreamEntry, UpstreamState,
