Give back what a body in chunks didn't need of its room

Callers saw 503 for want of room although the bodies held were small: a chunked body reserves 64 KiB, or all of BodyBytes once it is larger, and kept that until its request or stream had ended. Once its last frame has come, a body now keeps its own length only, in the class of that length, and its buffer is shrunk.

--- a/crates/celerystair_front/src/bodies.rs
+++ b/crates/celerystair_front/src/bodies.rs
@@ -3,7 +3,7 @@
 
 use std::{cell::RefCell, pin::pin, rc::Rc};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_policy::prelude::*;
 use event_listener::Event;
@@ -135,7 +135,7 @@
         wait_until_unix_ms,
     )
     .await?;
-    let mut bytes = BytesMut::with_capacity(declared_bytes.unwrap_or(0) as usize);
+    let mut bytes = Vec::with_capacity(declared_bytes.unwrap_or(0) as usize);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             let detail = format!("the connection failed before the body was complete: {error}");
@@ -158,11 +158,13 @@
                 wait_until_unix_ms,
             )
             .await?;
-            bytes.reserve(body_max_bytes - bytes.len());
+            bytes.reserve_exact(body_max_bytes - bytes.len());
         }
         bytes.extend_from_slice(&data);
     }
-    Ok((bytes.freeze(), reservation))
+    bytes.shrink_to_fit();
+    shrink(&mut reservation, bytes.len() as u64);
+    Ok((Bytes::from(bytes), reservation))
 }
 
 fn too_large(body_max_bytes: usize) -> Refusal {
@@ -175,6 +177,16 @@
     Refusal::not_run(RefusalReason::Overloaded, detail).retry_after(NO_ROOM_RETRY_AFTER_MS)
 }
 
+/// Keeps only the room of a body that has come whole, which the request holds until it has ended.
+fn shrink(reservation: &mut BodyReservation, bytes: u64) {
+    let admitted_bytes = std::mem::replace(&mut reservation.bytes, bytes);
+    let bodies = &reservation.bodies;
+    bodies.room.borrow_mut().shrink(admitted_bytes, bytes);
+    if bytes < admitted_bytes {
+        bodies.changed.notify(usize::MAX);
+    }
+}
+
 fn outgrow(reservation: &mut BodyReservation) -> Result<(), Refusal> {
     let bytes = std::mem::take(&mut reservation.bytes);
     let may_wait = reservation.bodies.room.borrow_mut().outgrow(bytes);
--- a/crates/celerystair_policy/src/bodies.rs
+++ b/crates/celerystair_policy/src/bodies.rs
@@ -100,6 +100,14 @@
         *held = held.saturating_sub(bytes);
     }
 
+    /// Gives back what a body without a length got beyond the `bytes` that have come of it. What it keeps
+    /// may be the room of a small body although it was admitted as a large one.
+    pub fn shrink(&mut self, admitted_bytes: u64, bytes: u64) {
+        let kept_bytes = bytes.min(admitted_bytes);
+        self.release(admitted_bytes);
+        *self.held(kept_bytes) += kept_bytes;
+    }
+
     /// Turns the room of a small body that proves large into the bytes that have come of it, so that
     /// it doesn't keep small ones waiting. Returns whether it may wait for more room: what such bodies
     /// hold meanwhile is bounded too.
--- a/crates/celerystair_policy/tests/bodies.rs
+++ b/crates/celerystair_policy/tests/bodies.rs
@@ -78,6 +78,41 @@
     assert_eq!(room.held_bytes(), 0);
 }
 
+// Bodies without a length kept the room of the longest ones, so a few hundred small ones filled it.
+#[test]
+fn short_bodies_without_a_length_find_room_beside_each_other_while_their_requests_run() {
+    let mut room = BodyRoom::new(MEMORY_BYTES);
+    for number in 0..600 {
+        let body = join(&mut room, SMALL_BODY_MAX_BYTES);
+        assert!(room.admit(body), "body {number}");
+        room.shrink(SMALL_BODY_MAX_BYTES, SMALL_BYTES);
+    }
+    assert_eq!(room.held_bytes(), 600 * SMALL_BYTES);
+    (0..600).for_each(|_| room.release(SMALL_BYTES));
+    assert_eq!(room.held_bytes(), 0);
+}
+
+#[test]
+fn bodies_without_a_length_keep_the_room_of_their_class_once_they_have_come() {
+    for bytes in [0, SMALL_BYTES, SMALL_BODY_MAX_BYTES, 70_000, LARGE_BYTES] {
+        let mut room = BodyRoom::new(MEMORY_BYTES);
+        let mut bodies = 0;
+        while bodies < 100 {
+            let body = join(&mut room, LARGE_BYTES);
+            if !room.admit(body) {
+                break;
+            }
+            room.shrink(LARGE_BYTES, bytes);
+            bodies += 1;
+            assert_eq!(room.held_bytes(), bodies * bytes);
+            assert!(room.held_bytes() <= ROOM_BYTES);
+        }
+        assert_eq!(bodies == 100, bytes <= 70_000, "{bodies} of {bytes} bytes");
+        (0..bodies).for_each(|_| room.release(bytes));
+        assert_eq!(room.held_bytes(), 0, "{bytes}");
+    }
+}
+
 #[test]
 fn a_body_larger_than_the_room_goes_alone() {
     let mut room = BodyRoom::new(MEMORY_BYTES);
