Send no empty chunk before an agent's refusal

An agent whose upstream's first bytes are no event sent an empty chunk before its refusal. A router takes the first chunk of a stream for the beginning of the response, so the caller got a response that broke off instead of one from another upstream. The agent now sends the whole events before the error only if there are some.

Before: an_error_before_any_event_leaves_the_agent_as_a_refusal_alone saw the chunks [[]] where [] is due. After: it passes, as do the other 6 tests of cut_streams. submit_for_body gives the chunks now (submit_for_chunks); its tests check the same bytes as before.

--- a/crates/celerystair_agent/src/answer.rs
+++ b/crates/celerystair_agent/src/answer.rs
@@ -266,7 +266,10 @@
         let events_end = scanner.scan(&chunk);
         if is_event_stream && let Some(reason) = scanner.invalid_event() {
             let whole_events = chunk.slice(..events_end.unwrap_or(0));
-            send_event(agent, request, events, Step::Chunk(whole_events)).await;
+            // The router passes on whatever comes as a chunk, after which it can't repeat the request.
+            if !whole_events.is_empty() {
+                send_event(agent, request, events, Step::Chunk(whole_events)).await;
+            }
             let detail = reason.as_str().to_owned();
             return Err(upstream_refusal(&UpstreamError::Interrupted { detail }));
         }
--- a/tests/cut_streams.rs
+++ b/tests/cut_streams.rs
@@ -16,7 +16,7 @@
         prelude::{CallPriority, Expected, ServiceObject},
     },
 };
-use rig::{Rig, agent_settings, submit_for_body, wait_until};
+use rig::{Rig, agent_settings, submit_for_chunks, wait_until};
 
 /// Starts an upstream that ends each response without a length or chunks; returns its URL.
 fn start_upstream(body: &'static str) -> String {
@@ -41,6 +41,13 @@
 
 /// The same, and gives the body that the agent passed on.
 fn read_from_upstream(body: &'static str) -> (String, Result<(), RefusalReason>) {
+    let (chunks, result) = read_chunks_from_upstream(body);
+    let body = chunks.concat();
+    (String::from_utf8_lossy(&body).into_owned(), result)
+}
+
+/// The same, and gives the chunks in which the agent passed it on.
+fn read_chunks_from_upstream(body: &'static str) -> (Vec<Vec<u8>>, Result<(), RefusalReason>) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async move {
         let rig = Rig::start();
@@ -50,10 +57,10 @@
         };
         let agent = rig.agent(settings, &rig.stop).await;
         let life = &agent.agent.incarnation;
-        let mut body = Vec::new();
+        let mut chunks = Vec::new();
         let sent_unix_ms = now_unix_ms();
-        let result = submit_for_body(agent.address, life, "", sent_unix_ms, &mut body).await;
-        (String::from_utf8_lossy(&body).into_owned(), result)
+        let result = submit_for_chunks(agent.address, life, "", sent_unix_ms, &mut chunks).await;
+        (chunks, result)
     })
 }
 
@@ -84,6 +91,14 @@
     }
 }
 
+// An agent passed an empty chunk on before it refused, after which a router doesn't repeat the request.
+#[test]
+fn an_error_before_any_event_leaves_the_agent_as_a_refusal_alone() {
+    let (chunks, result) = read_chunks_from_upstream("bad error\n\n");
+    assert_eq!(chunks, Vec::<Vec<u8>>::new());
+    assert_eq!(result, Err(RefusalReason::UpstreamFailed));
+}
+
 #[test]
 fn events_with_every_field_and_comments_leave_the_agent_as_they_are() {
     const ANSWER: &str = ": wait\n\nevent: token\nid: 7\nretry: 10\ndata: HTTP/1.1 500 x\n\n\
--- a/tests/support/rig.rs
+++ b/tests/support/rig.rs
@@ -294,17 +294,17 @@
     model: &str,
     sent_unix_ms: u64,
 ) -> Result<(), RefusalReason> {
-    let mut body = Vec::new();
-    submit_for_body(address, life, model, sent_unix_ms, &mut body).await
+    let mut chunks = Vec::new();
+    submit_for_chunks(address, life, model, sent_unix_ms, &mut chunks).await
 }
 
-/// The same, and gives the body as far as it came.
-pub async fn submit_for_body(
+/// The same, and gives the chunks of the body as far as they came.
+pub async fn submit_for_chunks(
     address: SocketAddr,
     life: &str,
     model: &str,
     sent_unix_ms: u64,
-    body: &mut Vec<u8>,
+    chunks: &mut Vec<Vec<u8>>,
 ) -> Result<(), RefusalReason> {
     let model = ModelRef::parse(model);
     let channel = Connection::new(address).channel().await;
@@ -337,7 +337,7 @@
             .into_inner();
         while let Ok(Some(event)) = events.message().await {
             match event.event {
-                Some(Step::Chunk(chunk)) => body.extend_from_slice(&chunk),
+                Some(Step::Chunk(chunk)) => chunks.push(chunk.to_vec()),
                 Some(Step::End(_)) => return Ok(()),
                 Some(Step::Refused(refused)) => {
                     return Err(RefusalReason::from_wire_name(&refused.reason));
