Pass an upstream's error on that consists of its head

A 500 without a body, a length or chunks was answered 502, as if its upstream had stopped behind the head. Only a success promises a body, so the rule that an empty unframed body was cut off holds for successes alone. An error's JSON that breaks off still counts as cut off.

Before: an_error_that_consists_of_its_head_reaches_its_caller got 502 where 500 is due. After: it passes, as do the five other tests of cut_answers whose names begin with an_.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -515,7 +515,7 @@
                 bytes.extend_from_slice(&data);
             }
         }
-        if is_cut_off(framing, &head.headers, &bytes) {
+        if is_cut_off(framing, &head, &bytes) {
             return Err(AttemptFailure::AnswerLost);
         }
         let end = find_answer_end(router, request, &upstream, framing).await;
--- a/crates/celerystair_front/src/framing.rs
+++ b/crates/celerystair_front/src/framing.rs
@@ -21,14 +21,17 @@
 }
 
 /// Returns whether a buffered response that ends with its connection lacks its end: it is a JSON
-/// document that breaks off, or has no body at all, as after an upstream that stops behind the head.
-pub fn is_cut_off(framing: Framing, headers: &HeaderMap, body: &[u8]) -> bool {
-    let content_type = headers.get(header::CONTENT_TYPE);
+/// document that breaks off, or has no body at all, as after an upstream that stops behind the head. An
+/// error may consist of its head.
+pub fn is_cut_off(framing: Framing, head: &Parts, body: &[u8]) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    let lacks_body = head.status.is_success() && body.is_empty();
     let is_cut_json = || {
         content_type.is_some_and(|value| has_media_type(value, b"application/json"))
+            && !body.is_empty()
             && serde_json::from_slice::<IgnoredAny>(body).is_err_and(|error| error.is_eof())
     };
-    framing == Framing::Connection && (body.is_empty() || is_cut_json())
+    framing == Framing::Connection && (lacks_body || is_cut_json())
 }
 
 fn has_media_type(content_type: &HeaderValue, media_type: &[u8]) -> bool {
