Count a marked answer without events as no failure of its engine

A stream that breaks off after its last event is sent on, and a sound engine answers it with no event and a marked end. That counted as a conclusive failure: the engine was in backoff for half a second, and the stream was sent to the next one, which wrote no more. The stream still breaks off at its caller, as nothing tells that it was whole, but the engine keeps its health and its connection, and no other one is asked. The log line is stream_not_resumed, with the upstream in its detail, where stream_part_invalid and stream_broken were.

--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -57,6 +57,8 @@
     Silent,
     /// The response is complete as far as HTTP and its events tell.
     End(AnswerEnd),
+    /// The response that the stream should have gone on with is complete, and has no event.
+    EmptyRest,
     /// The response broke off, or the deadline has passed.
     Broken(AttemptFailure),
 }
@@ -114,6 +116,10 @@
                     self.finish(end);
                     return None;
                 }
+                StreamPart::EmptyRest => {
+                    self.break_off_after_empty_rest();
+                    return Some(Err(BodyError));
+                }
                 StreamPart::Silent => {
                     if !self.leave_silent_upstream().await {
                         return Some(Err(BodyError));
@@ -208,7 +214,7 @@
             return StreamPart::Broken(AttemptFailure::AnswerLost);
         }
         if self.is_resumed_without_event() {
-            return self.invalid_part("it has no event");
+            return StreamPart::EmptyRest;
         }
         let end = self.find_end().await;
         if end.is_whole() {
@@ -249,7 +255,7 @@
     }
 
     /// Returns whether the current upstream wrote no event of the stream that it should have gone on with,
-    /// which proves nothing about that stream.
+    /// which proves nothing about that stream: it is also what a sound one writes after the last event.
     fn is_resumed_without_event(&self) -> bool {
         self.resumed.is_some() && !self.events.scanner().has_event()
     }
@@ -335,6 +341,22 @@
         }
     }
 
+    /// Ends the current upstream's part, which has no event. That is no failure of the upstream, and another
+    /// one would write no more after the last event.
+    fn break_off_after_empty_rest(&mut self) {
+        let Some(mut started) = self.started.take() else {
+            return;
+        };
+        let reason = format!(
+            "{} wrote no event after the last one",
+            started.upstream.id()
+        );
+        self.router.log_stream_not_resumed(&self.request, &reason);
+        started.run.finish();
+        let connections = &started.upstream.connections;
+        connections.keep(started.connection, &started.head.headers);
+    }
+
     /// Resumes at another upstream after the last whole event; returns false if it can't.
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         let Some(mut started) = self.started.take() else {
