--- a/tests/cut_streams.rs
+++ b/tests/cut_streams.rs
@@ -149,7 +149,7 @@
 fn read_feed(router: SocketAddr) -> String {
     let mut caller = TcpStream::connect(router).expect("a connection");
     let request = "GET /services/feed/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
-        Celerystair-Organisation: office\r\nCelerystair-Kind: draft\r\n\
+        celerystair-organisation: office\r\ncelerystair-kind: draft\r\n\
         Request-Timeout-Ms: 20000\r\n\r\n";
     caller.write_all(request.as_bytes()).expect("a request");
     let mut received = Vec::new();
