--- a/crates/celerystair_policy/tests/bodies.rs
+++ b/crates/celerystair_policy/tests/bodies.rs
@@ -161,7 +161,14 @@
                 }
                 _ if !held.is_empty() => {
                     let index = draws.below(held.len() as u64) as usize;
-                    room.release(held.remove(index));
+                    let bytes = held.remove(index);
+                    if draws.below(2) == 0 {
+                        room.release(bytes);
+                    } else {
+                        let kept_bytes = draws.below(bytes + 1);
+                        room.shrink(bytes, kept_bytes);
+                        held.push(kept_bytes);
+                    }
                 }
                 _ => {}
             }
