--- a/crates/celerystair_platform/tests/overtaken_replies.rs
+++ b/crates/celerystair_platform/tests/overtaken_replies.rs
@@ -23,9 +23,9 @@
 /// A store that holds back the reply of the first watch until it is told to send it.
 #[derive(Clone, Default)]
 struct HoldingStore {
-    is_held: Arc<AtomicBool>,
-    is_released: Arc<AtomicBool>,
-    is_sent: Arc<AtomicBool>,
+    holds_one: Arc<AtomicBool>,
+    was_told: Arc<AtomicBool>,
+    has_replied: Arc<AtomicBool>,
 }
 
 impl HoldingStore {
@@ -43,7 +43,7 @@
                     return;
                 }
                 if body == CHANGE {
-                    self.is_sent.store(true, Ordering::SeqCst);
+                    self.has_replied.store(true, Ordering::SeqCst);
                 }
             }
         }
@@ -57,10 +57,10 @@
             std::thread::sleep(Duration::from_millis(100));
             return NOTHING;
         }
-        if self.is_held.swap(true, Ordering::SeqCst) {
+        if self.holds_one.swap(true, Ordering::SeqCst) {
             return DELETION;
         }
-        while !self.is_released.load(Ordering::SeqCst) {
+        while !self.was_told.load(Ordering::SeqCst) {
             std::thread::sleep(Duration::from_millis(5));
         }
         CHANGE
@@ -95,12 +95,12 @@
                 sleep_ms(10).await;
             }
         };
-        until(&holding.is_held).await;
+        until(&holding.holds_one).await;
         assert!(mirror.get("x").is_some());
         mirror.catch_up(&store).await.expect("the store answers");
         assert!(mirror.get("x").is_none());
-        holding.is_released.store(true, Ordering::SeqCst);
-        until(&holding.is_sent).await;
+        holding.was_told.store(true, Ordering::SeqCst);
+        until(&holding.has_replied).await;
         sleep_ms(200).await;
         assert!(mirror.get("x").is_none(), "a deleted object is back");
         stop.end();
