Refuse a configuration that could serve nothing on one of its routes

What callers saw: after a version with a mistake, routes that had been served answered 503, and after a version that was absurdly high no later one came into force (404 for the routes that it adds).

Cause: nothing decided whether a version may come into force. A router took any that was higher, an agent any that was the latest in the store, and the adapter turned a negative duration into 0 and an unknown kind into non-idempotent without a word.

Fix: celerystair_policy::config_check decides, for routers and agents alike, and an invalid version is refused whole with a line and a count while the one in force stays.

The soak's disturbances are now recorded for each router, so that looks at the other routers still count.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -89,8 +89,8 @@
     /// Increases with each status that is built, also across restarts of the agent.
     pub gossip_sequence: Cell<u64>,
     pub(crate) engine_client: EngineClient,
-    /// The fleet's configuration, mirrored from the store.
-    pub(crate) configs: Mirror<ServingConfig>,
+    /// Follows the fleet's configuration.
+    pub(crate) configs: ConfigFollower,
     /// The agent's fencing token; `None` until it is claimed.
     pub(crate) fence: Cell<Option<u64>>,
     /// The highest token that the agent has held.
@@ -147,9 +147,7 @@
     let gossip_socket = GossipSocket::bind(address).map_err(ListenError::at(address))?;
     let store = settings.source.open()?;
     store.set_log(&log);
-    let source = &settings.source;
-    let configs =
-        Mirror::start_with_decoder(&store, source.config_key_prefix, source.read_config, stop);
+    let configs = ConfigFollower::start(&settings.source, &store, &log, stop);
     info!(log, "started"; "agent" => &settings.agent_name, "engine" => %settings.engine_address);
     let agent = EngineAgent {
         inner: Rc::new(EngineAgentInner {
@@ -355,7 +353,7 @@
     }
 
     fn engine_config(&self) -> Option<EngineConfig> {
-        let (_, config) = self.configs.get(self.settings.source.config_name)?;
+        let config = self.configs.config()?;
         config.services.get(&self.settings.service)?.engine.clone()
     }
 
--- a/crates/celerystair_front/src/probes.rs
+++ b/crates/celerystair_front/src/probes.rs
@@ -23,6 +23,8 @@
         gauges
             .config_revision
             .record(router.view.config_version(), &[]);
+        let configs = router.view.configs();
+        gauges.configs_refused.record(configs.refused(), &[]);
         gauges
             .request_bodies_bytes
             .record(router.bodies.held_bytes(), &[]);
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -24,7 +24,7 @@
 /// A configuration, with its routes indexed for lookup.
 pub struct ActiveConfig {
     /// The configuration as read.
-    pub config: ServingConfig,
+    pub config: Rc<ServingConfig>,
     /// The configuration's routes, in lookup order.
     pub routes: RouteTable,
 }
@@ -45,6 +45,7 @@
 struct Inner {
     log: Logger,
     store: Store,
+    configs: ConfigFollower,
     config: RefCell<Option<Rc<ActiveConfig>>>,
     caller_limits: RefCell<CallerLimitHistory>,
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
@@ -86,6 +87,7 @@
             inner: Rc::new(Inner {
                 log: log.clone(),
                 store: store.clone(),
+                configs: ConfigFollower::start(source, store, log, stop),
                 config: RefCell::default(),
                 caller_limits: RefCell::default(),
                 upstreams: RefCell::default(),
@@ -101,14 +103,8 @@
                 route_targets: RefCell::default(),
             }),
         };
-        let configs =
-            Mirror::start_with_decoder(store, source.config_key_prefix, source.read_config, stop);
-        let name = source.config_name;
         let (watcher, task_stop) = (view.clone(), stop.clone());
-        compio::runtime::spawn(async move {
-            watcher.follow_config(&configs, name, &task_stop).await;
-        })
-        .detach();
+        compio::runtime::spawn(async move { watcher.follow_config(&task_stop).await }).detach();
         let (watcher, store, task_stop) = (view.clone(), store.clone(), stop.clone());
         compio::runtime::spawn(async move {
             let entries = &watcher.inner.entries;
@@ -118,6 +114,11 @@
         view
     }
 
+    /// Returns what follows the configuration.
+    pub fn configs(&self) -> &ConfigFollower {
+        &self.inner.configs
+    }
+
     /// Returns the active configuration, if one was read.
     pub fn config(&self) -> Option<Rc<ActiveConfig>> {
         self.inner.config.borrow().clone()
@@ -272,26 +273,21 @@
             .collect()
     }
 
-    async fn follow_config(&self, configs: &Mirror<ServingConfig>, name: &str, stop: &Stop) {
+    async fn follow_config(&self, stop: &Stop) {
         while !stop.is_ended() {
-            let changed = configs.listen();
-            if let Some((_, config)) = configs.get(name) {
-                self.apply_config(&config);
+            let changed = self.inner.configs.listen();
+            if let Some(config) = self.inner.configs.config() {
+                self.activate(config);
             }
             select(changed, pin!(stop.ended())).await;
         }
     }
 
-    /// Activates a configuration unless the same or a later version is active.
-    fn apply_config(&self, config: &ServingConfig) {
-        let known = self.config().map(|known| known.config.version);
-        if known.is_some_and(|known| known >= config.version) {
+    /// Routes requests by a configuration that has come into force.
+    fn activate(&self, config: Rc<ServingConfig>) {
+        if self.config_version() == config.version && self.config().is_some() {
             return;
         }
-        let limits = &config.caller_limits;
-        info!(self.inner.log, "config_in_force";
-            "version" => config.version, "before" => known, "routes" => config.routes.len(),
-            "idle_timeout_ms" => limits.idle_timeout_ms);
         let timeouts_ms = config.routes.iter().map(|route| route.timeout_ms);
         let longest_timeout_ms = timeouts_ms.max().unwrap_or_default();
         let longest_timeout_ms = self.longest_timeout_ms().max(longest_timeout_ms);
@@ -300,11 +296,11 @@
         route_targets.record(&config.routes, now_unix_ms());
         drop(route_targets);
         let mut history = self.inner.caller_limits.borrow_mut();
-        history.record(limits, now_unix_ms());
+        history.record(&config.caller_limits, now_unix_ms());
         drop(history);
         let active = ActiveConfig {
-            routes: RouteTable::new(config),
-            config: config.clone(),
+            routes: RouteTable::new(&config),
+            config,
         };
         *self.inner.config.borrow_mut() = Some(Rc::new(active));
     }
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! | module | contents |
 //! |---|---|
 //! | [`backoff`] | exponential backoff with jitter |
+//! | [`configs`] | the configuration in force, from the store or from peers |
 //! | [`dialect`] | how calls are encoded and responses decoded |
 //! | [`error`] | errors; calls without effect are told apart from calls of unknown outcome |
 //! | [`fleet_source`] | source of configuration and upstreams on platforms with other objects |
@@ -18,6 +19,7 @@
 //! `docs/STORE.md` describes what an operator does when the platform is down.
 
 pub mod backoff;
+pub mod configs;
 pub mod dialect;
 pub mod error;
 pub mod fleet_source;
@@ -33,6 +35,7 @@
 pub mod prelude {
     pub use crate::{
         backoff::Backoff,
+        configs::ConfigFollower,
         dialect::{ListPage, StoreDialect, WireCall},
         error::StoreError,
         fleet_source::FleetSource,
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -152,10 +152,16 @@
 
     /// Returns the version and value of `name`, the key without the prefix.
     pub fn get(&self, name: &str) -> Option<(u64, Rc<T>)> {
+        let (version, value) = self.get_in_era(name)?;
+        Some((version.revision, value))
+    }
+
+    /// Returns as [`Self::get`], with the era of the version.
+    pub fn get_in_era(&self, name: &str) -> Option<(StoreRevision, Rc<T>)> {
         let objects = self.inner.objects.borrow();
         objects
             .get(name)
-            .map(|entry| (entry.version.revision, entry.value.clone()))
+            .map(|entry| (entry.version, entry.value.clone()))
     }
 
     /// Returns the number of objects.
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`census`] | how many routers divide the fleet-wide limits |
 //! | [`choose`] | which upstream gets an attempt |
 //! | [`cold_loads`] | how many loads from the weight store run concurrently |
+//! | [`config_check`] | whether a version of the configuration comes into force |
 //! | [`demand`] | the request rate of each model |
 //! | [`departures`] | when an upstream counts as gone |
 //! | [`fences`] | the next fencing token of an agent's orders |
@@ -42,6 +43,7 @@
 pub mod census;
 pub mod choose;
 pub mod cold_loads;
+pub mod config_check;
 pub mod demand;
 pub mod departures;
 pub mod fences;
@@ -72,6 +74,7 @@
         census::RouterCountEstimate,
         choose::{Candidate, choose_upstream, has_capacity},
         cold_loads::{ColdLoadObservations, ColdLoadRun},
+        config_check::{ConfigDecision, ConfigFault, decide_config},
         demand::DemandMeter,
         departures::{
             MissingUpstreams, may_take_over, replaced_entries, state_of_run, upstream_state,
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -58,6 +58,8 @@
     pub config_revisions_behind: Gauge<u64>,
     /// Calls to the platform's store since the start of the process.
     pub store_calls: Gauge<u64>,
+    /// Versions of the configuration that were refused since the start of the process.
+    pub configs_refused: Gauge<u64>,
     /// Timeline events dropped since the start of the process.
     pub events_dropped: Gauge<u64>,
     /// 1 while the process drains, else 0.
@@ -93,6 +95,7 @@
         Self {
             config_revision: gauge("celerystair_config_revision"),
             config_revisions_behind: gauge("celerystair_config_revisions_behind"),
+            configs_refused: gauge("celerystair_configs_refused"),
             store_calls: gauge("celerystair_store_calls"),
             events_dropped: gauge("celerystair_events_dropped"),
             draining: gauge("celerystair_draining"),
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -7,7 +7,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -16,10 +16,12 @@
 use crate::{
     callers::{is_served, status_of},
     checks::KINDS,
+    configurations::Written,
     links::{Link, LinkFault},
-    plan::{Plan, Step},
+    plan::{Plan, RESTORED_AFTER_MS, REWRITTEN_AFTER_MS, Step},
     support::{
         StoreStandin, System, UpstreamStandin, eventually,
+        store::StoreCopy,
         system::{
             ENGINE_SERVICE, Instance, PLAIN_SERVICE, SETTINGS_PATH_VARIABLE,
             config_with_version_route, ready_status, version_path,
@@ -34,6 +36,8 @@
 const STOP_SLACK: Duration = Duration::from_millis(500);
 /// After a leave is known, new work may come for so long.
 const DRAIN: Duration = Duration::from_millis(2300);
+/// How old the copy is that the store comes back from.
+const COPY_AGE: Duration = Duration::from_millis(1500);
 /// How long a plain upstream stays away.
 const AWAY: Duration = Duration::from_millis(3500);
 /// How long a plain upstream that has crashed takes to start again.
@@ -120,6 +124,8 @@
     Thaw(usize),
     StoreUp,
     StoreAnswers,
+    StoreRestored,
+    Rewrite,
     MendLink(usize),
     CheckDrained(usize),
     Return(usize),
@@ -127,6 +133,14 @@
     Calm(&'static str),
 }
 
+/// When a router may not have known what the store said.
+struct OutOfTouch {
+    /// All of them if `None`.
+    router: Option<usize>,
+    from: Instant,
+    until: Instant,
+}
+
 /// The system.
 pub struct Fleet {
     size: Size,
@@ -143,7 +157,10 @@
     away: BTreeMap<usize, Instant>,
     /// When routers may not have known what the store said: from a disturbance of theirs, of the store or
     /// of the way between them, until a while after its end.
-    out_of_touch: Vec<(Instant, Instant)>,
+    out_of_touch: Vec<OutOfTouch>,
+    written: Arc<Mutex<Vec<Written>>>,
+    /// Copies of the store from before each version.
+    copies: Vec<(Instant, StoreCopy)>,
     lives: u64,
     broken: Vec<String>,
 }
@@ -190,6 +207,8 @@
             undos: Vec::new(),
             away: BTreeMap::new(),
             out_of_touch: Vec::new(),
+            written: Arc::default(),
+            copies: Vec::new(),
             lives: 0,
             broken: Vec::new(),
         };
@@ -253,13 +272,65 @@
         Arc::clone(&self.idle_limit_ms)
     }
 
+    /// The versions that were written, oldest first.
+    pub fn written(&self) -> Arc<Mutex<Vec<Written>>> {
+        Arc::clone(&self.written)
+    }
+
+    /// Whether a router was in touch with the store at a moment, and a while before it.
+    pub fn is_in_touch(&self, router: usize, at: Instant) -> bool {
+        let is_within = |out: &OutOfTouch| {
+            out.router.is_none_or(|out| out == router) && out.from <= at && at < out.until
+        };
+        !self.out_of_touch.iter().any(is_within)
+    }
+
+    /// Writes a version that names a service which is not listed.
+    fn write_bad_config(&mut self) {
+        self.version += 1;
+        let mut config = config_with_version_route(self.version);
+        config["Routes"][0]["Service"] = "nothing".into();
+        self.put_config(config, false);
+    }
+
+    fn put_config(&self, config: serde_json::Value, is_valid: bool) {
+        let sent_at = Instant::now();
+        self.store.write("config", "main", config);
+        let mut written = self.written.lock().expect("versions");
+        written.push(Written {
+            sent_at,
+            at: Instant::now(),
+            version: self.version,
+            is_valid,
+        });
+    }
+
+    /// Writes a version that may be in force, if the last one may not.
+    fn mend_config(&mut self) {
+        let last = self.written.lock().expect("versions").last().copied();
+        if last.is_some_and(|last| !last.is_valid) {
+            self.version += 1;
+            self.write_config();
+        }
+    }
+
+    /// The store's contents go back by a few seconds.
+    fn restore_store(&mut self) {
+        let copies = self.copies.iter().rev();
+        let mut old = copies.filter(|(at, _)| at.elapsed() >= COPY_AGE);
+        if let Some((_, copy)) = old.next() {
+            self.store.restore(copy);
+        }
+        self.store.set_faults(|faults| faults.is_down = false);
+    }
+
     /// Writes the configuration, of which callers know at once. Each version has another idle limit.
     fn write_config(&self) {
         const IDLE_LIMITS_MS: [u64; 4] = [15_000, 500, 60_000, 2000];
         let idle_limit_ms = IDLE_LIMITS_MS[self.version as usize % IDLE_LIMITS_MS.len()];
         let mut config = config_with_version_route(self.version);
         config["Limits"]["IdleTimeoutMs"] = idle_limit_ms.into();
-        self.store.write("config", "main", config);
+        self.put_config(config, true);
         self.idle_limit_ms.store(idle_limit_ms, Ordering::Relaxed);
     }
 
@@ -389,9 +460,12 @@
 
     fn take(&mut self, step: Step) {
         let later = |for_ms| Instant::now() + Duration::from_millis(for_ms);
-        if let Some(for_ms) = step.keeps_from_store_ms(self.size.routers) {
-            let ends = later(for_ms) + STABLE;
-            self.out_of_touch.push((Instant::now(), ends));
+        if let Some((router, for_ms)) = step.keeps_from_store_ms(self.size.routers) {
+            self.out_of_touch.push(OutOfTouch {
+                router,
+                from: Instant::now(),
+                until: later(for_ms) + STABLE,
+            });
         }
         match step {
             Step::Stop(index) => self.stop(index),
@@ -414,9 +488,18 @@
                 process.signal("HUP");
             }
             Step::Configure => {
+                self.copies.push((Instant::now(), self.store.copy()));
                 self.version += 1 + self.version % 3;
                 self.write_config();
             }
+            Step::ConfigureBadly => self.write_bad_config(),
+            Step::StoreRestored => {
+                self.store.set_faults(|faults| faults.is_down = true);
+                let undone = later(RESTORED_AFTER_MS);
+                self.undos.push((undone, Undo::StoreRestored));
+                let rewritten = undone + Duration::from_millis(REWRITTEN_AFTER_MS);
+                self.undos.push((rewritten, Undo::Rewrite));
+            }
             Step::StoreDown(for_ms) => {
                 self.store.set_faults(|faults| faults.is_down = true);
                 self.undos.push((later(for_ms), Undo::StoreUp));
@@ -494,6 +577,11 @@
                 Undo::StoreAnswers => {
                     self.store.set_faults(|faults| faults.loses_answers = false);
                 }
+                Undo::StoreRestored => self.restore_store(),
+                Undo::Rewrite => {
+                    self.version += 1;
+                    self.list_all();
+                }
                 Undo::MendLink(index) => self.links[index].set(LinkFault::None),
                 Undo::CheckDrained(index) => {
                     self.away.insert(index, now);
@@ -515,7 +603,7 @@
         desk.set_leaving(false);
         let left_at = self.away.remove(&index);
         let is_excused = |at: Instant| {
-            let is_within = |(from, until): &(Instant, Instant)| *from <= at && at < *until;
+            let is_within = |out: &OutOfTouch| out.from <= at && at < out.until;
             self.out_of_touch.iter().any(is_within)
         };
         let is_late = |arrival: &&Arrival| {
@@ -603,6 +691,7 @@
             faults.is_down = false;
             faults.loses_answers = false;
         });
+        self.mend_config();
         let unserved = self.wait_until_served();
         unserved.into_iter().collect()
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod checks;
+mod configurations;
 mod crashing;
 mod fleet;
 mod links;
@@ -152,6 +153,56 @@
     broken
 }
 
+/// The seed of versions and disturbances that CI plays.
+const VERSIONS_SEED: u64 = 1;
+
+/// Routers handled requests by versions that were late, older or invalid.
+#[test]
+fn a_configuration_is_in_force_in_time_and_is_neither_invalid_nor_older_again() {
+    let first = number("CELERYSTAIR_SOAK_VERSIONS_SEED").unwrap_or(VERSIONS_SEED);
+    let count = number("CELERYSTAIR_SOAK_SEEDS").unwrap_or(1);
+    let faults_ms = number("CELERYSTAIR_SOAK_FAULTS_MS").unwrap_or(FAULTS_MS);
+    let mut failed = Vec::new();
+    for seed in first..first + count {
+        let broken = play_versions(seed, faults_ms);
+        if !broken.is_empty() {
+            println!("seed {seed} failed: {broken:#?}");
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?}; see above");
+}
+
+fn play_versions(seed: u64, faults_ms: u64) -> Vec<String> {
+    let _turn = take_turn();
+    let name = format!("celerystair-versions-{}-{seed}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("a folder for logs");
+    let mut fleet = Fleet::start(VERSIONED, &folder);
+    let plan = configurations::draw(seed, faults_ms, VERSIONED);
+    let watch = configurations::start(&fleet);
+    let mut broken = fleet.carry_out(&plan);
+    broken.extend(fleet.recover());
+    broken.extend(watch.stop(&fleet));
+    fleet.end();
+    if broken.is_empty() {
+        std::fs::remove_dir_all(&folder).expect("the folder goes");
+    } else {
+        std::fs::write(folder.join("plan.txt"), format!("{plan:#?}")).expect("the plan is kept");
+        println!("logs in {}", folder.display());
+    }
+    broken
+}
+
+/// A fleet with a router in each of several failure domains.
+const VERSIONED: Size = Size {
+    routers: 4,
+    engines: 3,
+    desks: 2,
+    domains: 2,
+    is_misplaced: false,
+};
+
 /// A fleet of the size of the users' deployments.
 const DEPLOYED: Size = Size {
     routers: 5,
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -36,6 +36,11 @@
     ReloadWhenStarted(usize),
     /// The next version of the configuration.
     Configure,
+    /// A version that can't be in force, and which the next one follows.
+    ConfigureBadly,
+    /// The store is away, and comes back from a copy that is some seconds old; what was written since is
+    /// written again soon after.
+    StoreRestored,
     /// The store refuses calls for so many milliseconds.
     StoreDown(u64),
     /// Writes are done and not answered for so long.
@@ -64,21 +69,26 @@
 }
 
 impl Step {
-    /// For how long it keeps a router from what the store says, if it does; routers and their links to
-    /// the store come first.
-    pub fn keeps_from_store_ms(self, routers: usize) -> Option<u64> {
+    /// Which router it keeps from what the store says, all if `None`, and for how long, if it does; routers
+    /// and their links to the store come first.
+    pub fn keeps_from_store_ms(self, routers: usize) -> Option<(Option<usize>, u64)> {
         match self {
-            Self::StoreDown(for_ms) => Some(for_ms),
+            Self::StoreDown(for_ms) => Some((None, for_ms)),
+            Self::StoreRestored => Some((None, RESTORED_AFTER_MS + REWRITTEN_AFTER_MS)),
             Self::Freeze(index, for_ms) | Self::Link(index, _, for_ms) if index < routers => {
-                Some(for_ms)
+                Some((Some(index), for_ms))
             }
-            Self::Kill(index) | Self::Stop(index) if index < routers => Some(0),
-            Self::StoreForgets => Some(0),
+            Self::Kill(index) | Self::Stop(index) if index < routers => Some((Some(index), 0)),
+            Self::StoreForgets => Some((None, 0)),
             _ => None,
         }
     }
 }
 
+/// How long the store is away before it comes back from a copy, and how long after that what was written
+/// since the copy is written again.
+pub const RESTORED_AFTER_MS: u64 = 500;
+pub const REWRITTEN_AFTER_MS: u64 = 1500;
 /// The shortest and longest pause between two steps.
 const PAUSE_MS: (u64, u64) = (20, 700);
 const UPSTREAM_FAULTS: [Fault; 16] = [
@@ -145,7 +155,7 @@
 }
 
 /// Both lists of steps, each at its own time.
-fn merge(one: &[(u64, Step)], other: &[(u64, Step)]) -> Vec<(u64, Step)> {
+pub fn merge(one: &[(u64, Step)], other: &[(u64, Step)]) -> Vec<(u64, Step)> {
     let timed = |steps: &[(u64, Step)]| {
         let mut at_ms = 0;
         let timed = steps.iter().map(|(pause_ms, step)| {
