Look for a later configuration that a peer has in force

What callers saw: a router that started after the store had come back from an older copy served the older version until its operator wrote again, and one whose watch had left a change out served the version before for a minute or two, each beside processes that knew the newer one.

Cause: a process believed the store's answers alone. That no later version was told of was taken for there being none.

Evidence: a_router_that_starts_on_an_older_copy_takes_the_version_that_agents_know and a_configuration_that_a_watch_left_out_is_in_force_in_time failed on (not in force after 10 s) and pass now.

Fix: the datagrams of routers and agents name the version in force. Whoever hears of a higher one reads the whole list, and if the store doesn't have it, asks the agent that told of it for the operator's object, which is decoded and decided on as one from the store.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -147,7 +147,8 @@
     let gossip_socket = GossipSocket::bind(address).map_err(ListenError::at(address))?;
     let store = settings.source.open()?;
     store.set_log(&log);
-    let configs = ConfigFollower::start(&settings.source, &store, &log, stop);
+    let configs = ConfigFollower::start(&settings.source, &store, &log, stop)?;
+    configs.serve_peers(address, stop);
     info!(log, "started"; "agent" => &settings.agent_name, "engine" => %settings.engine_address);
     let agent = EngineAgent {
         inner: Rc::new(EngineAgentInner {
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -188,6 +188,7 @@
             IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
         },
         software_version: agent.software_version.borrow().clone(),
+        config_version: agent.configs.version(),
         agent_started_unix_ms: agent.started_unix_ms,
     })
 }
@@ -226,8 +227,15 @@
 /// Applies a message to the agent's state. Returns false if it isn't newer than what is stored.
 fn apply_message(agent: &EngineAgent, message: &GossipMessage) -> bool {
     match message {
-        GossipMessage::Engine(status) => agent.engine_statuses.insert_if_newer(status.clone()),
+        GossipMessage::Engine(status) => {
+            let port = agent.settings.gossip_listen.port();
+            let peer = SocketAddr::new(status.address.into(), port);
+            let sender = (!status.address.is_unspecified()).then_some(peer);
+            agent.configs.hear(status.config_version, sender);
+            agent.engine_statuses.insert_if_newer(status.clone())
+        }
         GossipMessage::Demand(demand) => {
+            agent.configs.hear(demand.config_version, None);
             let is_urgent = demand.models.iter().any(|(_, view)| view.waiting > 0);
             let is_new = agent.router_demand.insert_if_newer(demand.clone());
             if is_new && is_urgent {
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -83,6 +83,7 @@
         failure_domain: router.settings.failure_domain.clone(),
         rate_limits: recent_rate_limits(engines, now),
         leaving: leaving_upstreams(engines),
+        config_version: router.view.configs().version(),
         address: router.settings.gossip_listen,
         received_unix_ms: now,
     });
@@ -209,6 +210,7 @@
                 ..
             }) => {
                 router.record_router_count(status.router_count, &status.upstream);
+                hear_of_config(&router, &status);
                 if status.is_leaving {
                     record_departure(&router, &status);
                 }
@@ -248,6 +250,14 @@
     }
 }
 
+/// Looks for the version of the configuration that an agent has in force, if it is a later one.
+fn hear_of_config(router: &PlatformRouter, status: &EngineStatus) {
+    let port = router.settings.gossip_listen.port();
+    let agent = SocketAddr::new(status.address.into(), port);
+    let sender = (!status.address.is_unspecified()).then_some(agent);
+    router.view.configs().hear(status.config_version, sender);
+}
+
 /// Records that an engine leaves, as its agent has heard from it or from a router.
 fn record_departure(router: &PlatformRouter, status: &EngineStatus) {
     let upstream = router.view.upstream(&status.upstream);
--- a/crates/celerystair_front/src/probes.rs
+++ b/crates/celerystair_front/src/probes.rs
@@ -24,6 +24,8 @@
             .config_revision
             .record(router.view.config_version(), &[]);
         let configs = router.view.configs();
+        let behind = configs.versions_behind();
+        gauges.config_revisions_behind.record(behind, &[]);
         gauges.configs_refused.record(configs.refused(), &[]);
         gauges
             .request_bodies_bytes
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -35,6 +35,8 @@
     pub rate_limits: Vec<(UpstreamId, f64)>,
     /// The upstreams that have said to the router that they leave.
     pub leaving: Vec<UpstreamIncarnation>,
+    /// The version of the configuration that the router has in force; 0 if it has none.
+    pub config_version: u64,
     /// Where the router receives gossip.
     pub address: SocketAddr,
     /// When the datagram arrived, by the receiver's clock.
@@ -78,6 +80,7 @@
             failure_domain: news.failure_domain.into(),
             rate_limits: rate_limits.collect(),
             leaving: leaving.collect(),
+            config_version: news.config_version,
             // All processes receive gossip on the same port.
             address: SocketAddr::new(ip, sender.port()),
             received_unix_ms: now_unix_ms,
@@ -111,6 +114,7 @@
             born_unix_ms: leaving.started_unix_ms,
         });
         DemandNews {
+            config_version: self.config_version,
             leaving: leaving.collect(),
             rate_limits: rate_limits.collect(),
             router: self.router.clone(),
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -53,6 +53,8 @@
     pub address: Ipv4Addr,
     /// The version of the engine's software, if its agent knows it.
     pub software_version: Option<SoftwareVersion>,
+    /// The version of the configuration that the agent has in force; 0 if it has none.
+    pub config_version: u64,
     /// When the agent's process started, which tells its starts apart; 0 if its version doesn't tell.
     pub agent_started_unix_ms: u64,
 }
@@ -99,6 +101,7 @@
             address: Ipv4Addr::from(news.address),
             software_version: (!news.software_version.is_empty())
                 .then(|| news.software_version.into()),
+            config_version: news.config_version,
             agent_started_unix_ms: news.agent_started_unix_ms,
         }
     }
@@ -137,6 +140,7 @@
                 .as_ref()
                 .map(ToString::to_string)
                 .unwrap_or_default(),
+            config_version: self.config_version,
             agent_started_unix_ms: self.agent_started_unix_ms,
         }
     }
@@ -163,6 +167,7 @@
             received_unix_ms: 0,
             address: Ipv4Addr::UNSPECIFIED,
             software_version: None,
+            config_version: 0,
             agent_started_unix_ms: 0,
         }
     }
--- a/crates/celerystair_news/tests/board.rs
+++ b/crates/celerystair_news/tests/board.rs
@@ -14,6 +14,7 @@
         agents: Vec::new(),
         rate_limits: Vec::new(),
         leaving: Vec::new(),
+        config_version: 0,
         failure_domain: FailureDomain::from("a"),
         address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 7000),
         received_unix_ms,
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -24,6 +24,7 @@
         agents: vec![(FailureDomain::from("a"), vec![Ipv4Addr::new(10, 1, 0, 9)])],
         failure_domain: FailureDomain::from("b"),
         rate_limits: vec![(UpstreamId::from("e1"), 3.25)],
+        config_version: 12,
         leaving: vec![UpstreamIncarnation {
             upstream: UpstreamId::from("e2"),
             started_unix_ms: 6,
@@ -60,6 +61,7 @@
         received_unix_ms: 1000,
         address: Ipv4Addr::new(10, 1, 0, 9),
         software_version: Some("v1.1".into()),
+        config_version: 13,
         agent_started_unix_ms: 1_700_000_000_123,
     })
 }
--- a/crates/celerystair_platform/src/backoff.rs
+++ b/crates/celerystair_platform/src/backoff.rs
@@ -10,27 +10,35 @@
 /// of it, and the bound doubles each time until it reaches a maximum.
 #[derive(Clone, Copy, Debug)]
 pub struct Backoff {
+    /// Upper bound of the next wait.
+    wait_ms: u64,
     max_wait_ms: u64,
 }
 
 impl Default for Backoff {
     fn default() -> Self {
-        Self {
-            max_wait_ms: INITIAL_WAIT_MS,
-        }
+        Self::up_to(MAX_WAIT_MS)
     }
 }
 
 impl Backoff {
+    /// Creates a backoff whose waits grow to `max_wait_ms` at most.
+    pub fn up_to(max_wait_ms: u64) -> Self {
+        Self {
+            wait_ms: INITIAL_WAIT_MS.min(max_wait_ms),
+            max_wait_ms,
+        }
+    }
+
     /// Returns to the shortest wait; to be called after a success.
     pub fn reset(&mut self) {
-        self.max_wait_ms = INITIAL_WAIT_MS;
+        self.wait_ms = INITIAL_WAIT_MS.min(self.max_wait_ms);
     }
 
     /// Returns the next wait in milliseconds and doubles the upper bound.
     pub fn next_ms(&mut self) -> u64 {
-        let wait_ms = rand::random_range(self.max_wait_ms / 2..=self.max_wait_ms);
-        self.max_wait_ms = (self.max_wait_ms * 2).min(MAX_WAIT_MS);
+        let wait_ms = rand::random_range(self.wait_ms / 2..=self.wait_ms);
+        self.wait_ms = (self.wait_ms * 2).min(self.max_wait_ms);
         wait_ms
     }
 
--- a/crates/celerystair_platform/src/configs.rs
+++ b/crates/celerystair_platform/src/configs.rs
@@ -1,25 +1,46 @@
-//! The configuration that is in force in a process, as a [`Mirror`] of the store tells of its versions.
-//! `docs/PLATFORM.md`, "Configuration", tells what was weighed.
+//! The configuration that is in force in a process, and where a later version is looked for: in the
+//! store, whose changes a [`Mirror`] follows, and at peers that say that they have one. `docs/PLATFORM.md`,
+//! "Configuration", tells what was weighed.
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     pin::pin,
     rc::Rc,
 };
 
-use celerystair_core::prelude::*;
+use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_net::{json::typed_response, prelude::*};
 use celerystair_policy::prelude::*;
 use event_listener::{Event, EventListener};
 use futures_util::future::select;
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 
 use crate::{
+    backoff::Backoff,
     error::StoreError,
     fleet_source::FleetSource,
-    mirror::Mirror,
+    mirror::{Mirror, MirrorPace},
+    pacer::CallPriority,
     store::{Object, Store, StoreRevision, shortened},
 };
 
+/// How long a version that a peer has may reach this process through the store, before it is asked for.
+const HEARD_GRACE_MS: u64 = 150;
+/// How long a peer may take to send a configuration.
+const PEER_TIMEOUT_MS: u64 = 700;
+/// The longest wait between two searches for a version that a peer has.
+const SEARCH_WAIT_MAX_MS: u64 = 1000;
+/// The path under which a process sends the configuration that it has in force.
+const CONFIG_PATH: &str = "/configuration";
+/// A version must be in force within two seconds of its write, so its reads wait neither behind other
+/// calls nor for long after one that failed.
+const PACE: MirrorPace = MirrorPace {
+    priority: CallPriority::Urgent,
+    batch_delay_max_ms: 100,
+    failure_wait_max_ms: 500,
+};
+
 /// The configuration in force in this process; cheap to clone.
 #[derive(Clone)]
 pub struct ConfigFollower {
@@ -28,11 +49,16 @@
 
 struct Inner {
     log: Logger,
+    store: Store,
     source: FleetSource,
+    client: cyper::Client,
     mirror: Mirror<ReadConfig>,
     in_force: RefCell<Option<Rc<ConfigInForce>>>,
     /// The object of the store that was decided on last.
     decided_at: Cell<Option<StoreRevision>>,
+    /// The highest version that a peer has, if it is above the one in force.
+    heard: RefCell<Option<HeardVersion>>,
+    heard_changed: Event,
     changed: Event,
     refused: Cell<u64>,
 }
@@ -40,41 +66,67 @@
 /// A configuration that is in force.
 struct ConfigInForce {
     config: Rc<ServingConfig>,
+    /// The value that the operator wrote, for peers.
+    text: Vec<u8>,
 }
 
 /// The operator's object as it was read.
 struct ReadConfig {
     config: Result<Rc<ServingConfig>, StoreError>,
+    text: Vec<u8>,
 }
 
 impl ReadConfig {
     fn new(source: &FleetSource, object: &Object) -> Self {
         Self {
             config: (source.read_config)(object).map(Rc::new),
+            text: serde_json::to_vec(&object.value).unwrap_or_default(),
         }
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+struct HeardVersion {
+    version: u64,
+    /// A process that sends it; `None` if only its version is known.
+    peer: Option<SocketAddr>,
+}
+
 impl ConfigFollower {
     /// Starts tasks that follow the configuration of `source` until `stop` ends.
-    pub fn start(source: &FleetSource, store: &Store, log: &Logger, stop: &Stop) -> Self {
+    ///
+    /// # Errors
+    /// [`StoreError::Failed`] if the HTTP client for peers can't be created.
+    pub fn start(
+        source: &FleetSource,
+        store: &Store,
+        log: &Logger,
+        stop: &Stop,
+    ) -> Result<Self, StoreError> {
+        let client = cyper::Client::new().map_err(|error| StoreError::Failed {
+            detail: error.to_string(),
+        })?;
         let decoded_source = source.clone();
         let decode = move |object: &Object| Ok(ReadConfig::new(&decoded_source, object));
         let prefix = source.config_key_prefix;
         let follower = Self {
             inner: Rc::new(Inner {
                 log: log.clone(),
-
+                store: store.clone(),
                 source: source.clone(),
-                mirror: Mirror::start_with_decoder(store, prefix, decode, stop),
+                client,
+                mirror: Mirror::start_paced(store, prefix, decode, PACE, stop),
                 in_force: RefCell::default(),
                 decided_at: Cell::default(),
+                heard: RefCell::default(),
+                heard_changed: Event::new(),
                 changed: Event::new(),
                 refused: Cell::default(),
             }),
         };
         compio::runtime::spawn(follower.clone().follow_store(stop.clone())).detach();
-        follower
+        compio::runtime::spawn(follower.clone().search_heard(stop.clone())).detach();
+        Ok(follower)
     }
 
     /// Returns the configuration in force, if there is one.
@@ -93,11 +145,77 @@
         self.inner.refused.get()
     }
 
+    /// Returns how far the version in force is below the highest that a peer has.
+    pub fn versions_behind(&self) -> u64 {
+        let heard = self.inner.heard.borrow();
+        heard.map_or(0, |heard| heard.version.saturating_sub(self.version()))
+    }
+
     /// Returns a listener for the next configuration that comes into force. Create it before reading.
     pub fn listen(&self) -> EventListener {
         self.inner.changed.listen()
     }
 
+    /// Records that a peer has `version` in force, which `sender` sends to those that ask. A version that
+    /// no operator would write after the one in force is not looked for.
+    pub fn hear(&self, version: u64, sender: Option<SocketAddr>) {
+        let known = self.known_version();
+        let is_absurd = known.is_some_and(|known| is_version_absurd(version, known));
+        if version <= known.unwrap_or(0) || is_absurd {
+            return;
+        }
+        let mut heard = self.inner.heard.borrow_mut();
+        let is_higher = heard.is_none_or(|heard| heard.version < version);
+        match &mut *heard {
+            Some(heard) if heard.version == version => heard.peer = sender.or(heard.peer),
+            Some(heard) if version < heard.version => {}
+            _ => {
+                let peer = sender;
+                *heard = Some(HeardVersion { version, peer });
+            }
+        }
+        drop(heard);
+        if is_higher {
+            debug!(self.inner.log, "config_heard"; "version" => version, "in_force" => known);
+            self.inner.heard_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Serves the configuration in force to peers at `address`, until `stop` drains. The process runs
+    /// without that if the address can't be bound.
+    pub fn serve_peers(&self, address: SocketAddr, stop: &Stop) {
+        let listener = match bind(address) {
+            Ok(listener) => listener,
+            Err(error) => {
+                warn!(self.inner.log, "config_not_served"; "address" => %address,
+                    "error" => %error);
+                return;
+            }
+        };
+        let (follower, stop) = (self.clone(), stop.clone());
+        let handle = move |request: HttpRequest| {
+            let response = follower.peer_response(request.uri().path());
+            async move { response }
+        };
+        let log = self.inner.log.clone();
+        compio::runtime::spawn(async move {
+            if let Err(error) = serve_http(listener, stop, handle).await {
+                warn!(log, "config_not_served"; "error" => %error);
+            }
+        })
+        .detach();
+    }
+
+    fn peer_response(&self, path: &str) -> HttpResponse {
+        let in_force = self.inner.in_force.borrow();
+        match &*in_force {
+            Some(in_force) if path == CONFIG_PATH => {
+                typed_response(200, "application/json", in_force.text.clone())
+            }
+            _ => typed_response(404, "text/plain", "no configuration\n"),
+        }
+    }
+
     fn known_version(&self) -> Option<u64> {
         let in_force = self.inner.in_force.borrow();
         in_force.as_ref().map(|in_force| in_force.config.version)
@@ -144,6 +262,7 @@
                     "idle_timeout_ms" => config.caller_limits.idle_timeout_ms);
                 *inner.in_force.borrow_mut() = Some(Rc::new(ConfigInForce {
                     config: config.clone(),
+                    text: read.text.clone(),
                 }));
                 inner.changed.notify(usize::MAX);
             }
@@ -160,4 +279,82 @@
             }
         }
     }
+
+    /// Looks for each version that a peer has and that doesn't come by itself: a watch may leave a change
+    /// out, and the store may be away or have come back from an older copy.
+    async fn search_heard(self, stop: Stop) {
+        let mut backoff = Backoff::up_to(SEARCH_WAIT_MAX_MS);
+        while !stop.is_ended() {
+            let changed = self.inner.heard_changed.listen();
+            if self.heard_later().is_none() {
+                backoff.reset();
+                select(changed, pin!(stop.ended())).await;
+                sleep_ms(HEARD_GRACE_MS).await;
+                continue;
+            }
+            self.read_store_again().await;
+            if let Some(heard) = self.heard_later() {
+                self.ask_peer(heard).await;
+            }
+            if self.heard_later().is_some() {
+                backoff.wait().await;
+            }
+        }
+    }
+
+    /// Returns the highest version that a peer has, if it is above the one in force.
+    fn heard_later(&self) -> Option<HeardVersion> {
+        let heard = *self.inner.heard.borrow();
+        heard.filter(|heard| heard.version > self.version())
+    }
+
+    async fn read_store_again(&self) {
+        let inner = &self.inner;
+        match inner.mirror.read_all_again(&inner.store).await {
+            Ok(()) => self.decide_on_stored(),
+            Err(error) => {
+                info!(inner.log, "config_not_read_again"; "error" => shortened(&error));
+            }
+        }
+    }
+
+    async fn ask_peer(&self, heard: HeardVersion) {
+        let Some(peer) = heard.peer else {
+            return;
+        };
+        let asked = before_deadline(now_unix_ms() + PEER_TIMEOUT_MS, self.fetch(peer)).await;
+        match asked {
+            Some(Ok(object)) => {
+                let read = ReadConfig::new(&self.inner.source, &object);
+                self.decide(&read, "peer", StoreRevision::default());
+            }
+            Some(Err(error)) => {
+                info!(self.inner.log, "config_not_sent"; "peer" => %peer,
+                    "error" => shortened(&error));
+            }
+            None => {
+                info!(self.inner.log, "config_not_sent"; "peer" => %peer, "error" => "no answer");
+            }
+        }
+    }
+
+    /// Fetches the operator's object as a peer has it.
+    async fn fetch(&self, peer: SocketAddr) -> Result<Object, StoreError> {
+        let failed = |error: &dyn std::fmt::Display| StoreError::Failed {
+            detail: error.to_string(),
+        };
+        let url = format!("http://{peer}{CONFIG_PATH}");
+        let request = self.inner.client.get(url).map_err(|error| failed(&error))?;
+        let response = request.send().await.map_err(|error| failed(&error))?;
+        if !response.status().is_success() {
+            return Err(failed(&response.status()));
+        }
+        let bytes = response.bytes().await.map_err(|error| failed(&error))?;
+        let source = &self.inner.source;
+        Ok(Object {
+            key: format!("{}{}", source.config_key_prefix, source.config_name),
+            value: serde_json::from_slice(&bytes).map_err(|error| failed(&error))?,
+            ..Object::default()
+        })
+    }
 }
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -15,14 +15,14 @@
 use crate::{
     backoff::Backoff,
     error::StoreError,
+    pacer::CallPriority,
     shared::{SharedItem, SharedItems},
-    store::{InEra, Object, Store, StoreRevision, WatchReply, shortened},
+    store::{InEra, Object, ObjectList, Store, StoreRevision, WatchReply, shortened},
 };
 
 /// Delay before a watch is renewed, in which changes accumulate. It doubles while changes arrive
 /// without a pause, so that the start of a whole fleet is read in batches and not object by object.
 const MIN_BATCH_DELAY_MS: u64 = 20;
-const MAX_BATCH_DELAY_MS: u64 = 1000;
 /// How often the whole prefix is read again, to recover changes that a watch has missed.
 const REREAD_INTERVAL_MS: u64 = 120_000;
 /// The same for a process that relies on its peers, which watch the store and read the prefix again
@@ -36,6 +36,28 @@
 /// time between this and twice this.
 const STALE_RETRY_INTERVAL_MS: u64 = 5000;
 
+/// How soon a mirror reads what has changed.
+#[derive(Clone, Copy, Debug)]
+pub struct MirrorPace {
+    /// The priority of its calls.
+    pub priority: CallPriority,
+    /// The longest delay before a watch is renewed while changes arrive without a pause.
+    pub batch_delay_max_ms: u64,
+    /// The longest wait between two calls that fail.
+    pub failure_wait_max_ms: u64,
+}
+
+impl Default for MirrorPace {
+    /// Returns the pace for prefixes with many objects.
+    fn default() -> Self {
+        Self {
+            priority: CallPriority::Normal,
+            batch_delay_max_ms: 1000,
+            failure_wait_max_ms: 2000,
+        }
+    }
+}
+
 /// Local copy of the objects below one key prefix. It keeps its objects during an outage of the
 /// store, and never replaces an object by an earlier version.
 pub struct Mirror<T> {
@@ -52,6 +74,7 @@
 
 struct Inner<T> {
     prefix: String,
+    pace: MirrorPace,
     objects: RefCell<HashMap<String, Entry<T>>>,
     /// Up to where the changes are complete.
     position: Cell<StoreRevision>,
@@ -79,7 +102,8 @@
 impl<T: DeserializeOwned + 'static> Mirror<T> {
     /// Creates a mirror of `prefix` and starts a task that keeps it current until `stop` ends.
     pub fn start(store: &Store, prefix: &str, stop: &Stop) -> Self {
-        Self::start_mirror(store, prefix, None, Box::new(Object::read), stop)
+        let pace = MirrorPace::default();
+        Self::start_mirror(store, prefix, None, Box::new(Object::read), pace, stop)
     }
 
     /// Creates a mirror of a prefix whose changes are shared between processes. A process that
@@ -87,7 +111,9 @@
     /// shared items are stale.
     pub fn start_shared(store: &Store, prefix: &str, shared: &SharedItems, stop: &Stop) -> Self {
         let decode_value = Box::new(Object::read);
-        let mirror = Self::start_mirror(store, prefix, Some(shared.clone()), decode_value, stop);
+        let shared_items = Some(shared.clone());
+        let pace = MirrorPace::default();
+        let mirror = Self::start_mirror(store, prefix, shared_items, decode_value, pace, stop);
         let receiver = mirror.clone();
         shared.set_handler(prefix, move |item| receiver.apply_item(item));
         mirror
@@ -103,7 +129,18 @@
         decode_value: impl Fn(&Object) -> Result<T, StoreError> + 'static,
         stop: &Stop,
     ) -> Self {
-        Self::start_mirror(store, prefix, None, Box::new(decode_value), stop)
+        Self::start_paced(store, prefix, decode_value, MirrorPace::default(), stop)
+    }
+
+    /// Creates a mirror as [`Self::start_with_decoder`] that reads changes at its own pace.
+    pub fn start_paced(
+        store: &Store,
+        prefix: &str,
+        decode_value: impl Fn(&Object) -> Result<T, StoreError> + 'static,
+        pace: MirrorPace,
+        stop: &Stop,
+    ) -> Self {
+        Self::start_mirror(store, prefix, None, Box::new(decode_value), pace, stop)
     }
 
     fn start_mirror(
@@ -111,11 +148,13 @@
         prefix: &str,
         shared: Option<SharedItems>,
         decode_value: ValueDecoder<T>,
+        pace: MirrorPace,
         stop: &Stop,
     ) -> Self {
         let mirror = Self {
             inner: Rc::new(Inner {
                 prefix: prefix.to_owned(),
+                pace,
                 objects: RefCell::default(),
                 position: Cell::default(),
                 is_complete: Cell::new(false),
@@ -213,6 +252,14 @@
         Ok(())
     }
 
+    /// Reads the whole prefix, which also shows what a watch has left out.
+    ///
+    /// # Errors
+    /// The store doesn't answer.
+    pub async fn read_all_again(&self, store: &Store) -> Result<(), StoreError> {
+        self.reread(store).await
+    }
+
     /// Applies an object that was read or written outside this mirror, if it is newer.
     pub fn apply(&self, object: &Object) -> Result<(), StoreError> {
         self.apply_in_era(self.inner.position.get().era, object)
@@ -335,7 +382,8 @@
     }
 
     async fn keep_current(&self, store: &Store, stop: &Stop) {
-        let mut backoff = Backoff::default();
+        let pace = self.inner.pace;
+        let mut backoff = Backoff::up_to(pace.failure_wait_max_ms);
         let mut batch_delay_ms = MIN_BATCH_DELAY_MS;
         let mut last_read_unix_ms = 0;
         let mut failing_since_unix_ms = None;
@@ -379,7 +427,7 @@
             if result.is_ok() {
                 backoff.reset();
                 batch_delay_ms = if now_unix_ms() < started_unix_ms + 4 * batch_delay_ms {
-                    (batch_delay_ms * 2).min(MAX_BATCH_DELAY_MS)
+                    (batch_delay_ms * 2).min(pace.batch_delay_max_ms)
                 } else {
                     MIN_BATCH_DELAY_MS
                 };
@@ -439,7 +487,7 @@
 
     async fn reread(&self, store: &Store) -> Result<(), StoreError> {
         let position = self.inner.position.get();
-        let InEra { era, value: list } = store.list_in_era(&self.inner.prefix).await?;
+        let InEra { era, value: list } = self.list(store).await?;
         let read_at = StoreRevision {
             era,
             revision: list.revision,
@@ -482,13 +530,20 @@
         Ok(())
     }
 
+    async fn list(&self, store: &Store) -> Result<InEra<ObjectList>, StoreError> {
+        let Inner { prefix, pace, .. } = &*self.inner;
+        store.list_in_era(prefix, pace.priority).await
+    }
+
     async fn watch(&self, store: &Store, wait_ms: u64) -> Result<(), StoreError> {
         let position = self.inner.position.get();
         let new_era = store.listen_for_era();
         if store.era() != position.era {
             return self.reread(store).await;
         }
-        let watch = pin!(store.watch_in_era(&self.inner.prefix, position.revision, wait_ms));
+        let Inner { prefix, pace, .. } = &*self.inner;
+        let watch = store.watch_in_era(prefix, position.revision, wait_ms, pace.priority);
+        let watch = pin!(watch);
         let InEra { era, value: reply } = match select(watch, new_era).await {
             Either::Left((reply, _)) => reply?,
             // Another call has shown a new era, in which this revision is of another state.
--- a/crates/celerystair_platform/src/pacer.rs
+++ b/crates/celerystair_platform/src/pacer.rs
@@ -12,7 +12,7 @@
 /// Which calls go first when the rate limit is reached.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum CallPriority {
-    /// Claims and journal entries; callers or accelerators wait for them.
+    /// Claims, journal entries and the operator's configuration; callers or accelerators wait for them.
     Urgent,
     /// All other calls.
     Normal,
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -288,21 +288,25 @@
 
     /// Reads all objects below `prefix`, page by page. Ends early, and says so, if a page leads no further.
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, StoreError> {
-        Ok(self.list_in_era(prefix).await?.value)
+        Ok(self.list_in_era(prefix, CallPriority::Normal).await?.value)
     }
 
     /// Reads as [`Self::list`], and returns the era of the list.
     ///
     /// # Errors
     /// [`StoreError::Failed`] also if a new era began between two pages.
-    pub(crate) async fn list_in_era(&self, prefix: &str) -> Result<InEra<ObjectList>, StoreError> {
+    pub(crate) async fn list_in_era(
+        &self,
+        prefix: &str,
+        priority: CallPriority,
+    ) -> Result<InEra<ObjectList>, StoreError> {
         let dialect = &self.inner.dialect;
         let mut list = ObjectList::default();
         let mut after: Option<String> = None;
         let mut first_era = None;
         for _ in 0..PAGES_MAX {
             let call = (dialect.list)(prefix, after.as_deref());
-            let response = self.call(call, CallPriority::Normal).await?;
+            let response = self.call(call, priority).await?;
             let era = self.era();
             if *first_era.get_or_insert(era) != era {
                 return Err(failed(&"a new era of the store began between two pages"));
@@ -386,7 +390,9 @@
     /// Waits until something below `prefix` changes after `revision`.
     pub async fn watch(&self, prefix: &str, revision: u64) -> Result<WatchReply, StoreError> {
         let wait_ms = self.inner.settings.watch_timeout_ms;
-        Ok(self.watch_in_era(prefix, revision, wait_ms).await?.value)
+        let priority = CallPriority::Normal;
+        let reply = self.watch_in_era(prefix, revision, wait_ms, priority);
+        Ok(reply.await?.value)
     }
 
     /// Waits up to `wait_ms` as [`Self::watch`], and returns the era of the reply.
@@ -395,13 +401,14 @@
         prefix: &str,
         revision: u64,
         wait_ms: u64,
+        priority: CallPriority,
     ) -> Result<InEra<WatchReply>, StoreError> {
         let dialect = &self.inner.dialect;
         let response = self
             .send(StoreCall {
                 wire: (dialect.watch)(prefix, revision, wait_ms),
                 known_etag: "",
-                priority: CallPriority::Normal,
+                priority,
                 deadline_unix_ms: now_unix_ms() + wait_ms + self.inner.settings.call_timeout_ms,
             })
             .await?;
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -74,7 +74,7 @@
         census::RouterCountEstimate,
         choose::{Candidate, choose_upstream, has_capacity},
         cold_loads::{ColdLoadObservations, ColdLoadRun},
-        config_check::{ConfigDecision, ConfigFault, decide_config},
+        config_check::{ConfigDecision, ConfigFault, decide_config, is_version_absurd},
         demand::DemandMeter,
         departures::{
             MissingUpstreams, may_take_over, replaced_entries, state_of_run, upstream_state,
