Refuse requests that can't end before a planned stop does

What callers saw: in a planned stop, in calm, requests that came late in the grace were passed on, and cut with no answer as the process ended, writes among them.

Cause: until 0.8 s before the end of the grace nothing asked whether a request can end in time. A plain answer whose body was still coming was not ended with 504 either.

Evidence: a_stream_that_can_not_end_before_the_process_does_is_refused_and_not_cut failed on: streams of 3.5 s whose bodies were complete 1.5 to 3.1 s into a grace of 4 s were all passed on and cut. It passes now: all five are refused as not run, the stream and the short read that can end are answered.

What was passed on before goes on as it did. Plain answers and those to callers of HTTP/1.0 that are not whole when the process begins to cut get 504.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -535,7 +535,7 @@
                 upstream.update_health(|health| health.record_failure(true, now_unix_ms()));
             }
         })?;
-    run.finish();
+    run.complete();
     drop(in_flight);
     upstream.connections.keep(connection, &head.headers);
     Ok(BufferedResponse {
--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -1,10 +1,11 @@
 //! Reading callers' requests and answering them.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
 use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::{Route, request_fingerprint};
+use futures_util::future::{Either, select};
 use http::{HeaderValue, header};
 use http_body_util::{BodyExt, Limited};
 
@@ -38,7 +39,7 @@
             };
             let served = match serve_request(&router, request.clone()).await {
                 Ok(response) if caller_version < http::Version::HTTP_11 => {
-                    whole_response(response).await
+                    whole_response(&router, response).await
                 }
                 served => served,
             };
@@ -73,10 +74,21 @@
 /// stream that breaks off for a complete one.
 ///
 /// # Errors
-/// A refusal if the stream breaks off or is longer than [`RESPONSE_MAX_BYTES`].
-async fn whole_response(response: HttpResponse) -> Result<HttpResponse, Refusal> {
+/// A refusal if the stream breaks off, is longer than [`RESPONSE_MAX_BYTES`], or still runs as the
+/// process ends.
+async fn whole_response(
+    router: &PlatformRouter,
+    response: HttpResponse,
+) -> Result<HttpResponse, Refusal> {
     let (head, body) = response.into_parts();
-    let whole = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
+    let reading = pin!(Limited::new(body, RESPONSE_MAX_BYTES).collect());
+    let whole = match select(reading, pin!(router.closing.draining())).await {
+        Either::Left((whole, _)) => whole,
+        Either::Right(_) => {
+            let detail = "this router is shutting down";
+            return Err(Refusal::unknown(RefusalReason::DeadlineExceeded, detail));
+        }
+    };
     let whole = whole.map_err(|error| {
         let detail = format!("the stream can't be sent whole: {error}");
         Refusal::unknown(RefusalReason::UpstreamFailed, detail)
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -88,6 +88,10 @@
     pub waiting: WaitingRequests,
     /// The time in which this process ran.
     pub running_clock: Cell<RunningClock>,
+    /// How long the latest answers of each route took.
+    pub answer_durations: RefCell<AnswerDurations>,
+    /// When a planned stop that is under way begins to cut what runs.
+    stop_cuts_unix_ms: Cell<Option<u64>>,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
     /// are then refused.
     pub closing: Stop,
@@ -304,6 +308,17 @@
         self.router_count_estimate.borrow().routers(now_unix_ms())
     }
 
+    /// Whether a request that is passed on now is expected to get its answer before a planned stop ends.
+    pub(crate) fn can_end_before_stop(&self, request: &CallerRequest) -> bool {
+        let Some(cuts_unix_ms) = self.stop_cuts_unix_ms.get() else {
+            return true;
+        };
+        let durations = self.answer_durations.borrow();
+        let expected_ms = durations.expected_ms(&request.route);
+        let deadline_unix_ms = request.deadline_unix_ms;
+        can_end_before_stop(expected_ms, deadline_unix_ms, cuts_unix_ms, now_unix_ms())
+    }
+
     /// Records a request that was read, at least in part, and whose connection ended without a complete
     /// response.
     fn record_unanswered(&self, request: &UnansweredRequest) {
@@ -364,6 +379,8 @@
             buffered_bytes: Cell::default(),
             waiting: WaitingRequests::default(),
             running_clock: Cell::new(RunningClock::start(now_unix_ms())),
+            answer_durations: RefCell::default(),
+            stop_cuts_unix_ms: Cell::default(),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
             demand: RefCell::default(),
@@ -430,13 +447,10 @@
 async fn refuse_waiting_before_kill(router: PlatformRouter, stop: Stop) {
     stop.draining().await;
     info!(router.log, "stopping"; "waiting" => router.waiting.len());
-    sleep_ms(
-        router
-            .settings
-            .stop_grace_ms
-            .saturating_sub(REFUSAL_MARGIN_MS),
-    )
-    .await;
+    let grace_ms = router.settings.stop_grace_ms;
+    let cuts_unix_ms = now_unix_ms() + grace_ms.saturating_sub(REFUSAL_MARGIN_MS);
+    router.stop_cuts_unix_ms.set(Some(cuts_unix_ms));
+    sleep_until_unix_ms(cuts_unix_ms).await;
     router.closing.drain();
 }
 
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -6,7 +6,7 @@
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
 use celerystair_policy::{prelude::*, waiting::retry_after_ms};
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 
 use crate::{
     attempt::{
@@ -264,6 +264,11 @@
                 );
             }
         };
+        if !progress.may_have_run && !router.can_end_before_stop(request) {
+            let detail = "this router shuts down before the answer is expected to end";
+            let reason = RefusalReason::Leaving;
+            return last_response_or_refusal(progress, reason, detail);
+        }
         if progress.delivered_attempts > 0 && !router.try_spend_retry(request, service, progress) {
             return last_response_or_refusal(
                 progress,
@@ -345,8 +350,11 @@
     if request.route.kind == RequestKind::Stream {
         return Ok(UpstreamResponse::Started(started));
     }
-    let response = buffer_response(router, request, started, attempt_end_unix_ms(request)).await?;
-    Ok(UpstreamResponse::Buffered(response))
+    let reading = buffer_response(router, request, started, attempt_end_unix_ms(request));
+    match select(pin!(reading), pin!(router.closing.draining())).await {
+        Either::Left((response, _)) => Ok(UpstreamResponse::Buffered(response?)),
+        Either::Right(_) => Err(AttemptFailure::Silent.into()),
+    }
 }
 
 /// How the wait for an upstream's response ended.
--- a/crates/celerystair_front/src/runs.rs
+++ b/crates/celerystair_front/src/runs.rs
@@ -105,6 +105,15 @@
         self.run = None;
     }
 
+    /// Ends the run: its answer has been passed on whole.
+    pub fn complete(&mut self) {
+        if let Some(run) = self.run.take() {
+            let duration_ms = now_unix_ms().saturating_sub(run.sent_unix_ms);
+            let mut durations = self.router.answer_durations.borrow_mut();
+            durations.record(&run.route.name, duration_ms);
+        }
+    }
+
     /// Ends the run: its connection was lost before the answer was complete.
     pub fn lose(&mut self) {
         if let Some(run) = self.run.take() {
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -334,6 +334,7 @@
                 );
                 self.router
                     .record_part_answer(&self.request, started.began_unix_ms);
+                started.run.complete();
             }
             started.run.finish();
             let connections = &started.upstream.connections;
