--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -228,9 +228,7 @@
 fn apply_message(agent: &EngineAgent, message: &GossipMessage) -> bool {
     match message {
         GossipMessage::Engine(status) => {
-            let port = agent.settings.gossip_listen.port();
-            let peer = SocketAddr::new(status.address.into(), port);
-            let sender = (!status.address.is_unspecified()).then_some(peer);
+            let sender = status.agent_address(agent.settings.gossip_listen.port());
             agent.configs.hear(status.config_version, sender);
             agent.engine_statuses.insert_if_newer(status.clone())
         }
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -210,7 +210,8 @@
                 ..
             }) => {
                 router.record_router_count(status.router_count, &status.upstream);
-                hear_of_config(&router, &status);
+                let agent = status.agent_address(router.settings.gossip_listen.port());
+                router.view.configs().hear(status.config_version, agent);
                 if status.is_leaving {
                     record_departure(&router, &status);
                 }
@@ -250,14 +251,6 @@
     }
 }
 
-/// Looks for the version of the configuration that an agent has in force, if it is a later one.
-fn hear_of_config(router: &PlatformRouter, status: &EngineStatus) {
-    let port = router.settings.gossip_listen.port();
-    let agent = SocketAddr::new(status.address.into(), port);
-    let sender = (!status.address.is_unspecified()).then_some(agent);
-    router.view.configs().hear(status.config_version, sender);
-}
-
 /// Records that an engine leaves, as its agent has heard from it or from a router.
 fn record_departure(router: &PlatformRouter, status: &EngineStatus) {
     let upstream = router.view.upstream(&status.upstream);
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -1,6 +1,10 @@
 //! The engine statuses that agents report.
 
-use std::{cell::RefCell, net::Ipv4Addr, rc::Rc};
+use std::{
+    cell::RefCell,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
 
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
@@ -70,6 +74,13 @@
         self.loaded.iter().find(|loaded| loaded.model == *model)
     }
 
+    /// Returns where the engine's agent listens for its peers, which use the same port, unless its address
+    /// is unknown.
+    pub fn agent_address(&self, peer_port: u16) -> Option<SocketAddr> {
+        let address = SocketAddr::new(self.address.into(), peer_port);
+        (!self.address.is_unspecified()).then_some(address)
+    }
+
     pub(crate) fn from_wire(news: EngineNews, now_unix_ms: u64) -> Self {
         let loaded = news.loaded.into_iter().map(|model| LoadedModel {
             model: model.model.into(),
