Watch on from before a list that lacks pages

Callers: an upstream that came while the store's list could not be read to its end got no requests until it was written again; one that left went on getting them.

Cause: a list that ends at a page without a name moved the mirror's position on to the list's revision. A watch from there tells nothing of what was written before, on a page that the list lacks.

Why it works: a partial list no longer moves the position, so the next watch begins before the list and tells of both. A position that was compacted or is of an earlier era can't be watched from and is replaced as before.

--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -94,6 +94,14 @@
 /// Decodes an object's value.
 type ValueDecoder<T> = Box<dyn Fn(&Object) -> Result<T, StoreError>>;
 
+/// Whether a watch from a mirror's position still tells what has changed since.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Position {
+    Watchable,
+    /// The store has compacted its revision.
+    Compacted,
+}
+
 struct Entry<T> {
     version: StoreRevision,
     value: Rc<T>,
@@ -243,7 +251,7 @@
         if self.has_read_store() {
             self.watch(store, SHORTEST_WATCH_MS).await?;
         } else {
-            self.reread(store).await?;
+            self.reread(store, Position::Watchable).await?;
         }
         if self.inner.is_partial.get() {
             let detail = "the list that was read last lacks pages".to_owned();
@@ -257,7 +265,7 @@
     /// # Errors
     /// The store doesn't answer.
     pub async fn read_all_again(&self, store: &Store) -> Result<(), StoreError> {
-        self.reread(store).await
+        self.reread(store, Position::Watchable).await
     }
 
     /// Applies an object that was read or written outside this mirror, if it is newer.
@@ -405,7 +413,7 @@
                 continue;
             }
             let result = if is_due {
-                self.reread(store).await
+                self.reread(store, Position::Watchable).await
             } else {
                 // A watch that waits tells only at its end that the store is in a new era.
                 let wait_ms = match failing_since_unix_ms {
@@ -485,7 +493,7 @@
         }
     }
 
-    async fn reread(&self, store: &Store) -> Result<(), StoreError> {
+    async fn reread(&self, store: &Store, known_position: Position) -> Result<(), StoreError> {
         let position = self.inner.position.get();
         let InEra { era, value: list } = self.list(store).await?;
         let read_at = StoreRevision {
@@ -524,7 +532,13 @@
             ..WatchReply::default()
         };
         self.apply_changes(store, era, &reply);
-        self.advance_position(read_at);
+        // What a partial list lacks may have been written after the position: a watch from there tells of it.
+        let is_watchable = known_position == Position::Watchable
+            && self.inner.has_read_store.get()
+            && position.era == era;
+        if !list.is_partial || !is_watchable {
+            self.advance_position(read_at);
+        }
         self.inner.has_read_store.set(true);
         self.mark_complete();
         Ok(())
@@ -539,7 +553,7 @@
         let position = self.inner.position.get();
         let new_era = store.listen_for_era();
         if store.era() != position.era {
-            return self.reread(store).await;
+            return self.reread(store, Position::Watchable).await;
         }
         let Inner { prefix, pace, .. } = &*self.inner;
         let watch = store.watch_in_era(prefix, position.revision, wait_ms, pace.priority);
@@ -547,10 +561,13 @@
         let InEra { era, value: reply } = match select(watch, new_era).await {
             Either::Left((reply, _)) => reply?,
             // Another call has shown a new era, in which this revision is of another state.
-            Either::Right(_) => return self.reread(store).await,
+            Either::Right(_) => return self.reread(store, Position::Watchable).await,
         };
-        if reply.too_old || era != position.era {
-            return self.reread(store).await;
+        if reply.too_old {
+            return self.reread(store, Position::Compacted).await;
+        }
+        if era != position.era {
+            return self.reread(store, Position::Watchable).await;
         }
         let read_at = StoreRevision {
             era,
@@ -563,7 +580,7 @@
         // Whichever object such an event is about, the one before it may be in use. Until the list has
         // been read, the revision stays, so that the event comes again.
         if reply.unnamed > 0 {
-            self.reread(store).await?;
+            self.reread(store, Position::Watchable).await?;
         }
         self.advance_position(read_at);
         Ok(())
