Drop opening packets before a listener closes

Callers: in a planned stop, a connection that was just established was reset without an answer.

Cause: the kernel resets what is in the accept queue as the listener closes. A connection that is complete between the last look at the queue and the close is lost, however short that is.

Why it works: while a socket filter drops opening packets, handshakes that have begun end within a round trip and are accepted, and no new one begins.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -422,14 +422,17 @@
     compio::runtime::spawn(log_attempts_per_window(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(refuse_waiting_before_kill(router.clone(), stop.clone())).detach();
     let (limits_router, report_router) = (router.clone(), router.clone());
+    let drain_router = router.clone();
     let (handler_router, server_stop) = (router.clone(), stop.clone());
     let server_task = compio::runtime::spawn(async move {
         let limits = move |awaited| connection_limits(&limits_router, awaited);
         let handle = move |request| handle_caller_request(handler_router.clone(), request);
         let report = move |request: &UnansweredRequest| report_router.record_unanswered(request);
-        serve_http_limited(callers, server_stop, STOP_NOTICE_MS, limits, report, handle)
-            .await
-            .ok();
+        let draining = draining(&drain_router);
+        let serving = serve_http_limited(callers, server_stop, draining, limits, report, handle);
+        if let Err(error) = serving.await {
+            warn!(drain_router.log, "callers_not_served"; "error" => %error);
+        }
     });
     Ok(RunningPlatformRouter {
         router,
@@ -454,6 +457,19 @@
     router.closing.drain();
 }
 
+/// Returns how the router goes on accepting callers during a planned stop.
+fn draining(router: &PlatformRouter) -> Draining {
+    let closing = router.clone();
+    Draining {
+        notice_ms: STOP_NOTICE_MS,
+        keeps_accepting: Box::new(|_| false),
+        report_close: Box::new(move |turned_away| {
+            let error = turned_away.as_ref().err().map(ToString::to_string);
+            info!(closing.log, "listener_closing"; "waiting" => closing.waiting.len(), "error" => error);
+        }),
+    }
+}
+
 fn connection_limits(router: &PlatformRouter, awaited: Awaited) -> ConnectionLimits {
     let active = router.view.config();
     let limits = active
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -119,7 +119,39 @@
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    serve_connections(listener, stop, default_limits, |_| {}, handle).await
+    let draining = Draining::after_notice(0);
+    serve_connections(listener, stop, draining, default_limits, |_| {}, handle).await
+}
+
+/// How a server goes on once its stop begins to drain.
+pub struct Draining {
+    /// How long it serves as before, in milliseconds.
+    pub notice_ms: u64,
+    /// Returns whether it goes on accepting connections after that.
+    pub keeps_accepting: Box<dyn Fn(DrainingListener) -> bool>,
+    /// Is told when the listener begins to close, with an error if it can't turn new connections away
+    /// meanwhile.
+    pub report_close: Box<dyn Fn(&io::Result<()>)>,
+}
+
+impl Draining {
+    /// Returns a server's behaviour that stops accepting connections after `notice_ms`.
+    pub fn after_notice(notice_ms: u64) -> Self {
+        Self {
+            notice_ms,
+            keeps_accepting: Box::new(|_| false),
+            report_close: Box::new(|_| {}),
+        }
+    }
+}
+
+/// A listener whose server drains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DrainingListener {
+    /// The connections that are open, also those without a request.
+    pub open_connections: usize,
+    /// When the last connection was accepted; 0 if none was.
+    pub accepted_unix_ms: u64,
 }
 
 /// Limits of servers whose callers are told none.
@@ -173,18 +205,19 @@
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    serve_http_limited(listener, stop, notice_ms, default_limits, |_| {}, handle).await
+    let draining = Draining::after_notice(notice_ms);
+    serve_http_limited(listener, stop, draining, default_limits, |_| {}, handle).await
 }
 
-/// Serves as [`serve_http_with_notice`], with limits that are read anew whenever they matter, and
-/// reports each request that is left unanswered.
+/// Serves as [`serve_http_with_notice`], and as `draining` says afterwards, with limits that are read anew
+/// whenever they matter, and reports each request that is left unanswered.
 ///
 /// # Errors
 /// As [`serve_http`].
 pub async fn serve_http_limited<F, R>(
     listener: TcpListener,
     stop: Stop,
-    notice_ms: u64,
+    draining: Draining,
     limits: impl Fn(Awaited) -> ConnectionLimits + 'static,
     report: impl Fn(&UnansweredRequest) + 'static,
     handle: F,
@@ -193,8 +226,8 @@
     F: Fn(HttpRequest) -> R + 'static,
     R: Future<Output = HttpResponse> + 'static,
 {
-    let delayed_stop = delayed_stop(&stop, notice_ms);
-    serve_connections(listener, delayed_stop, limits, report, move |request| {
+    let delayed_stop = delayed_stop(&stop, draining.notice_ms);
+    let handle = move |request| {
         let response = handle(request);
         let stop = stop.clone();
         async move {
@@ -204,8 +237,8 @@
             }
             response
         }
-    })
-    .await
+    };
+    serve_connections(listener, delayed_stop, draining, limits, report, handle).await
 }
 
 fn ask_to_close(response: &mut HttpResponse) {
@@ -234,6 +267,7 @@
 async fn serve_connections<F, R>(
     listener: TcpListener,
     stop: Stop,
+    draining: Draining,
     limits: impl Fn(Awaited) -> ConnectionLimits + 'static,
     report: impl Fn(&UnansweredRequest) + 'static,
     handle: F,
@@ -246,7 +280,7 @@
     let limits = Rc::new(limits);
     let report = Rc::new(report);
     let connections = OpenConnections::default();
-    accept_until(&listener, &stop, async |stream| {
+    accept_until(&listener, &stop, &draining, &connections, async |stream| {
         stream.set_nodelay(true).ok();
         let handle = handle.clone();
         let stop = stop.clone();
@@ -437,33 +471,92 @@
         .unwrap_or_default()
 }
 
-/// How long the kernel's accept queue must stay empty before the listener is closed, because
-/// closing it resets the connections in the queue.
+/// How often a draining listener without a new connection decides whether it goes on.
+const ACCEPT_CHECK_MS: u64 = 20;
+/// How long the kernel's accept queue must stay empty before the listener is closed if new connections
+/// can't be turned away, because closing it resets the connections in the queue.
 const BACKLOG_IDLE_MS: u64 = 20;
+/// How long it must stay empty once new ones are turned away: handshakes that have begun are complete
+/// after one round trip.
+const HANDSHAKE_MS: u64 = 100;
 
-/// Accepts connections until `stop` drains, then accepts those left in the kernel's queue.
+/// Accepts connections until `stop` drains and `draining` wants no more, then those that callers already
+/// take for established.
 pub(crate) async fn accept_until(
     listener: &TcpListener,
     stop: &Stop,
+    draining: &Draining,
+    connections: &OpenConnections,
     serve: impl AsyncFn(TcpStream),
 ) -> io::Result<()> {
+    let mut accepted_unix_ms = 0;
     while !stop.is_draining() {
         match select(pin!(listener.accept()), pin!(stop.draining())).await {
-            Either::Left((Ok((stream, _)), _)) => serve(stream).await,
+            Either::Left((Ok((stream, _)), _)) => {
+                accepted_unix_ms = now_unix_ms();
+                serve(stream).await;
+            }
             Either::Left((Err(error), _)) if is_transient(&error) => sleep_ms(10).await,
             Either::Left((Err(error), _)) => return Err(error),
             Either::Right(_) => break,
         }
     }
+    let state = |accepted_unix_ms| DrainingListener {
+        open_connections: connections.count.get(),
+        accepted_unix_ms,
+    };
+    while !stop.is_ended() && (draining.keeps_accepting)(state(accepted_unix_ms)) {
+        match select(pin!(listener.accept()), pin!(sleep_ms(ACCEPT_CHECK_MS))).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                accepted_unix_ms = now_unix_ms();
+                serve(stream).await;
+            }
+            Either::Left((Err(error), _)) if is_transient(&error) => sleep_ms(10).await,
+            Either::Left((Err(error), _)) => return Err(error),
+            Either::Right(_) => {}
+        }
+    }
+    let turned_away = turn_away_handshakes(listener);
+    let idle_ms = turned_away
+        .as_ref()
+        .map_or(BACKLOG_IDLE_MS, |()| HANDSHAKE_MS);
+    (draining.report_close)(&turned_away);
     while !stop.is_ended() {
-        match select(pin!(listener.accept()), pin!(sleep_ms(BACKLOG_IDLE_MS))).await {
+        match select(pin!(listener.accept()), pin!(sleep_ms(idle_ms))).await {
             Either::Left((Ok((stream, _)), _)) => serve(stream).await,
+            Either::Left((Err(error), _)) if is_transient(&error) => sleep_ms(10).await,
             _ => break,
         }
     }
     Ok(())
 }
 
+/// Lets the kernel drop the packets that open connections to the listener. Their callers send them again,
+/// and are refused once the listener is closed; without this, a handshake may end during the close.
+#[cfg(target_os = "linux")]
+fn turn_away_handshakes(listener: &TcpListener) -> io::Result<()> {
+    use socket2::{SockFilter, SockRef};
+    /// Offset of the flags in a TCP header, and the flag of an opening packet.
+    const FLAGS_OFFSET: u32 = 13;
+    const SYN: u32 = 0x02;
+    // Instructions of classic BPF: load a byte, jump if bits are set, return how much to keep.
+    const LOAD_BYTE: u16 = 0x30;
+    const JUMP_IF_SET: u16 = 0x45;
+    const RETURN: u16 = 0x06;
+    let filter = [
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_OFFSET),
+        SockFilter::new(JUMP_IF_SET, 0, 1, SYN),
+        SockFilter::new(RETURN, 0, 0, 0),
+        SockFilter::new(RETURN, 0, 0, u32::MAX),
+    ];
+    SockRef::from(listener).attach_filter(&filter)
+}
+
+#[cfg(not(target_os = "linux"))]
+fn turn_away_handshakes(_listener: &TcpListener) -> io::Result<()> {
+    Err(io::ErrorKind::Unsupported.into())
+}
+
 /// Returns whether accepting failed for one connection only, or for a shortage of file descriptors,
 /// which passes once other connections close.
 fn is_transient(error: &io::Error) -> bool {
--- a/crates/celerystair_router/src/router.rs
+++ b/crates/celerystair_router/src/router.rs
@@ -116,7 +116,8 @@
         let report = move |request: &UnansweredRequest| record_unanswered(&report_router, request);
         let handle = move |request| answer_caller(answering_router.clone(), request);
         let limits = default_limits;
-        serve_http_limited(listener, serving_stop, notice_ms, limits, report, handle)
+        let draining = Draining::after_notice(notice_ms);
+        serve_http_limited(listener, serving_stop, draining, limits, report, handle)
             .await
             .ok();
     });
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
-use std::{io::Read, net::TcpListener};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    time::Duration,
+};
 
 use celerystair::{
     core::{prelude::*, time::before_deadline},
@@ -15,7 +19,7 @@
 #[test]
 fn a_sleep_may_be_polled_again_once_it_has_ended() {
     block_on(async {
-        let mut sleep = ConnectionTimer.sleep(std::time::Duration::from_millis(1));
+        let mut sleep = ConnectionTimer.sleep(Duration::from_millis(1));
         sleep.as_mut().await;
         sleep.as_mut().await;
     });
@@ -43,6 +47,45 @@
     });
 }
 
+/// Calls a server on new connections until it turns one away; returns how many were left unanswered.
+fn unanswered_until_closed(address: SocketAddr) -> usize {
+    const CONNECT_MAX: Duration = Duration::from_millis(500);
+    // Long enough for the queue to be empty between two connections.
+    const PAUSE: Duration = Duration::from_millis(20);
+    let mut unanswered = 0;
+    while let Ok(mut stream) = TcpStream::connect_timeout(&address, CONNECT_MAX) {
+        let sent = stream.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        let received = sent.and_then(|()| stream.read(&mut [0; 512]));
+        unanswered += usize::from(!received.is_ok_and(|count| count > 0));
+        std::thread::sleep(PAUSE);
+    }
+    unanswered
+}
+
+// A connection that was complete between the last look at the queue and the close was reset.
+#[test]
+fn no_connection_that_is_complete_as_a_listener_closes_is_left_unanswered() {
+    const ROUNDS: usize = 20;
+    const CALLERS: usize = 2;
+    for round in 0..ROUNDS {
+        let callers = block_on(async {
+            let listener = bind(([127, 0, 0, 1], 0).into()).expect("a listener");
+            let address = listener.local_addr().expect("an address");
+            let stop = Stop::new();
+            let handle = |_| async { http::Response::new(HttpBody::full("served")) };
+            let serving = compio::runtime::spawn(serve_http(listener, stop.clone(), handle));
+            let callers = [(); CALLERS]
+                .map(|()| std::thread::spawn(move || unanswered_until_closed(address)));
+            sleep_ms(100).await;
+            stop.drain();
+            serving.await.expect("the server's task").expect("it ends");
+            callers
+        });
+        let unanswered = callers.map(|caller| caller.join().expect("a caller"));
+        assert_eq!(unanswered, [0; CALLERS], "round {round}");
+    }
+}
+
 /// Far longer than the test takes on any machine.
 const LONG_NOTICE_MS: u64 = 600_000;
 
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -113,7 +113,15 @@
         let (reports, stop) = (Reports::default(), Stop::new());
         let kept = reports.clone();
         let report = move |request: &UnansweredRequest| kept.borrow_mut().push(request.clone());
-        let serving = serve_http_limited(listener, stop.clone(), 0, default_limits, report, answer);
+        let draining = Draining::after_notice(0);
+        let serving = serve_http_limited(
+            listener,
+            stop.clone(),
+            draining,
+            default_limits,
+            report,
+            answer,
+        );
         compio::runtime::spawn(async move { serving.await.ok() }).detach();
         let calling = std::thread::spawn(move || call(address));
         while !calling.is_finished() {
