--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -463,8 +463,8 @@
     Draining {
         notice_ms: STOP_NOTICE_MS,
         keeps_accepting: Box::new(|_| false),
-        report_close: Box::new(move |turned_away| {
-            let error = turned_away.as_ref().err().map(ToString::to_string);
+        report_close: Box::new(move |error| {
+            let error = error.map(ToString::to_string);
             info!(closing.log, "listener_closing"; "waiting" => closing.waiting.len(), "error" => error);
         }),
     }
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -131,7 +131,7 @@
     pub keeps_accepting: Box<dyn Fn(DrainingListener) -> bool>,
     /// Is told when the listener begins to close, with an error if it can't turn new connections away
     /// meanwhile.
-    pub report_close: Box<dyn Fn(&io::Result<()>)>,
+    pub report_close: Box<dyn Fn(Option<&io::Error>)>,
 }
 
 impl Draining {
@@ -520,7 +520,7 @@
     let idle_ms = turned_away
         .as_ref()
         .map_or(BACKLOG_IDLE_MS, |()| HANDSHAKE_MS);
-    (draining.report_close)(&turned_away);
+    (draining.report_close)(turned_away.as_ref().err());
     while !stop.is_ended() {
         match select(pin!(listener.accept()), pin!(sleep_ms(idle_ms))).await {
             Either::Left((Ok((stream, _)), _)) => serve(stream).await,
