--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -123,6 +123,9 @@
     serve_connections(listener, stop, draining, default_limits, |_| {}, handle).await
 }
 
+/// Is called as a listener begins to close.
+pub type CloseReporter = Box<dyn Fn(Option<&io::Error>)>;
+
 /// How a server goes on once its stop begins to drain.
 pub struct Draining {
     /// How long it serves as before, in milliseconds.
@@ -131,7 +134,7 @@
     pub keeps_accepting: Box<dyn Fn(DrainingListener) -> bool>,
     /// Is told when the listener begins to close, with an error if it can't turn new connections away
     /// meanwhile.
-    pub report_close: Box<dyn Fn(Option<&io::Error>)>,
+    pub report_close: CloseReporter,
 }
 
 impl Draining {
