Close the listener of a stopping router as before

Cause: what comes late in a stop can mostly not be served to its end, and is refused with a Retry-After of 0.2 s, which no router keeps as none is ready. Callers try again until they give up; those that found no listener came back once the next start was there, which a longer stop also delays.

The reporter of a listener's close stays too.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -459,18 +459,9 @@
 
 /// Returns how the router goes on accepting callers during a planned stop.
 fn draining(router: &PlatformRouter) -> Draining {
-    let (accepting, closing) = (router.clone(), router.clone());
+    let closing = router.clone();
     Draining {
         notice_ms: STOP_NOTICE_MS,
-        keeps_accepting: Box::new(move |listener| {
-            let cuts_unix_ms = accepting.stop_cuts_unix_ms.get().unwrap_or_default();
-            keeps_accepting(
-                listener.open_connections,
-                listener.accepted_unix_ms,
-                cuts_unix_ms,
-                now_unix_ms(),
-            )
-        }),
         report_close: Box::new(move |error| {
             let error = error.map(ToString::to_string);
             info!(closing.log, "listener_closing"; "waiting" => closing.waiting.len(), "error" => error);
--- a/crates/celerystair_net/src/grpc.rs
+++ b/crates/celerystair_net/src/grpc.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     dial::dial,
-    http_server::{Draining, OpenConnections, accept_until},
+    http_server::{CloseReporter, OpenConnections, accept_until},
     timer::ConnectionTimer,
     tls::{accept_peer, connect_peer},
 };
@@ -48,8 +48,8 @@
     S::Future: Send + 'static,
 {
     let connections = OpenConnections::default();
-    let draining = Draining::after_notice(0);
-    accept_until(&listener, &stop, &draining, &connections, async |stream| {
+    let report_close: CloseReporter = Box::new(|_| {});
+    accept_until(&listener, &stop, &report_close, async |stream| {
         stream.set_nodelay(true).ok();
         let service = service.clone();
         let stop = stop.clone();
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -130,8 +130,6 @@
 pub struct Draining {
     /// How long it serves as before, in milliseconds.
     pub notice_ms: u64,
-    /// Returns whether it goes on accepting connections after that.
-    pub keeps_accepting: Box<dyn Fn(DrainingListener) -> bool>,
     /// Is told when the listener begins to close, with an error if it can't turn new connections away
     /// meanwhile.
     pub report_close: CloseReporter,
@@ -142,21 +140,11 @@
     pub fn after_notice(notice_ms: u64) -> Self {
         Self {
             notice_ms,
-            keeps_accepting: Box::new(|_| false),
             report_close: Box::new(|_| {}),
         }
     }
 }
 
-/// A listener whose server drains.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DrainingListener {
-    /// The connections that are open, also those without a request.
-    pub open_connections: usize,
-    /// When the last connection was accepted; 0 if none was.
-    pub accepted_unix_ms: u64,
-}
-
 /// Limits of servers whose callers are told none.
 pub fn default_limits(awaited: Awaited) -> ConnectionLimits {
     const WAIT_MAX_MS: u64 = 30_000;
@@ -212,8 +200,8 @@
     serve_http_limited(listener, stop, draining, default_limits, |_| {}, handle).await
 }
 
-/// Serves as [`serve_http_with_notice`], and as `draining` says afterwards, with limits that are read anew
-/// whenever they matter, and reports each request that is left unanswered.
+/// Serves as [`serve_http_with_notice`], with limits that are read anew whenever they matter, and
+/// reports each request that is left unanswered, and when the listener closes.
 ///
 /// # Errors
 /// As [`serve_http`].
@@ -283,7 +271,7 @@
     let limits = Rc::new(limits);
     let report = Rc::new(report);
     let connections = OpenConnections::default();
-    accept_until(&listener, &stop, &draining, &connections, async |stream| {
+    accept_until(&listener, &stop, &draining.report_close, async |stream| {
         stream.set_nodelay(true).ok();
         let handle = handle.clone();
         let stop = stop.clone();
@@ -474,8 +462,6 @@
         .unwrap_or_default()
 }
 
-/// How often a draining listener without a new connection decides whether it goes on.
-const ACCEPT_CHECK_MS: u64 = 20;
 /// How long the kernel's accept queue must stay empty before the listener is closed if new connections
 /// can't be turned away, because closing it resets the connections in the queue.
 const BACKLOG_IDLE_MS: u64 = 20;
@@ -483,47 +469,26 @@
 /// after one round trip.
 const HANDSHAKE_MS: u64 = 100;
 
-/// Accepts connections until `stop` drains and `draining` wants no more, then those that callers already
-/// take for established.
+/// Accepts connections until `stop` drains, then those that callers already take for established.
 pub(crate) async fn accept_until(
     listener: &TcpListener,
     stop: &Stop,
-    draining: &Draining,
-    connections: &OpenConnections,
+    report_close: &CloseReporter,
     serve: impl AsyncFn(TcpStream),
 ) -> io::Result<()> {
-    let mut accepted_unix_ms = 0;
     while !stop.is_draining() {
         match select(pin!(listener.accept()), pin!(stop.draining())).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                accepted_unix_ms = now_unix_ms();
-                serve(stream).await;
-            }
+            Either::Left((Ok((stream, _)), _)) => serve(stream).await,
             Either::Left((Err(error), _)) if is_transient(&error) => sleep_ms(10).await,
             Either::Left((Err(error), _)) => return Err(error),
             Either::Right(_) => break,
         }
     }
-    let state = |accepted_unix_ms| DrainingListener {
-        open_connections: connections.count.get(),
-        accepted_unix_ms,
-    };
-    while !stop.is_ended() && (draining.keeps_accepting)(state(accepted_unix_ms)) {
-        match select(pin!(listener.accept()), pin!(sleep_ms(ACCEPT_CHECK_MS))).await {
-            Either::Left((Ok((stream, _)), _)) => {
-                accepted_unix_ms = now_unix_ms();
-                serve(stream).await;
-            }
-            Either::Left((Err(error), _)) if is_transient(&error) => sleep_ms(10).await,
-            Either::Left((Err(error), _)) => return Err(error),
-            Either::Right(_) => {}
-        }
-    }
     let turned_away = turn_away_handshakes(listener);
     let idle_ms = turned_away
         .as_ref()
         .map_or(BACKLOG_IDLE_MS, |()| HANDSHAKE_MS);
-    (draining.report_close)(turned_away.as_ref().err());
+    report_close(turned_away.as_ref().err());
     while !stop.is_ended() {
         match select(pin!(listener.accept()), pin!(sleep_ms(idle_ms))).await {
             Either::Left((Ok((stream, _)), _)) => serve(stream).await,
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -30,9 +30,9 @@
         dial::{Dialer, set_dialer},
         grpc::{Connection, ConnectionError, serve_grpc},
         http_server::{
-            Awaited, ConnectionLimits, Draining, DrainingListener, HttpRequest, HttpResponse,
-            ListenError, bind, default_limits, delayed_stop, serve_http, serve_http_limited,
-            serve_http_with_notice, serve_text,
+            Awaited, ConnectionLimits, Draining, HttpRequest, HttpResponse, ListenError, bind,
+            default_limits, delayed_stop, serve_http, serve_http_limited, serve_http_with_notice,
+            serve_text,
         },
         tls::{PeerTls, TlsError, TlsSettings},
     };
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -20,7 +20,7 @@
 //! | [`health`] | which upstreams are avoided for a while after failures |
 //! | [`outcome`] | what happens to a request after a failed attempt |
 //! | [`own_response`] | whether a response answers the request that it arrived after |
-//! | [`planned_stop`] | what is taken while a planned stop is under way, and until when |
+//! | [`planned_stop`] | whether a request is taken while a planned stop is under way |
 //! | [`prompt_parts`] | which parts of prompts are refused because they crash upstreams |
 //! | [`rate_limit`] | a router's share of the rate limit that an upstream names |
 //! | [`recent_answers`] | nothing: which requests and prompt parts got answers lately |
@@ -89,7 +89,7 @@
         health::UpstreamHealth,
         outcome::{AttemptFailure, NextStep, next_step},
         own_response::{NamedRequest, RefusedRequests, is_own_response},
-        planned_stop::{AnswerDurations, can_end_before_stop, keeps_accepting},
+        planned_stop::{AnswerDurations, can_end_before_stop},
         prompt_parts::{PartCounts, PartRefusal, SuspectParts},
         rate_limit::{RateLimit, pause_until_unix_ms},
         replicas::{EngineView, ModelView, Order, next_order},
--- a/crates/celerystair_policy/src/planned_stop.rs
+++ b/crates/celerystair_policy/src/planned_stop.rs
@@ -1,4 +1,4 @@
-//! Whether a request is taken while a planned stop is under way, and until when connections are. What still runs when the process ends
+//! Whether a request is taken while a planned stop is under way. What still runs when the process ends
 //! is cut, so a request that is expected to run longer is refused before it is passed on: its caller then
 //! finds a router that stays. See `docs/PLATFORM.md`, "Planned stops".
 
@@ -63,20 +63,3 @@
     let answered_unix_ms = expected_unix_ms.map_or(deadline_unix_ms, |at| at.min(deadline_unix_ms));
     answered_unix_ms <= ends_unix_ms
 }
-
-/// How long no connection must have come before a listener closes: a balancer that still sends callers
-/// here, because no other router is ready, sends them in shorter intervals.
-const QUIET_MS: u64 = 250;
-
-/// Returns whether a stopping router goes on accepting connections, of which the last came at
-/// `accepted_unix_ms`. Nobody sends it any while another one is ready. It goes on while it would run
-/// anyway, and while connections come, until it begins to cut what runs.
-pub fn keeps_accepting(
-    open_connections: usize,
-    accepted_unix_ms: u64,
-    cuts_unix_ms: u64,
-    now_unix_ms: u64,
-) -> bool {
-    let is_quiet = now_unix_ms >= accepted_unix_ms.saturating_add(QUIET_MS);
-    now_unix_ms < cuts_unix_ms && (open_connections > 0 || !is_quiet)
-}
