--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings: what is wrong is named with its path and line.
 
+use std::process::Command;
+
 use celerystair::{config::prelude::*, trial::prelude::*};
 
 fn problems<
@@ -83,3 +85,43 @@
     assert_eq!(found.len(), 1);
     assert_eq!(found[0].0, "models.0.pool");
 }
+
+/// A configuration of the users' platform, with one route.
+const PLATFORM_CONFIG: &str = r#"{"Version": 7.0, "Routes": [{"Name": "read", "Host": "a.example",
+  "PathPrefix": "/read/", "Kind": "idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 500, "Priority": 1,
+  "Service": "desk", "Attempts": 2, "Sticky": false, "CanResume": false, "MaxGapMs": null}],
+  "Services": [{"Name": "desk", "HealthPath": "/health", "MaxConns": 100}],
+  "Limits": {"HeaderBytes": 16384, "BodyBytes": 20000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}"#;
+
+#[test]
+fn a_configuration_of_the_platform_is_checked_as_routers_decide() {
+    // What is replaced by what, the version in force, and what the verdict names.
+    let cases = [
+        ("", "", "6", "is valid"),
+        ("", "", "8", "below the version in force"),
+        ("7.0", "281474976710663", "7", "too far above 7"),
+        (
+            "\"Service\": \"desk\"",
+            "\"Service\": \"none\"",
+            "6",
+            "route read",
+        ),
+        ("idempotent", "odd", "6", "route read"),
+        ("\"Version\": 7.0,", "", "6", "Version"),
+    ];
+    let path = std::env::temp_dir().join(format!("platform-{}.json", std::process::id()));
+    for (from, to, in_force, named) in cases {
+        let text = PLATFORM_CONFIG.replacen(from, to, usize::from(!from.is_empty()));
+        std::fs::write(&path, text).expect("the file is written");
+        let output = Command::new(env!("CARGO_BIN_EXE_celerystair"))
+            .args(["check", "--in-force", in_force])
+            .arg(&path)
+            .output()
+            .expect("it runs");
+        let said = [output.stdout, output.stderr].concat();
+        let said = String::from_utf8_lossy(&said);
+        assert!(said.contains(named), "{to}: {said}");
+        assert_eq!(output.status.success(), named == "is valid", "{said}");
+    }
+    std::fs::remove_file(&path).expect("the file is removed");
+}
