--- a/crates/celerystair_core/src/ids.rs
+++ b/crates/celerystair_core/src/ids.rs
@@ -71,7 +71,7 @@
     FailureDomain
 );
 name_type!(
-    /// The name of an organisation, a customer of the platform.
+    /// The name of an organisation: callers and operators that share the system with others.
     OrganisationName
 );
 name_type!(
