Close the listener of a stopping server also while callers leave no pause

Cause: the listener was closed once no connection had come for 0.1 s. The kernel should turn opening packets away meanwhile, but it doesn't everywhere, and while all routers stop, callers come faster than that: the end of a phase depended on what peers do. Now it takes half a second at most.

--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -468,6 +468,9 @@
 /// How long it must stay empty once new ones are turned away: handshakes that have begun are complete
 /// after one round trip.
 const HANDSHAKE_MS: u64 = 100;
+/// How long connections are accepted at most once the listener closes. A kernel may open new ones all the
+/// same, and callers that leave no pause would keep a stopping server at work that it can't finish.
+const CLOSING_MAX_MS: u64 = 500;
 
 /// Accepts connections until `stop` drains, then those that callers already take for established.
 pub(crate) async fn accept_until(
@@ -489,7 +492,8 @@
         .as_ref()
         .map_or(BACKLOG_IDLE_MS, |()| HANDSHAKE_MS);
     report_close(turned_away.as_ref().err());
-    while !stop.is_ended() {
+    let until_unix_ms = now_unix_ms() + CLOSING_MAX_MS;
+    while !stop.is_ended() && now_unix_ms() < until_unix_ms {
         match select(pin!(listener.accept()), pin!(sleep_ms(idle_ms))).await {
             Either::Left((Ok((stream, _)), _)) => serve(stream).await,
             Either::Left((Err(error), _)) if is_transient(&error) => sleep_ms(10).await,
