Log what a planned stop sends and gives up, also at its very end

An on-call engineer could not see what a stop gave up: of three requests whose connections ended without an answer at the end of a grace, one line told of one, and a stream that was cut left none. Three causes: the runtime was dropped with the connections' tasks before these saw the end of the stop; the writer of the log was never joined, as hooks and threads keep clones of the logger, so the last lines were lost; a stream's end had no line.

Now the process gives the connections a tenth of a second to end and report, a guard writes what was logged, and three lines tell of requests that are sent in a stop, that it gives up, and of its end. No decision changes.

--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -16,6 +16,7 @@
     dialect::{InvalidHead, RequestHead},
     front::PlatformRouter,
     request::{CallerRequest, serve_request},
+    stops::GivenUpBy,
     view::ActiveConfig,
 };
 
@@ -53,6 +54,7 @@
                 Err(refusal) => {
                     router.record_outcome(refusal.reason.as_str(), arrived_unix_ms);
                     router.log_refusal(&request, &refusal);
+                    router.record_refusal_in_stop(&request, &refusal);
                     refusal_response(&refusal, Some(&request.head.id))
                 }
             }
@@ -108,6 +110,9 @@
     fn drop(&mut self) {
         if !self.is_answered {
             self.router.log_request_dropped(self.request);
+            let detail = "its connection ended before the answer began";
+            self.router
+                .log_given_up_in_stop(self.request, None, GivenUpBy::Connection, detail);
         }
     }
 }
@@ -150,6 +155,7 @@
         method: parts.method,
         target: http::Uri::from(target),
         arrived_unix_ms,
+        read_unix_ms: now_unix_ms(),
         deadline_unix_ms,
         fingerprint,
         head,
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -27,6 +27,7 @@
     runs::{Run, UnansweredRuns},
     settings::PlatformRouterSettings,
     standstill::keep_running_clock,
+    stops::StopCounts,
     suspicion::{ask_for_suspects, send_suspects_to_agents},
     upstream::Upstream,
     view::FleetView,
@@ -90,8 +91,10 @@
     pub running_clock: Cell<RunningClock>,
     /// How long the latest answers of each route took.
     pub answer_durations: RefCell<AnswerDurations>,
-    /// When a planned stop that is under way begins to cut what runs.
-    stop_cuts_unix_ms: Cell<Option<u64>>,
+    /// The planned stop that is under way.
+    pub planned_stop: Cell<Option<PlannedStop>>,
+    /// What the planned stop has done with requests.
+    pub(crate) stop_counts: Cell<StopCounts>,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
     /// are then refused.
     pub closing: Stop,
@@ -310,13 +313,18 @@
 
     /// Whether a request that is passed on now is expected to get its answer before a planned stop ends.
     pub(crate) fn can_end_before_stop(&self, request: &CallerRequest) -> bool {
-        let Some(cuts_unix_ms) = self.stop_cuts_unix_ms.get() else {
+        let Some(planned) = self.planned_stop.get() else {
             return true;
         };
         let durations = self.answer_durations.borrow();
         let expected_ms = durations.expected_ms(&request.route);
         let deadline_unix_ms = request.deadline_unix_ms;
-        can_end_before_stop(expected_ms, deadline_unix_ms, cuts_unix_ms, now_unix_ms())
+        can_end_before_stop(
+            expected_ms,
+            deadline_unix_ms,
+            planned.cuts_unix_ms,
+            now_unix_ms(),
+        )
     }
 
     /// Records a request that was read, at least in part, and whose connection ended without a complete
@@ -380,7 +388,8 @@
             waiting: WaitingRequests::default(),
             running_clock: Cell::new(RunningClock::start(now_unix_ms())),
             answer_durations: RefCell::default(),
-            stop_cuts_unix_ms: Cell::default(),
+            planned_stop: Cell::default(),
+            stop_counts: Cell::default(),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
             demand: RefCell::default(),
@@ -433,6 +442,7 @@
         if let Err(error) = serving.await {
             warn!(drain_router.log, "callers_not_served"; "error" => %error);
         }
+        drain_router.log_stop_ended();
     });
     Ok(RunningPlatformRouter {
         router,
@@ -451,8 +461,12 @@
     stop.draining().await;
     info!(router.log, "stopping"; "waiting" => router.waiting.len());
     let grace_ms = router.settings.stop_grace_ms;
-    let cuts_unix_ms = now_unix_ms() + grace_ms.saturating_sub(REFUSAL_MARGIN_MS);
-    router.stop_cuts_unix_ms.set(Some(cuts_unix_ms));
+    let began_unix_ms = now_unix_ms();
+    let cuts_unix_ms = began_unix_ms + grace_ms.saturating_sub(REFUSAL_MARGIN_MS);
+    router.planned_stop.set(Some(PlannedStop {
+        began_unix_ms,
+        cuts_unix_ms,
+    }));
     sleep_until_unix_ms(cuts_unix_ms).await;
     router.closing.drain();
 }
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`runs`] | how runs at upstreams ended, and whether their upstream may have crashed |
 //! | [`settings`] | the settings of a router |
 //! | [`standstill`] | waits for upstreams that a standstill of this process doesn't end |
+//! | [`stops`] | what a planned stop does with requests, for logs and metrics |
 //! | [`stream`] | relaying a stream to its caller |
 //! | [`suspicion`] | exchanging reports on requests that crash upstreams |
 //! | [`upstream`] | this router's state about one upstream |
@@ -54,6 +55,7 @@
 pub mod runs;
 pub mod settings;
 pub mod standstill;
+pub mod stops;
 pub mod stream;
 pub mod suspicion;
 pub mod upstream;
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -55,6 +55,8 @@
     pub route: Rc<Route>,
     /// When the request arrived.
     pub arrived_unix_ms: u64,
+    /// When the last byte of its body was read.
+    pub read_unix_ms: u64,
     /// When the response is due: after the caller's timeout or the route's, whichever is shorter.
     pub deadline_unix_ms: u64,
     /// Hash of the method, host, path, query and body, by which requests that crash upstreams are
@@ -84,6 +86,11 @@
                 .any(|id| !id.as_bytes().trim_ascii().is_empty())
     }
 
+    /// Returns when its attempts end at the latest.
+    pub fn attempts_end_unix_ms(&self) -> u64 {
+        self.deadline_unix_ms.saturating_sub(RESPONSE_MARGIN_MS)
+    }
+
     /// Returns the time since the request arrived.
     pub fn age_ms(&self, now_unix_ms: u64) -> u64 {
         now_unix_ms.saturating_sub(self.arrived_unix_ms)
@@ -269,6 +276,9 @@
             let reason = RefusalReason::Leaving;
             return last_response_or_refusal(progress, reason, detail);
         }
+        if !progress.may_have_run {
+            router.log_sent_in_stop(request, &upstream);
+        }
         if progress.delivered_attempts > 0 && !router.try_spend_retry(request, service, progress) {
             return last_response_or_refusal(
                 progress,
@@ -350,7 +360,7 @@
     if request.route.kind == RequestKind::Stream {
         return Ok(UpstreamResponse::Started(started));
     }
-    let reading = buffer_response(router, request, started, attempt_end_unix_ms(request));
+    let reading = buffer_response(router, request, started, request.attempts_end_unix_ms());
     match select(pin!(reading), pin!(router.closing.draining())).await {
         Either::Left((response, _)) => Ok(UpstreamResponse::Buffered(response?)),
         Either::Right(_) => Err(AttemptFailure::Silent.into()),
@@ -378,7 +388,7 @@
     let mut silence_ms =
         (request.route.target_latency_ms * SILENCE_TARGET_MULTIPLE).max(SILENCE_MIN_MS);
     let sent_unix_ms = now_unix_ms();
-    let end_unix_ms = attempt_end_unix_ms(request);
+    let end_unix_ms = request.attempts_end_unix_ms();
     let mut attempt = Box::pin(send_attempt(
         router,
         request,
@@ -446,11 +456,6 @@
     )
 }
 
-/// When an attempt ends at the latest.
-fn attempt_end_unix_ms(request: &CallerRequest) -> u64 {
-    request.deadline_unix_ms - RESPONSE_MARGIN_MS
-}
-
 /// Records a failed attempt. Returns `None` if another attempt may be made, or else the last error
 /// response of an upstream.
 ///
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -21,6 +21,7 @@
     origins::{publish_origin, version_now},
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
     standstill::before_silence,
+    stops::GivenUpBy,
 };
 
 /// How long a stream may be silent before the router considers another upstream: an engine produces
@@ -101,6 +102,21 @@
     response
 }
 
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        let Some(started) = &self.started else {
+            return;
+        };
+        let detail = format!(
+            "its connection ended after event {:?}",
+            self.events.last_id()
+        );
+        let id = started.upstream.id();
+        self.router
+            .log_given_up_in_stop(&self.request, Some(&id), GivenUpBy::Connection, &detail);
+    }
+}
+
 impl StreamRelay {
     /// Returns the next bytes for the caller. An error aborts the response, so that the caller
     /// can't mistake it for a complete one.
@@ -127,6 +143,7 @@
                 }
                 StreamPart::Broken(failure) => {
                     if !self.resume(failure).await {
+                        self.log_broken_in_stop(failure);
                         return Some(Err(BodyError));
                     }
                 }
@@ -385,6 +402,17 @@
         self.resume_elsewhere(None).await
     }
 
+    /// Logs that the stream breaks off while this router stops.
+    fn log_broken_in_stop(&self, failure: AttemptFailure) {
+        let by = if now_unix_ms() >= self.request.deadline_unix_ms {
+            GivenUpBy::Deadline
+        } else {
+            GivenUpBy::Upstream
+        };
+        self.router
+            .log_given_up_in_stop(&self.request, None, by, failure.as_str());
+    }
+
     /// Moves the stream to another upstream, or lets it stay at the silent one if none accepts it; returns
     /// false if the stream can't go on.
     async fn leave_silent_upstream(&mut self) -> bool {
--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -295,6 +295,7 @@
     .await?;
     drop(listener);
     connections.wait_until_none(&stop).await;
+    connections.wait_for_ends().await;
     Ok(())
 }
 
@@ -564,6 +565,18 @@
             select(closed, pin!(stop.ended())).await;
         }
     }
+
+    /// Waits until the connections that a stop has cut have reported what they cut.
+    async fn wait_for_ends(&self) {
+        const ENDS_MAX_MS: u64 = 100;
+        let until_unix_ms = now_unix_ms() + ENDS_MAX_MS;
+        while self.count.get() > 0 {
+            let closed = self.closed.listen();
+            if self.count.get() == 0 || before_deadline(until_unix_ms, closed).await.is_none() {
+                return;
+            }
+        }
+    }
 }
 
 pub(crate) struct ConnectionGuard(OpenConnections);
--- a/crates/celerystair_policy/src/planned_stop.rs
+++ b/crates/celerystair_policy/src/planned_stop.rs
@@ -36,6 +36,11 @@
         latest.push_back(duration_ms);
     }
 
+    /// Returns how many answers of the route are remembered.
+    pub fn answers(&self, route: &Route) -> usize {
+        self.by_route.get(&route.name).map_or(0, VecDeque::len)
+    }
+
     /// Returns how long an answer of the route is expected to take at most. Where none is remembered, the
     /// operator's target tells of a plain answer, and nothing of a stream, whose target is its first
     /// event's: `None`.
@@ -50,6 +55,15 @@
     }
 }
 
+/// When a planned stop began, and when it cuts what still runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlannedStop {
+    /// When it was asked for.
+    pub began_unix_ms: u64,
+    /// When the process begins to cut what runs.
+    pub cuts_unix_ms: u64,
+}
+
 /// Returns whether a request that is passed on now gets its answer by `ends_unix_ms`, when the process
 /// begins to cut what runs. By its deadline it has one in any case, and one of which nothing is expected
 /// may take until then.
--- a/crates/celerystair_telemetry/src/logs.rs
+++ b/crates/celerystair_telemetry/src/logs.rs
@@ -29,13 +29,26 @@
 }
 
 /// Creates a JSON logger to standard output, from which the platform collects logs. Lines with the
-/// same message are limited per second; see [`RateLimitedDrain`].
-pub fn logger_to_stdout(role: &'static str, process: &str) -> Logger {
+/// same message are limited per second; see [`RateLimitedDrain`]. The records are written as the guard is
+/// dropped: clones of the logger in hooks and threads outlive the process's work.
+pub fn logger_to_stdout(role: &'static str, process: &str) -> (Logger, LogGuard) {
     let values = o!("role" => role, "process" => process.to_owned());
-    let drain = on_writer_thread(slog_json::Json::default(std::io::stdout()).fuse());
+    let writer = slog_json::Json::default(std::io::stdout()).fuse();
+    let (drain, guard) = slog_async::Async::new(writer)
+        .chan_size(CHANNEL_RECORDS)
+        .build_with_guard();
     let start = Instant::now();
     let now_ms = move || start.elapsed().as_millis() as u64;
-    Logger::root(RateLimitedDrain::new(drain, now_ms).fuse(), values)
+    let drain = RateLimitedDrain::new(drain.fuse(), now_ms);
+    (
+        Logger::root(drain.fuse(), values),
+        LogGuard { _guard: guard },
+    )
+}
+
+/// Waits, as it is dropped, until all records so far are written.
+pub struct LogGuard {
+    _guard: slog_async::AsyncGuard,
 }
 
 /// Logs each panic as `panicked`, with its place and message. A task that panics ends alone, and
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -44,6 +44,8 @@
     /// Requests that were read, at least in part, and whose connection ended without a complete
     /// response, by `end`.
     pub unanswered: Counter<u64>,
+    /// Requests that were sent and had no whole answer when a planned stop gave them up, by who did.
+    pub given_up_in_stop: Counter<u64>,
     /// Answers without a length or chunks, by what is known of their `end`.
     pub unframed_answers: Counter<u64>,
     /// Gauges of the process's state, set when the metrics are scraped.
@@ -152,6 +154,7 @@
             attempts: meter.u64_counter("celerystair_attempts").build(),
             retries: meter.u64_counter("celerystair_retries").build(),
             unanswered: meter.u64_counter("celerystair_unanswered").build(),
+            given_up_in_stop: meter.u64_counter("celerystair_given_up_in_stop").build(),
             unframed_answers: meter.u64_counter("celerystair_unframed_answers").build(),
             gauges: Gauges::new(&meter),
             registry,
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -28,7 +28,7 @@
     let reloads = Signals::new([SIGHUP])?;
     let path = settings_path();
     let settings = read_router_settings(&read(&path)?)?;
-    let log = logger_to_stdout("router", &settings.router);
+    let (log, _written) = logger_to_stdout("router", &settings.router);
     log_panics(&log);
     let stop_timeout_ms = settings.stop_grace_ms.saturating_sub(STOP_MARGIN_MS);
     block_on(async {
@@ -49,7 +49,7 @@
     let reloads = Signals::new([SIGHUP])?;
     let path = settings_path();
     let settings = read_agent_settings(&read(&path)?)?;
-    let log = logger_to_stdout("agent", &settings.agent_name);
+    let (log, _written) = logger_to_stdout("agent", &settings.agent_name);
     log_panics(&log);
     block_on(async {
         let stop = Stop::new();
--- a/src/commands/process.rs
+++ b/src/commands/process.rs
@@ -9,7 +9,10 @@
 
 use celerystair::core::{prelude::*, time::before_deadline};
 use compio::runtime::fd::PollFd;
-use futures_util::future::{Either, select};
+use futures_util::{
+    FutureExt,
+    future::{Either, FusedFuture, select},
+};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     low_level::pipe,
@@ -52,9 +55,13 @@
     Ok(count)
 }
 
+/// How long the connections that are cut at the end of a stop may take to report what they cut.
+const REPORT_MAX_MS: u64 = 100;
+
 /// Waits for a stop signal, then drains, and ends `stop` when `server_task` has finished or
-/// `stop_timeout_ms` have passed since the signal. `report` is called with the number of signals so
-/// far, the first included; further ones change nothing.
+/// `stop_timeout_ms` have passed since the signal. Then waits for the task once more, a tenth of a second
+/// at most. `report` is called with the number of signals so far, the first included; further ones change
+/// nothing.
 pub async fn serve_until_signal(
     signals: StopSignals,
     stop: &Stop,
@@ -67,22 +74,25 @@
     let end_unix_ms = now_unix_ms() + stop_timeout_ms;
     stop.drain();
     report(count);
-    let mut server_task = pin!(before_deadline(end_unix_ms, server_task));
-    loop {
+    let mut server_task = pin!(server_task.fuse());
+    let result = loop {
+        let served = before_deadline(end_unix_ms, server_task.as_mut());
         let signal = pin!(read_signals(&received));
-        match select(server_task.as_mut(), signal).await {
-            Either::Left(_) => break,
+        match select(pin!(served), signal).await {
+            Either::Left(_) => break Ok(()),
             Either::Right((Ok(more), _)) => {
                 count += more;
                 report(count);
             }
-            Either::Right((Err(error), _)) => {
-                server_task.await;
-                stop.end();
-                return Err(error.into());
+            Either::Right((Err(error), served)) => {
+                served.await;
+                break Err(error.into());
             }
         }
-    }
+    };
     stop.end();
-    Ok(())
+    if !server_task.is_terminated() {
+        before_deadline(now_unix_ms() + REPORT_MAX_MS, server_task).await;
+    }
+    result
 }
