Take few remembered answers for little in a planned stop

Callers whose requests a stopping router took were cut at the end of its grace. What a route's answers were expected to take was the longest that is remembered and a quarter more, from one answer as from 64; the answers that are whole first are the short ones, so a young router, or one of many, took requests for which it had no time.

The margin over the longest answer now depends on how many are remembered, from 30 times after one to a quarter more after 64, as before: about the multiples that one in a hundred log-normal answers with a sigma of 1.0 exceeds. An answer that was given up tells its length at least, without a whole one being forgotten for it.

With 64 answers, short requests are taken as before.

The price: after few answers, a route's long requests are refused earlier in a stop, some of them in all of it.

a_slow_answer_is_forgotten_after_many_others demanded exactly 75 s after a single answer of 60 s, which is the fault itself. It now demands at least that after two answers, exactly that among 64, for whole answers and for those given up, and that it is forgotten with the next one, which the old test did not show.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -316,11 +316,10 @@
         let Some(planned) = self.planned_stop.get() else {
             return true;
         };
-        let durations = self.answer_durations.borrow();
-        let expected_ms = durations.expected_ms(&request.route);
+        let expected = self.answer_durations.borrow().expected(&request.route);
         let deadline_unix_ms = request.deadline_unix_ms;
         can_end_before_stop(
-            expected_ms,
+            expected.at_most_ms,
             deadline_unix_ms,
             planned.cuts_unix_ms,
             now_unix_ms(),
--- a/crates/celerystair_front/src/runs.rs
+++ b/crates/celerystair_front/src/runs.rs
@@ -114,9 +114,17 @@
         }
     }
 
+    /// Records that the answer was given up before it was whole, which tells how long it takes at least.
+    fn record_unfinished(&self, run: &Run) {
+        let duration_ms = now_unix_ms().saturating_sub(run.sent_unix_ms);
+        let mut durations = self.router.answer_durations.borrow_mut();
+        durations.record_unfinished(&run.route.name, duration_ms);
+    }
+
     /// Ends the run: its connection was lost before the answer was complete.
     pub fn lose(&mut self) {
         if let Some(run) = self.run.take() {
+            self.record_unfinished(&run);
             self.router.record_crash(&run, now_unix_ms());
         }
     }
@@ -125,6 +133,7 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         if let Some(run) = self.run.take() {
+            self.record_unfinished(&run);
             self.router.unanswered_runs.borrow_mut().push(run);
         }
     }
--- a/crates/celerystair_front/src/stops.rs
+++ b/crates/celerystair_front/src/stops.rs
@@ -51,13 +51,13 @@
         };
         self.count_in_stop(|counts| counts.sent += 1);
         let now = now_unix_ms();
-        let durations = self.answer_durations.borrow();
+        let expected = self.answer_durations.borrow().expected(&request.route);
         info!(self.log, "request_sent_in_stop"; "request" => %request.head.id,
             "route" => &request.route.name, "upstream" => %upstream.id(),
             "since_stop_ms" => now.saturating_sub(planned.began_unix_ms),
             "read_ms" => since_ms(request.read_unix_ms, planned.began_unix_ms),
-            "expected_ms" => durations.expected_ms(&request.route),
-            "answers" => durations.answers(&request.route),
+            "expected_ms" => expected.at_most_ms,
+            "answers" => expected.answers,
             "left_ms" => planned.cuts_unix_ms.saturating_sub(now), "age_ms" => request.age_ms(now));
     }
 
@@ -84,7 +84,7 @@
             "since_stop_ms" => now.saturating_sub(planned.began_unix_ms),
             "read_ms" => since_ms(request.read_unix_ms, planned.began_unix_ms),
             "deadline_ms" => since_ms(request.deadline_unix_ms, planned.began_unix_ms),
-            "answers" => self.answer_durations.borrow().answers(&request.route),
+            "answers" => self.answer_durations.borrow().expected(&request.route).answers,
             "age_ms" => request.age_ms(now));
     }
 
--- a/crates/celerystair_policy/src/planned_stop.rs
+++ b/crates/celerystair_policy/src/planned_stop.rs
@@ -12,46 +12,113 @@
 const ANSWERS_MAX: usize = 64;
 /// The most routes whose answers are remembered; operators may name new ones with each version.
 const ROUTES_MAX: usize = 1024;
-/// How much longer than the longest remembered answer one may take, as a part of that.
-const LONGER_SHARE: f64 = 0.25;
+/// How many times as long as the longest remembered answer the next one may take, by how many are
+/// remembered at least. Of answers whose lengths spread as widely as those of streams do (log-normal with
+/// a sigma of 1.0), about one in a hundred takes longer.
+const LONGEST_MULTIPLES: [(usize, f64); 7] = [
+    (64, 1.25),
+    (32, 1.75),
+    (16, 2.5),
+    (8, 3.75),
+    (4, 6.5),
+    (2, 12.5),
+    (1, 30.0),
+];
+/// How many times as long as the time after which it was given up an answer may take. One that an upstream
+/// held back says little of the others.
+const UNFINISHED_MULTIPLE: f64 = 1.25;
 /// How many times the operator's target a plain answer may take where none is remembered.
 const TARGET_MULTIPLE: u64 = 4;
 
+/// How long an answer is expected to take at most, and what that is known from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ExpectedAnswer {
+    /// From when its request is passed on to its end; `None` if nothing is known.
+    pub at_most_ms: Option<u64>,
+    /// The number of remembered answers.
+    pub answers: usize,
+}
+
 /// How long the latest answers of each route took, from when their request was passed on to their end.
 #[derive(Debug, Default)]
 pub struct AnswerDurations {
-    by_route: HashMap<String, VecDeque<u64>>,
+    by_route: HashMap<String, RouteAnswers>,
+}
+
+#[derive(Debug, Default)]
+struct RouteAnswers {
+    /// How long the latest whole answers took.
+    whole_ms: VecDeque<u64>,
+    /// The longest time after which one was given up, and how many whole answers came since.
+    unfinished_ms: Option<(u64, usize)>,
+}
+
+impl RouteAnswers {
+    fn longest_whole_ms(&self) -> u64 {
+        self.whole_ms.iter().copied().max().unwrap_or(0)
+    }
+
+    /// Returns how long the next answer may take by what the whole ones took; `None` if there is none.
+    fn by_whole_ms(&self) -> Option<u64> {
+        let mut multiples = LONGEST_MULTIPLES.iter();
+        let known = multiples.find(|(least, _)| *least <= self.whole_ms.len());
+        known.map(|(_, multiple)| (self.longest_whole_ms() as f64 * multiple) as u64)
+    }
+
+    /// Returns how long the next answer may take by those that were given up.
+    fn by_unfinished_ms(&self) -> u64 {
+        let (longest_ms, _) = self.unfinished_ms.unwrap_or_default();
+        (longest_ms as f64 * UNFINISHED_MULTIPLE) as u64
+    }
 }
 
 impl AnswerDurations {
     /// Records an answer that was passed on whole.
     pub fn record(&mut self, route: &str, duration_ms: u64) {
-        if !self.by_route.contains_key(route) && self.by_route.len() >= ROUTES_MAX {
-            self.by_route.clear();
+        let answers = self.route(route);
+        if answers.whole_ms.len() >= ANSWERS_MAX {
+            answers.whole_ms.pop_front();
         }
-        let latest = self.by_route.entry(route.to_owned()).or_default();
-        if latest.len() >= ANSWERS_MAX {
-            latest.pop_front();
+        answers.whole_ms.push_back(duration_ms);
+        if let Some((ms, whole_since)) = answers.unfinished_ms {
+            let is_remembered = whole_since + 1 < ANSWERS_MAX;
+            answers.unfinished_ms = is_remembered.then_some((ms, whole_since + 1));
         }
-        latest.push_back(duration_ms);
     }
 
-    /// Returns how many answers of the route are remembered.
-    pub fn answers(&self, route: &Route) -> usize {
-        self.by_route.get(&route.name).map_or(0, VecDeque::len)
+    /// Records an answer that was not whole after so long: it would have taken longer.
+    pub fn record_unfinished(&mut self, route: &str, duration_ms: u64) {
+        let answers = self.route(route);
+        let (longest_ms, _) = answers.unfinished_ms.unwrap_or_default();
+        if duration_ms > longest_ms.max(answers.longest_whole_ms()) {
+            answers.unfinished_ms = Some((duration_ms, 0));
+        }
     }
 
-    /// Returns how long an answer of the route is expected to take at most. Where none is remembered, the
-    /// operator's target tells of a plain answer, and nothing of a stream, whose target is its first
-    /// event's: `None`.
-    pub fn expected_ms(&self, route: &Route) -> Option<u64> {
+    /// Returns how long an answer of the route is expected to take at most: of the requests that come in a
+    /// stop, fewer than 1 in 100 are taken and take longer, however few answers are remembered. Where none
+    /// is, the operator's target tells of a plain answer, and nothing of a stream, whose target is its first
+    /// event's.
+    pub fn expected(&self, route: &Route) -> ExpectedAnswer {
         let remembered = self.by_route.get(&route.name);
-        let longest_ms = remembered.and_then(|durations_ms| durations_ms.iter().max());
-        match longest_ms {
-            Some(longest_ms) => Some(longest_ms + (*longest_ms as f64 * LONGER_SHARE) as u64),
-            None if route.kind == RequestKind::Stream => None,
-            None => Some(route.target_latency_ms.saturating_mul(TARGET_MULTIPLE)),
+        let by_whole_ms = remembered.and_then(RouteAnswers::by_whole_ms);
+        let known_ms = match route.kind {
+            _ if by_whole_ms.is_some() => by_whole_ms,
+            RequestKind::Stream => None,
+            _ => Some(route.target_latency_ms.saturating_mul(TARGET_MULTIPLE)),
+        };
+        let by_unfinished_ms = remembered.map_or(0, RouteAnswers::by_unfinished_ms);
+        ExpectedAnswer {
+            at_most_ms: known_ms.map(|ms| ms.max(by_unfinished_ms)),
+            answers: remembered.map_or(0, |answers| answers.whole_ms.len()),
+        }
+    }
+
+    fn route(&mut self, route: &str) -> &mut RouteAnswers {
+        if !self.by_route.contains_key(route) && self.by_route.len() >= ROUTES_MAX {
+            self.by_route.clear();
         }
+        self.by_route.entry(route.to_owned()).or_default()
     }
 }
 
@@ -64,16 +131,16 @@
     pub cuts_unix_ms: u64,
 }
 
-/// Returns whether a request that is passed on now gets its answer by `ends_unix_ms`, when the process
-/// begins to cut what runs. By its deadline it has one in any case, and one of which nothing is expected
-/// may take until then.
+/// Returns whether a request that is passed on at `sent_unix_ms`, now or when what it waits for is
+/// expected, gets its answer by `ends_unix_ms`, when the process begins to cut what runs. By its deadline
+/// it has one in any case, and one of which nothing is expected may take until then.
 pub fn can_end_before_stop(
     expected_ms: Option<u64>,
     deadline_unix_ms: u64,
     ends_unix_ms: u64,
-    now_unix_ms: u64,
+    sent_unix_ms: u64,
 ) -> bool {
-    let expected_unix_ms = expected_ms.map(|ms| now_unix_ms.saturating_add(ms));
+    let expected_unix_ms = expected_ms.map(|ms| sent_unix_ms.saturating_add(ms));
     let answered_unix_ms = expected_unix_ms.map_or(deadline_unix_ms, |at| at.min(deadline_unix_ms));
     answered_unix_ms <= ends_unix_ms
 }
--- a/crates/celerystair_policy/tests/planned_stop.rs
+++ b/crates/celerystair_policy/tests/planned_stop.rs
@@ -24,7 +24,7 @@
 /// Returns when the last request of each kind was taken, of those that come every 10 ms, each with this
 /// much time until its deadline; and whether any of these still ran when the process began to cut.
 fn replay(durations: &AnswerDurations, route: &Route, lasts_ms: u64, time_ms: u64) -> (u64, bool) {
-    let expected_ms = durations.expected_ms(route);
+    let expected_ms = durations.expected(route).at_most_ms;
     let arrivals = (0..CUTS_UNIX_MS).step_by(10);
     let taken =
         arrivals.filter(|now| can_end_before_stop(expected_ms, now + time_ms, CUTS_UNIX_MS, *now));
@@ -59,15 +59,113 @@
     }
 }
 
+/// The part of the requests that come in a stop that may be taken and cut, in thousandths. The target holds
+/// however few answers the process has seen.
+const CUT_MAX_THOUSANDTHS: u64 = 10;
+/// Processes that stop, for each number of answers and spread of their lengths.
+const STOPS: u64 = 1000;
+
+/// Draws lengths of answers.
+struct Lengths {
+    random: u64,
+    median_ms: f64,
+    sigma: f64,
+}
+
+impl Lengths {
+    /// Returns a number above 0 and up to 1.
+    fn uniform(&mut self) -> f64 {
+        let random = self.random.wrapping_mul(6_364_136_223_846_793_005);
+        self.random = random.wrapping_add(1_442_695_040_888_963_407);
+        ((self.random >> 33) + 1) as f64 / (1u64 << 31) as f64
+    }
+
+    /// Returns a length that is log-normally distributed.
+    fn draw_ms(&mut self) -> u64 {
+        let radius = (-2.0 * self.uniform().ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * self.uniform()).cos();
+        (self.median_ms * (self.sigma * normal).exp()) as u64
+    }
+
+    /// Returns how many of the requests that come in stops of processes that have seen so many answers are
+    /// taken, and cut, in thousandths.
+    fn taken_and_cut(&mut self, route: &Route, answers: u32) -> (u64, u64) {
+        const LONG_TIME_MS: u64 = 60_000;
+        let (mut came, mut taken, mut cut) = (0, 0, 0);
+        for _ in 0..STOPS {
+            let mut durations = AnswerDurations::default();
+            for _ in 0..answers {
+                durations.record(&route.name, self.draw_ms());
+            }
+            let expected_ms = durations.expected(route).at_most_ms;
+            for now in (0..CUTS_UNIX_MS).step_by(300) {
+                let deadline_unix_ms = now + LONG_TIME_MS;
+                let is_taken =
+                    can_end_before_stop(expected_ms, deadline_unix_ms, CUTS_UNIX_MS, now);
+                let ends_unix_ms = now + self.draw_ms();
+                came += 1;
+                taken += u64::from(is_taken);
+                cut += u64::from(is_taken && ends_unix_ms > CUTS_UNIX_MS);
+            }
+        }
+        (taken * 1000 / came, cut * 1000 / came)
+    }
+}
+
+/// One remembered answer was taken for as good as 64.
+#[test]
+fn few_answers_do_not_let_long_requests_into_a_stop() {
+    let mut failures = Vec::new();
+    for answers in [0, 1, 2, 3, 4, 7, 8, 16, 31, 64] {
+        for sigma in [0.5, 0.75, 1.0] {
+            for median_ms in [20.0, 200.0, 1000.0, 2000.0, 4000.0] {
+                let mut lengths = Lengths {
+                    random: 52,
+                    median_ms,
+                    sigma,
+                };
+                let stream = route("stream", RequestKind::Stream);
+                let (taken, cut) = lengths.taken_and_cut(&stream, answers);
+                if cut > CUT_MAX_THOUSANDTHS {
+                    failures.push((answers, sigma, median_ms, cut));
+                }
+                // Short requests of a route that is known are still taken, most of them also late.
+                let is_known_and_short = answers == 64 && median_ms <= 20.0;
+                assert!(!is_known_and_short || taken > 950, "{sigma} {taken}");
+            }
+        }
+    }
+    assert!(
+        failures.is_empty(),
+        "answers, sigma, median, cut: {failures:?}"
+    );
+}
+
 /// A route of another version that was slow long ago.
 #[test]
 fn a_slow_answer_is_forgotten_after_many_others() {
-    let mut durations = AnswerDurations::default();
-    durations.record("stream", 60_000);
     let stream = route("stream", RequestKind::Stream);
-    assert_eq!(durations.expected_ms(&stream), Some(75_000));
-    (0..64).for_each(|_| durations.record("stream", 1000));
-    assert_eq!(durations.expected_ms(&stream), Some(1250));
+    for is_whole in [true, false] {
+        let mut durations = AnswerDurations::default();
+        durations.record("stream", 1000);
+        if is_whole {
+            durations.record("stream", 60_000);
+        } else {
+            durations.record_unfinished("stream", 60_000);
+        }
+        let expected_ms = durations.expected(&stream).at_most_ms;
+        assert!(expected_ms >= Some(75_000), "{expected_ms:?}");
+        (0..63).for_each(|_| durations.record("stream", 1000));
+        let expected_ms = durations.expected(&stream).at_most_ms;
+        assert_eq!(expected_ms, Some(75_000), "{is_whole}");
+        durations.record("stream", 1000);
+        let expected = durations.expected(&stream);
+        let forgotten = ExpectedAnswer {
+            at_most_ms: Some(1250),
+            answers: 64,
+        };
+        assert_eq!(expected, forgotten, "{is_whole}");
+    }
 }
 
 /// A version that was mistyped stood above all later ones.
