Refuse what waits as soon as it can't end before a planned stop

A stream that waited for a cold model when its router was told to stop was refused only 0.8 s before the grace ended, even where the model was expected after that; its caller had lost that time and came again when its deadline was near. Whether a request can end was asked only when its wait was over, and what waited came due all at once at the end.

The start of a stop now wakes what waits, and each recheck asks whether an answer that begins when the replica is expected ends in time. What may have run is never turned back for it, as before.

a_stream_whose_model_is_ready_after_the_grace_is_refused_as_the_stop_begins, grace 4 s: before, refused after 3.2 s; now within the second that the test allows, and short streams are still served.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -95,6 +95,8 @@
     pub planned_stop: Cell<Option<PlannedStop>>,
     /// What the planned stop has done with requests.
     pub(crate) stop_counts: Cell<StopCounts>,
+    /// Drains as soon as a planned stop begins.
+    stopping: Stop,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
     /// are then refused.
     pub closing: Stop,
@@ -311,21 +313,30 @@
         self.router_count_estimate.borrow().routers(now_unix_ms())
     }
 
-    /// Whether a request that is passed on now is expected to get its answer before a planned stop ends.
-    pub(crate) fn can_end_before_stop(&self, request: &CallerRequest) -> bool {
+    /// Whether a request that is passed on at `sent_unix_ms` is expected to get its answer before a planned
+    /// stop ends.
+    pub(crate) fn can_end_before_stop(&self, request: &CallerRequest, sent_unix_ms: u64) -> bool {
         let Some(planned) = self.planned_stop.get() else {
             return true;
         };
         let expected = self.answer_durations.borrow().expected(&request.route);
-        let deadline_unix_ms = request.deadline_unix_ms;
         can_end_before_stop(
             expected.at_most_ms,
-            deadline_unix_ms,
+            request.deadline_unix_ms,
             planned.cuts_unix_ms,
-            now_unix_ms(),
+            sent_unix_ms,
         )
     }
 
+    /// Waits until a planned stop begins, or, if one is under way, until what still waits is refused.
+    pub(crate) async fn stop_changed(&self) {
+        if self.planned_stop.get().is_some() {
+            self.closing.draining().await;
+        } else {
+            self.stopping.draining().await;
+        }
+    }
+
     /// Records a request that was read, at least in part, and whose connection ended without a complete
     /// response.
     fn record_unanswered(&self, request: &UnansweredRequest) {
@@ -389,6 +400,7 @@
             answer_durations: RefCell::default(),
             planned_stop: Cell::default(),
             stop_counts: Cell::default(),
+            stopping: Stop::new(),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
             demand: RefCell::default(),
@@ -466,6 +478,7 @@
         began_unix_ms,
         cuts_unix_ms,
     }));
+    router.stopping.drain();
     sleep_until_unix_ms(cuts_unix_ms).await;
     router.closing.drain();
 }
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -271,7 +271,7 @@
                 );
             }
         };
-        if !progress.may_have_run && !router.can_end_before_stop(request) {
+        if !progress.may_have_run && !router.can_end_before_stop(request, now) {
             let detail = "this router shuts down before the answer is expected to end";
             let reason = RefusalReason::Leaving;
             return last_response_or_refusal(progress, reason, detail);
@@ -586,8 +586,9 @@
             return Err(refusal(progress, reason, &detail, retry_after_ms));
         }
     };
-    if router.closing.is_draining() {
-        let detail = "this router is shutting down";
+    let can_end = router.can_end_before_stop(request, ready_unix_ms.max(now));
+    if router.closing.is_draining() || !progress.may_have_run && !can_end {
+        let detail = "this router shuts down before the answer is expected to end";
         let retry_after_ms = retry_after_ms(now, request.deadline_unix_ms, now);
         return Err(refusal(
             progress,
@@ -604,7 +605,7 @@
     }
     let wake_unix_ms = until_unix_ms.min(now + RECHECK_INTERVAL_MS);
     let timer = pin!(sleep_until_unix_ms(wake_unix_ms));
-    select(select(changed, timer), pin!(router.closing.draining())).await;
+    select(select(changed, timer), pin!(router.stop_changed())).await;
     Ok(())
 }
 
