--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -27,6 +27,7 @@
     runs::{Run, UnansweredRuns},
     settings::PlatformRouterSettings,
     standstill::keep_running_clock,
+    stops::StopCounts,
     suspicion::{ask_for_suspects, send_suspects_to_agents},
     upstream::Upstream,
     view::FleetView,
@@ -90,8 +91,12 @@
     pub running_clock: Cell<RunningClock>,
     /// How long the latest answers of each route took.
     pub answer_durations: RefCell<AnswerDurations>,
-    /// When a planned stop that is under way begins to cut what runs.
-    stop_cuts_unix_ms: Cell<Option<u64>>,
+    /// The planned stop that is under way.
+    pub planned_stop: Cell<Option<PlannedStop>>,
+    /// What the planned stop has done with requests.
+    pub(crate) stop_counts: Cell<StopCounts>,
+    /// Drains as soon as a planned stop begins.
+    stopping: Stop,
     /// Drains shortly before the grace period of a stop ends; requests that still have no response
     /// are then refused.
     pub closing: Stop,
@@ -308,15 +313,28 @@
         self.router_count_estimate.borrow().routers(now_unix_ms())
     }
 
-    /// Whether a request that is passed on now is expected to get its answer before a planned stop ends.
-    pub(crate) fn can_end_before_stop(&self, request: &CallerRequest) -> bool {
-        let Some(cuts_unix_ms) = self.stop_cuts_unix_ms.get() else {
+    /// Whether a request that is passed on at `sent_unix_ms` is expected to get its answer before a planned
+    /// stop ends.
+    pub(crate) fn can_end_before_stop(&self, request: &CallerRequest, sent_unix_ms: u64) -> bool {
+        let Some(planned) = self.planned_stop.get() else {
             return true;
         };
-        let durations = self.answer_durations.borrow();
-        let expected_ms = durations.expected_ms(&request.route);
-        let deadline_unix_ms = request.deadline_unix_ms;
-        can_end_before_stop(expected_ms, deadline_unix_ms, cuts_unix_ms, now_unix_ms())
+        let expected = self.answer_durations.borrow().expected(&request.route);
+        can_end_before_stop(
+            expected.at_most_ms,
+            request.deadline_unix_ms,
+            planned.cuts_unix_ms,
+            sent_unix_ms,
+        )
+    }
+
+    /// Waits until a planned stop begins, or, if one is under way, until what still waits is refused.
+    pub(crate) async fn stop_changed(&self) {
+        if self.planned_stop.get().is_some() {
+            self.closing.draining().await;
+        } else {
+            self.stopping.draining().await;
+        }
     }
 
     /// Records a request that was read, at least in part, and whose connection ended without a complete
@@ -380,7 +398,9 @@
             waiting: WaitingRequests::default(),
             running_clock: Cell::new(RunningClock::start(now_unix_ms())),
             answer_durations: RefCell::default(),
-            stop_cuts_unix_ms: Cell::default(),
+            planned_stop: Cell::default(),
+            stop_counts: Cell::default(),
+            stopping: Stop::new(),
             closing: Stop::new(),
             router_count_estimate: RefCell::default(),
             demand: RefCell::default(),
@@ -433,6 +453,7 @@
         if let Err(error) = serving.await {
             warn!(drain_router.log, "callers_not_served"; "error" => %error);
         }
+        drain_router.log_stop_ended();
     });
     Ok(RunningPlatformRouter {
         router,
@@ -451,8 +472,13 @@
     stop.draining().await;
     info!(router.log, "stopping"; "waiting" => router.waiting.len());
     let grace_ms = router.settings.stop_grace_ms;
-    let cuts_unix_ms = now_unix_ms() + grace_ms.saturating_sub(REFUSAL_MARGIN_MS);
-    router.stop_cuts_unix_ms.set(Some(cuts_unix_ms));
+    let began_unix_ms = now_unix_ms();
+    let cuts_unix_ms = began_unix_ms + grace_ms.saturating_sub(REFUSAL_MARGIN_MS);
+    router.planned_stop.set(Some(PlannedStop {
+        began_unix_ms,
+        cuts_unix_ms,
+    }));
+    router.stopping.drain();
     sleep_until_unix_ms(cuts_unix_ms).await;
     router.closing.drain();
 }
