Await the first requests of late connections no longer than before

A connection that was accepted half a second after the listener began to close could bring its first request a second later, 3.8 s into a stop; what comes later than 3 s is not excused if it is cut. The two times add up to a second again.

--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -315,6 +315,12 @@
     F: Fn(HttpRequest) -> R,
     R: Future<Output = HttpResponse>,
 {
+    // So that no first request is awaited for longer than that after the server began to drain.
+    let first_request_ms = if stop.is_draining() {
+        FIRST_REQUEST_MS - CLOSING_MAX_MS
+    } else {
+        FIRST_REQUEST_MS
+    };
     let accept_limits = limits(Awaited::FirstRequest {
         since_unix_ms: now_unix_ms(),
     });
@@ -374,7 +380,7 @@
             Either::Right(_) => {}
         }
         let now = now_unix_ms();
-        check_unix_ms = until_unix_ms(watch, limits, stop, now);
+        check_unix_ms = until_unix_ms(watch, limits, first_request_ms, stop, now);
         if now < check_unix_ms {
             continue;
         }
@@ -394,7 +400,7 @@
     }
 }
 
-/// How long a new connection of a draining server waits for its first request, which is on its way.
+/// How long a connection waits for its first request, which is on its way, once its server drains.
 const FIRST_REQUEST_MS: u64 = 1000;
 
 /// Returns until when a connection may wait as it does now. A head that has begun to arrive has its own
@@ -402,6 +408,7 @@
 fn until_unix_ms(
     watch: &ConnectionWatch,
     limits: &impl Fn(Awaited) -> ConnectionLimits,
+    first_request_ms: u64,
     stop: &Stop,
     now_unix_ms: u64,
 ) -> u64 {
@@ -414,7 +421,7 @@
     };
     let idle_until_unix_ms = match awaited {
         Awaited::FirstRequest { since_unix_ms } if stop.is_draining() => {
-            since_unix_ms + FIRST_REQUEST_MS
+            since_unix_ms + first_request_ms
         }
         Awaited::NextRequest { since_unix_ms } if stop.is_draining() => since_unix_ms,
         _ => limits(awaited).until_unix_ms,
