Ask again, before a request is sent once more, whether it can end before a planned stop

A stream whose first upstream lost it in a stop was sent to another one, though it could not end before the process did, and was cut there: 200, and a connection that closed without its last chunk. Only what had not run was asked.

Now all is asked of which the caller has no event yet, and what may have run gets 502, which promises nothing, at once. A stream of which events were passed on goes on as before.

a_stream_lost_in_a_stop_is_not_sent_again_if_it_can_not_end_before_the_process_does: before, 200 cut after event 4; now 502, whole.

--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -271,7 +271,8 @@
                 );
             }
         };
-        if !progress.may_have_run && !router.can_end_before_stop(request, now) {
+        // A stream that its caller has events of goes on for as long as it can.
+        if resumption.last_event_id.is_none() && !router.can_end_before_stop(request, now) {
             let detail = "this router shuts down before the answer is expected to end";
             let reason = RefusalReason::Leaving;
             return last_response_or_refusal(progress, reason, detail);
