Ask before the search for a stream's origin whether it can end before a planned stop

A caller that takes up a stream late in a stop waited for agents and the store for up to a second, also beyond the end of the process, which then closed its connection unanswered. By reading, in the review; not run. Both waits now end with what waits for a replica, and the search doesn't begin for what can't end.

--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -6,7 +6,7 @@
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
 use celerystair_policy::prelude::*;
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 
 use crate::{
     demand::{gossip_peers, log_unsent, staying_agents},
@@ -283,13 +283,16 @@
 }
 
 /// Returns whether the list of upstreams is known to hold all that it held at `at_unix_ms`, for which the
-/// store is asked if need be.
+/// store is asked if need be, unless a planned stop ends before it answers.
 pub async fn prove_list(router: &PlatformRouter, request: &CallerRequest, at_unix_ms: u64) -> bool {
     let routers = router.router_count_or_default();
     let proven = router
         .view
         .prove_list(at_unix_ms, request.deadline_unix_ms, routers);
-    proven.await
+    match select(pin!(proven), pin!(router.closing.draining())).await {
+        Either::Left((is_proven, _)) => is_proven,
+        Either::Right(_) => false,
+    }
 }
 
 /// Returns the software version that the upstream runs, as far as this router knows.
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -17,7 +17,7 @@
     dialect::RequestHead,
     elsewhere::{SILENCE_RECHECK_MS, should_leave_silent_upstream},
     front::PlatformRouter,
-    origins::{prove_list, stream_origin},
+    origins::{OriginSource, prove_list, stream_origin},
     pick::{Pick, WaitReason, ms_until_admission, pick_upstream},
     standstill::before_silence,
     stream::stream_response,
@@ -161,7 +161,7 @@
 ) -> Result<HttpResponse, Refusal> {
     let mut progress = Progress::default();
     let service = if request.takes_up_stream() {
-        let (origin, source) = stream_origin(router, &request).await?;
+        let (origin, source) = origin_before_stop(router, &request).await?;
         router.log_stream_taken_up(&request, &origin, source);
         progress.version = Some(origin.version);
         origin.service
@@ -196,6 +196,26 @@
     })
 }
 
+/// Returns where the stream began that the caller takes up, unless this router shuts down before the rest of
+/// it is expected to end.
+async fn origin_before_stop(
+    router: &PlatformRouter,
+    request: &CallerRequest,
+) -> Result<(StreamOrigin, OriginSource), Refusal> {
+    let leaving = || {
+        let detail = "this router shuts down before the answer is expected to end";
+        Refusal::not_run(RefusalReason::Leaving, detail).retry_after(DECLINED_RETRY_AFTER_MS)
+    };
+    if !router.can_end_before_stop(request, now_unix_ms()) {
+        return Err(leaving());
+    }
+    let finding = pin!(stream_origin(router, request));
+    match select(finding, pin!(router.closing.draining())).await {
+        Either::Left((found, _)) => found,
+        Either::Right(_) => Err(leaving()),
+    }
+}
+
 /// Tries upstreams of `service` until one responds. While an attempt at a silent upstream is kept, tries
 /// only those that accept the request now; if it is still open afterwards, no other one runs the request.
 pub async fn try_upstreams(
