A stream that bounds the work of one turn and the bytes of one head

A peer whose bytes are always there was read on within one poll of its connection's task, and each interim response began the limit on a head anew. The stream gives way after 64 KiB, or 4 KiB while a head is awaited, and counts what comes before the final head as a part of it.

--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`grpc`] | a gRPC server, and a client connection that reopens itself |
 //! | [`http_server`] | an HTTP/1.1 server with one task per connection |
 //! | [`json`] | reading of request bodies, and complete responses |
+//! | [`paced_stream`] | a stream that bounds what its peer can take of the thread |
 //! | [`timer`] | the timer of HTTP connections |
 //! | [`tls`] | mutual TLS between the system's own processes |
 
@@ -19,6 +20,7 @@
 pub mod grpc;
 pub mod http_server;
 pub mod json;
+pub mod paced_stream;
 pub mod timer;
 pub mod tls;
 
@@ -34,6 +36,7 @@
             default_limits, delayed_stop, serve_http, serve_http_limited, serve_http_with_notice,
             serve_text,
         },
+        paced_stream::{HeadBytes, HeadTooLong, PacedStream},
         tls::{PeerTls, TlsError, TlsSettings},
     };
 }
--- /dev/null
+++ b/crates/celerystair_net/src/paced_stream.rs
@@ -0,0 +1,145 @@
+//! A connection's stream that bounds what its peer can take of the thread: the work of one turn, and
+//! the bytes of one response's head. A peer whose bytes are always there would otherwise be read on within
+//! one turn, while timers, probes and all other connections wait. See `docs/PLATFORM.md`, "What one peer
+//! can take".
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use futures_util::AsyncRead;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use thiserror::Error;
+
+/// The most that is read in one turn while a head is awaited: it may hold hundreds of short ones.
+const HEAD_TURN_BYTES: usize = 4 * 1024;
+/// The most that is read in one turn otherwise.
+const TURN_BYTES: usize = 64 * 1024;
+/// The most that is read at once: as much as the stream itself buffers.
+const READ_BYTES: usize = 8 * 1024;
+
+/// The head of a response, with the interim responses and empty lines before it, is too long.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the head and what came before it exceed the limit of {max_bytes} bytes")]
+pub struct HeadTooLong {
+    /// The limit.
+    pub max_bytes: usize,
+}
+
+/// Counts the bytes of one head at a time; its clones share the count.
+#[derive(Clone, Debug, Default)]
+pub struct HeadBytes {
+    /// The bytes of the awaited head so far, and the most it may have; `None` while none is awaited.
+    awaited: Rc<Cell<Option<(usize, usize)>>>,
+}
+
+impl HeadBytes {
+    /// Begins to count a head. What is read ahead of its body counts too, so `max_bytes` should be several
+    /// times the connection's buffer.
+    pub fn begin(&self, max_bytes: usize) {
+        self.awaited.set(Some((0, max_bytes)));
+    }
+
+    /// Ends the count, as the head has been handed over.
+    pub fn end(&self) {
+        self.awaited.set(None);
+    }
+
+    fn add(&self, bytes: usize) -> Result<(), HeadTooLong> {
+        let Some((known_bytes, max_bytes)) = self.awaited.get() else {
+            return Ok(());
+        };
+        let known_bytes = known_bytes.saturating_add(bytes);
+        self.awaited.set(Some((known_bytes, max_bytes)));
+        if known_bytes > max_bytes {
+            return Err(HeadTooLong { max_bytes });
+        }
+        Ok(())
+    }
+
+    fn turn_bytes(&self) -> usize {
+        self.awaited.get().map_or(TURN_BYTES, |_| HEAD_TURN_BYTES)
+    }
+}
+
+/// A stream that gives way after a bounded number of bytes.
+pub struct PacedStream {
+    inner: HyperStream<TcpStream>,
+    head: HeadBytes,
+    /// Bytes that were read since this stream last gave way.
+    turn_bytes: usize,
+}
+
+impl PacedStream {
+    /// Creates a stream that reads `stream` and counts heads with `head`.
+    pub fn new(stream: TcpStream, head: HeadBytes) -> Self {
+        Self {
+            inner: HyperStream::new_plain(stream),
+            head,
+            turn_bytes: 0,
+        }
+    }
+}
+
+impl Read for PacedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut cursor: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let turn_max_bytes = self.head.turn_bytes();
+        if self.turn_bytes >= turn_max_bytes {
+            self.turn_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let mut bytes = [0; READ_BYTES];
+        let room = (turn_max_bytes - self.turn_bytes).min(READ_BYTES);
+        let room = cursor.remaining().min(room);
+        let read = AsyncRead::poll_read(Pin::new(&mut self.inner), cx, &mut bytes[..room]);
+        if read.is_pending() {
+            self.turn_bytes = 0;
+        }
+        let count = ready!(read)?;
+        self.turn_bytes += count;
+        self.head.add(count).map_err(io::Error::other)?;
+        cursor.put_slice(&bytes[..count]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for PacedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Write::poll_write(Pin::new(&mut self.inner), cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Write::poll_write_vectored(Pin::new(&mut self.inner), cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Write::poll_flush(Pin::new(&mut self.inner), cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Write::poll_shutdown(Pin::new(&mut self.inner), cx)
+    }
+}
