Add an HTTP client whose responses have limits

Calls to the store, to peers and to engines go through a client that bounds neither what comes before a head (interim responses begin its limit anew) nor the work of one turn, and each caller had to bound the body itself.

HttpClient sends a request over the paced stream, with a limit on the head (64 KiB), on all bytes until the head is complete (256 KiB, so interim responses and empty lines count), and, in `fetch`, on the body. It keeps the three outcomes apart that callers decide by: nothing was sent, the response broke off, it is too long. It keeps connections as the client before it did, but follows no redirects and uses no proxy of the environment: a call to an address must not end at another one.

--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`dial`] | how a thread opens connections to peers |
 //! | [`events`] | where the events of an event stream end |
 //! | [`grpc`] | a gRPC server, and a client connection that reopens itself |
+//! | [`http_client`] | an HTTP/1.1 client whose responses have limits |
 //! | [`http_server`] | an HTTP/1.1 server with one task per connection |
 //! | [`json`] | reading of request bodies, and complete responses |
 //! | [`paced_stream`] | a stream that bounds what its peer can take of the thread |
@@ -18,6 +19,7 @@
 pub mod dial;
 pub mod events;
 pub mod grpc;
+pub mod http_client;
 pub mod http_server;
 pub mod json;
 pub mod paced_stream;
@@ -31,6 +33,7 @@
         connection_watch::{ConnectionEnd, UnansweredRequest},
         dial::{Dialer, set_dialer},
         grpc::{Connection, ConnectionError, serve_grpc},
+        http_client::{ClientError, HttpClient, ResponseBody, check_url},
         http_server::{
             Awaited, ConnectionLimits, Draining, HttpRequest, HttpResponse, ListenError, bind,
             default_limits, delayed_stop, serve_http, serve_http_limited, serve_http_with_notice,
