Bound what an engine can send to the agent of a deployment of our own

An engine that answers orders, or requests for its state, with interim responses or a body without end was read on until the call's deadline; an order has none, so it was read for ever. The thread had no turn for other tasks meanwhile, and a body was kept whole.

Cause: the client had no limit on either, and the body was read whole. A response over the limit leaves the outcome of an order unknown, as one that breaks off does.

The two tests of upstreams name the new client's type; their checks are unchanged.

--- a/crates/celerystair_agent/src/agent.rs
+++ b/crates/celerystair_agent/src/agent.rs
@@ -63,7 +63,7 @@
     /// leaving meanwhile, so that routers choose other upstreams.
     pub is_engine_unreachable: Cell<bool>,
     /// HTTP client for the upstream.
-    pub client: cyper::Client,
+    pub client: HttpClient,
     /// Client for orders; `None` if the upstream is not a model engine.
     pub engine: Option<EngineClient>,
     /// Reservations of accelerator memory.
@@ -125,8 +125,7 @@
     let address = listener
         .local_addr()
         .map_err(NodeError::opening(settings.listen.to_string()))?;
-    let client = cyper::Client::new()
-        .map_err(|error| NodeError::opening("HTTP client")(std::io::Error::other(error)))?;
+    let client = HttpClient::default();
     let engine = (settings.upstream_kind == UpstreamKind::Engine)
         .then(|| EngineClient::new(&client, &settings.upstream_url));
     let agent = Agent {
--- a/crates/celerystair_agent/src/engine.rs
+++ b/crates/celerystair_agent/src/engine.rs
@@ -1,16 +1,21 @@
 //! HTTP client for orders to a model engine. Support for another engine's protocol needs a module
 //! like this one.
 
+use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_net::prelude::*;
 use celerystair_protocol::engine_api::{
     AdapterOrder, EngineState, LoadOrder, STATUS_FENCED, STATUS_NO_MEMORY, STATUS_ORDER_EXPIRED,
     UnloadOrder,
 };
+use http::Request;
 use serde::Serialize;
 use thiserror::Error;
 
 /// Timeout of a request for the engine's state.
 const STATE_TIMEOUT_MS: u64 = 2000;
+/// The longest body that is read, far above the state of an engine with hundreds of models.
+const RESPONSE_MAX_BYTES: usize = 1024 * 1024;
 
 /// Why an order was not carried out.
 #[derive(Clone, Debug, Error)]
@@ -44,13 +49,13 @@
 /// A client for one model engine.
 #[derive(Clone)]
 pub struct EngineClient {
-    client: cyper::Client,
+    client: HttpClient,
     url: String,
 }
 
 impl EngineClient {
     /// Creates a client for the engine at `url`.
-    pub fn new(client: &cyper::Client, url: &str) -> Self {
+    pub fn new(client: &HttpClient, url: &str) -> Self {
         Self {
             client: client.clone(),
             url: url.to_owned(),
@@ -59,19 +64,14 @@
 
     /// Returns the state that the engine reports.
     pub async fn state(&self) -> Result<EngineState, OrderError> {
-        let work = async {
-            let response = self
-                .client
-                .get(format!("{}/state", self.url))?
-                .send()
-                .await?;
-            response.json::<EngineState>().await
-        };
-        match before_deadline(now_unix_ms() + STATE_TIMEOUT_MS, work).await {
-            Some(Ok(state)) => Ok(state),
-            Some(Err(error)) => Err(OrderError::Unknown {
-                detail: error.to_string(),
-            }),
+        let request = Request::get(format!("{}/state", self.url)).body(Bytes::new());
+        let request = request.map_err(|error| unknown(&error))?;
+        let fetching = self.client.fetch(request, RESPONSE_MAX_BYTES);
+        match before_deadline(now_unix_ms() + STATE_TIMEOUT_MS, fetching).await {
+            Some(Ok(response)) => {
+                serde_json::from_slice(response.body()).map_err(|error| unknown(&error))
+            }
+            Some(Err(error)) => Err(unknown(&error)),
             None => Err(OrderError::Unknown {
                 detail: format!("the engine did not report its state within {STATE_TIMEOUT_MS} ms"),
             }),
@@ -117,26 +117,27 @@
     }
 
     async fn post_order(&self, name: &str, order: &impl Serialize) -> Result<(), OrderError> {
-        let unknown = |error: cyper::Error| OrderError::Unknown {
-            detail: error.to_string(),
-        };
-        let body = serde_json::to_vec(order).map_err(|error| OrderError::Unknown {
-            detail: error.to_string(),
-        })?;
+        let body = serde_json::to_vec(order).map_err(|error| unknown(&error))?;
         let url = format!("{}/orders/{name}", self.url);
-        let request = self.client.post(url).map_err(unknown)?.body(body);
-        let response = request.send().await.map_err(unknown)?;
-        let status = response.status().as_u16();
-        response.bytes().await.map_err(unknown)?;
-        match status {
+        let request = Request::post(url).body(body.into());
+        let request = request.map_err(|error| unknown(&error))?;
+        let fetching = self.client.fetch(request, RESPONSE_MAX_BYTES);
+        let response = fetching.await.map_err(|error| unknown(&error))?;
+        match response.status().as_u16() {
             200 => Ok(()),
             STATUS_FENCED => Err(OrderError::Fenced),
             STATUS_NO_MEMORY => Err(OrderError::NoMemory),
             STATUS_ORDER_EXPIRED => Err(OrderError::Expired),
-            400..=499 => Err(OrderError::Refused { status }),
-            _ => Err(OrderError::Unknown {
+            status @ 400..=499 => Err(OrderError::Refused { status }),
+            status => Err(OrderError::Unknown {
                 detail: format!("status {status}"),
             }),
         }
     }
 }
+
+fn unknown(error: &impl ToString) -> OrderError {
+    OrderError::Unknown {
+        detail: error.to_string(),
+    }
+}
--- a/crates/celerystair_agent/src/upstream.rs
+++ b/crates/celerystair_agent/src/upstream.rs
@@ -4,10 +4,11 @@
 
 use bytes::{Bytes, BytesMut};
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_net::prelude::*;
 use celerystair_protocol::SubmitRequest;
 use compio::net::TcpStream;
 use futures_util::{Stream, StreamExt, stream};
-use http::{HeaderMap, Method, StatusCode, header};
+use http::{HeaderMap, Method, Request, StatusCode, header};
 use serde::de::IgnoredAny;
 use thiserror::Error;
 
@@ -43,38 +44,34 @@
 /// Responses don't name their request. A call that may run once gets a connection of its own, on
 /// which no earlier response can arrive; other calls share those of `client`.
 pub async fn call_upstream(
-    client: &cyper::Client,
+    client: &HttpClient,
     url: &str,
     request: &SubmitRequest,
 ) -> Result<UpstreamResponse<impl Stream<Item = Result<Bytes, UpstreamError>>>, UpstreamError> {
     let method = Method::from_bytes(request.method.as_bytes()).unwrap_or(Method::POST);
-    let unsent = |error: cyper::Error| UpstreamError::Unreachable {
-        detail: error.to_string(),
-    };
-    let own_client = if request.idempotent {
-        None
-    } else {
-        Some(cyper::Client::new().map_err(unsent)?)
-    };
-    let mut call = own_client
-        .as_ref()
-        .unwrap_or(client)
-        .request(method.clone(), format!("{url}{}", request.path))
-        .map_err(unsent)?;
+    let mut call = Request::builder()
+        .method(method.clone())
+        .uri(format!("{url}{}", request.path));
     for (name, value) in [
         ("content-type", &request.content_type),
         ("idempotency-key", &request.idempotency_key),
         ("celerystair-organisation", &request.organisation),
     ] {
         if !value.is_empty() {
-            call = call.header(name, value.as_str()).map_err(unsent)?;
+            call = call.header(name, value.as_str());
         }
     }
-    let response = call
+    let call = call
         .body(request.body.clone())
-        .send()
-        .await
-        .map_err(to_upstream_error)?;
+        .map_err(|error| UpstreamError::Unreachable {
+            detail: error.to_string(),
+        })?;
+    let response = if request.idempotent {
+        client.send(call).await
+    } else {
+        HttpClient::send_alone(call).await
+    };
+    let response = response.map_err(to_upstream_error)?;
     let content_type = response.headers().get(header::CONTENT_TYPE);
     let content_type = content_type
         .and_then(|value| value.to_str().ok())
@@ -91,7 +88,7 @@
         }
     };
     let chunks = response
-        .bytes_stream()
+        .into_body()
         .map(|chunk| chunk.map_err(to_upstream_error))
         .inspect(move |chunk| {
             if let (Some(body), Ok(chunk)) = (&observed, chunk) {
@@ -210,13 +207,9 @@
     }
 }
 
-fn to_upstream_error(error: cyper::Error) -> UpstreamError {
+fn to_upstream_error(error: ClientError) -> UpstreamError {
     match error {
-        cyper::Error::HyperClient(error) if error.is_connect() => UpstreamError::Unreachable {
-            detail: error.to_string(),
-        },
-        error => UpstreamError::Interrupted {
-            detail: error.to_string(),
-        },
+        ClientError::Unreachable { detail } => UpstreamError::Unreachable { detail },
+        error => interrupted(&error.to_string()),
     }
 }
--- a/crates/celerystair_agent/tests/cut_answers.rs
+++ b/crates/celerystair_agent/tests/cut_answers.rs
@@ -7,8 +7,8 @@
 };
 
 use celerystair_agent::upstream::call_upstream;
+use celerystair_net::prelude::*;
 use celerystair_protocol::SubmitRequest;
-use cyper::Client;
 use futures_util::StreamExt;
 
 /// Answers one call with this response and closes its connection; with `has_ended`, it listens no more.
@@ -46,7 +46,7 @@
     };
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     runtime.block_on(async {
-        let client = Client::new().expect("the client starts");
+        let client = HttpClient::default();
         let response = call_upstream(&client, &url, &request).await.ok()?;
         let mut chunks = pin!(response.chunks);
         let mut body = String::new();
--- a/crates/celerystair_agent/tests/upstream.rs
+++ b/crates/celerystair_agent/tests/upstream.rs
@@ -13,8 +13,8 @@
 
 use celerystair_agent::upstream::call_upstream;
 use celerystair_core::prelude::*;
+use celerystair_net::prelude::*;
 use celerystair_protocol::SubmitRequest;
-use cyper::Client;
 use futures_util::StreamExt;
 
 const NOT_HERE: &str = "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n";
@@ -86,7 +86,7 @@
     }
 }
 
-async fn call(client: &Client, url: &str, request: &SubmitRequest) -> (u16, String) {
+async fn call(client: &HttpClient, url: &str, request: &SubmitRequest) -> (u16, String) {
     let response = call_upstream(client, url, request).await;
     let response = response.expect("the upstream answers");
     let mut chunks = pin!(response.chunks);
@@ -104,7 +104,7 @@
     let (url, open) = start_upstream();
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     runtime.block_on(async {
-        let client = Client::new().expect("the client starts");
+        let client = HttpClient::default();
         for is_first_repeatable in [true, false, true, false] {
             let first = request("/refuse", is_first_repeatable);
             assert_eq!(call(&client, &url, &first).await.0, 404);
