Bound what the store, a peer and an engine can send to a router or an agent

Beside a store that answered with interim responses without end, callers of the router got no answer; beside one whose body had no end, the router's memory grew by 832 MB in 5 s.

Cause: bodies of the store, and of a peer that sends its configuration, were read whole without a limit, as their senders were trusted, and nothing bounded interim responses or the work of one turn. Calls of the store, of the configuration's followers and of the engine's agent now go through HttpClient, with named limits: 4 MiB for a response of the store (a page has about 1 MB, the lists without pages of a start 2 MB together at the plan's size), 8 MiB for all pages of a list, 2 MiB for a value and for a peer's configuration. Over a limit the call counts as failed and the write as of unknown outcome, so what is known stays in force. A watch over the limit would be too long again, so the prefix is listed anew, as after a compaction. A list over it is partial, which deletes nothing.

`store_response_too_long` names the store, the limit and what exceeded it, at most once in 10 s. Clients no longer fail to be created; a store's URL that can't be called is refused at the start instead of at each call.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -17,7 +17,7 @@
 use thiserror::Error;
 
 use crate::{
-    client::{EngineClient, EngineError},
+    client::EngineClient,
     fence::{ClaimedFence, claim_fence, try_claim_fence},
     plan::LoadPlan,
     settings::EngineAgentSettings,
@@ -128,15 +128,12 @@
     /// The client of the store couldn't be created.
     #[error("the client of the store could not be created: {0}")]
     Store(#[from] StoreError),
-    /// The client of the engine couldn't be created.
-    #[error("the client of the engine could not be created: {0}")]
-    Engine(#[from] EngineError),
 }
 
 /// Starts an agent, which orders loads until `stop` drains.
 ///
 /// # Errors
-/// [`AgentError`] if the gossip socket can't be bound or a client can't be created. Neither the
+/// [`AgentError`] if the gossip socket can't be bound or the store's URL can't be read. Neither the
 /// store nor the engine needs to be reachable.
 pub async fn run_engine_agent(
     settings: EngineAgentSettings,
@@ -147,7 +144,7 @@
     let gossip_socket = GossipSocket::bind(address).map_err(ListenError::at(address))?;
     let store = settings.source.open()?;
     store.set_log(&log);
-    let configs = ConfigFollower::start(&settings.source, &store, &log, stop)?;
+    let configs = ConfigFollower::start(&settings.source, &store, &log, stop);
     configs.serve_peers(address, stop);
     info!(log, "started"; "agent" => &settings.agent_name, "engine" => %settings.engine_address);
     let agent = EngineAgent {
@@ -171,7 +168,7 @@
             engine_slots: Cell::default(),
             last_sent: RefCell::default(),
             gossip_sequence: Cell::new(now_unix_ms()),
-            engine_client: EngineClient::new()?,
+            engine_client: EngineClient::default(),
             configs,
             fence: Cell::default(),
             highest_fence: Cell::default(),
--- a/crates/celerystair_engine/src/client.rs
+++ b/crates/celerystair_engine/src/client.rs
@@ -1,11 +1,10 @@
 //! The HTTP client of the engine.
 
-use std::pin::pin;
-
-use bytes::BytesMut;
+use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
-use futures_util::StreamExt;
+use http::Request;
 use thiserror::Error;
 
 use crate::{
@@ -24,9 +23,9 @@
 /// Errors of calls to the engine.
 #[derive(Debug, Error)]
 pub enum EngineError {
-    /// The HTTP exchange failed, or its client couldn't be built.
+    /// The HTTP exchange failed, or its response is longer than any report.
     #[error("the HTTP call to the engine failed: {0}")]
-    Unreachable(#[from] cyper::Error),
+    Unreachable(#[from] ClientError),
     /// No response arrived within the timeout.
     #[error("the engine did not respond within the timeout")]
     Silent,
@@ -36,24 +35,18 @@
     /// The engine answered the report request with a status other than 200.
     #[error("the engine answered the report request with HTTP status {0}")]
     Failed(u16),
-    /// The response is longer than any report.
-    #[error("the engine's response is longer than {RESPONSE_MAX_BYTES} bytes")]
-    TooLong,
+    /// The settings' address or id can't be written in a request.
+    #[error("the request to the engine could not be written: {0}")]
+    Unwritable(#[from] http::Error),
 }
 
 /// An HTTP client for the agent's engine.
+#[derive(Default)]
 pub struct EngineClient {
-    http: cyper::Client,
+    http: HttpClient,
 }
 
 impl EngineClient {
-    /// Creates a client without connecting.
-    pub fn new() -> Result<Self, EngineError> {
-        Ok(Self {
-            http: cyper::Client::new()?,
-        })
-    }
-
     /// Fetches the engine's state.
     pub async fn fetch_report(
         &self,
@@ -61,18 +54,16 @@
     ) -> Result<EngineState, EngineError> {
         let dialect = &settings.engine_dialect;
         let url = format!("http://{}{}", settings.engine_address, dialect.report_path);
-        let exchange = async {
-            let response = self.http.get(url)?.send().await?;
-            let status = response.status().as_u16();
-            Ok::<_, EngineError>((status, read_limited(response).await?))
-        };
+        let fetching = self
+            .http
+            .fetch(Request::get(url).body(Bytes::new())?, RESPONSE_MAX_BYTES);
         let deadline_unix_ms = now_unix_ms() + REPORT_TIMEOUT_MS;
-        let response = before_deadline(deadline_unix_ms, exchange).await;
-        let (status, body) = response.ok_or(EngineError::Silent)??;
-        if status != 200 {
-            return Err(EngineError::Failed(status));
+        let response = before_deadline(deadline_unix_ms, fetching).await;
+        let response = response.ok_or(EngineError::Silent)??;
+        if response.status() != 200 {
+            return Err(EngineError::Failed(response.status().as_u16()));
         }
-        Ok((dialect.read_report)(&body)?)
+        Ok((dialect.read_report)(response.body())?)
     }
 
     /// Sends an order to the engine with the id `upstream`.
@@ -90,35 +81,14 @@
         let dialect = &settings.engine_dialect;
         let url = format!("http://{}{}", settings.engine_address, dialect.order_path);
         let body = (dialect.write_order)(order);
-        let exchange = async {
-            let request = self
-                .http
-                .post(url)?
-                .header(http::header::CONTENT_TYPE, "application/json")?
-                .header(dialect.expected_upstream_header.clone(), upstream.as_str())?
-                .body(body);
-            let response = request.send().await?;
-            let status = response.status().as_u16();
-            read_limited(response).await?;
-            Ok::<_, EngineError>(status)
-        };
+        let request = Request::post(url)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(&dialect.expected_upstream_header, upstream.as_str())
+            .body(body.into())?;
+        let fetching = self.http.fetch(request, RESPONSE_MAX_BYTES);
         let deadline_unix_ms = now_unix_ms() + ORDER_TIMEOUT_MS;
-        let status = before_deadline(deadline_unix_ms, exchange).await;
-        Ok((dialect.read_order_response)(
-            status.ok_or(EngineError::Silent)??,
-        ))
-    }
-}
-
-/// Reads the body of a response of the engine.
-async fn read_limited(response: cyper::Response) -> Result<BytesMut, EngineError> {
-    let mut chunks = pin!(response.bytes_stream());
-    let mut body = BytesMut::new();
-    while let Some(chunk) = chunks.next().await {
-        body.extend_from_slice(&chunk?);
-        if body.len() > RESPONSE_MAX_BYTES {
-            return Err(EngineError::TooLong);
-        }
+        let response = before_deadline(deadline_unix_ms, fetching).await;
+        let response = response.ok_or(EngineError::Silent)??;
+        Ok((dialect.read_order_response)(response.status().as_u16()))
     }
-    Ok(body)
 }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -356,7 +356,7 @@
         GossipSocket::bind(settings.gossip_listen).map_err(listen(settings.gossip_listen))?;
     let gossip_socket = Rc::new(gossip_socket);
     let store = settings.source.open()?;
-    let view = FleetView::start(&settings.source, &store, &log, stop)?;
+    let view = FleetView::start(&settings.source, &store, &log, stop);
     info!(log, "started"; "router" => &settings.router,
         "callers" => %settings.callers_listen, "ready" => %settings.ready_listen);
     let router = PlatformRouter {
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -68,15 +68,7 @@
 
 impl FleetView {
     /// Starts tasks that keep the view current from the store until `stop` ends.
-    ///
-    /// # Errors
-    /// As [`ConfigFollower::start`].
-    pub fn start(
-        source: &FleetSource,
-        store: &Store,
-        log: &Logger,
-        stop: &Stop,
-    ) -> Result<Self, StoreError> {
+    pub fn start(source: &FleetSource, store: &Store, log: &Logger, stop: &Stop) -> Self {
         store.set_log(log);
         let (read_upstream, entry_log) = (source.read_upstream, log.clone());
         // An entry that describes no upstream replaces the one before it, so its error is a value.
@@ -95,7 +87,7 @@
             inner: Rc::new(Inner {
                 log: log.clone(),
                 store: store.clone(),
-                configs: ConfigFollower::start(source, store, log, stop)?,
+                configs: ConfigFollower::start(source, store, log, stop),
                 config: RefCell::default(),
                 caller_limits: RefCell::default(),
                 upstreams: RefCell::default(),
@@ -119,7 +111,7 @@
             watcher.follow_upstreams(entries, &store, &task_stop).await;
         })
         .detach();
-        Ok(view)
+        view
     }
 
     /// Returns what follows the configuration.
--- a/crates/celerystair_platform/src/configs.rs
+++ b/crates/celerystair_platform/src/configs.rs
@@ -9,11 +9,13 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_net::{json::typed_response, prelude::*};
 use celerystair_policy::prelude::*;
 use event_listener::{Event, EventListener};
 use futures_util::future::select;
+use http::Request;
 use slog::{Logger, debug, info, warn};
 
 use crate::{
@@ -31,6 +33,8 @@
 const PEER_TIMEOUT_MS: u64 = 700;
 /// The longest wait between two searches for a version that a peer has.
 const SEARCH_WAIT_MAX_MS: u64 = 1000;
+/// The longest configuration that is read from a peer. The platform's objects have 1 MiB at most.
+const CONFIG_MAX_BYTES: usize = 2 * 1024 * 1024;
 /// The path under which a process sends the configuration that it has in force.
 const CONFIG_PATH: &str = "/configuration";
 /// A version must be in force within two seconds of its write, so its reads wait neither behind other
@@ -51,7 +55,7 @@
     log: Logger,
     store: Store,
     source: FleetSource,
-    client: cyper::Client,
+    client: HttpClient,
     mirror: Mirror<ReadConfig>,
     in_force: RefCell<Option<Rc<ConfigInForce>>>,
     /// The object of the store that was decided on last.
@@ -94,18 +98,7 @@
 
 impl ConfigFollower {
     /// Starts tasks that follow the configuration of `source` until `stop` ends.
-    ///
-    /// # Errors
-    /// [`StoreError::Failed`] if the HTTP client for peers can't be created.
-    pub fn start(
-        source: &FleetSource,
-        store: &Store,
-        log: &Logger,
-        stop: &Stop,
-    ) -> Result<Self, StoreError> {
-        let client = cyper::Client::new().map_err(|error| StoreError::Failed {
-            detail: error.to_string(),
-        })?;
+    pub fn start(source: &FleetSource, store: &Store, log: &Logger, stop: &Stop) -> Self {
         let decoded_source = source.clone();
         let decode = move |object: &Object| Ok(ReadConfig::new(&decoded_source, object));
         let prefix = source.config_key_prefix;
@@ -114,7 +107,7 @@
                 log: log.clone(),
                 store: store.clone(),
                 source: source.clone(),
-                client,
+                client: HttpClient::default(),
                 mirror: Mirror::start_paced(store, prefix, decode, PACE, stop),
                 in_force: RefCell::default(),
                 decided_at: Cell::default(),
@@ -126,7 +119,7 @@
         };
         compio::runtime::spawn(follower.clone().follow_store(stop.clone())).detach();
         compio::runtime::spawn(follower.clone().search_heard(stop.clone())).detach();
-        Ok(follower)
+        follower
     }
 
     /// Returns the configuration in force, if there is one.
@@ -344,12 +337,14 @@
             detail: error.to_string(),
         };
         let url = format!("http://{peer}{CONFIG_PATH}");
-        let request = self.inner.client.get(url).map_err(|error| failed(&error))?;
-        let response = request.send().await.map_err(|error| failed(&error))?;
+        let request = Request::get(url).body(Bytes::new());
+        let request = request.map_err(|error| failed(&error))?;
+        let fetching = self.inner.client.fetch(request, CONFIG_MAX_BYTES);
+        let response = fetching.await.map_err(|error| failed(&error))?;
         if !response.status().is_success() {
             return Err(failed(&response.status()));
         }
-        let bytes = response.bytes().await.map_err(|error| failed(&error))?;
+        let bytes = response.into_body();
         let source = &self.inner.source;
         Ok(Object {
             key: format!("{}{}", source.config_key_prefix, source.config_name),
--- a/crates/celerystair_platform/src/dialect.rs
+++ b/crates/celerystair_platform/src/dialect.rs
@@ -143,6 +143,10 @@
 /// Why the value of an object that is malformed can't be read.
 pub const NOT_JSON: &str = "it is no JSON";
 
+/// The longest value that is read: twice what an object of the platform has at most. A value takes up to
+/// sixteen times the memory of its text.
+const VALUE_MAX_BYTES: usize = 2 * 1024 * 1024;
+
 /// Creates an object whose value is read from `value`; the value of an object that isn't whole can't be
 /// read.
 pub fn with_value(
@@ -153,6 +157,9 @@
 ) -> Object {
     let value = match value {
         _ if !object.is_whole => Err(NOT_JSON.to_owned()),
+        Some(value) if value.len() > VALUE_MAX_BYTES => {
+            Err(format!("it has more than {VALUE_MAX_BYTES} bytes"))
+        }
         Some(value) => read_value(value).map_err(|error| error.to_string()),
         None => Ok(Value::Null),
     };
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -5,8 +5,11 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use celerystair_core::{prelude::*, time::before_deadline};
+use celerystair_net::prelude::*;
 use event_listener::{Event, EventListener};
+use http::Request;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 use slog::{Discard, Logger, info, o, warn};
@@ -147,7 +150,7 @@
 }
 
 struct Inner {
-    client: cyper::Client,
+    client: HttpClient,
     settings: StoreSettings,
     dialect: StoreDialect,
     rate_limiter: RateLimiter,
@@ -156,6 +159,8 @@
     /// Whether an answer has named its era.
     is_era_named: Cell<bool>,
     is_bad_era_logged: Cell<bool>,
+    /// When a response that is too long may be logged again.
+    log_too_long_from_unix_ms: Cell<u64>,
     log: RefCell<Logger>,
     /// The last list of instances with its `ETag`, so that the platform need not send an unchanged
     /// list again.
@@ -194,29 +199,36 @@
     era: Option<u64>,
     /// `ETag` of the body; empty if the platform sent none.
     etag: String,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 impl Store {
     /// Creates a client of the project's own object API, without sending a call.
+    ///
+    /// # Errors
+    /// [`StoreError::Failed`] if the URL is no HTTP URL.
     pub fn new(settings: StoreSettings) -> Result<Self, StoreError> {
         Self::with_dialect(settings, native_dialect())
     }
 
     /// Creates a client of an object API whose calls are encoded and decoded by `dialect`.
+    ///
+    /// # Errors
+    /// As [`Self::new`].
     pub fn with_dialect(
         settings: StoreSettings,
         dialect: StoreDialect,
     ) -> Result<Self, StoreError> {
-        let client = cyper::Client::new().map_err(|error| failed(&error))?;
+        check_url(&settings.url).map_err(|error| failed(&error))?;
         Ok(Self {
             inner: Rc::new(Inner {
-                client,
+                client: HttpClient::default(),
                 dialect,
                 availability: Cell::default(),
                 era_changed: Event::new(),
                 is_era_named: Cell::default(),
                 is_bad_era_logged: Cell::default(),
+                log_too_long_from_unix_ms: Cell::default(),
                 log: RefCell::new(Logger::root(Discard, o!())),
                 rate_limiter: RateLimiter::new(settings.calls_per_second),
                 instances: RefCell::default(),
@@ -304,6 +316,7 @@
         let mut list = ObjectList::default();
         let mut after: Option<String> = None;
         let mut first_era = None;
+        let mut known_bytes = 0;
         for _ in 0..PAGES_MAX {
             let call = (dialect.list)(prefix, after.as_deref());
             let response = self.call(call, priority).await?;
@@ -312,6 +325,12 @@
                 return Err(failed(&"a new era of the store began between two pages"));
             }
             let body = self.success_body(&response)?;
+            known_bytes += body.len();
+            if known_bytes > LIST_MAX_BYTES {
+                let detail = format!("the pages of {prefix} have more than {LIST_MAX_BYTES} bytes");
+                self.log_too_long(&detail);
+                break;
+            }
             let page =
                 (dialect.read_list)(prefix, body).map_err(|error| bad_object(prefix, &error))?;
             // Later pages may be newer than the first. A watch from the first page's revision
@@ -405,19 +424,31 @@
     ) -> Result<InEra<WatchReply>, StoreError> {
         let dialect = &self.inner.dialect;
         let response = self
-            .send(StoreCall {
+            .try_send(StoreCall {
                 wire: (dialect.watch)(prefix, revision, wait_ms),
                 known_etag: "",
                 priority,
                 deadline_unix_ms: now_unix_ms() + wait_ms + self.inner.settings.call_timeout_ms,
             })
-            .await?;
+            .await;
+        let too_old = WatchReply {
+            too_old: true,
+            ..WatchReply::default()
+        };
+        let response = match response {
+            Ok(response) => response,
+            // The same watch would be too long again, whereas lists have pages.
+            Err(CallFailure::BodyTooLong(_)) => {
+                return Ok(InEra {
+                    era: self.era(),
+                    value: too_old,
+                });
+            }
+            Err(failure) => return Err(failure.into()),
+        };
         let era = self.era();
         let value = if dialect.compacted_status == Some(response.status) {
-            WatchReply {
-                too_old: true,
-                ..WatchReply::default()
-            }
+            too_old
         } else {
             let body = self.success_body(&response)?;
             (dialect.read_watch)(prefix, body).map_err(|error| bad_object(prefix, &error))?
@@ -475,15 +506,18 @@
     }
 
     async fn send(&self, call: StoreCall<'_>) -> Result<StoreResponse, StoreError> {
+        Ok(self.try_send(call).await?)
+    }
+
+    async fn try_send(&self, call: StoreCall<'_>) -> Result<StoreResponse, CallFailure> {
         let deadline_unix_ms = call.deadline_unix_ms;
         let permit = self
             .inner
             .rate_limiter
             .acquire(call.priority, deadline_unix_ms);
         if !permit.await {
-            return Err(StoreError::Failed {
-                detail: "rate limit reached until after the deadline; nothing was sent".to_owned(),
-            });
+            let detail = "rate limit reached until after the deadline; nothing was sent";
+            return Err(failed(&detail).into());
         }
         let outcome = before_deadline(deadline_unix_ms, self.send_request(call)).await;
         let is_available =
@@ -495,15 +529,17 @@
                 self.record_era(response.era)?;
                 Ok(response)
             }
-            Some(Err(cyper::Error::HyperClient(error))) if error.is_connect() => {
-                Err(failed(&error))
+            Some(Err(error @ ClientError::Unreachable { .. })) => Err(failed(&error).into()),
+            Some(Err(error @ ClientError::Interrupted { .. })) => Err(unknown(&error).into()),
+            Some(Err(error @ ClientError::TooLong { part, .. })) => {
+                self.log_too_long(&error);
+                if part == "body" {
+                    Err(CallFailure::BodyTooLong(unknown(&error)))
+                } else {
+                    Err(unknown(&error).into())
+                }
             }
-            Some(Err(error)) => Err(StoreError::OutcomeUnknown {
-                detail: error.to_string(),
-            }),
-            None => Err(StoreError::OutcomeUnknown {
-                detail: "no response before the deadline".to_owned(),
-            }),
+            None => Err(unknown(&"no response before the deadline").into()),
         }
     }
 
@@ -568,16 +604,20 @@
         era
     }
 
-    async fn send_request(&self, call: StoreCall<'_>) -> Result<StoreResponse, cyper::Error> {
+    async fn send_request(&self, call: StoreCall<'_>) -> Result<StoreResponse, ClientError> {
         let url = format!("{}{}", self.inner.settings.url, call.wire.path);
-        let mut request = self.inner.client.request(call.wire.method, url)?;
+        let mut request = Request::builder().method(call.wire.method).uri(url);
         if !call.known_etag.is_empty() {
-            request = request.header(http::header::IF_NONE_MATCH, call.known_etag)?;
-        }
-        if let Some(body) = call.wire.body {
-            request = request.body(body);
+            request = request.header(http::header::IF_NONE_MATCH, call.known_etag);
         }
-        let response = request.send().await?;
+        let body = call.wire.body.unwrap_or_default();
+        let request = request
+            .body(body.into())
+            .map_err(|error| ClientError::Unreachable {
+                detail: error.to_string(),
+            })?;
+        let fetching = self.inner.client.fetch(request, RESPONSE_MAX_BYTES);
+        let response = fetching.await?;
         let etag = response.headers().get(http::header::ETAG);
         Ok(StoreResponse {
             status: response.status().as_u16(),
@@ -586,11 +626,51 @@
                 .and_then(|tag| tag.to_str().ok())
                 .unwrap_or_default()
                 .to_owned(),
-            body: response.bytes().await?.to_vec(),
+            body: response.into_body(),
         })
     }
+
+    /// Logs that the store sends more than is read, at a bounded rate.
+    fn log_too_long(&self, detail: &impl std::fmt::Display) {
+        const INTERVAL_MS: u64 = 10_000;
+        let now = now_unix_ms();
+        let log_from_unix_ms = &self.inner.log_too_long_from_unix_ms;
+        if log_from_unix_ms.get() <= now {
+            log_from_unix_ms.set(now + INTERVAL_MS);
+            warn!(self.log(), "store_response_too_long"; "url" => &self.inner.settings.url,
+                "error" => detail.to_string());
+        }
+    }
+}
+
+/// Why a call has no response.
+enum CallFailure {
+    /// The body has more than [`RESPONSE_MAX_BYTES`]; a write may have taken effect.
+    BodyTooLong(StoreError),
+    Other(StoreError),
 }
 
+impl From<StoreError> for CallFailure {
+    fn from(error: StoreError) -> Self {
+        Self::Other(error)
+    }
+}
+
+impl From<CallFailure> for StoreError {
+    fn from(failure: CallFailure) -> Self {
+        match failure {
+            CallFailure::BodyTooLong(error) | CallFailure::Other(error) => error,
+        }
+    }
+}
+
+/// The longest body that is read. A page of the platform has about 1 MB and an object 1 MiB at most; the lists
+/// without pages that a process reads at its start have 2 MB together at the size that the project designs
+/// for (`docs/CAPACITY.md`). A value takes up to sixteen times the memory of its text.
+const RESPONSE_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// The most that the pages of one list may have together, above any list of the size that the project
+/// designs for.
+const LIST_MAX_BYTES: usize = 8 * 1024 * 1024;
 /// The most pages of one list. The platform's have about 500 objects each, so this is far above any
 /// fleet; a store whose pages lead in a circle ends here.
 const PAGES_MAX: usize = 1000;
@@ -604,8 +684,17 @@
     }
 }
 
+fn unknown(error: &impl ToString) -> StoreError {
+    StoreError::OutcomeUnknown {
+        detail: error.to_string(),
+    }
+}
+
 fn status_error(status: u16, body: &[u8]) -> StoreError {
-    let detail = format!("status {status}: {}", String::from_utf8_lossy(body));
+    let detail = format!(
+        "status {status}: {}",
+        shortened(&String::from_utf8_lossy(body))
+    );
     // The platform rejects a call with 4xx or 503 only if the call had no effect. Any other status
     // leaves that open.
     if matches!(status, 400..=499 | 503) {
