--- a/crates/celerystair_platform/src/fleet_source.rs
+++ b/crates/celerystair_platform/src/fleet_source.rs
@@ -33,7 +33,7 @@
     /// Creates a client of the store, without sending a call.
     ///
     /// # Errors
-    /// [`StoreError::Failed`] if the HTTP client can't be created.
+    /// [`StoreError::Failed`] if the store's URL is no HTTP URL.
     pub fn open(&self) -> Result<Store, StoreError> {
         Store::with_dialect(self.store.clone(), self.dialect)
     }
