Let a paced stream wait for its next turn behind the poll for events

A stream that gave way by waking its own task ran again within the same tick of the executor: up to 61 tasks run between two polls for events and timers, and two tasks that wake themselves take all of these. A stream that has read its share now queues for a turn, and a task of the thread gives 8 turns after each poll, first come first served. So the work between two polls doesn't grow with the number of such streams. PacedStream's interface is as before; nothing uses it yet.

--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`paced_stream`] | a stream that bounds what its peer can take of the thread |
 //! | [`timer`] | the timer of HTTP connections |
 //! | [`tls`] | mutual TLS between the system's own processes |
+//! | `turns` | turns for streams that have more to read than one turn's share |
 
 pub mod body;
 pub mod connection_watch;
@@ -23,6 +24,7 @@
 pub mod paced_stream;
 pub mod timer;
 pub mod tls;
+mod turns;
 
 /// Commonly used types and functions of servers and clients.
 pub mod prelude {
--- a/crates/celerystair_net/src/paced_stream.rs
+++ b/crates/celerystair_net/src/paced_stream.rs
@@ -17,6 +17,8 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use thiserror::Error;
 
+use crate::turns::Turn;
+
 /// The most that is read in one turn while a head is awaited: it may hold hundreds of short ones.
 const HEAD_TURN_BYTES: usize = 4 * 1024;
 /// The most that is read in one turn otherwise.
@@ -72,8 +74,10 @@
 pub struct PacedStream {
     inner: HyperStream<TcpStream>,
     head: HeadBytes,
-    /// Bytes that were read since this stream last gave way.
+    /// Bytes that were read since its last turn began, or since it last had nothing to read.
     turn_bytes: usize,
+    /// The turn that it waits for.
+    turn: Option<Turn>,
 }
 
 impl PacedStream {
@@ -83,26 +87,30 @@
             inner: HyperStream::new_plain(stream),
             head,
             turn_bytes: 0,
+            turn: None,
         }
     }
-}
 
-impl Read for PacedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+    /// Reads into `cursor` and returns the number of bytes.
+    pub(crate) fn poll_read_count(
+        &mut self,
         cx: &mut Context<'_>,
-        mut cursor: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
+        cursor: &mut ReadBufCursor<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if let Some(turn) = &self.turn {
+            ready!(turn.poll(cx));
+            self.turn = None;
+            self.turn_bytes = 0;
+        }
         let turn_max_bytes = self.head.turn_bytes();
         if self.turn_bytes >= turn_max_bytes {
-            self.turn_bytes = 0;
-            cx.waker().wake_by_ref();
+            self.turn = Some(Turn::queue(cx));
             return Poll::Pending;
         }
         let mut bytes = [0; READ_BYTES];
-        let room = (turn_max_bytes - self.turn_bytes).min(READ_BYTES);
-        let room = cursor.remaining().min(room);
-        let read = AsyncRead::poll_read(Pin::new(&mut self.inner), cx, &mut bytes[..room]);
+        let room = cursor.remaining().min(turn_max_bytes - self.turn_bytes);
+        let room = &mut bytes[..room.min(READ_BYTES)];
+        let read = AsyncRead::poll_read(Pin::new(&mut self.inner), cx, room);
         if read.is_pending() {
             self.turn_bytes = 0;
         }
@@ -110,6 +118,17 @@
         self.turn_bytes += count;
         self.head.add(count).map_err(io::Error::other)?;
         cursor.put_slice(&bytes[..count]);
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl Read for PacedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut cursor: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        ready!(self.poll_read_count(cx, &mut cursor))?;
         Poll::Ready(Ok(()))
     }
 }
