Log and count which limit an upstream's answer exceeded

attempt_failed said answer_lost or answer_spoiled alike for a head that is too long, an answer that is too long and a full buffer. answer_over_limit names the limit, the upstream and the bytes, at most once a second for each upstream, and says how many answers it left out; celerystair_answers_over_limit_total counts all of them by limit.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -16,7 +16,8 @@
 
 use crate::{
     answer_end::find_answer_end,
-    connections::{UpstreamConnection, connect},
+    answer_limits::is_head_too_long,
+    connections::{READ_BUFFER_MAX_BYTES, UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
     framing::{Framing, is_cut_off, response_framing},
     front::PlatformRouter,
@@ -235,7 +236,13 @@
                 // The idle connection closed before the request was sent; try a new connection.
                 Some(unsent) if connection.is_reused => outgoing = unsent,
                 Some(_) => return Err(AttemptFailure::Unreachable),
-                None => return Err(AttemptFailure::AnswerLost),
+                None => {
+                    if is_head_too_long(error.error()) {
+                        let bytes = READ_BUFFER_MAX_BYTES;
+                        router.count_answer_over_limit(request, upstream, AnswerLimit::Head, bytes);
+                    }
+                    return Err(AttemptFailure::AnswerLost);
+                }
             },
         }
     }
@@ -466,12 +473,21 @@
 }
 
 impl BufferReservation<'_> {
-    /// Counts more bytes of the response; returns whether they may be buffered.
-    fn add(&mut self, bytes: usize) -> bool {
+    /// Counts more bytes of the response.
+    ///
+    /// # Errors
+    /// The limit beyond which they may not be buffered.
+    fn add(&mut self, bytes: usize) -> Result<(), AnswerLimit> {
         let total = self.buffered_bytes.get() + bytes;
         self.own_bytes += bytes;
         self.buffered_bytes.set(total);
-        self.own_bytes <= RESPONSE_MAX_BYTES && total <= INCOMPLETE_RESPONSES_MAX_BYTES
+        if self.own_bytes > RESPONSE_MAX_BYTES {
+            Err(AnswerLimit::Answer)
+        } else if total > INCOMPLETE_RESPONSES_MAX_BYTES {
+            Err(AnswerLimit::Room)
+        } else {
+            Ok(())
+        }
     }
 }
 
@@ -509,7 +525,9 @@
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| AttemptFailure::AnswerLost)?;
             if let Ok(data) = frame.into_data() {
-                if !reservation.add(data.len()) {
+                if let Err(limit) = reservation.add(data.len()) {
+                    let bytes = reservation.own_bytes;
+                    router.count_answer_over_limit(request, &upstream, limit, bytes);
                     return Err(AttemptFailure::InvalidAnswer);
                 }
                 bytes.extend_from_slice(&data);
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -42,7 +42,7 @@
 }
 
 /// The longest head of a response, and the most that a connection reads ahead.
-const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+pub(crate) const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
 
 /// A connection to an upstream, closed when dropped.
 pub struct UpstreamConnection {
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -5,6 +5,7 @@
 //! | module | holds |
 //! |---|---|
 //! | [`answer_end`] | whether an answer that has ended is whole |
+//! | `answer_limits` | reporting the limits that upstreams' answers exceed |
 //! | [`answers`] | HTTP responses for refusals |
 //! | [`attempt`] | one attempt to send a request to one upstream |
 //! | [`bodies`] | reading callers' bodies while there is room for them |
@@ -34,6 +35,7 @@
 //! The design: `docs/PLATFORM.md`.
 
 pub mod answer_end;
+mod answer_limits;
 pub mod answers;
 pub mod attempt;
 pub mod bodies;
--- a/crates/celerystair_front/src/upstream.rs
+++ b/crates/celerystair_front/src/upstream.rs
@@ -9,7 +9,7 @@
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
 
-use crate::connections::Connections;
+use crate::{answer_limits::LimitLog, connections::Connections};
 
 /// How long sent requests are remembered: a status that is still fresh already counts older ones.
 const SENT_HISTORY_MS: u64 = 4000;
@@ -48,6 +48,8 @@
     pub paused_until_unix_ms: Cell<u64>,
     /// The rate limit that the upstream has named.
     pub rate_limit: Cell<Option<NamedRateLimit>>,
+    /// Bounds the log lines about answers over a limit.
+    pub(crate) limit_log: Cell<LimitLog>,
     in_flight: Cell<u32>,
     in_flight_by_model: RefCell<HashMap<ModelName, u32>>,
     /// When each recent request was sent, and its number of prompt tokens.
@@ -70,6 +72,7 @@
             has_announced_departure: Cell::new(false),
             paused_until_unix_ms: Cell::default(),
             rate_limit: Cell::default(),
+            limit_log: Cell::default(),
             in_flight: Cell::new(0),
             in_flight_by_model: RefCell::default(),
             sent: RefCell::default(),
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`adapters`] | which adapter an engine loads next, and which one is evicted for it |
 //! | [`answer_end`] | whether an answer that has ended is whole |
+//! | [`answer_room`] | nothing: the limits on the answers of upstreams |
 //! | [`bodies`] | whose body a router reads next |
 //! | [`budget`] | whether one more retry fits the fleet-wide retry budget |
 //! | [`caller_limits`] | until when a caller's connection may be idle |
@@ -38,6 +39,7 @@
 
 pub mod adapters;
 pub mod answer_end;
+pub mod answer_room;
 pub mod bodies;
 pub mod budget;
 pub mod caller_limits;
@@ -70,6 +72,7 @@
 pub mod prelude {
     pub use crate::{
         answer_end::{AnswerEnd, Listening, PROCESS_END_MS},
+        answer_room::AnswerLimit,
         bodies::{BodyRoom, BodyTicket, SMALL_BODY_MAX_BYTES},
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
         caller_limits::CallerLimitHistory,
--- a/crates/celerystair_telemetry/src/metrics.rs
+++ b/crates/celerystair_telemetry/src/metrics.rs
@@ -46,6 +46,8 @@
     pub unanswered: Counter<u64>,
     /// Answers without a length or chunks, by what is known of their `end`.
     pub unframed_answers: Counter<u64>,
+    /// Answers of upstreams that exceeded a `limit`.
+    pub answers_over_limit: Counter<u64>,
     /// Gauges of the process's state, set when the metrics are scraped.
     pub gauges: Gauges,
 }
@@ -153,6 +155,7 @@
             retries: meter.u64_counter("celerystair_retries").build(),
             unanswered: meter.u64_counter("celerystair_unanswered").build(),
             unframed_answers: meter.u64_counter("celerystair_unframed_answers").build(),
+            answers_over_limit: meter.u64_counter("celerystair_answers_over_limit").build(),
             gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
