Bound the work of one turn and the bytes before a head's end at upstreams and callers

Callers saw: beside an upstream that writes interim responses (103) without end, sound reads and streams of other upstreams waited for seconds, and answers came long after their deadlines.

Cause: the connection's task read on within one poll as long as there were bytes, so timers and other connections waited; and each interim response began the limit on a head anew, so nothing ended it.

Why it works: upstreams' and callers' connections are paced streams. After 4 KiB while a head is awaited, 64 KiB otherwise, a stream waits for a turn behind the poll for timers and events. What comes from the sending of a request until the final head is counted as one head, with a limit of 128 KiB; beyond it the attempt fails as an invalid answer that may have run, its connection is closed, and answer_over_limit says so. A head that is too long for the buffer counts as an invalid answer as well, where it was taken for a lost one and its upstream for one that may have crashed.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::{
     answer_end::find_answer_end,
     answer_limits::is_head_too_long,
-    connections::{READ_BUFFER_MAX_BYTES, UpstreamConnection, connect},
+    connections::{UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
     framing::{Framing, is_cut_off, response_framing},
     front::PlatformRouter,
@@ -159,7 +159,10 @@
             AttemptFailure::AnswerLost => run.lose(),
             _ => run.finish(),
         }
-        let is_certain = *failure == AttemptFailure::Unreachable;
+        let is_certain = matches!(
+            failure,
+            AttemptFailure::Unreachable | AttemptFailure::InvalidAnswer
+        );
         upstream.update_health(|health| health.record_failure(is_certain, now_unix_ms()));
     })?;
     let (head, body) = response.into_parts();
@@ -229,20 +232,20 @@
                 .await
                 .map_err(|_| AttemptFailure::Unreachable)?,
         };
-        let sending = connection.sender.try_send_request(outgoing);
-        match close_unless_declined(router, resumption.kept, sending).await {
+        let sending = connection.send(outgoing);
+        let sent = close_unless_declined(router, resumption.kept, sending).await;
+        match sent {
             Ok(response) => return Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 // The idle connection closed before the request was sent; try a new connection.
                 Some(unsent) if connection.is_reused => outgoing = unsent,
                 Some(_) => return Err(AttemptFailure::Unreachable),
-                None => {
-                    if is_head_too_long(error.error()) {
-                        let bytes = READ_BUFFER_MAX_BYTES;
-                        router.count_answer_over_limit(request, upstream, AnswerLimit::Head, bytes);
-                    }
-                    return Err(AttemptFailure::AnswerLost);
+                None if is_head_too_long(error.error()) => {
+                    let bytes = connection.head_bytes();
+                    router.count_answer_over_limit(request, upstream, AnswerLimit::Head, bytes);
+                    return Err(AttemptFailure::InvalidAnswer);
                 }
+                None => return Err(AttemptFailure::AnswerLost),
             },
         }
     }
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -10,13 +10,18 @@
 };
 
 use celerystair_core::{prelude::*, time::before_deadline};
-use celerystair_net::body::FramedBody;
+use celerystair_net::{body::FramedBody, prelude::*};
 use celerystair_policy::prelude::*;
 use compio::{net::TcpStream, runtime::JoinHandle};
-use cyper_core::HyperStream;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName};
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{Builder, SendRequest},
+    },
+};
 
 /// Time limit for opening a connection: upstreams are one or two milliseconds away.
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -42,12 +47,16 @@
 }
 
 /// The longest head of a response, and the most that a connection reads ahead.
-pub(crate) const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+/// The most bytes before the end of a response's head: interim responses and empty lines, the head, and
+/// what is read ahead of the body before the head is handed over.
+const HEAD_BYTES_MAX: usize = 2 * READ_BUFFER_MAX_BYTES;
 
 /// A connection to an upstream, closed when dropped.
 pub struct UpstreamConnection {
     /// Sends requests on the connection.
     pub sender: SendRequest<FramedBody>,
+    head: HeadBytes,
     /// Whether the connection has served a request before.
     pub is_reused: bool,
     /// The requests that were refused on the connection.
@@ -56,6 +65,27 @@
     _task: JoinHandle<()>,
 }
 
+impl UpstreamConnection {
+    /// Sends the request and returns the response once its head has arrived.
+    ///
+    /// # Errors
+    /// That of the connection, which has ended; with the request if it was not sent.
+    pub async fn send(
+        &mut self,
+        request: http::Request<FramedBody>,
+    ) -> Result<http::Response<Incoming>, TrySendError<http::Request<FramedBody>>> {
+        self.head.begin(HEAD_BYTES_MAX);
+        let response = self.sender.try_send_request(request).await?;
+        self.head.end();
+        Ok(response)
+    }
+
+    /// Returns the bytes that have come of the head which is awaited.
+    pub fn head_bytes(&self) -> usize {
+        self.head.known_bytes()
+    }
+}
+
 struct IdleConnection {
     connection: UpstreamConnection,
     since_unix_ms: u64,
@@ -164,9 +194,10 @@
                 _ => ConnectError::NoAnswer,
             })?;
         stream.set_nodelay(true).ok();
+        let head = HeadBytes::default();
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_MAX_BYTES)
-            .handshake(HyperStream::new_plain(stream))
+            .handshake(PacedStream::new(stream, head.clone()))
             .await
             .map_err(|_| ConnectError::NoAnswer)?;
         let task = compio::runtime::spawn(async move {
@@ -175,6 +206,7 @@
         });
         Ok(UpstreamConnection {
             sender,
+            head,
             is_reused: false,
             refused: RefusedRequests::default(),
             _task: task,
--- a/crates/celerystair_net/src/connection_watch.rs
+++ b/crates/celerystair_net/src/connection_watch.rs
@@ -13,8 +13,6 @@
 use bytes::Bytes;
 use celerystair_core::prelude::*;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
-use futures_util::AsyncRead;
 use http::{StatusCode, header::CONTENT_LENGTH};
 use http_body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -22,6 +20,7 @@
 use crate::{
     body::{BodyError, HttpBody},
     http_server::Awaited,
+    paced_stream::{HeadBytes, PacedStream},
 };
 
 /// Why a connection ended.
@@ -287,14 +286,15 @@
 
 /// A connection's stream whose bytes are watched.
 pub(crate) struct WatchedStream {
-    inner: HyperStream<TcpStream>,
+    inner: PacedStream,
     watch: Rc<ConnectionWatch>,
 }
 
 impl WatchedStream {
     pub(crate) fn new(stream: TcpStream, watch: Rc<ConnectionWatch>) -> Self {
         Self {
-            inner: HyperStream::new_plain(stream),
+            // The head of a request is limited by its buffer and its time.
+            inner: PacedStream::new(stream, HeadBytes::default()),
             watch,
         }
     }
@@ -306,15 +306,7 @@
         cx: &mut Context<'_>,
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        // As much as the stream itself buffers.
-        let mut bytes = [0; 8192];
-        let room = cursor.remaining().min(bytes.len());
-        let count = ready!(AsyncRead::poll_read(
-            Pin::new(&mut self.inner),
-            cx,
-            &mut bytes[..room]
-        ))?;
-        cursor.put_slice(&bytes[..count]);
+        let count = ready!(self.inner.poll_read_count(cx, &mut cursor))?;
         self.watch.record_read(count);
         Poll::Ready(Ok(()))
     }
--- a/crates/celerystair_net/src/paced_stream.rs
+++ b/crates/celerystair_net/src/paced_stream.rs
@@ -53,6 +53,11 @@
         self.awaited.set(None);
     }
 
+    /// Returns the bytes of the awaited head so far; 0 while none is awaited.
+    pub fn known_bytes(&self) -> usize {
+        self.awaited.get().map_or(0, |(known_bytes, _)| known_bytes)
+    }
+
     fn add(&self, bytes: usize) -> Result<(), HeadTooLong> {
         let Some((known_bytes, max_bytes)) = self.awaited.get() else {
             return Ok(());
