Let the answers of the upstream that holds most give way when their room is full

Callers saw: while four answers of a faulty upstream were held just below 8 MB, a sound upstream's answer of 6 MB failed with 502, and the failure was charged to the sound upstream's health.

Cause: INCOMPLETE_RESPONSES_MAX_BYTES is shared by all answers and was charged to the one that came last.

Why it works: celerystair_policy::answer_room counts by upstream. When the room is full, the largest answer of the upstream that holds most fails at once, also while that upstream is silent; as an invalid answer that may have run. Health is charged only for an answer beyond its own limit, as the room may be taken by sound answers too.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -21,6 +21,7 @@
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
     framing::{Framing, is_cut_off, response_framing},
     front::PlatformRouter,
+    incomplete_answers::AnswerReservation,
     request::CallerRequest,
     runs::RunGuard,
     standstill::before_bound,
@@ -463,44 +464,6 @@
     }
 }
 
-/// The longest response that is buffered. An upstream in trouble may send bytes without end.
-pub const RESPONSE_MAX_BYTES: usize = 8 * 1024 * 1024;
-/// The most bytes of incomplete responses that a router buffers at a time: a fifth of the memory of
-/// the smallest instances that run one.
-const INCOMPLETE_RESPONSES_MAX_BYTES: usize = 32 * 1024 * 1024;
-
-/// Counts the bytes of an incomplete response among those that a router buffers until it is dropped.
-struct BufferReservation<'a> {
-    buffered_bytes: &'a Cell<usize>,
-    own_bytes: usize,
-}
-
-impl BufferReservation<'_> {
-    /// Counts more bytes of the response.
-    ///
-    /// # Errors
-    /// The limit beyond which they may not be buffered.
-    fn add(&mut self, bytes: usize) -> Result<(), AnswerLimit> {
-        let total = self.buffered_bytes.get() + bytes;
-        self.own_bytes += bytes;
-        self.buffered_bytes.set(total);
-        if self.own_bytes > RESPONSE_MAX_BYTES {
-            Err(AnswerLimit::Answer)
-        } else if total > INCOMPLETE_RESPONSES_MAX_BYTES {
-            Err(AnswerLimit::Room)
-        } else {
-            Ok(())
-        }
-    }
-}
-
-impl Drop for BufferReservation<'_> {
-    fn drop(&mut self) {
-        let buffered_bytes = self.buffered_bytes.get();
-        self.buffered_bytes.set(buffered_bytes - self.own_bytes);
-    }
-}
-
 /// Reads the rest of the response until `deadline_unix_ms`, and keeps the connection for reuse. The
 /// connection of a response that is too long is closed.
 pub async fn buffer_response(
@@ -519,20 +482,19 @@
         upstream,
         mut run,
     } = started;
+    let reservation = AnswerReservation::new(&router.incomplete_answers, upstream.id());
+    let is_upstream_at_fault = Cell::new(true);
+    let over_limit = |limit: AnswerLimit| {
+        router.count_answer_over_limit(request, &upstream, limit, reservation.bytes());
+        is_upstream_at_fault.set(limit.is_upstream_at_fault());
+        AttemptFailure::InvalidAnswer
+    };
     let reading = async {
         let mut bytes = BytesMut::new();
-        let mut reservation = BufferReservation {
-            buffered_bytes: &router.buffered_bytes,
-            own_bytes: 0,
-        };
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| AttemptFailure::AnswerLost)?;
             if let Ok(data) = frame.into_data() {
-                if let Err(limit) = reservation.add(data.len()) {
-                    let bytes = reservation.own_bytes;
-                    router.count_answer_over_limit(request, &upstream, limit, bytes);
-                    return Err(AttemptFailure::InvalidAnswer);
-                }
+                reservation.add(data.len()).map_err(over_limit)?;
                 bytes.extend_from_slice(&data);
             }
         }
@@ -545,6 +507,12 @@
         }
         Ok(bytes.freeze())
     };
+    let reading = async {
+        match select(pin!(reading), pin!(reservation.give_way())).await {
+            Either::Left((read, _)) => read,
+            Either::Right(_) => Err(over_limit(AnswerLimit::Room)),
+        }
+    };
     let bytes = before_deadline(deadline_unix_ms, reading)
         .await
         .ok_or(AttemptFailure::Silent)?
@@ -553,7 +521,9 @@
                 run.lose();
             } else {
                 run.finish();
-                upstream.update_health(|health| health.record_failure(true, now_unix_ms()));
+                if is_upstream_at_fault.get() {
+                    upstream.update_health(|health| health.record_failure(true, now_unix_ms()));
+                }
             }
         })?;
     run.complete();
--- a/crates/celerystair_front/src/callers.rs
+++ b/crates/celerystair_front/src/callers.rs
@@ -11,10 +11,11 @@
 
 use crate::{
     answers::refusal_response,
-    attempt::{RESPONSE_MAX_BYTES, request_headers},
+    attempt::request_headers,
     bodies::read_caller_body,
     dialect::{InvalidHead, RequestHead},
     front::PlatformRouter,
+    incomplete_answers::RESPONSE_MAX_BYTES,
     request::{CallerRequest, serve_request},
     view::ActiveConfig,
 };
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -20,6 +20,7 @@
     callers::handle_caller_request,
     connections::max_idle_connections,
     demand::{receive_from_agents, send_demand_to_agents},
+    incomplete_answers::IncompleteAnswers,
     origins::keep_origins_held,
     probes::{serve_metrics, serve_ready},
     request::CallerRequest,
@@ -82,8 +83,8 @@
     pub gossip_socket: Rc<GossipSocket>,
     /// The room for callers' bodies.
     pub bodies: Rc<RequestBodies>,
-    /// Bytes of incomplete responses that are buffered.
-    pub buffered_bytes: Cell<usize>,
+    /// The room for the incomplete responses that are buffered.
+    pub incomplete_answers: IncompleteAnswers,
     /// Requests that wait for a replica.
     pub waiting: WaitingRequests,
     /// The time in which this process ran.
@@ -376,7 +377,7 @@
             origin_answered: Event::new(),
             gossip_socket: gossip_socket.clone(),
             bodies: RequestBodies::new(settings.memory_bytes),
-            buffered_bytes: Cell::default(),
+            incomplete_answers: IncompleteAnswers::default(),
             waiting: WaitingRequests::default(),
             running_clock: Cell::new(RunningClock::start(now_unix_ms())),
             answer_durations: RefCell::default(),
--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`events`] | splitting a stream into whole events |
 //! | [`framing`] | how an upstream's response is framed, and what its body consists of |
 //! | [`front`] | the router's state, start-up and graceful shutdown |
+//! | [`incomplete_answers`] | the room that the incomplete responses of all upstreams share |
 //! | [`log`] | a log line for each decision about a request |
 //! | [`origins`] | where streams began that callers take up again |
 //! | [`pick`] | picking the upstream for a request |
@@ -47,6 +48,7 @@
 pub mod events;
 pub mod framing;
 pub mod front;
+pub mod incomplete_answers;
 pub mod log;
 pub mod origins;
 pub mod pick;
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -6,7 +6,7 @@
 //! |---|---|
 //! | [`adapters`] | which adapter an engine loads next, and which one is evicted for it |
 //! | [`answer_end`] | whether an answer that has ended is whole |
-//! | [`answer_room`] | nothing: the limits on the answers of upstreams |
+//! | [`answer_room`] | whose incomplete answer gives way when a router holds too many bytes |
 //! | [`bodies`] | whose body a router reads next |
 //! | [`budget`] | whether one more retry fits the fleet-wide retry budget |
 //! | [`caller_limits`] | until when a caller's connection may be idle |
@@ -72,7 +72,7 @@
 pub mod prelude {
     pub use crate::{
         answer_end::{AnswerEnd, Listening, PROCESS_END_MS},
-        answer_room::AnswerLimit,
+        answer_room::{AnswerLimit, AnswerRoom, AnswerTicket},
         bodies::{BodyRoom, BodyTicket, SMALL_BODY_MAX_BYTES},
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
         caller_limits::CallerLimitHistory,
