Poll for other events after 32 datagrams

Callers got no answer while datagrams came to a router's gossip port faster than it read them.

Cause: receiving ends at once as long as there are datagrams, and those that can't be decoded are skipped in a loop, so the task never gave way.

Why it works: after 32 datagrams the receiver sleeps for 50 us, so the thread polls for timers and events. The agents' receiver is the same code.

--- a/crates/celerystair_news/src/socket.rs
+++ b/crates/celerystair_news/src/socket.rs
@@ -1,6 +1,6 @@
 //! The gossip messages and the socket that carries them.
 
-use std::{io, net::SocketAddr};
+use std::{cell::Cell, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use celerystair_core::prelude::*;
@@ -122,9 +122,17 @@
     }
 }
 
+/// The most datagrams that are received before the thread polls for timers and other events: a sender may
+/// be faster than this process.
+const TURN_DATAGRAMS: u32 = 32;
+/// For how long it then polls at least. In real time, as it bounds work.
+const TURN_INTERVAL: Duration = Duration::from_micros(50);
+
 /// A UDP socket for gossip.
 pub struct GossipSocket {
     socket: UdpSocket,
+    /// Datagrams that were received in this turn.
+    turn_datagrams: Cell<u32>,
 }
 
 impl GossipSocket {
@@ -136,7 +144,10 @@
         let socket = std::net::UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(socket)?;
-        Ok(Self { socket })
+        Ok(Self {
+            socket,
+            turn_datagrams: Cell::default(),
+        })
     }
 
     /// Returns the address that the socket is bound to.
@@ -179,6 +190,11 @@
     pub async fn receive(&self, now_unix_ms: impl Fn() -> u64) -> io::Result<ReceivedGossip> {
         let mut buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
         loop {
+            if self.turn_datagrams.get() >= TURN_DATAGRAMS {
+                compio::time::sleep(TURN_INTERVAL).await;
+                self.turn_datagrams.set(0);
+            }
+            self.turn_datagrams.set(self.turn_datagrams.get() + 1);
             let (result, returned) = self.socket.recv_from(buffer).await.into();
             buffer = returned;
             let (length, sender) = result?;
