Let 1,024 connections wait to be accepted

Callers may see: a connection takes a second longer to open when more than 128 come before the router accepts them, as the kernel drops what opens further ones and callers repeat it after a second.

Cause: the standard library's listener has a backlog of 128.

Why it works: the listener asks for 1,024, which the kernel cuts to its own limit if that is lower.

--- a/crates/celerystair_net/src/http_server.rs
+++ b/crates/celerystair_net/src/http_server.rs
@@ -22,6 +22,7 @@
     future::{Either, select},
 };
 use hyper::{body::Incoming, rt::Write, server::conn::http1, service::service_fn};
+use socket2::{Domain, Socket, Type};
 use thiserror::Error;
 
 use crate::{
@@ -100,11 +101,18 @@
     }
 }
 
+/// The most connections that wait to be accepted. The kernel drops what opens further ones, which
+/// callers repeat only after a second.
+const BACKLOG_MAX: i32 = 1024;
+
 /// Binds a listener to `address`, with `SO_REUSEADDR` so that a restarted process can bind at once.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG_MAX)?;
+    socket.set_nonblocking(true)?;
+    TcpListener::from_std(socket.into())
 }
 
 /// Serves HTTP/1.1 until `stop` drains, then waits for the open connections and returns.
