--- a/crates/celerystair_policy/tests/answer_room.rs
+++ b/crates/celerystair_policy/tests/answer_room.rs
@@ -36,10 +36,12 @@
     assert_eq!(gave_way.count(), 3);
 }
 
+/// Answers before it (upstream, MB), what is added of "a" in MB, and what that gives.
+type Case<'a> = (&'a [(&'a str, usize)], usize, Result<bool, AnswerLimit>);
+
 #[test]
 fn an_answer_is_refused_for_its_own_length_or_for_what_its_upstream_holds() {
-    // Answers before it (upstream, MB), what is added of "a" in MB, and the limit.
-    let cases: [(&[(&str, usize)], usize, Result<bool, AnswerLimit>); 5] = [
+    let cases: [Case; 5] = [
         (&[], 8, Ok(false)),
         (&[], 9, Err(AnswerLimit::Answer)),
         (&[("a", 8), ("a", 8), ("a", 8)], 8, Ok(false)),
