--- a/crates/celerystair_front/src/lib.rs
+++ b/crates/celerystair_front/src/lib.rs
@@ -5,6 +5,7 @@
 //! | module | holds |
 //! |---|---|
 //! | [`answer_end`] | whether an answer that has ended is whole |
+//! | `answer_limits` | reporting the limits that upstreams' answers exceed |
 //! | [`answers`] | HTTP responses for refusals |
 //! | [`attempt`] | one attempt to send a request to one upstream |
 //! | [`bodies`] | reading callers' bodies while there is room for them |
@@ -16,6 +17,7 @@
 //! | [`events`] | splitting a stream into whole events |
 //! | [`framing`] | how an upstream's response is framed, and what its body consists of |
 //! | [`front`] | the router's state, start-up and graceful shutdown |
+//! | [`incomplete_answers`] | the room that the incomplete responses of all upstreams share |
 //! | [`log`] | a log line for each decision about a request |
 //! | [`origins`] | where streams began that callers take up again |
 //! | [`pick`] | picking the upstream for a request |
@@ -35,6 +37,7 @@
 //! The design: `docs/PLATFORM.md`.
 
 pub mod answer_end;
+mod answer_limits;
 pub mod answers;
 pub mod attempt;
 pub mod bodies;
@@ -46,6 +49,7 @@
 pub mod events;
 pub mod framing;
 pub mod front;
+pub mod incomplete_answers;
 pub mod log;
 pub mod origins;
 pub mod pick;
