Test what a planned stop logs at its end, and that all who wait are answered

Whether the lines about what a stop cuts reach standard output was checked by no test; what_a_stop_cuts_at_its_very_end_is_logged looks for them in the log of a process whose stream outlasts a grace of 3 s. Processes of these tests now write their log to a file.

all_who_wait_at_a_slow_router_get_an_answer_before_its_stop_ends has 250 streams wait at a router process that runs 6 ms of every 66, and stops it.

--- a/tests/platform_processes.rs
+++ b/tests/platform_processes.rs
@@ -10,16 +10,21 @@
     io::Write,
     net::{IpAddr, SocketAddr, TcpListener},
     path::PathBuf,
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, Command, ExitStatus},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
 use platform::{
     Caller, Fault, Request, System, UpstreamStandin, eventually,
-    system::{Instance, SETTINGS_PATH_VARIABLE, ready_status},
+    system::{Instance, SETTINGS_PATH_VARIABLE, config, ready_status},
     upstream::EVENTS_PER_STREAM,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use support::processes::Process;
 
 /// Grace period of a planned stop: much longer than the work of these tests.
@@ -33,6 +38,7 @@
 struct PlatformProcess {
     child: Child,
     settings: PathBuf,
+    log: PathBuf,
 }
 
 impl PlatformProcess {
@@ -44,13 +50,27 @@
     }
 
     fn start_with_file(role: &str, settings: PathBuf) -> Self {
+        let log = settings.with_extension("log");
         let child = Command::new(env!("CARGO_BIN_EXE_celerystair"))
             .args([role, "--platform"])
             .env(SETTINGS_PATH_VARIABLE, &settings)
-            .stdout(Stdio::null())
+            .stdout(File::create(&log).expect("the log is created"))
             .spawn()
             .expect("the process starts");
-        Self { child, settings }
+        Self {
+            child,
+            settings,
+            log,
+        }
+    }
+
+    /// Returns the lines of this event that the process has written.
+    fn logged(&self, event: &str) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).expect("the log is read");
+        let lines = text
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines.filter(|line: &Value| line["msg"] == event).collect()
     }
 
     fn signal(&self, name: &str) {
@@ -67,6 +87,7 @@
         self.child.kill().ok();
         self.child.wait().ok();
         std::fs::remove_file(&self.settings).ok();
+        std::fs::remove_file(&self.log).ok();
     }
 }
 
@@ -101,7 +122,7 @@
         ready_port,
         gossip_port: system.gossip_port,
         store: system.store.address,
-        stop_grace_seconds: STOP_GRACE_SECONDS,
+        stop_grace_seconds: system.stop_grace_seconds,
     };
     let addresses = [callers_port, ready_port].map(|port| SocketAddr::new(ip, port));
     (instance.settings(), addresses[0], addresses[1])
@@ -118,7 +139,12 @@
 
 /// Starts a router, and so many engines and plain upstreams, at addresses from `number` on.
 fn start_router(number: u8, each: u8) -> Running {
-    let system = System::start();
+    let mut system = System::start();
+    system.stop_grace_seconds = STOP_GRACE_SECONDS;
+    start_router_of(system, number, each)
+}
+
+fn start_router_of(system: System, number: u8, each: u8) -> Running {
     let numbers = number + 1..=number + each;
     let start_engine = |number| system.start_engine(number, &["m1"]);
     let engines: Vec<_> = numbers.clone().map(start_engine).collect();
@@ -239,7 +265,8 @@
 // A stop signal during a start ended the process by the signal's default action.
 #[test]
 fn stop_signals_during_the_start_of_a_router_are_a_planned_stop() {
-    let system = System::start();
+    let mut system = System::start();
+    system.stop_grace_seconds = STOP_GRACE_SECONDS;
     for signals in [&["TERM"][..], &["TERM", "INT", "TERM"]] {
         let (settings, ..) = instance_settings(&system, 17);
         let status = stop_during_start("router", &settings, signals);
@@ -249,7 +276,8 @@
 
 #[test]
 fn stop_signals_during_the_start_of_an_agent_are_a_planned_stop() {
-    let system = System::start();
+    let mut system = System::start();
+    system.stop_grace_seconds = STOP_GRACE_SECONDS;
     let engine = system.start_engine(21, &["m1"]);
     for signals in [&["TERM"][..], &["INT", "TERM"]] {
         let (settings, ..) = instance_settings(&system, 20);
@@ -341,3 +369,100 @@
     read_whole_stream(&mut caller);
     assert_eq!(arrivals(&running.engines), 2);
 }
+
+/// Grace period of the stops that end before their work does.
+const SHORT_GRACE_SECONDS: u64 = 3;
+
+// The process ended before its connections had reported, and without its last lines.
+#[test]
+fn what_a_stop_cuts_at_its_very_end_is_logged() {
+    let mut system = System::start();
+    system.stop_grace_seconds = SHORT_GRACE_SECONDS;
+    let mut running = start_router_of(system, 50, 1);
+    running.engines[0].set_event_gap_ms(2000);
+    let mut streaming = Caller::connect(running.callers);
+    streaming.send(&Request::stream("POST /streamed/a", "s1", "m1").bytes());
+    eventually("the stream runs", || runs(&running.engines) == 1);
+    running.router.signal("TERM");
+    assert!(running.router.wait().success());
+    let given_up = running.router.logged("request_given_up_in_stop");
+    assert_eq!(given_up.len(), 1, "{given_up:?}");
+    assert_eq!(given_up[0]["request"], "s1", "{given_up:?}");
+    let ended = running.router.logged("stop_ended");
+    assert_eq!(ended.len(), 1, "{ended:?}");
+    assert_eq!(ended[0]["given_up"], 1, "{ended:?}");
+    assert_eq!(running.router.logged("stopped").len(), 1);
+}
+
+/// Stops the process most of the time until dropped, as on a small part of a core.
+struct Slowed {
+    is_over: Arc<AtomicBool>,
+    slowing: Option<JoinHandle<()>>,
+}
+
+impl Slowed {
+    fn start(process_id: u32) -> Self {
+        const STOPPED: Duration = Duration::from_millis(60);
+        const RUNNING: Duration = Duration::from_millis(6);
+        let is_over = Arc::new(AtomicBool::new(false));
+        let until = is_over.clone();
+        let slowing = std::thread::spawn(move || {
+            while !until.load(Ordering::SeqCst) {
+                send_signal(process_id, "STOP");
+                std::thread::sleep(STOPPED);
+                send_signal(process_id, "CONT");
+                std::thread::sleep(RUNNING);
+            }
+        });
+        Self {
+            is_over,
+            slowing: Some(slowing),
+        }
+    }
+}
+
+impl Drop for Slowed {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        self.slowing.take().map(JoinHandle::join);
+    }
+}
+
+// What waits is refused at one moment, and the process ends soon after the grace.
+#[test]
+fn all_who_wait_at_a_slow_router_get_an_answer_before_its_stop_ends() {
+    const WAITING: usize = 250;
+    let mut system = System::start();
+    system.stop_grace_seconds = 5;
+    let mut config = config(2);
+    for route in config["Routes"].as_array_mut().expect("routes") {
+        route["TimeoutMs"] = json!(30_000);
+        route["TargetLatencyMs"] = json!(5000);
+    }
+    system.store.write("config", "main", config);
+    let mut running = start_router_of(system, 60, 1);
+    // No agent runs that could load m2.
+    let send = |number| {
+        let id = format!("w{number}");
+        let mut request = Request::stream("POST /streamed/a", &id, "m2");
+        request.headers.retain(|line| !line.contains("Deadline"));
+        let mut caller = Caller::connect(running.callers);
+        caller.send(&request.header("Celerystair-Deadline-Ms: 30000").bytes());
+        // Of each event, 200 lines a second are logged.
+        std::thread::sleep(Duration::from_millis(8));
+        caller
+    };
+    let waiting: Vec<_> = (0..WAITING).map(send).collect();
+    eventually("all wait", || {
+        running.router.logged("request_waits").len() == WAITING
+    });
+    let slowed = Slowed::start(running.router.child.id());
+    running.router.signal("TERM");
+    let answers = waiting.into_iter().map(|mut caller| caller.read_response());
+    let answers: Vec<_> = answers.collect();
+    drop(slowed);
+    assert!(running.router.wait().success());
+    let refused = answers.iter().flatten();
+    let refused = refused.filter(|response| response.start_line_word(1) == "503");
+    assert_eq!(refused.count(), WAITING);
+}
