--- a/crates/celerystair_front/src/stops.rs
+++ b/crates/celerystair_front/src/stops.rs
@@ -124,5 +124,5 @@
 
 /// Returns the time from `from_unix_ms` to `unix_ms`, negative if that came first.
 fn since_ms(unix_ms: u64, from_unix_ms: u64) -> i64 {
-    unix_ms as i64 - from_unix_ms as i64
+    unix_ms.cast_signed() - from_unix_ms.cast_signed()
 }
