Keep no long error response while a request waits or runs elsewhere

A read whose upstream answered 500 with a body of up to 8 MiB kept that body while it waited for another upstream, or ran there: the room for incomplete answers counts it no longer, so twenty such reads hold the memory of the smallest instance. Found by reading, in the review; not run. Up to 64 KiB are kept; a longer error is passed on only if no other upstream is tried after it.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -65,6 +65,17 @@
     pub is_proven_answer: bool,
 }
 
+/// The longest body of an error response that is kept while its request waits or runs elsewhere, as hundreds
+/// may at a time.
+const KEPT_BODY_MAX_BYTES: usize = 64 * 1024;
+
+impl BufferedResponse {
+    /// Whether an error response is kept for the caller while the request waits or runs elsewhere.
+    pub fn is_kept(&self) -> bool {
+        self.body.len() <= KEPT_BODY_MAX_BYTES
+    }
+}
+
 /// An attempt that did not produce a successful response.
 pub struct FailedAttempt {
     /// How the attempt failed.
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -124,6 +124,11 @@
 }
 
 impl Progress {
+    /// Drops an error response that is too long to be kept while the request waits or runs elsewhere.
+    fn drop_long_response(&mut self) {
+        self.response.take_if(|response| !response.is_kept());
+    }
+
     /// Counts the attempt at a silent upstream while another one is tried.
     fn add_silent(&mut self, upstream: &Upstream) -> BeforeSilence {
         self.tried.push(upstream.id());
@@ -270,6 +275,7 @@
                     router.log_request_waits(request, reason, ready_unix_ms);
                 }
                 waited.get_or_insert((reason, now));
+                progress.drop_long_response();
                 proven_from_unix_ms = None;
                 wait_for_change(router, request, service, progress, ready_unix_ms).await?;
                 continue;
@@ -307,6 +313,7 @@
                 "the retry budget is exhausted",
             );
         }
+        progress.drop_long_response();
         let attempt =
             match send_or_move(router, request, service, progress, &upstream, resumption).await {
                 SendOutcome::Elsewhere(result) => return result,
