Slow the router of the test of a stop with many waiters until it shows the fault

With 390 waiting streams, and a router process that runs 2 ms of every 97, the test fails on the code before what waits was refused as the stop begins: 186 of 390 got an answer, the other connections ended without one.

--- a/tests/platform_processes.rs
+++ b/tests/platform_processes.rs
@@ -402,8 +402,8 @@
 
 impl Slowed {
     fn start(process_id: u32) -> Self {
-        const STOPPED: Duration = Duration::from_millis(60);
-        const RUNNING: Duration = Duration::from_millis(6);
+        const STOPPED: Duration = Duration::from_millis(95);
+        const RUNNING: Duration = Duration::from_millis(2);
         let is_over = Arc::new(AtomicBool::new(false));
         let until = is_over.clone();
         let slowing = std::thread::spawn(move || {
@@ -428,10 +428,10 @@
     }
 }
 
-// What waits is refused at one moment, and the process ends soon after the grace.
+// All were refused in the last 0.8 s, and the process ended without half of the answers.
 #[test]
 fn all_who_wait_at_a_slow_router_get_an_answer_before_its_stop_ends() {
-    const WAITING: usize = 250;
+    const WAITING: usize = 390;
     let mut system = System::start();
     system.stop_grace_seconds = 5;
     let mut config = config(2);
