--- a/tests/platform_processes.rs
+++ b/tests/platform_processes.rs
@@ -444,10 +444,9 @@
     // No agent runs that could load m2.
     let send = |number| {
         let id = format!("w{number}");
-        let mut request = Request::stream("POST /streamed/a", &id, "m2");
-        request.headers.retain(|line| !line.contains("Deadline"));
+        let request = Request::stream("POST /streamed/a", &id, "m2").deadline_ms(30_000);
         let mut caller = Caller::connect(running.callers);
-        caller.send(&request.header("Celerystair-Deadline-Ms: 30000").bytes());
+        caller.send(&request.bytes());
         // Of each event, 200 lines a second are logged.
         std::thread::sleep(Duration::from_millis(8));
         caller
