Be as sure of an answer's end in a stop as a refusal costs callers

As long as callers come, the margin is now that of 1 in 20; from the close of the listener on it stays that of 1 in 100: these requests are few, have little time, and are what was lost in the incident.

--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -320,7 +320,9 @@
         let Some(planned) = self.planned_stop.get() else {
             return true;
         };
-        let expected = self.answer_durations.borrow().expected(&request.route);
+        let confidence = planned.confidence(request.read_unix_ms);
+        let durations = self.answer_durations.borrow();
+        let expected = durations.expected(&request.route, confidence);
         can_end_before_stop(
             expected.at_most_ms,
             request.deadline_unix_ms,
@@ -477,6 +479,7 @@
     let cuts_unix_ms = began_unix_ms + grace_ms.saturating_sub(REFUSAL_MARGIN_MS);
     router.planned_stop.set(Some(PlannedStop {
         began_unix_ms,
+        closes_unix_ms: began_unix_ms + STOP_NOTICE_MS,
         cuts_unix_ms,
     }));
     router.stopping.drain();
--- a/crates/celerystair_front/src/stops.rs
+++ b/crates/celerystair_front/src/stops.rs
@@ -51,7 +51,9 @@
         };
         self.count_in_stop(|counts| counts.sent += 1);
         let now = now_unix_ms();
-        let expected = self.answer_durations.borrow().expected(&request.route);
+        let confidence = planned.confidence(request.read_unix_ms);
+        let durations = self.answer_durations.borrow();
+        let expected = durations.expected(&request.route, confidence);
         info!(self.log, "request_sent_in_stop"; "request" => %request.head.id,
             "route" => &request.route.name, "upstream" => %upstream.id(),
             "since_stop_ms" => now.saturating_sub(planned.began_unix_ms),
@@ -77,6 +79,8 @@
         self.metrics
             .given_up_in_stop
             .add(1, &[label("by", by.as_str())]);
+        let confidence = planned.confidence(request.read_unix_ms);
+        let durations = self.answer_durations.borrow();
         let now = now_unix_ms();
         info!(self.log, "request_given_up_in_stop"; "request" => %request.head.id,
             "route" => &request.route.name, "upstream" => upstream.map(ToString::to_string),
@@ -84,7 +88,7 @@
             "since_stop_ms" => now.saturating_sub(planned.began_unix_ms),
             "read_ms" => since_ms(request.read_unix_ms, planned.began_unix_ms),
             "deadline_ms" => since_ms(request.deadline_unix_ms, planned.began_unix_ms),
-            "answers" => self.answer_durations.borrow().expected(&request.route).answers,
+            "answers" => durations.expected(&request.route, confidence).answers,
             "age_ms" => request.age_ms(now));
     }
 
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -92,7 +92,9 @@
         health::UpstreamHealth,
         outcome::{AttemptFailure, NextStep, next_step},
         own_response::{NamedRequest, RefusedRequests, is_own_response},
-        planned_stop::{AnswerDurations, ExpectedAnswer, PlannedStop, can_end_before_stop},
+        planned_stop::{
+            AnswerDurations, Confidence, ExpectedAnswer, PlannedStop, can_end_before_stop,
+        },
         prompt_parts::{PartCounts, PartRefusal, SuspectParts},
         rate_limit::{RateLimit, pause_until_unix_ms},
         replicas::{EngineView, ModelView, Order, next_order},
--- a/crates/celerystair_policy/src/planned_stop.rs
+++ b/crates/celerystair_policy/src/planned_stop.rs
@@ -13,16 +13,16 @@
 /// The most routes whose answers are remembered; operators may name new ones with each version.
 const ROUTES_MAX: usize = 1024;
 /// How many times as long as the longest remembered answer the next one may take, by how many are
-/// remembered at least. Of answers whose lengths spread as widely as those of streams do (log-normal with
-/// a sigma of 1.0), about one in a hundred takes longer.
-const LONGEST_MULTIPLES: [(usize, f64); 7] = [
-    (64, 1.25),
-    (32, 1.75),
-    (16, 2.5),
-    (8, 3.75),
-    (4, 6.5),
-    (2, 12.5),
-    (1, 30.0),
+/// remembered at least, at each [`Confidence`]. It holds for answers whose lengths spread as widely as those
+/// of streams do (log-normal with a sigma of 1.0).
+const LONGEST_MULTIPLES: [LongestMultiple; 7] = [
+    LongestMultiple::new(64, 1.25, 1.25),
+    LongestMultiple::new(32, 1.25, 1.75),
+    LongestMultiple::new(16, 1.25, 2.5),
+    LongestMultiple::new(8, 1.75, 3.75),
+    LongestMultiple::new(4, 2.75, 6.5),
+    LongestMultiple::new(2, 5.0, 12.5),
+    LongestMultiple::new(1, 10.5, 30.0),
 ];
 /// How many times as long as the time after which it was given up an answer may take. One that an upstream
 /// held back says little of the others.
@@ -30,6 +30,38 @@
 /// How many times the operator's target a plain answer may take where none is remembered.
 const TARGET_MULTIPLE: u64 = 4;
 
+/// How sure it is that an answer takes no longer than expected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Confidence {
+    /// Fewer than one in twenty take longer.
+    Percent95,
+    /// Fewer than one in a hundred take longer.
+    Percent99,
+}
+
+struct LongestMultiple {
+    least_answers: usize,
+    percent_95: f64,
+    percent_99: f64,
+}
+
+impl LongestMultiple {
+    const fn new(least_answers: usize, percent_95: f64, percent_99: f64) -> Self {
+        Self {
+            least_answers,
+            percent_95,
+            percent_99,
+        }
+    }
+
+    fn at(&self, confidence: Confidence) -> f64 {
+        match confidence {
+            Confidence::Percent95 => self.percent_95,
+            Confidence::Percent99 => self.percent_99,
+        }
+    }
+}
+
 /// How long an answer is expected to take at most, and what that is known from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ExpectedAnswer {
@@ -59,10 +91,10 @@
     }
 
     /// Returns how long the next answer may take by what the whole ones took; `None` if there is none.
-    fn by_whole_ms(&self) -> Option<u64> {
+    fn by_whole_ms(&self, confidence: Confidence) -> Option<u64> {
         let mut multiples = LONGEST_MULTIPLES.iter();
-        let known = multiples.find(|(least, _)| *least <= self.whole_ms.len());
-        known.map(|(_, multiple)| (self.longest_whole_ms() as f64 * multiple) as u64)
+        let known = multiples.find(|multiple| multiple.least_answers <= self.whole_ms.len());
+        known.map(|multiple| (self.longest_whole_ms() as f64 * multiple.at(confidence)) as u64)
     }
 
     /// Returns how long the next answer may take by those that were given up.
@@ -95,13 +127,12 @@
         }
     }
 
-    /// Returns how long an answer of the route is expected to take at most: of the requests that come in a
-    /// stop, fewer than 1 in 100 are taken and take longer, however few answers are remembered. Where none
-    /// is, the operator's target tells of a plain answer, and nothing of a stream, whose target is its first
-    /// event's.
-    pub fn expected(&self, route: &Route) -> ExpectedAnswer {
+    /// Returns how long an answer of the route is expected to take at most, however few are remembered. Where
+    /// none is, the operator's target tells of a plain answer, and nothing of a stream, whose target is its
+    /// first event's.
+    pub fn expected(&self, route: &Route, confidence: Confidence) -> ExpectedAnswer {
         let remembered = self.by_route.get(&route.name);
-        let by_whole_ms = remembered.and_then(RouteAnswers::by_whole_ms);
+        let by_whole_ms = remembered.and_then(|answers| answers.by_whole_ms(confidence));
         let known_ms = match route.kind {
             _ if by_whole_ms.is_some() => by_whole_ms,
             RequestKind::Stream => None,
@@ -127,10 +158,24 @@
 pub struct PlannedStop {
     /// When it was asked for.
     pub began_unix_ms: u64,
+    /// When its listener closes.
+    pub closes_unix_ms: u64,
     /// When the process begins to cut what runs.
     pub cuts_unix_ms: u64,
 }
 
+impl PlannedStop {
+    /// Returns how sure the end of a request's answer must be that was read at `read_unix_ms`. As long as
+    /// callers are sent here, a refusal costs many of them; later ones are few, and have little time.
+    pub fn confidence(&self, read_unix_ms: u64) -> Confidence {
+        if read_unix_ms < self.closes_unix_ms {
+            Confidence::Percent95
+        } else {
+            Confidence::Percent99
+        }
+    }
+}
+
 /// Returns whether a request that is passed on at `sent_unix_ms`, now or when what it waits for is
 /// expected, gets its answer by `ends_unix_ms`, when the process begins to cut what runs. By its deadline
 /// it has one in any case, and one of which nothing is expected may take until then.
