--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Verdict,
+    client::{Client, next_id},
     fleet::Fleet,
     server::Sizes,
     store::Outage,
@@ -411,3 +412,121 @@
         Verdict::Broken(line)
     }
 }
+
+/// A router and all agents are killed at one moment, and clients take their streams up elsewhere.
+pub fn retaken(fleet: &mut Fleet, has_trouble: bool) -> Verdict {
+    const STREAMS: usize = 40;
+    const TRIES: usize = 2;
+    let sizes = Sizes {
+        weights_mb: 200_000.0,
+        adapter_slots: 8,
+        model_mb: [("m0".to_owned(), 42_700.0)].into_iter().collect(),
+        adapter_mb: 66.0,
+        load: seconds(6.0),
+        disk_load: seconds(0.68),
+    };
+    fleet.write_config(7, Some(&sizes));
+    let mut killed = Vec::new();
+    let mut engines = Vec::new();
+    for number in 20..24 {
+        let engine = fleet.start_engine(number, sizes.clone(), &["m0"]);
+        let mut state = engine.state();
+        state.version = if number < 22 { "v1" } else { "v2" }.to_owned();
+        state.events = 47;
+        state.event_gap = Duration::from_millis(150);
+        drop(state);
+        killed.push((fleet.start_agent(&engine), "agent"));
+        engines.push(engine);
+    }
+    let routers: Vec<usize> = (1..6).map(|number| fleet.start_router(number)).collect();
+    killed.push((routers[0], "router"));
+    for router in &routers {
+        if !fleet.wait_until_ready(*router) {
+            return Verdict::NotRun("a router isn't ready".to_owned());
+        }
+    }
+    // So that agents have told routers of themselves.
+    std::thread::sleep(seconds(3.0));
+    let addresses: Vec<_> = routers
+        .iter()
+        .map(|router| fleet.processes[*router].callers)
+        .collect();
+    let head = format!(
+        "{}: m0\r\n{}: 543,47\r\n",
+        fleet.names.header("Model"),
+        fleet.names.header("Token-Counts")
+    );
+    let start = Instant::now();
+    let leaves_at = (!has_trouble).then(|| start + seconds(3.0));
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let (names, record) = (fleet.names.clone(), fleet.record.clone());
+            let (addresses, head) = (addresses.clone(), head.clone());
+            std::thread::spawn(move || {
+                let path = format!("POST /lohu930/{number:x}");
+                let first_id = next_id();
+                let mut client = Client::new(addresses[0], &names, &record);
+                client.leaves_at = leaves_at;
+                let began = client.call(&path, &first_id, 12_000, &head);
+                let last = began.body.matches("\n\n").count();
+                if began.is_complete || last == 0 {
+                    return None;
+                }
+                for attempt in 0..TRIES {
+                    std::thread::sleep(seconds(1.0));
+                    let other = addresses[1 + (number + attempt) % (addresses.len() - 1)];
+                    let more = format!("{head}Last-Event-Id: {last}\r\nResumes: {first_id}\r\n");
+                    let mut client = Client::new(other, &names, &record);
+                    let rest = client.call(&path, &next_id(), 8000, &more);
+                    if rest.status == 200 && rest.is_complete {
+                        return Some(true);
+                    }
+                }
+                Some(false)
+            })
+        })
+        .collect();
+    at(start, 3.0);
+    if has_trouble {
+        for (process, _) in &killed {
+            fleet.kill(*process);
+        }
+    }
+    let load = Load {
+        requests: vec![("POST /lohu930/2f".to_owned(), head)],
+        deadline_ms: 12_000,
+        ..reads(fleet, &routers[1..], 20, 50)
+    };
+    let new_ones = Traffic::start(&load, &fleet.names, &fleet.record);
+    at(start, 4.0);
+    if has_trouble {
+        for (process, role) in &killed {
+            fleet.start_again(*process, role);
+        }
+    }
+    let taken_up: Vec<bool> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok().flatten())
+        .collect();
+    let new_ones = new_ones.end();
+    let went_on = taken_up.iter().filter(|went_on| **went_on).count();
+    let began = new_ones
+        .iter()
+        .filter(|answer| answer.status == 200)
+        .count();
+    let line = format!(
+        "{went_on} of {} streams that were taken up at routers that stand went on; {began} of {} \
+        new ones began there",
+        taken_up.len(),
+        new_ones.len()
+    );
+    if taken_up.len() < 12 || new_ones.is_empty() {
+        return Verdict::NotRun(line);
+    }
+    let share = went_on as f64 / taken_up.len() as f64;
+    if share < began as f64 / new_ones.len() as f64 / 2.0 {
+        Verdict::Broken(line)
+    } else {
+        Verdict::Held(line)
+    }
+}
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -40,6 +40,8 @@
     pub router: SocketAddr,
     pub names: &'a Names,
     pub record: &'a Record,
+    /// When it leaves a stream.
+    pub leaves_at: Option<Instant>,
     connection: Option<BufReader<TcpStream>>,
 }
 
@@ -49,6 +51,7 @@
             router,
             names,
             record,
+            leaves_at: None,
             connection: None,
         }
     }
@@ -129,7 +132,8 @@
                     break;
                 }
                 answer.body.push_str(&String::from_utf8_lossy(&chunk));
-                if Instant::now() > end {
+                let now = Instant::now();
+                if now > end || self.leaves_at.is_some_and(|leaves_at| now >= leaves_at) {
                     break;
                 }
             }
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -23,6 +23,7 @@
 pub const ZONE: &str = "colombo-a";
 
 pub struct Process {
+    pub name: String,
     pub child: Child,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
@@ -30,11 +31,16 @@
 
 impl Process {
     pub fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        Command::new("kill").args([signal, &id]).status().ok();
+        send_signal(signal, self.child.id());
     }
 }
 
+/// Sends a signal by the shell's own command, which needs no program.
+fn send_signal(signal: &str, process: u32) {
+    let command = format!("kill {signal} {process}");
+    Command::new("bash").args(["-c", &command]).status().ok();
+}
+
 pub struct Fleet {
     pub names: Arc<Names>,
     pub record: Record,
@@ -136,6 +142,7 @@
         let settings = self.settings(&name, "front", ip, &lines);
         let child = self.spawn("router", &name, &settings);
         self.processes.push(Process {
+            name,
             child,
             callers: SocketAddr::new(ip, callers),
             ready: SocketAddr::new(ip, ready),
@@ -151,6 +158,7 @@
         let settings = self.settings(&name, "side", ip, &lines);
         let child = self.spawn("agent", &name, &settings);
         self.processes.push(Process {
+            name,
             child,
             callers: engine.address,
             ready: engine.address,
@@ -158,6 +166,21 @@
         self.processes.len() - 1
     }
 
+    pub fn kill(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        process.child.kill().ok();
+        process.child.wait().ok();
+        self.record.note(format!("{} is killed", process.name));
+    }
+
+    /// Starts a killed process again with the settings that it had.
+    pub fn start_again(&mut self, index: usize, role: &str) {
+        let name = self.processes[index].name.clone();
+        let path = self.folder.join(format!("{name}.conf"));
+        let settings = std::fs::read_to_string(path).expect("the settings are there");
+        self.processes[index].child = self.spawn(role, &name, &settings);
+    }
+
     pub fn wait_until_ready(&mut self, index: usize) -> bool {
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
@@ -286,10 +309,7 @@
         std::thread::spawn(move || {
             std::thread::sleep(longest);
             for id in children.lock().expect("not poisoned").iter() {
-                Command::new("kill")
-                    .args(["-KILL", &id.to_string()])
-                    .status()
-                    .ok();
+                send_signal("-KILL", *id);
             }
             println!("the case couldn't run: it takes too long");
             std::process::exit(2);
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -65,6 +65,7 @@
     let play = || match case.as_str() {
         "versions" => cases::versions(&mut fleet, has_trouble),
         "adapters" => cases::adapters(&mut fleet, has_trouble),
+        "retaken" => cases::retaken(&mut fleet, has_trouble),
         "departure" => cases::departure(&mut fleet, has_trouble),
         "pause" => cases::pause(&mut fleet, has_trouble),
         "cut" => cases::cut(&mut fleet, has_trouble),
