--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -58,9 +58,14 @@
     IpAddr::V4(Ipv4Addr::new(127, 0x40 | (higher & 0x3f), lower, number))
 }
 
-fn free_port(ip: IpAddr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address").port()
+/// Returns two free ports, which differ as both are taken at once.
+fn free_ports(ip: IpAddr) -> (u16, u16) {
+    let probes = [0, 1].map(|_| TcpListener::bind((ip, 0)).expect("a free port"));
+    let [first, second] = probes.each_ref().map(|probe| {
+        let address = probe.local_addr().expect("an address");
+        address.port()
+    });
+    (first, second)
 }
 
 impl Fleet {
@@ -70,7 +75,7 @@
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let store = Store::start(ip(250), &names, record);
         let gossip_port = loop {
-            let port = free_port(ip(1));
+            let (port, _) = free_ports(ip(1));
             if UdpSocket::bind((ip(1), port)).is_ok() {
                 break port;
             }
@@ -136,7 +141,7 @@
     /// Starts a router; returns its index.
     pub fn start_router(&mut self, number: u8) -> usize {
         let ip = ip(number);
-        let (callers, ready) = (free_port(ip), free_port(ip));
+        let (callers, ready) = free_ports(ip);
         let name = format!("front-{ZONE}-{number}");
         let lines = format!("Listen.Front={ip}:{callers}\nListen.Ready={ip}:{ready}\n");
         let settings = self.settings(&name, "front", ip, &lines);
