--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -19,6 +19,7 @@
 use crate::{
     client::EngineClient,
     fence::{ClaimedFence, claim_fence, try_claim_fence},
+    origins::keep_held_origins,
     plan::LoadPlan,
     settings::EngineAgentSettings,
     suspicion::spread_suspects,
@@ -68,8 +69,8 @@
     pub suspect_parts: RefCell<SuspectParts>,
     /// Notified when a report of suspects held anything new.
     pub(crate) suspects_changed: Event,
-    /// Where streams began, as routers have told.
-    pub stream_origins: RefCell<StreamOrigins>,
+    /// Where streams began that this agent holds for routers.
+    pub stream_origins: OriginTable,
     /// The socket on which gossip is sent and received.
     pub gossip_socket: GossipSocket,
     /// The engine's upstream id; `None` until the engine is found in the list of upstreams.
@@ -158,7 +159,7 @@
             suspects: RefCell::default(),
             suspect_parts: RefCell::default(),
             suspects_changed: Event::new(),
-            stream_origins: RefCell::default(),
+            stream_origins: OriginTable::default(),
             gossip_socket,
             upstream_id: RefCell::default(),
             software_version: RefCell::default(),
@@ -183,6 +184,7 @@
     };
     compio::runtime::spawn(receive_gossip(agent.clone(), stop.clone())).detach();
     compio::runtime::spawn(spread_suspects(agent.clone(), stop.clone())).detach();
+    compio::runtime::spawn(keep_held_origins(agent.clone(), stop.clone())).detach();
     agent.serve_metrics(stop);
     compio::runtime::spawn(agent.clone().run(store, stop.clone())).detach();
     Ok(agent)
--- a/crates/celerystair_engine/src/origins.rs
+++ b/crates/celerystair_engine/src/origins.rs
@@ -1,5 +1,4 @@
-//! Holds where streams began, for routers that are asked to take them up and don't know it. An agent
-//! outlives a router's process.
+//! Holds where streams began, for routers that are asked to take them up and don't know it.
 
 use std::net::SocketAddr;
 
@@ -8,36 +7,57 @@
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
 
-use crate::agent::EngineAgent;
+use crate::{
+    agent::EngineAgent,
+    tell::{log_send_failures, other_agents},
+};
 
-/// Records where streams began, as a router has told.
-pub fn record_origins(agent: &EngineAgent, origins: &[(StreamId, Option<StreamOrigin>)]) {
-    let now = now_unix_ms();
-    let mut known = agent.stream_origins.borrow_mut();
-    for (stream, origin) in origins {
-        if let Some(origin) = origin {
-            known.insert(*stream, origin.clone(), now);
-        }
+/// Answers a router that asks where streams began, also about those that this agent doesn't know.
+pub async fn send_origins(agent: &EngineAgent, streams: &[StreamId], router: SocketAddr) {
+    let answer = agent.stream_origins.answer(streams);
+    if let Err(error) = agent.gossip_socket.send_to(&answer, router).await {
+        log_send_failures(agent, vec![(router, error)]);
     }
 }
 
-/// Answers a router that asks where streams began, also about those that this agent doesn't know.
-pub async fn send_origins(agent: &EngineAgent, streams: &[StreamId], router: SocketAddr) {
-    let answers: Vec<(StreamId, Option<StreamOrigin>)> = {
-        let known = agent.stream_origins.borrow();
-        let answers = streams.iter().flat_map(|stream| {
-            let origins = known.all(*stream).cloned().map(Some);
-            let mut answers: Vec<(StreamId, Option<StreamOrigin>)> =
-                origins.map(|origin| (*stream, origin)).collect();
-            if answers.is_empty() {
-                answers.push((*stream, None));
-            }
-            answers
-        });
-        answers.collect()
+/// Records the process of a router or of another agent.
+pub fn record_start(agent: &EngineAgent, process: SocketAddr, started_unix_ms: u64) {
+    if started_unix_ms > 0 {
+        let mut held = agent.stream_origins.held.borrow_mut();
+        held.record_start(process, started_unix_ms);
+    }
+}
+
+/// Tells others of the streams that this agent holds, once some that hold them leave or start again, until
+/// `stop` ends.
+pub async fn keep_held_origins(agent: EngineAgent, stop: Stop) {
+    let own = agent.settings.gossip_listen;
+    let peers = || holder_peers(&agent);
+    let report = |retold: Retold| {
+        info!(agent.log, "stream_origins_retold"; "records" => retold.records,
+            "processes" => retold.receivers);
+        log_send_failures(&agent, retold.unsent);
     };
-    let message = GossipMessage::StreamOrigins(answers);
-    if let Err(error) = agent.gossip_socket.send_to(&message, router).await {
-        debug!(agent.log, "news_not_sent"; "to" => %router, "error" => %error);
+    let (socket, table) = (&agent.gossip_socket, &agent.stream_origins);
+    keep_origins_held(socket, table, own, peers, report, &stop).await;
+}
+
+/// Returns the processes that may hold where a stream began, this one included unless its engine leaves.
+fn holder_peers(agent: &EngineAgent) -> HolderPeers {
+    let now = now_unix_ms();
+    let leaving = agent.engine_statuses.leaving_addresses(now);
+    let mut agents: Vec<Peer> = other_agents(agent, now)
+        .filter(|peer| !leaving.contains(&peer.address.ip()))
+        .collect();
+    if !agent.is_engine_leaving() {
+        agents.push(Peer {
+            address: agent.settings.gossip_listen,
+            domain: agent.settings.failure_domain.clone(),
+            can_relay: true,
+        });
+    }
+    HolderPeers {
+        agents,
+        routers: agent.router_demand.router_peers(),
     }
 }
--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     agent::EngineAgent,
-    origins::{record_origins, send_origins},
+    origins::{record_start, send_origins},
     suspicion::{merge_part_reports, merge_suspect_reports, send_suspects},
 };
 
@@ -109,7 +109,7 @@
     peers
 }
 
-fn other_agents(agent: &EngineAgent, now_unix_ms: u64) -> impl Iterator<Item = Peer> {
+pub(crate) fn other_agents(agent: &EngineAgent, now_unix_ms: u64) -> impl Iterator<Item = Peer> {
     let own = agent.settings.gossip_listen;
     let fresh = agent.engine_statuses.fresh_addresses(now_unix_ms);
     let others = agent.router_demand.known_agents().into_iter();
@@ -190,6 +190,10 @@
         software_version: agent.software_version.borrow().clone(),
         config_version: agent.configs.version(),
         agent_started_unix_ms: agent.started_unix_ms,
+        some_routers: routers_in_turn(
+            agent.router_demand.router_processes(),
+            agent.gossip_sequence.get(),
+        ),
     })
 }
 
@@ -230,12 +234,19 @@
         GossipMessage::Engine(status) => {
             let sender = status.agent_address(agent.settings.gossip_listen.port());
             agent.configs.hear(status.config_version, sender);
-            agent.engine_statuses.insert_if_newer(status.clone())
+            let is_new = agent.engine_statuses.insert_if_newer(status.clone());
+            if is_new && let Some(sender) = sender {
+                record_start(agent, sender, status.agent_started_unix_ms);
+            }
+            is_new
         }
         GossipMessage::Demand(demand) => {
             agent.configs.hear(demand.config_version, None);
             let is_urgent = demand.models.iter().any(|(_, view)| view.waiting > 0);
             let is_new = agent.router_demand.insert_if_newer(demand.clone());
+            if is_new {
+                record_start(agent, demand.address, demand.started_unix_ms);
+            }
             if is_new && is_urgent {
                 agent.wake();
             }
@@ -249,7 +260,7 @@
         GossipMessage::Suspects(reports) => merge_suspect_reports(agent, reports),
         GossipMessage::SuspectParts(reports) => merge_part_reports(agent, reports),
         GossipMessage::StreamOrigins(origins) => {
-            record_origins(agent, origins);
+            agent.stream_origins.record(origins, now_unix_ms());
             true
         }
         // Answered where it is received.
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     front::PlatformRouter,
-    origins::{record_agent_start, record_origins},
+    origins::{record_origins, record_peers, send_origins},
     suspicion::{merge_part_reports, merge_suspect_reports},
     upstream::Upstream,
 };
@@ -85,6 +85,7 @@
         leaving: leaving_upstreams(engines),
         config_version: router.view.configs().version(),
         address: router.settings.gossip_listen,
+        started_unix_ms: router.started_unix_ms,
         received_unix_ms: now,
     });
     let targets = gossip_targets(&router.settings.failure_domain, &peers, sequence);
@@ -217,7 +218,7 @@
                 }
                 let before = router.engines.get(&status.upstream);
                 if router.engines.insert_if_newer(status.clone()) {
-                    record_agent_start(&router, &status);
+                    record_peers(&router, &status);
                     wake_changed_models(&router, before.as_deref(), &status);
                 }
             }
@@ -233,7 +234,12 @@
                 message: GossipMessage::StreamOrigins(answers),
                 sender,
                 ..
-            }) => record_origins(&router, answers, sender),
+            }) => record_origins(&router, &answers, sender),
+            Ok(ReceivedGossip {
+                message: GossipMessage::StreamOriginsWanted(streams),
+                sender,
+                ..
+            }) => send_origins(&router, &streams, sender).await,
             // Messages that are meant for agents.
             Ok(_) => {}
             Err(error) => {
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -21,7 +21,7 @@
     connections::max_idle_connections,
     demand::{receive_from_agents, send_demand_to_agents},
     incomplete_answers::IncompleteAnswers,
-    origins::keep_origins_held,
+    origins::keep_held_origins,
     probes::{serve_metrics, serve_ready},
     request::CallerRequest,
     retries::{Retries, log_attempts_per_window},
@@ -72,13 +72,15 @@
     recent_crashes: RefCell<Vec<(CrashId, u64)>>,
     /// Runs that ended without an answer at upstreams that may have crashed.
     pub unanswered_runs: RefCell<UnansweredRuns>,
-    /// Where streams began that this router has passed on or has asked for.
-    pub stream_origins: RefCell<StreamOrigins>,
-    /// The streams that agents were told of lately.
-    pub told_streams: RefCell<ToldStreams>,
-    /// The agents that have answered about a stream which this router asks for.
+    /// When this process started.
+    pub started_unix_ms: u64,
+    /// Where streams began that this router has passed on, has asked for or holds for others.
+    pub stream_origins: OriginTable,
+    /// The other routers.
+    pub known_routers: RefCell<KnownRouters>,
+    /// The processes that have answered about a stream which this router asks for.
     pub origin_answers: RefCell<HashMap<StreamId, HashSet<SocketAddr>>>,
-    /// Notified when an agent has told where a stream began, or that it doesn't know.
+    /// Notified when a process has told where a stream began, or that it doesn't know.
     pub origin_answered: Event,
     /// The socket for gossip.
     pub gossip_socket: Rc<GossipSocket>,
@@ -391,8 +393,9 @@
             suspect_parts: RefCell::default(),
             recent_crashes: RefCell::default(),
             unanswered_runs: RefCell::default(),
-            stream_origins: RefCell::default(),
-            told_streams: RefCell::default(),
+            started_unix_ms: now_unix_ms(),
+            stream_origins: OriginTable::default(),
+            known_routers: RefCell::default(),
             origin_answers: RefCell::default(),
             origin_answered: Event::new(),
             gossip_socket: gossip_socket.clone(),
@@ -440,7 +443,7 @@
     .detach();
     serve_ready(&router, ready, stop);
     serve_metrics(&router, stop);
-    compio::runtime::spawn(keep_origins_held(router.clone(), stop.clone())).detach();
+    compio::runtime::spawn(keep_held_origins(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(keep_running_clock(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(log_attempts_per_window(router.clone(), stop.clone())).detach();
     compio::runtime::spawn(refuse_waiting_before_kill(router.clone(), stop.clone())).detach();
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -3,6 +3,7 @@
 
 use celerystair_core::prelude::*;
 use celerystair_net::prelude::*;
+use celerystair_news::prelude::Retold;
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::{metrics::label, prelude::*};
 
@@ -110,9 +111,10 @@
             "route" => &request.route.name, "age_ms" => request.age_ms(now_unix_ms()));
     }
 
-    /// Logs that other agents are told where streams began, as some that held it leave or have started again.
-    pub fn log_origins_retold(&self, records: usize, agents: usize) {
-        info!(self.log, "stream_origins_retold"; "records" => records, "agents" => agents);
+    /// Logs that others are told where streams began, as some that held it have left or started again.
+    pub fn log_origins_retold(&self, retold: &Retold) {
+        info!(self.log, "stream_origins_retold"; "records" => retold.records,
+            "processes" => retold.receivers);
     }
 
     /// Logs that a stream that broke off goes on at another upstream within the same response.
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -1,5 +1,6 @@
 //! Finding out at which software version a stream goes on that a caller takes up again, and telling
-//! other processes where streams began. `celerystair_policy::stream_versions` decides.
+//! other processes where streams began. `celerystair_policy::stream_versions` decides at which version, and
+//! `celerystair_policy::stream_holders` whom to tell and ask.
 
 use std::{net::SocketAddr, pin::pin};
 
@@ -16,42 +17,37 @@
     upstream::Upstream,
 };
 
-/// How often a router checks whether agents that hold streams leave: they serve on for seconds.
-const HOLDERS_CHECK_INTERVAL_MS: u64 = 250;
-/// The most records in a datagram, which stays below the 16 KiB that receivers take.
-const RECORDS_PER_DATAGRAM_MAX: usize = 64;
-
 /// How a router knows where a stream began. The `Debug` form is logged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OriginSource {
     /// It passed the stream on itself, or has asked before.
     Own,
-    /// Agents told it.
-    Agents,
-    /// The caller doesn't name the request that began the stream; this router or agents know a stream
+    /// Another process told it.
+    Holders,
+    /// The caller doesn't name the request that began the stream; this router or others know a stream
     /// that an identical request began.
     SameBytes,
     /// No other version was listed while the stream may have begun.
     List,
 }
 
-/// How many agents were asked where a stream began.
+/// How many processes were asked where a stream began.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct OriginSearch {
-    /// How many agents were asked; 0 if this router knows the origin.
+    /// How many were asked; 0 if this router knows the origin.
     pub asked: usize,
     /// How many of them have answered.
     pub answered: usize,
 }
 
-/// Collects the agents that answer about a stream while a request waits for them.
+/// Collects the processes that answer about a stream while a request waits for them.
 struct AnswersWanted<'a> {
     router: &'a PlatformRouter,
     stream: StreamId,
 }
 
 impl AnswersWanted<'_> {
-    /// Returns how many agents have answered.
+    /// Returns how many have answered.
     fn count(&self) -> usize {
         let mut answers = self.router.origin_answers.borrow_mut();
         // Another request that waited for the same stream may have ended first.
@@ -65,7 +61,7 @@
     }
 }
 
-/// Tells the agents that hold it where the stream of the request began. Returns once the datagrams are
+/// Tells the processes that hold it where the stream of the request began. Returns once the datagrams are
 /// sent, so that the origin is on its way before the first event is.
 pub async fn publish_origin(
     router: &PlatformRouter,
@@ -73,97 +69,75 @@
     origin: StreamOrigin,
 ) {
     let streams = [
-        StreamId::begun_by(&request.head.id),
-        identical_stream(request),
+        (StreamId::begun_by(&request.head.id), StreamKey::Request),
+        (identical_stream(request), StreamKey::SharedBytes),
     ];
     tell_holders(router, &streams, &origin).await;
 }
 
-async fn tell_holders(router: &PlatformRouter, streams: &[StreamId], origin: &StreamOrigin) {
-    let now = now_unix_ms();
-    let staying = staying_agents(router);
-    let mut messages: HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> = HashMap::default();
-    for stream in streams {
-        let holders = version_holders(*stream, &staying);
-        for holder in &holders {
-            let records = messages.entry(*holder).or_default();
-            records.push((*stream, origin.clone()));
-        }
-        let mut origins = router.stream_origins.borrow_mut();
-        origins.insert(*stream, origin.clone(), now);
-        let mut told = router.told_streams.borrow_mut();
-        told.record(*stream, origin.clone(), holders, now);
-    }
-    send_records(router, messages).await;
-}
-
-async fn send_records(
+async fn tell_holders(
     router: &PlatformRouter,
-    messages: HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>>,
+    streams: &[(StreamId, StreamKey)],
+    origin: &StreamOrigin,
 ) {
-    for (address, records) in messages {
-        for records in records.chunks(RECORDS_PER_DATAGRAM_MAX) {
-            let records = records.iter().cloned();
-            let records = records.map(|(stream, origin)| (stream, Some(origin)));
-            send_to(
-                router,
-                &[address],
-                &GossipMessage::StreamOrigins(records.collect()),
-            )
-            .await;
-        }
-    }
+    let (peers, now) = (holder_peers(router), now_unix_ms());
+    let messages = router.stream_origins.begin(streams, origin, &peers, now);
+    log_unsent(router, send_records(&router.gossip_socket, messages).await);
 }
 
-async fn send_to(router: &PlatformRouter, addresses: &[SocketAddr], message: &GossipMessage) {
-    for address in addresses {
-        if let Err(error) = router.gossip_socket.send_to(message, *address).await {
-            log_unsent(router, vec![(*address, error)]);
-        }
+/// Returns the other processes that may hold where a stream began.
+fn holder_peers(router: &PlatformRouter) -> HolderPeers {
+    HolderPeers {
+        agents: staying_agents(router),
+        routers: router.known_routers.borrow_mut().peers(now_unix_ms()),
     }
 }
 
-/// Records when the agent that sent a status started.
-pub fn record_agent_start(router: &PlatformRouter, status: &EngineStatus) {
-    if status.agent_started_unix_ms == 0 {
-        return;
+/// Records the processes of which an agent has told: its own, and routers.
+pub fn record_peers(router: &PlatformRouter, status: &EngineStatus) {
+    let own = router.settings.gossip_listen;
+    let mut held = router.stream_origins.held.borrow_mut();
+    if status.agent_started_unix_ms > 0
+        && let Some(agent) = status.agent_address(own.port())
+    {
+        held.record_start(agent, status.agent_started_unix_ms);
+    }
+    let mut known_routers = router.known_routers.borrow_mut();
+    for other in status.some_routers.iter().filter(|r| r.address != own) {
+        known_routers.record(other, now_unix_ms());
+        held.record_start(other.address, other.started_unix_ms);
     }
-    let port = router.settings.gossip_listen.port();
-    let agent = SocketAddr::new(status.address.into(), port);
-    let mut told = router.told_streams.borrow_mut();
-    told.record_start(agent, status.agent_started_unix_ms);
 }
 
-/// Tells agents of streams once some that hold them leave or start again, until `stop` ends. What an
-/// agent knows ends with its process, and it ends with its engine.
-pub async fn keep_origins_held(router: PlatformRouter, stop: Stop) {
-    let mut known: HashSet<SocketAddr> = HashSet::default();
-    while !stop.is_ended() {
-        let staying = staying_agents(&router);
-        let addresses: HashSet<SocketAddr> = staying.iter().map(|agent| agent.address).collect();
-        let has_lost_holder = router.told_streams.borrow().has_lost_holder();
-        if !staying.is_empty() && (has_lost_holder || !known.is_subset(&addresses)) {
-            let messages = router
-                .told_streams
-                .borrow_mut()
-                .retell(&staying, now_unix_ms());
-            let records: usize = messages.values().map(Vec::len).sum();
-            if records > 0 {
-                router.log_origins_retold(records, messages.len());
-            }
-            send_records(&router, messages).await;
-        }
-        if !staying.is_empty() {
-            known = addresses;
-        }
-        select(
-            pin!(sleep_ms(HOLDERS_CHECK_INTERVAL_MS)),
-            pin!(stop.ended()),
-        )
-        .await;
+/// Answers a router that asks where streams began.
+pub async fn send_origins(router: &PlatformRouter, streams: &[StreamId], sender: SocketAddr) {
+    let answer = router.stream_origins.answer(streams);
+    if let Err(error) = router.gossip_socket.send_to(&answer, sender).await {
+        log_unsent(router, vec![(sender, error)]);
     }
 }
 
+/// Tells others of the streams that this router holds, once some that hold them leave or start again, until
+/// `stop` ends.
+pub async fn keep_held_origins(router: PlatformRouter, stop: Stop) {
+    let own = Peer {
+        address: router.settings.gossip_listen,
+        domain: router.settings.failure_domain.clone(),
+        can_relay: false,
+    };
+    let peers = || {
+        let mut peers = holder_peers(&router);
+        peers.routers.push(own.clone());
+        peers
+    };
+    let report = |retold: Retold| {
+        router.log_origins_retold(&retold);
+        log_unsent(&router, retold.unsent);
+    };
+    let (socket, table) = (&router.gossip_socket, &router.stream_origins);
+    keep_origins_held(socket, table, own.address, peers, report, &stop).await;
+}
+
 fn identical_stream(request: &CallerRequest) -> StreamId {
     let parts: Vec<PromptPartId> = request.head.prompt_parts.iter().map(|p| p.id).collect();
     StreamId::of_identical(request.fingerprint, request.head.model.as_ref(), &parts)
@@ -174,29 +148,21 @@
     StreamId::taken_up(request.head.resumes.as_ref(), identical_stream(request))
 }
 
-/// Records where streams began, as the agent at `sender` has answered.
-pub fn record_origins(
-    router: &PlatformRouter,
-    answers: Vec<(StreamId, Option<StreamOrigin>)>,
-    sender: SocketAddr,
-) {
-    let now = now_unix_ms();
-    for (stream, origin) in answers {
-        if let Some(origin) = origin {
-            let mut origins = router.stream_origins.borrow_mut();
-            origins.insert(stream, origin, now);
-        }
-        if let Some(answers) = router.origin_answers.borrow_mut().get_mut(&stream) {
+/// Records where streams began, as the process at `sender` has told.
+pub fn record_origins(router: &PlatformRouter, news: &[OriginNews], sender: SocketAddr) {
+    router.stream_origins.record(news, now_unix_ms());
+    for answer in news.iter().filter(|news| news.held.is_none()) {
+        if let Some(answers) = router.origin_answers.borrow_mut().get_mut(&answer.stream) {
             answers.insert(sender);
         }
     }
     router.origin_answered.notify(usize::MAX);
 }
 
-/// Returns where the stream began that the request takes up, which the agents that hold it are asked if
+/// Returns where the stream began that the request takes up, which the processes that hold it are asked if
 /// this router doesn't know. If the request names the one that began the stream, only that one's record
 /// counts: an identical request may have begun another stream at another version. If it names none, all
-/// agents that hold the record of identical requests must agree.
+/// that hold the record of identical requests must agree.
 async fn find_origin(
     router: &PlatformRouter,
     request: &CallerRequest,
@@ -204,7 +170,8 @@
 ) -> Option<(StreamOrigin, OriginSource)> {
     let named = request.head.resumes.as_ref();
     let wanted = wanted_stream(request);
-    let known = || router.stream_origins.borrow().get(wanted).cloned();
+    let key = named.map_or(StreamKey::SharedBytes, |_| StreamKey::Request);
+    let known = || router.stream_origins.origins.borrow().get(wanted).cloned();
     let find_named = || named.and_then(|_| known());
     if let Some(origin) = find_named() {
         return Some((origin, OriginSource::Own));
@@ -220,8 +187,12 @@
         let answered = router.origin_answered.listen();
         answers.count();
         if now_unix_ms() >= ask_unix_ms {
-            let holders = holders_asked(wanted, &staying_agents(router), &gossip_peers(router));
-            send_to(router, &holders, &message).await;
+            let holders = holders_asked(wanted, key, &holder_peers(router), &gossip_peers(router));
+            for holder in &holders {
+                if let Err(error) = router.gossip_socket.send_to(&message, *holder).await {
+                    log_unsent(router, vec![(*holder, error)]);
+                }
+            }
             search.asked = holders.len();
             ask_unix_ms = now_unix_ms() + ORIGIN_RETRY_MS;
         }
@@ -234,7 +205,7 @@
             break;
         }
     }
-    let source = named.map_or(OriginSource::SameBytes, |_| OriginSource::Agents);
+    let source = named.map_or(OriginSource::SameBytes, |_| OriginSource::Holders);
     known().map(|origin| (origin, source))
 }
 
@@ -270,9 +241,10 @@
         );
         Refusal::not_run(RefusalReason::StreamOriginUnknown, detail)
     })?;
-    if matches!(source, OriginSource::Own | OriginSource::Agents) {
-        // Its caller may take it up again after this router and agents that hold it have ended.
-        tell_holders(router, &[wanted_stream(request)], &origin).await;
+    if matches!(source, OriginSource::Own | OriginSource::Holders) {
+        // Its caller may take it up again after this router and others that hold it have ended.
+        let named = (wanted_stream(request), StreamKey::Request);
+        tell_holders(router, &[named], &origin).await;
     }
     let mut targets = request.route.targets.iter();
     if targets.all(|target| target.service != origin.service) {
@@ -305,7 +277,8 @@
 /// Returns the only origin that is possible by the list of upstreams, if there is only one.
 fn assumed_origin(router: &PlatformRouter, request: &CallerRequest) -> Option<StreamOrigin> {
     let wanted = wanted_stream(request);
-    if router.stream_origins.borrow().all(wanted).next().is_some() {
+    let origins = router.stream_origins.origins.borrow();
+    if origins.all(wanted).next().is_some() {
         // Several are known, more than the list may tell.
         return None;
     }
--- a/crates/celerystair_news/src/demand.rs
+++ b/crates/celerystair_news/src/demand.rs
@@ -39,6 +39,8 @@
     pub config_version: u64,
     /// Where the router receives gossip.
     pub address: SocketAddr,
+    /// When the router's process started; 0 if its version doesn't tell.
+    pub started_unix_ms: u64,
     /// When the datagram arrived, by the receiver's clock.
     pub received_unix_ms: u64,
 }
@@ -83,6 +85,7 @@
             config_version: news.config_version,
             // All processes receive gossip on the same port.
             address: SocketAddr::new(ip, sender.port()),
+            started_unix_ms: news.router_started_unix_ms,
             received_unix_ms: now_unix_ms,
         }
     }
@@ -122,6 +125,7 @@
             models: models.collect(),
             agents: agents.collect(),
             failure_domain: self.failure_domain.to_string(),
+            router_started_unix_ms: self.started_unix_ms,
             address: match self.address {
                 SocketAddr::V4(address) => u32::from(*address.ip()),
                 SocketAddr::V6(_) => 0,
@@ -212,6 +216,18 @@
         peers.collect()
     }
 
+    /// Returns the processes of the routers, of those that tell their start.
+    pub fn router_processes(&self) -> Vec<RouterProcess> {
+        let routers = self.routers.borrow();
+        let known = routers.values().filter(|demand| demand.started_unix_ms > 0);
+        let processes = known.map(|demand| RouterProcess {
+            address: demand.address,
+            domain: demand.failure_domain.clone(),
+            started_unix_ms: demand.started_unix_ms,
+        });
+        processes.collect()
+    }
+
     /// Returns the agents that any router knows, with their failure domains.
     pub fn known_agents(&self) -> HashMap<Ipv4Addr, FailureDomain> {
         let routers = self.routers.borrow();
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -2,13 +2,13 @@
 
 use std::{
     cell::RefCell,
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
 };
 
 use celerystair_core::prelude::*;
 use celerystair_policy::prelude::*;
-use celerystair_protocol::{EngineModel, EngineNews};
+use celerystair_protocol::{self as protocol, EngineModel, EngineNews};
 
 /// A status that is older than this says nothing about the engine's current load: several datagrams
 /// in a row were lost, or the agent is paused.
@@ -61,6 +61,8 @@
     pub config_version: u64,
     /// When the agent's process started, which tells its starts apart; 0 if its version doesn't tell.
     pub agent_started_unix_ms: u64,
+    /// Some of the routers that the agent has heard of. All processes receive gossip on the same port.
+    pub some_routers: Vec<RouterProcess>,
 }
 
 impl EngineStatus {
@@ -81,7 +83,12 @@
         (!self.address.is_unspecified()).then_some(address)
     }
 
-    pub(crate) fn from_wire(news: EngineNews, now_unix_ms: u64) -> Self {
+    pub(crate) fn from_wire(news: EngineNews, peer_port: u16, now_unix_ms: u64) -> Self {
+        let some_routers = news.some_routers.into_iter().map(|router| RouterProcess {
+            address: SocketAddr::new(Ipv4Addr::from(router.address).into(), peer_port),
+            domain: router.failure_domain.into(),
+            started_unix_ms: router.started_unix_ms,
+        });
         let loaded = news.loaded.into_iter().map(|model| LoadedModel {
             model: model.model.into(),
             adapters: model.adapters,
@@ -114,6 +121,7 @@
                 .then(|| news.software_version.into()),
             config_version: news.config_version,
             agent_started_unix_ms: news.agent_started_unix_ms,
+            some_routers: some_routers.collect(),
         }
     }
 
@@ -123,6 +131,16 @@
             adapters: model.adapters.clone(),
         });
         let names = |models: &[ModelName]| models.iter().map(ToString::to_string).collect();
+        let some_routers = self.some_routers.iter().filter_map(|router| {
+            let IpAddr::V4(address) = router.address.ip() else {
+                return None;
+            };
+            Some(protocol::RouterProcess {
+                address: address.into(),
+                failure_domain: router.domain.to_string(),
+                started_unix_ms: router.started_unix_ms,
+            })
+        });
         let ready_in_ms = self.ready_unix_ms.saturating_sub(self.received_unix_ms);
         EngineNews {
             upstream: self.upstream.to_string(),
@@ -153,6 +171,7 @@
                 .unwrap_or_default(),
             config_version: self.config_version,
             agent_started_unix_ms: self.agent_started_unix_ms,
+            some_routers: some_routers.collect(),
         }
     }
 }
@@ -180,6 +199,7 @@
             software_version: None,
             config_version: 0,
             agent_started_unix_ms: 0,
+            some_routers: Vec::new(),
         }
     }
 }
@@ -224,6 +244,15 @@
         fresh.map(|status| status.address).collect()
     }
 
+    /// Returns the addresses of the instances whose engine leaves, by a fresh status.
+    pub fn leaving_addresses(&self, now_unix_ms: u64) -> HashSet<IpAddr> {
+        let engines = self.engines.borrow();
+        let leaving = engines
+            .values()
+            .filter(|status| status.is_leaving && status.is_fresh(now_unix_ms));
+        leaving.map(|status| status.address.into()).collect()
+    }
+
     /// Removes every status that arrived before `since_unix_ms`.
     pub fn remove_received_before(&self, since_unix_ms: u64) {
         let mut engines = self.engines.borrow_mut();
--- a/crates/celerystair_news/src/lib.rs
+++ b/crates/celerystair_news/src/lib.rs
@@ -8,7 +8,7 @@
 //! |---|---|
 //! | [`demand`] | the demand that routers report, and its sum at an agent |
 //! | [`engines`] | the engine statuses that agents report |
-//! | [`stream_origins`] | where streams began, as it is sent |
+//! | [`stream_origins`] | where streams began: how it is sent, and who is told again |
 //! | [`suspects`] | reports on requests and prompt parts that may crash upstreams, as they are sent |
 //! | [`socket`] | the gossip messages and the socket that carries them |
 //!
@@ -26,6 +26,9 @@
         demand::{DemandTable, RouterDemand},
         engines::{EngineStatus, EngineStatusTable},
         socket::{GossipMessage, GossipSocket, ReceivedGossip},
+        stream_origins::{
+            HeldNews, OriginNews, OriginTable, Retold, keep_origins_held, send_records,
+        },
         suspects::{changed_suspects, sample_of_suspects},
     };
 }
--- a/crates/celerystair_news/src/socket.rs
+++ b/crates/celerystair_news/src/socket.rs
@@ -11,7 +11,12 @@
 use compio::net::UdpSocket;
 use prost::Message;
 
-use crate::{demand::RouterDemand, engines::EngineStatus, stream_origins, suspects};
+use crate::{
+    demand::RouterDemand,
+    engines::EngineStatus,
+    stream_origins::{self, OriginNews},
+    suspects,
+};
 
 /// The largest datagram that is received whole; senders stay far below it.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -32,8 +37,8 @@
     SuspectParts(Vec<PartReport>),
     /// Asks the receiver for the suspects that it knows.
     SuspectsWanted,
-    /// Where streams began; `None` if the sender, which was asked, doesn't know.
-    StreamOrigins(Vec<(StreamId, Option<StreamOrigin>)>),
+    /// Where streams began.
+    StreamOrigins(Vec<OriginNews>),
     /// The streams whose origins the sender asks for.
     StreamOriginsWanted(Vec<StreamId>),
 }
@@ -93,7 +98,7 @@
                 Self::Demand(RouterDemand::from_wire(demand, sender, now_unix_ms))
             }
             news_datagram::News::Engine(engine) => {
-                Self::Engine(EngineStatus::from_wire(engine, now_unix_ms))
+                Self::Engine(EngineStatus::from_wire(engine, sender.port(), now_unix_ms))
             }
             news_datagram::News::AdaptersWanted(wanted) => {
                 let adapters = wanted.adapters.into_iter();
--- a/crates/celerystair_news/tests/board.rs
+++ b/crates/celerystair_news/tests/board.rs
@@ -17,6 +17,7 @@
         config_version: 0,
         failure_domain: FailureDomain::from("a"),
         address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 7000),
+        started_unix_ms: 0,
         received_unix_ms,
     }
 }
--- a/crates/celerystair_news/tests/datagrams.rs
+++ b/crates/celerystair_news/tests/datagrams.rs
@@ -30,11 +30,12 @@
             started_unix_ms: 6,
         }],
         address,
+        started_unix_ms: 1_700_000_000_456,
         received_unix_ms: 1000,
     })
 }
 
-fn engine_message() -> GossipMessage {
+fn engine_message(port: u16) -> GossipMessage {
     GossipMessage::Engine(EngineStatus {
         upstream: UpstreamId::from("e1"),
         started_unix_ms: 5,
@@ -63,9 +64,33 @@
         software_version: Some("v1.1".into()),
         config_version: 13,
         agent_started_unix_ms: 1_700_000_000_123,
+        some_routers: vec![RouterProcess {
+            address: SocketAddr::new(Ipv4Addr::new(10, 1, 0, 8).into(), port),
+            domain: FailureDomain::from("c"),
+            started_unix_ms: 1_700_000_000_789,
+        }],
     })
 }
 
+/// Records that are to be held, and answers.
+fn origin_news(origin: &StreamOrigin) -> Vec<OriginNews> {
+    let news = |stream, origin, held| OriginNews {
+        stream: StreamId(stream),
+        origin,
+        held,
+    };
+    let held = |key| HeldNews {
+        key,
+        recorded_ms_ago: 7,
+    };
+    vec![
+        news(1, Some(origin.clone()), Some(held(StreamKey::Request))),
+        news(2, Some(origin.clone()), Some(held(StreamKey::SharedBytes))),
+        news(3, Some(origin.clone()), None),
+        news(4, None, None),
+    ]
+}
+
 fn part_report() -> PartReport {
     PartReport {
         part: PromptPartId(8),
@@ -110,11 +135,11 @@
         };
         for message in [
             demand_message(port),
-            engine_message(),
+            engine_message(port),
             GossipMessage::AdaptersWanted(adapters),
             GossipMessage::Suspects(vec![report]),
             GossipMessage::SuspectParts(vec![part_report()]),
-            GossipMessage::StreamOrigins(vec![(StreamId(1), Some(origin)), (StreamId(2), None)]),
+            GossipMessage::StreamOrigins(origin_news(&origin)),
             GossipMessage::StreamOriginsWanted(vec![StreamId(3)]),
         ] {
             for should_relay in [false, true] {
@@ -147,7 +172,7 @@
 #[test]
 fn repeated_statuses_and_undecodable_datagrams_are_ignored() {
     let table = EngineStatusTable::default();
-    let GossipMessage::Engine(status) = engine_message() else {
+    let GossipMessage::Engine(status) = engine_message(1) else {
         panic!("expected the status of an engine");
     };
     assert!(table.insert_if_newer(status.clone()));
@@ -172,11 +197,15 @@
             address,
             is_relay: false,
         };
-        sender.send(&engine_message(), &[target]).await;
+        let port = sender
+            .local_address()
+            .expect("a bound socket has an address")
+            .port();
+        sender.send(&engine_message(port), &[target]).await;
         let delivered = receiver
             .receive(|| 1000)
             .await
             .expect("a gossip message arrives");
-        assert_eq!(delivered.message, engine_message());
+        assert_eq!(delivered.message, engine_message(port));
     });
 }
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`fences`] | the next fencing token of an agent's orders |
 //! | [`fleet`] | nothing: types of the configuration and the upstreams |
 //! | [`health`] | which upstreams are avoided for a while after failures |
+//! | [`known_routers`] | nothing: the routers that processes know of |
 //! | [`outcome`] | what happens to a request after a failed attempt |
 //! | [`own_response`] | whether a response answers the request that it arrived after |
 //! | [`planned_stop`] | whether a request is taken while a planned stop is under way |
@@ -30,6 +31,7 @@
 //! | [`spread`] | which peers get gossip directly, and which relay it |
 //! | [`stall`] | whether a stalled request switches to another upstream |
 //! | [`standstill`] | whether a peer was silent, or this process did not run |
+//! | [`stream_holders`] | which processes hold where a stream began |
 //! | [`stream_versions`] | at which software version a stream goes on |
 //! | [`suspect_part`] | whether the crashes of one part of prompts suffice to refuse it |
 //! | [`suspects`] | which requests are refused because they crash upstreams |
@@ -52,6 +54,7 @@
 pub mod fences;
 pub mod fleet;
 pub mod health;
+pub mod known_routers;
 pub mod outcome;
 pub mod own_response;
 pub mod planned_stop;
@@ -63,6 +66,7 @@
 pub mod spread;
 pub mod stall;
 pub mod standstill;
+pub mod stream_holders;
 pub mod stream_versions;
 pub mod suspect_part;
 pub mod suspects;
@@ -90,6 +94,7 @@
             RouteTarget, ServiceConfig, ServingConfig, UpstreamEntry, UpstreamState,
         },
         health::UpstreamHealth,
+        known_routers::{KnownRouters, RouterProcess, routers_in_turn},
         outcome::{AttemptFailure, NextStep, next_step},
         own_response::{NamedRequest, RefusedRequests, is_own_response},
         planned_stop::{
@@ -104,11 +109,13 @@
             suspect_change_targets, suspect_query_targets, suspect_sample_targets,
         },
         stall::StallInputs,
+        stream_holders::{
+            HeldStreams, HolderPeers, OriginRecord, StreamKey, holders_asked, origin_holders,
+        },
         stream_versions::{
             LIST_PROOF_RETRY_AFTER_MS, LIST_PROOF_WAIT_MS, ListCoverage, ListProof,
             ORIGIN_RETRY_MS, ORIGIN_WAIT_MS, RouteTargets, StreamId, StreamOrigin, StreamOrigins,
-            ToldStreams, VERSION_PROOF_AGE_MAX_MS, VersionHistory, assumed_version, holders_asked,
-            version_holders,
+            VERSION_PROOF_AGE_MAX_MS, VersionHistory, assumed_version,
         },
         suspect_part::{
             FRESH_MS, PartCrash, PartCrashReport, PartReport, PromptPartId, SAME_CAUSE_MS,
--- a/crates/celerystair_policy/src/stream_versions.rs
+++ b/crates/celerystair_policy/src/stream_versions.rs
@@ -3,37 +3,23 @@
 //! at the version that began it: after its upstream was lost, and when its caller takes it up again
 //! at any router, often because the router that knew the version was killed.
 //!
-//! So a router tells [`version_holders`] the origin of a stream before it passes the first event on:
-//! agents that rendezvous hashing selects for the stream, in different failure domains. It tells others
-//! once some of them leave. A router that is asked to take a stream up and doesn't know its origin asks
-//! the same agents, and those that come next. One that can't find out refuses, unless no other version has been listed while the stream may have
-//! begun.
+//! So a router tells other processes the origin of a stream before it passes the first event on:
+//! [`stream_holders`](crate::stream_holders) selects them. A router that is asked to take a stream up and
+//! doesn't know its origin asks them. One that can't find out refuses, unless no other version has been
+//! listed while the stream may have begun.
 //!
 //! The load of the records, and what else was weighed: `docs/PLATFORM.md`.
 
-use std::{collections::VecDeque, net::SocketAddr};
-
 use celerystair_core::{prelude::*, rendezvous};
 
-use crate::{
-    fleet::Route,
-    spread::{Peer, address_weight},
-    suspect_part::PromptPartId,
-};
-
-/// The agents that hold the origin of each stream: a datagram may be lost, and one of them end.
-pub const VERSION_HOLDERS: usize = 3;
-/// The agents that are asked for an origin at least: agents that came since may rank before those that
-/// hold it.
-pub const HOLDERS_ASKED: usize = 2 * VERSION_HOLDERS;
-/// The most identifiers for which a router remembers which agents it has told: about a megabyte.
-const TOLD_MAX: usize = 8 * 1024;
+use crate::{fleet::Route, suspect_part::PromptPartId};
+
 /// How long a router waits for the first answer of the holders before it asks again.
 pub const ORIGIN_RETRY_MS: u64 = 60;
 /// How long a router waits for the answers of the holders altogether.
 pub const ORIGIN_WAIT_MS: u64 = 250;
 /// An origin is held for at least this long, and for twice as long at most.
-const GENERATION_MS: u64 = 60_000;
+pub(crate) const GENERATION_MS: u64 = 60_000;
 /// The most origins that a process holds in each of two generations.
 const GENERATION_MAX: usize = 32 * 1024;
 /// The most origins that are held for one identifier: two show that it isn't unique.
@@ -128,6 +114,17 @@
 impl StreamOrigins {
     /// Records an origin of a stream, beside others that were recorded for it before.
     pub fn insert(&mut self, stream: StreamId, origin: StreamOrigin, now_unix_ms: u64) {
+        self.insert_recorded(stream, origin, now_unix_ms, now_unix_ms);
+    }
+
+    /// Records an origin that another process recorded at `recorded_unix_ms`.
+    pub fn insert_recorded(
+        &mut self,
+        stream: StreamId,
+        origin: StreamOrigin,
+        recorded_unix_ms: u64,
+        now_unix_ms: u64,
+    ) {
         let is_old = now_unix_ms >= self.young_since_unix_ms.saturating_add(GENERATION_MS);
         if is_old || self.young.len() >= GENERATION_MAX {
             self.old = std::mem::take(&mut self.young);
@@ -135,14 +132,18 @@
         }
         let known = self.young.remove(&stream);
         let mut recorded = known.unwrap_or_else(|| self.recorded(stream).to_vec());
+        let mut recorded_unix_ms = recorded_unix_ms;
         recorded.retain(|known| {
             let end_unix_ms = known.recorded_unix_ms.saturating_add(2 * GENERATION_MS);
+            if known.origin == origin {
+                recorded_unix_ms = recorded_unix_ms.max(known.recorded_unix_ms);
+            }
             known.origin != origin && now_unix_ms < end_unix_ms
         });
         recorded.truncate(ORIGINS_PER_STREAM_MAX - 1);
         recorded.push(RecordedOrigin {
             origin,
-            recorded_unix_ms: now_unix_ms,
+            recorded_unix_ms,
         });
         self.young.insert(stream, recorded);
     }
@@ -160,149 +161,18 @@
         self.recorded(stream).iter().map(|known| &known.origin)
     }
 
+    /// Returns all origins that are known of a stream, and when each was recorded last.
+    pub fn all_recorded(&self, stream: StreamId) -> impl Iterator<Item = (&StreamOrigin, u64)> {
+        let recorded = self.recorded(stream).iter();
+        recorded.map(|known| (&known.origin, known.recorded_unix_ms))
+    }
+
     fn recorded(&self, stream: StreamId) -> &[RecordedOrigin] {
         let recorded = self.young.get(&stream).or_else(|| self.old.get(&stream));
         recorded.map_or(&[], Vec::as_slice)
     }
 }
 
-/// Returns the agents that hold the origin of a stream: those that come first by rendezvous hashing, one
-/// of each failure domain before a second one of any. Processes whose lists of agents differ in one of
-/// them agree on all others.
-pub fn version_holders(stream: StreamId, agents: &[Peer]) -> Vec<SocketAddr> {
-    first_agents(stream, agents, VERSION_HOLDERS)
-}
-
-/// Returns the agents that are asked for the origin of a stream: those that hold it now, those that held
-/// it before as many others came or before some of `all` began to leave.
-pub fn holders_asked(stream: StreamId, staying: &[Peer], all: &[Peer]) -> Vec<SocketAddr> {
-    let mut holders = first_agents(stream, staying, HOLDERS_ASKED);
-    for holder in version_holders(stream, all) {
-        if !holders.contains(&holder) {
-            holders.push(holder);
-        }
-    }
-    holders
-}
-
-fn first_agents(stream: StreamId, agents: &[Peer], count: usize) -> Vec<SocketAddr> {
-    let mut ranked: Vec<(u64, &Peer)> = agents
-        .iter()
-        .map(|agent| (address_weight(stream.0, agent.address), agent))
-        .collect();
-    ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-    // Two engines may be listed on one instance, which has one agent.
-    ranked.dedup_by_key(|(_, agent)| agent.address);
-    let mut domains: HashSet<&FailureDomain> = HashSet::default();
-    let (mut first, mut further) = (Vec::new(), Vec::new());
-    for (_, agent) in ranked {
-        let is_first = domains.insert(&agent.domain);
-        let list = if is_first { &mut first } else { &mut further };
-        list.push(agent.address);
-    }
-    first.extend(further);
-    first.truncate(count);
-    first
-}
-
-/// The streams that a router has told agents of lately, so that others hold them once some of these leave,
-/// and those that start again hold them anew. A holder is a process, and not an address.
-#[derive(Clone, Debug, Default)]
-pub struct ToldStreams {
-    told: VecDeque<ToldStream>,
-    /// When the process at each agent's address started, by the agent's own clock.
-    started_unix_ms: HashMap<SocketAddr, u64>,
-    /// Whether a holder of some stream has started again since.
-    has_lost_holder: bool,
-}
-
-#[derive(Clone, Debug)]
-struct ToldStream {
-    stream: StreamId,
-    origin: StreamOrigin,
-    holders: Vec<SocketAddr>,
-    /// Whether a holder has started again since.
-    has_lost_holder: bool,
-    end_unix_ms: u64,
-}
-
-impl ToldStreams {
-    /// Records that `holders` were told of a stream.
-    pub fn record(
-        &mut self,
-        stream: StreamId,
-        origin: StreamOrigin,
-        holders: Vec<SocketAddr>,
-        now_unix_ms: u64,
-    ) {
-        let is_past = |told: &ToldStream| now_unix_ms >= told.end_unix_ms;
-        while self.told.len() >= TOLD_MAX || self.told.front().is_some_and(is_past) {
-            self.told.pop_front();
-        }
-        self.told.push_back(ToldStream {
-            stream,
-            origin,
-            holders,
-            has_lost_holder: false,
-            end_unix_ms: now_unix_ms.saturating_add(GENERATION_MS),
-        });
-    }
-
-    /// Records when the process of an agent started. What was told to an earlier one at its address is
-    /// lost, as may be what was told before the first start was heard of.
-    pub fn record_start(&mut self, agent: SocketAddr, started_unix_ms: u64) {
-        let known = self.started_unix_ms.insert(agent, started_unix_ms);
-        if known == Some(started_unix_ms) {
-            return;
-        }
-        for told in &mut self.told {
-            let before = told.holders.len();
-            told.holders.retain(|holder| *holder != agent);
-            told.has_lost_holder |= told.holders.len() < before;
-            self.has_lost_holder |= told.has_lost_holder;
-        }
-    }
-
-    /// Whether a holder of some stream has started again and wasn't told of it since.
-    pub fn has_lost_holder(&self) -> bool {
-        self.has_lost_holder
-    }
-
-    /// Returns what agents are to be told, because agents that hold a stream are no longer among those
-    /// that stay, or have started again.
-    pub fn retell(
-        &mut self,
-        staying: &[Peer],
-        now_unix_ms: u64,
-    ) -> HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> {
-        let addresses: HashSet<SocketAddr> = staying.iter().map(|agent| agent.address).collect();
-        let mut messages: HashMap<SocketAddr, Vec<(StreamId, StreamOrigin)>> = HashMap::default();
-        self.has_lost_holder = false;
-        self.started_unix_ms
-            .retain(|agent, _| addresses.contains(agent));
-        for told in &mut self.told {
-            let has_left = told
-                .holders
-                .iter()
-                .any(|holder| !addresses.contains(holder));
-            let has_lost = std::mem::take(&mut told.has_lost_holder);
-            if !(has_left || has_lost) || now_unix_ms >= told.end_unix_ms {
-                continue;
-            }
-            let holders = version_holders(told.stream, staying);
-            for holder in holders
-                .iter()
-                .filter(|holder| !told.holders.contains(holder))
-            {
-                let records = messages.entry(*holder).or_default();
-                records.push((told.stream, told.origin.clone()));
-            }
-            told.holders = holders;
-        }
-        messages
-    }
-}
-
 /// The versions of a service's upstreams that were listed, and when each was listed last.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
--- a/crates/celerystair_policy/tests/stream_versions.rs
+++ b/crates/celerystair_policy/tests/stream_versions.rs
@@ -1,12 +1,13 @@
 //! Streams that their callers take up at other routers: replays of the records that agents hold, with
 //! lost datagrams, agents that restart, and routers whose lists of agents differ.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use celerystair_core::prelude::*;
 use celerystair_policy::{
     prelude::*,
-    stream_versions::{ListCoverage, VERSION_HOLDERS, VersionHistory, assumed_version},
+    stream_holders::HOLDERS_PER_ROLE,
+    stream_versions::{ListCoverage, VersionHistory, assumed_version},
 };
 
 const START_UNIX_MS: u64 = 1_000_000;
@@ -23,6 +24,55 @@
     (0..count).map(agent).collect()
 }
 
+/// No process of these replays is at this address.
+const OUTSIDE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::BROADCAST), 1);
+
+/// A fleet of which no router is known, so that agents alone hold records.
+fn without_routers(agents: &[Peer]) -> HolderPeers {
+    HolderPeers {
+        agents: agents.to_vec(),
+        routers: Vec::new(),
+    }
+}
+
+fn agent_holders(stream: StreamId, agents: &[Peer]) -> Vec<SocketAddr> {
+    origin_holders(stream, StreamKey::SharedBytes, &without_routers(agents))
+}
+
+fn agents_asked(stream: StreamId, staying: &[Peer], all: &[Peer]) -> Vec<SocketAddr> {
+    holders_asked(
+        stream,
+        StreamKey::SharedBytes,
+        &without_routers(staying),
+        all,
+    )
+}
+
+/// What a router has told of streams.
+#[derive(Clone, Default)]
+struct Told {
+    origins: StreamOrigins,
+    held: HeldStreams,
+}
+
+impl Told {
+    fn record(&mut self, stream: StreamId, holders: Vec<SocketAddr>) {
+        self.origins.insert(stream, origin("v1"), START_UNIX_MS);
+        let key = StreamKey::SharedBytes;
+        self.held.record_told(stream, key, holders, START_UNIX_MS);
+    }
+
+    fn retell(
+        &mut self,
+        agents: &[Peer],
+        now_unix_ms: u64,
+    ) -> HashMap<SocketAddr, Vec<OriginRecord>> {
+        let peers = without_routers(agents);
+        self.held
+            .retell(&self.origins, &peers, OUTSIDE, now_unix_ms)
+    }
+}
+
 fn origin(version: &str) -> StreamOrigin {
     StreamOrigin {
         service: ServiceName::from("engines"),
@@ -66,7 +116,7 @@
             })
             .collect();
         for (stream, origin) in &streams {
-            for holder in version_holders(*stream, told) {
+            for holder in agent_holders(*stream, told) {
                 if self.is_delivered() {
                     let origins = held.entry(holder).or_default();
                     origins.insert(*stream, origin.clone(), START_UNIX_MS);
@@ -80,7 +130,7 @@
         }
         let mut found = 0;
         for (stream, origin) in &streams {
-            let holders = version_holders(*stream, asked);
+            let holders = agent_holders(*stream, asked);
             let mut answer = None;
             for _ in 0..ASKS {
                 for holder in &holders {
@@ -115,7 +165,7 @@
         let all = agents(2 * count, domains);
         let mut listed = all[..count].to_vec();
         let mut held: HashMap<SocketAddr, StreamOrigins> = HashMap::default();
-        let mut told = ToldStreams::default();
+        let mut told = Told::default();
         let streams: Vec<StreamId> = (0..STREAMS)
             .map(|number| StreamId::begun_by(&RequestId::from(format!("request-{number}"))))
             .collect();
@@ -124,13 +174,13 @@
             origins.insert(stream, origin("v1"), START_UNIX_MS);
         };
         for stream in &streams {
-            let holders = version_holders(*stream, &listed);
+            let holders = agent_holders(*stream, &listed);
             for holder in &holders {
                 if replay.is_delivered() {
                     tell(&mut held, *holder, *stream);
                 }
             }
-            told.record(*stream, origin("v1"), holders, START_UNIX_MS);
+            told.record(*stream, holders);
         }
         for number in 0..count {
             if number % self.one_stays_in == 0 {
@@ -143,18 +193,18 @@
                 continue;
             }
             for (to, records) in told.retell(&listed, START_UNIX_MS) {
-                for (stream, _) in records {
+                for record in records {
                     if replay.is_delivered() {
-                        tell(&mut held, to, stream);
+                        tell(&mut held, to, record.stream);
                     }
                 }
             }
         }
         let is_found = |stream: &&StreamId| {
             let holders = if self.are_more_asked {
-                holders_asked(**stream, &listed, &listed)
+                agents_asked(**stream, &listed, &listed)
             } else {
-                version_holders(**stream, &listed)
+                agent_holders(**stream, &listed)
             };
             let known = |holder: &SocketAddr| {
                 let origins = held.get(holder);
@@ -197,11 +247,11 @@
 #[test]
 fn only_streams_whose_holders_left_are_told_again() {
     let all = agents(12, 4);
-    let mut told = ToldStreams::default();
+    let mut told = Told::default();
     for number in 0..20_000 {
         let stream = StreamId(number);
-        let holders = version_holders(stream, &all);
-        told.record(stream, origin("v1"), holders, START_UNIX_MS);
+        let holders = agent_holders(stream, &all);
+        told.record(stream, holders);
     }
     assert!(told.retell(&all, START_UNIX_MS).is_empty());
     let mut late = told.clone();
@@ -218,13 +268,13 @@
     let all = agents(12, 4);
     for number in 0..100 {
         let stream = StreamId(number);
-        let holders = version_holders(stream, &all);
+        let holders = agent_holders(stream, &all);
         let stays = |agent: &&Peer| !holders.contains(&agent.address);
         let staying: Vec<Peer> = all.iter().filter(stays).cloned().collect();
-        let asked = holders_asked(stream, &staying, &all);
+        let asked = agents_asked(stream, &staying, &all);
         let is_asked = |holder: &SocketAddr| asked.contains(holder);
         assert!(holders.iter().all(is_asked));
-        assert!(version_holders(stream, &staying).iter().all(is_asked));
+        assert!(agent_holders(stream, &staying).iter().all(is_asked));
     }
 }
 
@@ -253,7 +303,7 @@
         let mut held: HashMap<SocketAddr, StreamOrigins> = HashMap::default();
         let mut tell = |replay: &mut Replay, stream: u64, begun: &RequestId, version: &str| {
             let identical = StreamId::of_identical(stream, None, &[]);
-            for holder in version_holders(identical, &all) {
+            for holder in agent_holders(identical, &all) {
                 if replay.is_delivered() {
                     let origins = held.entry(holder).or_default();
                     origins.insert(StreamId::begun_by(begun), origin(version), START_UNIX_MS);
@@ -273,7 +323,7 @@
             let held = tell(&mut replay, stream, &second, "v2");
             let identical = StreamId::of_identical(stream, None, &[]);
             let wanted = StreamId::taken_up(Some(&first), identical);
-            let holders = version_holders(identical, &all);
+            let holders = agent_holders(identical, &all);
             for holder in holders {
                 let known = held.get(&holder).and_then(|origins| origins.get(wanted));
                 assert!(known.is_none_or(|known| *known == origin("v1")));
@@ -333,21 +383,21 @@
         let all = agents(count, domains);
         for number in 0..100 {
             let stream = StreamId(number);
-            let holders = version_holders(stream, &all);
+            let holders = agent_holders(stream, &all);
             let domain_of = |address: &SocketAddr| {
                 let agent = all.iter().find(|agent| agent.address == *address);
                 agent.expect("a holder is an agent").domain.clone()
             };
             let distinct: HashSet<FailureDomain> = holders.iter().map(domain_of).collect();
-            assert_eq!(distinct.len(), VERSION_HOLDERS);
+            assert_eq!(distinct.len(), HOLDERS_PER_ROLE);
         }
     }
     let one_domain = agents(5, 1);
     assert_eq!(
-        version_holders(StreamId(1), &one_domain).len(),
-        VERSION_HOLDERS
+        agent_holders(StreamId(1), &one_domain).len(),
+        HOLDERS_PER_ROLE
     );
-    assert!(version_holders(StreamId(1), &[]).is_empty());
+    assert!(agent_holders(StreamId(1), &[]).is_empty());
 }
 
 #[test]
@@ -615,32 +665,32 @@
 #[test]
 fn an_agent_that_has_started_again_is_told_again() {
     let all = agents(12, 4);
-    let mut told = ToldStreams::default();
+    let mut told = Told::default();
     let streams: Vec<StreamId> = (0..100).map(StreamId).collect();
     for stream in &streams {
-        let holders = version_holders(*stream, &all);
-        told.record(*stream, origin("v1"), holders, START_UNIX_MS);
+        let holders = agent_holders(*stream, &all);
+        told.record(*stream, holders);
     }
     for agent in &all {
-        told.record_start(agent.address, 1);
+        told.held.record_start(agent.address, 1);
     }
+    let retold = told.retell(&all, START_UNIX_MS);
     assert!(
-        told.has_lost_holder(),
-        "it may have started before it was heard of"
+        all.iter().all(|agent| retold.contains_key(&agent.address)),
+        "they may have started before they were heard of"
     );
-    told.retell(&all, START_UNIX_MS);
     for agent in &all {
-        told.record_start(agent.address, 1);
+        told.held.record_start(agent.address, 1);
     }
-    assert!(!told.has_lost_holder());
     assert!(told.retell(&all, START_UNIX_MS).is_empty());
     for agent in &all {
-        told.record_start(agent.address, 2);
+        told.held.record_start(agent.address, 2);
         let messages = told.retell(&all, START_UNIX_MS);
-        let holds = |stream: &&StreamId| version_holders(**stream, &all).contains(&agent.address);
+        let holds = |stream: &&StreamId| agent_holders(**stream, &all).contains(&agent.address);
         let held: Vec<StreamId> = streams.iter().filter(holds).copied().collect();
         let retold = messages.get(&agent.address).into_iter().flatten();
-        let retold: Vec<StreamId> = retold.map(|(stream, _)| *stream).collect();
+        let mut retold: Vec<StreamId> = retold.map(|record| record.stream).collect();
+        retold.sort_unstable_by_key(|stream| stream.0);
         assert_eq!(retold, held);
         assert_eq!(
             messages.len(),
