Keep what is known of an upstream's run when its entry leaves the list

Cause: all that a router knows of an upstream ended with its entry, though it is about the process. The same start, listed again, was a new upstream: its announced departure, a listed draining, a pause, a rate limit and its requests in flight were forgotten. Beside it, an upstream that leaves without a word was used again on the copy's word, though the router had seen its entry removed.

Fix: what is known of a run outlives its entry, for ten minutes and 1,024 runs, and is taken up when the same run is listed again. An entry of a run that had left, or of a start that a later one had replaced, is believed only if it is written in the new era or stays for longer than an entry outlives its upstream (three heartbeats, and two seconds). Entries that lapsed while the store was away were never seen to be removed by a store in service, or are written again, and are used at once.

MissingUpstreams no longer keeps the ids of upstreams that are gone.

--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -105,6 +105,11 @@
         self.max_idle.set(max_idle);
     }
 
+    /// Closes the idle connections.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Takes the most recently used idle connection that is still open and may carry the request. For
     /// a request that can't be repeated, takes it only if it was in use a moment ago.
     pub fn take_idle(
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -259,10 +259,11 @@
 
 /// Records that an engine leaves, as its agent has heard from it or from a router.
 fn record_departure(router: &PlatformRouter, status: &EngineStatus) {
-    let upstream = router.view.upstream(&status.upstream);
-    let upstream = upstream
-        .filter(|upstream| upstream.incarnation().started_unix_ms == status.started_unix_ms);
-    if let Some(upstream) = upstream {
+    let incarnation = UpstreamIncarnation {
+        upstream: status.upstream.clone(),
+        started_unix_ms: status.started_unix_ms,
+    };
+    if let Some(upstream) = router.view.run(&incarnation) {
         router.record_departure(&upstream);
     }
 }
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -51,6 +51,9 @@
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     missing: RefCell<MissingUpstreams>,
+    /// The runs of upstreams that have left the list.
+    unlisted: RefCell<UnlistedRuns<Rc<Upstream>>>,
+    entry_life_ms: u64,
     version_histories: RefCell<HashMap<ServiceName, VersionHistory>>,
     /// Since when every change of the list of upstreams was seen.
     list_coverage: Cell<ListCoverage>,
@@ -93,6 +96,8 @@
                 upstreams: RefCell::default(),
                 by_service: RefCell::default(),
                 missing: RefCell::default(),
+                unlisted: RefCell::default(),
+                entry_life_ms: source.entry_life_ms,
                 version_histories: RefCell::default(),
                 list_coverage: Cell::default(),
                 entries,
@@ -254,6 +259,13 @@
         self.inner.upstreams.borrow().get(id).cloned()
     }
 
+    /// Returns a run of an upstream, also one that has left the list lately.
+    pub fn run(&self, incarnation: &UpstreamIncarnation) -> Option<Rc<Upstream>> {
+        let listed = self.upstream(&incarnation.upstream);
+        let listed = listed.filter(|upstream| upstream.incarnation() == *incarnation);
+        listed.or_else(|| self.inner.unlisted.borrow().get(incarnation).cloned())
+    }
+
     /// Returns the upstreams of all services.
     pub fn all_upstreams(&self) -> Vec<Rc<Upstream>> {
         self.inner.upstreams.borrow().values().cloned().collect()
@@ -334,27 +346,31 @@
     }
 
     fn apply_upstreams(&self, entries: &Mirror<ListedEntry>) {
+        let now = now_unix_ms();
+        let mut upstreams = self.inner.upstreams.borrow_mut();
+        let mut missing = self.inner.missing.borrow_mut();
         let mut listed: HashMap<UpstreamId, Rc<UpstreamEntry>> = HashMap::default();
-        for (_, entry) in entries.all() {
-            if let Ok(entry) = &*entry {
+        for (entry, copy_read_unix_ms) in entries.all_with_copies() {
+            if let Ok(entry) = &*entry
+                && self.is_entry_believed(&upstreams, entry, copy_read_unix_ms, now)
+            {
                 listed.insert(entry.id.clone(), Rc::new(entry.clone()));
             }
         }
-        let mut upstreams = self.inner.upstreams.borrow_mut();
-        let mut missing = self.inner.missing.borrow_mut();
-        let now = now_unix_ms();
-        upstreams.retain(|id, upstream| {
-            let is_listed = listed.contains_key(id);
-            let is_kept = is_listed || missing.is_in_grace_period(id, now);
-            if !is_kept {
-                info!(self.inner.log, "upstream_gone"; "upstream" => %id,
-                    "in_flight" => upstream.in_flight());
-            }
-            is_kept
+        let gone = upstreams.extract_if(|id, _| {
+            let is_kept = listed.contains_key(id) || missing.is_in_grace_period(id, now);
+            !is_kept
         });
+        let gone: Vec<(UpstreamId, Rc<Upstream>)> = gone.collect();
+        for (id, upstream) in gone {
+            info!(self.inner.log, "upstream_gone"; "upstream" => %id,
+                "in_flight" => upstream.in_flight());
+            missing.forget(&id);
+            self.keep_unlisted(upstream, now);
+        }
         for (id, entry) in listed {
-            missing.record_listed(&id);
-            self.apply_entry(&mut upstreams, entry);
+            missing.forget(&id);
+            self.apply_entry(&mut upstreams, entry, now);
         }
         self.mark_superseded(&upstreams);
         let mut by_service: HashMap<ServiceName, Vec<Rc<Upstream>>> = HashMap::default();
@@ -413,37 +429,104 @@
         }
     }
 
+    /// Whether an entry may be used beside what is known of its upstream's runs.
+    fn is_entry_believed(
+        &self,
+        upstreams: &HashMap<UpstreamId, Rc<Upstream>>,
+        entry: &UpstreamEntry,
+        copy_read_unix_ms: Option<u64>,
+        now_unix_ms: u64,
+    ) -> bool {
+        let started_unix_ms = entry.started_unix_ms;
+        let listed = upstreams.get(&entry.id);
+        let listed_start = listed.map(|upstream| upstream.incarnation().started_unix_ms);
+        if listed_start == Some(started_unix_ms) {
+            return true;
+        }
+        let unlisted_start = self.inner.unlisted.borrow().latest_start_unix_ms(&entry.id);
+        let known_start = listed_start.max(unlisted_start);
+        let entry_life_ms = self.inner.entry_life_ms;
+        is_entry_believed(
+            started_unix_ms,
+            known_start,
+            copy_read_unix_ms,
+            entry_life_ms,
+            now_unix_ms,
+        )
+    }
+
+    /// Remembers what is known of a run that has left the list. It may serve on, and be listed again.
+    fn keep_unlisted(&self, upstream: Rc<Upstream>, now_unix_ms: u64) {
+        upstream.connections.close_idle();
+        let mut unlisted = self.inner.unlisted.borrow_mut();
+        unlisted.insert(upstream.incarnation(), upstream, now_unix_ms);
+    }
+
     /// Applies an entry; a restart, a new address or another software version under the same id makes it
     /// another upstream.
     fn apply_entry(
         &self,
         upstreams: &mut HashMap<UpstreamId, Rc<Upstream>>,
         entry: Rc<UpstreamEntry>,
+        now_unix_ms: u64,
     ) {
-        if let Some(known) = upstreams.get(&entry.id) {
-            let before = known.entry.borrow().clone();
-            if before.is_same_run(&entry) {
-                let state = state_of_run(before.state, entry.state);
-                let entry = if state == entry.state {
-                    entry
-                } else {
-                    Rc::new(UpstreamEntry {
-                        state,
-                        ..(*entry).clone()
-                    })
-                };
-                if before.state != entry.state {
-                    info!(self.inner.log, "upstream_state"; "upstream" => %entry.id,
-                        "state" => ?entry.state, "in_flight" => known.in_flight());
-                }
-                *known.entry.borrow_mut() = entry;
-                return;
-            }
+        let listed = upstreams.get(&entry.id).cloned();
+        let listed = listed.filter(|known| known.entry.borrow().is_same_run(&entry));
+        let is_listed = listed.is_some();
+        let Some(known) = listed.or_else(|| self.take_unlisted(&entry)) else {
+            info!(self.inner.log, "upstream_found"; "upstream" => %entry.id,
+                "service" => %entry.service, "address" => %entry.address,
+                "software_version" => %entry.software_version,
+                "state" => ?entry.state, "models" => entry.loaded.len());
+            let found = Rc::new(Upstream::new(entry));
+            self.list(upstreams, found, now_unix_ms);
+            return;
+        };
+        let before = known.entry.borrow().state;
+        if !is_listed {
+            info!(self.inner.log, "upstream_listed_again"; "upstream" => %entry.id,
+                "state" => ?known.state(), "in_flight" => known.in_flight());
+            self.list(upstreams, known.clone(), now_unix_ms);
+        }
+        if before != entry.state {
+            info!(self.inner.log, "upstream_state"; "upstream" => %entry.id,
+                "state" => ?entry.state, "in_flight" => known.in_flight());
+        }
+        let state = state_of_run(before, entry.state);
+        let entry = if state == entry.state {
+            entry
+        } else {
+            Rc::new(UpstreamEntry {
+                state,
+                ..(*entry).clone()
+            })
+        };
+        *known.entry.borrow_mut() = entry;
+    }
+
+    /// Lists a run, in the place of an earlier one.
+    fn list(
+        &self,
+        upstreams: &mut HashMap<UpstreamId, Rc<Upstream>>,
+        run: Rc<Upstream>,
+        now_unix_ms: u64,
+    ) {
+        if let Some(replaced) = upstreams.insert(run.id(), run) {
+            self.keep_unlisted(replaced, now_unix_ms);
+        }
+    }
+
+    /// Takes out the run that an entry tells of, if it had left the list.
+    fn take_unlisted(&self, entry: &UpstreamEntry) -> Option<Rc<Upstream>> {
+        let incarnation = UpstreamIncarnation {
+            upstream: entry.id.clone(),
+            started_unix_ms: entry.started_unix_ms,
+        };
+        let mut unlisted = self.inner.unlisted.borrow_mut();
+        let is_same_run = |known: &Rc<Upstream>| known.entry.borrow().is_same_run(entry);
+        if !unlisted.get(&incarnation).is_some_and(is_same_run) {
+            return None;
         }
-        info!(self.inner.log, "upstream_found"; "upstream" => %entry.id,
-            "service" => %entry.service, "address" => %entry.address,
-            "software_version" => %entry.software_version,
-            "state" => ?entry.state, "models" => entry.loaded.len());
-        upstreams.insert(entry.id.clone(), Rc::new(Upstream::new(entry)));
+        unlisted.take(&incarnation)
     }
 }
--- a/crates/celerystair_platform/src/fleet_source.rs
+++ b/crates/celerystair_platform/src/fleet_source.rs
@@ -19,6 +19,8 @@
     pub dialect: StoreDialect,
     /// Prefix of the keys of upstreams.
     pub upstream_key_prefix: &'static str,
+    /// An entry is removed after its upstream has been silent for this long.
+    pub entry_life_ms: u64,
     /// Decodes an upstream's entry; fails if the entry describes no usable upstream.
     pub read_upstream: fn(&Object) -> Result<UpstreamEntry, StoreError>,
     /// Prefix of the configuration's key.
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -78,6 +78,8 @@
     objects: RefCell<HashMap<String, Entry<T>>>,
     /// Up to where the changes are complete.
     position: Cell<StoreRevision>,
+    /// The first position in the store's era, and when it was reached.
+    era_start: Cell<(StoreRevision, u64)>,
     is_complete: Cell<bool>,
     has_read_store: Cell<bool>,
     changed: Event,
@@ -165,6 +167,7 @@
                 pace,
                 objects: RefCell::default(),
                 position: Cell::default(),
+                era_start: Cell::default(),
                 is_complete: Cell::new(false),
                 has_read_store: Cell::new(false),
                 changed: Event::new(),
@@ -226,6 +229,19 @@
             .collect()
     }
 
+    /// Returns all values, in no particular order, each with the time at which the first list of the store's
+    /// era was read if it held this version: the copy that the store came back from may be older than what
+    /// was known of the object before.
+    pub fn all_with_copies(&self) -> Vec<(Rc<T>, Option<u64>)> {
+        let objects = self.inner.objects.borrow();
+        let (first, read_unix_ms) = self.inner.era_start.get();
+        let values = objects.values().map(|entry| {
+            let is_in_first = entry.version.era == first.era && entry.version <= first;
+            (entry.value.clone(), is_in_first.then_some(read_unix_ms))
+        });
+        values.collect()
+    }
+
     /// Returns a listener for the next change. Create it before reading, so that no change between
     /// the two is missed.
     pub fn listen(&self) -> EventListener {
@@ -615,6 +631,9 @@
 
     fn advance_position(&self, position: StoreRevision) {
         let known = self.inner.position.get();
+        if position.era > known.era {
+            self.inner.era_start.set((position, now_unix_ms()));
+        }
         self.inner.position.set(known.max(position));
     }
 }
--- a/crates/celerystair_platform/tests/endless_peer.rs
+++ b/crates/celerystair_platform/tests/endless_peer.rs
@@ -52,6 +52,7 @@
         store: serde_json::from_value(settings).expect("the settings are valid"),
         dialect: native_dialect(),
         upstream_key_prefix: "upstreams/",
+        entry_life_ms: 3600,
         read_upstream: |_| panic!("no upstream is listed"),
         config_key_prefix: "config/",
         config_name: "main",
--- a/crates/celerystair_policy/src/departures.rs
+++ b/crates/celerystair_policy/src/departures.rs
@@ -4,12 +4,18 @@
 //! vanish from the list at once, and reappear within seconds of the store's recovery. After a loss
 //! of all power, every upstream starts again at its old address, and its old entry stays in the
 //! list for seconds.
+//!
+//! A store that comes back from a copy lists upstreams again that have left since. What is known of a
+//! run outlives its entry.
 
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr};
 
 use celerystair_core::prelude::*;
 
-use crate::fleet::{UpstreamEntry, UpstreamState};
+use crate::{
+    fleet::{UpstreamEntry, UpstreamState},
+    suspects::UpstreamIncarnation,
+};
 
 /// An entry that expired in an outage reappears within this time of the store's recovery if its
 /// upstream is alive, as the platform specifies.
@@ -36,6 +42,93 @@
     }
 }
 
+/// Returns whether an entry tells of a run that may be used, when a run of its upstream that started at
+/// `known_started_unix_ms` has been seen to leave the list, or to be replaced, before.
+///
+/// A list that the store brings back from a copy may hold what was removed since, and a start that a
+/// later one has replaced. Both are only believed once their upstream has written them again, or after
+/// the time in which they would have been removed otherwise. `copy_read_unix_ms` is when the first list
+/// after such a return was read, if the entry stood in it as it does now.
+pub fn is_entry_believed(
+    started_unix_ms: u64,
+    known_started_unix_ms: Option<u64>,
+    copy_read_unix_ms: Option<u64>,
+    entry_life_ms: u64,
+    now_unix_ms: u64,
+) -> bool {
+    let is_new = known_started_unix_ms.is_none_or(|known| started_unix_ms > known);
+    let is_written_since = copy_read_unix_ms.is_none_or(|read_unix_ms| {
+        let removed_unix_ms = read_unix_ms.saturating_add(entry_life_ms + REAPPEARANCE_GRACE_MS);
+        now_unix_ms >= removed_unix_ms
+    });
+    is_new || is_written_since
+}
+
+/// How long after a run has left the list it is remembered what is known of it. A copy of the store is some
+/// seconds old, and an upstream that leaves may serve on for many.
+const UNLISTED_RETENTION_MS: u64 = 600_000;
+/// The most runs that are remembered: those of the largest planned fleet that is replaced as a whole.
+const UNLISTED_MAX: usize = 1024;
+
+/// What is known of the runs of upstreams that have left the list. It belongs to a run, which may go on
+/// without its entry and may be listed again, and not to the entry.
+#[derive(Clone, Debug)]
+pub struct UnlistedRuns<T> {
+    /// Those first that have left first.
+    runs: VecDeque<UnlistedRun<T>>,
+}
+
+#[derive(Clone, Debug)]
+struct UnlistedRun<T> {
+    incarnation: UpstreamIncarnation,
+    known: T,
+    end_unix_ms: u64,
+}
+
+impl<T> Default for UnlistedRuns<T> {
+    fn default() -> Self {
+        Self {
+            runs: VecDeque::new(),
+        }
+    }
+}
+
+impl<T> UnlistedRuns<T> {
+    /// Remembers what is known of a run that has left the list.
+    pub fn insert(&mut self, incarnation: UpstreamIncarnation, known: T, now_unix_ms: u64) {
+        let is_past = |run: &UnlistedRun<T>| now_unix_ms >= run.end_unix_ms;
+        while self.runs.len() >= UNLISTED_MAX || self.runs.front().is_some_and(is_past) {
+            self.runs.pop_front();
+        }
+        self.runs.push_back(UnlistedRun {
+            incarnation,
+            known,
+            end_unix_ms: now_unix_ms.saturating_add(UNLISTED_RETENTION_MS),
+        });
+    }
+
+    /// Returns when the latest run of an upstream started that has left the list.
+    pub fn latest_start_unix_ms(&self, upstream: &UpstreamId) -> Option<u64> {
+        let runs = self.runs.iter().map(|run| &run.incarnation);
+        let own = runs.filter(|incarnation| incarnation.upstream == *upstream);
+        own.map(|incarnation| incarnation.started_unix_ms).max()
+    }
+
+    /// Returns what is known of a run.
+    pub fn get(&self, incarnation: &UpstreamIncarnation) -> Option<&T> {
+        let mut runs = self.runs.iter();
+        let run = runs.find(|run| run.incarnation == *incarnation)?;
+        Some(&run.known)
+    }
+
+    /// Takes out what is known of a run that is listed again.
+    pub fn take(&mut self, incarnation: &UpstreamIncarnation) -> Option<T> {
+        let mut runs = self.runs.iter();
+        let index = runs.position(|run| run.incarnation == *incarnation)?;
+        self.runs.remove(index).map(|run| run.known)
+    }
+}
+
 /// Upstreams that are missing from the list, each with a grace period in which it may reappear.
 #[derive(Clone, Debug, Default)]
 pub struct MissingUpstreams {
@@ -67,8 +160,8 @@
         now_unix_ms < *until
     }
 
-    /// Records that `upstream` is in the list.
-    pub fn record_listed(&mut self, upstream: &UpstreamId) {
+    /// Records that `upstream` is gone, or in the list.
+    pub fn forget(&mut self, upstream: &UpstreamId) {
         self.missing_until_unix_ms.remove(upstream);
     }
 
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -86,7 +86,8 @@
         config_check::{ConfigDecision, ConfigFault, decide_config, is_version_absurd},
         demand::DemandMeter,
         departures::{
-            MissingUpstreams, may_take_over, replaced_entries, state_of_run, upstream_state,
+            MissingUpstreams, UnlistedRuns, is_entry_believed, may_take_over, replaced_entries,
+            state_of_run, upstream_state,
         },
         fences::next_fence,
         fleet::{
--- a/crates/celerystair_policy/tests/decisions.rs
+++ b/crates/celerystair_policy/tests/decisions.rs
@@ -133,7 +133,7 @@
     assert!(missing.is_in_grace_period(&upstream, 15_050));
     assert!(missing.is_in_grace_period(&upstream, 15_000 + REAPPEARANCE_GRACE_MS - 1));
     assert!(!missing.is_in_grace_period(&upstream, 15_000 + REAPPEARANCE_GRACE_MS));
-    missing.record_listed(&upstream);
+    missing.forget(&upstream);
     assert!(
         !missing.is_in_grace_period(&upstream, 40_000),
         "without an outage, a missing upstream is gone at once"
@@ -147,6 +147,59 @@
     assert!(!missing.is_in_grace_period(&UpstreamId::from("u1"), 15_050));
 }
 
+/// Upstreams that had left were used again on the word of a copy of the store.
+#[test]
+fn an_entry_of_a_run_that_has_left_is_believed_once_it_was_written_since() {
+    const LIFE_MS: u64 = 3600;
+    const READ_UNIX_MS: u64 = 50_000;
+    let copied = Some(READ_UNIX_MS);
+    let late_unix_ms = READ_UNIX_MS + LIFE_MS + REAPPEARANCE_GRACE_MS;
+    for (started, known, copy_read, now, is_believed) in [
+        (7, None, copied, READ_UNIX_MS, true),
+        (7, Some(6), copied, READ_UNIX_MS, true),
+        (7, Some(7), copied, READ_UNIX_MS, false),
+        (7, Some(8), copied, READ_UNIX_MS, false),
+        (7, Some(7), copied, late_unix_ms - 1, false),
+        (7, Some(7), copied, late_unix_ms, true),
+        (7, Some(7), None, READ_UNIX_MS, true),
+        // The clock of an instance has gone back.
+        (7, Some(8), None, READ_UNIX_MS, true),
+    ] {
+        assert_eq!(
+            is_entry_believed(started, known, copy_read, LIFE_MS, now),
+            is_believed,
+            "{started} {known:?} {copy_read:?} {now}"
+        );
+    }
+}
+
+/// What is known of a run outlives its entry, within a bound.
+#[test]
+fn runs_that_have_left_the_list_are_remembered_for_a_while() {
+    let run = |name: &str, started_unix_ms| UpstreamIncarnation {
+        upstream: UpstreamId::from(name),
+        started_unix_ms,
+    };
+    let mut unlisted = UnlistedRuns::default();
+    unlisted.insert(run("u1", 1), "first", 1000);
+    unlisted.insert(run("u1", 2), "second", 2000);
+    unlisted.insert(run("u2", 1), "other", 3000);
+    let u1 = UpstreamId::from("u1");
+    assert_eq!(unlisted.latest_start_unix_ms(&u1), Some(2));
+    assert_eq!(unlisted.get(&run("u1", 1)), Some(&"first"));
+    assert_eq!(unlisted.take(&run("u1", 2)), Some("second"));
+    assert_eq!(unlisted.take(&run("u1", 2)), None);
+    assert_eq!(unlisted.latest_start_unix_ms(&u1), Some(1));
+    unlisted.insert(run("u3", 1), "later", 602_000);
+    assert_eq!(unlisted.get(&run("u1", 1)), None, "it left long ago");
+    assert_eq!(unlisted.get(&run("u2", 1)), Some(&"other"));
+    for number in 0..5000 {
+        unlisted.insert(run("storm", number), "one of many", 602_000);
+    }
+    let remembered = (0..5000).filter(|number| unlisted.get(&run("storm", *number)).is_some());
+    assert_eq!(remembered.count(), 1024);
+}
+
 /// An upstream may fail many requests while it reports itself as healthy. Repeated failures must
 /// cause a backoff, but a single lost answer must not.
 #[test]
