Ask an engine for its start before its connection's end ends a stream

Cause: a process that accepts connections at the upstream's address counted as the one that began the answer unless the list named a later one. After the cut the old entry had lapsed and the new one wasn't written yet.

Fix: an engine's report tells its start, and only the start that began the stream proves its end. A plain upstream reports none: there the list must still name it, or the request was sent less than a second ago, which no restart takes. What isn't proven is read again, resumed or broken off visibly, as before.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -512,7 +512,7 @@
         if is_cut_off(framing, &head, &bytes) {
             return Err(AttemptFailure::AnswerLost);
         }
-        let end = find_answer_end(router, request, &upstream, framing).await;
+        let end = find_answer_end(router, request, &upstream, framing, run.sent_unix_ms()).await;
         if !end.is_whole() {
             return Err(AttemptFailure::AnswerLost);
         }
--- a/crates/celerystair_front/src/dialect.rs
+++ b/crates/celerystair_front/src/dialect.rs
@@ -29,6 +29,15 @@
     pub is_always_forwarded: fn(&HeaderName) -> bool,
 }
 
+/// How engines tell of themselves.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineReports {
+    /// The path of an engine's report, which needs no slot.
+    pub path: &'static str,
+    /// Reads from a report when the engine started, by its own clock.
+    pub read_started_unix_ms: fn(&[u8]) -> Option<u64>,
+}
+
 /// An error in the headers of a caller's request.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum InvalidHead {
--- a/crates/celerystair_front/src/runs.rs
+++ b/crates/celerystair_front/src/runs.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Returns when the request was sent; 0 once the run has ended.
+    pub fn sent_unix_ms(&self) -> u64 {
+        self.run.as_ref().map_or(0, |run| run.sent_unix_ms)
+    }
+
     /// Records that a part of the response has arrived. Once parts have been arriving for
     /// [`FRESH_MS`], the upstream has survived the beginning of the answer.
     pub fn mark_writing(&mut self) {
--- a/crates/celerystair_front/src/settings.rs
+++ b/crates/celerystair_front/src/settings.rs
@@ -6,7 +6,7 @@
 use celerystair_platform::prelude::FleetSource;
 use celerystair_policy::budget::RetryBound;
 
-use crate::dialect::HeaderCodec;
+use crate::dialect::{EngineReports, HeaderCodec};
 
 /// The settings of a router, which an adapter reads from the platform's settings file.
 #[derive(Clone, Debug)]
@@ -27,6 +27,8 @@
     pub source: FleetSource,
     /// Reads and writes the platform's headers.
     pub header_codec: HeaderCodec,
+    /// Where engines tell of themselves.
+    pub engine_reports: EngineReports,
     /// The bound on retries across the fleet.
     pub retry_bound: RetryBound,
     /// The memory that the process may use.
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -293,7 +293,8 @@
             return AnswerEnd::Unknown;
         };
         let (upstream, framing) = (&started.upstream, started.framing);
-        find_answer_end(&self.router, &self.request, upstream, framing).await
+        let sent_unix_ms = started.run.sent_unix_ms();
+        find_answer_end(&self.router, &self.request, upstream, framing, sent_unix_ms).await
     }
 
     /// Logs the end of a stream that only the end of its connection marks.
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -75,7 +75,9 @@
 /// The items that routers and agents use.
 pub mod prelude {
     pub use crate::{
-        answer_end::{AnswerEnd, Listening, PROCESS_END_MS},
+        answer_end::{
+            Acceptor, AcceptorFacts, AnswerEnd, Listening, PROCESS_END_MS, ReportedStart, acceptor,
+        },
         answer_room::{AnswerLimit, AnswerRoom, AnswerTicket},
         bodies::{BodyRoom, BodyTicket, SMALL_BODY_MAX_BYTES},
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
