Let an agent forget the list's word on an engine's earlier start

Cause: the agent looks its engine up when a report shows a new start. If that one call failed, the id and version of the start before stayed, the new start was stored as seen, and routers were told the new start with the old version.

Fix: a report that shows a new start makes the agent forget id and version at once. It tells no status and sends no order until the list names this start, for which it looks again.

--- a/crates/celerystair_engine/src/agent.rs
+++ b/crates/celerystair_engine/src/agent.rs
@@ -301,7 +301,10 @@
                 self.report_failures.set(0);
                 let has_restarted =
                     state.started_unix_ms != self.engine_state.borrow().started_unix_ms;
-                if has_restarted || self.upstream_id.borrow().is_none() {
+                if has_restarted {
+                    self.forget_upstream();
+                }
+                if self.upstream_id.borrow().is_none() {
                     self.look_up_upstream(store, &state).await;
                 }
                 *self.engine_state.borrow_mut() = state;
@@ -321,6 +324,15 @@
         }
     }
 
+    /// Forgets what the list says of an earlier start of the engine: the next one may have another id and
+    /// software version, and the look-up may fail.
+    fn forget_upstream(&self) {
+        *self.upstream_id.borrow_mut() = None;
+        *self.software_version.borrow_mut() = None;
+        *self.plan.borrow_mut() = None;
+        self.last_lookup_unix_ms.set(0);
+    }
+
     /// Looks up the engine's id in the list of upstreams, by its service, address and start time.
     async fn look_up_upstream(&self, store: &Store, state: &EngineState) {
         let now = now_unix_ms();
