Take a router's news of an agent only from the upstream that it asked

Cause: routers took an agent's incarnation from any news that came over the connection to its address. When another upstream's agent had got the port of one that had ended, its refusal brought its own incarnation, and the next attempt was addressed to that one. A service's call ran at an engine, which answers 404.

Evidence: a new test starts an engine's agent at the address of a killed service's agent.

Why the fix works: news is applied under the upstream that it names, so an attempt is never addressed to another upstream's incarnation, and an agent refuses what isn't addressed to its own.

--- a/crates/celerystair_router/src/attempt.rs
+++ b/crates/celerystair_router/src/attempt.rs
@@ -6,9 +6,10 @@
 use celerystair_core::{prelude::*, time::before_deadline};
 use celerystair_node::prelude::*;
 use celerystair_protocol::{
-    AttemptState, Head, SettleRequest, SubmitEvent, SubmitRequest, agent_client::AgentClient,
+    AttemptState, Head, News, SettleRequest, SubmitEvent, SubmitRequest, agent_client::AgentClient,
     submit_event::Event as AttemptEvent,
 };
+use celerystair_telemetry::prelude::*;
 use tonic::Streaming;
 
 use crate::{
@@ -70,13 +71,25 @@
         }
     }
 
+    /// Applies news of the upstream. Another upstream's agent may listen at the address of one that has
+    /// ended, and would run what is addressed to its incarnation.
+    fn apply_news(&self, news: News) {
+        if self.peer.upstream.as_str() == news.upstream {
+            self.peer.apply_news(news);
+            return;
+        }
+        self.peer.start_backoff();
+        warn!(self.node.log, "another upstream's agent answers at an agent's address";
+            "upstream" => %self.peer.upstream, "answers" => news.upstream);
+    }
+
     async fn next_event(&mut self) -> Result<AttemptEvent, Refusal> {
         loop {
             match self.events.message().await {
                 Ok(Some(event)) => {
                     self.node.observe(event.stamp.as_ref());
                     if let Some(news) = event.news {
-                        self.peer.apply_news(news);
+                        self.apply_news(news);
                     }
                     if let Some(event) = event.event {
                         return Ok(event);
--- a/crates/celerystair_router/src/serve.rs
+++ b/crates/celerystair_router/src/serve.rs
@@ -126,6 +126,9 @@
                 runs_alone |= was_interrupted;
                 let may_retry = may_retry(request, &refusal) && interruptions < CRASHES_MAX;
                 match refusal.reason {
+                    RefusalReason::NotHere if chosen.peer.is_in_backoff() => {
+                        refresh_agent(router, request, upstream).await;
+                    }
                     RefusalReason::NotHere => refresh_placement(router, request).await,
                     RefusalReason::ConnectionLost => refresh_agent(router, request, upstream).await,
                     _ => {}
--- a/crates/celerystair_trial/src/faults.rs
+++ b/crates/celerystair_trial/src/faults.rs
@@ -19,9 +19,9 @@
 
 use crate::{
     fleet::{
-        FleetError, FleetUpstream, agent_settings, plan_upstreams, router_domain, router_settings,
-        set_instance_state, start_platform, start_standins, start_weights, store_settings,
-        wait_for_objects, write_initial_objects,
+        FleetError, FleetUpstream, agent_settings, loopback, plan_upstreams, router_domain,
+        router_settings, set_instance_state, start_platform, start_standins, start_weights,
+        store_settings, wait_for_objects, write_initial_objects,
     },
     network::Network,
     settings::TrialSettings,
@@ -171,6 +171,20 @@
         Ok(())
     }
 
+    /// Kills two agents, and starts the next incarnation of `index` at the address of `former`, whose
+    /// entry in the store still names it.
+    pub fn restart_agent_at_address_of(
+        &mut self,
+        index: usize,
+        former: usize,
+    ) -> Result<(), FleetError> {
+        let address = self.agents[former].addresses.peers;
+        self.kill_agent(former);
+        self.kill_agent(index);
+        self.agents[index] = self.start_agent_at(index, address)?;
+        Ok(())
+    }
+
     /// Starts the next incarnation of an agent while the previous one still runs, as happens when a
     /// frozen process is taken for dead.
     pub fn start_duplicate_agent(&mut self, index: usize) -> Result<(), FleetError> {
@@ -327,9 +341,14 @@
     }
 
     pub(crate) fn start_agent(&self, index: usize) -> Result<Role, FleetError> {
+        self.start_agent_at(index, loopback())
+    }
+
+    fn start_agent_at(&self, index: usize, listen: SocketAddr) -> Result<Role, FleetError> {
         let upstream = &self.upstreams[index];
         let domain = &upstream.failure_domain;
-        let settings = agent_settings(&self.settings, upstream, self.platform_url_at(domain));
+        let mut settings = agent_settings(&self.settings, upstream, self.platform_url_at(domain));
+        settings.listen = listen;
         self.start_role(&upstream.name, domain, |stop| async move {
             let running = run_agent(settings, &stop).await?;
             let addresses = RoleAddresses {
--- a/crates/celerystair_trial/src/fleet.rs
+++ b/crates/celerystair_trial/src/fleet.rs
@@ -321,7 +321,8 @@
     })
 }
 
-fn loopback() -> SocketAddr {
+/// Returns an address on which a process may listen, whose port the system chooses.
+pub(crate) fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -341,6 +341,35 @@
     });
 }
 
+/// Calls to a service ran at an engine whose agent had taken over the address of the service's.
+#[test]
+fn a_call_to_an_agent_whose_address_belongs_to_another_upstream_now_runs_nowhere_else() {
+    const ENGINE: usize = 0;
+    const SERVICE: usize = 2;
+    block_on(async {
+        let (mut fleet, caller) = start(&requests_trial()).await;
+        // The store's entries keep the killed agents' addresses.
+        for index in SERVICE + 1..UPSTREAMS {
+            fleet.kill_agent(index);
+        }
+        let moved = fleet.restart_agent_at_address_of(ENGINE, SERVICE);
+        moved.expect("the engine's agent starts");
+        for key in 0..5 {
+            let mut call = post(fleet.router_address(0), &format!("k{key}"));
+            call.timeout_ms = 1000;
+            let outcome = caller.call(&call).await.outcome;
+            assert!(
+                matches!(outcome, Outcome::Refused { .. }),
+                "k{key}: {outcome:?}"
+            );
+        }
+        fleet.restart_agent(SERVICE).expect("the agent starts");
+        let received = caller.call(&post(fleet.router_address(0), "k0")).await;
+        assert_eq!(received.outcome, Outcome::Answered);
+        fleet.end();
+    });
+}
+
 /// Returns once a second life of each agent has claimed.
 async fn all_have_claimed_again(fleet: &FaultFleet) {
     let store = store_of(fleet);
