Look through held streams only for the starts of processes that may hold them

Why it works: a process that isn't among the peers is in no list of holders, so its start changes none.

--- a/crates/celerystair_policy/src/stream_holders.rs
+++ b/crates/celerystair_policy/src/stream_holders.rs
@@ -228,7 +228,9 @@
             self.known.clear();
             return messages;
         }
-        let restarted = std::mem::take(&mut self.restarted);
+        let mut restarted = std::mem::take(&mut self.restarted);
+        // Agents whose engines leave go on to tell of their start.
+        restarted.retain(|address| addresses.contains(address));
         let is_changed = !restarted.is_empty() || addresses != self.known;
         self.started_unix_ms
             .retain(|address, _| addresses.contains(address));
--- a/crates/celerystair_policy/tests/stream_holders.rs
+++ b/crates/celerystair_policy/tests/stream_holders.rs
@@ -1,7 +1,10 @@
 //! Where streams began, held by routers and agents: replays of fleets whose processes are killed at once or
 //! start again one after the other.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
 
 use celerystair_core::prelude::*;
 use celerystair_policy::{prelude::*, stream_holders::HOLDERS_PER_ROLE};
@@ -276,6 +279,44 @@
     assert!(records <= 8 * 1024 * 2 * HOLDERS_PER_ROLE, "{records}");
 }
 
+/// Returns the shortest time that telling again takes in a few rounds, before each of which `change` runs.
+fn shortest_round(fleet: &mut Fleet, mut change: impl FnMut(&mut Process, u64)) -> Duration {
+    const ROUNDS: u64 = 10;
+    let first = fleet.peers.routers[0].address;
+    let (peers, now_unix_ms) = (fleet.peers.clone(), fleet.now_unix_ms);
+    let process = fleet.process(first);
+    let rounds = (1..=ROUNDS).map(|round| {
+        change(process, now_unix_ms + round);
+        let began = Instant::now();
+        let messages = process
+            .held
+            .retell(&process.origins, &peers, first, now_unix_ms);
+        let duration = began.elapsed();
+        assert!(messages.is_empty());
+        duration
+    });
+    rounds.min().expect("there are rounds")
+}
+
+/// All held streams were looked through with each status of an agent whose engine left.
+#[test]
+fn the_start_of_an_agent_that_holds_nothing_costs_no_look_through_all_streams() {
+    let mut fleet = Fleet::start(FLEETS[0]);
+    fleet.begin();
+    let leaving = fleet.peers.agents.pop().expect("there are agents").address;
+    fleet.retell();
+    let known = shortest_round(&mut fleet, |_, _| {});
+    let own = fleet.peers.routers[0].address;
+    let looked_through = shortest_round(&mut fleet, |process, started_unix_ms| {
+        process.held.record_start(own, started_unix_ms);
+    });
+    let left = shortest_round(&mut fleet, |process, _| {
+        process.held.record_start(leaving, START_UNIX_MS);
+    });
+    println!("{known:?} unchanged, {looked_through:?} changed, {left:?} beside a leaving agent");
+    assert!(left < (looked_through + known) / 2);
+}
+
 /// Where one role has few processes, the other takes their place.
 #[test]
 fn a_stream_has_as_many_holders_as_the_fleet_allows() {
