Refuse at once what fits at no engine, and ask for adapters where there is room

What callers saw: a request for an adapter that fits beside no engine's models waited for 1.4 s and longer, until its caller gave up. Where one of two replicas had room, adapters asked of the other one were never loaded.

Cause: since an agent orders no adapter without room, but routers chose the replica to ask without its models, and expected the adapter in 300 ms for ever. A model larger than an engine was expected like any other.

Why it works: the room beside an engine's models is known from its status or entry, and one function of the policy decides it for agents and routers alike.

--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -5,7 +5,10 @@
 
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
-use celerystair_policy::prelude::*;
+use celerystair_policy::{
+    adapters::{adapter_room, fits_alone},
+    prelude::*,
+};
 
 use crate::{front::PlatformRouter, request::CallerRequest, upstream::Upstream};
 
@@ -79,16 +82,15 @@
         .iter()
         .map(|upstream| current_status(router, upstream))
         .collect();
-    let with_model: Vec<(Rc<Upstream>, LoadedModel)> = upstreams
+    let with_model: Vec<Replica> = upstreams
         .iter()
         .zip(&statuses)
         .filter_map(|(upstream, status)| {
-            let loaded = find_loaded(upstream, status.as_deref(), &model.base, now)?;
-            Some((upstream.clone(), loaded))
+            find_replica(upstream, status.as_deref(), engine, &model.base, now)
         })
         .collect();
     if with_model.is_empty() {
-        let ready_unix_ms = ready_unix_ms(&statuses, engine, &model.base, now);
+        let ready_unix_ms = ready_unix_ms(&statuses, engine, model, now);
         return Pick::Later {
             ready_unix_ms,
             reason: WaitReason::Model,
@@ -97,23 +99,30 @@
     let ready: Vec<Rc<Upstream>> = match &model.adapter {
         None => with_model
             .into_iter()
-            .map(|(upstream, _)| upstream)
+            .map(|replica| replica.upstream)
             .collect(),
         Some(adapter) => {
-            let has_adapter =
-                |loaded: &LoadedModel| loaded.adapters.iter().any(|a| **a == **adapter);
+            let has_adapter = |replica: &&Replica| {
+                let mut adapters = replica.loaded.adapters.iter();
+                adapters.any(|a| **a == **adapter)
+            };
             let ready: Vec<Rc<Upstream>> = with_model
                 .iter()
-                .filter(|(_, loaded)| has_adapter(loaded))
-                .map(|(upstream, _)| upstream.clone())
+                .filter(has_adapter)
+                .map(|replica| replica.upstream.clone())
                 .collect();
             for upstream in &ready {
                 upstream.mark_adapter_wanted(&model.base, adapter);
             }
             if ready.is_empty() {
-                request_adapter(router, request, &with_model, &model.base, adapter);
+                let is_asked = request_adapter(router, request, &with_model, &model.base, adapter);
+                let ready_unix_ms = if is_asked {
+                    now + LOAD_ORDER_DELAY_MS
+                } else {
+                    u64::MAX
+                };
                 return Pick::Later {
-                    ready_unix_ms: now + LOAD_ORDER_DELAY_MS,
+                    ready_unix_ms,
                     reason: WaitReason::Adapter,
                 };
             }
@@ -158,19 +167,34 @@
     (status.started_unix_ms == entry.started_unix_ms).then_some(status)
 }
 
+/// A replica of the requested model.
+struct Replica {
+    upstream: Rc<Upstream>,
+    loaded: LoadedModel,
+    /// Whether another adapter of the model fits beside the models that the engine holds.
+    fits_adapter: bool,
+}
+
 /// Returns the model as loaded at the upstream, by its fresh status or else by its store entry.
-fn find_loaded(
-    upstream: &Upstream,
+fn find_replica(
+    upstream: &Rc<Upstream>,
     status: Option<&EngineStatus>,
+    engine: &EngineConfig,
     model: &ModelName,
     now_unix_ms: u64,
-) -> Option<LoadedModel> {
-    if let Some(status) = status.filter(|status| status.is_fresh(now_unix_ms)) {
-        return status.loaded_model(model).cloned();
-    }
+) -> Option<Replica> {
     let entry = upstream.entry.borrow();
-    let mut loaded = entry.loaded.iter();
-    loaded.find(|loaded| loaded.model == *model).cloned()
+    let status = status.filter(|status| status.is_fresh(now_unix_ms));
+    let all_loaded = status.map_or(&entry.loaded, |status| &status.loaded);
+    let loaded = all_loaded.iter().find(|loaded| loaded.model == *model)?;
+    let models = || all_loaded.iter().map(|loaded| &loaded.model);
+    let room = adapter_room(engine, models(), models());
+    let model = engine.models.get(model);
+    Some(Replica {
+        upstream: upstream.clone(),
+        loaded: loaded.clone(),
+        fits_adapter: model.is_some_and(|model| room.fits(model)),
+    })
 }
 
 /// Returns the time until an upstream of the service admits a request by its rate limit and the pause
@@ -189,14 +213,15 @@
 fn ready_unix_ms(
     statuses: &[Option<Rc<EngineStatus>>],
     engine: &EngineConfig,
-    model: &ModelName,
+    requested: &ModelRef,
     now_unix_ms: u64,
 ) -> u64 {
-    let known = || statuses.iter().flatten();
+    let (known, model) = (|| statuses.iter().flatten(), &requested.base);
     if let Some(ready) = loading_ready_unix_ms(statuses, model) {
         return ready.max(now_unix_ms);
     }
-    let Some(config) = engine.models.get(model) else {
+    let fits = fits_alone(engine, model, requested.adapter.is_some());
+    let Some(config) = engine.models.get(model).filter(|_| fits) else {
         return u64::MAX;
     };
     let copies = KnownCopies {
@@ -216,30 +241,33 @@
     loading.map(|status| status.ready_unix_ms).min()
 }
 
-/// Asks one of the replicas to load the adapter. Rendezvous hashing picks the same replica for the
-/// same adapter as long as the set of replicas does not change.
+/// Asks one of the replicas with room for it to load the adapter; returns whether there is one.
+/// Rendezvous hashing picks the same replica for the same adapter as long as the set of these does not
+/// change.
 fn request_adapter(
     router: &PlatformRouter,
     request: &CallerRequest,
-    replicas: &[(Rc<Upstream>, LoadedModel)],
+    replicas: &[Replica],
     model: &ModelName,
     adapter: &str,
-) {
-    let ids: Vec<UpstreamId> = replicas.iter().map(|(upstream, _)| upstream.id()).collect();
-    let key = |index: &usize| {
+) -> bool {
+    let with_room = replicas.iter().filter(|replica| replica.fits_adapter);
+    let key = |upstream: &&Rc<Upstream>| {
         // An engine that is loading accepts no order for an adapter until the load is done.
-        let is_loading = current_status(router, &replicas[*index].0)
-            .is_some_and(|status| status.loading.is_some());
-        let rank = u64::MAX - celerystair_core::rendezvous::weight(adapter, &ids[*index]);
+        let status = current_status(router, upstream);
+        let is_loading = status.is_some_and(|status| status.loading.is_some());
+        let rank = u64::MAX - celerystair_core::rendezvous::weight(adapter, &upstream.id());
         (is_loading, rank)
     };
-    let first = (0..ids.len()).min_by_key(key);
-    if let Some(first) = first
-        && replicas[first].0.mark_adapter_wanted(model, adapter)
-    {
-        router.log_adapter_wanted(request, &replicas[first].0, model, adapter);
+    let upstreams = with_room.map(|replica| &replica.upstream);
+    let Some(first) = upstreams.min_by_key(key) else {
+        return false;
+    };
+    if first.mark_adapter_wanted(model, adapter) {
+        router.log_adapter_wanted(request, first, model, adapter);
         router.notify_demand_change();
     }
+    true
 }
 
 fn pick_with_capacity(
--- a/crates/celerystair_policy/src/adapters.rs
+++ b/crates/celerystair_policy/src/adapters.rs
@@ -4,7 +4,7 @@
 
 use celerystair_core::prelude::*;
 
-use crate::fleet::EngineConfig;
+use crate::fleet::{EngineConfig, ModelConfig};
 
 /// An adapter that was requested within this time is not evicted: requests for it are on their way.
 const EVICTION_PROTECTION_MS: u64 = 300;
@@ -63,6 +63,23 @@
     }
 }
 
+impl AdapterRoom {
+    /// Returns whether an adapter of the model fits if all others are evicted.
+    pub fn fits(&self, model: &ModelConfig) -> bool {
+        self.slots > 0 && model.adapter_mb <= self.memory_mb
+    }
+}
+
+/// Returns whether an engine that holds no other model can hold this one, and one of its adapters if
+/// `with_adapter` is set. A model that isn't configured can't be loaded.
+pub fn fits_alone(config: &EngineConfig, model: &ModelName, with_adapter: bool) -> bool {
+    let alone = || std::iter::once(model);
+    config.models.get(model).is_some_and(|known| {
+        known.weights_mb <= config.weights_mb
+            && (!with_adapter || adapter_room(config, alone(), alone()).fits(known))
+    })
+}
+
 /// Returns the next order for an engine with this room for adapters, or `None` if every requested adapter
 /// is loaded or none may be evicted.
 pub fn next_adapter_order(
