--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -46,6 +46,10 @@
         "generated code",
         &["run", "--quiet", "--package", "protogen", "--", "--check"],
     )?;
+    cargo(
+        "promises",
+        &["run", "--quiet", "--package", "promises", "--", "--check"],
+    )?;
     for settings in SETTINGS {
         cargo("settings", &["run", "--quiet", "--", "check", settings])?;
     }
