Let routers send the configuration that they have in force to agents

The store came back from an older copy, and a router that started then never got the later version, though the first router had it in force.

Cause: only agents sent configurations. Where none had read the version before the copy, all heard its number and nobody sent it.

Why it works: whoever has a version in force sends it. Agents ask a router only from the third search on and if no agent has told of the version, so an ordinary change, which agents read within 150 ms, costs routers nothing.

--- a/crates/celerystair_engine/src/tell.rs
+++ b/crates/celerystair_engine/src/tell.rs
@@ -7,6 +7,7 @@
 
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
+use celerystair_platform::prelude::ConfigSender;
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
 use futures_util::future::{Either, select};
@@ -233,7 +234,9 @@
     match message {
         GossipMessage::Engine(status) => {
             let sender = status.agent_address(agent.settings.gossip_listen.port());
-            agent.configs.hear(status.config_version, sender);
+            agent
+                .configs
+                .hear(status.config_version, sender.map(ConfigSender::Agent));
             let is_new = agent.engine_statuses.insert_if_newer(status.clone());
             if is_new && let Some(sender) = sender {
                 record_start(agent, sender, status.agent_started_unix_ms);
@@ -241,7 +244,8 @@
             is_new
         }
         GossipMessage::Demand(demand) => {
-            agent.configs.hear(demand.config_version, None);
+            let sender = ConfigSender::Router(demand.address);
+            agent.configs.hear(demand.config_version, Some(sender));
             let is_urgent = demand.models.iter().any(|(_, view)| view.waiting > 0);
             let is_new = agent.router_demand.insert_if_newer(demand.clone());
             if is_new {
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -8,6 +8,7 @@
 
 use celerystair_core::prelude::*;
 use celerystair_news::prelude::*;
+use celerystair_platform::prelude::ConfigSender;
 use celerystair_policy::prelude::*;
 use celerystair_telemetry::prelude::*;
 use futures_util::future::select;
@@ -212,7 +213,8 @@
             }) => {
                 router.record_router_count(status.router_count, &status.upstream);
                 let agent = status.agent_address(router.settings.gossip_listen.port());
-                router.view.configs().hear(status.config_version, agent);
+                let sender = agent.map(ConfigSender::Agent);
+                router.view.configs().hear(status.config_version, sender);
                 if status.is_leaving {
                     record_departure(&router, &status);
                 }
--- a/crates/celerystair_front/src/front.rs
+++ b/crates/celerystair_front/src/front.rs
@@ -441,6 +441,8 @@
         stop.clone(),
     ))
     .detach();
+    let gossip_listen = router.settings.gossip_listen;
+    router.view.configs().serve_peers(gossip_listen, stop);
     serve_ready(&router, ready, stop);
     serve_metrics(&router, stop);
     compio::runtime::spawn(keep_held_origins(router.clone(), stop.clone())).detach();
--- a/crates/celerystair_platform/src/configs.rs
+++ b/crates/celerystair_platform/src/configs.rs
@@ -33,6 +33,8 @@
 const PEER_TIMEOUT_MS: u64 = 700;
 /// The longest wait between two searches for a version that a peer has.
 const SEARCH_WAIT_MAX_MS: u64 = 1000;
+/// The searches in which only agents are asked: one of them may have read the version meanwhile.
+const SEARCHES_BEFORE_ROUTERS: u32 = 2;
 /// The longest configuration that is read from a peer. The platform's objects have 1 MiB at most.
 const CONFIG_MAX_BYTES: usize = 2 * 1024 * 1024;
 /// The path under which a process sends the configuration that it has in force.
@@ -89,11 +91,37 @@
     }
 }
 
+/// A process that has a configuration in force, and sends it to those that ask.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConfigSender {
+    /// An agent.
+    Agent(SocketAddr),
+    /// A router. It is asked only if no agent is known to have the version, as its time is that of callers'
+    /// requests.
+    Router(SocketAddr),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct HeardVersion {
     version: u64,
-    /// A process that sends it; `None` if only its version is known.
-    peer: Option<SocketAddr>,
+    agent: Option<SocketAddr>,
+    router: Option<SocketAddr>,
+}
+
+impl HeardVersion {
+    fn add(&mut self, sender: Option<ConfigSender>) {
+        match sender {
+            Some(ConfigSender::Agent(address)) => self.agent = Some(address),
+            Some(ConfigSender::Router(address)) => self.router = Some(address),
+            None => {}
+        }
+    }
+
+    /// Returns whom to ask in a search for the version, of which this is the n-th.
+    fn asked(&self, searches: u32) -> Option<SocketAddr> {
+        let router = self.router.filter(|_| searches > SEARCHES_BEFORE_ROUTERS);
+        self.agent.or(router)
+    }
 }
 
 impl ConfigFollower {
@@ -149,9 +177,9 @@
         self.inner.changed.listen()
     }
 
-    /// Records that a peer has `version` in force, which `sender` sends to those that ask. A version that
-    /// no operator would write after the one in force is not looked for.
-    pub fn hear(&self, version: u64, sender: Option<SocketAddr>) {
+    /// Records that a peer has `version` in force, `sender` if its address is known. A version that no
+    /// operator would write after the one in force is not looked for.
+    pub fn hear(&self, version: u64, sender: Option<ConfigSender>) {
         let known = self.known_version();
         let is_absurd = known.is_some_and(|known| is_version_absurd(version, known));
         if version <= known.unwrap_or(0) || is_absurd {
@@ -160,11 +188,16 @@
         let mut heard = self.inner.heard.borrow_mut();
         let is_higher = heard.is_none_or(|heard| heard.version < version);
         match &mut *heard {
-            Some(heard) if heard.version == version => heard.peer = sender.or(heard.peer),
+            Some(heard) if heard.version == version => heard.add(sender),
             Some(heard) if version < heard.version => {}
             _ => {
-                let peer = sender;
-                *heard = Some(HeardVersion { version, peer });
+                let mut latest = HeardVersion {
+                    version,
+                    agent: None,
+                    router: None,
+                };
+                latest.add(sender);
+                *heard = Some(latest);
             }
         }
         drop(heard);
@@ -277,17 +310,21 @@
     /// out, and the store may be away or have come back from an older copy.
     async fn search_heard(self, stop: Stop) {
         let mut backoff = Backoff::up_to(SEARCH_WAIT_MAX_MS);
+        let mut searches = 0;
         while !stop.is_ended() {
             let changed = self.inner.heard_changed.listen();
             if self.heard_later().is_none() {
                 backoff.reset();
+                searches = 0;
                 select(changed, pin!(stop.ended())).await;
                 sleep_ms(HEARD_GRACE_MS).await;
                 continue;
             }
+            searches += 1;
             self.read_store_again().await;
-            if let Some(heard) = self.heard_later() {
-                self.ask_peer(heard).await;
+            let heard = self.heard_later();
+            if let Some(peer) = heard.and_then(|heard| heard.asked(searches)) {
+                self.ask_peer(peer).await;
             }
             if self.heard_later().is_some() {
                 backoff.wait().await;
@@ -311,10 +348,7 @@
         }
     }
 
-    async fn ask_peer(&self, heard: HeardVersion) {
-        let Some(peer) = heard.peer else {
-            return;
-        };
+    async fn ask_peer(&self, peer: SocketAddr) {
         let asked = before_deadline(now_unix_ms() + PEER_TIMEOUT_MS, self.fetch(peer)).await;
         match asked {
             Some(Ok(object)) => {
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -35,7 +35,7 @@
 pub mod prelude {
     pub use crate::{
         backoff::Backoff,
-        configs::ConfigFollower,
+        configs::{ConfigFollower, ConfigSender},
         dialect::{ListPage, StoreDialect, WireCall},
         error::StoreError,
         fleet_source::FleetSource,
--- a/crates/celerystair_platform/tests/endless_peer.rs
+++ b/crates/celerystair_platform/tests/endless_peer.rs
@@ -69,7 +69,7 @@
             let store = source.open().expect("the URL is valid");
             let log = Logger::root(Discard, o!());
             let configs = ConfigFollower::start(&source, &store, &log, &stop);
-            configs.hear(2, Some(peer));
+            configs.hear(2, Some(ConfigSender::Agent(peer)));
             let mut late_ms = 0;
             for _ in 0..200 {
                 let due_unix_ms = now_unix_ms() + 10;
