Draw all ports of an instance at once in the tests

A router got port 44853 for callers and for readiness, each found free and released before the next was drawn, and ended 162 times.

Cause: a fault of the tests. Ports of one address are held until all are drawn now, by one function in the place of two copies.

--- a/tests/platform_processes.rs
+++ b/tests/platform_processes.rs
@@ -8,7 +8,7 @@
 use std::{
     fs::File,
     io::Write,
-    net::{IpAddr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, ExitStatus},
     sync::{
@@ -21,7 +21,7 @@
 
 use platform::{
     Caller, Fault, Request, System, UpstreamStandin, eventually,
-    system::{Instance, SETTINGS_PATH_VARIABLE, config, ready_status},
+    system::{Instance, SETTINGS_PATH_VARIABLE, config, free_ports, ready_status},
     upstream::EVENTS_PER_STREAM,
 };
 use serde_json::{Value, json};
@@ -104,16 +104,10 @@
     std::env::temp_dir().join(name)
 }
 
-fn free_port(ip: IpAddr) -> u16 {
-    let probe = TcpListener::bind((ip, 0)).expect("a port is free");
-    let address = probe.local_addr().expect("the listener has an address");
-    address.port()
-}
-
 /// Returns the settings of a process, and its addresses for callers and for readiness probes.
 fn instance_settings(system: &System, number: u8) -> (String, SocketAddr, SocketAddr) {
     let ip = System::ip(number);
-    let (callers_port, ready_port) = (free_port(ip), free_port(ip));
+    let [callers_port, ready_port] = free_ports(ip);
     let instance = Instance {
         name: "instance-1",
         ip,
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fs::File,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -24,7 +24,7 @@
         store::StoreCopy,
         system::{
             ENGINE_SERVICE, Instance, PLAIN_SERVICE, SETTINGS_PATH_VARIABLE,
-            config_with_version_route, ready_status, version_path,
+            config_with_version_route, free_ports, ready_status, version_path,
         },
         upstream::{AcceptedOrder, Arrival},
     },
@@ -213,7 +213,7 @@
             broken: Vec::new(),
         };
         fleet.list_all();
-        let gossip_port = free_port(ip());
+        let [gossip_port] = free_ports(ip());
         for index in 0..size.processes() {
             let address = match index.checked_sub(size.routers) {
                 Some(engine) => fleet.engines[engine].address.ip(),
@@ -338,12 +338,13 @@
         let engine = index.checked_sub(self.size.routers);
         let role = if engine.is_some() { "agent" } else { "router" };
         let name = format!("{role}-{index}");
+        let [callers_port, ready_port] = free_ports(ip);
         let instance = Instance {
             name: &name,
             ip,
             failure_domain: &self.size.domain(index),
-            callers_port: free_port(ip),
-            ready_port: free_port(ip),
+            callers_port,
+            ready_port,
             gossip_port,
             store: self.links[index].address,
             stop_grace_seconds: STOP_GRACE_SECONDS,
@@ -792,8 +793,3 @@
         .spawn()
         .expect("the process starts")
 }
-
-fn free_port(ip: std::net::IpAddr) -> u16 {
-    let probe = TcpListener::bind((ip, 0)).expect("a port");
-    probe.local_addr().expect("its address").port()
-}
