Send streams that go on to engines that new ones fill, before these

What callers saw: a quarter of the engines were left at a software version, and all routers were killed under two and a half times the usual load.

Cause: a stream goes on only at engines of its version, and new streams, which may begin anywhere, filled these up to the load at which a router sends an engine no more. 197 of 230 attempts waited 1.5 s for room and were refused.

Why it works: what goes on is sent up to twice the load at which new streams wait, with the most urgent rank, so engines admit it next whichever router sent it.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -294,10 +294,11 @@
     *outgoing.uri_mut() = request.target.clone();
     *outgoing.headers_mut() = request.headers.clone();
     let is_engine = router.has_engines(&entry.service);
+    let is_ongoing = request.takes_up_stream() || last_event_id.is_some();
     let head = crate::dialect::ForwardedHead {
         expected_upstream: &entry.id,
         remaining_ms: remaining_ms(request.deadline_unix_ms),
-        priority: is_engine.then_some(request.route.urgency_rank.min(9)),
+        priority: is_engine.then(|| engine_urgency(request.route.urgency_rank, is_ongoing)),
         last_event_id,
     };
     (router.settings.header_codec.write_request)(outgoing.headers_mut(), &head);
--- a/crates/celerystair_front/src/elsewhere.rs
+++ b/crates/celerystair_front/src/elsewhere.rs
@@ -41,7 +41,7 @@
         attempts_max: request.route.attempts_max,
         has_retry_budget: router.has_retry_budget(service),
         has_ready_alternative: matches!(
-            pick_upstream(router, request, service, version, tried),
+            pick_upstream(router, request, service, version, tried, false),
             Pick::Now(_)
         ),
     };
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -12,9 +12,6 @@
 
 use crate::{front::PlatformRouter, request::CallerRequest, upstream::Upstream};
 
-/// Maximum requests per slot that an engine is sent; more wait at the router, because a request
-/// that is queued at an engine can no longer go to another one.
-const ENGINE_LOAD_PER_SLOT_MAX: f64 = 1.25;
 /// Maximum requests per slot that a plain service is sent: it queues more than it runs at once.
 const PLAIN_LOAD_PER_SLOT_MAX: f64 = 3.0;
 /// Time from a router's demand for a model or adapter, over gossip and the agent's decision, to the
@@ -52,13 +49,14 @@
 }
 
 /// Picks an upstream of `service` that is not in `tried`, of the given software version if there is
-/// one.
+/// one. `is_ongoing` tells whether the request is for the rest of a stream of which its caller has events.
 pub fn pick_upstream(
     router: &PlatformRouter,
     request: &CallerRequest,
     service: &ServiceName,
     version: Option<&SoftwareVersion>,
     tried: &[UpstreamId],
+    is_ongoing: bool,
 ) -> Pick {
     let now = now_unix_ms();
     let upstreams: Vec<Rc<Upstream>> = router
@@ -129,7 +127,8 @@
             ready
         }
     };
-    match pick_with_capacity(router, request, &ready, ENGINE_LOAD_PER_SLOT_MAX, now) {
+    let load_per_slot_max = engine_load_per_slot_max(is_ongoing);
+    match pick_with_capacity(router, request, &ready, load_per_slot_max, now) {
         Pick::Later {
             ready_unix_ms,
             reason: WaitReason::RateLimit,
--- a/crates/celerystair_front/src/request.rs
+++ b/crates/celerystair_front/src/request.rs
@@ -250,7 +250,9 @@
             );
         }
         let version = progress.version.as_ref();
-        let upstream = match pick_upstream(router, request, service, version, &progress.tried) {
+        let is_ongoing = request.takes_up_stream() || resumption.last_event_id.is_some();
+        let tried = &progress.tried;
+        let upstream = match pick_upstream(router, request, service, version, tried, is_ongoing) {
             Pick::Now(upstream) => {
                 let oldest_unix_ms = now.saturating_sub(VERSION_PROOF_AGE_MAX_MS);
                 let from_unix_ms = proven_from_unix_ms.unwrap_or(oldest_unix_ms);
--- a/crates/celerystair_policy/src/choose.rs
+++ b/crates/celerystair_policy/src/choose.rs
@@ -46,6 +46,36 @@
 /// an idle upstream unused.
 const SENT_SINCE_REPORT_MIN: f64 = 2.0;
 
+/// The most requests per slot that an engine is sent; more wait at the router, because a request that is
+/// queued at an engine can no longer go to another one.
+const ENGINE_LOAD_PER_SLOT_MAX: f64 = 1.25;
+/// The same for streams that go on, which may have few engines to go on at. These admit them before what
+/// has begun nothing, so that they don't queue for long.
+const ONGOING_LOAD_PER_SLOT_MAX: f64 = 2.5;
+/// The least urgent rank that engines know.
+const URGENCY_RANK_MAX: u32 = 9;
+
+/// Returns the most requests per slot that an engine is sent. `is_ongoing` tells whether the request is for
+/// the rest of a stream of which its caller has events.
+pub fn engine_load_per_slot_max(is_ongoing: bool) -> f64 {
+    if is_ongoing {
+        ONGOING_LOAD_PER_SLOT_MAX
+    } else {
+        ENGINE_LOAD_PER_SLOT_MAX
+    }
+}
+
+/// Returns the urgency with which an engine admits a request, where 0 is first. A stream that goes on can
+/// do so only at engines of its software version, which new streams fill as well, though they could begin
+/// elsewhere; what was done for it is lost if it can't.
+pub fn engine_urgency(route_rank: u32, is_ongoing: bool) -> u32 {
+    if is_ongoing {
+        0
+    } else {
+        route_rank.min(URGENCY_RANK_MAX)
+    }
+}
+
 /// Whether an upstream that takes `load_per_slot_max` requests per slot has capacity for one more
 /// request of this router, which is one of `routers`. When a model has just been loaded, every
 /// router has requests waiting for it, and all of them see the same free slots.
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -83,7 +83,9 @@
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
         caller_limits::CallerLimitHistory,
         census::RouterCountEstimate,
-        choose::{Candidate, choose_upstream, has_capacity},
+        choose::{
+            Candidate, choose_upstream, engine_load_per_slot_max, engine_urgency, has_capacity,
+        },
         cold_loads::{ColdLoadObservations, ColdLoadRun},
         config_check::{ConfigDecision, ConfigFault, decide_config, is_version_absurd},
         demand::DemandMeter,
--- a/crates/celerystair_policy/tests/choose.rs
+++ b/crates/celerystair_policy/tests/choose.rs
@@ -169,3 +169,41 @@
     assert!(has_capacity(&with_load(39), 1.25, 1));
     assert!(!has_capacity(&with_load(40), 1.25, 1));
 }
+
+/// Three of twelve engines are left at a version, and new streams fill them before 71 streams of it are taken
+/// up at five routers.
+#[test]
+fn streams_that_are_taken_up_find_room_at_engines_that_new_ones_fill() {
+    const ROUTERS: u32 = 5;
+    const TAKEN_UP: u32 = 71;
+    let ids = ids(3);
+    for (is_ongoing, expected) in [(false, 0), (true, TAKEN_UP)] {
+        let load_per_slot_max = engine_load_per_slot_max(is_ongoing);
+        let mut sent = 0;
+        for _router in 0..ROUTERS {
+            let mut own = [0; 3];
+            for _stream in 0..TAKEN_UP.div_ceil(ROUTERS) {
+                let candidates = ids.iter().zip(own).map(|(id, own)| Candidate {
+                    reported_load: 60,
+                    own_load: own,
+                    sent_since_report: own,
+                    ..candidate(id)
+                });
+                let has_room =
+                    |candidate: &Candidate<'_>| has_capacity(candidate, load_per_slot_max, ROUTERS);
+                let candidates: Vec<Candidate<'_>> = candidates.filter(has_room).collect();
+                let Some(chosen) = choose_upstream(&candidates, &format!("r{sent}")) else {
+                    continue;
+                };
+                let index = ids.iter().position(|id| id == candidates[chosen].upstream);
+                own[index.expect("it is one of them")] += 1;
+                sent += 1;
+            }
+        }
+        assert_eq!(sent.min(TAKEN_UP), expected, "{is_ongoing}");
+    }
+    for (rank, is_ongoing, expected) in [(2, false, 2), (12, false, 9), (2, true, 0), (0, true, 0)]
+    {
+        assert_eq!(engine_urgency(rank, is_ongoing), expected);
+    }
+}
