Take no end that follows a reset for the end of an answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset to one call, the first that comes after it. If that is the write of the upload, a read on the same connection yields the bytes that came before the reset and then an end, as after a whole answer. The HTTP library reads before it looks at the write, and takes the end for the body's own. Without a length or chunks nothing contradicts it, and the upstream still listens, so its process doesn't either.

Evidence: with the router's thread standing still while the upstream answers and resets, the upload is still to be written when both are there, and the fault shows each time. An early answer whose upstream ends its side and reads on was passed on before, and is now.

Why this works: the stream itself asks its write side when a read ends. A write that took the reset has failed by then, since the read could only end after it. This holds for each user of the stream: the routers' upstreams, the store's client, agents, orders, reports and configurations, and the callers' side. Answers with a length or chunks don't end by a read's end and are as before.

--- a/crates/celerystair_net/src/paced_stream.rs
+++ b/crates/celerystair_net/src/paced_stream.rs
@@ -75,10 +75,12 @@
     }
 }
 
-/// A stream that gives way after a bounded number of bytes.
+/// A stream that gives way after a bounded number of bytes, and that ends only where its peer has ended it:
+/// the end of what is read on a connection that was reset is an error.
 pub struct PacedStream {
     inner: HyperStream<TcpStream>,
     head: HeadBytes,
+    has_write_failed: bool,
     /// Bytes that were read since its last turn began, or since it last had nothing to read.
     turn_bytes: usize,
     /// The turn that it waits for.
@@ -91,6 +93,7 @@
         Self {
             inner: HyperStream::new_plain(stream),
             head,
+            has_write_failed: false,
             turn_bytes: 0,
             turn: None,
         }
@@ -120,11 +123,32 @@
             self.turn_bytes = 0;
         }
         let count = ready!(read)?;
+        if count == 0 && !room.is_empty() {
+            self.check_end(cx)?;
+        }
         self.turn_bytes += count;
         self.head.add(count).map_err(io::Error::other)?;
         cursor.put_slice(&bytes[..count]);
         Poll::Ready(Ok(count))
     }
+
+    fn observe_write<T>(&mut self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.has_write_failed |= matches!(written, Poll::Ready(Err(_)));
+        written
+    }
+
+    /// Checks that the peer has ended what is read. The kernel reports a reset to the first call that comes
+    /// after it. If that was a write, reading yields the bytes that came before and then an end.
+    fn check_end(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        if self.has_write_failed {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        // A write that is under way may have failed without having been asked since.
+        match Write::poll_flush(Pin::new(self), cx) {
+            Poll::Ready(flushed) => flushed,
+            Poll::Pending => Ok(()),
+        }
+    }
 }
 
 impl Read for PacedStream {
@@ -144,7 +168,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write(Pin::new(&mut self.inner), cx, bytes)
+        let written = Write::poll_write(Pin::new(&mut self.inner), cx, bytes);
+        self.observe_write(written)
     }
 
     fn poll_write_vectored(
@@ -152,7 +177,8 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write_vectored(Pin::new(&mut self.inner), cx, slices)
+        let written = Write::poll_write_vectored(Pin::new(&mut self.inner), cx, slices);
+        self.observe_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -160,10 +186,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Write::poll_flush(Pin::new(&mut self.inner), cx)
+        let written = Write::poll_flush(Pin::new(&mut self.inner), cx);
+        self.observe_write(written)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Write::poll_shutdown(Pin::new(&mut self.inner), cx)
+        let written = Write::poll_shutdown(Pin::new(&mut self.inner), cx);
+        self.observe_write(written)
     }
 }
--- a/crates/celerystair_net/tests/http_client.rs
+++ b/crates/celerystair_net/tests/http_client.rs
@@ -2,15 +2,18 @@
 
 use std::{
     io::{Read, Write},
-    net::{TcpListener, TcpStream},
+    net::{Shutdown, TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
+        mpsc,
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
 use celerystair_net::prelude::*;
+use futures_util::future::join;
 use http::Request;
 
 const BODY_MAX_BYTES: usize = 1000;
@@ -123,8 +126,63 @@
         let client = HttpClient::default();
         for _ in 0..3 {
             assert_eq!(fetch(&client, &url).await, Ok(1));
-            compio::time::sleep(std::time::Duration::from_millis(20)).await;
+            compio::time::sleep(Duration::from_millis(20)).await;
         }
     });
     assert_eq!(connections.load(Ordering::SeqCst), 3);
 }
+
+// The kernel reported the reset to the write alone, and the end that was read looked like the answer's own.
+#[test]
+fn an_answer_that_is_reset_during_the_upload_is_interrupted() {
+    for is_ended_first in [false, true] {
+        let answer = upload_beside_reset(is_ended_first);
+        assert!(
+            matches!(answer, Err(ClientError::Interrupted { .. })),
+            "ended first: {is_ended_first}, {answer:?}"
+        );
+    }
+}
+
+/// Uploads to a peer that reads the beginning, answers without a length and closes its connection, at the
+/// latest after ending its side. The client gets to run only once all of that has happened.
+fn upload_beside_reset(is_ended_first: bool) -> Result<usize, ClientError> {
+    /// More than the kernel buffers of a connection.
+    const UPLOAD_BYTES: usize = 12_000_000;
+    /// In which the client fills those buffers.
+    const WRITING: Duration = Duration::from_millis(20);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("the listener binds");
+    let address = listener.local_addr().expect("the listener has an address");
+    let (send_step, steps) = mpsc::channel();
+    let (send_standstill, standstills) = mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection comes");
+        stream.read_exact(&mut [0; 64]).expect("a request comes");
+        send_step.send(()).expect("the client waits");
+        standstills.recv().expect("the client stands still");
+        let answer = b"HTTP/1.1 200 OK\r\n\r\na part";
+        stream.write_all(answer).expect("the answer is written");
+        if is_ended_first {
+            stream.shutdown(Shutdown::Write).expect("its side ends");
+        }
+        drop(stream);
+        send_step.send(()).expect("the client waits");
+    });
+    let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.block_on(async {
+        let client = HttpClient::default();
+        let body = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+        let request = Request::post(format!("http://{address}/")).body(body);
+        let fetching = client.fetch(request.expect("a request"), BODY_MAX_BYTES);
+        let standing_still = async {
+            while steps.try_recv().is_err() {
+                compio::time::sleep(Duration::from_millis(1)).await;
+            }
+            compio::time::sleep(WRITING).await;
+            send_standstill.send(()).expect("the peer waits");
+            steps.recv().expect("the connection is closed");
+        };
+        let (response, ()) = join(fetching, standing_still).await;
+        Ok(response?.body().len())
+    })
+}
