Test that an answer that is none of HTTP's reaches no caller

The issue names two such answers: one whose status is 000, and one in whose head a field's name holds a blank or a control byte.

--- a/crates/celerystair_net/tests/http_client.rs
+++ b/crates/celerystair_net/tests/http_client.rs
@@ -132,6 +132,57 @@
     assert_eq!(connections.load(Ordering::SeqCst), 3);
 }
 
+/// Answers each call with these bytes, and keeps its connection open.
+fn fetch_answer(answer: &str) -> Result<usize, ClientError> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("the listener binds");
+    let address = listener.local_addr().expect("the listener has an address");
+    let answer = answer.to_owned();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection comes");
+        while reads_request(&stream) {
+            stream.write_all(answer.as_bytes()).ok();
+        }
+    });
+    let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+    let client = HttpClient::default();
+    runtime.block_on(fetch(&client, &format!("http://{address}/")))
+}
+
+/// What heads of HTTP don't have: a status, a field's name or a value.
+const ODD_HEADS: [&str; 16] = [
+    "000 x",
+    "099 x",
+    "20 x",
+    "1000 x",
+    "2a0 x",
+    "200 \0",
+    "200 x\r\nBad Name: x",
+    "200 x\r\nBad\tName: x",
+    "200 x\r\nBad\x01Name: x",
+    "200 x\r\nBad\x7fName: x",
+    "200 x\r\n: x",
+    "200 x\r\n Name: x",
+    "200 x\r\nName",
+    "200 x\r\nContent-Length : 1",
+    "200 x\r\nName: \0",
+    "200 x\r\nName: x\r\n folded",
+];
+
+#[test]
+fn an_answer_that_is_none_of_https_is_interrupted() {
+    assert_eq!(
+        fetch_answer("HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"),
+        Ok(2)
+    );
+    for head in ODD_HEADS {
+        let answer = fetch_answer(&format!("HTTP/1.1 {head}\r\nContent-Length: 2\r\n\r\nok"));
+        assert!(
+            matches!(answer, Err(ClientError::Interrupted { .. })),
+            "{head:?}: {answer:?}"
+        );
+    }
+}
+
 // The kernel reported the reset to the write alone, and the end that was read looked like the answer's own.
 #[test]
 fn an_answer_that_is_reset_during_the_upload_is_interrupted() {
