Take an answer whose status HTTP doesn't have for none

What callers saw: an upstream's answer with the status 600 or 999 reached them as it was, at both routers.

Cause: the HTTP library takes any status from 100 to 999. RFC 9110, 15, has those from 100 to 599, and has clients treat others as errors of the server. The routers took interim ones and redirections for invalid, and none above 599. The client of the store, of agents, orders, reports and configurations, which also reads the answers that the product's agent passes on, checked none, so 101 was an answer to it too.

Why this works: is_final_status alone says which statuses an answer may have, and both places where the heads of answers are read ask it. An answer with another one is invalid, as one with 000: reads are read again, writes are answered 502, streams go on elsewhere or break off. A sealed failure from 400 to 599 is passed on as before.

--- a/crates/celerystair_agent/tests/cut_answers.rs
+++ b/crates/celerystair_agent/tests/cut_answers.rs
@@ -79,6 +79,21 @@
     }
 }
 
+// A status that HTTP doesn't have was passed on to the router.
+#[test]
+fn a_response_that_is_none_of_https_is_never_taken_for_whole() {
+    for status_and_lines in [
+        "000 x",
+        "600 x",
+        "101 x",
+        "200 OK\r\nBad Name: x",
+        "200 OK\r\nBad\x01Name: x",
+    ] {
+        let response = format!("HTTP/1.1 {status_and_lines}\r\nContent-Length: 2\r\n\r\nok");
+        assert_eq!(call(response.clone().leak(), false), None, "{response:?}");
+    }
+}
+
 #[test]
 fn a_whole_response_is_passed_on() {
     assert_eq!(call(TEXT, false).as_deref(), Some("ok"));
--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -7,7 +7,7 @@
     prelude::*,
     time::{before_deadline, remaining_ms},
 };
-use celerystair_net::body::FramedBody;
+use celerystair_net::{body::FramedBody, prelude::*};
 use celerystair_policy::{prelude::*, stall::KEEP_SILENT_RESPONSE_MS};
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, header};
@@ -380,7 +380,7 @@
     let response_head = (router.settings.header_codec.read_response)(&head.headers);
     // The response may belong to another request. This request's own response may still arrive on
     // the connection, which must therefore not be reused for another caller.
-    if !is_own {
+    if !is_own || !is_final_status(head.status) {
         return Err(AttemptFailure::InvalidAnswer);
     }
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
@@ -405,7 +405,7 @@
     if head.status.is_success() && !is_authentic {
         return Err(AttemptFailure::InvalidAnswer);
     }
-    if head.status.is_informational() || head.status.is_redirection() {
+    if head.status.is_redirection() {
         return Err(AttemptFailure::InvalidAnswer);
     }
     response_framing(&request.method, head).ok_or_else(|| {
--- a/crates/celerystair_net/src/http_client.rs
+++ b/crates/celerystair_net/src/http_client.rs
@@ -15,7 +15,7 @@
 use celerystair_core::{prelude::*, time::before_deadline};
 use compio::net::TcpStream;
 use futures_util::{Stream, StreamExt};
-use http::{HeaderValue, Request, Response, Uri, header};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
 use hyper::{
     body::Incoming,
@@ -262,10 +262,21 @@
     connection.head.begin(AWAITED_MAX_BYTES);
     let sent = connection.sender.try_send_request(outgoing).await;
     connection.head.end();
-    sent.map_err(|mut failed| {
+    let response = sent.map_err(|mut failed| {
         let unsent = failed.take_message().map(Box::new);
         (exchange_error(failed.error()), unsent)
-    })
+    })?;
+    if !is_final_status(response.status()) {
+        let detail = format!("the status is {}", response.status().as_u16());
+        return Err((ClientError::Interrupted { detail }, None));
+    }
+    Ok(response)
+}
+
+/// Whether an answer may have the status. One below 200 belongs to what comes before an answer, and HTTP has
+/// none from 600 on, though its library reads them.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
 }
 
 async fn connect(authority: &str) -> Result<Connection, ClientError> {
--- a/crates/celerystair_net/src/lib.rs
+++ b/crates/celerystair_net/src/lib.rs
@@ -35,7 +35,7 @@
         connection_watch::{ConnectionEnd, UnansweredRequest},
         dial::{Dialer, set_dialer},
         grpc::{Connection, ConnectionError, serve_grpc},
-        http_client::{ClientError, HttpClient, ResponseBody, check_url},
+        http_client::{ClientError, HttpClient, ResponseBody, check_url, is_final_status},
         http_server::{
             Awaited, ConnectionLimits, Draining, HttpRequest, HttpResponse, ListenError, bind,
             default_limits, delayed_stop, serve_http, serve_http_limited, serve_http_with_notice,
--- a/crates/celerystair_net/tests/http_client.rs
+++ b/crates/celerystair_net/tests/http_client.rs
@@ -149,12 +149,15 @@
 }
 
 /// What heads of HTTP don't have: a status, a field's name or a value.
-const ODD_HEADS: [&str; 16] = [
+const ODD_HEADS: [&str; 19] = [
     "000 x",
     "099 x",
     "20 x",
     "1000 x",
     "2a0 x",
+    "600 x",
+    "999 x",
+    "101 x",
     "200 \0",
     "200 x\r\nBad Name: x",
     "200 x\r\nBad\tName: x",
