Write the length of an answer anew with its body

What callers saw: an upstream's `Content-Length: 2,2` or `02` reached them as it was. HTTP lets a recipient read the first as 2, and forbids to pass it on so (RFC 9110, 8.6): a strict client refuses the answer, and a lenient one may read no body.

Cause: whole answers got the upstream's line, while the HTTP library had read the number behind it. Streams had the line removed already, as another upstream may write their rest.

Why this works: the line is no longer forwarded. The server's side writes the length of the body that it sends. An answer to HEAD, which has none, keeps the number that the upstream declared.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -10,7 +10,7 @@
 use celerystair_net::{body::FramedBody, prelude::*};
 use celerystair_policy::{prelude::*, stall::KEEP_SILENT_RESPONSE_MS};
 use futures_util::future::{Either, select};
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, ext::ReasonPhrase};
 
@@ -19,7 +19,7 @@
     answer_limits::is_head_too_long,
     connections::{UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
-    framing::{Framing, is_cut_off, response_framing},
+    framing::{Framing, declared_length, is_cut_off, response_framing},
     front::PlatformRouter,
     incomplete_answers::AnswerReservation,
     request::CallerRequest,
@@ -546,7 +546,7 @@
         began_unix_ms,
         is_proven_answer: is_proven_answer(head.status.is_success(), framing == Framing::Marked),
         status: head.status,
-        headers: response_headers(&head.headers),
+        headers: response_headers(&request.method, &head.headers),
         body: bytes,
     })
 }
@@ -587,9 +587,17 @@
     forwarded
 }
 
-/// Returns the headers of an upstream's response that are forwarded to the caller.
-pub fn response_headers(headers: &HeaderMap) -> HeaderMap {
-    end_to_end_headers(headers, |_| false)
+/// Returns the headers of an upstream's response that are forwarded to the caller. The length is written anew
+/// with the body: the upstream may have written it in a form that HTTP forbids to pass on, or for the first
+/// part of a stream. Only where there is no body for it, it is forwarded as a number.
+pub fn response_headers(method: &Method, headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = end_to_end_headers(headers, |_| false);
+    forwarded.remove(header::CONTENT_LENGTH);
+    let length = declared_length(headers).filter(|_| method == Method::HEAD);
+    if let Some(length) = length {
+        forwarded.insert(header::CONTENT_LENGTH, length.into());
+    }
+    forwarded
 }
 
 fn end_to_end_headers(
--- a/crates/celerystair_front/src/framing.rs
+++ b/crates/celerystair_front/src/framing.rs
@@ -34,6 +34,26 @@
     framing == Framing::Connection && (lacks_body || is_cut_json())
 }
 
+/// Returns the length that a response declares; `None` if it declares none, or no single one. HTTP lets it be
+/// written more than once.
+pub fn declared_length(headers: &HeaderMap) -> Option<u64> {
+    let lines = headers.get_all(header::CONTENT_LENGTH).iter();
+    let mut length = None;
+    for line in lines {
+        for digits in line.to_str().ok()?.split(',') {
+            let digits = digits.trim();
+            if !digits.bytes().all(|digit| digit.is_ascii_digit()) {
+                return None;
+            }
+            let value = digits.parse::<u64>().ok()?;
+            if *length.get_or_insert(value) != value {
+                return None;
+            }
+        }
+    }
+    length
+}
+
 fn has_media_type(content_type: &HeaderValue, media_type: &[u8]) -> bool {
     let start = content_type.as_bytes().get(..media_type.len());
     start.is_some_and(|start| start.eq_ignore_ascii_case(media_type))
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -8,7 +8,6 @@
 use celerystair_net::prelude::*;
 use celerystair_policy::prelude::*;
 use futures_util::stream;
-use http::header;
 use http_body_util::BodyExt;
 
 use crate::{
@@ -72,11 +71,8 @@
     progress: Progress,
     started: StartedResponse,
 ) -> HttpResponse {
-    let (status, mut headers) = (started.head.status, response_headers(&started.head.headers));
-    if request.method != http::Method::HEAD {
-        // The length of the first part; another upstream may write a longer rest.
-        headers.remove(header::CONTENT_LENGTH);
-    }
+    let status = started.head.status;
+    let headers = response_headers(&request.method, &started.head.headers);
     // Elsewhere the upstream may take no notice of the id.
     let taken_up_after = request
         .head
