Take an answer that declares a body and has none for no answer

What callers saw: a 204 with `Content-Length: 2`, with or without the two bytes, closed their connection without any answer in the tests' build, where the HTTP library checks the length that a handler declares; it doesn't in a release build. Since the length of an answer is written anew, they got a 204 without a body, as they did from streams before.

Cause: nothing compared the status with the length. HTTP ends a 204 with its head and forbids the line (RFC 9112, 6.3, and RFC 9110, 8.6), so such a head is a part of two answers, or of none, and a 204 may not be what the upstream meant.

Why this works: such an answer is invalid, as others that contradict themselves: read again, answered 502, or resumed elsewhere. A 204 with a length of 0 is passed on.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -19,7 +19,7 @@
     answer_limits::is_head_too_long,
     connections::{UpstreamConnection, connect},
     dialect::{PauseHeader, RateLimitHeader, ResponseHead},
-    framing::{Framing, declared_length, is_cut_off, response_framing},
+    framing::{Framing, declared_length, declares_missing_body, is_cut_off, response_framing},
     front::PlatformRouter,
     incomplete_answers::AnswerReservation,
     request::CallerRequest,
@@ -400,6 +400,9 @@
     if NOT_RUN_STATUSES.contains(&head.status) {
         return Err(AttemptFailure::InvalidAnswer);
     }
+    if declares_missing_body(head) {
+        return Err(AttemptFailure::InvalidAnswer);
+    }
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     let is_authentic = response_head.is_sealed && response_head.request_id.is_some() && !is_encoded;
     if head.status.is_success() && !is_authentic {
--- a/crates/celerystair_front/src/framing.rs
+++ b/crates/celerystair_front/src/framing.rs
@@ -54,6 +54,14 @@
     length
 }
 
+/// Returns whether a response declares a body and has a status without one. HTTP ends such a response with its
+/// head, but what its upstream meant to send is not known.
+pub fn declares_missing_body(head: &Parts) -> bool {
+    head.status == StatusCode::NO_CONTENT
+        && head.headers.contains_key(header::CONTENT_LENGTH)
+        && declared_length(&head.headers) != Some(0)
+}
+
 fn has_media_type(content_type: &HeaderValue, media_type: &[u8]) -> bool {
     let start = content_type.as_bytes().get(..media_type.len());
     start.is_some_and(|start| start.eq_ignore_ascii_case(media_type))
