Take no state from an error of an engine

What was at stake: the product's agent read an engine's state from the body of any answer. An engine in trouble that answers 500 or 503 with the body of a state, or another process at its address, would decide what the agent loads, unloads and admits.

Cause: EngineClient::state parsed the body without a look at the status, unlike the platform's reports and all other reads.

Why this works: only a 200 holds a state; another answer is an unknown outcome, as one that can't be parsed.

--- a/crates/celerystair_agent/src/engine.rs
+++ b/crates/celerystair_agent/src/engine.rs
@@ -8,7 +8,7 @@
     AdapterOrder, EngineState, LoadOrder, STATUS_FENCED, STATUS_NO_MEMORY, STATUS_ORDER_EXPIRED,
     UnloadOrder,
 };
-use http::Request;
+use http::{Request, StatusCode};
 use serde::Serialize;
 use thiserror::Error;
 
@@ -68,9 +68,12 @@
         let request = request.map_err(|error| unknown(&error))?;
         let fetching = self.client.fetch(request, RESPONSE_MAX_BYTES);
         match before_deadline(now_unix_ms() + STATE_TIMEOUT_MS, fetching).await {
-            Some(Ok(response)) => {
+            Some(Ok(response)) if response.status() == StatusCode::OK => {
                 serde_json::from_slice(response.body()).map_err(|error| unknown(&error))
             }
+            Some(Ok(response)) => Err(OrderError::Unknown {
+                detail: format!("status {}", response.status().as_u16()),
+            }),
             Some(Err(error)) => Err(unknown(&error)),
             None => Err(OrderError::Unknown {
                 detail: format!("the engine did not report its state within {STATE_TIMEOUT_MS} ms"),
--- a/crates/celerystair_agent/tests/cut_answers.rs
+++ b/crates/celerystair_agent/tests/cut_answers.rs
@@ -6,9 +6,9 @@
     pin::pin,
 };
 
-use celerystair_agent::upstream::call_upstream;
+use celerystair_agent::{engine::EngineClient, upstream::call_upstream};
 use celerystair_net::prelude::*;
-use celerystair_protocol::SubmitRequest;
+use celerystair_protocol::{SubmitRequest, engine_api::EngineState};
 use futures_util::StreamExt;
 
 /// Answers one call with this response and closes its connection; with `has_ended`, it listens no more.
@@ -102,3 +102,21 @@
         assert_eq!(call(FRAMED, has_ended).as_deref(), Some("ok"));
     }
 }
+
+// Whatever an engine in trouble wrote was taken for its state if it could be read so.
+#[test]
+fn the_state_in_an_error_of_an_engine_is_not_taken_for_its_state() {
+    let state = serde_json::to_string(&EngineState::default()).expect("the state is written");
+    let ask = |status: &str| {
+        let length = state.len();
+        let response = format!("HTTP/1.1 {status} x\r\nContent-Length: {length}\r\n\r\n{state}");
+        let url = start_upstream(response.leak(), false);
+        let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+        let engine = EngineClient::new(&HttpClient::default(), &url);
+        runtime.block_on(engine.state()).is_ok()
+    };
+    assert!(ask("200"));
+    for status in ["500", "503", "404", "206"] {
+        assert!(!ask(status), "{status}");
+    }
+}
