--- a/tools/promises/src/page.rs
+++ b/tools/promises/src/page.rs
@@ -81,7 +81,11 @@
         match promise.cells.get(name) {
             Some(Cell::Tests(tests)) => {
                 let tests: Vec<String> = tests.iter().map(|test| format!("`{test}`")).collect();
-                writeln!(page, "* {name}: {}", tests.join(", "))?;
+                write!(page, "* {name}: {}", tests.join(", "))?;
+                match promise.played.get(name) {
+                    Some(played) => writeln!(page, ". Played: {played}.")?,
+                    None => writeln!(page)?,
+                }
             }
             Some(Cell::Excluded(reason)) => writeln!(page, "* {name}: can't matter: {reason}")?,
             Some(Cell::Reviewed(reason)) => writeln!(page, "* {name}: reviewed: {reason}")?,
--- a/tools/promises/src/table.rs
+++ b/tools/promises/src/table.rs
@@ -38,6 +38,10 @@
     pub text: String,
     /// What is known, by disruption. One that is missing is open.
     pub cells: BTreeMap<String, Cell>,
+    /// In which phases and forms the tests of a cell play its disruption, by disruption. Without it a cell says
+    /// only that they play some.
+    #[serde(default)]
+    pub played: BTreeMap<String, String>,
 }
 
 /// What shows that a promise holds beside a disruption.
@@ -66,7 +70,7 @@
         Ok(serde_json::from_value(value)?)
     }
 
-    /// Checks that each disruption and each test that a cell names exists.
+    /// Checks that each disruption and each test that a cell names exists, and that what is played has tests.
     ///
     /// # Errors
     /// The first one that doesn't.
@@ -82,6 +86,10 @@
                     bail!("{}, {name}: no test is named {missing}", promise.rule);
                 }
             }
+            let has_tests = |name: &str| matches!(promise.cells.get(name), Some(Cell::Tests(_)));
+            if let Some(name) = promise.played.keys().find(|name| !has_tests(name)) {
+                bail!("{}: no test plays {name}", promise.rule);
+            }
         }
         Ok(())
     }
