--- a/crates/celerystair_agent/tests/cut_answers.rs
+++ b/crates/celerystair_agent/tests/cut_answers.rs
@@ -81,7 +81,7 @@
 
 // A status that HTTP doesn't have was passed on to the router.
 #[test]
-fn a_response_that_is_none_of_https_is_never_taken_for_whole() {
+fn a_response_that_is_not_http_is_never_taken_for_whole() {
     for status_and_lines in [
         "000 x",
         "600 x",
--- a/crates/celerystair_net/src/http_client.rs
+++ b/crates/celerystair_net/src/http_client.rs
@@ -273,8 +273,8 @@
     Ok(response)
 }
 
-/// Whether an answer may have the status. One below 200 belongs to what comes before an answer, and HTTP has
-/// none from 600 on, though its library reads them.
+/// Returns whether a final response may have the status. The HTTP library also reads statuses from 600 on, which
+/// HTTP doesn't have, and 101, for which no request asks.
 pub fn is_final_status(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
 }
--- a/crates/celerystair_net/src/paced_stream.rs
+++ b/crates/celerystair_net/src/paced_stream.rs
@@ -143,7 +143,7 @@
         if self.has_write_failed {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        // A write that is under way may have failed without having been asked since.
+        // A pending write may have failed since it was last polled.
         match Write::poll_flush(Pin::new(self), cx) {
             Poll::Ready(flushed) => flushed,
             Poll::Pending => Ok(()),
--- a/crates/celerystair_net/tests/http_client.rs
+++ b/crates/celerystair_net/tests/http_client.rs
@@ -132,7 +132,7 @@
     assert_eq!(connections.load(Ordering::SeqCst), 3);
 }
 
-/// Answers each call with these bytes, and keeps its connection open.
+/// Calls a peer that answers with these bytes and keeps the connection open.
 fn fetch_answer(answer: &str) -> Result<usize, ClientError> {
     let listener = TcpListener::bind("127.0.0.1:0").expect("the listener binds");
     let address = listener.local_addr().expect("the listener has an address");
@@ -148,7 +148,7 @@
     runtime.block_on(fetch(&client, &format!("http://{address}/")))
 }
 
-/// What heads of HTTP don't have: a status, a field's name or a value.
+/// Beginnings of heads that are not HTTP, by their status or a line.
 const ODD_HEADS: [&str; 19] = [
     "000 x",
     "099 x",
@@ -172,7 +172,7 @@
 ];
 
 #[test]
-fn an_answer_that_is_none_of_https_is_interrupted() {
+fn an_answer_that_is_not_http_is_interrupted() {
     assert_eq!(
         fetch_answer("HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok"),
         Ok(2)
@@ -198,12 +198,12 @@
     }
 }
 
-/// Uploads to a peer that reads the beginning, answers without a length and closes its connection, at the
-/// latest after ending its side. The client gets to run only once all of that has happened.
+/// Uploads to a peer that reads the beginning, answers without a length and closes the connection with unread
+/// bytes, after ending its side if `is_ended_first`. The client's thread stands still meanwhile.
 fn upload_beside_reset(is_ended_first: bool) -> Result<usize, ClientError> {
     /// More than the kernel buffers of a connection.
     const UPLOAD_BYTES: usize = 12_000_000;
-    /// In which the client fills those buffers.
+    /// How long the client may take to fill those buffers.
     const WRITING: Duration = Duration::from_millis(20);
     let listener = TcpListener::bind("127.0.0.1:0").expect("the listener binds");
     let address = listener.local_addr().expect("the listener has an address");
