Count an answer with an empty body as answered

What was seen: since the length of an answer is written anew with its body, an upstream's answer with an empty body was reported as request_unanswered once its connection ended. Callers got it as before.

Cause: a body of no bytes said that a frame is still to come. The server ends the response by its length and never asks for that frame, so the guard of the request never saw the end. A declared length of 0 had hidden this.

Why this works: a full body of no bytes is the empty one, which has ended from the start.

--- a/crates/celerystair_net/src/body.rs
+++ b/crates/celerystair_net/src/body.rs
@@ -37,7 +37,7 @@
 impl HttpBody {
     /// Creates a complete body of known length.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Some(bytes.into()))
+        Self::Full(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
     }
 
     /// Creates an empty body.
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -70,7 +70,7 @@
 fn answers_that_end_by_their_length_are_not_reported_as_unanswered() {
     let reports = reports_after(|address| {
         let mut caller = TcpStream::connect(address).expect("a connection");
-        for path in ["/empty", "/known-length"] {
+        for path in ["/empty", "/empty-without-length", "/known-length"] {
             let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
             caller
                 .write_all(request.as_bytes())
@@ -144,6 +144,7 @@
         "/broken" => HttpBody::chunks(futures_util::stream::iter([chunk(), Err(BodyError)])),
         "/chunks" => HttpBody::chunks(futures_util::stream::iter([chunk()])),
         "/empty" => return with_length(0, HttpBody::full("")),
+        "/empty-without-length" => HttpBody::full(""),
         "/known-length" => {
             let body = HttpBody::chunks(futures_util::stream::iter([chunk(), chunk()]));
             return with_length(8, body);
