--- a/review/standin-3/src/all_killed.rs
+++ b/review/standin-3/src/all_killed.rs
@@ -161,6 +161,7 @@
                 crashes: false,
                 down: Duration::from_secs(2),
                 keeps_id: false,
+                halves_gap: None,
             };
             case.start_server(kind, 11 + index as u8)
         })
--- a/review/standin-3/src/copies.rs
+++ b/review/standin-3/src/copies.rs
@@ -30,6 +30,7 @@
         crashes: case.has_trouble,
         down: Duration::from_secs(2),
         keeps_id: false,
+        halves_gap: None,
     };
     let servers: Vec<Server> = (0..SERVERS)
         .map(|index| case.start_server(kind(format!("desk-{}", index + 1), index), 31 + index as u8))
--- a/review/standin-3/src/late_order.rs
+++ b/review/standin-3/src/late_order.rs
@@ -28,6 +28,7 @@
         crashes: false,
         down: DOWN,
         keeps_id: true,
+        halves_gap: None,
     };
     let engine = case.start_server(kind, 11);
     case.system.start_router(1, "zone-a");
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,9 +5,12 @@
 mod all_killed;
 mod copies;
 mod http;
+mod late_end;
 mod late_order;
+mod link;
 mod part_burst;
 mod record;
+mod same_body;
 mod server;
 mod store;
 mod system;
@@ -155,7 +158,9 @@
         "late-order" => late_order::play,
         "all-killed" => all_killed::play,
         "copies" => copies::play,
+        "late-end" => late_end::play,
         "part-burst" => part_burst::play,
+        "same-body" => same_body::play,
         _ => {
             eprintln!("no such case");
             exit(2);
--- a/review/standin-3/src/part_burst.rs
+++ b/review/standin-3/src/part_burst.rs
@@ -31,6 +31,7 @@
                 crashes: case.has_trouble,
                 down: Duration::from_secs(2),
                 keeps_id: false,
+                halves_gap: None,
             };
             case.start_server(kind, 11 + index as u8)
         })
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -4,7 +4,10 @@
     collections::{BTreeMap, BTreeSet},
     io::{BufReader, Write},
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -28,6 +31,12 @@
 /// The body of a request that crashes servers.
 pub const CRASHING_BODY: &[u8] = b"this request crashes the server that runs it";
 
+/// The model that a request with that body asks for if it crashes engines.
+pub const CRASHING_MODEL: &str = "m2";
+
+/// The body of a plain answer.
+pub const BODY: [u8; 800] = [b'x'; 800];
+
 /// What a server is.
 #[derive(Clone)]
 pub struct Kind {
@@ -46,6 +55,9 @@
     pub down: Duration,
     /// Whether it starts again under the identifier that it had.
     pub keeps_id: bool,
+    /// Whether its answers have no length and end with their connection, and come in two halves with this
+    /// time between them.
+    pub halves_gap: Option<Duration>,
 }
 
 /// A request that has begun to run.
@@ -55,6 +67,7 @@
     pub server: String,
     pub request: String,
     pub target: String,
+    pub model: String,
     pub prompt: String,
 }
 
@@ -107,6 +120,9 @@
     runs: Arc<Mutex<Vec<Run>>>,
     crashes: Arc<Mutex<Vec<u64>>>,
     late: Arc<Mutex<Option<LateOrder>>>,
+    /// The link by which others reach it, and whether it is cut off from the store.
+    link: Arc<Mutex<Option<SocketAddr>>>,
+    is_off_store: Arc<AtomicBool>,
     overfull: Arc<Mutex<Vec<String>>>,
 }
 
@@ -135,6 +151,8 @@
             runs: Arc::default(),
             crashes: Arc::default(),
             late: Arc::default(),
+            link: Arc::default(),
+            is_off_store: Arc::default(),
             overfull: Arc::default(),
         };
         let models = server.kind.models.clone().unwrap_or_default();
@@ -143,6 +161,19 @@
         server
     }
 
+    /// Lists it at the address of a link from now on.
+    pub fn set_link(&self, link: SocketAddr) {
+        *self.link.lock().expect("the link") = Some(link);
+        let id = self.life.lock().expect("the life").id.clone();
+        let entry = self.entry();
+        self.store.write("servers", &id, entry);
+    }
+
+    /// Cuts it off from the store, or mends that.
+    pub fn set_off_store(&self, is_off: bool) {
+        self.is_off_store.store(is_off, Ordering::SeqCst);
+    }
+
     /// Returns the requests that have begun to run.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("runs").clone()
@@ -209,8 +240,11 @@
     fn beat(&self, number: u64) {
         let id = self.life.lock().expect("the life").id.clone();
         while self.is_in_life(number) {
-            let entry = self.entry();
-            self.store.write("servers", &id, entry);
+            if !self.is_off_store.load(Ordering::SeqCst) {
+                let entry = self.entry();
+                self.store.write("servers", &id, entry);
+                self.record.write(format!("{id} is listed"));
+            }
             std::thread::sleep(HEARTBEAT);
         }
         std::thread::sleep(HEARTBEAT * (ENTRY_HEARTBEATS - 1));
@@ -222,11 +256,12 @@
     }
 
     fn entry(&self) -> Value {
+        let address = self.link.lock().expect("the link").unwrap_or(self.address);
         let mut life = self.life.lock().expect("the life");
         life.heartbeats += 1;
         let mut entry = json!({
             "Service": self.kind.service,
-            "Address": self.address.to_string(),
+            "Address": address.to_string(),
             "Zone": self.kind.zone,
             "Version": "v1",
             "Slots": self.kind.slots,
@@ -473,9 +508,10 @@
             server: own_id,
             request: id,
             target: request.word(1).to_owned(),
+            model: header("celerystair-model"),
             prompt: header("celerystair-prompt-prefix"),
         };
-        self.record.write(format!("{} runs {} {}", run.server, run.request, run.target));
+        self.record.write(format!("{} runs {} {} {}", run.server, run.request, run.target, run.model));
         self.runs.lock().expect("runs").push(run.clone());
         headers.push(("celerystair-server-seal", "5ea1".to_owned()));
         let server = self.clone();
@@ -488,7 +524,10 @@
                 self.crash("a request crashes it");
                 return None;
             }
-            respond(stream, 200, &headers, &[b'x'; 800]).ok()
+            match self.kind.halves_gap {
+                None => respond(stream, 200, &headers, &BODY).ok(),
+                Some(gap) => respond_in_halves(stream, &headers, gap),
+            }
         };
         drop(running);
         served
@@ -518,6 +557,13 @@
             self.crash("a part of a prompt crashes it");
             return None;
         }
+        // The request of one caller crashes servers, not that of another caller to another model.
+        let is_crashing = request.body == CRASHING_BODY
+            && request.header("celerystair-model") == Some(CRASHING_MODEL);
+        if self.kind.crashes && is_crashing {
+            self.crash("a request crashes it");
+            return None;
+        }
         let mut head = "HTTP/1.1 200 x\r\ncontent-type: text/event-stream\r\n\
             transfer-encoding: chunked\r\n"
             .to_owned();
@@ -536,6 +582,20 @@
     }
 }
 
+/// Writes an answer that has no length and ends with its connection; returns `None`, as that ends then.
+fn respond_in_halves(mut stream: &TcpStream, headers: &[(&str, String)], gap: Duration) -> Option<()> {
+    let mut head = "HTTP/1.1 200 x\r\ncontent-type: text/plain\r\nconnection: close\r\n".to_owned();
+    for (name, value) in headers {
+        head += &format!("{name}: {value}\r\n");
+    }
+    head += "\r\n";
+    let (first, second) = BODY.split_at(BODY.len() / 2);
+    stream.write_all(&[head.as_bytes(), first].concat()).ok()?;
+    std::thread::sleep(gap);
+    stream.write_all(second).ok()?;
+    None
+}
+
 /// Counts a run until it is dropped.
 struct Running<'a> {
     server: &'a Server,
