--- a/review/standin-3/src/all_killed.rs
+++ b/review/standin-3/src/all_killed.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use crate::{Case, STABLE_MS, Verdict, http::Call, server::Kind};
+use crate::{Case, STABLE_MS, Verdict, http::Call, server::{FIRST_EVENT, Kind}};
 
 const STREAMS: usize = 16;
 const EVENTS: u64 = 20;
@@ -162,6 +162,8 @@
                 down: Duration::from_secs(2),
                 keeps_id: false,
                 halves_gap: None,
+                version: "v1",
+                first_event: FIRST_EVENT,
             };
             case.start_server(kind, 11 + index as u8)
         })
--- a/review/standin-3/src/copies.rs
+++ b/review/standin-3/src/copies.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Case, STABLE_MS, Verdict,
-    server::{CRASHING_BODY, Kind, Server},
+    server::{CRASHING_BODY, Kind, Server, FIRST_EVENT},
 };
 
 const SERVERS: usize = 4;
@@ -31,6 +31,8 @@
         down: Duration::from_secs(2),
         keeps_id: false,
         halves_gap: None,
+        version: "v1",
+        first_event: FIRST_EVENT,
     };
     let servers: Vec<Server> = (0..SERVERS)
         .map(|index| case.start_server(kind(format!("desk-{}", index + 1), index), 31 + index as u8))
--- a/review/standin-3/src/late_end.rs
+++ b/review/standin-3/src/late_end.rs
@@ -6,7 +6,7 @@
 use crate::{
     Case, Verdict,
     link::Link,
-    server::{BODY, Kind, Server},
+    server::{BODY, Kind, Server, FIRST_EVENT},
 };
 
 const SERVERS: usize = 5;
@@ -34,6 +34,8 @@
         down: DOWN,
         keeps_id: false,
         halves_gap: Some(HALVES_GAP),
+        version: "v1",
+        first_event: FIRST_EVENT,
     };
     let servers: Vec<(Server, Link)> = (0..SERVERS)
         .map(|index| {
--- a/review/standin-3/src/late_order.rs
+++ b/review/standin-3/src/late_order.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Case, Verdict,
-    server::{Kind, LateOrder},
+    server::{Kind, LateOrder, FIRST_EVENT},
 };
 
 /// The pages say: 2 to 12 s.
@@ -29,6 +29,8 @@
         down: DOWN,
         keeps_id: true,
         halves_gap: None,
+        version: "v1",
+        first_event: FIRST_EVENT,
     };
     let engine = case.start_server(kind, 11);
     case.system.start_router(1, "zone-a");
--- a/review/standin-3/src/link.rs
+++ b/review/standin-3/src/link.rs
@@ -44,8 +44,22 @@
         }
     }
 
+    /// Whether the caller is the agent on the server's own machine, which no cut keeps from it.
+    fn is_local(caller: &TcpStream) -> bool {
+        let mut bytes = [0; 9];
+        while let Ok(count @ 1..) = caller.peek(&mut bytes) {
+            if count == bytes.len() {
+                return bytes.starts_with(b"GET /v1/") || bytes.starts_with(b"POST /v1/");
+            }
+        }
+        false
+    }
+
     fn connect(&self, caller: TcpStream, to: SocketAddr) {
-        self.wait_until_whole();
+        let is_local = Self::is_local(&caller);
+        if !is_local {
+            self.wait_until_whole();
+        }
         let Ok(server) = TcpStream::connect(to) else {
             return;
         };
@@ -54,9 +68,10 @@
         let (Ok(caller_to), Ok(server_to)) = (caller.try_clone(), server.try_clone()) else {
             return;
         };
-        let link = self.clone();
+        let link = if is_local { Self { address: self.address, is_cut: Arc::default() } } else { self.clone() };
+        let back = link.clone();
         std::thread::spawn(move || link.pass(caller, server_to));
-        self.pass(server, caller_to);
+        back.pass(server, caller_to);
     }
 
     /// Passes on bytes and the end of the connection, both only while the link is whole.
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod http;
 mod late_end;
+mod late_events;
 mod late_order;
 mod link;
 mod part_burst;
@@ -159,6 +160,7 @@
         "all-killed" => all_killed::play,
         "copies" => copies::play,
         "late-end" => late_end::play,
+        "late-events" => late_events::play,
         "part-burst" => part_burst::play,
         "same-body" => same_body::play,
         _ => {
--- a/review/standin-3/src/part_burst.rs
+++ b/review/standin-3/src/part_burst.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Case, STABLE_MS, Verdict,
-    server::{CRASHING_PART, Kind, Server},
+    server::{CRASHING_PART, Kind, Server, FIRST_EVENT},
 };
 
 const ENGINES: usize = 6;
@@ -32,6 +32,8 @@
                 down: Duration::from_secs(2),
                 keeps_id: false,
                 halves_gap: None,
+                version: "v1",
+                first_event: FIRST_EVENT,
             };
             case.start_server(kind, 11 + index as u8)
         })
--- a/review/standin-3/src/same_body.rs
+++ b/review/standin-3/src/same_body.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Case, STABLE_MS, Verdict,
-    server::{CRASHING_BODY, CRASHING_MODEL, Kind, Server},
+    server::{CRASHING_BODY, CRASHING_MODEL, Kind, Server, FIRST_EVENT},
 };
 
 const ENGINES: usize = 3;
@@ -33,6 +33,8 @@
                 down: Duration::from_secs(2),
                 keeps_id: false,
                 halves_gap: None,
+                version: "v1",
+                first_event: FIRST_EVENT,
             };
             case.start_server(kind, 11 + index as u8)
         })
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -24,8 +24,8 @@
 const ENTRY_HEARTBEATS: u32 = 3;
 /// Work of a plain request.
 const PLAIN_WORK: Duration = Duration::from_millis(30);
-/// Time to the first event of a stream.
-const FIRST_EVENT: Duration = Duration::from_millis(60);
+/// The usual time to the first event of a stream.
+pub const FIRST_EVENT: Duration = Duration::from_millis(60);
 /// The part of prompts that crashes servers.
 pub const CRASHING_PART: &str = "bad0bad0";
 /// The body of a request that crashes servers.
@@ -58,6 +58,10 @@
     /// Whether its answers have no length and end with their connection, and come in two halves with this
     /// time between them.
     pub halves_gap: Option<Duration>,
+    /// The version of its software at the start.
+    pub version: &'static str,
+    /// Time to the first event of a stream.
+    pub first_event: Duration,
 }
 
 /// A request that has begun to run.
@@ -88,6 +92,7 @@
     number: u64,
     is_up: bool,
     id: String,
+    version: String,
     born_unix_ms: u64,
     heartbeats: u64,
     /// Orders accepted.
@@ -123,6 +128,8 @@
     /// The link by which others reach it, and whether it is cut off from the store.
     link: Arc<Mutex<Option<SocketAddr>>>,
     is_off_store: Arc<AtomicBool>,
+    /// The version of its software from its next start on.
+    next_version: Arc<Mutex<Option<&'static str>>>,
     overfull: Arc<Mutex<Vec<String>>>,
 }
 
@@ -153,6 +160,7 @@
             late: Arc::default(),
             link: Arc::default(),
             is_off_store: Arc::default(),
+            next_version: Arc::default(),
             overfull: Arc::default(),
         };
         let models = server.kind.models.clone().unwrap_or_default();
@@ -169,6 +177,16 @@
         self.store.write("servers", &id, entry);
     }
 
+    /// Returns the address that its entry names.
+    pub fn listed_address(&self) -> SocketAddr {
+        self.link.lock().expect("the link").unwrap_or(self.address)
+    }
+
+    /// Changes the version of its software from its next start on.
+    pub fn set_next_version(&self, version: &'static str) {
+        *self.next_version.lock().expect("the version") = Some(version);
+    }
+
     /// Cuts it off from the store, or mends that.
     pub fn set_off_store(&self, is_off: bool) {
         self.is_off_store.store(is_off, Ordering::SeqCst);
@@ -206,6 +224,7 @@
 
     fn begin_life(&self, listener: TcpListener, models: BTreeMap<String, BTreeSet<String>>) {
         self.on_disk.lock().expect("the disk").extend(models.keys().cloned());
+        let version = self.next_version.lock().expect("the version").unwrap_or(self.kind.version);
         let number = {
             let mut life = self.life.lock().expect("the life");
             let number = life.number + 1;
@@ -218,13 +237,14 @@
                 number,
                 is_up: true,
                 id,
+                version: version.to_owned(),
                 born_unix_ms: unix_ms(),
                 models,
                 ..Life::default()
             };
             number
         };
-        self.record.write(format!("{} starts, life {number}", self.kind.name));
+        self.record.write(format!("{} starts, life {number}, version {version}", self.kind.name));
         listener.set_nonblocking(true).expect("the listener");
         let server = self.clone();
         std::thread::spawn(move || server.accept(&listener, number));
@@ -256,14 +276,14 @@
     }
 
     fn entry(&self) -> Value {
-        let address = self.link.lock().expect("the link").unwrap_or(self.address);
+        let address = self.listed_address();
         let mut life = self.life.lock().expect("the life");
         life.heartbeats += 1;
         let mut entry = json!({
             "Service": self.kind.service,
             "Address": address.to_string(),
             "Zone": self.kind.zone,
-            "Version": "v1",
+            "Version": life.version,
             "Slots": self.kind.slots,
             "State": "ready",
             "ColdLeftMs": 0,
@@ -547,8 +567,9 @@
         headers: &[(&str, String)],
         run: &Run,
     ) -> Option<()> {
+        let version = self.life.lock().expect("the life").version.clone();
         let last = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
-        std::thread::sleep(FIRST_EVENT);
+        std::thread::sleep(self.kind.first_event);
         let mut parts: Vec<&str> = run.prompt.split(',').collect();
         parts.pop();
         let has_crashing_part =
@@ -573,7 +594,7 @@
         head += "\r\n";
         stream.write_all(head.as_bytes()).ok()?;
         for event in last.unwrap_or(0) + 1..=self.kind.events {
-            let text = format!("id: {event}\ndata: piece {event} of {}\n\n", run.target);
+            let text = format!("id: {event}\ndata: piece {event} of {} by {version}\n\n", run.target);
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             stream.write_all(chunk.as_bytes()).ok()?;
             std::thread::sleep(self.kind.event_gap);
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -73,7 +73,8 @@
     }
 
     pub fn start_agent(&mut self, engine: &Server) {
-        self.start("agent", engine.address.ip(), engine.kind.zone, Some(engine.address));
+        let address = engine.listed_address();
+        self.start("agent", address.ip(), engine.kind.zone, Some(address));
     }
 
     fn start(&mut self, role: &'static str, ip: IpAddr, zone: &str, engine: Option<SocketAddr>) {
