Review case 12: a model is not loaded again at the version that streams need

Two software versions serve. The only engine of one of them that holds a model is lost for good. Without the loss nothing has to be taken up.

--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -133,6 +133,11 @@
         Ok(Self { reader: BufReader::new(stream) })
     }
 
+    /// Sets how long a read may take.
+    pub fn set_timeout(&self, limit: Duration) {
+        self.reader.get_ref().set_read_timeout(Some(limit)).ok();
+    }
+
     /// Reads the response's head.
     pub fn head(&mut self) -> io::Result<Message> {
         read_head(&mut self.reader)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -9,6 +9,7 @@
 mod late_events;
 mod late_order;
 mod link;
+mod lost_version;
 mod part_burst;
 mod record;
 mod same_body;
@@ -63,13 +64,12 @@
 }
 
 impl Case {
-    fn begin(folder: &Path) -> Self {
+    fn begin(folder: &Path, config: &str) -> Self {
         let record = Record::create(&folder.join("record.txt")).expect("the record");
         let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
         record.write(format!("trouble: {has_trouble}"));
         let store = Store::start();
-        let config: Value =
-            serde_json::from_str(include_str!("../config.json")).expect("the configuration");
+        let config: Value = serde_json::from_str(config).expect("the configuration");
         let limits = Arc::new(engine_limits(&config));
         store.write("config", "main", config);
         let system = System::new(&store, &record);
@@ -155,12 +155,17 @@
         eprintln!("the case takes too long");
         exit(2);
     });
+    let config = match name.as_str() {
+        "lost-version" => include_str!("../config-versions.json"),
+        _ => include_str!("../config.json"),
+    };
     let play: fn(&mut Case) -> Result<Verdict, Verdict> = match name.as_str() {
         "late-order" => late_order::play,
         "all-killed" => all_killed::play,
         "copies" => copies::play,
         "late-end" => late_end::play,
         "late-events" => late_events::play,
+        "lost-version" => lost_version::play,
         "part-burst" => part_burst::play,
         "same-body" => same_body::play,
         _ => {
@@ -169,7 +174,7 @@
         }
     };
     let played = std::panic::catch_unwind(|| {
-        let mut case = Case::begin(Path::new(&folder));
+        let mut case = Case::begin(Path::new(&folder), config);
         let verdict = play(&mut case).unwrap_or_else(|verdict| verdict);
         (verdict, case.record.clone())
     });
