--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -10,6 +10,7 @@
 mod late_order;
 mod link;
 mod lost_version;
+mod odd_entries;
 mod part_burst;
 mod record;
 mod same_body;
@@ -166,6 +167,7 @@
         "late-end" => late_end::play,
         "late-events" => late_events::play,
         "lost-version" => lost_version::play,
+        "odd-entries" => odd_entries::play,
         "part-burst" => part_burst::play,
         "same-body" => same_body::play,
         _ => {
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -12,6 +12,10 @@
 
 use crate::http::{Message, read_message, respond};
 
+/// A page of a list has about so many objects or bytes at most.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
+
 #[derive(Default)]
 struct State {
     revision: u64,
@@ -135,10 +139,20 @@
                 }
             }
             ("GET", None) => {
-                let objects = state.objects.iter().filter(|((known, _), _)| known == kind);
-                let items: Vec<Value> = objects.map(|(_, object)| object.clone()).collect();
+                let after = queried("after").unwrap_or_default();
+                let objects = state.objects.iter();
+                let mut objects = objects.filter(|((known, name), _)| known == kind && **name > *after);
+                let (mut items, mut bytes) = (Vec::new(), 0);
+                for (_, object) in objects.by_ref() {
+                    bytes += object.to_string().len();
+                    items.push(object.clone());
+                    if items.len() >= PAGE_ITEMS || bytes >= PAGE_BYTES {
+                        break;
+                    }
+                }
+                let has_more = objects.next().is_some();
                 let revision = state.revision;
-                (200, json!({"items": items, "HasMore": false, "StoreRevision": revision}))
+                (200, json!({"items": items, "HasMore": has_more, "StoreRevision": revision}))
             }
             ("POST", None) => {
                 let name = body["Meta"]["Name"].as_str().unwrap_or_default().to_owned();
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -5,7 +5,10 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -44,6 +47,22 @@
     pid: u32,
     pub front: SocketAddr,
     ready: SocketAddr,
+    /// How often it was ended because it took too much memory.
+    pub memory_ends: usize,
+}
+
+impl Process {
+    /// Returns the most memory that it has had in use since its last start.
+    pub fn peak_kb(&self) -> u64 {
+        peak_kb(self.pid)
+    }
+}
+
+/// Returns the most memory that a process has had in use.
+fn peak_kb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
 }
 
 /// The processes of the system.
@@ -106,7 +125,7 @@
         let log = self.folder.join(format!("{name}.log"));
         let pid = spawn(role, &settings, &log);
         self.record.write(format!("{name} starts"));
-        self.processes.push(Process { role, name, settings, log, pid, front, ready });
+        self.processes.push(Process { role, name, settings, log, pid, front, ready, memory_ends: 0 });
     }
 
     /// Waits until all routers are ready; `false` if one isn't in time.
@@ -152,6 +171,59 @@
         self.record.write("all routers and agents are killed");
     }
 
+    /// Stops each router as planned, and starts it again once it has ended, one after the other.
+    pub fn restart_routers(&mut self) {
+        for process in self.processes.iter_mut().filter(|process| process.role == "router") {
+            let sent = Command::new("kill").args(["-TERM", &process.pid.to_string()]).status();
+            assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
+            self.record.write(format!("{} gets SIGTERM", process.name));
+            let mut children = CHILDREN.lock().expect("the children");
+            if let Some(child) = children.iter_mut().find(|child| child.id() == process.pid) {
+                child.wait().ok();
+            }
+            drop(children);
+            process.pid = spawn(process.role, &process.settings, &process.log);
+            self.record.write(format!("{} starts again", process.name));
+        }
+    }
+
+    /// Does what the platform does about memory: ends each process that exceeds its limit, and starts it again
+    /// after a while. Returns once `is_over`.
+    pub fn keep_memory_limit(&mut self, limit_mb: u64, is_over: &AtomicBool) {
+        let mut starts: Vec<(usize, Instant)> = Vec::new();
+        while !is_over.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(2));
+            starts.retain(|(index, at)| {
+                let is_due = Instant::now() >= *at;
+                if is_due {
+                    let process = &mut self.processes[*index];
+                    process.pid = spawn(process.role, &process.settings, &process.log);
+                    self.record.write(format!("{} starts again", process.name));
+                }
+                !is_due
+            });
+            for index in 0..self.processes.len() {
+                let process = &mut self.processes[index];
+                if starts.iter().any(|(known, _)| *known == index) {
+                    continue;
+                }
+                let peak_kb = peak_kb(process.pid);
+                if peak_kb > limit_mb * 1024 {
+                    let mut children = CHILDREN.lock().expect("the children");
+                    if let Some(child) = children.iter_mut().find(|child| child.id() == process.pid) {
+                        child.kill().ok();
+                        child.wait().ok();
+                    }
+                    drop(children);
+                    process.memory_ends += 1;
+                    let name = &process.name;
+                    self.record.write(format!("{name} has taken {peak_kb} kB and is ended"));
+                    starts.push((index, Instant::now() + Duration::from_secs(1)));
+                }
+            }
+        }
+    }
+
     /// Starts all processes again.
     pub fn start_all_again(&mut self) {
         for process in &mut self.processes {
