Review case 13: enough streams at the engine that is lost

A run with 14 streams taken up, of 12 that the rule asks for, left little room; more begin now until the engine has 15.

--- a/review/standin-3/src/lost_version.rs
+++ b/review/standin-3/src/lost_version.rs
@@ -20,6 +20,10 @@
 const DEADLINE_MS: u64 = 25_000;
 /// How many streams of the model begin before the engine is lost, over all engines that hold it.
 const STREAMS: usize = 54;
+/// More of them begin until the engine that is to be lost has so many which began lately, up to a maximum.
+const STREAMS_LOST: usize = 15;
+const STREAMS_MAX: usize = 74;
+const LATELY_MS: u64 = 18_000;
 const STREAMS_GAP: Duration = Duration::from_millis(400);
 /// How many begin afterwards.
 const NEW_STREAMS: usize = 24;
@@ -197,7 +201,13 @@
             });
         }
         std::thread::sleep(Duration::from_secs(2));
-        let streams: Vec<_> = (0..STREAMS)
+        let running = || {
+            let now_ms = case.record.ms();
+            let runs = engines[0].runs();
+            runs.iter().filter(|run| run.model == "m1" && run.at_ms + LATELY_MS > now_ms).count()
+        };
+        let streams: Vec<_> = (0..STREAMS_MAX)
+            .take_while(|number| *number < STREAMS || running() < STREAMS_LOST)
             .map(|number| {
                 std::thread::sleep(STREAMS_GAP);
                 scope.spawn(move || callers.follow(number, "m1", &format!("a{number:x}"), false))
