--- a/review/standin-3/src/all_killed.rs
+++ b/review/standin-3/src/all_killed.rs
@@ -119,7 +119,7 @@
             if status == 200 {
                 let (until, is_complete) = self.read(&mut call, last, false);
                 goes_on = until > last;
-                record.write(format!("{id} goes on to event {until}, complete: {is_complete}"));
+                record.write(format!("answered {id} goes on to event {until}, complete: {is_complete}"));
                 last = until;
             } else {
                 let body = call.body(&head).unwrap_or_default();
@@ -137,12 +137,13 @@
     fn begin_another(&self, number: usize) -> bool {
         let (id, name) = (self.case.request_id(), format!("b{number:03x}"));
         let deadline = ("celerystair-deadline-ms", DEADLINE_MS.to_string());
+        self.case.record.write(format!("sent {id} new stream {name}"));
         let call = self.send(&id, number, &[deadline], &name);
         let status = call.and_then(|mut call| {
             let status = call.head().ok()?.status();
             call.chunk().ok().flatten().map(|_| status)
         });
-        self.case.record.write(format!("new stream {id} {name}: {status:?}"));
+        self.case.record.write(format!("answered {id} new stream {name}: {status:?}"));
         status == Some(200)
     }
 }
--- a/review/standin-3/src/lost_version.rs
+++ b/review/standin-3/src/lost_version.rs
@@ -58,6 +58,8 @@
             ("celerystair-prompt-prefix", format!("5c1e07a2:250,{name}:50")),
         ];
         all.extend_from_slice(headers);
+        let after = headers.iter().find(|(name, _)| *name == "last-event-id").map(|(_, event)| event);
+        self.case.record.write(format!("sent {id} /night/{name} {model}, after event {after:?}"));
         let router = self.routers[router % self.routers.len()];
         let call = Call::send(router, "POST", &format!("/night/{name}"), &all, name.as_bytes());
         (id, call.ok())
@@ -95,13 +97,13 @@
         let status = call.head().map_or(0, |head| head.status());
         if is_new {
             let begins = status == 200 && matches!(call.chunk(), Ok(Some(_)));
-            record.write(format!("{first_id} {model} {name}: new, {status}, begins: {begins}"));
+            record.write(format!("answered {first_id} {model} {name}: new, {status}, begins: {begins}"));
             self.new_begun.fetch_add(usize::from(begins), Ordering::Relaxed);
             return;
         }
         let (mut last, is_complete) = if status == 200 { Self::read(&mut call, 0) } else { (0, false) };
         drop(call);
-        record.write(format!("{first_id} {model} {name}: {status}, {last} events, complete: {is_complete}"));
+        record.write(format!("answered {first_id} {model} {name}: {status}, {last} events, complete: {is_complete}"));
         if is_complete || last == 0 || model != "m1" {
             return;
         }
@@ -125,7 +127,7 @@
             let head = call.head().unwrap_or_default();
             if head.status() == 200 {
                 let (until, is_complete) = Self::read(&mut call, last);
-                record.write(format!("{id} {name} goes on from {last} to {until}, complete: {is_complete}"));
+                record.write(format!("answered {id} {name}: goes on from {last} to {until}, complete: {is_complete}"));
                 goes_on = until > last;
                 last = until;
                 if goes_on {
@@ -134,7 +136,7 @@
             } else {
                 let body = call.body(&head).unwrap_or_default();
                 let body = String::from_utf8_lossy(&body);
-                record.write(format!("{id} {name} after event {last}: {} {body}", head.status()));
+                record.write(format!("answered {id} {name} after event {last}: {} {body}", head.status()));
             }
         }
         self.taken_up.lock().expect("take-ups").push((name.to_owned(), goes_on));
@@ -142,12 +144,14 @@
 }
 
 pub fn play(case: &mut Case) -> Result<Verdict, Verdict> {
-    let kinds: [(&'static str, [&'static str; 2]); 5] = [
+    let kinds: [(&'static str, [&'static str; 2]); 7] = [
         ("v1", ["m1", "m2"]),
         ("v1", ["m2", "m3"]),
         ("v1", ["m2", "m3"]),
         ("v2", ["m1", "m2"]),
         ("v2", ["m1", "m3"]),
+        ("v2", ["m2", "m3"]),
+        ("v2", ["m2", "m3"]),
     ];
     let engines: Vec<Server> = kinds
         .into_iter()
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -100,8 +100,10 @@
     highest_fence: u64,
     /// Adapters of each model that it holds.
     models: BTreeMap<String, BTreeSet<String>>,
+    /// The model that it loads, or unloads once its runs have ended.
     loading: Option<String>,
     running: u32,
+    running_by_model: BTreeMap<String, u32>,
     connections: Vec<TcpStream>,
 }
 
@@ -471,9 +473,12 @@
                 (0, 0.0, 200)
             }
             (Some("unload"), None) => {
-                if life.models.remove(model).is_none() {
+                if !life.models.contains_key(model) {
                     return 200;
                 }
+                life.loading = Some(model.to_owned());
+                let (server, model, number) = (self.clone(), model.to_owned(), life.number);
+                std::thread::spawn(move || server.finish_unload(&model, number));
                 (0, 0.0, 202)
             }
             _ => return 400,
@@ -508,6 +513,22 @@
         }
     }
 
+    /// Drops a model once its runs have ended.
+    fn finish_unload(&self, model: &str, number: u64) {
+        loop {
+            std::thread::sleep(Duration::from_millis(5));
+            let mut life = self.life.lock().expect("the life");
+            if !life.is_up || life.number != number {
+                return;
+            }
+            if life.running_by_model.get(model).is_none_or(|count| *count == 0) {
+                life.models.remove(model);
+                life.loading = None;
+                return;
+            }
+        }
+    }
+
     fn run(&self, stream: &TcpStream, request: &Message, number: u64) -> Option<()> {
         let header = |name: &str| request.header(name).unwrap_or_default().to_owned();
         let id = header("celerystair-request-id");
@@ -519,6 +540,12 @@
         }
         let is_other = request.header("celerystair-expect-instance").is_some_and(|id| id != own_id);
         let model = request.header("celerystair-model");
+        let base = model.map(|model| model.split('/').next().unwrap_or_default().to_owned());
+        let is_ordered = base.is_some() && self.life.lock().expect("the life").loading == base;
+        if !is_other && is_ordered {
+            headers.push(("celerystair-not-run", "1".to_owned()));
+            return respond(stream, 503, &headers, b"").ok();
+        }
         if is_other || model.is_some_and(|model| !self.holds(model)) {
             headers.push(("celerystair-instance-id", own_id));
             return respond(stream, 421, &headers, b"").ok();
@@ -535,7 +562,7 @@
         self.runs.lock().expect("runs").push(run.clone());
         headers.push(("celerystair-server-seal", "5ea1".to_owned()));
         let server = self.clone();
-        let running = Running::begin(&server, number);
+        let running = Running::begin(&server, number, base.unwrap_or_default());
         let served = if self.kind.models.is_some() {
             self.stream(stream, request, &headers, &run)
         } else {
@@ -569,6 +596,8 @@
     ) -> Option<()> {
         let version = self.life.lock().expect("the life").version.clone();
         let last = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let deadline = request.header("celerystair-deadline-ms").and_then(|ms| ms.parse::<u64>().ok());
+        let deadline_ms = run.at_ms + deadline.unwrap_or(u64::MAX / 2);
         std::thread::sleep(self.kind.first_event);
         let mut parts: Vec<&str> = run.prompt.split(',').collect();
         parts.pop();
@@ -594,6 +623,9 @@
         head += "\r\n";
         stream.write_all(head.as_bytes()).ok()?;
         for event in last.unwrap_or(0) + 1..=self.kind.events {
+            if self.record.ms() >= deadline_ms {
+                return None;
+            }
             let text = format!("id: {event}\ndata: piece {event} of {} by {version}\n\n", run.target);
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             stream.write_all(chunk.as_bytes()).ok()?;
@@ -621,12 +653,16 @@
 struct Running<'a> {
     server: &'a Server,
     number: u64,
+    model: String,
 }
 
 impl<'a> Running<'a> {
-    fn begin(server: &'a Server, number: u64) -> Self {
-        server.life.lock().expect("the life").running += 1;
-        Self { server, number }
+    fn begin(server: &'a Server, number: u64, model: String) -> Self {
+        let mut life = server.life.lock().expect("the life");
+        life.running += 1;
+        *life.running_by_model.entry(model.clone()).or_default() += 1;
+        drop(life);
+        Self { server, number, model }
     }
 }
 
@@ -635,6 +671,9 @@
         let mut life = self.server.life.lock().expect("the life");
         if life.number == self.number {
             life.running = life.running.saturating_sub(1);
+            if let Some(count) = life.running_by_model.get_mut(&self.model) {
+                *count = count.saturating_sub(1);
+            }
         }
     }
 }
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -143,14 +143,15 @@
                 let objects = state.objects.iter();
                 let mut objects = objects.filter(|((known, name), _)| known == kind && **name > *after);
                 let (mut items, mut bytes) = (Vec::new(), 0);
+                let mut has_more = false;
                 for (_, object) in objects.by_ref() {
                     bytes += object.to_string().len();
-                    items.push(object.clone());
-                    if items.len() >= PAGE_ITEMS || bytes >= PAGE_BYTES {
+                    has_more = !items.is_empty() && (items.len() >= PAGE_ITEMS || bytes > PAGE_BYTES);
+                    if has_more {
                         break;
                     }
+                    items.push(object.clone());
                 }
-                let has_more = objects.next().is_some();
                 let revision = state.revision;
                 (200, json!({"items": items, "HasMore": has_more, "StoreRevision": revision}))
             }
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -47,8 +47,9 @@
     pid: u32,
     pub front: SocketAddr,
     ready: SocketAddr,
-    /// How often it was ended because it took too much memory.
+    /// How often it was ended because it took too much memory, but for ends within a second of a planned stop.
     pub memory_ends: usize,
+    planned_start: Option<Instant>,
 }
 
 impl Process {
@@ -125,7 +126,7 @@
         let log = self.folder.join(format!("{name}.log"));
         let pid = spawn(role, &settings, &log);
         self.record.write(format!("{name} starts"));
-        self.processes.push(Process { role, name, settings, log, pid, front, ready, memory_ends: 0 });
+        self.processes.push(Process { role, name, settings, log, pid, front, ready, memory_ends: 0, planned_start: None });
     }
 
     /// Waits until all routers are ready; `false` if one isn't in time.
@@ -183,6 +184,7 @@
             }
             drop(children);
             process.pid = spawn(process.role, &process.settings, &process.log);
+            process.planned_start = Some(Instant::now());
             self.record.write(format!("{} starts again", process.name));
         }
     }
@@ -215,7 +217,8 @@
                         child.wait().ok();
                     }
                     drop(children);
-                    process.memory_ends += 1;
+                    let is_planned = process.planned_start.is_some_and(|at| at.elapsed() <= Duration::from_secs(1));
+                    process.memory_ends += usize::from(!is_planned);
                     let name = &process.name;
                     self.record.write(format!("{name} has taken {peak_kb} kB and is ended"));
                     starts.push((index, Instant::now() + Duration::from_secs(1)));
