Log how much a list of the store holds

Routers beside entries of another writer end for their memory, and no line said how much a list had: a process that grows with what it reads looked like any other.

--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -342,6 +342,9 @@
             list.unnamed = list.unnamed.saturating_add(page.list.unnamed);
             list.is_partial |= page.list.is_partial;
             if page.after.is_none() {
+                info!(self.log(), "objects_listed"; "prefix" => prefix,
+                    "objects" => list.objects.len(), "unnamed" => list.unnamed,
+                    "bytes" => known_bytes);
                 return Ok(InEra { era, value: list });
             }
             if page.after == after {
