Keep the text of the store's values, not parsed trees

Cause: each value became a tree before its few fields were read. A small object takes some ninety times its text as a tree, and the trees of a list stood side by side. All limits count text. Evidence: the same lists in a member that nobody reads did the same, and a list of 120,000 objects takes 80 MB by itself.

Change: an object has the text of its value, which is checked without keeping anything, and from which each reader takes the members that it wants. The same holds for watches, peers' items, reports of engines and the bodies of completion requests. Why it works: what is kept is at most the text, which the limits that stand bound already.

The tests of the platform's client, of odd items, odd entries, endless stores, configurations, placement, the store and its eras held.

--- a/crates/celerystair_config/src/in_force.rs
+++ b/crates/celerystair_config/src/in_force.rs
@@ -11,7 +11,7 @@
 use celerystair_platform::{objects::CONFIG_HEAD_KEY, prelude::*};
 use event_listener::{Event, EventListener};
 use futures_util::future::select;
-use serde_json::Value;
+use serde::Deserialize;
 use thiserror::Error;
 
 use crate::{change::FieldProblem, fleet::FleetDocument, queries::check_document::check_document};
@@ -43,6 +43,13 @@
     },
 }
 
+/// A document that this version of the program can't parse.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RefusedDocument {
+    revision: u64,
+}
+
 /// The document in force in this process, shared by the tasks of a thread. Its revision never
 /// decreases.
 #[derive(Clone, Default)]
@@ -133,8 +140,8 @@
         match serde_json::from_slice::<FleetDocument>(json) {
             Ok(document) => self.apply(Rc::new(document)),
             Err(error) => {
-                let value = serde_json::from_slice::<Value>(json).unwrap_or_default();
-                self.record_refused_revision(value["revision"].as_u64().unwrap_or_default());
+                let refused: RefusedDocument = serde_json::from_slice(json).unwrap_or_default();
+                self.record_refused_revision(refused.revision);
                 self.set_refusal(DocumentRefusal::Unreadable {
                     detail: error.to_string(),
                 });
@@ -160,7 +167,8 @@
                 Ok(())
             }
             Err(error) => {
-                self.record_refused_revision(object.value["revision"].as_u64().unwrap_or_default());
+                let refused: RefusedDocument = object.read().unwrap_or_default();
+                self.record_refused_revision(refused.revision);
                 self.set_refusal(DocumentRefusal::Unreadable {
                     detail: error.to_string(),
                 });
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -19,7 +19,7 @@
 const REFRESH_INTERVAL_MS: u64 = 1000;
 
 /// What an entry of the list describes; an error if it describes no usable upstream.
-type ListedEntry = Result<UpstreamEntry, StoreError>;
+type ListedEntry = Result<Rc<UpstreamEntry>, StoreError>;
 
 /// A configuration, with its routes indexed for lookup.
 pub struct ActiveConfig {
@@ -82,7 +82,7 @@
                 warn!(entry_log, "entry_unused"; "entry" => shortened(&object.key),
                     "version" => object.version, "error" => shortened(error));
             }
-            Ok(entry)
+            Ok(entry.map(Rc::new))
         };
         let entries =
             Mirror::start_with_decoder(store, source.upstream_key_prefix, read_entry, stop);
@@ -354,7 +354,7 @@
             if let Ok(entry) = &*entry
                 && self.is_entry_believed(&upstreams, entry, copy_read_unix_ms, now)
             {
-                listed.insert(entry.id.clone(), Rc::new(entry.clone()));
+                listed.insert(entry.id.clone(), entry.clone());
             }
         }
         let gone = upstreams.extract_if(|id, _| {
--- a/crates/celerystair_node/tests/watchers.rs
+++ b/crates/celerystair_node/tests/watchers.rs
@@ -19,12 +19,8 @@
             "fence": 1, "instance": format!("{name}.1"), "claim_id": "c", "pool": "p",
             "address": "127.0.0.1:9", "failure_domain": "a", "memory_bytes": 1,
         });
-        let object = Object {
-            key: format!("{AGENT_KEY_PREFIX}{name}"),
-            version: index as u64 + 1,
-            value,
-            ..Object::default()
-        };
+        let key = format!("{AGENT_KEY_PREFIX}{name}");
+        let object = Object::new(key, index as u64 + 1, &value).expect("an object");
         mirror
             .apply(&object)
             .expect("the agent's object is applied");
--- a/crates/celerystair_placement/src/propose.rs
+++ b/crates/celerystair_placement/src/propose.rs
@@ -290,13 +290,8 @@
             .await;
         match written {
             Ok(version) => {
-                let value = serde_json::to_value(&next).unwrap_or_default();
-                node.placements.apply(&Object {
-                    key,
-                    version,
-                    value,
-                    ..Object::default()
-                })?;
+                let written = Object::new(key, version, &next)?;
+                node.placements.apply(&written)?;
                 return Ok(Some(next.generation));
             }
             Err(StoreError::Conflict { .. } | StoreError::OutcomeUnknown { .. }) => {}
--- a/crates/celerystair_platform/src/configs.rs
+++ b/crates/celerystair_platform/src/configs.rs
@@ -25,6 +25,7 @@
     mirror::{Mirror, MirrorPace},
     pacer::CallPriority,
     store::{Object, Store, StoreRevision, shortened},
+    value_text::ValueText,
 };
 
 /// How long a version that a peer has may reach this process through the store, before it is asked for.
@@ -69,26 +70,22 @@
     refused: Cell<u64>,
 }
 
-/// A configuration that is in force.
+/// A configuration that is in force or may come into force.
 struct ConfigInForce {
     config: Rc<ServingConfig>,
     /// The value that the operator wrote, for peers.
     text: Vec<u8>,
 }
 
-/// The operator's object as it was read.
-struct ReadConfig {
-    config: Result<Rc<ServingConfig>, StoreError>,
-    text: Vec<u8>,
-}
+/// The operator's object as it was read; an error if it is no configuration.
+type ReadConfig = Result<Rc<ConfigInForce>, StoreError>;
 
-impl ReadConfig {
-    fn new(source: &FleetSource, object: &Object) -> Self {
-        Self {
-            config: (source.read_config)(object).map(Rc::new),
-            text: serde_json::to_vec(&object.value).unwrap_or_default(),
-        }
-    }
+fn read_config(source: &FleetSource, object: &Object) -> ReadConfig {
+    let config = (source.read_config)(object)?;
+    Ok(Rc::new(ConfigInForce {
+        config: Rc::new(config),
+        text: object.value.as_str().into(),
+    }))
 }
 
 /// A process that has a configuration in force, and sends it to those that ask.
@@ -128,7 +125,17 @@
     /// Starts tasks that follow the configuration of `source` until `stop` ends.
     pub fn start(source: &FleetSource, store: &Store, log: &Logger, stop: &Stop) -> Self {
         let decoded_source = source.clone();
-        let decode = move |object: &Object| Ok(ReadConfig::new(&decoded_source, object));
+        let config_key = source.config_key();
+        let decode = move |object: &Object| {
+            if object.key == config_key {
+                Ok(read_config(&decoded_source, object))
+            } else {
+                Err(StoreError::BadObject {
+                    key: object.key.clone(),
+                    detail: "it is not the configuration".to_owned(),
+                })
+            }
+        };
         let prefix = source.config_key_prefix;
         let follower = Self {
             inner: Rc::new(Inner {
@@ -271,8 +278,8 @@
         let inner = &self.inner;
         let before = self.known_version();
         let StoreRevision { era, revision } = read_at;
-        let config = match &read.config {
-            Ok(config) => config,
+        let read = match read {
+            Ok(read) => read,
             Err(error) => {
                 inner.refused.set(inner.refused.get() + 1);
                 warn!(inner.log, "config_refused"; "in_force" => before, "from" => from,
@@ -280,16 +287,14 @@
                 return;
             }
         };
+        let config = &read.config;
         match decide_config(config, before) {
             ConfigDecision::ComesIntoForce => {
                 info!(inner.log, "config_in_force"; "version" => config.version,
                     "before" => before, "from" => from, "revision" => revision, "era" => era,
                     "routes" => config.routes.len(),
                     "idle_timeout_ms" => config.caller_limits.idle_timeout_ms);
-                *inner.in_force.borrow_mut() = Some(Rc::new(ConfigInForce {
-                    config: config.clone(),
-                    text: read.text.clone(),
-                }));
+                *inner.in_force.borrow_mut() = Some(read.clone());
                 inner.changed.notify(usize::MAX);
             }
             ConfigDecision::Refused(fault) => {
@@ -352,7 +357,7 @@
         let asked = before_deadline(now_unix_ms() + PEER_TIMEOUT_MS, self.fetch(peer)).await;
         match asked {
             Some(Ok(object)) => {
-                let read = ReadConfig::new(&self.inner.source, &object);
+                let read = read_config(&self.inner.source, &object);
                 self.decide(&read, "peer", StoreRevision::default());
             }
             Some(Err(error)) => {
@@ -379,10 +384,9 @@
             return Err(failed(&response.status()));
         }
         let bytes = response.into_body();
-        let source = &self.inner.source;
         Ok(Object {
-            key: format!("{}{}", source.config_key_prefix, source.config_name),
-            value: serde_json::from_slice(&bytes).map_err(|error| failed(&error))?,
+            key: self.inner.source.config_key(),
+            value: ValueText::from_bytes(&bytes).map_err(|error| failed(&error))?,
             ..Object::default()
         })
     }
--- a/crates/celerystair_platform/src/dialect.rs
+++ b/crates/celerystair_platform/src/dialect.rs
@@ -2,11 +2,10 @@
 //! the stand-in platform serves, is one dialect; an adapter to another platform defines another.
 //! All dialects have the semantics that [`crate::store`] describes.
 
-use serde::Deserialize;
 use serde_json::Value;
 
 use crate::{
-    raw_json::{RawObject, read_value, split_list, split_object, string_bytes},
+    raw_json::{RawObject, split_list, split_object, string_bytes},
     store::{Expected, Object, ObjectList, WatchReply, WriteReply},
 };
 
@@ -98,9 +97,7 @@
         },
         read_list,
         read_watch,
-        read_version: |body| {
-            Ok(WriteReply::deserialize(&serde_json::from_slice::<Value>(body)?)?.version)
-        },
+        read_version: |body| Ok(serde_json::from_slice::<WriteReply>(body)?.version),
     }
 }
 
@@ -143,8 +140,7 @@
 /// Why the value of an object that is malformed can't be read.
 pub const NOT_JSON: &str = "it is no JSON";
 
-/// The longest value that is read: twice what an object of the platform has at most. A value takes up to
-/// sixteen times the memory of its text.
+/// The longest value that is read: twice what an object of the platform has at most.
 const VALUE_MAX_BYTES: usize = 2 * 1024 * 1024;
 
 /// Creates an object whose value is read from `value`; the value of an object that isn't whole can't be
@@ -155,23 +151,21 @@
     object: &RawObject<'_>,
     value: Option<&[u8]>,
 ) -> Object {
-    let value = match value {
-        _ if !object.is_whole => Err(NOT_JSON.to_owned()),
+    let fault = match value {
+        _ if !object.is_whole => Some(NOT_JSON.to_owned()),
         Some(value) if value.len() > VALUE_MAX_BYTES => {
-            Err(format!("it has more than {VALUE_MAX_BYTES} bytes"))
+            Some(format!("it has more than {VALUE_MAX_BYTES} bytes"))
         }
-        Some(value) => read_value(value).map_err(|error| error.to_string()),
-        None => Ok(Value::Null),
-    };
-    let (value, fault) = match value {
-        Ok(value) => (value, None),
-        Err(fault) => (Value::Null, Some(fault)),
+        _ => None,
     };
-    Object {
-        key,
-        version,
-        value,
-        fault,
+    match fault {
+        Some(fault) => Object {
+            key,
+            version,
+            fault: Some(fault),
+            ..Object::default()
+        },
+        None => Object::from_text(key, version, value.unwrap_or(b"null")),
     }
 }
 
--- a/crates/celerystair_platform/src/fleet_source.rs
+++ b/crates/celerystair_platform/src/fleet_source.rs
@@ -39,4 +39,9 @@
     pub fn open(&self) -> Result<Store, StoreError> {
         Store::with_dialect(self.store.clone(), self.dialect)
     }
+
+    /// Returns the key of the configuration.
+    pub(crate) fn config_key(&self) -> String {
+        format!("{}{}", self.config_key_prefix, self.config_name)
+    }
 }
--- a/crates/celerystair_platform/src/lib.rs
+++ b/crates/celerystair_platform/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`raw_json`] | the parts of a JSON text, found without reading what is in them |
 //! | [`shared`] | objects and instance states that processes pass on to one another |
 //! | [`store`] | the client through which all calls to the object API go |
+//! | [`value_text`] | the text of an object's value, read for the members that are wanted |
 //!
 //! `docs/STORE.md` describes what an operator does when the platform is down.
 
@@ -30,6 +31,7 @@
 pub mod raw_json;
 pub mod shared;
 pub mod store;
+pub mod value_text;
 
 /// The types that most users of this crate need.
 pub mod prelude {
@@ -47,5 +49,6 @@
         store::{
             Expected, Object, ObjectList, Store, StoreAvailability, StoreSettings, WatchReply,
         },
+        value_text::ValueText,
     };
 }
--- a/crates/celerystair_platform/src/mirror.rs
+++ b/crates/celerystair_platform/src/mirror.rs
@@ -302,7 +302,11 @@
         }
         let value = Rc::new((self.inner.decode_value)(object)?);
         if self.insert_if_newer(name, version, value) {
-            self.share(&object.key, object.version, &object.value);
+            self.share(
+                &object.key,
+                object.version,
+                object.value.as_str().as_bytes(),
+            );
         }
         Ok(())
     }
@@ -344,20 +348,15 @@
         objects.remove(name);
         drop(objects);
         let key = format!("{}{name}", self.inner.prefix);
-        self.share(&key, deleted_at.revision, &serde_json::Value::Null);
+        self.share(&key, deleted_at.revision, b"");
         self.inner.changed.notify(usize::MAX);
     }
 
-    /// Shares an object of this mirror with peers; a null value is a deletion.
-    fn share(&self, key: &str, version: u64, value: &serde_json::Value) {
+    /// Shares an object of this mirror with peers; an empty value is a deletion.
+    fn share(&self, key: &str, version: u64, value: &[u8]) {
         let Some(shared) = &self.inner.shared else {
             return;
         };
-        let value = if value.is_null() {
-            Vec::new()
-        } else {
-            serde_json::to_vec(value).unwrap_or_default()
-        };
         shared.record(SharedItem {
             key: key.to_owned(),
             version,
@@ -376,13 +375,8 @@
         };
         if item.value.is_empty() {
             self.remove(name, version);
-        } else if let Ok(value) = serde_json::from_slice(&item.value) {
-            let object = Object {
-                key: item.key.clone(),
-                version: item.version,
-                value,
-                ..Object::default()
-            };
+        } else {
+            let object = Object::from_text(item.key.clone(), item.version, &item.value);
             if let Ok(value) = (self.inner.decode_value)(&object) {
                 self.insert_if_newer(name, version, Rc::new(value));
             }
--- a/crates/celerystair_platform/src/raw_json.rs
+++ b/crates/celerystair_platform/src/raw_json.rs
@@ -6,7 +6,6 @@
 //! the text.
 
 use serde::de::DeserializeOwned;
-use serde_json::Value;
 use thiserror::Error;
 
 /// The most bytes that are looked at for each byte of the text. A sound text needs one; the rest is for
@@ -397,18 +396,6 @@
     bytes.extend_from_slice(&[0xE0 | (code_point >> 12) as u8, low_bits(6), low_bits(0)]);
 }
 
-/// Reads a value. Bytes that aren't UTF-8 damage only the strings that they are in.
-///
-/// # Errors
-/// The parser's, for a text that it can't read, for instance one that is too deep or has too large a
-/// number.
-pub fn read_value(text: &[u8]) -> Result<Value, serde_json::Error> {
-    match std::str::from_utf8(text) {
-        Ok(text) => serde_json::from_str(text),
-        Err(_) => serde_json::from_str(&String::from_utf8_lossy(text)),
-    }
-}
-
 fn expect(text: &[u8], at: usize, byte: u8) -> Result<usize, BrokenJson> {
     match text.get(at) {
         Some(found) if *found == byte => Ok(at + 1),
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -11,7 +11,6 @@
 use event_listener::{Event, EventListener};
 use http::Request;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use serde_json::Value;
 use slog::{Discard, Logger, info, o, warn};
 
 use crate::{
@@ -19,6 +18,7 @@
     error::StoreError,
     instances::InstanceList,
     pacer::{CallCounts, CallPriority, RateLimiter},
+    value_text::ValueText,
 };
 
 /// Address and limits of the client of the store.
@@ -83,15 +83,54 @@
     pub key: String,
     /// Version of the object: the revision of the store at its last write.
     pub version: u64,
-    /// Value of the object.
-    pub value: Value,
+    /// Value of the object, as text.
+    pub value: ValueText,
     /// Why the value can't be read; the value is null then.
     #[serde(skip)]
     pub fault: Option<String>,
 }
 
 impl Object {
-    /// Deserialises the value.
+    /// Creates an object with a value.
+    ///
+    /// # Errors
+    /// [`StoreError::BadObject`] if the value has no form in JSON.
+    pub fn new(key: String, version: u64, value: &impl Serialize) -> Result<Self, StoreError> {
+        match ValueText::from_serialize(value) {
+            Ok(value) => Ok(Self {
+                key,
+                version,
+                value,
+                fault: None,
+            }),
+            Err(error) => Err(bad_object(&key, &error)),
+        }
+    }
+
+    /// Creates an object from the text of its value, which may be one that can't be read.
+    pub fn from_text(key: String, version: u64, text: &[u8]) -> Self {
+        let (value, fault) = match ValueText::from_bytes(text) {
+            Ok(value) => (value, None),
+            Err(error) => (ValueText::default(), Some(error.to_string())),
+        };
+        Self {
+            key,
+            version,
+            value,
+            fault,
+        }
+    }
+
+    /// Makes the value one that can't be read.
+    pub fn set_fault(&mut self, fault: &str) {
+        self.value = ValueText::default();
+        self.fault = Some(fault.to_owned());
+    }
+
+    /// Reads the members of the value that `T` wants.
+    ///
+    /// # Errors
+    /// [`StoreError::BadObject`] if the value can't be read, or isn't of this type.
     pub fn read<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
         let bad_object = |detail: String| StoreError::BadObject {
             key: self.key.clone(),
@@ -100,7 +139,10 @@
         if let Some(fault) = &self.fault {
             return Err(bad_object(fault.clone()));
         }
-        T::deserialize(&self.value).map_err(|error| bad_object(error.to_string()))
+        // The parser's message may have a string of the value in it.
+        self.value
+            .read()
+            .map_err(|error| bad_object(shortened(&error)))
     }
 }
 
@@ -669,7 +711,7 @@
 
 /// The longest body that is read. A page of the platform has about 1 MB and an object 1 MiB at most; the lists
 /// without pages that a process reads at its start have 2 MB together at the size that the project designs
-/// for (`docs/CAPACITY.md`). A value takes up to sixteen times the memory of its text.
+/// for (`docs/CAPACITY.md`).
 const RESPONSE_MAX_BYTES: usize = 4 * 1024 * 1024;
 /// The most that the pages of one list may have together, above any list of the size that the project
 /// designs for.
--- a/crates/celerystair_platform/tests/odd_objects.rs
+++ b/crates/celerystair_platform/tests/odd_objects.rs
@@ -51,7 +51,8 @@
         let [a, other, b] = &reply.objects[..] else {
             panic!("{odd}: {:?}", reply.objects);
         };
-        assert_eq!((a.read().ok(), b.value["x"].as_u64()), (Some(1), Some(2)));
+        let b: serde_json::Value = b.read().expect("a sound value");
+        assert_eq!((a.read().ok(), b["x"].as_u64()), (Some(1), Some(2)));
         assert_eq!((other.key.as_str(), other.version), ("k/odd", 4));
         assert!(other.read::<serde_json::Value>().is_err());
         let object = format!(r#"{{"key":"k/odd","version":4,"value":{odd}}}"#);
@@ -150,12 +151,7 @@
             (5, json!(7)),
             (4, json!(1)),
         ] {
-            let object = Object {
-                key: "k/a".to_owned(),
-                version,
-                value,
-                ..Object::default()
-            };
+            let object = Object::new("k/a".to_owned(), version, &value).expect("an object");
             mirror.apply(&object).expect("an error is a value here");
             let (_, value) = mirror.get("a").expect("the object is known");
             assert_eq!(value.is_ok(), version > 3);
--- a/crates/celerystair_router/src/caller_request.rs
+++ b/crates/celerystair_router/src/caller_request.rs
@@ -3,8 +3,10 @@
 use bytes::Bytes;
 use celerystair_config::fleet;
 use celerystair_core::{prelude::*, rendezvous::fingerprint};
+use celerystair_platform::value_text::check_value;
 use http::{HeaderMap, request::Parts};
-use serde_json::Value;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::router::Router;
 
@@ -70,9 +72,9 @@
     arrived_unix_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
     let bad_request = |detail: String| Refusal::not_run(RefusalReason::BadRequest, detail);
-    let value: Value = serde_json::from_slice(&body)
+    let fields = read_completion_fields(&body)
         .map_err(|error| bad_request(format!("the body is not valid JSON: {error}")))?;
-    let Some(name) = value.get("model").and_then(Value::as_str) else {
+    let Some(name) = &fields.model else {
         return Err(bad_request(
             "the field `model` is missing or not a string".to_owned(),
         ));
@@ -94,10 +96,6 @@
     {
         return Err(unknown_model());
     }
-    let stream = value
-        .get("stream")
-        .and_then(Value::as_bool)
-        .unwrap_or(false);
     let mut request = read_common(
         router,
         id,
@@ -107,10 +105,44 @@
         arrived_unix_ms,
     )?;
     request.is_idempotent = true;
-    request.stream = stream;
+    request.stream = fields.stream;
     Ok(request)
 }
 
+/// The fields of a completion request that the router reads; the others are the upstream's.
+struct CompletionFields {
+    /// `None` if it is missing or not a string.
+    model: Option<String>,
+    /// Whether the response is to be streamed.
+    stream: bool,
+}
+
+fn read_completion_fields(body: &[u8]) -> Result<CompletionFields, serde_json::Error> {
+    #[derive(Default, Deserialize)]
+    struct WireFields<'a> {
+        #[serde(borrow, default)]
+        model: Option<&'a RawValue>,
+        #[serde(borrow, default)]
+        stream: Option<&'a RawValue>,
+    }
+
+    let text =
+        std::str::from_utf8(body).map_err(<serde_json::Error as serde::de::Error>::custom)?;
+    check_value(text)?;
+    let is_object = text.trim_start().starts_with('{');
+    let fields: WireFields<'_> = if is_object {
+        serde_json::from_str(text)?
+    } else {
+        WireFields::default()
+    };
+    let model = fields.model.map(|text| serde_json::from_str(text.get()));
+    let stream = fields.stream.map(|text| serde_json::from_str(text.get()));
+    Ok(CompletionFields {
+        model: model.and_then(Result::ok),
+        stream: stream.and_then(Result::ok).unwrap_or_default(),
+    })
+}
+
 /// Reads a call of a plain service, at `/services/<name>/...`.
 pub fn read_service_call(
     router: &Router,
--- a/crates/celerystair_standin/src/platform.rs
+++ b/crates/celerystair_standin/src/platform.rs
@@ -18,12 +18,11 @@
     prelude::*,
 };
 use celerystair_platform::{
-    prelude::Object,
+    prelude::{Object, ValueText},
     store::{ObjectList, WatchReply, WriteReply},
 };
 use event_listener::Event;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use instances::InstanceRecord;
 use rate::TokenBucket;
@@ -336,7 +335,7 @@
     }
 
     fn put(&self, key: &str, if_version: u64, body: &[u8]) -> HttpResponse {
-        let value: Value = match serde_json::from_slice(body) {
+        let value = match ValueText::from_bytes(body) {
             Ok(value) => value,
             Err(error) => return error_response(400, &error.to_string()),
         };
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -57,7 +57,7 @@
 fn check_platform_config(path: &Path, in_force: Option<u64>) -> eyre::Result<()> {
     let object = Object {
         key: path.display().to_string(),
-        value: serde_json::from_str(&std::fs::read_to_string(path)?)?,
+        value: ValueText::from_bytes(&std::fs::read(path)?)?,
         ..Object::default()
     };
     let config = read_config(&object)?;
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -232,12 +232,9 @@
         }];
         left[0].node.shared_items.merge(told);
         all_see(&left, "new", Some(InstanceState::Live)).await;
-        let moved = Object {
-            key: format!("{PLACEMENT_KEY_PREFIX}m"),
-            version: 1_000_000,
-            value: serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] }),
-            ..Object::default()
-        };
+        let value = serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] });
+        let moved = Object::new(format!("{PLACEMENT_KEY_PREFIX}m"), 1_000_000, &value);
+        let moved = moved.expect("an object");
         left[1].node.placements.apply(&moved).expect("a placement");
         all_have(&left, "m", moved.version).await;
         processes.iter().for_each(Process::end);
@@ -291,12 +288,9 @@
         set_faults(&url, &down(true)).await;
         let first = Process::start("first", &url, Vec::new());
         let second = Process::start("second", &url, vec![first.address]);
-        let moved = Object {
-            key: format!("{PLACEMENT_KEY_PREFIX}m"),
-            version: 7,
-            value: serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] }),
-            ..Object::default()
-        };
+        let value = serde_json::json!({ "generation": 7, "write_id": "w", "slots": [] });
+        let moved = Object::new(format!("{PLACEMENT_KEY_PREFIX}m"), 7, &value);
+        let moved = moved.expect("an object");
         first.node.placements.apply(&moved).expect("a placement");
         all_have(&[&second], "m", moved.version).await;
         assert!(!second.node.placements.is_complete());
--- a/tests/mixed_versions.rs
+++ b/tests/mixed_versions.rs
@@ -99,12 +99,7 @@
 
 fn with_later_field(mut value: Value) -> Object {
     value["of_a_later_version"] = json!(7);
-    Object {
-        key: "k".to_owned(),
-        version: 1,
-        value,
-        ..Object::default()
-    }
+    Object::new("k".to_owned(), 1, &value).expect("an object")
 }
 
 #[test]
--- a/tests/placement_claims.rs
+++ b/tests/placement_claims.rs
@@ -171,7 +171,12 @@
         .await;
         let fence_of = async || {
             let found = rig.store.get("agents/e-a").await.ok().flatten();
-            found.map_or(0, |object| object.value["fence"].as_u64().unwrap_or(0))
+            let claim = found.and_then(|object| {
+                object
+                    .read::<celerystair::platform::prelude::AgentObject>()
+                    .ok()
+            });
+            claim.map_or(0, |claim| claim.fence)
         };
         let fence = fence_of().await;
         pause.send(3 * order_life_ms).await.expect("the agent runs");
