Log streams that begin at an upstream that has started again

Streams hold events of two software versions, and no line said by which start of an upstream a stream was bound. Routers remember the starts that the list and agents tell of, and when each became known; connections know when they were opened. `stream_upstream_started_again` has the versions, both ages and what the stream was bound to, for each later start that is known at its first event. No decision changes.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -31,7 +31,7 @@
 /// A response whose head has arrived and whose body is still to be read.
 pub struct StartedResponse {
     /// The status and headers.
-    pub head: http::response::Parts,
+    pub head: Box<http::response::Parts>,
     /// The rest of the body.
     pub body: Incoming,
     /// How the end of the body is marked.
@@ -205,7 +205,7 @@
     let started = StartedResponse {
         framing,
         began_unix_ms: now_unix_ms(),
-        head,
+        head: Box::new(head),
         body,
         connection,
         in_flight,
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -57,6 +57,8 @@
     /// Sends requests on the connection.
     pub sender: SendRequest<FramedBody>,
     head: HeadBytes,
+    /// When this process began to open the connection.
+    pub opened_unix_ms: u64,
     /// Whether the connection has served a request before.
     pub is_reused: bool,
     /// The requests that were refused on the connection.
@@ -191,6 +193,7 @@
 /// # Errors
 /// The upstream can't be reached in time.
 pub async fn connect(address: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
+    let opened_unix_ms = now_unix_ms();
     let opening = async {
         let stream = TcpStream::connect(address)
             .await
@@ -212,6 +215,7 @@
         Ok(UpstreamConnection {
             sender,
             head,
+            opened_unix_ms,
             is_reused: false,
             refused: RefusedRequests::default(),
             _task: task,
--- a/crates/celerystair_front/src/demand.rs
+++ b/crates/celerystair_front/src/demand.rs
@@ -220,6 +220,10 @@
                 }
                 let before = router.engines.get(&status.upstream);
                 if router.engines.insert_if_newer(status.clone()) {
+                    let run = status.incarnation();
+                    router
+                        .view
+                        .record_start(&run, status.software_version.as_ref());
                     record_peers(&router, &status);
                     wake_changed_models(&router, before.as_deref(), &status);
                 }
@@ -255,17 +259,14 @@
             router
                 .engines
                 .remove_received_before(now.saturating_sub(FORGET_AFTER_MS));
+            router.view.forget_starts(now);
         }
     }
 }
 
 /// Records that an engine leaves, as its agent has heard from it or from a router.
 fn record_departure(router: &PlatformRouter, status: &EngineStatus) {
-    let incarnation = UpstreamIncarnation {
-        upstream: status.upstream.clone(),
-        started_unix_ms: status.started_unix_ms,
-    };
-    if let Some(upstream) = router.view.run(&incarnation) {
+    if let Some(upstream) = router.view.run(&status.incarnation()) {
         router.record_departure(&upstream);
     }
 }
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -137,6 +137,25 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
+    /// Logs at which software version a stream begins if its upstream has started again since it was sent there.
+    pub fn log_if_started_again(
+        &self,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        opened_unix_ms: u64,
+        version: &SoftwareVersion,
+    ) {
+        let now = now_unix_ms();
+        for start in self.view.later_starts(upstream) {
+            info!(self.log, "stream_upstream_started_again"; "request" => %request.head.id,
+                "upstream" => %upstream.id(), "sent_to" => %upstream.software_version(),
+                "later" => start.software_version.as_ref().map(ToString::to_string),
+                "known_ms" => now.saturating_sub(start.known_unix_ms),
+                "connection_age_ms" => now.saturating_sub(opened_unix_ms),
+                "begins_at" => %version);
+        }
+    }
+
     /// Logs why a stream could not go on at another upstream.
     pub fn log_stream_not_resumed(&self, request: &CallerRequest, detail: &str) {
         info!(self.log, "stream_not_resumed"; "request" => %request.head.id,
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -157,6 +157,13 @@
             return;
         }
         let version = version_now(&self.router, &started.upstream);
+        let opened_unix_ms = started.connection.opened_unix_ms;
+        self.router.log_if_started_again(
+            &self.request,
+            &started.upstream,
+            opened_unix_ms,
+            &version,
+        );
         self.progress.version = Some(version.clone());
         let origin = StreamOrigin {
             service: self.service.clone(),
--- a/crates/celerystair_front/src/view.rs
+++ b/crates/celerystair_front/src/view.rs
@@ -55,6 +55,8 @@
     unlisted: RefCell<UnlistedRuns<Rc<Upstream>>>,
     entry_life_ms: u64,
     version_histories: RefCell<HashMap<ServiceName, VersionHistory>>,
+    /// What the list and agents have told of upstreams' starts.
+    known_starts: RefCell<KnownStarts>,
     /// Since when every change of the list of upstreams was seen.
     list_coverage: Cell<ListCoverage>,
     /// The entries of upstreams in the store.
@@ -99,6 +101,7 @@
                 unlisted: RefCell::default(),
                 entry_life_ms: source.entry_life_ms,
                 version_histories: RefCell::default(),
+                known_starts: RefCell::default(),
                 list_coverage: Cell::default(),
                 entries,
                 list_proof: Cell::default(),
@@ -285,6 +288,25 @@
             .collect()
     }
 
+    /// Records that an agent tells of a run of its upstream.
+    pub fn record_start(&self, run: &UpstreamIncarnation, version: Option<&SoftwareVersion>) {
+        let mut starts = self.inner.known_starts.borrow_mut();
+        starts.record(run, version, StartSource::Agent, now_unix_ms());
+    }
+
+    /// Returns the known starts of an upstream that come after this run of it.
+    pub fn later_starts(&self, run: &Upstream) -> Vec<KnownStart> {
+        let starts = self.inner.known_starts.borrow();
+        starts.later_than(&run.incarnation()).to_vec()
+    }
+
+    /// Forgets the starts of upstreams that nobody tells of any more.
+    pub fn forget_starts(&self, now_unix_ms: u64) {
+        let upstreams = self.inner.upstreams.borrow();
+        let mut starts = self.inner.known_starts.borrow_mut();
+        starts.forget(|id| upstreams.contains_key(id), now_unix_ms);
+    }
+
     async fn follow_config(&self, stop: &Stop) {
         while !stop.is_ended() {
             let changed = self.inner.configs.listen();
@@ -511,6 +533,11 @@
         run: Rc<Upstream>,
         now_unix_ms: u64,
     ) {
+        let mut starts = self.inner.known_starts.borrow_mut();
+        let version = run.software_version();
+        let incarnation = run.incarnation();
+        starts.record(&incarnation, Some(&version), StartSource::List, now_unix_ms);
+        drop(starts);
         if let Some(replaced) = upstreams.insert(run.id(), run) {
             self.keep_unlisted(replaced, now_unix_ms);
         }
--- a/crates/celerystair_news/src/engines.rs
+++ b/crates/celerystair_news/src/engines.rs
@@ -71,6 +71,14 @@
         now_unix_ms < self.received_unix_ms + STATUS_FRESHNESS_MS
     }
 
+    /// Returns which run of the engine the status is of.
+    pub fn incarnation(&self) -> UpstreamIncarnation {
+        UpstreamIncarnation {
+            upstream: self.upstream.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+
     /// Returns the model with its loaded adapters, if the engine serves it.
     pub fn loaded_model(&self, model: &ModelName) -> Option<&LoadedModel> {
         self.loaded.iter().find(|loaded| loaded.model == *model)
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! | module | decides |
 //! |---|---|
+//! | [`acceptor`] | which process accepted a connection to an upstream |
 //! | [`adapters`] | which adapter an engine loads next, and which one is evicted for it |
 //! | [`answer_end`] | whether an answer that has ended is whole |
 //! | [`answer_room`] | whose incomplete answer gives way when a router holds too many bytes |
@@ -39,6 +40,7 @@
 //!
 //! Why they are separate, and how they fit together: `docs/PLATFORM.md`.
 
+pub mod acceptor;
 pub mod adapters;
 pub mod answer_end;
 pub mod answer_room;
@@ -75,6 +77,7 @@
 /// The items that routers and agents use.
 pub mod prelude {
     pub use crate::{
+        acceptor::{KnownStart, KnownStarts, StartSource},
         answer_end::{
             Acceptor, AcceptorFacts, AnswerEnd, Listening, PROCESS_END_MS, ReportedStart, acceptor,
         },
