Hold a stream's events to the process that accepted its connection

Callers saw: behind a cut an engine crashed and started again under its identifier at another software version.

Cause: at its first event a stream was bound to the version of the latest start that the agent had told of, and not to that of the process which accepted the connection. Evidence: the streams broke off at v1 and were resumed at v2 by the one router that knew of the start before the events came; with the entry's version instead, the reverse case would be wrong.

Change: celerystair_policy::acceptor decides which process accepted a connection, by when it was opened and when each start became known, for streams and for ends without framing. A stream whose writer can't be told is bound to no version and ends visibly; the first events of each later part, and of streams that callers take up, are held to the stream's version when they arrive. Idle connections from before a known start are closed. Why it works: both times are of the router's own clock, and a connection stays at one process.

--- a/crates/celerystair_front/src/answer_end.rs
+++ b/crates/celerystair_front/src/answer_end.rs
@@ -70,12 +70,15 @@
     } else {
         ReportedStart::NotAsked
     };
+    let later = router.view.later_starts(upstream);
     let acceptor = acceptor(&AcceptorFacts {
         started_unix_ms: upstream.incarnation().started_unix_ms,
         reported,
         is_later_listed: is_later_listed(router, upstream),
+        later: &later,
         is_listed: !router.view.has_ended(upstream),
         sent_unix_ms,
+        opened_unix_ms: connection.opened_unix_ms,
         accepted_unix_ms,
     });
     if acceptor == Acceptor::Same && upstream.state() == UpstreamState::Ready {
--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -234,6 +234,10 @@
     let mut outgoing = outgoing_request(router, request, upstream, resumption.last_event_id);
     let connections = &upstream.connections;
     connections.set_max_idle(router.max_idle_connections(&upstream.entry.borrow().service));
+    if let Some(start) = router.view.later_starts(upstream).last() {
+        // What answers on an earlier connection could not be told.
+        connections.close_opened_until(start.known_unix_ms);
+    }
     let mut idle_connection =
         connections.take_idle(&request.head.id, request.route.is_repeatable());
     loop {
--- a/crates/celerystair_front/src/connections.rs
+++ b/crates/celerystair_front/src/connections.rs
@@ -107,6 +107,12 @@
         self.max_idle.set(max_idle);
     }
 
+    /// Closes the idle connections that began to be opened until this time.
+    pub fn close_opened_until(&self, opened_unix_ms: u64) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|idle| idle.connection.opened_unix_ms > opened_unix_ms);
+    }
+
     /// Closes the idle connections.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/celerystair_front/src/log.rs
+++ b/crates/celerystair_front/src/log.rs
@@ -137,13 +137,14 @@
             "age_ms" => request.age_ms(now_unix_ms()));
     }
 
-    /// Logs at which software version a stream begins if its upstream has started again since it was sent there.
+    /// Logs which software version is taken for that of the events of a stream whose upstream has started again
+    /// since it was sent there; `None` if it can't be told.
     pub fn log_if_started_again(
         &self,
         request: &CallerRequest,
         upstream: &Upstream,
         opened_unix_ms: u64,
-        version: &SoftwareVersion,
+        version: Option<&SoftwareVersion>,
     ) {
         let now = now_unix_ms();
         for start in self.view.later_starts(upstream) {
@@ -152,7 +153,7 @@
                 "later" => start.software_version.as_ref().map(ToString::to_string),
                 "known_ms" => now.saturating_sub(start.known_unix_ms),
                 "connection_age_ms" => now.saturating_sub(opened_unix_ms),
-                "begins_at" => %version);
+                "written_by" => version.map(ToString::to_string));
         }
     }
 
--- a/crates/celerystair_front/src/origins.rs
+++ b/crates/celerystair_front/src/origins.rs
@@ -10,11 +10,10 @@
 use futures_util::future::{Either, select};
 
 use crate::{
+    attempt::StartedResponse,
     demand::{gossip_peers, log_unsent, staying_agents},
     front::PlatformRouter,
-    pick::later_start,
     request::CallerRequest,
-    upstream::Upstream,
 };
 
 /// How a router knows where a stream began. The `Debug` form is logged.
@@ -267,11 +266,17 @@
     }
 }
 
-/// Returns the software version that the upstream runs, as far as this router knows.
-pub fn version_now(router: &PlatformRouter, upstream: &Upstream) -> SoftwareVersion {
-    let later = later_start(router, upstream);
-    let version = later.and_then(|status| status.software_version.clone());
-    version.unwrap_or_else(|| upstream.software_version())
+/// Returns the software version of the process that writes a response, or `None` if it can't be told.
+pub fn version_of_writer(
+    router: &PlatformRouter,
+    started: &StartedResponse,
+) -> Option<SoftwareVersion> {
+    let upstream = &started.upstream;
+    accepting_version(
+        &upstream.software_version(),
+        &router.view.later_starts(upstream),
+        started.connection.opened_unix_ms,
+    )
 }
 
 /// Returns the only origin that is possible by the list of upstreams, if there is only one.
--- a/crates/celerystair_front/src/pick.rs
+++ b/crates/celerystair_front/src/pick.rs
@@ -149,14 +149,7 @@
 /// Whether the upstream runs this software version, by its entry. An agent may know before the store's
 /// list that it has started again since.
 fn is_of_version(router: &PlatformRouter, upstream: &Upstream, version: &SoftwareVersion) -> bool {
-    upstream.software_version() == *version && later_start(router, upstream).is_none()
-}
-
-/// Returns the gossiped status of a later start of the upstream than its entry tells of.
-pub fn later_start(router: &PlatformRouter, upstream: &Upstream) -> Option<Rc<EngineStatus>> {
-    let entry = upstream.entry.borrow();
-    let status = router.engines.get(&entry.id)?;
-    (status.started_unix_ms > entry.started_unix_ms).then_some(status)
+    upstream.software_version() == *version && router.view.later_starts(upstream).is_empty()
 }
 
 /// Returns the gossiped status of this incarnation of the upstream, and none of an earlier one.
--- a/crates/celerystair_front/src/stream.rs
+++ b/crates/celerystair_front/src/stream.rs
@@ -17,7 +17,7 @@
     events::EventSplitter,
     framing::{Framing, is_event_stream},
     front::PlatformRouter,
-    origins::{publish_origin, version_now},
+    origins::{publish_origin, version_of_writer},
     request::{CallerRequest, Progress, UpstreamResponse, try_upstreams},
     standstill::before_silence,
     stops::GivenUpBy,
@@ -38,6 +38,11 @@
     /// Whether the response consists of events. Other responses are passed on as they are.
     is_event_stream: bool,
     events: EventSplitter,
+    /// Whether the events of the current upstream are known to be of the stream's software version.
+    is_part_checked: bool,
+    /// Whether events were passed on whose software version can't be told, so that nothing may follow them but
+    /// what their writer writes.
+    is_version_untold: bool,
     /// Where the stream last went on at another upstream; `None` if it hasn't.
     resumed: Option<ResumePoint>,
 }
@@ -86,6 +91,8 @@
         is_event_stream: is_event_stream(&started.head.headers),
         started: Some(started),
         events: EventSplitter::new(router.settings.header_codec.event_rules, taken_up_after),
+        is_part_checked: false,
+        is_version_untold: false,
         resumed: None,
     };
     let body = stream::unfold(relay, |mut relay| async move {
@@ -148,22 +155,31 @@
     }
 
     /// Binds the stream to the software version that has written its first event, which is about to be
-    /// passed on, for this router and for those at which its caller may take it up.
+    /// passed on, for this router and for those at which its caller may take it up. If that can't be told, the
+    /// stream ends with its upstream's part.
     async fn bind_version(&mut self) {
         let Some(started) = &self.started else {
             return;
         };
-        if self.progress.version.is_some() || !self.can_resume() {
+        if self.is_part_checked || !self.can_resume() {
             return;
         }
-        let version = version_now(&self.router, &started.upstream);
+        self.is_part_checked = true;
+        let version = version_of_writer(&self.router, started);
         let opened_unix_ms = started.connection.opened_unix_ms;
         self.router.log_if_started_again(
             &self.request,
             &started.upstream,
             opened_unix_ms,
-            &version,
+            version.as_ref(),
         );
+        if self.progress.version.is_some() {
+            return;
+        }
+        let Some(version) = version else {
+            self.is_version_untold = true;
+            return;
+        };
         self.progress.version = Some(version.clone());
         let origin = StreamOrigin {
             service: self.service.clone(),
@@ -221,6 +237,9 @@
                 self.mark_writing();
                 return StreamPart::Bytes(passed_on);
             }
+            if !self.is_part_of_version() {
+                return self.invalid_part("its software version is another one, or can't be told");
+            }
             if let Some(events) = self.events.push(&data) {
                 self.mark_writing();
                 return StreamPart::Bytes(events);
@@ -254,6 +273,15 @@
         self.request.route.can_resume && self.is_event_stream
     }
 
+    /// Returns whether events of the current upstream may follow those that were passed on. The version was
+    /// known when the upstream was picked, but another process may have accepted the connection.
+    fn is_part_of_version(&self) -> bool {
+        let (Some(started), Some(version)) = (&self.started, &self.progress.version) else {
+            return true;
+        };
+        self.is_part_checked || version_of_writer(&self.router, started).as_ref() == Some(version)
+    }
+
     /// Returns whether the current upstream's part of the stream is incomplete although it has ended as HTTP
     /// requires. A client discards an event without its blank line.
     fn is_cut_off(&self) -> bool {
@@ -319,6 +347,9 @@
 
     /// Returns whether the stalled stream should resume at another upstream.
     fn should_switch_upstream(&self) -> bool {
+        if self.is_version_untold {
+            return false;
+        }
         let Progress {
             tried,
             reached_upstreams,
@@ -403,6 +434,11 @@
         if !self.can_resume() || !has_time || !has_attempts_left {
             return false;
         }
+        if self.is_version_untold {
+            let reason = "the software version of its events can't be told";
+            self.router.log_stream_not_resumed(&self.request, reason);
+            return false;
+        }
         self.resume_elsewhere(None).await
     }
 
@@ -463,6 +499,7 @@
                 self.router
                     .log_stream_resumed(&self.request, &started.upstream, last_event_id);
                 self.events.begin_part();
+                self.is_part_checked = false;
                 self.resumed = Some(ResumePoint { last_event_id });
                 self.started = Some(started);
                 true
--- a/crates/celerystair_policy/src/acceptor.rs
+++ b/crates/celerystair_policy/src/acceptor.rs
@@ -10,6 +10,8 @@
 
 use crate::suspects::UpstreamIncarnation;
 
+/// A process that ends takes at least this long to serve again at its address.
+const RESTART_MIN_MS: u64 = 1000;
 /// The most starts that are remembered of one upstream.
 const STARTS_MAX: usize = 4;
 /// How long starts are remembered of an upstream that nobody tells of.
@@ -116,3 +118,98 @@
         });
     }
 }
+
+/// Returns the last of these starts that was known when a connection began to be opened, which is the first
+/// that may have accepted it.
+fn known_before_opening(later: &[KnownStart], opened_unix_ms: u64) -> Option<usize> {
+    later
+        .iter()
+        .rposition(|start| start.known_unix_ms < opened_unix_ms)
+}
+
+/// Returns the software version of the process that accepted a connection which was meant for a run of the
+/// version `meant_for`, if all processes that may have accepted it have the same. `later` are the known starts
+/// after that run.
+pub fn accepting_version(
+    meant_for: &SoftwareVersion,
+    later: &[KnownStart],
+    opened_unix_ms: u64,
+) -> Option<SoftwareVersion> {
+    let versions = |starts: &[KnownStart], version: Option<&SoftwareVersion>| {
+        let mut others = starts.iter().map(|start| start.software_version.as_ref());
+        others
+            .all(|other| other == version)
+            .then(|| version.cloned())
+            .flatten()
+    };
+    match known_before_opening(later, opened_unix_ms) {
+        Some(first) => versions(&later[first..], later[first].software_version.as_ref()),
+        None => versions(later, Some(meant_for)),
+    }
+}
+
+/// Which process accepts connections at an upstream's address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Acceptor {
+    /// The one that began the answer.
+    Same,
+    /// One that started later.
+    Later,
+    /// It can't be told.
+    Unknown,
+}
+
+/// What the process that accepts connections has told of its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportedStart {
+    /// It isn't asked, as only engines report it.
+    NotAsked,
+    /// It has not told in time.
+    Untold,
+    /// It started then, by its own clock.
+    UnixMs(u64),
+}
+
+/// What is known of the process that accepts connections at an upstream's address.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptorFacts<'a> {
+    /// When the upstream started that began the answer, by its own clock.
+    pub started_unix_ms: u64,
+    /// What the process has told.
+    pub reported: ReportedStart,
+    /// Whether the list names a later process at the address or under the upstream's id.
+    pub is_later_listed: bool,
+    /// The known starts of the upstream after the one that began the answer.
+    pub later: &'a [KnownStart],
+    /// Whether the list still names the upstream.
+    pub is_listed: bool,
+    /// When the request was sent, which its upstream has answered.
+    pub sent_unix_ms: u64,
+    /// When the connection began to be opened.
+    pub opened_unix_ms: u64,
+    /// When the connection was accepted.
+    pub accepted_unix_ms: u64,
+}
+
+/// Returns which process accepts connections. That one does is no proof that it is the upstream: after a cut
+/// the end of the connection arrives late, when a later process may listen that the list doesn't name yet.
+pub fn acceptor(facts: &AcceptorFacts<'_>) -> Acceptor {
+    let is_later_known = known_before_opening(facts.later, facts.opened_unix_ms).is_some();
+    if facts.is_later_listed || is_later_known {
+        return Acceptor::Later;
+    }
+    match facts.reported {
+        ReportedStart::UnixMs(started) if started == facts.started_unix_ms => Acceptor::Same,
+        ReportedStart::UnixMs(_) => Acceptor::Later,
+        ReportedStart::Untold => Acceptor::Unknown,
+        ReportedStart::NotAsked if !facts.later.is_empty() => Acceptor::Unknown,
+        ReportedStart::NotAsked => {
+            let restarted_unix_ms = facts.sent_unix_ms.saturating_add(RESTART_MIN_MS);
+            if facts.is_listed || facts.accepted_unix_ms < restarted_unix_ms {
+                Acceptor::Same
+            } else {
+                Acceptor::Unknown
+            }
+        }
+    }
+}
--- a/crates/celerystair_policy/src/lib.rs
+++ b/crates/celerystair_policy/src/lib.rs
@@ -77,10 +77,11 @@
 /// The items that routers and agents use.
 pub mod prelude {
     pub use crate::{
-        acceptor::{KnownStart, KnownStarts, StartSource},
-        answer_end::{
-            Acceptor, AcceptorFacts, AnswerEnd, Listening, PROCESS_END_MS, ReportedStart, acceptor,
+        acceptor::{
+            Acceptor, AcceptorFacts, KnownStart, KnownStarts, ReportedStart, StartSource,
+            accepting_version, acceptor,
         },
+        answer_end::{AnswerEnd, Listening, PROCESS_END_MS},
         answer_room::{AnswerLimit, AnswerRoom, AnswerTicket},
         bodies::{BodyRoom, BodyTicket, SMALL_BODY_MAX_BYTES},
         budget::{EarlierAttempts, RetryAllowance, RetryBound, RetryBudget},
--- a/crates/celerystair_policy/tests/answer_end.rs
+++ b/crates/celerystair_policy/tests/answer_end.rs
@@ -5,12 +5,14 @@
 const STARTED_UNIX_MS: u64 = 1_000_000;
 const SENT_UNIX_MS: u64 = 2_000_000;
 
-const FACTS: AcceptorFacts = AcceptorFacts {
+const FACTS: AcceptorFacts<'_> = AcceptorFacts {
     started_unix_ms: STARTED_UNIX_MS,
     reported: ReportedStart::NotAsked,
     is_later_listed: false,
+    later: &[],
     is_listed: true,
     sent_unix_ms: SENT_UNIX_MS,
+    opened_unix_ms: SENT_UNIX_MS,
     accepted_unix_ms: SENT_UNIX_MS + 50,
 };
 
