Name the member of a value that can't be read

Errors now begin with the path of the member, for each value of the store; the test holds as it was.

--- a/crates/celerystair_platform/src/value_text.rs
+++ b/crates/celerystair_platform/src/value_text.rs
@@ -37,9 +37,11 @@
     /// Reads the members that `T` wants.
     ///
     /// # Errors
-    /// The value isn't of this type.
-    pub fn read<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
-        serde_json::from_str(&self.0)
+    /// The value isn't of this type; the error names the member.
+    pub fn read<T: DeserializeOwned>(
+        &self,
+    ) -> Result<T, serde_path_to_error::Error<serde_json::Error>> {
+        serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(&self.0))
     }
 
     /// Returns the text.
