Read on behind long entries of another writer

Callers saw, in a trial of the new test: a router that starts beside twelve entries of 960 kB, whose names come before the sound ones, answered 503 for as long as they stood.

Cause: a list was given up at 8 MiB of its pages, whatever they held. What the limit protects is what is kept. Change: once more than 8 MiB would be kept, the longest values above 64 KiB are dropped and count as unreadable, and the pages are read on, 64 MiB at most. Lists of short values end where they did. Why it works: an entry that names an upstream has some hundred bytes.

Test: long_entries_hide_no_sound_ones_from_a_router_that_starts failed before (not served in 10 s, with the entries of the test beside it raised to twelve) and holds; those of endless stores, odd entries and eras hold.

--- a/crates/celerystair_front/src/attempt.rs
+++ b/crates/celerystair_front/src/attempt.rs
@@ -235,7 +235,7 @@
     let connections = &upstream.connections;
     connections.set_max_idle(router.max_idle_connections(&upstream.entry.borrow().service));
     if let Some(start) = router.view.later_starts(upstream).last() {
-        // What answers on an earlier connection could not be told.
+        // Which start would answer on an earlier connection can't be told.
         connections.close_opened_until(start.known_unix_ms);
     }
     let mut idle_connection =
--- a/crates/celerystair_platform/src/store.rs
+++ b/crates/celerystair_platform/src/store.rs
@@ -358,7 +358,7 @@
         let mut list = ObjectList::default();
         let mut after: Option<String> = None;
         let mut first_era = None;
-        let mut known_bytes = 0;
+        let (mut read_bytes, mut kept_bytes) = (0, 0);
         for _ in 0..PAGES_MAX {
             let call = (dialect.list)(prefix, after.as_deref());
             let response = self.call(call, priority).await?;
@@ -367,12 +367,8 @@
                 return Err(failed(&"a new era of the store began between two pages"));
             }
             let body = self.success_body(&response)?;
-            known_bytes += body.len();
-            if known_bytes > LIST_MAX_BYTES {
-                let detail = format!("the pages of {prefix} have more than {LIST_MAX_BYTES} bytes");
-                self.log_too_long(&detail);
-                break;
-            }
+            read_bytes += body.len();
+            kept_bytes += body.len();
             let page =
                 (dialect.read_list)(prefix, body).map_err(|error| bad_object(prefix, &error))?;
             // Later pages may be newer than the first. A watch from the first page's revision
@@ -383,10 +379,19 @@
             list.objects.extend(page.list.objects);
             list.unnamed = list.unnamed.saturating_add(page.list.unnamed);
             list.is_partial |= page.list.is_partial;
+            if kept_bytes > LIST_MAX_BYTES {
+                kept_bytes -= drop_long_values(&mut list.objects, kept_bytes - LIST_MAX_BYTES);
+            }
+            if kept_bytes > LIST_MAX_BYTES || read_bytes > LIST_READ_MAX_BYTES {
+                let detail =
+                    format!("{kept_bytes} of {read_bytes} bytes of the pages of {prefix} are kept");
+                self.log_too_long(&detail);
+                break;
+            }
             if page.after.is_none() {
                 info!(self.log(), "objects_listed"; "prefix" => prefix,
                     "objects" => list.objects.len(), "unnamed" => list.unnamed,
-                    "bytes" => known_bytes);
+                    "bytes" => read_bytes);
                 return Ok(InEra { era, value: list });
             }
             if page.after == after {
@@ -713,9 +718,12 @@
 /// without pages that a process reads at its start have 2 MB together at the size that the project designs
 /// for (`docs/CAPACITY.md`).
 const RESPONSE_MAX_BYTES: usize = 4 * 1024 * 1024;
-/// The most that the pages of one list may have together, above any list of the size that the project
-/// designs for.
+/// The most that is kept of the pages of one list, above any list of the size that the project designs for.
 const LIST_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// The most that is read of the pages of one list.
+const LIST_READ_MAX_BYTES: usize = 64 * 1024 * 1024;
+/// A value above this gives way if a list has more than is kept, so that it hides no others.
+const LONG_VALUE_BYTES: usize = 64 * 1024;
 /// The most pages of one list. The platform's have about 500 objects each, so this is far above any
 /// fleet; a store whose pages lead in a circle ends here.
 const PAGES_MAX: usize = 1000;
@@ -723,6 +731,26 @@
 /// The representation still has the `ETag` that the client sent.
 const STATUS_NOT_MODIFIED: u16 = 304;
 
+/// Drops the longest values, as if they could not be read, until `surplus_bytes` are free or no long one is
+/// left. Returns how much is free.
+fn drop_long_values(objects: &mut [Object], surplus_bytes: usize) -> usize {
+    let length = |object: &Object| object.value.as_str().len();
+    let mut long: Vec<&mut Object> = objects
+        .iter_mut()
+        .filter(|object| length(object) > LONG_VALUE_BYTES)
+        .collect();
+    long.sort_unstable_by_key(|object| std::cmp::Reverse(length(object)));
+    let mut free_bytes = 0;
+    for object in long {
+        if free_bytes >= surplus_bytes {
+            break;
+        }
+        free_bytes += length(object);
+        object.set_fault("its list has too many long values");
+    }
+    free_bytes
+}
+
 fn failed(error: &impl ToString) -> StoreError {
     StoreError::Failed {
         detail: error.to_string(),
